Workspace, core vocabulary and wire messages

Cause: the project starts empty; every part needs the same identifiers, verdicts and messages. Conclusion: parts can be built side by side against these types.

--- /dev/null
+++ b/client/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder entry point.
+
+fn main() {}
--- /dev/null
+++ b/core/src/digest.rs
@@ -0,0 +1,38 @@
+//! Length and checksum of an answer.
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// Running length and xxh3 checksum of an answer's body.
+#[derive(Clone, Default)]
+pub struct Digest {
+    hasher: Xxh3Default,
+    length: u64,
+}
+
+impl Digest {
+    /// The digest of an empty body.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes in the next bytes of the body.
+    pub fn update(&mut self, bytes: &[u8]) {
+        self.hasher.update(bytes);
+        self.length += bytes.len() as u64;
+    }
+
+    /// Bytes taken in so far.
+    pub fn length(&self) -> u64 {
+        self.length
+    }
+
+    /// The 64-bit checksum of the bytes taken in so far.
+    pub fn checksum(&self) -> u64 {
+        self.hasher.digest()
+    }
+}
+
+/// The 64-bit checksum of one piece of data, used as a payload fingerprint.
+pub fn fingerprint(bytes: &[u8]) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(bytes)
+}
--- /dev/null
+++ b/core/src/tier.rs
@@ -0,0 +1,20 @@
+//! Tiers of urgency.
+
+use derive_more::Display;
+
+/// Position of a tier in its service's document; 0 is the most urgent.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Rank(pub u8);
+
+impl Rank {
+    /// The most urgent rank.
+    pub const FIRST: Self = Self(0);
+
+    /// The least urgent rank there can be.
+    pub const LAST: Self = Self(u8::MAX);
+
+    /// Whether this rank is more urgent than `other`.
+    pub fn is_above(self, other: Self) -> bool {
+        self.0 < other.0
+    }
+}
--- /dev/null
+++ b/wire/src/codec.rs
@@ -0,0 +1,84 @@
+//! MessagePack encoding, and length-prefixed framing for streams.
+
+use {
+    bytes::{Bytes, BytesMut},
+    derive_more::{Display, Error, From},
+    serde::{Serialize, de::DeserializeOwned},
+    tokio_util::codec::{Decoder as _, Encoder as _, LengthDelimitedCodec},
+};
+
+/// Largest message accepted, in bytes.
+pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why a message could not be encoded or decoded.
+#[derive(Debug, Display, Error, From)]
+pub enum Error {
+    /// The value has no MessagePack form.
+    #[display("cannot encode the message: {_0}")]
+    Encode(rmp_serde::encode::Error),
+    /// The bytes are not the expected message.
+    #[display("cannot decode the message: {_0}")]
+    Decode(rmp_serde::decode::Error),
+    /// The stream's framing is broken or a message is over the size limit.
+    #[display("broken framing: {_0}")]
+    Framing(std::io::Error),
+}
+
+/// Encodes one message as a whole HTTP body.
+pub fn encode<T: Serialize>(message: &T) -> Result<Bytes, Error> {
+    Ok(rmp_serde::to_vec(message)?.into())
+}
+
+/// Decodes one message from a whole HTTP body.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    Ok(rmp_serde::from_slice(bytes)?)
+}
+
+/// Encodes one message with its length prefix, as an element of a stream.
+pub fn encode_item<T: Serialize>(message: &T) -> Result<Bytes, Error> {
+    let payload = encode(message)?;
+    let mut buffer = BytesMut::with_capacity(payload.len() + 4);
+    framing().encode(payload, &mut buffer)?;
+    Ok(buffer.freeze())
+}
+
+/// Splits a byte stream into the messages it carries.
+pub struct Splitter {
+    framing: LengthDelimitedCodec,
+    buffer: BytesMut,
+}
+
+impl Default for Splitter {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Splitter {
+    /// An empty splitter.
+    pub fn new() -> Self {
+        Self {
+            framing: framing(),
+            buffer: BytesMut::new(),
+        }
+    }
+
+    /// Takes in the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, or `None` until more bytes come.
+    pub fn next_item<T: DeserializeOwned>(&mut self) -> Result<Option<T>, Error> {
+        match self.framing.decode(&mut self.buffer)? {
+            Some(payload) => decode(&payload).map(Some),
+            None => Ok(None),
+        }
+    }
+}
+
+fn framing() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_MESSAGE_BYTES)
+        .new_codec()
+}
--- /dev/null
+++ b/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between the processes of tamarackdale.
+//!
+//! All of them travel over HTTP with MessagePack bodies ([`codec`]). Types here mirror the core
+//! types and convert by `From` and `TryFrom`, so that the wire format and the decision logic can
+//! change apart.
+
+pub mod codec;
+pub mod failure;
+pub mod frame;
+pub mod id;
+pub mod message;
+pub mod path;
+pub mod report;
+
+pub use {frame::Frame, report::Report};
--- /dev/null
+++ b/wire/src/path.rs
@@ -0,0 +1,23 @@
+//! Paths of the HTTP interface between processes.
+
+/// `POST` [`crate::message::Enqueue`]; answers with a stream of [`crate::Frame`]s.
+pub const ENQUEUE: &str = "/v1/enqueue";
+
+/// `POST` [`crate::message::Grant`]; answers with [`crate::message::Granted`].
+pub const GRANT: &str = "/v1/grant";
+
+/// `POST` [`crate::message::Resume`]; answers with a stream of [`crate::Frame`]s.
+pub const RESUME: &str = "/v1/resume";
+
+/// `POST` [`crate::message::Cancel`]; answers with an empty body.
+pub const CANCEL: &str = "/v1/cancel";
+
+/// `POST` [`crate::message::Acknowledge`]; answers with an empty body.
+pub const ACKNOWLEDGE: &str = "/v1/acknowledge";
+
+/// `GET`; answers with an endless stream of [`crate::Report`]s.
+pub const REPORTS: &str = "/v1/reports";
+
+/// `GET` with the service's name as last segment; answers with the newest
+/// [`crate::message::Document`] that the process has.
+pub const DOCUMENTS: &str = "/v1/documents";
--- /dev/null
+++ b/wire/tests/codec.rs
@@ -0,0 +1,66 @@
+//! Messages survive encoding, framing and arbitrary cuts of the byte stream.
+
+use {
+    bytes::Bytes,
+    rstest::rstest,
+    tamarackdale_core::failure as core_failure,
+    tamarackdale_wire::{Frame, codec, failure::Failure},
+};
+
+fn frames() -> Vec<Frame> {
+    vec![
+        Frame::Ready,
+        Frame::Chunk {
+            offset: 7,
+            bytes: Bytes::from_static(b"bevel angle"),
+        },
+        Frame::End {
+            length: 18,
+            checksum: 42,
+        },
+    ]
+}
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(1000)]
+fn stream_survives_any_cut(#[case] step: usize) {
+    let sent = frames();
+    let stream: Vec<u8> = sent
+        .iter()
+        .flat_map(|frame| codec::encode_item(frame).expect("encodes"))
+        .collect();
+    let mut splitter = codec::Splitter::new();
+    let mut received = Vec::new();
+
+    for piece in stream.chunks(step) {
+        splitter.push(piece);
+        while let Some(frame) = splitter.next_item::<Frame>().expect("decodes") {
+            received.push(frame);
+        }
+    }
+
+    assert_eq!(received, sent);
+}
+
+#[test]
+fn failure_round_trips() {
+    let failure = core_failure::Failure::not_run(core_failure::Reason::Overload)
+        .with_retry_after(std::time::Duration::from_millis(250));
+
+    let parsed = core_failure::Failure::try_from(Failure::from(failure));
+
+    assert_eq!(parsed.ok(), Some(failure));
+}
+
+#[test]
+fn unknown_reason_is_an_error() {
+    let failure = Failure {
+        verdict: "not-run".into(),
+        reason: "bored".into(),
+        retry_after_ms: None,
+    };
+
+    assert!(core_failure::Failure::try_from(failure).is_err());
+}
