--- /dev/null
+++ b/daemon/src/cli.rs
@@ -0,0 +1,145 @@
+//! Command line of the daemon.
+
+use {
+    crate::{
+        logging,
+        router,
+        settings::{self, Flag, Problems, source::Source},
+        sidecar,
+    },
+    getopts::{Matches, Options},
+    miette::{Diagnostic, IntoDiagnostic as _},
+    std::process::ExitCode,
+};
+
+const USAGE: &str = "Usage: tamarackdaled router|sidecar [OPTIONS]
+
+Every option can also be set by an environment variable: --data-centre by
+TAMARACKDALE_DATA_CENTRE, and so on. An option wins over its variable.";
+
+/// Exit code for unusable settings.
+const UNUSABLE: u8 = 2;
+
+enum Role {
+    Router,
+    Sidecar,
+}
+
+enum Settings {
+    Router(settings::Router),
+    Sidecar(settings::Sidecar),
+}
+
+/// Runs the daemon with the process's arguments and environment.
+///
+/// Exits with 0 after a clean run, 1 after a failure and 2 if the settings are unusable.
+pub fn run() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match start(&arguments) {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(arguments: &[String]) -> miette::Result<ExitCode> {
+    let role = arguments.first().and_then(|name| parse_role(name));
+    let options = options(role.as_ref());
+    let matches = match options.parse(arguments) {
+        Ok(matches) => matches,
+        Err(error) => return Ok(unusable(&miette::miette!("{error}"))),
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return Ok(ExitCode::SUCCESS);
+    }
+    if matches.opt_present("version") {
+        println!("tamarackdaled {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let Some(role) = role else {
+        return Ok(unusable(&miette::miette!(
+            help = "give the role first: tamarackdaled router … or tamarackdaled sidecar …",
+            "no role given"
+        )));
+    };
+    let settings = match read(&role, &matches) {
+        Ok(settings) => settings,
+        Err(problems) => return Ok(unusable(&problems.into())),
+    };
+    if matches.opt_present("check-settings") {
+        println!("the settings are usable");
+        return Ok(ExitCode::SUCCESS);
+    }
+    launch(settings)?;
+    Ok(ExitCode::SUCCESS)
+}
+
+fn launch(settings: Settings) -> miette::Result<()> {
+    match settings {
+        Settings::Router(settings) => {
+            let instance = settings.common.instance.to_string();
+            logging::start(settings.common.log_level, "router", instance).into_diagnostic()?;
+            router::run(settings).into_diagnostic()
+        }
+        Settings::Sidecar(settings) => {
+            let instance = settings.common.instance.to_string();
+            logging::start(settings.common.log_level, "sidecar", instance).into_diagnostic()?;
+            sidecar::run(settings).into_diagnostic()
+        }
+    }
+}
+
+fn parse_role(name: &str) -> Option<Role> {
+    match name {
+        "router" => Some(Role::Router),
+        "sidecar" => Some(Role::Sidecar),
+        _ => None,
+    }
+}
+
+fn flags(role: Option<&Role>) -> Vec<&'static Flag> {
+    let own = match role {
+        Some(Role::Router) => settings::router::FLAGS,
+        Some(Role::Sidecar) => settings::sidecar::FLAGS,
+        None => &[],
+    };
+    settings::COMMON.iter().chain(own).collect()
+}
+
+fn options(role: Option<&Role>) -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options.optflag("", "check-settings", "check the settings and exit");
+    for flag in flags(role) {
+        let help = match flag.default {
+            Some(default) => format!("{} [{default}]", flag.help),
+            None => flag.help.to_owned(),
+        };
+        options.optopt("", flag.name, &help, flag.hint);
+    }
+    options
+}
+
+fn read(
+    role: &Role,
+    matches: &Matches,
+) -> Result<Settings, Problems> {
+    let variable = |name: &str| std::env::var(name).ok();
+    let mut source = Source::new(flags(Some(role)), matches, &variable);
+    let settings = match role {
+        Role::Router => Settings::Router(settings::Router::read(&mut source)),
+        Role::Sidecar => Settings::Sidecar(settings::Sidecar::read(&mut source)),
+    };
+    source.finish(settings)
+}
+
+fn unusable(report: &miette::Report) -> ExitCode {
+    let diagnostic: &dyn Diagnostic = report.as_ref();
+    log::debug!("settings refused: {diagnostic}");
+    eprintln!("{report:?}");
+    ExitCode::from(UNUSABLE)
+}
--- /dev/null
+++ b/daemon/src/http/body.rs
@@ -0,0 +1,85 @@
+//! Bodies of requests and responses.
+
+use {
+    bytes::Bytes,
+    futures_util::Stream,
+    gotham::{
+        helpers::http::Body,
+        hyper::{Response, StatusCode, body::Frame, header},
+    },
+    http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, StreamBody},
+    std::io,
+    tamarackdale_wire::codec,
+};
+
+/// Why a request's body could not be read.
+#[derive(Debug)]
+pub enum Unreadable {
+    /// The body is larger than the limit.
+    TooLarge,
+    /// The connection broke or the body is malformed.
+    Broken,
+}
+
+/// Reads a whole body of at most `limit` bytes.
+pub async fn read<B>(
+    body: B,
+    limit: usize,
+) -> Result<Bytes, Unreadable>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    match Limited::new(body, limit).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Unreadable::TooLarge),
+        Err(_) => Err(Unreadable::Broken),
+    }
+}
+
+/// A body of known bytes.
+pub fn whole(bytes: impl Into<Bytes>) -> Body {
+    Full::new(bytes.into())
+        .map_err(|never| match never {})
+        .boxed_unsync()
+}
+
+/// A body that streams; an error in the stream breaks the connection.
+pub fn stream<S>(stream: S) -> Body
+where
+    S: Stream<Item = io::Result<Frame<Bytes>>> + Send + 'static,
+{
+    StreamBody::new(stream).boxed_unsync()
+}
+
+/// A response with a MessagePack body.
+pub fn message<T: serde::Serialize>(message: &T) -> Response<Body> {
+    match codec::encode(message) {
+        Ok(bytes) => Response::new(whole(bytes)),
+        Err(error) => {
+            log::error!("cannot answer: {error}");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+/// A response with a JSON body.
+pub fn json(
+    code: StatusCode,
+    value: &serde_json::Value,
+) -> Response<Body> {
+    let mut response = Response::new(whole(value.to_string()));
+    *response.status_mut() = code;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// A response with a status and nothing else.
+pub fn status(code: StatusCode) -> Response<Body> {
+    let mut response = Response::new(whole(Bytes::new()));
+    *response.status_mut() = code;
+    response
+}
--- /dev/null
+++ b/daemon/src/http/client.rs
@@ -0,0 +1,40 @@
+//! HTTP clients.
+
+use {
+    bytes::Bytes,
+    http_body_util::Full,
+    hyper_util::{
+        client::legacy::{Client, connect::HttpConnector},
+        rt::{TokioExecutor, TokioTimer},
+    },
+    std::time::Duration,
+};
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A client that sends whole bodies.
+pub type Http = Client<HttpConnector, Full<Bytes>>;
+
+/// A client that keeps idle connections for reuse.
+pub fn pooled() -> Http {
+    build(usize::MAX)
+}
+
+/// A client that opens a connection for each request, for when the known ones may be dead.
+pub fn fresh() -> Http {
+    build(0)
+}
+
+fn build(max_idle: usize) -> Http {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    Client::builder(TokioExecutor::new())
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
+        .pool_max_idle_per_host(max_idle)
+        // A silent second sending would break at-most-once.
+        .retry_canceled_requests(false)
+        .build(connector)
+}
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,1 +1,18 @@
-//! Placeholder.
+//! `tamarackdaled`, the daemon of tamarackdale, in one of two roles.
+//!
+//! A *router* takes callers' requests, chooses a sidecar for each and relays the answer. A
+//! *sidecar* runs beside one backend server, queues requests in tier order and dispatches them.
+
+pub mod admin;
+pub mod cli;
+pub mod configuration;
+pub mod duty;
+pub mod http;
+pub mod logging;
+pub mod metrics;
+pub mod ring;
+pub mod router;
+pub mod settings;
+pub mod sidecar;
+pub mod signal;
+pub mod uptime;
--- a/daemon/src/main.rs
+++ b/daemon/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! Entry point of `tamarackdaled`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tamarackdaled::cli::run()
+}
--- /dev/null
+++ b/daemon/src/ring.rs
@@ -0,0 +1,52 @@
+//! Bounded rings between duties.
+
+use {
+    crossbeam_channel::{Receiver, Sender, TrySendError, bounded},
+    tamarackdale_core::failure::{Failure, Reason},
+    tokio::sync::oneshot,
+};
+
+/// Sending end of a ring.
+pub struct Ring<T> {
+    sender: Sender<T>,
+}
+
+impl<T> Clone for Ring<T> {
+    fn clone(&self) -> Self {
+        Self {
+            sender: self.sender.clone(),
+        }
+    }
+}
+
+impl<T> Ring<T> {
+    /// A ring that holds at most `capacity` messages, and its receiving end.
+    pub fn new(capacity: usize) -> (Self, Receiver<T>) {
+        let (sender, receiver) = bounded(capacity);
+        (Self { sender }, receiver)
+    }
+
+    /// Puts a message in the ring; never waits.
+    ///
+    /// Fails as not run, with [`Reason::Full`] or, when the duty has ended, [`Reason::Closing`].
+    pub fn send(&self, message: T) -> Result<(), Failure> {
+        self.sender.try_send(message).map_err(|error| match error {
+            TrySendError::Full(_) => Failure::not_run(Reason::Full),
+            TrySendError::Disconnected(_) => Failure::not_run(Reason::Closing),
+        })
+    }
+
+    /// Sends a message built around a reply slot, and waits for the reply.
+    ///
+    /// Fails like [`Ring::send`]; a duty that ends without a reply counts as closing.
+    pub async fn ask<R>(
+        &self,
+        message: impl FnOnce(oneshot::Sender<R>) -> T,
+    ) -> Result<R, Failure> {
+        let (reply, answer) = oneshot::channel();
+        self.send(message(reply))?;
+        answer
+            .await
+            .map_err(|_| Failure::not_run(Reason::Closing))
+    }
+}
--- /dev/null
+++ b/daemon/src/settings.rs
@@ -0,0 +1,114 @@
+//! Settings, from flags and environment variables; a flag wins over its variable.
+
+pub mod problem;
+pub mod router;
+pub mod sidecar;
+pub mod source;
+
+use {
+    self::source::Source,
+    log::LevelFilter,
+    std::{net::SocketAddr, time::Duration},
+    tamarackdale_core::id,
+};
+
+pub use {problem::Problems, router::Router, sidecar::Sidecar};
+
+/// Settings that both roles have.
+#[derive(Clone, Debug)]
+pub struct Common {
+    /// Name of this instance, as in the instance list.
+    pub instance: id::Instance,
+    /// Data centre that this instance is in.
+    pub data_centre: String,
+    /// Address for other processes of the system.
+    pub peer_listen: SocketAddr,
+    /// Address for metrics and probes.
+    pub admin_listen: SocketAddr,
+    /// Address of the key-value service.
+    pub store: String,
+    /// Address of the instance list.
+    pub instance_list: String,
+    /// Least severe level that is logged.
+    pub log_level: LevelFilter,
+    /// Longest time that a graceful shutdown may take.
+    pub shutdown_limit: Duration,
+    /// Largest request body accepted, in bytes.
+    pub max_body_bytes: usize,
+    /// Most connections that a listener holds at once.
+    pub max_connections: usize,
+}
+
+impl Common {
+    fn read(source: &mut Source) -> Self {
+        Self {
+            instance: id::Instance(source.name("instance")),
+            data_centre: source.name("data-centre"),
+            peer_listen: source.address("peer-listen"),
+            admin_listen: source.address("admin-listen"),
+            store: source.url("store"),
+            instance_list: source.url("instance-list"),
+            log_level: source.log_level("log-level"),
+            shutdown_limit: Duration::from_secs(source.number("shutdown-limit-s")),
+            max_body_bytes: source.number("max-body-bytes") as usize,
+            max_connections: source.number("max-connections") as usize,
+        }
+    }
+}
+
+/// One setting: its flag, from which its environment variable follows, and how to explain it.
+pub struct Flag {
+    /// Long flag, without dashes.
+    pub name: &'static str,
+    /// Placeholder of the value in the help text.
+    pub hint: &'static str,
+    /// One line of help.
+    pub help: &'static str,
+    /// Value if neither flag nor variable is given; none if the setting is mandatory.
+    pub default: Option<&'static str>,
+}
+
+impl Flag {
+    const fn new(
+        name: &'static str,
+        hint: &'static str,
+        help: &'static str,
+    ) -> Self {
+        Self {
+            name,
+            hint,
+            help,
+            default: None,
+        }
+    }
+
+    const fn with_default(
+        mut self,
+        default: &'static str,
+    ) -> Self {
+        self.default = Some(default);
+        self
+    }
+
+    /// Name of the environment variable.
+    pub fn variable(&self) -> String {
+        format!("TAMARACKDALE_{}", self.name.replace('-', "_").to_uppercase())
+    }
+}
+
+/// Flags that both roles have.
+pub const COMMON: &[Flag] = &[
+    Flag::new("instance", "NAME", "name of this instance in the instance list"),
+    Flag::new("data-centre", "NAME", "data centre that this instance is in"),
+    Flag::new("peer-listen", "IP:PORT", "address for other processes of the system")
+        .with_default("127.0.0.1:7701"),
+    Flag::new("admin-listen", "IP:PORT", "address for metrics and probes")
+        .with_default("127.0.0.1:7702"),
+    Flag::new("store", "URL", "key-value service"),
+    Flag::new("instance-list", "URL", "instance list"),
+    Flag::new("log-level", "LEVEL", "error, warn, info, debug or trace").with_default("info"),
+    Flag::new("shutdown-limit-s", "SECONDS", "longest graceful shutdown").with_default("600"),
+    Flag::new("max-body-bytes", "BYTES", "largest request body").with_default("4194304"),
+    Flag::new("max-connections", "COUNT", "connections that a listener holds at once")
+        .with_default("4096"),
+];
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -27,6 +27,14 @@
     pub remaining_ms: u64,
     /// Estimated cost.
     pub cost: Cost,
+    /// Whether the answer is kept whole for retries after it has been acknowledged.
+    pub keep_answer: bool,
+    /// Whether the request goes on when its caller and its router are gone.
+    pub finish_alone: bool,
+    /// Whether a request that can no longer meet its deadline is served all the same.
+    pub finish_late: bool,
+    /// Weight of the organisation in the sharing of its tier.
+    pub weight: u32,
     /// HTTP method.
     pub method: String,
     /// Path and query below the service's name.
