Sidecar's table of attempts

Cause: nothing decides yet when a sidecar may dispatch a request, or what it may truthfully answer to a router that asks for an attempt. Whoever is told not-run for an attempt finds it voided from then on, also if its enqueue is still on the way. A forgotten attempt leaves a bound per router, so that no answer depends on how long a router was paused; the retention only decides how long an answer can be fetched.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! an argument ([`time::Timestamp`]) and so is the seeded generator, which makes every decision
 //! repeatable in a test.
 
+pub mod attempt;
 pub mod digest;
 pub mod failure;
 pub mod id;
