--- /dev/null
+++ b/core/src/document/change.rs
@@ -0,0 +1,88 @@
+//! Dangerous differences between two versions of a document.
+
+use {
+    super::{Action, Document, Fencing},
+    derive_more::Display,
+};
+
+/// A difference that can refuse callers' requests or let an action run twice.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum Danger {
+    /// A tier that organisations may ask for is gone.
+    #[display("tier {tier} is removed while used by {}", organisations.join(", "))]
+    TierRemoved {
+        /// Name of the tier.
+        tier: String,
+        /// Organisations that could ask for it.
+        organisations: Vec<String>,
+    },
+    /// Requests that must not run twice are no longer named.
+    #[display("non-idempotent action {_0} is removed, so its requests may run twice")]
+    ActionRemoved(Action),
+    /// An organisation is gone, and its keys with it.
+    #[display("organisation {_0} is removed, so its requests are refused")]
+    OrganisationRemoved(String),
+    /// Backend servers are now taken to refuse old orders.
+    #[display("backend servers are now taken to obey fencing numbers")]
+    FencingTrusted,
+    /// The document is of another service.
+    #[display("the service is renamed from {from} to {to}")]
+    Renamed {
+        /// The old name.
+        from: String,
+        /// The new name.
+        to: String,
+    },
+}
+
+/// The dangerous differences from one version of a document to the next.
+pub fn dangers(old: &Document, new: &Document) -> Vec<Danger> {
+    let mut dangers = Vec::new();
+    if old.service != new.service {
+        dangers.push(Danger::Renamed {
+            from: old.service.clone(),
+            to: new.service.clone(),
+        });
+    }
+    dangers.extend(removed_tiers(old, new));
+    dangers.extend(removed_actions(old, new));
+    dangers.extend(removed_organisations(old, new));
+    if old.fencing == Fencing::Ignored && new.fencing == Fencing::Obeyed {
+        dangers.push(Danger::FencingTrusted);
+    }
+    dangers
+}
+
+fn removed_tiers(old: &Document, new: &Document) -> impl Iterator<Item = Danger> {
+    old.tiers
+        .iter()
+        .filter(|tier| new.tier(&tier.name).is_none())
+        .filter_map(|tier| {
+            let organisations: Vec<String> = old
+                .organisations
+                .iter()
+                .filter(|organisation| organisation.may_use(&tier.name))
+                .map(|organisation| organisation.name.clone())
+                .collect();
+            let is_used = !organisations.is_empty();
+            is_used.then(|| Danger::TierRemoved {
+                tier: tier.name.clone(),
+                organisations,
+            })
+        })
+}
+
+fn removed_actions(old: &Document, new: &Document) -> impl Iterator<Item = Danger> {
+    old.actions
+        .iter()
+        .filter(|action| !new.actions.iter().any(|other| other.covers(action)))
+        .cloned()
+        .map(Danger::ActionRemoved)
+}
+
+fn removed_organisations(old: &Document, new: &Document) -> impl Iterator<Item = Danger> {
+    old.organisations
+        .iter()
+        .filter(|organisation| new.organisation(&organisation.name).is_none())
+        .map(|organisation| Danger::OrganisationRemoved(organisation.name.clone()))
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! repeatable in a test.
 
 pub mod digest;
+pub mod document;
 pub mod failure;
 pub mod id;
 pub mod tier;
