--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod attempt;
 pub mod digest;
+pub mod document;
 pub mod failure;
 pub mod id;
 pub mod tier;
