--- a/daemon/src/ring.rs
+++ b/daemon/src/ring.rs
@@ -2,10 +2,14 @@
 
 use {
     crossbeam_channel::{Receiver, Sender, TrySendError, bounded},
+    std::time::Duration,
     tamarackdale_core::failure::{Failure, Reason},
     tokio::sync::oneshot,
 };
 
+/// Pause before a message that must not be lost is put in a full ring again.
+const FULL_BACKOFF: Duration = Duration::from_millis(2);
+
 /// Sending end of a ring.
 pub struct Ring<T> {
     sender: Sender<T>,
@@ -36,9 +40,22 @@
         })
     }
 
+    /// Puts a message in the ring that must not be lost, trying again while the ring is full.
+    pub async fn deliver(
+        self,
+        message: T,
+    ) {
+        let mut message = message;
+        while let Err(TrySendError::Full(returned)) = self.sender.try_send(message) {
+            message = returned;
+            tokio::time::sleep(FULL_BACKOFF).await;
+        }
+    }
+
     /// Sends a message built around a reply slot, and waits for the reply.
     ///
-    /// Fails like [`Ring::send`]; a duty that ends without a reply counts as closing.
+    /// Fails like [`Ring::send`] if the message was not sent. A duty that ends without a reply
+    /// may have acted on the message, so that failure is [`Reason::Closing`], may have run.
     pub async fn ask<R>(
         &self,
         message: impl FnOnce(oneshot::Sender<R>) -> T,
@@ -47,6 +64,6 @@
         self.send(message(reply))?;
         answer
             .await
-            .map_err(|_| Failure::not_run(Reason::Closing))
+            .map_err(|_| Failure::may_have_run(Reason::Closing))
     }
 }
--- /dev/null
+++ b/daemon/src/router/refusal.rs
@@ -0,0 +1,162 @@
+//! Answers that the router gives by itself.
+
+use {
+    super::inbound::Inbound,
+    crate::http::body,
+    derive_more::Display,
+    gotham::{
+        helpers::http::Body,
+        hyper::{
+            Response, StatusCode,
+            header::{HeaderMap, HeaderValue, RETRY_AFTER},
+        },
+    },
+    serde_json::json,
+    std::time::Duration,
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        verdict::Verdict,
+    },
+};
+
+/// Header with the request's key.
+pub const REQUEST_ID: &str = "tamarackdale-request-id";
+
+/// Header with the verdict.
+pub const VERDICT: &str = "tamarackdale-verdict";
+
+/// Header with the reason of a refusal.
+pub const REASON: &str = "tamarackdale-reason";
+
+/// Header with the delay before a retry, in milliseconds.
+pub const RETRY_AFTER_MS: &str = "tamarackdale-retry-after-ms";
+
+/// What is wrong with a caller's request.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum Invalid {
+    /// The path names no service that is served here.
+    #[display("unknown service")]
+    Service,
+    /// The API key is missing or unknown.
+    #[display("missing or unknown API key")]
+    Authorization,
+    /// The organisation may not use the tier.
+    #[display("the organisation may not use this tier")]
+    TierNotAllowed,
+    /// A header has no usable value.
+    #[display("unusable value")]
+    Header(&'static str),
+    /// The body is too large.
+    #[display("the body is too large")]
+    BodyTooLarge,
+    /// The body did not arrive whole.
+    #[display("the body did not arrive whole")]
+    BodyBroken,
+}
+
+impl Invalid {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::Service => StatusCode::NOT_FOUND,
+            Self::Authorization => StatusCode::UNAUTHORIZED,
+            Self::TierNotAllowed => StatusCode::FORBIDDEN,
+            Self::Header(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        }
+    }
+
+    fn field(self) -> &'static str {
+        match self {
+            Self::Service => "path",
+            Self::Authorization => "authorization",
+            Self::TierNotAllowed => super::inbound::TIER,
+            Self::Header(name) => name,
+            Self::BodyTooLarge | Self::BodyBroken => "body",
+        }
+    }
+
+    /// The answer to the invalid request.
+    pub fn response(self) -> Response<Body> {
+        let value = json!({
+            "error": self.to_string(),
+            "field": self.field(),
+            "verdict": Verdict::NotRun.to_string(),
+            "reason": Reason::BadRequest.to_string(),
+        });
+        let mut response = body::json(self.status(), &value);
+        let failure = Failure::not_run(Reason::BadRequest);
+        put_failure(response.headers_mut(), &failure);
+        response
+    }
+}
+
+/// The answer to a request that failed before its head was sent.
+pub fn response(
+    request: &Inbound,
+    failure: &Failure,
+) -> Response<Body> {
+    let mut response = body::json(status(failure), &describe(failure));
+    put_request_id(response.headers_mut(), request);
+    put_failure(response.headers_mut(), failure);
+    response
+}
+
+/// A failure in JSON, for bodies and for the last event of a stream.
+pub fn describe(failure: &Failure) -> serde_json::Value {
+    json!({
+        "error": failure.to_string(),
+        "verdict": failure.verdict.to_string(),
+        "reason": failure.reason.to_string(),
+        "retry_after_ms": failure.retry_after.map(millis),
+    })
+}
+
+/// Sets the header with the request's key.
+pub fn put_request_id(
+    headers: &mut HeaderMap,
+    request: &Inbound,
+) {
+    if let Ok(value) = HeaderValue::from_str(&request.id.key) {
+        headers.insert(REQUEST_ID, value);
+    }
+}
+
+/// Sets the header with the verdict.
+pub fn put_verdict(
+    headers: &mut HeaderMap,
+    verdict: Verdict,
+) {
+    if let Ok(value) = HeaderValue::from_str(&verdict.to_string()) {
+        headers.insert(VERDICT, value);
+    }
+}
+
+fn put_failure(
+    headers: &mut HeaderMap,
+    failure: &Failure,
+) {
+    put_verdict(headers, failure.verdict);
+    if let Ok(value) = HeaderValue::from_str(&failure.reason.to_string()) {
+        headers.insert(REASON, value);
+    }
+    if let Some(delay) = failure.retry_after {
+        headers.insert(RETRY_AFTER, HeaderValue::from(delay.as_secs_f64().ceil() as u64));
+        headers.insert(RETRY_AFTER_MS, HeaderValue::from(millis(delay)));
+    }
+}
+
+fn status(failure: &Failure) -> StatusCode {
+    match failure.reason {
+        Reason::OrganisationLimit => StatusCode::TOO_MANY_REQUESTS,
+        Reason::Duplicate => StatusCode::CONFLICT,
+        Reason::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+        Reason::BadRequest => StatusCode::BAD_REQUEST,
+        Reason::DeadlinePassed => StatusCode::GATEWAY_TIMEOUT,
+        _ if failure.verdict == Verdict::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+        _ => StatusCode::BAD_GATEWAY,
+    }
+}
+
+fn millis(delay: Duration) -> u64 {
+    u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/daemon/src/router/relay/offer.rs
@@ -0,0 +1,174 @@
+//! Offers a request to one sidecar, up to the grant.
+
+use {
+    super::responder::Responder,
+    crate::router::{
+        context::Context,
+        inbound::Inbound,
+        peer::{Peer, Silence, frames::Frames, parse},
+        placement::Placed,
+    },
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        id,
+        time::Timestamp,
+        verdict::Verdict,
+    },
+    tamarackdale_wire::{Frame, message::Enqueue},
+    tokio::time::sleep,
+};
+
+/// An offer of a request to the sidecar that placement chose.
+pub struct Offer<'a> {
+    /// The router.
+    pub context: &'a Context,
+    /// The request.
+    pub request: &'a Arc<Inbound>,
+    /// The choice.
+    pub placed: &'a Placed,
+    /// Deadline of the request.
+    pub deadline: Timestamp,
+}
+
+/// An attempt that has been granted.
+pub struct Granted {
+    /// The attempt.
+    pub attempt: id::Attempt,
+    /// Its frames, if the connection on which it was offered still stands.
+    pub frames: Option<Frames>,
+}
+
+/// Why an offer led to no dispatch.
+pub enum Unserved {
+    /// Proved not run here; another sidecar may be tried.
+    Moved(Failure),
+    /// The request is over.
+    Final(Failure),
+    /// The caller has gone.
+    CallerGone,
+}
+
+impl Offer<'_> {
+    /// Makes the offer, waits for its turn and grants it.
+    pub async fn make(
+        self,
+        responder: &mut Responder,
+    ) -> Result<Granted, Unserved> {
+        let attempt = self.context.attempts.next();
+        let order = self.order(attempt);
+        let mut frames = self
+            .context
+            .peers
+            .enqueue(self.peer(), &order)
+            .await
+            .map_err(lost)?;
+        let ready = tokio::select! {
+            ready = wait_until_ready(&mut frames) => ready,
+            () = sleep(self.remaining()) => {
+                Err(Unserved::Final(Failure::not_run(Reason::DeadlinePassed)))
+            }
+            () = responder.caller_gone() => Err(Unserved::CallerGone),
+        };
+        if let Err(unserved) = ready {
+            self.withdraw(attempt);
+            return Err(unserved);
+        }
+        self.grant(attempt, frames).await
+    }
+
+    async fn grant(
+        &self,
+        attempt: id::Attempt,
+        frames: Frames,
+    ) -> Result<Granted, Unserved> {
+        match self.context.peers.grant(self.peer(), attempt).await {
+            Ok(Ok(())) => Ok(Granted {
+                attempt,
+                frames: Some(frames),
+            }),
+            Ok(Err(failure)) if failure.verdict == Verdict::NotRun => {
+                Err(Unserved::Moved(failure))
+            }
+            Ok(Err(failure)) => Err(Unserved::Final(failure)),
+            // Nobody listens: the incarnation that offered the attempt is gone with it.
+            Err(Silence::Refused) => {
+                Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost)))
+            }
+            // Only the sidecar knows; the answer's first step asks it.
+            Err(Silence::Unanswered) => Ok(Granted {
+                attempt,
+                frames: None,
+            }),
+        }
+    }
+
+    fn peer(&self) -> &Peer {
+        &self.placed.peer
+    }
+
+    fn remaining(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
+    /// Tells the sidecar that the attempt is not wanted, without waiting for it.
+    fn withdraw(
+        &self,
+        attempt: id::Attempt,
+    ) {
+        let peers = self.context.peers.clone();
+        let peer = self.peer().clone();
+        self.context
+            .tracker
+            .spawn(async move { peers.cancel(&peer, attempt).await });
+    }
+
+    fn order(
+        &self,
+        attempt: id::Attempt,
+    ) -> Enqueue {
+        let request = self.request;
+        Enqueue {
+            attempt: attempt.into(),
+            boot: self.peer().incarnation.boot.0,
+            service: request.id.service.clone(),
+            organisation: request.id.organisation.clone(),
+            rank: request.rank.0,
+            revision: request.version.revision.0,
+            floor: self.placed.floor.0,
+            remaining_ms: u64::try_from(self.remaining().as_millis()).unwrap_or(u64::MAX),
+            cost: request.cost.clone().into(),
+            keep_answer: request.needs_claim(),
+            finish_alone: request.finish_alone,
+            finish_late: request.finish_late,
+            weight: request.weight,
+            method: request.method.to_string(),
+            path: request.path.clone(),
+            headers: request.headers.clone(),
+            body: request.body.clone(),
+        }
+    }
+}
+
+async fn wait_until_ready(frames: &mut Frames) -> Result<(), Unserved> {
+    loop {
+        match frames.next().await {
+            Ok(Frame::Ready) => return Ok(()),
+            Ok(Frame::Heartbeat { .. }) => {}
+            Ok(Frame::Failed(failure)) => {
+                // Nothing was granted, so nothing ran, whatever the sidecar can prove.
+                let failure = Failure {
+                    verdict: Verdict::NotRun,
+                    ..parse(failure)
+                };
+                return Err(Unserved::Moved(failure));
+            }
+            Ok(_) => return Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost))),
+            Err(silence) => return Err(lost(silence)),
+        }
+    }
+}
+
+fn lost(_: Silence) -> Unserved {
+    Unserved::Moved(Failure::not_run(Reason::ConnectionLost))
+}
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -6,8 +6,8 @@
     bytes::Bytes,
     http_body_util::Full,
     hyper::{Method, Request, Response, body::Incoming},
-    hyper_util::client::legacy,
     std::time::Duration,
+    tamarackdale_core::failure::{Failure, Reason},
     tamarackdale_wire::message::Enqueue,
     tokio::time::timeout,
 };
@@ -17,8 +17,7 @@
 /// Client of one backend server.
 pub struct BackendServer {
     url: String,
-    pooled: Http,
-    fresh: Http,
+    client: Http,
 }
 
 impl BackendServer {
@@ -26,18 +25,35 @@
     pub fn new(url: String) -> Self {
         Self {
             url,
-            pooled: client::pooled(),
-            fresh: client::fresh(),
+            client: client::fresh(),
         }
     }
 
-    /// Sends a request; this is its dispatch.
+    /// Sends a request, on a new connection: one from a pool may have died without a sign, and a
+    /// failure on it would leave open whether the request ran. This is the request's dispatch.
     ///
-    /// An error that is a connect error means that nothing was sent.
+    /// The failure is `not-run` when nothing was sent: the request has no valid form, or no
+    /// connection could be made.
     pub async fn send(
         &self,
         order: &Enqueue,
-    ) -> Result<Response<Incoming>, legacy::Error> {
+    ) -> Result<Response<Incoming>, Failure> {
+        let request = self
+            .request(order)
+            .map_err(|_| Failure::not_run(Reason::BadRequest))?;
+        self.client.request(request).await.map_err(|error| {
+            log::warn!("backend server failed: {error}");
+            if error.is_connect() {
+                return Failure::not_run(Reason::BackendServer);
+            }
+            Failure::may_have_run(Reason::BackendServer)
+        })
+    }
+
+    fn request(
+        &self,
+        order: &Enqueue,
+    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut builder = Request::builder()
             .method(order.method.as_str())
             .uri(format!("{}{}", self.url, order.path));
@@ -46,11 +62,7 @@
                 builder = builder.header(&header.name, header.value.as_slice());
             }
         }
-        // The router took method, path and headers from a valid request.
-        let request = builder
-            .body(Full::new(order.body.clone()))
-            .unwrap_or_else(|_| Request::new(Full::default()));
-        self.pooled.request(request).await
+        builder.body(Full::new(order.body.clone()))
     }
 
     /// Asks for the events of a response after `sequence`, on a new connection; nothing if the
@@ -87,7 +99,7 @@
             .uri(format!("{}{path}", self.url))
             .body(Full::<Bytes>::default())
             .ok()?;
-        timeout(CONTROL_TIMEOUT, self.fresh.request(request))
+        timeout(CONTROL_TIMEOUT, self.client.request(request))
             .await
             .ok()?
             .ok()
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -70,14 +70,7 @@
     ) -> Result<(), Unwanted> {
         let response = match self.backend_server.send(&self.order).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => {
-                // No connection was made, so nothing was sent.
-                return self.fail(Failure::not_run(Reason::BackendServer)).await;
-            }
-            Err(error) => {
-                log::warn!("backend server failed: {error}");
-                return self.fail(Failure::may_have_run(Reason::BackendServer)).await;
-            }
+            Err(failure) => return self.fail(failure).await,
         };
         self.send_head(&response).await?;
         if stream::is_event_stream(&response) {
--- /dev/null
+++ b/daemon/src/sidecar/handlers.rs
@@ -0,0 +1,293 @@
+//! The sidecar's interface for routers and peers.
+
+use {
+    super::{
+        answer::Position,
+        context::Context,
+        dispatch::{Command, Offer},
+        reader::{self, Reader},
+        task::{self, Handle, Message},
+    },
+    crate::{
+        configuration::handlers::get_document,
+        http::body::{self, Unreadable},
+    },
+    bytes::Bytes,
+    futures_util::{Stream, stream},
+    gotham::{
+        handler::HandlerResult,
+        helpers::http::Body,
+        hyper::{Response, StatusCode, body::Frame as HttpFrame},
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
+        state::{FromState as _, State},
+    },
+    serde::de::DeserializeOwned,
+    std::{io, time::Duration},
+    tamarackdale_core::{failure::Failure, id},
+    tamarackdale_wire::{
+        Frame,
+        codec,
+        message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
+        path,
+    },
+    tokio::time::{sleep, timeout},
+};
+
+/// Room for the parts of a message besides the request's body, in bytes.
+const ENVELOPE_BYTES: usize = 256 * 1024;
+
+/// Shortest and longest time between two reports.
+const REPORT_INTERVALS: (Duration, Duration) =
+    (Duration::from_millis(100), Duration::from_secs(1));
+
+/// The router of the peer listener.
+pub fn routes(context: Context) -> Router {
+    let middleware = StateMiddleware::new(context);
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.post(path::ENQUEUE).to_async(enqueue);
+        route.post(path::GRANT).to_async(grant);
+        route.post(path::RESUME).to_async(resume);
+        route.post(path::CANCEL).to_async(cancel);
+        route.post(path::ACKNOWLEDGE).to_async(acknowledge);
+        route.get(path::REPORTS).to_async(reports);
+        route
+            .get(&format!("{}/:service", path::DOCUMENTS))
+            .with_path_extractor::<crate::configuration::handlers::Path>()
+            .to(get_document::<Context>);
+    })
+}
+
+async fn enqueue(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Enqueue>(&context, &mut state).await {
+        Ok(order) => enqueue_order(&context, order).await,
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
+async fn enqueue_order(
+    context: &Context,
+    order: Enqueue,
+) -> Response<Body> {
+    let offer = Offer::from(&order);
+    let handle = task::spawn(&context.tasks, order);
+    let reader = handle.clone();
+    let accepted = context
+        .dispatch
+        .ask(|reply| Command::Enqueue {
+            offer,
+            task: handle,
+            reply,
+        })
+        .await;
+    match accepted.and_then(|result| result) {
+        Ok(()) => frames(context, reader, Position::default()),
+        Err(failure) => failed(failure),
+    }
+}
+
+async fn grant(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Grant>(&context, &mut state).await {
+        Ok(grant) => body::message(&grant_attempt(&context, grant).await),
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
+async fn grant_attempt(
+    context: &Context,
+    grant: Grant,
+) -> Granted {
+    let granted = context
+        .dispatch
+        .ask(|reply| Command::Grant {
+            attempt: grant.attempt.into(),
+            boot: id::Boot(grant.boot),
+            reply,
+        })
+        .await;
+    match granted {
+        Ok(Ok(())) => Granted::Dispatched,
+        Ok(Err(failure)) => Granted::Refused(failure.into()),
+        // The grant never reached the dispatch duty, but the router may send it again.
+        Err(failure) => Granted::Refused(failure.into()),
+    }
+}
+
+async fn resume(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Resume>(&context, &mut state).await {
+        Ok(resume) => resume_attempt(&context, resume).await,
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
+async fn resume_attempt(
+    context: &Context,
+    resume: Resume,
+) -> Response<Body> {
+    let position = Position {
+        ready: true,
+        head: resume.head_received,
+        offset: resume.offset,
+    };
+    let found = context
+        .dispatch
+        .ask(|reply| Command::Resume {
+            attempt: resume.attempt.into(),
+            boot: id::Boot(resume.boot),
+            reply,
+        })
+        .await;
+    match found {
+        Ok(Ok(handle)) => frames(context, handle, position),
+        Ok(Err(failure)) => failed(failure),
+        // Nothing is known of the attempt while the dispatch duty cannot be asked.
+        Err(_) => body::status(StatusCode::SERVICE_UNAVAILABLE),
+    }
+}
+
+async fn cancel(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Cancel>(&context, &mut state).await {
+        Ok(cancel) if context.is_boot(cancel.boot) => {
+            let attempt = cancel.attempt.into();
+            // Best effort: a task whose router has gone ends by itself.
+            let _ = context.dispatch.send(Command::Cancel { attempt });
+            body::status(StatusCode::NO_CONTENT)
+        }
+        Ok(_) => body::status(StatusCode::GONE),
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
+async fn acknowledge(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Acknowledge>(&context, &mut state).await {
+        Ok(acknowledge) if context.is_boot(acknowledge.boot) => {
+            let command = Command::Acknowledge {
+                attempt: acknowledge.attempt.into(),
+                offset: acknowledge.offset,
+                complete: acknowledge.complete,
+            };
+            // Best effort: an answer that is not acknowledged is dropped after its retention.
+            let _ = context.dispatch.send(command);
+            body::status(StatusCode::NO_CONTENT)
+        }
+        Ok(_) => body::status(StatusCode::GONE),
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
+async fn reports(state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = Response::new(body::stream(report_stream(context)));
+    Ok((state, response))
+}
+
+/// A report at once, then one at each change, neither too often nor too seldom. Ends when the
+/// sidecar has drained.
+fn report_stream(
+    context: Context,
+) -> impl Stream<Item = io::Result<HttpFrame<Bytes>>> + Send {
+    stream::unfold((context, true), |(mut context, first)| async move {
+        if !first {
+            let drained = context.drained.clone();
+            tokio::select! {
+                () = next_report(&mut context) => {}
+                () = drained.cancelled() => return None,
+            }
+        }
+        let report = context.report.borrow_and_update().clone();
+        let item = codec::encode_item(&report)
+            .map(HttpFrame::data)
+            .map_err(io::Error::other);
+        Some((item, (context, false)))
+    })
+}
+
+async fn next_report(context: &mut Context) {
+    let (shortest, longest) = REPORT_INTERVALS;
+    sleep(shortest).await;
+    // Without a change the old report is sent again, as a heartbeat.
+    let _ = timeout(longest - shortest, context.report.changed()).await;
+}
+
+fn frames(
+    context: &Context,
+    handle: Handle,
+    position: Position,
+) -> Response<Body> {
+    let report = context.report.clone();
+    let floor = move || report.borrow().rank_floor();
+    let reader = Reader::new(handle, position, floor);
+    Response::new(body::stream(reader.into_stream()))
+}
+
+fn failed(failure: Failure) -> Response<Body> {
+    let frame = Frame::Failed(failure.into());
+    match codec::encode_item(&frame) {
+        Ok(bytes) => Response::new(body::whole(bytes)),
+        Err(error) => {
+            log::error!("cannot answer: {error}");
+            body::status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
+async fn read<T: DeserializeOwned>(
+    context: &Context,
+    state: &mut State,
+) -> Result<T, Response<Body>> {
+    let limit = context.max_body_bytes + ENVELOPE_BYTES;
+    let bytes = match body::read(Body::take_from(state), limit).await {
+        Ok(bytes) => bytes,
+        Err(Unreadable::TooLarge) => return Err(body::status(StatusCode::PAYLOAD_TOO_LARGE)),
+        Err(Unreadable::Broken) => return Err(body::status(StatusCode::BAD_REQUEST)),
+    };
+    codec::decode(&bytes).map_err(|error| {
+        log::warn!("a message cannot be read: {error}");
+        body::status(StatusCode::BAD_REQUEST)
+    })
+}
+
+impl From<&Enqueue> for Offer {
+    fn from(order: &Enqueue) -> Self {
+        Self {
+            attempt: order.attempt.into(),
+            boot: id::Boot(order.boot),
+            revision: order.revision,
+            organisation: order.organisation.clone(),
+            weight: order.weight,
+            rank: tamarackdale_core::tier::Rank(order.rank),
+            floor: tamarackdale_core::tier::Rank(order.floor),
+            remaining: Duration::from_millis(order.remaining_ms),
+            finish_late: order.finish_late,
+            cost: order.cost.clone(),
+        }
+    }
+}
+
+/// Sends a message to a task that may be over; one that is over needs none.
+pub fn notify(
+    handle: &Handle,
+    message: Message,
+) -> bool {
+    handle.messages.try_send(message).is_ok()
+}
+
+/// A response for an attempt whose answer is gone.
+pub fn gone() -> Frame {
+    reader::gone()
+}
