Claim machine, ledger of grants, backoff and breaker

Cause: routers share nothing but the key-value service, whose answers can be lost; two retries of one booking must not both run. Change: claim::Machine takes results in and gives the next action out: create, read back, resume the other attempt, replace by revision, and only then grant. grant::Ledger keeps a router to one grant a request. An attempt can no longer be granted once it has been queued for attempt::LIFETIME, so that a claim outlives every grant that it allows. breaker::Breaker refuses calls to a service that its own recent calls show to be down, and sends one probe at a time.

--- a/core/src/attempt.rs
+++ b/core/src/attempt.rs
@@ -23,5 +23,5 @@
 
 pub use {
     state::{Resumption, State},
-    table::{Counts, Table},
+    table::{Counts, LIFETIME, Table},
 };
--- a/core/src/attempt/bound.rs
+++ b/core/src/attempt/bound.rs
@@ -5,11 +5,11 @@
         id::{Attempt, Boot},
         time::Timestamp,
     },
-    std::collections::HashMap,
+    std::collections::BTreeMap,
 };
 
 /// Bounds on the forgotten attempts of one router, exclusive.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Bound {
     /// Above the sequence of every forgotten attempt.
     settled: u64,
@@ -24,9 +24,9 @@
 /// It errs to one side only: an attempt below a bound counts as forgotten even if it never came.
 /// It holds a fixed number of routers. Beyond it the longest unchanged one is dropped, and from
 /// then on a router without bounds counts as one whose attempts may have been dispatched.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(super) struct Map {
-    bounds: HashMap<Boot, Bound>,
+    bounds: BTreeMap<Boot, Bound>,
     capacity: usize,
     dropped: bool,
 }
@@ -35,7 +35,7 @@
     /// An empty map for at most `capacity` routers.
     pub fn new(capacity: usize) -> Self {
         Self {
-            bounds: HashMap::new(),
+            bounds: BTreeMap::new(),
             capacity,
             dropped: false,
         }
--- a/core/src/attempt/state.rs
+++ b/core/src/attempt/state.rs
@@ -49,7 +49,7 @@
 }
 
 /// Answer to a router that asks what became of an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Resumption {
     /// Dispatched; the rest of its answer follows as it comes.
     Running,
--- a/core/src/attempt/table.rs
+++ b/core/src/attempt/table.rs
@@ -8,11 +8,18 @@
         time::Timestamp,
     },
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
 };
 
+/// How long an attempt can be granted after it was queued.
+///
+/// It is far shorter than the life of a claim ([`crate::claim::LEASE`]), so that a router that was
+/// paused between claim and grant never grants after its claim has expired. Requests with a
+/// longer deadline than this are voided here all the same.
+pub const LIFETIME: Duration = Duration::from_secs(30 * 60);
+
 /// How long a voided attempt, or a finished one whose answer was acknowledged, is remembered.
 const RETENTION: Duration = Duration::from_secs(2 * 60);
 
@@ -26,9 +33,11 @@
 const ROUTER_CAPACITY: usize = 65_536;
 
 /// One attempt.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     state: State,
+    /// When the attempt was queued or, if it never was, voided.
+    created: Timestamp,
     /// When the entry may be forgotten, if it is settled.
     expiry: Option<Timestamp>,
 }
@@ -53,10 +62,10 @@
 /// or earlier beyond a fixed number of them. Forgetting is always safe, whenever it happens: a
 /// router that asks for a forgotten attempt is told `MayHaveRun` unless the attempt was certainly
 /// not dispatched. The retention only decides how long an answer can still be fetched.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Table {
     boot: Boot,
-    entries: HashMap<Attempt, Entry>,
+    entries: BTreeMap<Attempt, Entry>,
     expiries: BTreeSet<(Timestamp, Attempt)>,
     forgotten: bound::Map,
     retention: Duration,
@@ -69,7 +78,7 @@
     pub fn new(boot: Boot) -> Self {
         Self {
             boot,
-            entries: HashMap::new(),
+            entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
             forgotten: bound::Map::new(ROUTER_CAPACITY),
             retention: RETENTION,
@@ -113,11 +122,7 @@
         self.forgotten.admit(attempt, now);
         match self.state(attempt) {
             State::Unknown => {
-                let entry = Entry {
-                    state: State::Waiting,
-                    expiry: None,
-                };
-                self.entries.insert(attempt, entry);
+                self.put(attempt, State::Waiting, now, None);
                 Ok(())
             }
             state => Err(state.refusal()),
@@ -128,13 +133,14 @@
     pub fn offer(&mut self, attempt: Attempt) -> bool {
         let waiting = self.state(attempt) == State::Waiting;
         if waiting {
-            self.put(attempt, State::Offered, None);
+            self.advance(attempt, State::Offered, None);
         }
         waiting
     }
 
     /// Dispatches a queued attempt: on `Ok`, and only then, the caller sends the request.
     ///
+    /// An attempt that has been queued for longer than [`LIFETIME`] is voided instead.
     /// The failure's verdict is `NotRun` if the attempt is void, which a grant for an unknown
     /// attempt makes it. For another boot the verdict is `MayHaveRun`, since a copy of the grant
     /// may have reached that boot.
@@ -142,8 +148,8 @@
         if boot != self.boot {
             return Err(Failure::may_have_run(Reason::WrongIncarnation));
         }
-        if self.state(attempt).is_queued() {
-            self.put(attempt, State::Dispatched, None);
+        if self.state(attempt).is_queued() && !self.is_overdue(attempt, now) {
+            self.advance(attempt, State::Dispatched, None);
             return Ok(());
         }
         self.void(attempt, now).map_err(State::refusal)?;
@@ -156,7 +162,8 @@
     pub fn void(&mut self, attempt: Attempt, now: Timestamp) -> Result<(), State> {
         match self.state(attempt) {
             State::Unknown | State::Waiting | State::Offered => {
-                self.put(attempt, State::Voided, Some(now.plus(self.retention)));
+                let expiry = now.plus(self.retention);
+                self.put(attempt, State::Voided, now, Some(expiry));
                 Ok(())
             }
             State::Voided | State::ForgottenVoided => Ok(()),
@@ -169,7 +176,7 @@
     pub fn abort(&mut self, attempt: Attempt, now: Timestamp) -> bool {
         let dispatched = self.state(attempt) == State::Dispatched;
         if dispatched {
-            self.put(attempt, State::Voided, Some(now.plus(self.retention)));
+            self.advance(attempt, State::Voided, Some(now.plus(self.retention)));
         }
         dispatched
     }
@@ -178,7 +185,7 @@
     pub fn finish(&mut self, attempt: Attempt, now: Timestamp) {
         if self.state(attempt) == State::Dispatched {
             let expiry = now.plus(self.unacknowledged_retention);
-            self.put(attempt, State::Finished, Some(expiry));
+            self.advance(attempt, State::Finished, Some(expiry));
         }
     }
 
@@ -201,7 +208,7 @@
         if self.state(attempt) == State::Finished {
             let shorter = now.plus(self.retention);
             let expiry = expiry.map_or(shorter, |expiry| expiry.min(shorter));
-            self.put(attempt, State::Finished, Some(expiry));
+            self.advance(attempt, State::Finished, Some(expiry));
         }
     }
 
@@ -244,8 +251,32 @@
         counts
     }
 
-    fn put(&mut self, attempt: Attempt, state: State, expiry: Option<Timestamp>) {
-        let previous = self.entries.insert(attempt, Entry { state, expiry });
+    fn is_overdue(&self, attempt: Attempt, now: Timestamp) -> bool {
+        self.entries
+            .get(&attempt)
+            .is_some_and(|entry| now.since(entry.created) > LIFETIME)
+    }
+
+    /// Changes the state of an attempt that is in the table.
+    fn advance(&mut self, attempt: Attempt, state: State, expiry: Option<Timestamp>) {
+        if let Some(entry) = self.entries.get(&attempt) {
+            self.put(attempt, state, entry.created, expiry);
+        }
+    }
+
+    fn put(
+        &mut self,
+        attempt: Attempt,
+        state: State,
+        created: Timestamp,
+        expiry: Option<Timestamp>,
+    ) {
+        let entry = Entry {
+            state,
+            created,
+            expiry,
+        };
+        let previous = self.entries.insert(attempt, entry);
         if let Some(expiry) = previous.and_then(|entry| entry.expiry) {
             self.expiries.remove(&(expiry, attempt));
         }
--- a/core/src/failure.rs
+++ b/core/src/failure.rs
@@ -55,7 +55,7 @@
 }
 
 /// A request's failure: whether it may have run, why, and when to come back.
-#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq, Hash)]
 #[display("{reason} ({verdict})")]
 pub struct Failure {
     /// What is known about the request's execution.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,9 +5,13 @@
 //! repeatable in a test.
 
 pub mod attempt;
+pub mod breaker;
+pub mod claim;
 pub mod digest;
 pub mod failure;
+pub mod grant;
 pub mod id;
+pub mod retry;
 pub mod tier;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/core/src/retry.rs
@@ -0,0 +1,29 @@
+//! Delays between retries.
+
+use std::time::Duration;
+
+/// Exponential backoff with jitter.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    base: Duration,
+    cap: Duration,
+}
+
+impl Backoff {
+    /// Delays that start around `base` and double up to `cap`.
+    pub const fn new(base: Duration, cap: Duration) -> Self {
+        Self { base, cap }
+    }
+
+    /// The delay before retry number `count` (the first is 0).
+    ///
+    /// The jitter takes up to half of the delay away; it is drawn from `seed` and `count`, so that
+    /// callers with different seeds spread.
+    pub fn delay(&self, count: u32, seed: u64) -> Duration {
+        let factor = 1u32.checked_shl(count).unwrap_or(u32::MAX);
+        let full = self.base.saturating_mul(factor).min(self.cap);
+        let mixed = xxhash_rust::xxh3::xxh3_64_with_seed(&count.to_le_bytes(), seed);
+        let fraction = f64::from((mixed >> 32) as u32) / f64::from(u32::MAX);
+        full.mul_f64(1.0 - fraction / 2.0)
+    }
+}
--- /dev/null
+++ b/core/tests/breaker.rs
@@ -0,0 +1,116 @@
+//! Circuit breaker, backoff and the ledger of grants.
+
+use {
+    std::time::Duration,
+    tamarackdale_core::{
+        breaker::Breaker,
+        failure::{Failure, Reason},
+        grant::Ledger,
+        id::{Attempt, Boot},
+        retry::Backoff,
+        time::Timestamp,
+        verdict::Verdict,
+    },
+};
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(2_000);
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+fn open_breaker() -> Breaker {
+    let mut breaker = Breaker::new()
+        .with_threshold(2)
+        .with_probes(INTERVAL, TIMEOUT);
+    breaker.fail(at(0));
+    breaker.fail(at(0));
+    breaker
+}
+
+#[test]
+fn breaker_opens_after_failures_in_a_row() {
+    let mut breaker = Breaker::new().with_threshold(2);
+
+    breaker.fail(at(0));
+    breaker.succeed();
+    breaker.fail(at(0));
+    let before = breaker.check(at(0));
+    breaker.fail(at(0));
+    let after = breaker.check(at(0));
+
+    assert_eq!(before, Ok(()));
+    assert!(after.is_err_and(|delay| delay > Duration::ZERO));
+}
+
+#[test]
+fn open_breaker_sends_one_probe_at_a_time() {
+    let mut breaker = open_breaker();
+
+    let times = [0, 500, 501, 1_100, 2_499, 2_500];
+    let probes = times.map(|millis| breaker.probe(at(millis)));
+
+    assert_eq!(probes, [false, true, false, false, false, true]);
+}
+
+#[test]
+fn failed_probe_keeps_the_breaker_open() {
+    let mut breaker = open_breaker();
+
+    let first = breaker.probe(at(500));
+    breaker.fail(at(600));
+    let early = breaker.probe(at(900));
+    let second = breaker.probe(at(1_000));
+
+    assert_eq!((first, early, second), (true, false, true));
+    assert!(breaker.is_open());
+}
+
+#[test]
+fn answered_probe_closes_the_breaker() {
+    let mut breaker = open_breaker();
+
+    breaker.probe(at(500));
+    breaker.succeed();
+
+    assert_eq!(breaker.check(at(500)), Ok(()));
+    assert!(!breaker.probe(at(5_000)));
+}
+
+#[test]
+fn backoff_doubles_within_its_bounds() {
+    let backoff = Backoff::new(Duration::from_millis(20), Duration::from_millis(100));
+
+    for (count, full) in [(0, 20), (1, 40), (2, 80), (3, 100), (40, 100)] {
+        for seed in 0..50 {
+            let delay = backoff.delay(count, seed);
+
+            assert!(delay >= Duration::from_millis(full / 2));
+            assert!(delay <= Duration::from_millis(full));
+        }
+    }
+    assert_ne!(backoff.delay(3, 1), backoff.delay(3, 2));
+}
+
+#[test]
+fn ledger_allows_one_grant_until_proof() {
+    let [first, second] = [0, 1].map(|sequence| Attempt {
+        router: Boot(1),
+        sequence,
+    });
+    let mut ledger = Ledger::new();
+
+    let before = ledger.verdict();
+    ledger.reserve(first).expect("nothing is granted yet");
+    let refused = ledger.reserve(second);
+    ledger.release(second);
+    let granted = ledger.verdict();
+    ledger.release(first);
+
+    assert_eq!(before, Verdict::NotRun);
+    assert_eq!(refused, Err(Failure::not_run(Reason::Void)));
+    assert_eq!(granted, Verdict::MayHaveRun);
+    assert_eq!(ledger.reserve(second), Ok(()));
+    assert_eq!(ledger.outstanding(), Some(second));
+}
