--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,10 +5,14 @@
 //! repeatable in a test.
 
 pub mod attempt;
+pub mod breaker;
+pub mod claim;
 pub mod digest;
 pub mod document;
 pub mod failure;
+pub mod grant;
 pub mod id;
+pub mod retry;
 pub mod tier;
 pub mod time;
 pub mod verdict;
