Policy decisions: queue, cost, batch limit, floor, routing, limits, retries

Cause: router and sidecar need the decisions before their duties can be built. Change: pure modules in core with time and generator as arguments; the report gains the floor's remaining time, the largest organisations' shares of the waiting work, and the newest attempt seen of each router, so that a router can tell exactly which own dispatches a report does not know of. The enqueue gains the floor's remaining time, without which processes would keep a floor up by telling each other.

--- /dev/null
+++ b/core/src/cost.rs
@@ -0,0 +1,88 @@
+//! Estimated cost of a request, and the rates at which a backend server works it off.
+
+use {crate::time, std::time::Duration, xxhash_rust::xxh3::xxh3_64_with_seed};
+
+/// Average length of a token of text, in bytes.
+pub const BYTES_PER_TOKEN: usize = 4;
+
+/// Tokens in one block of a prompt; prefixes are told apart at multiples of it.
+pub const BLOCK_TOKENS: u32 = 64;
+
+/// Most prefixes that are hashed of one prompt.
+pub const MAX_PREFIXES: usize = 128;
+
+const BLOCK_BYTES: usize = BLOCK_TOKENS as usize * BYTES_PER_TOKEN;
+
+/// Estimated cost of a request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Cost {
+    /// Tokens to prefill, cached ones included.
+    pub prefill_tokens: u32,
+    /// Tokens to generate.
+    pub decode_tokens: u32,
+    /// Hashes of the prompt's prefixes, one per whole block, shortest first.
+    pub prefixes: Vec<u64>,
+}
+
+impl Cost {
+    /// Estimates the cost of a prompt that may be answered by up to `max_output_tokens`.
+    pub fn estimate(prompt: &str, max_output_tokens: u32) -> Self {
+        let tokens = prompt.len().div_ceil(BYTES_PER_TOKEN);
+        Self {
+            prefill_tokens: u32::try_from(tokens).unwrap_or(u32::MAX),
+            decode_tokens: max_output_tokens,
+            prefixes: prefixes(prompt.as_bytes()),
+        }
+    }
+
+    /// Tokens to prefill and to generate together.
+    pub fn tokens(&self) -> u64 {
+        u64::from(self.prefill_tokens) + u64::from(self.decode_tokens)
+    }
+
+    /// Tokens to prefill where the first `blocks` blocks of the prompt are cached.
+    pub fn uncached_tokens(&self, blocks: u32) -> u32 {
+        self.prefill_tokens
+            .saturating_sub(blocks.saturating_mul(BLOCK_TOKENS))
+    }
+}
+
+/// Hash of each whole block of the prompt, chained with the hash of the block before it.
+fn prefixes(prompt: &[u8]) -> Vec<u64> {
+    let mut parent = 0;
+    prompt
+        .chunks_exact(BLOCK_BYTES)
+        .take(MAX_PREFIXES)
+        .map(|block| {
+            parent = xxh3_64_with_seed(block, parent);
+            parent
+        })
+        .collect()
+}
+
+/// Measured speed of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    /// Tokens prefilled per second.
+    pub prefill: f64,
+    /// Tokens generated per second for one running request.
+    pub decode: f64,
+}
+
+impl Rates {
+    /// Rates of the given speed, at least a thousandth of a token per second.
+    pub fn new(prefill: f64, decode: f64) -> Self {
+        const SLOWEST: f64 = 1e-3;
+        Self {
+            prefill: prefill.max(SLOWEST),
+            decode: decode.max(SLOWEST),
+        }
+    }
+
+    /// Time to prefill and generate the given tokens, from the moment of dispatch.
+    pub fn service_time(&self, prefill_tokens: u32, decode_tokens: u32) -> Duration {
+        let prefill = f64::from(prefill_tokens) / self.prefill;
+        let decode = f64::from(decode_tokens) / self.decode;
+        time::seconds(prefill + decode)
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,9 +4,17 @@
 //! an argument ([`time::Timestamp`]) and so is the seeded generator, which makes every decision
 //! repeatable in a test.
 
+pub mod batch;
+pub mod cost;
 pub mod digest;
 pub mod failure;
+pub mod floor;
 pub mod id;
+pub mod limit;
+pub mod queue;
+pub mod report;
+pub mod retry;
+pub mod route;
 pub mod tier;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/core/src/queue/drain.rs
@@ -0,0 +1,51 @@
+//! Rate at which a queue is worked off.
+
+use {
+    crate::time::{self, Timestamp},
+    std::time::Duration,
+};
+
+/// Time over which the rate is averaged.
+const WINDOW_S: f64 = 5.0;
+
+/// Rate assumed before anything was taken out, tokens per second.
+const INITIAL_RATE: f64 = 1_000.0;
+
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
+
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
+
+/// Exponentially weighted rate of tokens taken out, measured while the queue is in use.
+#[derive(Default)]
+pub(super) struct Drain {
+    rate: Option<f64>,
+    last: Option<Timestamp>,
+    tokens: u64,
+}
+
+impl Drain {
+    /// Notes that something waits, from which on time counts.
+    pub(super) fn busy(&mut self, now: Timestamp) {
+        self.last.get_or_insert(now);
+    }
+
+    pub(super) fn record(&mut self, now: Timestamp, tokens: u64) {
+        self.tokens += tokens;
+        let last = *self.last.get_or_insert(now);
+        let elapsed = now.since(last).as_secs_f64();
+        if elapsed < 0.05 {
+            return;
+        }
+        let sample = self.tokens as f64 / elapsed;
+        let weight = 1.0 - (-elapsed / WINDOW_S).exp();
+        let rate = self.rate.unwrap_or(sample);
+        self.rate = Some(rate + (sample - rate) * weight);
+        self.last = Some(now);
+        self.tokens = 0;
+    }
+
+    pub(super) fn time_for(&self, tokens: u64) -> Duration {
+        let rate = self.rate.unwrap_or(INITIAL_RATE).max(1.0);
+        time::seconds(tokens as f64 / rate).clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+}
--- /dev/null
+++ b/core/src/queue/entry.rs
@@ -0,0 +1,50 @@
+//! One waiting request.
+
+use crate::{
+    cost::{Cost, Rates},
+    id::Attempt,
+    tier::Rank,
+    time::Timestamp,
+};
+
+/// What happens to a request that cannot meet its deadline any more.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Late {
+    /// It is answered at once and not started.
+    #[default]
+    Drop,
+    /// It is served all the same.
+    Finish,
+}
+
+/// One waiting request.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// The router's offer.
+    pub attempt: Attempt,
+    /// Tier of the request.
+    pub rank: Rank,
+    /// Organisation that asks.
+    pub organisation: String,
+    /// Share of the organisation within a tier, relative to the others'.
+    pub weight: u32,
+    /// Estimated cost.
+    pub cost: Cost,
+    /// When the answer must be complete.
+    pub deadline: Timestamp,
+    /// What happens to it once it cannot meet the deadline.
+    pub late: Late,
+    /// When it was taken in.
+    pub enqueued: Timestamp,
+}
+
+impl Entry {
+    /// Whether the request is to be given up: started now, it would miss its deadline.
+    pub fn is_hopeless(&self, now: Timestamp, rates: Rates) -> bool {
+        if self.late == Late::Finish {
+            return false;
+        }
+        let service = rates.service_time(self.cost.prefill_tokens, self.cost.decode_tokens);
+        now.plus(service) > self.deadline
+    }
+}
--- /dev/null
+++ b/core/src/route/affinity.rs
@@ -0,0 +1,99 @@
+//! Which sidecars' backend servers are likely to have which prefixes cached.
+
+use {
+    crate::time::Timestamp,
+    std::{
+        collections::{HashMap, VecDeque},
+        time::Duration,
+    },
+};
+
+/// Prefixes remembered; the oldest is forgotten first.
+const MAX_PREFIXES: usize = 65_536;
+
+/// Sidecars remembered for one prefix.
+const MAX_HOLDERS: usize = 16;
+
+/// Time after which an unused prefix is taken to be evicted.
+const RETENTION: Duration = Duration::from_secs(300);
+
+struct Holder {
+    slot: usize,
+    used: Timestamp,
+}
+
+/// History of own dispatches by prefix, corrected by eviction events.
+#[derive(Default)]
+pub(super) struct Affinity {
+    holders: HashMap<u64, Vec<Holder>>,
+    order: VecDeque<u64>,
+}
+
+impl Affinity {
+    pub(super) fn dispatched(&mut self, prefixes: &[u64], slot: usize, now: Timestamp) {
+        for prefix in prefixes {
+            if !self.holders.contains_key(prefix) {
+                self.make_room();
+                self.order.push_back(*prefix);
+            }
+            let holders = self.holders.entry(*prefix).or_default();
+            holders.retain(|holder| holder.slot != slot);
+            if holders.len() == MAX_HOLDERS {
+                holders.remove(0);
+            }
+            holders.push(Holder { slot, used: now });
+        }
+    }
+
+    pub(super) fn evicted(&mut self, prefix: u64, slot: usize) {
+        if let Some(holders) = self.holders.get_mut(&prefix) {
+            holders.retain(|holder| holder.slot != slot);
+        }
+    }
+
+    pub(super) fn forget(&mut self, slot: usize) {
+        for holders in self.holders.values_mut() {
+            holders.retain(|holder| holder.slot != slot);
+        }
+    }
+
+    /// Leading blocks that each of `slots` slots is believed to hold.
+    pub(super) fn blocks(&self, prefixes: &[u64], slots: usize, now: Timestamp) -> Vec<u32> {
+        let mut blocks = vec![0; slots];
+        for (depth, prefix) in (0..).zip(prefixes) {
+            let holders = self.holders.get(prefix).map_or(&[][..], Vec::as_slice);
+            let fresh = holders
+                .iter()
+                .filter(|holder| now.since(holder.used) < RETENTION);
+            let mut is_held = false;
+            for holder in fresh {
+                if blocks[holder.slot] == depth {
+                    blocks[holder.slot] = depth + 1;
+                    is_held = true;
+                }
+            }
+            if !is_held {
+                break;
+            }
+        }
+        blocks
+    }
+
+    /// Leading blocks that one slot is believed to hold.
+    pub(super) fn blocks_at(&self, prefixes: &[u64], slot: usize) -> u32 {
+        let is_held = |prefix: &&u64| {
+            let holders = self.holders.get(prefix);
+            holders.is_some_and(|holders| holders.iter().any(|holder| holder.slot == slot))
+        };
+        u32::try_from(prefixes.iter().take_while(is_held).count()).unwrap_or(u32::MAX)
+    }
+
+    fn make_room(&mut self) {
+        if self.order.len() < MAX_PREFIXES {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.holders.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/route/sidecar.rs
@@ -0,0 +1,165 @@
+//! What a router knows of one sidecar.
+
+use {
+    super::{Prediction, Request},
+    crate::{
+        id::{Attempt, Boot, Incarnation},
+        report::{Report, Share, Work},
+        tier::Rank,
+        time::{self, Timestamp},
+    },
+    std::collections::BTreeMap,
+};
+
+/// An own request in progress at the sidecar.
+pub(super) struct Dispatch {
+    pub(super) attempt: Attempt,
+    pub(super) rank: Rank,
+    pub(super) prefill_tokens: u32,
+    pub(super) decode_tokens: u32,
+}
+
+/// What a router knows of one sidecar.
+pub(super) struct Sidecar {
+    report: Report,
+    received: Timestamp,
+    is_leaving: bool,
+    /// Own requests in progress that the report does not know of, by sequence.
+    unreported: BTreeMap<u64, Dispatch>,
+    outstanding: usize,
+}
+
+/// Work that goes before a request, in tokens.
+#[derive(Default)]
+struct Ahead {
+    requests: f64,
+    prefill: f64,
+    decode: f64,
+}
+
+impl Sidecar {
+    pub(super) fn new(report: Report, now: Timestamp) -> Self {
+        Self {
+            is_leaving: report.leaving,
+            report,
+            received: now,
+            unreported: BTreeMap::new(),
+            outstanding: 0,
+        }
+    }
+
+    pub(super) fn boot(&self) -> Boot {
+        self.report.incarnation.boot
+    }
+
+    pub(super) fn incarnation(&self) -> &Incarnation {
+        &self.report.incarnation
+    }
+
+    pub(super) fn takes_work(&self) -> bool {
+        !self.is_leaving
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.is_leaving = true;
+    }
+
+    pub(super) fn outstanding(&self) -> usize {
+        self.outstanding
+    }
+
+    pub(super) fn update(&mut self, report: Report, router: Boot, now: Timestamp) {
+        let seen = report.seen.iter().find(|attempt| attempt.router == router);
+        if let Some(seen) = seen {
+            self.unreported = self.unreported.split_off(&(seen.sequence + 1));
+        }
+        self.is_leaving |= report.leaving;
+        self.report = report;
+        self.received = now;
+    }
+
+    pub(super) fn dispatched(&mut self, dispatch: Dispatch) {
+        self.unreported.insert(dispatch.attempt.sequence, dispatch);
+        self.outstanding += 1;
+    }
+
+    pub(super) fn finished(&mut self, attempt: Attempt) {
+        self.unreported.remove(&attempt.sequence);
+        self.outstanding = self.outstanding.saturating_sub(1);
+    }
+
+    /// Predicts the course of a request that has so many tokens of its prompt to prefill.
+    pub(super) fn predict(
+        &self,
+        request: &Request,
+        uncached_tokens: u32,
+        corrects_report: bool,
+        now: Timestamp,
+    ) -> Prediction {
+        let rates = self.report.rates;
+        let mut ahead = self.waiting_before(request);
+        if corrects_report {
+            self.add_unreported(&mut ahead, request.rank);
+        }
+        let slots = f64::from(self.report.limit.max(1));
+        let running = f64::from(self.report.running);
+        let wait_s = if running + ahead.requests < slots {
+            ahead.prefill / rates.prefill
+        } else {
+            let residual = f64::from(self.report.running_tokens) / running.max(1.0);
+            let decode_s = (residual + ahead.decode) / (slots * rates.decode);
+            decode_s + ahead.prefill / rates.prefill - now.since(self.received).as_secs_f64()
+        };
+        Prediction {
+            wait: time::seconds(wait_s),
+            service: rates.service_time(uncached_tokens, request.cost.decode_tokens),
+        }
+    }
+
+    /// Reported waiting work that will be started before the request.
+    fn waiting_before(&self, request: &Request) -> Ahead {
+        let mut ahead = Ahead::default();
+        for (rank, work) in (0..=request.rank.0).zip(&self.report.waiting) {
+            let part = match Rank(rank) == request.rank {
+                true => part_before(work, request),
+                false => 1.0,
+            };
+            ahead.requests += part * f64::from(work.requests);
+            ahead.prefill += part * f64::from(work.prefill_tokens);
+            ahead.decode += part * f64::from(work.decode_tokens);
+        }
+        ahead
+    }
+
+    fn add_unreported(&self, ahead: &mut Ahead, rank: Rank) {
+        for dispatch in self.unreported.values() {
+            if !rank.is_above(dispatch.rank) {
+                ahead.requests += 1.0;
+                ahead.prefill += f64::from(dispatch.prefill_tokens);
+                ahead.decode += f64::from(dispatch.decode_tokens);
+            }
+        }
+    }
+}
+
+/// Part of the waiting work of the request's own rank that fair queueing starts before it: its
+/// own organisation's, and of each other one as much as its weight allows meanwhile.
+fn part_before(work: &Work, request: &Request) -> f64 {
+    let total = work.tokens() as f64;
+    if total == 0.0 {
+        return 0.0;
+    }
+    let is_own = |share: &&Share| share.organisation == request.organisation;
+    let own = work
+        .shares
+        .iter()
+        .find(is_own)
+        .map_or(0.0, |share| f64::from(share.tokens));
+    let finish = (own + request.cost.tokens() as f64) / f64::from(request.weight.max(1));
+    let mut before = total;
+    for share in work.shares.iter().filter(|share| !is_own(share)) {
+        let excess = f64::from(share.tokens) - finish * f64::from(share.weight);
+        before -= excess.max(0.0);
+    }
+    (before / total).clamp(0.0, 1.0)
+}
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -38,3 +38,9 @@
         Duration::from_micros(self.0.saturating_sub(earlier.0))
     }
 }
+
+/// The duration of so many seconds; nothing below zero, at most a year.
+pub fn seconds(seconds: f64) -> Duration {
+    const YEAR_S: f64 = 365.0 * 86_400.0;
+    Duration::from_secs_f64(seconds.clamp(0.0, YEAR_S))
+}
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,6 +4,7 @@
     crate::{failure::Failure, frame::Header, id::Attempt},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
+    tamarackdale_core::cost,
 };
 
 /// Offers a request to a sidecar. It gives no right to run.
@@ -23,6 +24,8 @@
     pub revision: i64,
     /// Shed floor known to the router.
     pub floor: u8,
+    /// Time until the floor is lowered, in milliseconds.
+    pub floor_ms: u32,
     /// Time left until the deadline, in milliseconds.
     pub remaining_ms: u64,
     /// Estimated cost.
@@ -109,3 +112,23 @@
     /// TOML text.
     pub text: String,
 }
+
+impl From<cost::Cost> for Cost {
+    fn from(cost: cost::Cost) -> Self {
+        Self {
+            prefill_tokens: cost.prefill_tokens,
+            decode_tokens: cost.decode_tokens,
+            prefixes: cost.prefixes,
+        }
+    }
+}
+
+impl From<Cost> for cost::Cost {
+    fn from(cost: Cost) -> Self {
+        Self {
+            prefill_tokens: cost.prefill_tokens,
+            decode_tokens: cost.decode_tokens,
+            prefixes: cost.prefixes,
+        }
+    }
+}
--- a/wire/src/report.rs
+++ b/wire/src/report.rs
@@ -1,6 +1,12 @@
 //! What a sidecar reports of itself.
 
-use serde::{Deserialize, Serialize};
+use {
+    crate::id::Attempt,
+    derive_more::{Display, Error},
+    serde::{Deserialize, Serialize},
+    std::time::Duration,
+    tamarackdale_core::{cost::Rates, floor, id, report, tier::Rank},
+};
 
 /// Load and state of one sidecar and its backend server.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -17,6 +23,8 @@
     pub revision: i64,
     /// Shed floor: ranks above this number are not served.
     pub floor: u8,
+    /// Time until the floor is lowered, in milliseconds.
+    pub floor_ms: u32,
     /// Requests that may run at once.
     pub limit: u32,
     /// Requests that run now.
@@ -31,10 +39,12 @@
     pub decode_rate: f32,
     /// Prefix hashes that the backend server's cache has evicted lately.
     pub evicted_prefixes: Vec<u64>,
+    /// The newest attempt of each router that this report takes into account.
+    pub seen: Vec<Attempt>,
 }
 
 /// Waiting work of one rank.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Work {
     /// Requests.
     pub requests: u32,
@@ -42,4 +52,125 @@
     pub prefill_tokens: u32,
     /// Tokens to generate.
     pub decode_tokens: u32,
+    /// The organisations that wait with most, largest first.
+    pub shares: Vec<Share>,
+}
+
+/// Waiting work of one organisation within a rank.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Share {
+    /// xxh3 hash of the organisation's name.
+    pub organisation: u64,
+    /// The organisation's weight.
+    pub weight: u32,
+    /// Tokens to prefill and to generate.
+    pub tokens: u32,
+}
+
+/// A report with a rate that is not a positive number.
+#[derive(Debug, Display, Error)]
+#[display("report of {instance} has rates {prefill_rate} and {decode_rate}")]
+pub struct BadRate {
+    instance: String,
+    prefill_rate: f32,
+    decode_rate: f32,
+}
+
+impl From<report::Report> for Report {
+    fn from(report: report::Report) -> Self {
+        Self {
+            instance: report.incarnation.instance.0,
+            boot: report.incarnation.boot.0,
+            service: report.service,
+            leaving: report.leaving,
+            revision: report.revision,
+            floor: report.floor.rank.0,
+            floor_ms: u32::try_from(report.floor.remaining.as_millis()).unwrap_or(u32::MAX),
+            limit: report.limit,
+            running: report.running,
+            running_tokens: report.running_tokens,
+            waiting: report.waiting.into_iter().map(Work::from).collect(),
+            prefill_rate: report.rates.prefill as f32,
+            decode_rate: report.rates.decode as f32,
+            evicted_prefixes: report.evicted_prefixes,
+            seen: report.seen.into_iter().map(Attempt::from).collect(),
+        }
+    }
+}
+
+impl TryFrom<Report> for report::Report {
+    type Error = BadRate;
+
+    fn try_from(report: Report) -> Result<Self, BadRate> {
+        let is_rate = |rate: f32| rate.is_finite() && rate > 0.0;
+        if !is_rate(report.prefill_rate) || !is_rate(report.decode_rate) {
+            return Err(BadRate {
+                instance: report.instance,
+                prefill_rate: report.prefill_rate,
+                decode_rate: report.decode_rate,
+            });
+        }
+        Ok(Self {
+            incarnation: id::Incarnation {
+                instance: id::Instance(report.instance),
+                boot: id::Boot(report.boot),
+            },
+            service: report.service,
+            leaving: report.leaving,
+            revision: report.revision,
+            floor: floor::Notice {
+                rank: Rank(report.floor),
+                remaining: Duration::from_millis(report.floor_ms.into()),
+            },
+            limit: report.limit,
+            running: report.running,
+            running_tokens: report.running_tokens,
+            waiting: report.waiting.into_iter().map(report::Work::from).collect(),
+            rates: Rates::new(report.prefill_rate.into(), report.decode_rate.into()),
+            evicted_prefixes: report.evicted_prefixes,
+            seen: report.seen.into_iter().map(id::Attempt::from).collect(),
+        })
+    }
+}
+
+impl From<report::Work> for Work {
+    fn from(work: report::Work) -> Self {
+        Self {
+            requests: work.requests,
+            prefill_tokens: work.prefill_tokens,
+            decode_tokens: work.decode_tokens,
+            shares: work.shares.into_iter().map(Share::from).collect(),
+        }
+    }
+}
+
+impl From<Work> for report::Work {
+    fn from(work: Work) -> Self {
+        Self {
+            requests: work.requests,
+            prefill_tokens: work.prefill_tokens,
+            decode_tokens: work.decode_tokens,
+            shares: work.shares.into_iter().map(report::Share::from).collect(),
+        }
+    }
+}
+
+impl From<report::Share> for Share {
+    fn from(share: report::Share) -> Self {
+        Self {
+            organisation: share.organisation,
+            weight: share.weight,
+            tokens: share.tokens,
+        }
+    }
+}
+
+impl From<Share> for report::Share {
+    fn from(share: Share) -> Self {
+        Self {
+            organisation: share.organisation,
+            weight: share.weight,
+            tokens: share.tokens,
+        }
+    }
 }
