--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,14 +5,21 @@
 //! repeatable in a test.
 
 pub mod attempt;
+pub mod batch;
 pub mod breaker;
 pub mod claim;
+pub mod cost;
 pub mod digest;
 pub mod document;
 pub mod failure;
+pub mod floor;
 pub mod grant;
 pub mod id;
+pub mod limit;
+pub mod queue;
+pub mod report;
 pub mod retry;
+pub mod route;
 pub mod tier;
 pub mod time;
 pub mod verdict;
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -1,7 +1,55 @@
-//! Delays between retries.
+//! When something that had no effect is tried again.
 
 use std::time::Duration;
 
+/// Bounds of a retry budget.
+#[derive(Clone, Copy, Debug)]
+pub struct Settings {
+    /// Retries allowed per first attempt, on average.
+    pub ratio: f64,
+    /// Retries that may be saved up.
+    pub burst: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            burst: 50.0,
+        }
+    }
+}
+
+/// Retry budget: a fraction of the traffic.
+pub struct Budget {
+    settings: Settings,
+    saved: f64,
+}
+
+impl Budget {
+    /// A full budget.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            saved: settings.burst,
+        }
+    }
+
+    /// Notes a request's first attempt.
+    pub fn first_attempt(&mut self) {
+        self.saved = (self.saved + self.settings.ratio).min(self.settings.burst);
+    }
+
+    /// Takes one retry from the budget; `false` if there is none left.
+    pub fn retry(&mut self) -> bool {
+        if self.saved < 1.0 {
+            return false;
+        }
+        self.saved -= 1.0;
+        true
+    }
+}
+
 /// Exponential backoff with jitter.
 #[derive(Clone, Copy, Debug)]
 pub struct Backoff {
