Stand-ins for engines and plain services, processes and fault proxy

Cause: nothing showed the daemon against a backend server.

Change: the testbed gains a model engine (continuous batching, bounded prefix cache, lagging load report, late cache events with gaps, fencing, resume and cancel), a plain service, the shipped binaries as processes, a TCP proxy that delays, silences, truncates and cuts, and a small HTTP client for tests. The engine records each run and the service each call.

Conclusion: the daemon can be tried against the stand-ins.

--- /dev/null
+++ b/testbed/src/http.rs
@@ -0,0 +1,142 @@
+//! A small HTTP client for tests: one connection a call, no retries.
+
+use {
+    bytes::Bytes,
+    derive_more::{Display, Error, From},
+    http_body_util::{BodyExt as _, Full},
+    hyper::{Request, Response, body::Incoming, client::conn::http1, header},
+    hyper_util::rt::TokioIo,
+    std::{io, net::SocketAddr, time::Duration},
+    tokio::{net::TcpStream, task::JoinHandle, time::timeout},
+};
+
+/// Why a call has no answer, or no whole answer.
+#[derive(Debug, Display, Error, From)]
+pub enum Fault {
+    /// The connection could not be opened.
+    #[display("cannot connect: {_0}")]
+    Connect(io::Error),
+    /// The connection broke or the peer broke the protocol.
+    #[display("broken: {_0}")]
+    Http(hyper::Error),
+    /// The answer did not come in time.
+    #[display("timeout")]
+    Timeout(tokio::time::error::Elapsed),
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status and headers.
+    pub head: hyper::http::response::Parts,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Status code.
+    pub fn status(&self) -> u16 {
+        self.head.status.as_u16()
+    }
+
+    /// A header's value, empty if it is missing or not text.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.head.headers.get(name);
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// The body as text, empty if it is not UTF-8.
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap_or_default()
+    }
+
+    /// The body as JSON, null if it is not.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+}
+
+/// An answer whose body is still to be read; the connection closes on drop.
+pub struct Reply {
+    /// The answer.
+    pub response: Response<Incoming>,
+    connection: JoinHandle<()>,
+}
+
+impl Drop for Reply {
+    fn drop(&mut self) {
+        self.connection.abort();
+    }
+}
+
+impl Reply {
+    /// Reads the body to its end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is cut.
+    pub async fn collect(mut self) -> Result<Answer, Fault> {
+        let body = self.response.body_mut().collect().await?.to_bytes();
+        let mut head = Response::new(()).into_parts().0;
+        head.status = self.response.status();
+        head.headers = std::mem::take(self.response.headers_mut());
+        Ok(Answer { head, body })
+    }
+
+    /// The next bytes of the body, or `None` at its clean end.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the body is cut.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, Fault> {
+        while let Some(frame) = self.response.body_mut().frame().await {
+            if let Ok(data) = frame?.into_data() {
+                return Ok(Some(data));
+            }
+        }
+        Ok(None)
+    }
+}
+
+/// Sends a request on a connection of its own; answers with the head.
+///
+/// # Errors
+///
+/// Fails when there is no answer.
+pub async fn send(address: SocketAddr, mut request: Request<Bytes>) -> Result<Reply, Fault> {
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+    let connection = tokio::spawn(async move {
+        // An error also reaches the request or the body.
+        let _ = connection.await;
+    });
+    let host = header::HeaderValue::from_str(&address.to_string());
+    request.headers_mut().insert(
+        header::HOST,
+        host.expect("an address is a valid header value"),
+    );
+    let response = sender.send_request(request.map(Full::new)).await?;
+    Ok(Reply {
+        response,
+        connection,
+    })
+}
+
+/// Sends a request and reads the whole answer.
+///
+/// # Errors
+///
+/// Fails when there is no whole answer within the limit.
+pub async fn call(
+    address: SocketAddr,
+    request: Request<Bytes>,
+    limit: Duration,
+) -> Result<Answer, Fault> {
+    timeout(limit, async {
+        send(address, request).await?.collect().await
+    })
+    .await?
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,1 +1,8 @@
-//! Placeholder.
+//! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
+
+pub mod engine;
+pub mod http;
+pub mod plain;
+pub mod process;
+pub mod proxy;
+pub mod server;
--- /dev/null
+++ b/testbed/src/plain.rs
@@ -0,0 +1,129 @@
+//! Stand-in for a plain service: it answers any HTTP request after a settable time.
+//!
+//! The answer is a JSON object that names the service, method, path, idempotency key and the
+//! body's checksum ([`answer`]), so that a caller can tell the answer to its own request. The
+//! query `padding=N` adds N bytes to it.
+
+use {
+    crate::server::{self, Body, Server},
+    http_body_util::BodyExt as _,
+    hyper::{Request, Response, StatusCode, body::Incoming},
+    serde_json::{Value, json},
+    std::{
+        io,
+        sync::{Arc, Mutex, MutexGuard},
+        time::{Duration, Instant},
+    },
+    tamarackdale_core::digest,
+};
+
+/// One call that the service received.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Call {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Idempotency key, if the call carried one.
+    pub marker: Option<String>,
+    /// Checksum of the body.
+    pub fingerprint: u64,
+    /// When it was received, since the service started.
+    pub received: Duration,
+}
+
+/// A running service; stopped and joined on drop.
+pub struct Plain {
+    state: Arc<State>,
+    server: Server,
+}
+
+struct State {
+    name: String,
+    start: Instant,
+    latency: Mutex<Duration>,
+    calls: Mutex<Vec<Call>>,
+}
+
+impl Plain {
+    /// Starts a service on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port or thread can be had.
+    pub fn new(name: &str) -> io::Result<Self> {
+        let state = Arc::new(State {
+            name: name.to_owned(),
+            start: Instant::now(),
+            latency: Mutex::new(Duration::ZERO),
+            calls: Mutex::new(Vec::new()),
+        });
+        let shared = Arc::clone(&state);
+        let server = Server::new(name, move || {
+            move |request| handle(Arc::clone(&shared), request)
+        })?;
+        Ok(Self { state, server })
+    }
+
+    /// The service's server.
+    pub fn server(&self) -> &Server {
+        &self.server
+    }
+
+    /// Sets the time that each call takes from now on.
+    pub fn set_latency(&self, latency: Duration) {
+        *lock(&self.state.latency) = latency;
+    }
+
+    /// Calls received, oldest first.
+    pub fn calls(&self) -> Vec<Call> {
+        lock(&self.state.calls).clone()
+    }
+}
+
+/// The answer of the service `name` to a call, without padding.
+pub fn answer(name: &str, call: &Call) -> Value {
+    json!({
+        "service": name,
+        "method": call.method,
+        "path": call.path,
+        "marker": call.marker,
+        "fingerprint": format!("{:016x}", call.fingerprint),
+    })
+}
+
+async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+    let (parts, body) = request.into_parts();
+    let Ok(body) = body.collect().await else {
+        let message = json!({ "error": { "message": "the body is cut" } });
+        return server::json(StatusCode::BAD_REQUEST, &message);
+    };
+    let key = parts.headers.get("idempotency-key");
+    let call = Call {
+        method: parts.method.to_string(),
+        path: parts.uri.to_string(),
+        marker: key.and_then(|key| key.to_str().ok()).map(str::to_owned),
+        fingerprint: digest::fingerprint(&body.to_bytes()),
+        received: state.start.elapsed(),
+    };
+    lock(&state.calls).push(call.clone());
+    let latency = *lock(&state.latency);
+    tokio::time::sleep(latency).await;
+    let mut value = answer(&state.name, &call);
+    if let Some(bytes) = padding(parts.uri.query()) {
+        value["padding"] = "x".repeat(bytes).into();
+    }
+    server::json(StatusCode::OK, &value)
+}
+
+fn padding(query: Option<&str>) -> Option<usize> {
+    query?
+        .split('&')
+        .find_map(|pair| pair.strip_prefix("padding="))?
+        .parse()
+        .ok()
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().expect("no holder of the lock panics")
+}
