Open-loop load generator

Cause: demo, soak and experiments each need seeded arrivals, a record of each request and a check that the answer is whole.

Change: schedules (Poisson, even, bursts), shots with the answer they should get, a generator over several routers or straight to a backend server, and summaries by tier with histograms.

Conclusion: what is offered no longer depends on what was answered.

--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod http;
+pub mod load;
 pub mod plain;
 pub mod process;
 pub mod proxy;
