--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -76,7 +76,7 @@
     context: &Context,
     order: Enqueue,
 ) -> Response<Body> {
-    let offer = Offer::from(&order);
+    let offer = Box::new(Offer::from(&order));
     let handle = task::spawn(&context.tasks, order);
     let reader = handle.clone();
     let accepted = context
@@ -261,33 +261,3 @@
         body::status(StatusCode::BAD_REQUEST)
     })
 }
-
-impl From<&Enqueue> for Offer {
-    fn from(order: &Enqueue) -> Self {
-        Self {
-            attempt: order.attempt.into(),
-            boot: id::Boot(order.boot),
-            revision: order.revision,
-            organisation: order.organisation.clone(),
-            weight: order.weight,
-            rank: tamarackdale_core::tier::Rank(order.rank),
-            floor: tamarackdale_core::tier::Rank(order.floor),
-            remaining: Duration::from_millis(order.remaining_ms),
-            finish_late: order.finish_late,
-            cost: order.cost.clone(),
-        }
-    }
-}
-
-/// Sends a message to a task that may be over; one that is over needs none.
-pub fn notify(
-    handle: &Handle,
-    message: Message,
-) -> bool {
-    handle.messages.try_send(message).is_ok()
-}
-
-/// A response for an attempt whose answer is gone.
-pub fn gone() -> Frame {
-    reader::gone()
-}
--- a/daemon/src/sidecar/reader.rs
+++ b/daemon/src/sidecar/reader.rs
@@ -53,48 +53,48 @@
             if reader.over {
                 return None;
             }
-            let item = reader.next_frames().await.and_then(encode);
+            let item = encode(&reader.next_frames().await);
             reader.over |= item.is_err();
             Some((item, reader))
         })
     }
 
-    async fn next_frames(&mut self) -> io::Result<Vec<Frame>> {
+    async fn next_frames(&mut self) -> Vec<Frame> {
         if !self.greeted {
             self.greeted = true;
-            return Ok(vec![self.heartbeat()]);
+            return vec![self.heartbeat()];
         }
-        if self.pending.is_none() {
-            self.pending = Some(self.ask().await?);
-        }
-        let Some(pending) = &mut self.pending else {
-            return Ok(vec![self.heartbeat()]);
-        };
-        let Ok(portion) = timeout(HEARTBEAT_INTERVAL, pending).await else {
-            return Ok(vec![self.heartbeat()]);
+        let mut pending = match self.pending.take() {
+            Some(pending) => pending,
+            None => self.ask().await,
         };
-        self.pending = None;
-        let Ok(portion) = portion else {
-            self.over = true;
-            return Ok(vec![gone()]);
-        };
-        self.position = portion.position;
-        self.over = portion.frames.last().is_some_and(is_last);
-        Ok(portion.frames)
+        match timeout(HEARTBEAT_INTERVAL, &mut pending).await {
+            Ok(Ok(portion)) => {
+                self.position = portion.position;
+                self.over = portion.frames.last().is_some_and(is_last);
+                portion.frames
+            }
+            Ok(Err(_)) => {
+                self.over = true;
+                vec![gone()]
+            }
+            Err(_) => {
+                self.pending = Some(pending);
+                vec![self.heartbeat()]
+            }
+        }
     }
 
-    async fn ask(&self) -> io::Result<oneshot::Receiver<Portion>> {
+    /// Asks the task for frames. If the task is over, the receiver ends without any.
+    async fn ask(&self) -> oneshot::Receiver<Portion> {
         let (reply, portion) = oneshot::channel();
         let read = Read {
             position: self.position,
             reply,
         };
-        self.handle
-            .messages
-            .send(Message::Read(read))
-            .await
-            .map_err(io::Error::other)?;
-        Ok(portion)
+        // A message that cannot be sent is dropped, and its reply with it.
+        let _ = self.handle.messages.send(Message::Read(read)).await;
+        portion
     }
 
     fn heartbeat(&self) -> Frame {
@@ -106,7 +106,7 @@
 }
 
 /// The failure of a reader whose answer is no longer kept.
-pub fn gone() -> Frame {
+fn gone() -> Frame {
     Frame::Failed(Failure::may_have_run(Reason::ConnectionLost).into())
 }
 
@@ -114,9 +114,9 @@
     matches!(frame, Frame::End { .. } | Frame::Failed(_))
 }
 
-fn encode(frames: Vec<Frame>) -> io::Result<HttpFrame<Bytes>> {
+fn encode(frames: &[Frame]) -> io::Result<HttpFrame<Bytes>> {
     let mut bytes = Vec::new();
-    for frame in &frames {
+    for frame in frames {
         bytes.extend_from_slice(&codec::encode_item(frame).map_err(io::Error::other)?);
     }
     Ok(HttpFrame::data(bytes.into()))
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,1 +1,9 @@
-//! Placeholder.
+//! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
+
+pub mod engine;
+pub mod http;
+pub mod load;
+pub mod plain;
+pub mod process;
+pub mod proxy;
+pub mod server;
