--- /dev/null
+++ b/testbed/src/host.rs
@@ -0,0 +1,187 @@
+//! HTTP host of the platform's stand-ins: a port that can be closed and opened again.
+
+use {
+    bytes::Bytes,
+    derive_more::{Display, Error},
+    http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
+    hyper::{
+        Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+    },
+    hyper_util::rt::TokioIo,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::mpsc::{SyncSender, sync_channel},
+        thread,
+    },
+    tokio::{
+        net::{TcpListener, TcpSocket},
+        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        task::JoinSet,
+    },
+};
+
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Body of an answer.
+pub type Body = UnsyncBoxBody<Bytes, io::Error>;
+
+/// The handler cuts the connection.
+#[derive(Debug, Display, Error)]
+#[display("cut")]
+struct Cut;
+
+enum Order {
+    Open(SyncSender<()>),
+    Close(SyncSender<()>),
+}
+
+/// A running host. Its thread ends with it.
+pub struct Host {
+    address: SocketAddr,
+    orders: Option<UnboundedSender<Order>>,
+    thread: Option<thread::JoinHandle<()>>,
+}
+
+impl Host {
+    /// Serves HTTP on a free loopback port. A request that the handler answers with `None` has its
+    /// connection cut.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread is to be had.
+    pub fn new<H, F>(name: &str, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Option<Response<Body>>> + Send + 'static,
+    {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(2)
+            .thread_name(name)
+            .enable_all()
+            .build()?;
+        // This socket never listens; it keeps the port while the host is closed.
+        let reservation = {
+            let _context = runtime.enter();
+            bind(SocketAddr::from(([127, 0, 0, 1], 0)))?
+        };
+        let address = reservation.local_addr()?;
+        let listener = {
+            let _context = runtime.enter();
+            bind(address)?.listen(BACKLOG)?
+        };
+        let (orders, receiver) = unbounded_channel();
+        let thread = thread::Builder::new().name(name.into()).spawn(move || {
+            runtime.block_on(run(address, listener, receiver, handler));
+            drop(reservation);
+            runtime.shutdown_background();
+        })?;
+        Ok(Self {
+            address,
+            orders: Some(orders),
+            thread: Some(thread),
+        })
+    }
+
+    /// The address served.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Refuses connections from now on, and cuts those that are open.
+    pub fn close(&self) {
+        self.order(Order::Close);
+    }
+
+    /// Accepts connections again.
+    pub fn open(&self) {
+        self.order(Order::Open);
+    }
+
+    fn order(&self, order: impl Fn(SyncSender<()>) -> Order) {
+        let (done, wait) = sync_channel(1);
+        if let Some(orders) = &self.orders {
+            // A host that has ended needs no order.
+            let _ = orders.send(order(done));
+            let _ = wait.recv();
+        }
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.orders = None;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// An answer with a whole JSON body.
+pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
+    let body = Full::from(value.to_string())
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn run<H, F>(
+    address: SocketAddr,
+    listener: TcpListener,
+    mut orders: UnboundedReceiver<Order>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    let mut listener = Some(listener);
+    let mut connections = JoinSet::new();
+    loop {
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            order = orders.recv() => match order {
+                None => break,
+                Some(Order::Close(done)) => {
+                    listener = None;
+                    connections.shutdown().await;
+                    let _ = done.send(());
+                }
+                Some(Order::Open(done)) => {
+                    listener = listener.or_else(|| bind(address).ok()?.listen(BACKLOG).ok());
+                    let _ = done.send(());
+                }
+            },
+            Ok((stream, _)) = accepted => {
+                let handler = handler.clone();
+                connections.spawn(async move {
+                    let service = service_fn(move |request| {
+                        let answer = handler(request);
+                        async move { answer.await.ok_or(Cut) }
+                    });
+                    let _ = stream.set_nodelay(true);
+                    // A broken connection is the peer's affair.
+                    let _ = http1::Builder::new()
+                        .serve_connection(TokioIo::new(stream), service)
+                        .await;
+                });
+            }
+            Some(_) = connections.join_next() => {}
+        }
+    }
+    connections.shutdown().await;
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,1 +1,5 @@
-//! Placeholder.
+//! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
+
+pub mod host;
+pub mod list;
+pub mod store;
--- /dev/null
+++ b/testbed/src/list.rs
@@ -0,0 +1,167 @@
+//! Stand-in for the instance list, in the JSON of Prometheus HTTP service discovery.
+
+use {
+    crate::host::{Host, json},
+    hyper::StatusCode,
+    serde_json::{Value, json as value},
+    std::{
+        collections::VecDeque,
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, Ordering},
+        },
+        time::{Duration, Instant},
+    },
+};
+
+/// One listed instance, with the values of its labels.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Address for the system's processes.
+    pub address: SocketAddr,
+    /// Service of its backend server; empty for a router.
+    pub service: String,
+    /// `router` or `sidecar`.
+    pub role: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Whether it is about to go.
+    pub leaving: bool,
+}
+
+#[derive(Default)]
+struct State {
+    lag: Duration,
+    /// Versions of the list with the time at which each came about; the last is the present.
+    versions: VecDeque<(Instant, Vec<Instance>)>,
+}
+
+/// A running instance list. It lives on threads of its own, which end with it.
+pub struct List {
+    host: Host,
+    state: Arc<Mutex<State>>,
+    calls: Arc<AtomicU64>,
+}
+
+impl List {
+    /// Starts an empty list on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread is to be had.
+    pub fn start() -> io::Result<Self> {
+        let state = Arc::new(Mutex::new(State::default()));
+        let calls = Arc::new(AtomicU64::new(0));
+        let handler = {
+            let (state, calls) = (Arc::clone(&state), Arc::clone(&calls));
+            move |_| {
+                calls.fetch_add(1, Ordering::SeqCst);
+                let visible = lock(&state).visible(Instant::now());
+                async move { Some(json(StatusCode::OK, &visible)) }
+            }
+        };
+        Ok(Self {
+            host: Host::new("list", handler)?,
+            state,
+            calls,
+        })
+    }
+
+    /// Makes every change visible only after `lag`.
+    pub fn with_lag(self, lag: Duration) -> Self {
+        lock(&self.state).lag = lag;
+        self
+    }
+
+    /// The URL for a client.
+    pub fn url(&self) -> String {
+        format!("http://{}/", self.host.address())
+    }
+
+    /// Calls answered.
+    pub fn calls(&self) -> u64 {
+        self.calls.load(Ordering::SeqCst)
+    }
+
+    /// Refuses connections until [`List::resume`].
+    pub fn stop(&self) {
+        self.host.close();
+    }
+
+    /// Accepts connections again.
+    pub fn resume(&self) {
+        self.host.open();
+    }
+
+    /// Adds an instance or replaces the one of that name.
+    pub fn set(&self, instance: Instance) {
+        self.change(|instances| {
+            instances.retain(|other| other.name != instance.name);
+            instances.push(instance);
+        });
+    }
+
+    /// Removes an instance.
+    pub fn remove(&self, name: &str) {
+        self.change(|instances| instances.retain(|instance| instance.name != name));
+    }
+
+    /// Marks an instance as about to go.
+    pub fn set_leaving(&self, name: &str) {
+        self.change(|instances| {
+            for instance in instances
+                .iter_mut()
+                .filter(|instance| instance.name == name)
+            {
+                instance.leaving = true;
+            }
+        });
+    }
+
+    fn change(&self, edit: impl FnOnce(&mut Vec<Instance>)) {
+        let mut state = lock(&self.state);
+        let mut instances = state
+            .versions
+            .back()
+            .map(|(_, instances)| instances.clone())
+            .unwrap_or_default();
+        edit(&mut instances);
+        state.versions.push_back((Instant::now(), instances));
+    }
+}
+
+impl State {
+    /// The newest version older than the lag. Older ones are forgotten.
+    fn visible(&mut self, now: Instant) -> Value {
+        let lag = self.lag;
+        let is_visible = |at: &Instant| now.saturating_duration_since(*at) >= lag;
+        while self.versions.get(1).is_some_and(|(at, _)| is_visible(at)) {
+            self.versions.pop_front();
+        }
+        match self.versions.front() {
+            Some((at, instances)) if is_visible(at) => instances.iter().map(group).collect(),
+            _ => value!([]),
+        }
+    }
+}
+
+fn group(instance: &Instance) -> Value {
+    value!({
+        "targets": [instance.address.to_string()],
+        "labels": {
+            "instance": instance.name,
+            "service": instance.service,
+            "role": instance.role,
+            "data_centre": instance.data_centre,
+            "state": if instance.leaving { "leaving" } else { "live" },
+        },
+    })
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/testbed/src/store/fault.rs
@@ -0,0 +1,76 @@
+//! Faults of the store.
+
+use std::{
+    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+    time::Duration,
+};
+
+/// How an outage shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outage {
+    /// Connections are refused.
+    Refuse,
+    /// Calls are taken and not answered.
+    Hang,
+}
+
+/// Faults in force.
+#[derive(Default)]
+pub(super) struct Faults {
+    hanging: tokio::sync::watch::Sender<bool>,
+    delay_micros: AtomicU64,
+    lost_answers: AtomicU32,
+    /// Incremented whenever present watches fall silent for good.
+    silence: AtomicU64,
+    watches_silent: AtomicBool,
+}
+
+impl Faults {
+    pub fn set_hanging(&self, hanging: bool) {
+        self.hanging.send_replace(hanging);
+    }
+
+    pub fn set_delay(&self, delay: Duration) {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        self.delay_micros.store(micros, Ordering::SeqCst);
+    }
+
+    pub fn lose_answers(&self, count: u32) {
+        self.lost_answers.store(count, Ordering::SeqCst);
+    }
+
+    pub fn set_watches_silent(&self, silent: bool) {
+        self.watches_silent.store(silent, Ordering::SeqCst);
+        if silent {
+            self.silence.fetch_add(1, Ordering::SeqCst);
+        }
+    }
+
+    /// Waits until a call may be carried out.
+    pub async fn pass(&self) {
+        let delay = Duration::from_micros(self.delay_micros.load(Ordering::SeqCst));
+        tokio::time::sleep(delay).await;
+        let mut hanging = self.hanging.subscribe();
+        // The sender lives as long as `self`, so the wait ends only when the outage does.
+        let _ = hanging.wait_for(|hanging| !hanging).await;
+    }
+
+    /// Whether the answer of this write is to be lost.
+    pub fn take_lost_answer(&self) -> bool {
+        self.lost_answers
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                left.checked_sub(1)
+            })
+            .is_ok()
+    }
+
+    /// Number of times that watches fell silent; a watch opened before the last is silent.
+    pub fn silence(&self) -> u64 {
+        self.silence.load(Ordering::SeqCst)
+    }
+
+    /// Whether watches opened now are silent.
+    pub fn are_watches_silent(&self) -> bool {
+        self.watches_silent.load(Ordering::SeqCst)
+    }
+}
