--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,9 +1,12 @@
 //! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
 
 pub mod engine;
+pub mod host;
 pub mod http;
+pub mod list;
 pub mod load;
 pub mod plain;
 pub mod process;
 pub mod proxy;
 pub mod server;
+pub mod store;
