--- /dev/null
+++ b/daemon/src/admin.rs
@@ -0,0 +1,61 @@
+//! The admin listener: metrics and probes.
+
+use {
+    crate::{http::body, metrics::Metrics},
+    gotham::{
+        helpers::http::Body,
+        hyper::{Response, StatusCode},
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
+        state::{FromState as _, State, StateData},
+    },
+    std::{panic::RefUnwindSafe, sync::Arc},
+};
+
+/// What the admin handlers share.
+#[derive(Clone)]
+pub struct Context {
+    /// The process's metrics.
+    pub metrics: Metrics,
+    /// Whether the process can take work.
+    pub is_ready: Arc<dyn Fn() -> bool + Send + Sync>,
+}
+
+impl StateData for Context {}
+
+/// The handlers only read.
+impl RefUnwindSafe for Context {}
+
+/// The router of the admin listener: `/metrics`, `/live` and `/ready`.
+pub fn routes(context: Context) -> Router {
+    let middleware = StateMiddleware::new(context);
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.get("/metrics").to(metrics);
+        route.get("/live").to(live);
+        route.get("/ready").to(ready);
+    })
+}
+
+fn metrics(state: State) -> (State, Response<Body>) {
+    let text = Context::borrow_from(&state).metrics.render();
+    (state, Response::new(body::whole(text)))
+}
+
+fn live(state: State) -> (State, Response<Body>) {
+    (state, body::status(StatusCode::OK))
+}
+
+fn ready(state: State) -> (State, Response<Body>) {
+    let is_ready = (Context::borrow_from(&state).is_ready)();
+    let code = if is_ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    (state, body::status(code))
+}
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -2,8 +2,7 @@
 
 use {
     crate::{
-        logging,
-        router,
+        logging, router,
         settings::{self, Flag, Problems, source::Source},
         sidecar,
     },
@@ -124,10 +123,7 @@
     options
 }
 
-fn read(
-    role: &Role,
-    matches: &Matches,
-) -> Result<Settings, Problems> {
+fn read(role: &Role, matches: &Matches) -> Result<Settings, Problems> {
     let variable = |name: &str| std::env::var(name).ok();
     let mut source = Source::new(flags(Some(role)), matches, &variable);
     let settings = match role {
--- a/daemon/src/duty.rs
+++ b/daemon/src/duty.rs
@@ -13,21 +13,13 @@
 
 impl Duty {
     /// Starts a thread named `name` that runs `body`.
-    pub fn spawn(
-        name: &'static str,
-        body: impl FnOnce() + Send + 'static,
-    ) -> io::Result<Self> {
-        let thread = thread::Builder::new()
-            .name(name.into())
-            .spawn(body)?;
+    pub fn spawn(name: &'static str, body: impl FnOnce() + Send + 'static) -> io::Result<Self> {
+        let thread = thread::Builder::new().name(name.into()).spawn(body)?;
         Ok(Self { name, thread })
     }
 
     /// Starts a thread that runs a future on an asynchronous runtime of its own.
-    pub fn spawn_async<F>(
-        name: &'static str,
-        future: F,
-    ) -> io::Result<Self>
+    pub fn spawn_async<F>(name: &'static str, future: F) -> io::Result<Self>
     where
         F: Future<Output = ()> + Send + 'static,
     {
--- a/daemon/src/http/body.rs
+++ b/daemon/src/http/body.rs
@@ -22,10 +22,7 @@
 }
 
 /// Reads a whole body of at most `limit` bytes.
-pub async fn read<B>(
-    body: B,
-    limit: usize,
-) -> Result<Bytes, Unreadable>
+pub async fn read<B>(body: B, limit: usize) -> Result<Bytes, Unreadable>
 where
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -64,10 +61,7 @@
 }
 
 /// A response with a JSON body.
-pub fn json(
-    code: StatusCode,
-    value: &serde_json::Value,
-) -> Response<Body> {
+pub fn json(code: StatusCode, value: &serde_json::Value) -> Response<Body> {
     let mut response = Response::new(whole(value.to_string()));
     *response.status_mut() = code;
     response.headers_mut().insert(
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -56,10 +56,7 @@
 
     /// Serves until closing, then ends each connection after the request it carries; at cutting,
     /// ends them all.
-    pub async fn serve(
-        self,
-        shutdown: &Shutdown,
-    ) {
+    pub async fn serve(self, shutdown: &Shutdown) {
         let graceful = GracefulShutdown::new();
         let tracker = TaskTracker::new();
         loop {
@@ -135,10 +132,7 @@
     request
 }
 
-fn log_end(
-    name: &'static str,
-    result: Result<(), hyper::Error>,
-) {
+fn log_end(name: &'static str, result: Result<(), hyper::Error>) {
     if let Err(error) = result {
         log::debug!(listener = name; "connection ended: {error}");
     }
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -2,8 +2,7 @@
 
 use {
     log::{
-        LevelFilter,
-        Record,
+        LevelFilter, Record,
         kv::{self, Key, Value, VisitSource},
     },
     serde_json::Map,
@@ -25,10 +24,7 @@
         .level(LevelFilter::Warn)
         .level_for("tamarackdaled", level)
         .format(move |out, message, record| {
-            out.finish(format_args!(
-                "{}",
-                line(role, &instance, message, record)
-            ));
+            out.finish(format_args!("{}", line(role, &instance, message, record)));
         })
         .chain(std::io::stdout())
         .apply()
@@ -63,11 +59,7 @@
 struct Collector<'a>(&'a mut Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Collector<'_> {
-    fn visit_pair(
-        &mut self,
-        key: Key<'kvs>,
-        value: Value<'kvs>,
-    ) -> Result<(), kv::Error> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
         let json = if let Some(number) = value.to_u64() {
             number.into()
         } else if let Some(number) = value.to_i64() {
--- /dev/null
+++ b/daemon/src/metrics.rs
@@ -0,0 +1,147 @@
+//! Metrics, by OpenTelemetry, in Prometheus text.
+
+use {
+    opentelemetry::{
+        KeyValue,
+        metrics::{Counter, Histogram, MeterProvider as _},
+    },
+    opentelemetry_sdk::metrics::SdkMeterProvider,
+    prometheus::{Registry, TextEncoder},
+    std::time::Duration,
+};
+
+/// Bounds of the latency histograms, in seconds.
+const LATENCY_BOUNDS_S: &[f64] = &[
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
+];
+
+/// Instruments of a process.
+#[derive(Clone)]
+pub struct Metrics {
+    registry: Registry,
+    // Ends the instruments when dropped.
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    moves: Counter<u64>,
+    first_byte: Histogram<f64>,
+    duration: Histogram<f64>,
+    first_token: Histogram<f64>,
+    token_gap: Histogram<f64>,
+    wasted_prefill: Counter<u64>,
+}
+
+/// What a request is counted under.
+#[derive(Clone, Copy, Debug)]
+pub struct Labels<'a> {
+    /// Service asked.
+    pub service: &'a str,
+    /// Tier.
+    pub tier: &'a str,
+}
+
+impl Labels<'_> {
+    fn attributes(&self) -> [KeyValue; 2] {
+        [
+            KeyValue::new("service", self.service.to_owned()),
+            KeyValue::new("tier", self.tier.to_owned()),
+        ]
+    }
+
+    fn attributes_with(&self, key: &'static str, value: String) -> [KeyValue; 3] {
+        let [service, tier] = self.attributes();
+        [service, tier, KeyValue::new(key, value)]
+    }
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// Fails when the exporter cannot be registered.
+    pub fn new() -> Result<Self, opentelemetry_sdk::error::OTelSdkError> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("tamarackdale");
+        let latency = |name: &'static str, help: &'static str| {
+            meter
+                .f64_histogram(name)
+                .with_description(help)
+                .with_unit("s")
+                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .build()
+        };
+        let count = |name: &'static str, help: &'static str| {
+            meter.u64_counter(name).with_description(help).build()
+        };
+        Ok(Self {
+            requests: count("tamarackdale_requests", "Requests by outcome"),
+            refusals: count("tamarackdale_refusals", "Refused requests by reason"),
+            moves: count(
+                "tamarackdale_moves",
+                "Offers that were moved to another sidecar",
+            ),
+            first_byte: latency("tamarackdale_first_byte", "Time to the head of the answer"),
+            duration: latency("tamarackdale_duration", "Time to the end of the answer"),
+            first_token: latency(
+                "tamarackdale_first_token",
+                "Time from dispatch to first token",
+            ),
+            token_gap: latency("tamarackdale_token_gap", "Time between tokens"),
+            wasted_prefill: count(
+                "tamarackdale_wasted_prefill_tokens",
+                "Prompt tokens of dispatched requests whose answer was not delivered",
+            ),
+            registry,
+            _provider: provider,
+        })
+    }
+
+    /// All metrics in Prometheus text.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+
+    /// Counts a request that has ended.
+    pub fn count_request(&self, labels: Labels<'_>, outcome: &str, duration: Duration) {
+        let attributes = labels.attributes_with("outcome", outcome.to_owned());
+        self.requests.add(1, &attributes);
+        self.duration.record(duration.as_secs_f64(), &attributes);
+    }
+
+    /// Counts a refusal.
+    pub fn count_refusal(&self, labels: Labels<'_>, reason: String) {
+        self.refusals
+            .add(1, &labels.attributes_with("reason", reason));
+    }
+
+    /// Counts an offer that another sidecar got instead.
+    pub fn count_move(&self, labels: Labels<'_>, reason: String) {
+        self.moves.add(1, &labels.attributes_with("reason", reason));
+    }
+
+    /// Records the time from acceptance to the head of the answer.
+    pub fn record_first_byte(&self, labels: Labels<'_>, elapsed: Duration) {
+        self.first_byte
+            .record(elapsed.as_secs_f64(), &labels.attributes());
+    }
+
+    /// Records the time from dispatch to the first token.
+    pub fn record_first_token(&self, elapsed: Duration) {
+        self.first_token.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Records the time between two tokens.
+    pub fn record_token_gap(&self, elapsed: Duration) {
+        self.token_gap.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Counts prompt tokens that were prefilled for nothing.
+    pub fn count_wasted_prefill(&self, tokens: u32) {
+        self.wasted_prefill.add(tokens.into(), &[]);
+    }
+}
--- a/daemon/src/ring.rs
+++ b/daemon/src/ring.rs
@@ -41,10 +41,7 @@
     }
 
     /// Puts a message in the ring that must not be lost, trying again while the ring is full.
-    pub async fn deliver(
-        self,
-        message: T,
-    ) {
+    pub async fn deliver(self, message: T) {
         let mut message = message;
         while let Err(TrySendError::Full(returned)) = self.sender.try_send(message) {
             message = returned;
--- /dev/null
+++ b/daemon/src/router/callers.rs
@@ -0,0 +1,90 @@
+//! The listener for callers.
+
+use {
+    super::{
+        context::Context,
+        inbound::{Caller, Head, Inbound},
+        refusal::Invalid,
+        relay::{Relay, responder::Responder},
+    },
+    crate::http::body::{self, Unreadable},
+    gotham::{
+        handler::HandlerResult,
+        helpers::http::Body,
+        hyper::{HeaderMap, Method, Response, StatusCode, Uri},
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
+        state::{FromState as _, State},
+    },
+    std::time::Duration,
+    tokio::{sync::oneshot, time::timeout},
+};
+
+/// Time that a caller may take to send its body.
+const BODY_READ_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The router of the callers' listener: every method and path.
+pub fn routes(context: Context) -> Router {
+    let middleware = StateMiddleware::new(context);
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route.request(methods(), "/").to_async(serve);
+        route.request(methods(), "/*").to_async(serve);
+    })
+}
+
+fn methods() -> Vec<Method> {
+    vec![
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::PATCH,
+        Method::DELETE,
+        Method::OPTIONS,
+    ]
+}
+
+async fn serve(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match accept(&context, &mut state).await {
+        Ok(request) => relay(&context, request).await,
+        Err(invalid) => {
+            log::info!(reason:% = invalid; "invalid request");
+            invalid.response()
+        }
+    };
+    Ok((state, response))
+}
+
+async fn accept(context: &Context, state: &mut State) -> Result<Inbound, Invalid> {
+    let body = Body::take_from(state);
+    let head = Head {
+        method: Method::borrow_from(state),
+        uri: Uri::borrow_from(state),
+        headers: HeaderMap::borrow_from(state),
+    };
+    let catalogue = context.catalogue.borrow().clone();
+    let caller = Caller::check(&head, &catalogue)?;
+    let reading = body::read(body, context.max_body_bytes);
+    let bytes = match timeout(BODY_READ_TIMEOUT, reading).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(Unreadable::TooLarge)) => return Err(Invalid::BodyTooLarge),
+        Ok(Err(Unreadable::Broken)) | Err(_) => return Err(Invalid::BodyBroken),
+    };
+    Ok(caller.with_body(&head, bytes))
+}
+
+/// Relays the request in a task of its own, since this one ends when the caller goes away.
+async fn relay(context: &Context, request: Inbound) -> Response<Body> {
+    let (head, response) = oneshot::channel();
+    let relay = Relay::new(context.clone(), request, Responder::new(head));
+    context.tracker.spawn(relay.run());
+    response
+        .await
+        .unwrap_or_else(|_| body::status(StatusCode::INTERNAL_SERVER_ERROR))
+}
--- /dev/null
+++ b/daemon/src/router/context.rs
@@ -0,0 +1,39 @@
+//! What the parts of a router share.
+
+use {
+    super::{peer, placement::Placement},
+    crate::{configuration::catalogue::Shared, metrics::Metrics, uptime::Clock},
+    gotham::state::StateData,
+    std::panic::RefUnwindSafe,
+    tokio_util::task::TaskTracker,
+};
+
+/// What the parts of a router share.
+#[derive(Clone)]
+pub struct Context {
+    /// The process's clock.
+    pub clock: Clock,
+    /// The documents in force.
+    pub catalogue: Shared,
+    /// The placement duty.
+    pub placement: Placement,
+    /// Client of the sidecars.
+    pub peers: peer::Client,
+    /// The process's metrics.
+    pub metrics: Metrics,
+    /// Where the relays run.
+    pub tracker: TaskTracker,
+    /// Largest request body accepted, in bytes.
+    pub max_body_bytes: usize,
+}
+
+impl StateData for Context {}
+
+/// A panic in a handler leaves nothing half changed: state lives in duties, behind rings.
+impl RefUnwindSafe for Context {}
+
+impl AsRef<Shared> for Context {
+    fn as_ref(&self) -> &Shared {
+        &self.catalogue
+    }
+}
--- a/daemon/src/router/inbound.rs
+++ b/daemon/src/router/inbound.rs
@@ -1,23 +1,26 @@
 //! A caller's request, checked against its service's document.
 
 use {
+    super::refusal::Invalid,
     crate::configuration::catalogue::{Catalogue, Version},
     bytes::Bytes,
     gotham::hyper::{HeaderMap, Method, Uri, header::AUTHORIZATION},
     rand::Rng as _,
-    std::{sync::Arc, time::Duration},
+    serde::Deserialize,
+    std::{borrow::Cow, sync::Arc, time::Duration},
     tamarackdale_core::{
         cost::Cost,
         digest,
-        document::{Disconnect, Kind, Late, Organisation, Tier},
+        document::{
+            Kind, Organisation, Tier,
+            tier::{Disconnect, Late},
+        },
         id,
         tier::Rank,
     },
     tamarackdale_wire::frame::Header,
 };
 
-use super::refusal::Invalid;
-
 /// Header that names a request.
 pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
 
@@ -30,6 +33,33 @@
 /// Longest key accepted, in bytes.
 const MAX_KEY_BYTES: usize = 255;
 
+/// Tokens assumed of an answer whose length is not bounded by the request.
+const DEFAULT_OUTPUT_TOKENS: u32 = 256;
+
+/// The parts of a model request that its cost depends on.
+#[derive(Deserialize)]
+struct ModelRequest {
+    input: Input,
+    max_output_tokens: Option<u32>,
+}
+
+/// A prompt: a text, or messages of any form.
+#[derive(Deserialize)]
+#[serde(untagged)]
+enum Input {
+    Text(String),
+    Messages(Vec<serde_json::Value>),
+}
+
+impl Input {
+    fn text(&self) -> Cow<'_, str> {
+        match self {
+            Self::Text(text) => Cow::Borrowed(text),
+            Self::Messages(messages) => messages.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct Inbound {
@@ -111,10 +141,7 @@
     /// Finds service, organisation, tier, deadline and key.
     ///
     /// Fails with the part of the request that is at fault.
-    pub fn check(
-        head: &Head<'_>,
-        catalogue: &Catalogue,
-    ) -> Result<Self, Invalid> {
+    pub fn check(head: &Head<'_>, catalogue: &Catalogue) -> Result<Self, Invalid> {
         let (service, path) = split(head.uri).ok_or(Invalid::Service)?;
         let version = catalogue.get(service).ok_or(Invalid::Service)?;
         let api_key = bearer(head.headers).ok_or(Invalid::Authorization)?;
@@ -138,20 +165,16 @@
     }
 
     /// Adds the body.
-    pub fn with_body(
-        self,
-        head: &Head<'_>,
-        body: Bytes,
-    ) -> Inbound {
+    pub fn with_body(self, head: &Head<'_>, body: Bytes) -> Inbound {
         let document = &self.version.document;
         let keyed = self.key.is_some();
         let key = self.key.unwrap_or_else(draw_key);
         let cost = match document.kind {
-            Kind::Model => Cost::of_model_request(&body),
-            Kind::Plain => Cost::of_plain_request(),
+            Kind::Model => model_cost(&body),
+            Kind::Plain => Cost::default(),
         };
         Inbound {
-            idempotent: document.is_idempotent(head.method.as_str(), &self.path),
+            idempotent: document.is_idempotent(head.method.as_str(), without_query(&self.path)),
             headers: forwarded_headers(head.headers, &key),
             id: id::Request {
                 service: document.service.clone(),
@@ -178,10 +201,27 @@
 fn split(uri: &Uri) -> Option<(&str, String)> {
     let path = uri.path().strip_prefix('/')?;
     let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-    let query = uri.query().map_or(String::new(), |query| format!("?{query}"));
+    let query = uri
+        .query()
+        .map_or(String::new(), |query| format!("?{query}"));
     Some((service, format!("/{rest}{query}")))
 }
 
+fn without_query(path: &str) -> &str {
+    path.split_once('?').map_or(path, |(path, _)| path)
+}
+
+/// Estimates what a model request costs; one in an unknown form is taken for its plain text.
+fn model_cost(body: &[u8]) -> Cost {
+    match serde_json::from_slice::<ModelRequest>(body) {
+        Ok(request) => Cost::estimate(
+            &request.input.text(),
+            request.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
+        ),
+        Err(_) => Cost::estimate(&String::from_utf8_lossy(body), DEFAULT_OUTPUT_TOKENS),
+    }
+}
+
 fn bearer(headers: &HeaderMap) -> Option<&str> {
     headers
         .get(AUTHORIZATION)?
@@ -190,10 +230,7 @@
         .strip_prefix("Bearer ")
 }
 
-fn text<'a>(
-    headers: &'a HeaderMap,
-    name: &'static str,
-) -> Result<Option<&'a str>, Invalid> {
+fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Invalid> {
     let Some(value) = headers.get(name) else {
         return Ok(None);
     };
@@ -206,20 +243,14 @@
     organisation: &Organisation,
 ) -> Result<(Rank, Tier), Invalid> {
     let name = text(headers, TIER)?.unwrap_or(organisation.default_tier());
-    let (rank, tier) = version
-        .document
-        .tier(name)
-        .ok_or(Invalid::Header(TIER))?;
+    let (rank, tier) = version.document.tier(name).ok_or(Invalid::Header(TIER))?;
     if !organisation.may_use(name) {
         return Err(Invalid::TierNotAllowed);
     }
     Ok((rank, tier.clone()))
 }
 
-fn find_deadline(
-    headers: &HeaderMap,
-    longest: Duration,
-) -> Result<Duration, Invalid> {
+fn find_deadline(headers: &HeaderMap, longest: Duration) -> Result<Duration, Invalid> {
     let Some(text) = text(headers, DEADLINE)? else {
         return Ok(longest);
     };
@@ -253,10 +284,7 @@
 
 /// The headers that the backend server gets: all but the caller's credentials and those meant
 /// for the router, and always the key.
-fn forwarded_headers(
-    headers: &HeaderMap,
-    key: &str,
-) -> Vec<Header> {
+fn forwarded_headers(headers: &HeaderMap, key: &str) -> Vec<Header> {
     let mut forwarded: Vec<Header> = headers
         .iter()
         .filter(|(name, _)| {
--- /dev/null
+++ b/daemon/src/router/membership/subscription.rs
@@ -0,0 +1,76 @@
+//! Follows the reports of one sidecar.
+
+use {
+    super::gone,
+    crate::{
+        http::client,
+        router::placement::{Placement, command::Sighting},
+    },
+    http_body_util::{BodyExt as _, Full},
+    hyper::{Request, body::Incoming},
+    std::time::Duration,
+    tamarackdale_core::report::Report,
+    tamarackdale_platform::list::Member,
+    tamarackdale_wire::{self as wire, codec::Splitter, path},
+    tokio::time::{sleep, timeout},
+};
+
+/// Silence after which the connection is taken for dead; several report intervals.
+const SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Pause before a new connection.
+const RECONNECT_BACKOFF: Duration = Duration::from_millis(250);
+
+/// Follows the reports for ever, over as many connections as it takes.
+pub async fn run(member: Member, placement: Placement) {
+    loop {
+        if let Some(body) = connect(&member).await {
+            follow(&member, body, &placement).await;
+        }
+        // Without reports the sidecar is not chosen; the next report brings it back.
+        placement.sight(gone(&member));
+        sleep(RECONNECT_BACKOFF).await;
+    }
+}
+
+async fn connect(member: &Member) -> Option<Incoming> {
+    let request = Request::get(format!("http://{}{}", member.address, path::REPORTS))
+        .body(Full::default())
+        .ok()?;
+    let response = timeout(SILENCE_LIMIT, client::fresh().request(request))
+        .await
+        .ok()?
+        .ok()?;
+    response.status().is_success().then(|| response.into_body())
+}
+
+async fn follow(member: &Member, mut body: Incoming, placement: &Placement) {
+    let mut splitter = Splitter::new();
+    while let Ok(Some(Ok(frame))) = timeout(SILENCE_LIMIT, body.frame()).await {
+        if let Some(bytes) = frame.data_ref() {
+            splitter.push(bytes);
+        }
+        loop {
+            match splitter.next_item::<wire::Report>() {
+                Ok(Some(report)) => sight(member, report, placement),
+                Ok(None) => break,
+                Err(error) => {
+                    log::warn!(instance = member.instance.as_str(); "broken reports: {error}");
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn sight(member: &Member, report: wire::Report, placement: &Placement) {
+    match Report::try_from(report) {
+        Ok(report) => placement.sight(Sighting::Report {
+            report,
+            address: member.address,
+        }),
+        Err(error) => {
+            log::warn!(instance = member.instance.as_str(); "unusable report: {error}");
+        }
+    }
+}
--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -74,11 +74,7 @@
     }
 
     /// Offers an attempt.
-    pub async fn enqueue(
-        &self,
-        peer: &Peer,
-        order: &Enqueue,
-    ) -> Result<Frames, Silence> {
+    pub async fn enqueue(&self, peer: &Peer, order: &Enqueue) -> Result<Frames, Silence> {
         let response = self.post(&self.pooled, peer, path::ENQUEUE, order).await?;
         Ok(Frames::new(response))
     }
@@ -108,21 +104,13 @@
 
     /// Asks for the rest of an answer on a new connection, or for proof that the attempt did not
     /// run.
-    pub async fn resume(
-        &self,
-        peer: &Peer,
-        resume: &Resume,
-    ) -> Result<Frames, Silence> {
+    pub async fn resume(&self, peer: &Peer, resume: &Resume) -> Result<Frames, Silence> {
         let response = self.post(&self.fresh, peer, path::RESUME, resume).await?;
         Ok(Frames::new(response))
     }
 
     /// Withdraws an attempt, if the sidecar can be reached.
-    pub async fn cancel(
-        &self,
-        peer: &Peer,
-        attempt: id::Attempt,
-    ) {
+    pub async fn cancel(&self, peer: &Peer, attempt: id::Attempt) {
         let message = Cancel {
             attempt: attempt.into(),
             boot: peer.incarnation.boot.0,
@@ -132,13 +120,11 @@
     }
 
     /// Tells how much of an answer has been received, if the sidecar can be reached.
-    pub async fn acknowledge(
-        &self,
-        peer: &Peer,
-        message: &Acknowledge,
-    ) {
+    pub async fn acknowledge(&self, peer: &Peer, message: &Acknowledge) {
         // The sidecar drops an answer after a while, so a lost message does no harm.
-        let _ = self.post(&self.pooled, peer, path::ACKNOWLEDGE, message).await;
+        let _ = self
+            .post(&self.pooled, peer, path::ACKNOWLEDGE, message)
+            .await;
     }
 
     async fn post<T: Serialize>(
@@ -163,11 +149,7 @@
     Failure::try_from(failure).unwrap_or(Failure::may_have_run(Reason::ConnectionLost))
 }
 
-fn request<T: Serialize>(
-    peer: &Peer,
-    path: &str,
-    message: &T,
-) -> Option<Request<Full<Bytes>>> {
+fn request<T: Serialize>(peer: &Peer, path: &str, message: &T) -> Option<Request<Full<Bytes>>> {
     let body = codec::encode(message)
         .inspect_err(|error| log::error!("{error}"))
         .ok()?;
--- a/daemon/src/router/peer/frames.rs
+++ b/daemon/src/router/peer/frames.rs
@@ -32,10 +32,7 @@
     /// Fails when the connection ends, breaks or goes silent.
     pub async fn next(&mut self) -> Result<Frame, Silence> {
         loop {
-            let item = self
-                .splitter
-                .next_item()
-                .map_err(|_| Silence::Unanswered)?;
+            let item = self.splitter.next_item().map_err(|_| Silence::Unanswered)?;
             if let Some(frame) = item {
                 return Ok(frame);
             }
--- /dev/null
+++ b/daemon/src/router/placement.rs
@@ -0,0 +1,237 @@
+//! The placement duty: chooses a sidecar for each request.
+//!
+//! It owns the routing tables, the shed floors, the organisations' limits and the retry budget.
+
+pub mod command;
+pub mod service;
+
+use {
+    self::{
+        command::{Command, Sighting},
+        service::Service,
+    },
+    super::{inbound::Inbound, peer::Peer},
+    crate::{duty::Duty, ring::Ring, uptime::Clock},
+    crossbeam_channel::Receiver,
+    rand::{SeedableRng as _, rngs::SmallRng},
+    std::{collections::HashMap, io, sync::Arc, time::Duration},
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        floor::Notice,
+        id::{Attempt, Boot, Instance},
+        limit::Share,
+        route::Policy,
+        time::Timestamp,
+    },
+};
+
+/// Commands that wait for the duty.
+const CAPACITY: usize = 8192;
+
+/// A sidecar chosen for a request.
+#[derive(Clone, Debug)]
+pub struct Placed {
+    /// The sidecar.
+    pub peer: Peer,
+    /// The attempt's identifier, never used before.
+    pub attempt: Attempt,
+    /// Shed floor to tell the sidecar.
+    pub floor: Notice,
+    /// Service asked.
+    pub service: String,
+}
+
+/// Sending end of the duty.
+#[derive(Clone)]
+pub struct Placement {
+    ring: Ring<Command>,
+}
+
+impl Placement {
+    /// Starts the duty of the router with the given boot.
+    ///
+    /// Fails when the thread cannot be started.
+    pub fn spawn(router: Boot, clock: Clock, policy: Policy) -> io::Result<(Duty, Self)> {
+        let (ring, commands) = Ring::new(CAPACITY);
+        let state = State {
+            router,
+            clock,
+            policy,
+            services: HashMap::new(),
+            share: Share::new(0, 1),
+            sequence: 0,
+            rng: SmallRng::seed_from_u64(router.0),
+        };
+        let duty = Duty::spawn("placement", move || state.run(&commands))?;
+        Ok((duty, Self { ring }))
+    }
+
+    /// Takes a request into its organisation's limits; [`Placement::release`] must follow.
+    ///
+    /// Fails if the organisation is over its limits or the duty is not to be reached.
+    pub async fn admit(&self, request: Arc<Inbound>) -> Result<(), Failure> {
+        let asked = self
+            .ring
+            .ask(|reply| Command::Admit { request, reply })
+            .await;
+        asked.map_err(undispatched)?
+    }
+
+    /// Takes an admitted request that has ended out of its organisation's limits.
+    pub fn release(&self, request: &Inbound, elapsed: Duration) {
+        self.tell(Command::Release {
+            service: request.id.service.clone(),
+            organisation: request.id.organisation.clone(),
+            elapsed,
+        });
+    }
+
+    /// Chooses a sidecar other than the excluded ones.
+    ///
+    /// Fails with the reason why there is none.
+    pub async fn place(
+        &self,
+        request: Arc<Inbound>,
+        excluded: Vec<Instance>,
+        deadline: Timestamp,
+    ) -> Result<Placed, Failure> {
+        let asked = self
+            .ring
+            .ask(|reply| Command::Place {
+                request,
+                excluded,
+                deadline,
+                reply,
+            })
+            .await;
+        asked.map_err(undispatched)?
+    }
+
+    /// Tells that an attempt has ended, and why if its sidecar did not run it.
+    pub fn settle(&self, placed: &Placed, refused: Option<Failure>) {
+        self.tell(Command::Settle {
+            service: placed.service.clone(),
+            instance: placed.peer.incarnation.instance.clone(),
+            attempt: placed.attempt,
+            refused,
+        });
+    }
+
+    /// Tells what has been seen of a sidecar.
+    pub fn sight(&self, sighting: Sighting) {
+        self.tell(Command::Sight(Box::new(sighting)));
+    }
+
+    /// Tells this router's place among the live routers.
+    pub fn set_share(&self, share: Share) {
+        self.tell(Command::Share(share));
+    }
+
+    /// Sends a message that must arrive, from the runtime that the caller runs on.
+    fn tell(&self, command: Command) {
+        tokio::spawn(self.ring.clone().deliver(command));
+    }
+}
+
+/// Nothing is dispatched by placement, so its failures prove that the request did not run.
+fn undispatched(failure: Failure) -> Failure {
+    Failure::not_run(failure.reason)
+}
+
+struct State {
+    router: Boot,
+    clock: Clock,
+    policy: Policy,
+    services: HashMap<String, Service>,
+    share: Share,
+    sequence: u64,
+    rng: SmallRng,
+}
+
+impl State {
+    fn run(mut self, commands: &Receiver<Command>) {
+        // Ends when all senders are gone.
+        while let Ok(command) = commands.recv() {
+            self.take(command);
+        }
+    }
+
+    fn take(&mut self, command: Command) {
+        let now = self.clock.now();
+        match command {
+            Command::Admit { request, reply } => {
+                let admitted = self.service(&request.id.service).admit(&request, now);
+                // A request that was given up releases its share by itself.
+                let _ = reply.send(admitted);
+            }
+            Command::Release {
+                service,
+                organisation,
+                elapsed,
+            } => self.service(&service).release(&organisation, elapsed),
+            Command::Place {
+                request,
+                excluded,
+                deadline,
+                reply,
+            } => {
+                let placed = self.place(&request, &excluded, deadline, now);
+                if let Err(Ok(placed)) = reply.send(placed) {
+                    self.service(&placed.service).settle(&placed.attempt, None);
+                }
+            }
+            Command::Settle {
+                service,
+                attempt,
+                refused,
+                ..
+            } => self.service(&service).settle(&attempt, refused),
+            Command::Sight(sighting) => self.sight(*sighting, now),
+            Command::Share(share) => self.set_share(share),
+        }
+    }
+
+    fn place(
+        &mut self,
+        request: &Inbound,
+        excluded: &[Instance],
+        deadline: Timestamp,
+        now: Timestamp,
+    ) -> Result<Placed, Failure> {
+        let attempt = Attempt {
+            router: self.router,
+            sequence: self.sequence,
+        };
+        self.sequence += 1;
+        let rng = &mut self.rng;
+        let Some(service) = self.services.get_mut(&request.id.service) else {
+            return Err(Failure::not_run(Reason::NoBackendServer));
+        };
+        service.place(request, attempt, excluded, deadline, now, rng)
+    }
+
+    fn sight(&mut self, sighting: Sighting, now: Timestamp) {
+        match sighting {
+            Sighting::Report { report, address } => {
+                let name = report.service.clone();
+                self.service(&name).report(report, address, now);
+            }
+            Sighting::Leaving { service, instance } => self.service(&service).leaving(&instance),
+            Sighting::Gone { service, instance } => self.service(&service).gone(&instance),
+        }
+    }
+
+    fn set_share(&mut self, share: Share) {
+        self.share = share;
+        for service in self.services.values_mut() {
+            service.set_share(share);
+        }
+    }
+
+    fn service(&mut self, name: &str) -> &mut Service {
+        let (policy, router, share) = (self.policy, self.router, self.share);
+        self.services
+            .entry(name.to_owned())
+            .or_insert_with(|| Service::new(name, policy, router, share))
+    }
+}
--- /dev/null
+++ b/daemon/src/router/placement/service.rs
@@ -0,0 +1,208 @@
+//! Placement for one service.
+
+use {
+    super::Placed,
+    crate::router::{inbound::Inbound, peer::Peer},
+    rand::Rng,
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        floor::{self, Floor},
+        id::{Attempt, Boot, Instance},
+        limit::{Bound, Limiter, Share},
+        report::Report,
+        retry::{self, Budget},
+        route::{Choice, Policy, Request, Table},
+        tier::Rank,
+        time::Timestamp,
+    },
+};
+
+/// Delay before a retry when the router has nothing better to tell.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// What a router knows of one service's sidecars, and the limits that it keeps for the service.
+pub struct Service {
+    name: String,
+    table: Table,
+    addresses: HashMap<Instance, SocketAddr>,
+    floor: Floor,
+    limiter: Limiter,
+    budget: Budget,
+}
+
+impl Service {
+    /// A service without sidecars.
+    pub fn new(name: &str, policy: Policy, router: Boot, share: Share) -> Self {
+        Self {
+            name: name.to_owned(),
+            table: Table::new(policy, router),
+            addresses: HashMap::new(),
+            floor: Floor::new(floor::Settings::default()),
+            limiter: Limiter::new(share),
+            budget: Budget::new(retry::Settings::default()),
+        }
+    }
+
+    /// Takes a request into its organisation's limits.
+    pub fn admit(&mut self, request: &Inbound, now: Timestamp) -> Result<(), Failure> {
+        let organisation = &request.id.organisation;
+        let bound = request
+            .version
+            .document
+            .organisation(organisation)
+            .map(|organisation| Bound {
+                rate: organisation.requests_per_second,
+                concurrency: organisation.concurrent,
+            })
+            .unwrap_or_default();
+        self.limiter.acquire(organisation, bound, now)?;
+        self.budget.first_attempt();
+        Ok(())
+    }
+
+    /// Takes a request out of its organisation's limits.
+    pub fn release(&mut self, organisation: &str, elapsed: Duration) {
+        self.limiter.release(organisation, elapsed);
+    }
+
+    /// Chooses a sidecar and counts the attempt as offered to it.
+    pub fn place(
+        &mut self,
+        request: &Inbound,
+        attempt: Attempt,
+        excluded: &[Instance],
+        deadline: Timestamp,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Result<Placed, Failure> {
+        let placed = self.try_place(request, attempt, excluded, deadline, now, rng);
+        if let Err(failure) = &placed {
+            log::info!(
+                request:% = request.id,
+                tier = request.tier.as_str(),
+                excluded = excluded.len(),
+                reason:% = failure.reason;
+                "not routed"
+            );
+        }
+        placed
+    }
+
+    fn try_place(
+        &mut self,
+        request: &Inbound,
+        attempt: Attempt,
+        excluded: &[Instance],
+        deadline: Timestamp,
+        now: Timestamp,
+        rng: &mut impl Rng,
+    ) -> Result<Placed, Failure> {
+        if !self.floor.serves(request.rank, now) {
+            let remaining = self.floor.notice(now).remaining;
+            return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
+        }
+        if !excluded.is_empty() && !self.budget.retry() {
+            return Err(
+                Failure::not_run(Reason::NoBackendServer).with_retry_after(DEFAULT_RETRY_AFTER)
+            );
+        }
+        let wanted = Request::new(
+            request.rank,
+            &request.id.organisation,
+            request.cost.clone(),
+            deadline,
+        )
+        .with_weight(request.weight)
+        .with_may_be_late(request.finish_late);
+        let choice = self
+            .table
+            .choose(&wanted, excluded, now, rng)
+            .inspect_err(|failure| self.note_shed(request.rank, failure, now))?;
+        self.log_choice(request, attempt, &choice);
+        self.offer(request, attempt, choice, now)
+    }
+
+    /// Notes that an attempt has ended.
+    pub fn settle(&mut self, attempt: &Attempt, _refused: Option<Failure>) {
+        self.table.finished(*attempt);
+    }
+
+    /// Takes in a sidecar's report.
+    pub fn report(&mut self, report: Report, address: SocketAddr, now: Timestamp) {
+        self.floor.merge(report.floor, now);
+        self.addresses
+            .insert(report.incarnation.instance.clone(), address);
+        self.table.update(report, now);
+    }
+
+    /// Notes that an instance takes no new work.
+    pub fn leaving(&mut self, instance: &Instance) {
+        self.table.leaving(instance);
+    }
+
+    /// Forgets an instance.
+    pub fn gone(&mut self, instance: &Instance) {
+        self.table.gone(instance);
+        self.addresses.remove(instance);
+    }
+
+    /// Takes over a change of the number of live routers.
+    pub fn set_share(&mut self, share: Share) {
+        self.limiter.set_share(share);
+    }
+
+    /// Before a request is shed here, nothing less urgent may be served.
+    fn note_shed(&mut self, rank: Rank, failure: &Failure, now: Timestamp) {
+        if failure.reason.is_shed() {
+            self.floor.raise(rank, now);
+        }
+    }
+
+    fn offer(
+        &mut self,
+        request: &Inbound,
+        attempt: Attempt,
+        choice: Choice,
+        now: Timestamp,
+    ) -> Result<Placed, Failure> {
+        let instance = &choice.incarnation.instance;
+        let Some(address) = self.addresses.get(instance).copied() else {
+            return Err(Failure::not_run(Reason::NoBackendServer));
+        };
+        self.table
+            .dispatched(instance, attempt, request.rank, &request.cost, now);
+        Ok(Placed {
+            peer: Peer {
+                incarnation: choice.incarnation,
+                address,
+            },
+            attempt,
+            floor: self.floor.notice(now),
+            service: self.name.clone(),
+        })
+    }
+
+    fn log_choice(&self, request: &Inbound, attempt: Attempt, choice: &Choice) {
+        let weighed: Vec<String> = choice
+            .weighed
+            .iter()
+            .map(|candidate| {
+                let instance = &candidate.incarnation.instance;
+                format!("{instance}:{}ms", candidate.predicted.as_millis())
+            })
+            .collect();
+        log::info!(
+            request:% = request.id,
+            attempt:% = attempt,
+            service = self.name.as_str(),
+            organisation = request.id.organisation.as_str(),
+            tier = request.tier.as_str(),
+            candidates = weighed.join(" "),
+            sidecar:% = choice.incarnation,
+            predicted_ms = choice.predicted.as_millis() as u64,
+            reason:% = choice.basis;
+            "routed"
+        );
+    }
+}
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -91,10 +91,7 @@
 }
 
 /// The answer to a request that failed before its head was sent.
-pub fn response(
-    request: &Inbound,
-    failure: &Failure,
-) -> Response<Body> {
+pub fn response(request: &Inbound, failure: &Failure) -> Response<Body> {
     let mut response = body::json(status(failure), &describe(failure));
     put_request_id(response.headers_mut(), request);
     put_failure(response.headers_mut(), failure);
@@ -112,35 +109,29 @@
 }
 
 /// Sets the header with the request's key.
-pub fn put_request_id(
-    headers: &mut HeaderMap,
-    request: &Inbound,
-) {
+pub fn put_request_id(headers: &mut HeaderMap, request: &Inbound) {
     if let Ok(value) = HeaderValue::from_str(&request.id.key) {
         headers.insert(REQUEST_ID, value);
     }
 }
 
 /// Sets the header with the verdict.
-pub fn put_verdict(
-    headers: &mut HeaderMap,
-    verdict: Verdict,
-) {
+pub fn put_verdict(headers: &mut HeaderMap, verdict: Verdict) {
     if let Ok(value) = HeaderValue::from_str(&verdict.to_string()) {
         headers.insert(VERDICT, value);
     }
 }
 
-fn put_failure(
-    headers: &mut HeaderMap,
-    failure: &Failure,
-) {
+fn put_failure(headers: &mut HeaderMap, failure: &Failure) {
     put_verdict(headers, failure.verdict);
     if let Ok(value) = HeaderValue::from_str(&failure.reason.to_string()) {
         headers.insert(REASON, value);
     }
     if let Some(delay) = failure.retry_after {
-        headers.insert(RETRY_AFTER, HeaderValue::from(delay.as_secs_f64().ceil() as u64));
+        headers.insert(
+            RETRY_AFTER,
+            HeaderValue::from(delay.as_secs_f64().ceil() as u64),
+        );
         headers.insert(RETRY_AFTER_MS, HeaderValue::from(millis(delay)));
     }
 }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -14,12 +14,14 @@
         offer::{Granted, Offer, Unserved},
         responder::Responder,
     },
-    super::{context::Context, inbound::Inbound, placement::{Outcome, Placed}},
-    std::sync::Arc,
+    super::{context::Context, inbound::Inbound, placement::Placed},
+    crate::metrics::Labels,
+    std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
         id,
         time::Timestamp,
+        verdict::Verdict,
     },
 };
 
@@ -38,13 +40,17 @@
     CallerGone,
 }
 
+/// How one attempt ended.
+enum Attempted {
+    /// The request is over.
+    Over(Ending),
+    /// Proved not run; another sidecar may be tried.
+    Moved(Failure),
+}
+
 impl Relay {
     /// A relay for a request accepted now.
-    pub fn new(
-        context: Context,
-        request: Inbound,
-        responder: Responder,
-    ) -> Self {
+    pub fn new(context: Context, request: Inbound, responder: Responder) -> Self {
         let deadline = context.clock.now().plus(request.deadline);
         Self {
             context,
@@ -56,7 +62,24 @@
 
     /// Serves the request to its end.
     pub async fn run(mut self) {
-        match self.serve().await {
+        let accepted = self.context.clock.now();
+        let ending = match self
+            .context
+            .placement
+            .admit(Arc::clone(&self.request))
+            .await
+        {
+            Ok(()) => {
+                let ending = self.serve().await;
+                let elapsed = self.context.clock.now().since(accepted);
+                self.context.placement.release(&self.request, elapsed);
+                ending
+            }
+            Err(failure) => Ending::Failed(failure),
+        };
+        let elapsed = self.context.clock.now().since(accepted);
+        self.count(&ending, elapsed);
+        match ending {
             Ending::Served => {}
             Ending::Failed(failure) => self.refuse(&failure).await,
             Ending::CallerGone => log::info!(request:% = self.request.id; "caller gone"),
@@ -65,77 +88,78 @@
 
     async fn serve(&mut self) -> Ending {
         let mut excluded: Vec<id::Instance> = Vec::new();
+        let mut moved: Option<Failure> = None;
         loop {
             let placed = match self.place(&excluded).await {
                 Ok(placed) => placed,
-                Err(failure) => return Ending::Failed(failure),
+                // The last sidecar's reason says more than that there is no further one.
+                Err(failure) => return Ending::Failed(moved.unwrap_or(failure)),
             };
-            let offer = Offer {
-                context: &self.context,
-                request: &self.request,
-                placed: &placed,
-                deadline: self.deadline,
-            };
-            let offered = offer.make(&mut self.responder).await;
-            match offered {
-                Ok(granted) => return self.relay(placed, granted).await,
-                Err(Unserved::Moved(failure)) => {
-                    self.settle(&placed, Outcome::Refused(failure));
+            match self.attempt(&placed).await {
+                Attempted::Over(ending) => return ending,
+                Attempted::Moved(failure) => {
+                    self.log_move(&placed, &failure);
                     excluded.push(placed.peer.incarnation.instance.clone());
-                }
-                Err(Unserved::Final(failure)) => {
-                    self.settle(&placed, Outcome::Refused(failure));
-                    return Ending::Failed(failure);
-                }
-                Err(Unserved::CallerGone) => {
-                    self.settle(&placed, Outcome::Withdrawn);
-                    return Ending::CallerGone;
+                    moved = Some(failure);
                 }
             }
         }
     }
 
-    async fn place(
-        &mut self,
-        excluded: &[id::Instance],
-    ) -> Result<Placed, Failure> {
-        let remaining = self.deadline.since(self.context.clock.now());
-        if remaining.is_zero() {
+    /// Makes one attempt, to its end or to the proof that it was not dispatched.
+    async fn attempt(&mut self, placed: &Placed) -> Attempted {
+        let offer = Offer {
+            context: &self.context,
+            request: &self.request,
+            placed,
+            deadline: self.deadline,
+        };
+        let attempted = match offer.make(&mut self.responder).await {
+            Ok(granted) => self.relay(placed, granted).await,
+            Err(Unserved::Moved(failure)) => Attempted::Moved(failure),
+            Err(Unserved::Final(failure)) => Attempted::Over(Ending::Failed(failure)),
+            Err(Unserved::CallerGone) => Attempted::Over(Ending::CallerGone),
+        };
+        let refused = match &attempted {
+            Attempted::Moved(failure) => Some(*failure),
+            Attempted::Over(_) => None,
+        };
+        self.context.placement.settle(placed, refused);
+        attempted
+    }
+
+    async fn place(&mut self, excluded: &[id::Instance]) -> Result<Placed, Failure> {
+        if self.deadline <= self.context.clock.now() {
             return Err(Failure::not_run(Reason::DeadlinePassed));
         }
-        let placing = self
-            .context
-            .placement
-            .place(Arc::clone(&self.request), excluded.to_vec(), remaining);
+        let placing = self.context.placement.place(
+            Arc::clone(&self.request),
+            excluded.to_vec(),
+            self.deadline,
+        );
         tokio::select! {
             placed = placing => placed,
             () = self.responder.caller_gone() => Err(Failure::not_run(Reason::Cancelled)),
         }
     }
 
-    async fn relay(
-        &mut self,
-        placed: Placed,
-        granted: Granted,
-    ) -> Ending {
+    async fn relay(&mut self, placed: &Placed, granted: Granted) -> Attempted {
         let mut answer = Answer::new(&self.context, &placed.peer, granted);
         let ending = self.relay_answer(&mut answer).await;
-        let outcome = match &ending {
-            Ending::Served => Outcome::Served,
-            Ending::Failed(failure) => Outcome::Failed(*failure),
-            Ending::CallerGone => Outcome::Withdrawn,
-        };
-        if matches!(ending, Ending::CallerGone) && !self.request.finish_alone {
-            answer.cancel().await;
+        match ending {
+            // Nothing was sent to the backend server, and nothing to the caller either.
+            Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
+                Attempted::Moved(failure)
+            }
+            Ending::CallerGone if !self.request.finish_alone => {
+                answer.cancel().await;
+                Attempted::Over(ending)
+            }
+            ending => Attempted::Over(ending),
         }
-        self.settle(&placed, outcome);
-        ending
     }
 
-    async fn relay_answer(
-        &mut self,
-        answer: &mut Answer,
-    ) -> Ending {
+    async fn relay_answer(&mut self, answer: &mut Answer) -> Ending {
         loop {
             let step = tokio::select! {
                 step = answer.next() => step,
@@ -159,10 +183,7 @@
         }
     }
 
-    async fn refuse(
-        &mut self,
-        failure: &Failure,
-    ) {
+    async fn refuse(&mut self, failure: &Failure) {
         log::info!(
             request:% = self.request.id,
             tier = self.request.tier.as_str(),
@@ -174,11 +195,37 @@
         self.responder.fail(&self.request, failure).await;
     }
 
-    fn settle(
-        &self,
-        placed: &Placed,
-        outcome: Outcome,
-    ) {
-        self.context.placement.settle(placed, &self.request, outcome);
+    fn log_move(&self, placed: &Placed, failure: &Failure) {
+        log::info!(
+            request:% = self.request.id,
+            attempt:% = placed.attempt,
+            sidecar:% = placed.peer,
+            reason:% = failure.reason;
+            "moved"
+        );
+        let metrics = &self.context.metrics;
+        metrics.count_move(self.labels(), failure.reason.to_string());
+    }
+
+    fn count(&self, ending: &Ending, elapsed: Duration) {
+        let outcome = match ending {
+            Ending::Served if self.context.clock.now() <= self.deadline => "in-time",
+            Ending::Served => "late",
+            Ending::Failed(failure) if failure.verdict == Verdict::NotRun => "not-run",
+            Ending::Failed(_) => "failed",
+            Ending::CallerGone => "caller-gone",
+        };
+        let metrics = &self.context.metrics;
+        metrics.count_request(self.labels(), outcome, elapsed);
+        if let Ending::Failed(failure) = ending {
+            metrics.count_refusal(self.labels(), failure.reason.to_string());
+        }
+    }
+
+    fn labels(&self) -> Labels<'_> {
+        Labels {
+            service: &self.request.id.service,
+            tier: &self.request.tier,
+        }
     }
 }
--- a/daemon/src/router/relay/answer.rs
+++ b/daemon/src/router/relay/answer.rs
@@ -64,11 +64,7 @@
 
 impl Answer {
     /// The answer of an attempt at `peer`.
-    pub fn new(
-        context: &Context,
-        peer: &Peer,
-        granted: Granted,
-    ) -> Self {
+    pub fn new(context: &Context, peer: &Peer, granted: Granted) -> Self {
         Self {
             context: context.clone(),
             peer: peer.clone(),
@@ -113,10 +109,7 @@
         self.context.peers.cancel(&self.peer, self.attempt).await;
     }
 
-    fn take(
-        &mut self,
-        frame: Frame,
-    ) -> Option<Step> {
+    fn take(&mut self, frame: Frame) -> Option<Step> {
         match frame {
             Frame::Heartbeat { .. } | Frame::Ready => None,
             Frame::Head { status, headers } => {
@@ -129,11 +122,7 @@
         }
     }
 
-    fn take_chunk(
-        &mut self,
-        offset: u64,
-        bytes: Bytes,
-    ) -> Option<Step> {
+    fn take_chunk(&mut self, offset: u64, bytes: Bytes) -> Option<Step> {
         if offset != self.digest.length() {
             log::error!(attempt:% = self.attempt; "the answer has a gap");
             return Some(Step::Failed(Failure::may_have_run(Reason::ConnectionLost)));
@@ -147,11 +136,7 @@
         Some(Step::Bytes(bytes))
     }
 
-    fn take_end(
-        &self,
-        length: u64,
-        checksum: u64,
-    ) -> Step {
+    fn take_end(&self, length: u64, checksum: u64) -> Step {
         if length == self.digest.length() && checksum == self.digest.checksum() {
             return Step::End;
         }
@@ -160,10 +145,7 @@
     }
 
     /// A failure after bytes have come back cannot be a proof that nothing ran.
-    fn granted_failure(
-        &self,
-        failure: Failure,
-    ) -> Failure {
+    fn granted_failure(&self, failure: Failure) -> Failure {
         if self.head_received && failure.verdict == Verdict::NotRun {
             return Failure::may_have_run(failure.reason);
         }
@@ -203,10 +185,7 @@
             .spawn(async move { peers.acknowledge(&peer, &message).await });
     }
 
-    fn acknowledgement(
-        &self,
-        complete: bool,
-    ) -> Acknowledge {
+    fn acknowledgement(&self, complete: bool) -> Acknowledge {
         Acknowledge {
             attempt: self.attempt.into(),
             boot: self.peer.incarnation.boot.0,
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -51,11 +51,8 @@
 
 impl Offer<'_> {
     /// Makes the offer, waits for its turn and grants it.
-    pub async fn make(
-        self,
-        responder: &mut Responder,
-    ) -> Result<Granted, Unserved> {
-        let attempt = self.context.attempts.next();
+    pub async fn make(self, responder: &mut Responder) -> Result<Granted, Unserved> {
+        let attempt = self.placed.attempt;
         let order = self.order(attempt);
         let mut frames = self
             .context
@@ -77,24 +74,16 @@
         self.grant(attempt, frames).await
     }
 
-    async fn grant(
-        &self,
-        attempt: id::Attempt,
-        frames: Frames,
-    ) -> Result<Granted, Unserved> {
+    async fn grant(&self, attempt: id::Attempt, frames: Frames) -> Result<Granted, Unserved> {
         match self.context.peers.grant(self.peer(), attempt).await {
             Ok(Ok(())) => Ok(Granted {
                 attempt,
                 frames: Some(frames),
             }),
-            Ok(Err(failure)) if failure.verdict == Verdict::NotRun => {
-                Err(Unserved::Moved(failure))
-            }
+            Ok(Err(failure)) if failure.verdict == Verdict::NotRun => Err(Unserved::Moved(failure)),
             Ok(Err(failure)) => Err(Unserved::Final(failure)),
             // Nobody listens: the incarnation that offered the attempt is gone with it.
-            Err(Silence::Refused) => {
-                Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost)))
-            }
+            Err(Silence::Refused) => Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost))),
             // Only the sidecar knows; the answer's first step asks it.
             Err(Silence::Unanswered) => Ok(Granted {
                 attempt,
@@ -112,10 +101,7 @@
     }
 
     /// Tells the sidecar that the attempt is not wanted, without waiting for it.
-    fn withdraw(
-        &self,
-        attempt: id::Attempt,
-    ) {
+    fn withdraw(&self, attempt: id::Attempt) {
         let peers = self.context.peers.clone();
         let peer = self.peer().clone();
         self.context
@@ -123,10 +109,7 @@
             .spawn(async move { peers.cancel(&peer, attempt).await });
     }
 
-    fn order(
-        &self,
-        attempt: id::Attempt,
-    ) -> Enqueue {
+    fn order(&self, attempt: id::Attempt) -> Enqueue {
         let request = self.request;
         Enqueue {
             attempt: attempt.into(),
@@ -135,7 +118,8 @@
             organisation: request.id.organisation.clone(),
             rank: request.rank.0,
             revision: request.version.revision.0,
-            floor: self.placed.floor.0,
+            floor: self.placed.floor.rank.0,
+            floor_ms: u32::try_from(self.placed.floor.remaining.as_millis()).unwrap_or(u32::MAX),
             remaining_ms: u64::try_from(self.remaining().as_millis()).unwrap_or(u64::MAX),
             cost: request.cost.clone().into(),
             keep_answer: request.needs_claim(),
--- a/daemon/src/router/relay/responder.rs
+++ b/daemon/src/router/relay/responder.rs
@@ -99,10 +99,7 @@
     }
 
     /// Sends a part of the body; waits while the caller reads slowly, within limits.
-    pub async fn send_bytes(
-        &mut self,
-        bytes: Bytes,
-    ) -> Result<(), Gone> {
+    pub async fn send_bytes(&mut self, bytes: Bytes) -> Result<(), Gone> {
         let State::Streaming { body, .. } = &self.state else {
             return Err(Gone);
         };
@@ -128,11 +125,7 @@
 
     /// Tells the caller of a failure: in a response of its own before the head, else by breaking
     /// the connection, after a last event where the answer consists of events.
-    pub async fn fail(
-        &mut self,
-        request: &Inbound,
-        failure: &Failure,
-    ) {
+    pub async fn fail(&mut self, request: &Inbound, failure: &Failure) {
         match std::mem::replace(&mut self.state, State::Over) {
             State::Pending(head) => {
                 // A caller that has gone needs no answer.
@@ -161,10 +154,7 @@
     })
 }
 
-fn put_headers(
-    target: &mut HeaderMap,
-    headers: &[Header],
-) {
+fn put_headers(target: &mut HeaderMap, headers: &[Header]) {
     for header in headers {
         let name = HeaderName::from_bytes(header.name.as_bytes());
         let value = HeaderValue::from_bytes(&header.value);
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -69,11 +69,7 @@
 }
 
 impl Flag {
-    const fn new(
-        name: &'static str,
-        hint: &'static str,
-        help: &'static str,
-    ) -> Self {
+    const fn new(name: &'static str, hint: &'static str, help: &'static str) -> Self {
         Self {
             name,
             hint,
@@ -82,26 +78,38 @@
         }
     }
 
-    const fn with_default(
-        mut self,
-        default: &'static str,
-    ) -> Self {
+    const fn with_default(mut self, default: &'static str) -> Self {
         self.default = Some(default);
         self
     }
 
     /// Name of the environment variable.
     pub fn variable(&self) -> String {
-        format!("TAMARACKDALE_{}", self.name.replace('-', "_").to_uppercase())
+        format!(
+            "TAMARACKDALE_{}",
+            self.name.replace('-', "_").to_uppercase()
+        )
     }
 }
 
 /// Flags that both roles have.
 pub const COMMON: &[Flag] = &[
-    Flag::new("instance", "NAME", "name of this instance in the instance list"),
-    Flag::new("data-centre", "NAME", "data centre that this instance is in"),
-    Flag::new("peer-listen", "IP:PORT", "address for other processes of the system")
-        .with_default("127.0.0.1:7701"),
+    Flag::new(
+        "instance",
+        "NAME",
+        "name of this instance in the instance list",
+    ),
+    Flag::new(
+        "data-centre",
+        "NAME",
+        "data centre that this instance is in",
+    ),
+    Flag::new(
+        "peer-listen",
+        "IP:PORT",
+        "address for other processes of the system",
+    )
+    .with_default("127.0.0.1:7701"),
     Flag::new("admin-listen", "IP:PORT", "address for metrics and probes")
         .with_default("127.0.0.1:7702"),
     Flag::new("store", "URL", "key-value service"),
@@ -109,6 +117,10 @@
     Flag::new("log-level", "LEVEL", "error, warn, info, debug or trace").with_default("info"),
     Flag::new("shutdown-limit-s", "SECONDS", "longest graceful shutdown").with_default("600"),
     Flag::new("max-body-bytes", "BYTES", "largest request body").with_default("4194304"),
-    Flag::new("max-connections", "COUNT", "connections that a listener holds at once")
-        .with_default("4096"),
+    Flag::new(
+        "max-connections",
+        "COUNT",
+        "connections that a listener holds at once",
+    )
+    .with_default("4096"),
 ];
--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -19,7 +19,11 @@
 /// Flags of a router, besides the common ones.
 pub const FLAGS: &[Flag] = &[
     Flag::new("listen", "IP:PORT", "address for callers").with_default("127.0.0.1:7700"),
-    Flag::new("services", "NAMES", "services to route to, separated by commas"),
+    Flag::new(
+        "services",
+        "NAMES",
+        "services to route to, separated by commas",
+    ),
 ];
 
 impl Router {
--- a/daemon/src/settings/sidecar.rs
+++ b/daemon/src/settings/sidecar.rs
@@ -19,11 +19,19 @@
 
 /// Flags of a sidecar, besides the common ones.
 pub const FLAGS: &[Flag] = &[
-    Flag::new("service", "NAME", "service that the backend server belongs to"),
+    Flag::new(
+        "service",
+        "NAME",
+        "service that the backend server belongs to",
+    ),
     Flag::new("backend-server", "URL", "the backend server"),
     Flag::new("max-waiting", "COUNT", "requests that may wait").with_default("1000"),
-    Flag::new("max-kept-bytes", "BYTES", "bytes of answers kept until acknowledged")
-        .with_default("67108864"),
+    Flag::new(
+        "max-kept-bytes",
+        "BYTES",
+        "bytes of answers kept until acknowledged",
+    )
+    .with_default("67108864"),
 ];
 
 impl Sidecar {
--- a/daemon/src/settings/source.rs
+++ b/daemon/src/settings/source.rs
@@ -39,10 +39,7 @@
     }
 
     /// Ends reading; fails with all problems found.
-    pub fn finish<T>(
-        self,
-        settings: T,
-    ) -> Result<T, Problems> {
+    pub fn finish<T>(self, settings: T) -> Result<T, Problems> {
         if self.problems.is_empty() {
             return Ok(settings);
         }
@@ -52,20 +49,16 @@
     }
 
     /// A name: letters, digits, `-`, `_` and `.`.
-    pub fn name(
-        &mut self,
-        flag: &str,
-    ) -> String {
+    pub fn name(&mut self, flag: &str) -> String {
         let expected = "a name of letters, digits, '-', '_' or '.'";
-        self.read(flag, expected, |text| is_name(text).then(|| text.to_owned()))
-            .unwrap_or_default()
+        self.read(flag, expected, |text| {
+            is_name(text).then(|| text.to_owned())
+        })
+        .unwrap_or_default()
     }
 
     /// Names separated by commas, at least one.
-    pub fn names(
-        &mut self,
-        flag: &str,
-    ) -> Vec<String> {
+    pub fn names(&mut self, flag: &str) -> Vec<String> {
         let expected = "names separated by commas";
         self.read(flag, expected, |text| {
             let names: Vec<String> = text.split(',').map(str::to_owned).collect();
@@ -75,19 +68,13 @@
     }
 
     /// An IP address with a port.
-    pub fn address(
-        &mut self,
-        flag: &str,
-    ) -> SocketAddr {
+    pub fn address(&mut self, flag: &str) -> SocketAddr {
         self.parsed(flag, "an IP address with a port, like 10.0.0.7:7700")
             .unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 0)))
     }
 
     /// An `http://` URL, without a trailing slash.
-    pub fn url(
-        &mut self,
-        flag: &str,
-    ) -> String {
+    pub fn url(&mut self, flag: &str) -> String {
         let expected = "a URL, like http://10.0.0.2:2379";
         self.read(flag, expected, |text| {
             let uri: hyper::Uri = text.parse().ok()?;
@@ -98,30 +85,22 @@
     }
 
     /// A positive whole number.
-    pub fn number(
-        &mut self,
-        flag: &str,
-    ) -> u64 {
+    pub fn number(&mut self, flag: &str) -> u64 {
         let expected = "a whole number above 0";
-        self.read(flag, expected, |text| text.parse().ok().filter(|number| *number > 0))
-            .unwrap_or(1)
+        self.read(flag, expected, |text| {
+            text.parse().ok().filter(|number| *number > 0)
+        })
+        .unwrap_or(1)
     }
 
     /// A level of severity.
-    pub fn log_level(
-        &mut self,
-        flag: &str,
-    ) -> LevelFilter {
+    pub fn log_level(&mut self, flag: &str) -> LevelFilter {
         self.parsed(flag, "error, warn, info, debug or trace")
             .unwrap_or(LevelFilter::Info)
     }
 
     /// A value of any type that parses from text.
-    pub fn parsed<T: FromStr>(
-        &mut self,
-        flag: &str,
-        expected: &str,
-    ) -> Option<T> {
+    pub fn parsed<T: FromStr>(&mut self, flag: &str, expected: &str) -> Option<T> {
         self.read(flag, expected, |text| text.parse().ok())
     }
 
@@ -150,10 +129,7 @@
         parsed
     }
 
-    fn find(
-        &self,
-        name: &str,
-    ) -> Option<Found> {
+    fn find(&self, name: &str) -> Option<Found> {
         if let Some(text) = self.matches.opt_str(name) {
             return Some(Found {
                 origin: format!("--{name}"),
--- /dev/null
+++ b/daemon/src/sidecar.rs
@@ -0,0 +1,203 @@
+//! The sidecar: queues, dispatches and keeps answers for one backend server.
+
+pub mod answer;
+pub mod backend_server;
+pub mod context;
+pub mod dispatch;
+pub mod exchange;
+pub mod handlers;
+pub mod reader;
+pub mod task;
+
+use {
+    self::{backend_server::BackendServer, context::Context, dispatch::Dispatch},
+    crate::{
+        admin, configuration, configuration::catalogue::Shared, duty::Duty, http::Server,
+        metrics::Metrics, ring::Ring, settings, signal::Shutdown, uptime::Clock,
+    },
+    rand::Rng as _,
+    std::{io, sync::Arc, time::Duration},
+    tamarackdale_core::{batch, cost::Rates, floor, id, queue, report::Report},
+    tokio::sync::{Semaphore, watch},
+    tokio_util::{sync::CancellationToken, task::TaskTracker},
+};
+
+/// Commands that wait for the dispatch duty.
+const DISPATCH_CAPACITY: usize = 8192;
+
+/// Time for which routers are told that the sidecar is leaving, before it ends.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+/// Runs a sidecar until it has been told to end and has finished its work.
+///
+/// Fails when a listener cannot be bound or a thread cannot be started.
+pub fn run(settings: settings::Sidecar) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("http")
+        .build()?;
+    let shutdown = Shutdown::new();
+    let services = vec![settings.service.clone()];
+    let (configuration, catalogue) =
+        configuration::spawn(&settings.common.store, services, &shutdown)?;
+    let (context, dispatch) = assemble(&settings, &shutdown, catalogue)?;
+    let served = runtime.block_on(serve(&settings, &shutdown, context));
+    shutdown.cutting.cancel();
+    drop(runtime);
+    dispatch.join();
+    configuration.join();
+    served
+}
+
+fn assemble(
+    settings: &settings::Sidecar,
+    shutdown: &Shutdown,
+    catalogue: Shared,
+) -> io::Result<(Context, Duty)> {
+    let clock = Clock::new();
+    let incarnation = id::Incarnation {
+        instance: settings.common.instance.clone(),
+        boot: id::Boot(rand::rng().random()),
+    };
+    let boot = incarnation.boot;
+    let (ring, commands) = Ring::new(DISPATCH_CAPACITY);
+    let (report_sender, report) = watch::channel(first_report(settings, &incarnation));
+    let revision = revision_of(settings.service.clone(), catalogue.clone());
+    let dispatch_settings = dispatch_settings(settings, incarnation);
+    let closing = shutdown.closing.clone();
+    let dispatch = Duty::spawn("dispatch", move || {
+        Dispatch::new(
+            dispatch_settings,
+            clock,
+            commands,
+            report_sender,
+            revision,
+            closing,
+        )
+        .run();
+    })?;
+    let tasks = task::Context {
+        clock,
+        backend_server: Arc::new(BackendServer::new(settings.backend_server.clone())),
+        dispatch: ring.clone(),
+        budget: Arc::new(Semaphore::new(settings.max_kept_bytes)),
+        budget_bytes: settings.max_kept_bytes,
+        tracker: TaskTracker::new(),
+        closing: shutdown.closing.clone(),
+        cutting: shutdown.cutting.clone(),
+    };
+    let context = Context {
+        boot,
+        dispatch: ring,
+        tasks,
+        report,
+        catalogue,
+        drained: CancellationToken::new(),
+        max_body_bytes: settings.common.max_body_bytes,
+    };
+    Ok((context, dispatch))
+}
+
+fn dispatch_settings(
+    settings: &settings::Sidecar,
+    incarnation: id::Incarnation,
+) -> dispatch::Settings {
+    dispatch::Settings {
+        incarnation,
+        service: settings.service.clone(),
+        queue: queue::Settings {
+            max_requests: settings.max_waiting,
+            ..queue::Settings::default()
+        },
+        batch: batch::Settings::default(),
+        floor: floor::Settings::default(),
+    }
+}
+
+fn first_report(settings: &settings::Sidecar, incarnation: &id::Incarnation) -> Report {
+    let batch = batch::Settings::default();
+    Report {
+        incarnation: incarnation.clone(),
+        service: settings.service.clone(),
+        leaving: false,
+        revision: 0,
+        floor: floor::Notice::OPEN,
+        limit: batch.initial,
+        running: 0,
+        running_tokens: 0,
+        waiting: Vec::new(),
+        rates: Rates::new(batch.rates.prefill, batch.rates.decode),
+        evicted_prefixes: Vec::new(),
+        seen: Vec::new(),
+    }
+}
+
+fn revision_of(
+    service: String,
+    catalogue: Shared,
+) -> impl Fn() -> tamarackdale_core::document::Revision + Send + 'static {
+    move || catalogue.borrow().revision(&service)
+}
+
+async fn serve(
+    settings: &settings::Sidecar,
+    shutdown: &Shutdown,
+    context: Context,
+) -> io::Result<()> {
+    let common = &settings.common;
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let admin = admin::Context {
+        metrics,
+        is_ready: readiness(&settings.service, &context, shutdown),
+    };
+    let tracker = context.tasks.tracker.clone();
+    let drained = context.drained.clone();
+    let peers = Server::bind(
+        "peers",
+        common.peer_listen,
+        common.max_connections,
+        handlers::routes(context),
+    )
+    .await?;
+    let admin = Server::bind(
+        "admin",
+        common.admin_listen,
+        common.max_connections,
+        admin::routes(admin),
+    )
+    .await?;
+    // The peer listener stays open while answers are still to be fetched.
+    let draining = Shutdown {
+        closing: drained.clone(),
+        cutting: shutdown.cutting.clone(),
+    };
+    let finished = CancellationToken::new();
+    let drain = async {
+        shutdown.closing.cancelled().await;
+        tokio::time::sleep(FAREWELL).await;
+        tracker.close();
+        tracker.wait().await;
+        drained.cancel();
+    };
+    let serving = async {
+        tokio::join!(peers.serve(&draining), admin.serve(&draining), drain);
+        finished.cancel();
+    };
+    let (watched, ()) = tokio::join!(
+        shutdown.watch(common.shutdown_limit, finished.clone()),
+        serving
+    );
+    log::info!("closed");
+    watched
+}
+
+fn readiness(
+    service: &str,
+    context: &Context,
+    shutdown: &Shutdown,
+) -> Arc<dyn Fn() -> bool + Send + Sync> {
+    let service = service.to_owned();
+    let catalogue = context.catalogue.clone();
+    let closing = shutdown.closing.clone();
+    Arc::new(move || !closing.is_cancelled() && catalogue.borrow().get(&service).is_some())
+}
--- a/daemon/src/sidecar/answer.rs
+++ b/daemon/src/sidecar/answer.rs
@@ -69,19 +69,12 @@
     }
 
     /// Stores the head.
-    pub fn set_head(
-        &mut self,
-        status: u16,
-        headers: Vec<Header>,
-    ) {
+    pub fn set_head(&mut self, status: u16, headers: Vec<Header>) {
         self.head = Some(Frame::Head { status, headers });
     }
 
     /// Appends to the body.
-    pub fn push(
-        &mut self,
-        chunk: Chunk,
-    ) {
+    pub fn push(&mut self, chunk: Chunk) {
         self.digest.update(&chunk.bytes);
         self.chunks.push_back(chunk);
     }
@@ -92,10 +85,7 @@
     }
 
     /// Notes that the attempt failed.
-    pub fn fail(
-        &mut self,
-        failure: Failure,
-    ) {
+    pub fn fail(&mut self, failure: Failure) {
         self.ending = Some(Ending::Failed(failure));
     }
 
@@ -110,10 +100,7 @@
     }
 
     /// Drops the chunks that lie wholly below `offset`.
-    pub fn trim(
-        &mut self,
-        offset: u64,
-    ) {
+    pub fn trim(&mut self, offset: u64) {
         while let Some(chunk) = self.chunks.front() {
             let end = self.first_offset + chunk.bytes.len() as u64;
             if end > offset {
@@ -127,10 +114,7 @@
     /// The frames that follow `position`, which moves past them.
     ///
     /// Fails when there are none yet, or when the bytes are gone.
-    pub fn read(
-        &self,
-        position: &mut Position,
-    ) -> Result<Vec<Frame>, Unreadable> {
+    pub fn read(&self, position: &mut Position) -> Result<Vec<Frame>, Unreadable> {
         let mut frames = Vec::new();
         if self.ready && !position.ready {
             position.ready = true;
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -34,10 +34,7 @@
     ///
     /// The failure is `not-run` when nothing was sent: the request has no valid form, or no
     /// connection could be made.
-    pub async fn send(
-        &self,
-        order: &Enqueue,
-    ) -> Result<Response<Incoming>, Failure> {
+    pub async fn send(&self, order: &Enqueue) -> Result<Response<Incoming>, Failure> {
         let request = self
             .request(order)
             .map_err(|_| Failure::not_run(Reason::BadRequest))?;
@@ -50,10 +47,7 @@
         })
     }
 
-    fn request(
-        &self,
-        order: &Enqueue,
-    ) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    fn request(&self, order: &Enqueue) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
         let mut builder = Request::builder()
             .method(order.method.as_str())
             .uri(format!("{}{}", self.url, order.path));
@@ -67,11 +61,7 @@
 
     /// Asks for the events of a response after `sequence`, on a new connection; nothing if the
     /// backend server does not answer or does not know the response.
-    pub async fn resume(
-        &self,
-        id: &str,
-        sequence: Option<u64>,
-    ) -> Option<Response<Incoming>> {
+    pub async fn resume(&self, id: &str, sequence: Option<u64>) -> Option<Response<Incoming>> {
         let after = sequence.map_or(String::new(), |number| format!("&starting_after={number}"));
         let path = format!("/v1/responses/{id}?stream=true{after}");
         let response = self.control(Method::GET, &path).await?;
@@ -79,21 +69,14 @@
     }
 
     /// Asks the backend server to stop working on a response.
-    pub async fn cancel(
-        &self,
-        id: &str,
-    ) {
+    pub async fn cancel(&self, id: &str) {
         let path = format!("/v1/responses/{id}/cancel");
         if self.control(Method::POST, &path).await.is_none() {
             log::warn!(response = id; "the backend server did not take the cancellation");
         }
     }
 
-    async fn control(
-        &self,
-        method: Method,
-        path: &str,
-    ) -> Option<Response<Incoming>> {
+    async fn control(&self, method: Method, path: &str) -> Option<Response<Incoming>> {
         let request = Request::builder()
             .method(method)
             .uri(format!("{}{path}", self.url))
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -113,10 +113,7 @@
         }
     }
 
-    fn take(
-        &mut self,
-        command: Command,
-    ) {
+    fn take(&mut self, command: Command) {
         match command {
             Command::Enqueue { offer, task, reply } => {
                 let result = self.enqueue(*offer, task);
@@ -150,11 +147,7 @@
         }
     }
 
-    fn enqueue(
-        &mut self,
-        offer: Offer,
-        task: Handle,
-    ) -> Result<(), Failure> {
+    fn enqueue(&mut self, offer: Offer, task: Handle) -> Result<(), Failure> {
         let now = self.clock.now();
         if self.closed {
             return Err(Failure::not_run(Reason::Closing));
@@ -177,11 +170,7 @@
     }
 
     /// Queues an entry, shedding what has to go for it in the order of urgency.
-    fn push(
-        &mut self,
-        entry: Entry,
-        now: Timestamp,
-    ) -> Result<(), Failure> {
+    fn push(&mut self, entry: Entry, now: Timestamp) -> Result<(), Failure> {
         self.apply_floor(now);
         let rank = entry.rank;
         let pushed = match self.queue.push(entry.clone(), now) {
@@ -201,11 +190,7 @@
         Ok(())
     }
 
-    fn grant(
-        &mut self,
-        attempt: Attempt,
-        boot: Boot,
-    ) -> Result<(), Failure> {
+    fn grant(&mut self, attempt: Attempt, boot: Boot) -> Result<(), Failure> {
         let now = self.clock.now();
         let Some(handle) = self.tasks.get(&attempt).cloned() else {
             self.table.grant(attempt, boot, now)?;
@@ -233,11 +218,7 @@
         Ok(())
     }
 
-    fn resume(
-        &mut self,
-        attempt: Attempt,
-        boot: Boot,
-    ) -> Result<Handle, Failure> {
+    fn resume(&mut self, attempt: Attempt, boot: Boot) -> Result<Handle, Failure> {
         let now = self.clock.now();
         match self.table.resume(attempt, boot, now) {
             Resumption::Voided => {
@@ -255,10 +236,7 @@
         }
     }
 
-    fn cancel(
-        &mut self,
-        attempt: Attempt,
-    ) {
+    fn cancel(&mut self, attempt: Attempt) {
         let now = self.clock.now();
         match self.table.void(attempt, now) {
             Ok(()) => {
@@ -269,22 +247,14 @@
         }
     }
 
-    fn acknowledge(
-        &mut self,
-        attempt: Attempt,
-        offset: u64,
-        complete: bool,
-    ) {
+    fn acknowledge(&mut self, attempt: Attempt, offset: u64, complete: bool) {
         if complete {
             self.table.acknowledge(attempt, self.clock.now());
         }
         self.notify(attempt, Message::Acknowledge { offset, complete });
     }
 
-    fn progressed(
-        &mut self,
-        progress: &Progress,
-    ) {
+    fn progressed(&mut self, progress: &Progress) {
         let now = self.clock.now();
         let Some(run) = self.ledger.progress(progress.attempt, progress.tokens) else {
             return;
@@ -297,11 +267,7 @@
         self.limit.token_gap(progress.tokens, progress.elapsed, now);
     }
 
-    fn finished(
-        &mut self,
-        attempt: Attempt,
-        verdict: Verdict,
-    ) {
+    fn finished(&mut self, attempt: Attempt, verdict: Verdict) {
         let now = self.clock.now();
         if self.ledger.finish(attempt).is_none() {
             return;
@@ -335,10 +301,7 @@
     }
 
     /// Asks for grants while the backend server has room.
-    fn offer_next(
-        &mut self,
-        now: Timestamp,
-    ) {
+    fn offer_next(&mut self, now: Timestamp) {
         let rates = self.limit.rates(now);
         while let Some(rank) = self.queue.peek().map(|entry| entry.rank) {
             let taken = self.limit.running() + self.ledger.offered();
@@ -358,10 +321,7 @@
     }
 
     /// Hands back all that waits, once.
-    fn close(
-        &mut self,
-        now: Timestamp,
-    ) {
+    fn close(&mut self, now: Timestamp) {
         if self.closed {
             return;
         }
@@ -377,10 +337,7 @@
     }
 
     /// Brings the queue's floor in line with the service's.
-    fn apply_floor(
-        &mut self,
-        now: Timestamp,
-    ) {
+    fn apply_floor(&mut self, now: Timestamp) {
         let rank = self.floor.current(now);
         self.queue.lower_floor(rank);
         for entry in self.queue.raise_floor(rank) {
@@ -388,11 +345,7 @@
         }
     }
 
-    fn shed(
-        &mut self,
-        entry: &Entry,
-        now: Timestamp,
-    ) {
+    fn shed(&mut self, entry: &Entry, now: Timestamp) {
         log::info!(
             attempt:% = entry.attempt,
             organisation = entry.organisation.as_str(),
@@ -404,58 +357,37 @@
         self.void(entry.attempt, failure, now);
     }
 
-    fn overload(
-        &self,
-        rank: Rank,
-    ) -> Failure {
+    fn overload(&self, rank: Rank) -> Failure {
         Failure::not_run(Reason::Overload).with_retry_after(self.queue.retry_after(rank))
     }
 
-    fn void(
-        &mut self,
-        attempt: Attempt,
-        failure: Failure,
-        now: Timestamp,
-    ) {
+    fn void(&mut self, attempt: Attempt, failure: Failure, now: Timestamp) {
         if self.table.void(attempt, now).is_ok() {
             self.forget_queued(attempt);
             self.notify(attempt, Message::Fail(failure));
         }
     }
 
-    fn forget_queued(
-        &mut self,
-        attempt: Attempt,
-    ) {
+    fn forget_queued(&mut self, attempt: Attempt) {
         self.queue.remove(attempt);
         self.ledger.withdraw(attempt);
     }
 
     /// Tells a task; one that is over, or whose reader floods it, finds out by asking.
-    fn notify(
-        &self,
-        attempt: Attempt,
-        message: Message,
-    ) {
+    fn notify(&self, attempt: Attempt, message: Message) {
         if let Some(handle) = self.tasks.get(&attempt) {
             let _ = handle.messages.try_send(message);
         }
     }
 
-    fn note_seen(
-        &mut self,
-        attempt: Attempt,
-    ) {
+    fn note_seen(&mut self, attempt: Attempt) {
         let newest = self.seen.entry(attempt.router).or_insert(attempt);
         if newest.sequence < attempt.sequence {
             *newest = attempt;
         }
     }
 
-    fn publish(
-        &self,
-        now: Timestamp,
-    ) {
+    fn publish(&self, now: Timestamp) {
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
             service: self.settings.service.clone(),
--- a/daemon/src/sidecar/dispatch/command.rs
+++ b/daemon/src/sidecar/dispatch/command.rs
@@ -112,10 +112,7 @@
 
 impl Offer {
     /// The queue entry of the attempt, which came now.
-    pub fn into_entry(
-        self,
-        now: Timestamp,
-    ) -> Entry {
+    pub fn into_entry(self, now: Timestamp) -> Entry {
         Entry {
             attempt: self.attempt,
             rank: self.rank,
--- a/daemon/src/sidecar/dispatch/ledger.rs
+++ b/daemon/src/sidecar/dispatch/ledger.rs
@@ -28,11 +28,7 @@
 
 impl Ledger {
     /// Notes that an attempt's grant has been asked for.
-    pub fn offer(
-        &mut self,
-        entry: Entry,
-        now: Timestamp,
-    ) {
+    pub fn offer(&mut self, entry: Entry, now: Timestamp) {
         let offered = Offered { entry, since: now };
         self.offered.insert(offered.entry.attempt, offered);
     }
@@ -48,19 +44,12 @@
     }
 
     /// Rank of an attempt that waits for its grant.
-    pub fn offered_rank(
-        &self,
-        attempt: Attempt,
-    ) -> Option<Rank> {
+    pub fn offered_rank(&self, attempt: Attempt) -> Option<Rank> {
         Some(self.offered.get(&attempt)?.entry.rank)
     }
 
     /// Attempts that have waited for their grant for longer than `limit`.
-    pub fn overdue(
-        &self,
-        now: Timestamp,
-        limit: Duration,
-    ) -> Vec<Attempt> {
+    pub fn overdue(&self, now: Timestamp, limit: Duration) -> Vec<Attempt> {
         self.offered
             .iter()
             .filter(|(_, offered)| now.since(offered.since) > limit)
@@ -69,18 +58,12 @@
     }
 
     /// Notes that an attempt will not be granted.
-    pub fn withdraw(
-        &mut self,
-        attempt: Attempt,
-    ) {
+    pub fn withdraw(&mut self, attempt: Attempt) {
         self.offered.remove(&attempt);
     }
 
     /// Notes that an attempt has been dispatched.
-    pub fn start(
-        &mut self,
-        attempt: Attempt,
-    ) {
+    pub fn start(&mut self, attempt: Attempt) {
         if let Some(offered) = self.offered.remove(&attempt) {
             let cost = &offered.entry.cost;
             let run = Run {
@@ -92,21 +75,14 @@
     }
 
     /// Notes that a running attempt has generated tokens; gives its state.
-    pub fn progress(
-        &mut self,
-        attempt: Attempt,
-        tokens: u32,
-    ) -> Option<Run> {
+    pub fn progress(&mut self, attempt: Attempt, tokens: u32) -> Option<Run> {
         let run = self.runs.get_mut(&attempt)?;
         run.remaining_tokens = run.remaining_tokens.saturating_sub(tokens);
         Some(*run)
     }
 
     /// Notes that a running attempt has ended; gives its state.
-    pub fn finish(
-        &mut self,
-        attempt: Attempt,
-    ) -> Option<Run> {
+    pub fn finish(&mut self, attempt: Attempt) -> Option<Run> {
         self.runs.remove(&attempt)
     }
 
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -64,10 +64,7 @@
         }
     }
 
-    async fn relay(
-        &self,
-        progress: &mut Progress,
-    ) -> Result<(), Unwanted> {
+    async fn relay(&self, progress: &mut Progress) -> Result<(), Unwanted> {
         let response = match self.backend_server.send(&self.order).await {
             Ok(response) => response,
             Err(failure) => return self.fail(failure).await,
@@ -79,10 +76,7 @@
         self.relay_bytes(response).await
     }
 
-    async fn send_head(
-        &self,
-        response: &Response<Incoming>,
-    ) -> Result<(), Unwanted> {
+    async fn send_head(&self, response: &Response<Incoming>) -> Result<(), Unwanted> {
         let head = Event::Head {
             status: response.status().as_u16(),
             headers: end_to_end_headers(response.headers()),
@@ -90,17 +84,16 @@
         self.emit(head).await
     }
 
-    async fn relay_bytes(
-        &self,
-        response: Response<Incoming>,
-    ) -> Result<(), Unwanted> {
+    async fn relay_bytes(&self, response: Response<Incoming>) -> Result<(), Unwanted> {
         let mut data = response.into_body().into_data_stream();
         while let Some(item) = data.next().await {
             match item {
                 Ok(bytes) => self.emit_chunk(bytes, 0).await?,
                 Err(error) => {
                     log::warn!("backend server broke off its answer: {error}");
-                    return self.fail(Failure::may_have_run(Reason::BackendServer)).await;
+                    return self
+                        .fail(Failure::may_have_run(Reason::BackendServer))
+                        .await;
                 }
             }
         }
@@ -131,9 +124,13 @@
             };
             log::info!(response = id, after = progress.last_sequence(); "resuming at the backend server");
             tokio::time::sleep(RESUME_BACKOFF).await;
-            response = self.backend_server.resume(id, progress.last_sequence()).await;
+            response = self
+                .backend_server
+                .resume(id, progress.last_sequence())
+                .await;
         }
-        self.fail(Failure::may_have_run(Reason::BackendServer)).await
+        self.fail(Failure::may_have_run(Reason::BackendServer))
+            .await
     }
 
     async fn relay_connection(
@@ -160,10 +157,7 @@
         }
     }
 
-    async fn cancel(
-        &self,
-        progress: &Progress,
-    ) {
+    async fn cancel(&self, progress: &Progress) {
         if let Some(id) = progress.response_id() {
             self.backend_server.cancel(id).await;
         }
@@ -171,11 +165,7 @@
         let _ = self.fail(Failure::may_have_run(Reason::Cancelled)).await;
     }
 
-    async fn emit_chunk(
-        &self,
-        bytes: Bytes,
-        tokens: u32,
-    ) -> Result<(), Unwanted> {
+    async fn emit_chunk(&self, bytes: Bytes, tokens: u32) -> Result<(), Unwanted> {
         let share = bytes.len().min(self.budget_bytes);
         let share = u32::try_from(share).unwrap_or(u32::MAX);
         let permit = Arc::clone(&self.budget)
@@ -186,17 +176,11 @@
         self.emit(Event::Chunk { chunk, tokens }).await
     }
 
-    async fn fail(
-        &self,
-        failure: Failure,
-    ) -> Result<(), Unwanted> {
+    async fn fail(&self, failure: Failure) -> Result<(), Unwanted> {
         self.emit(Event::Failed(failure)).await
     }
 
-    async fn emit(
-        &self,
-        event: Event,
-    ) -> Result<(), Unwanted> {
+    async fn emit(&self, event: Event) -> Result<(), Unwanted> {
         self.events.send(event).await.map_err(|_| Unwanted)
     }
 }
--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -92,10 +92,7 @@
     }
 
     /// Silence allowed before the next event, given the usual limit.
-    pub fn silence_limit(
-        &self,
-        usual: Duration,
-    ) -> Duration {
+    pub fn silence_limit(&self, usual: Duration) -> Duration {
         if self.tokens == 0 {
             return usual * FIRST_TOKEN_FACTOR;
         }
@@ -103,10 +100,7 @@
     }
 
     /// Takes in an event; gives what is to be passed on, nothing if it came before.
-    pub fn take(
-        &mut self,
-        event: Event,
-    ) -> Option<Item> {
+    pub fn take(&mut self, event: Event) -> Option<Item> {
         let data: Option<Data> = serde_json::from_str(&event.data).ok();
         if let Some(data) = data {
             if is_repeated(data.sequence_number, self.last_sequence) {
@@ -143,10 +137,7 @@
     body.into_data_stream().eventsource()
 }
 
-fn is_repeated(
-    sequence: Option<u64>,
-    last: Option<u64>,
-) -> bool {
+fn is_repeated(sequence: Option<u64>, last: Option<u64>) -> bool {
     matches!((sequence, last), (Some(sequence), Some(last)) if sequence <= last)
 }
 
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -5,8 +5,8 @@
         answer::Position,
         context::Context,
         dispatch::{Command, Offer},
-        reader::{self, Reader},
-        task::{self, Handle, Message},
+        reader::Reader,
+        task::{self, Handle},
     },
     crate::{
         configuration::handlers::get_document,
@@ -30,8 +30,7 @@
     std::{io, time::Duration},
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
-        Frame,
-        codec,
+        Frame, Report, codec,
         message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
         path,
     },
@@ -42,8 +41,7 @@
 const ENVELOPE_BYTES: usize = 256 * 1024;
 
 /// Shortest and longest time between two reports.
-const REPORT_INTERVALS: (Duration, Duration) =
-    (Duration::from_millis(100), Duration::from_secs(1));
+const REPORT_INTERVALS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
 
 /// The router of the peer listener.
 pub fn routes(context: Context) -> Router {
@@ -72,10 +70,7 @@
     Ok((state, response))
 }
 
-async fn enqueue_order(
-    context: &Context,
-    order: Enqueue,
-) -> Response<Body> {
+async fn enqueue_order(context: &Context, order: Enqueue) -> Response<Body> {
     let offer = Box::new(Offer::from(&order));
     let handle = task::spawn(&context.tasks, order);
     let reader = handle.clone();
@@ -102,10 +97,7 @@
     Ok((state, response))
 }
 
-async fn grant_attempt(
-    context: &Context,
-    grant: Grant,
-) -> Granted {
+async fn grant_attempt(context: &Context, grant: Grant) -> Granted {
     let granted = context
         .dispatch
         .ask(|reply| Command::Grant {
@@ -131,10 +123,7 @@
     Ok((state, response))
 }
 
-async fn resume_attempt(
-    context: &Context,
-    resume: Resume,
-) -> Response<Body> {
+async fn resume_attempt(context: &Context, resume: Resume) -> Response<Body> {
     let position = Position {
         ready: true,
         head: resume.head_received,
@@ -198,9 +187,7 @@
 
 /// A report at once, then one at each change, neither too often nor too seldom. Ends when the
 /// sidecar has drained.
-fn report_stream(
-    context: Context,
-) -> impl Stream<Item = io::Result<HttpFrame<Bytes>>> + Send {
+fn report_stream(context: Context) -> impl Stream<Item = io::Result<HttpFrame<Bytes>>> + Send {
     stream::unfold((context, true), |(mut context, first)| async move {
         if !first {
             let drained = context.drained.clone();
@@ -209,7 +196,7 @@
                 () = drained.cancelled() => return None,
             }
         }
-        let report = context.report.borrow_and_update().clone();
+        let report = Report::from(context.report.borrow_and_update().clone());
         let item = codec::encode_item(&report)
             .map(HttpFrame::data)
             .map_err(io::Error::other);
@@ -224,13 +211,9 @@
     let _ = timeout(longest - shortest, context.report.changed()).await;
 }
 
-fn frames(
-    context: &Context,
-    handle: Handle,
-    position: Position,
-) -> Response<Body> {
+fn frames(context: &Context, handle: Handle, position: Position) -> Response<Body> {
     let report = context.report.clone();
-    let floor = move || report.borrow().rank_floor();
+    let floor = move || report.borrow().floor.rank;
     let reader = Reader::new(handle, position, floor);
     Response::new(body::stream(reader.into_stream()))
 }
--- a/daemon/src/sidecar/reader.rs
+++ b/daemon/src/sidecar/reader.rs
@@ -25,7 +25,7 @@
     handle: Handle,
     position: Position,
     pending: Option<oneshot::Receiver<Portion>>,
-    floor: Box<dyn Fn() -> Rank + Send>,
+    floor: Box<dyn Fn() -> Rank + Send + Sync>,
     greeted: bool,
     over: bool,
 }
@@ -35,7 +35,7 @@
     pub fn new(
         handle: Handle,
         position: Position,
-        floor: impl Fn() -> Rank + Send + 'static,
+        floor: impl Fn() -> Rank + Send + Sync + 'static,
     ) -> Self {
         Self {
             handle,
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -37,6 +37,9 @@
 /// Time that a router without a connection has to come back before its running work is cancelled.
 const RUNNING_DETACH_LIMIT: Duration = Duration::from_secs(15);
 
+/// Time that the failure of a void attempt is kept for its router.
+const VOID_RETENTION: Duration = Duration::from_secs(2);
+
 /// Time that an ended answer is kept for its router.
 const RETENTION: Duration = Duration::from_secs(30);
 
@@ -95,6 +98,8 @@
     pub budget_bytes: usize,
     /// Tracks the tasks so that they can be awaited.
     pub tracker: TaskTracker,
+    /// Set when nothing is kept beyond what routers still fetch.
+    pub closing: CancellationToken,
     /// Set when tasks must end at once.
     pub cutting: CancellationToken,
 }
@@ -132,10 +137,7 @@
 }
 
 /// Starts the task of an attempt.
-pub fn spawn(
-    context: &Context,
-    order: Enqueue,
-) -> Handle {
+pub fn spawn(context: &Context, order: Enqueue) -> Handle {
     let (sender, messages) = mpsc::channel(MAILBOX_CAPACITY);
     let presence = Arc::new(());
     let handle = Handle {
@@ -187,21 +189,19 @@
         let Some(ended_at) = self.ended_at else {
             return false;
         };
-        if self.acknowledged && !self.order.keep_answer {
+        let keep = self.order.keep_answer && !self.context.closing.is_cancelled();
+        if !keep && self.acknowledged {
             return true;
         }
-        let retention = if self.order.keep_answer && self.started {
-            RETRY_RETENTION
-        } else {
-            RETENTION
+        let retention = match (self.started, keep) {
+            (false, _) => VOID_RETENTION,
+            (true, false) => RETENTION,
+            (true, true) => RETRY_RETENTION,
         };
         self.context.clock.now().since(ended_at) > retention
     }
 
-    fn take_message(
-        &mut self,
-        message: Message,
-    ) {
+    fn take_message(&mut self, message: Message) {
         match message {
             Message::Ready => self.answer.set_ready(),
             Message::Start => self.start(),
@@ -233,10 +233,7 @@
         });
     }
 
-    fn take_event(
-        &mut self,
-        event: Option<Event>,
-    ) {
+    fn take_event(&mut self, event: Option<Event>) {
         match event {
             Some(Event::Head { status, headers }) => self.answer.set_head(status, headers),
             Some(Event::Chunk { chunk, tokens }) => {
@@ -252,10 +249,7 @@
         }
     }
 
-    fn report_tokens(
-        &mut self,
-        tokens: u32,
-    ) {
+    fn report_tokens(&mut self, tokens: u32) {
         let Some(running) = &mut self.exchange else {
             return;
         };
@@ -275,10 +269,7 @@
         let _ = self.context.dispatch.send(Command::Progressed(progress));
     }
 
-    fn fail(
-        &mut self,
-        failure: Failure,
-    ) {
+    fn fail(&mut self, failure: Failure) {
         if self.ended_at.is_some() {
             return;
         }
@@ -286,10 +277,7 @@
         self.end(failure.verdict);
     }
 
-    fn end(
-        &mut self,
-        verdict: Verdict,
-    ) {
+    fn end(&mut self, verdict: Verdict) {
         self.exchange = None;
         self.ended_at = Some(self.context.clock.now());
         if self.started {
@@ -301,10 +289,7 @@
     }
 
     /// Tells the dispatch duty that a slot is free; waits outside the task if the ring is full.
-    fn settle(
-        &self,
-        command: Command,
-    ) {
+    fn settle(&self, command: Command) {
         let dispatch = self.context.dispatch.clone();
         self.context.tracker.spawn(dispatch.deliver(command));
     }
@@ -315,11 +300,7 @@
         }
     }
 
-    fn acknowledge(
-        &mut self,
-        offset: u64,
-        complete: bool,
-    ) {
+    fn acknowledge(&mut self, offset: u64, complete: bool) {
         self.acknowledged |= complete;
         let starved = self.context.budget.available_permits() == 0;
         if !self.order.keep_answer || starved {
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -23,11 +23,7 @@
 
     /// Waits for SIGTERM or SIGINT, starts closing, and after a second signal or after `limit`
     /// starts cutting. Returns early once `finished` is set.
-    pub async fn watch(
-        &self,
-        limit: Duration,
-        finished: CancellationToken,
-    ) -> std::io::Result<()> {
+    pub async fn watch(&self, limit: Duration, finished: CancellationToken) -> std::io::Result<()> {
         let mut terminate = signal(SignalKind::terminate())?;
         let mut interrupt = signal(SignalKind::interrupt())?;
         tokio::select! {
