--- a/testbed/src/engine.rs
+++ b/testbed/src/engine.rs
@@ -36,15 +36,16 @@
 };
 
 use {
-    crate::server::Server,
+    crate::host::Host,
     batch::Batch,
     order::Registry,
     serde_json::{Value, json},
     std::{
         collections::VecDeque,
         io,
+        net::SocketAddr,
         sync::{
-            Arc, Mutex, MutexGuard,
+            Arc, Mutex, MutexGuard, Once,
             atomic::{AtomicU64, Ordering},
         },
         time::Duration,
@@ -123,7 +124,7 @@
 /// A running engine; stopped and joined on drop.
 pub struct Engine {
     state: Arc<State>,
-    server: Server,
+    host: Host,
 }
 
 impl Engine {
@@ -135,17 +136,17 @@
     pub fn new(model: Model) -> io::Result<Self> {
         let state = Arc::new(State::new(model));
         let shared = Arc::clone(&state);
-        let server = Server::new("engine", move || {
-            tokio::spawn(work(Arc::clone(&shared)));
-            tokio::spawn(sample(Arc::clone(&shared)));
-            move |request| api::handle(Arc::clone(&shared), request)
+        let host = Host::new("engine", move |request| {
+            let shared = Arc::clone(&shared);
+            shared.spawn_tasks();
+            async move { Some(api::handle(shared, request).await) }
         })?;
-        Ok(Self { state, server })
+        Ok(Self { state, host })
     }
 
-    /// The engine's server.
-    pub fn server(&self) -> &Server {
-        &self.server
+    /// Address that the engine serves.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
     }
 
     /// Makes every step take `factor` times as long; 1 is the hardware's own speed.
@@ -174,6 +175,7 @@
     registry: Mutex<Registry>,
     loads: Mutex<VecDeque<(Instant, Value)>>,
     arrived: Notify,
+    tasks: Once,
 }
 
 impl State {
@@ -184,10 +186,19 @@
             registry: Mutex::new(Registry::new(model.fencing, &model.models)),
             loads: Mutex::new(VecDeque::new()),
             arrived: Notify::new(),
+            tasks: Once::new(),
             model,
         }
     }
 
+    /// Spawns the tasks of the engine when its first request comes.
+    fn spawn_tasks(self: &Arc<Self>) {
+        self.tasks.call_once(|| {
+            tokio::spawn(work(Arc::clone(self)));
+            tokio::spawn(sample(Arc::clone(self)));
+        });
+    }
+
     fn batch(&self) -> MutexGuard<'_, Batch> {
         self.batch.lock().expect("no holder of the lock panics")
     }
--- a/testbed/src/engine/api.rs
+++ b/testbed/src/engine/api.rs
@@ -2,14 +2,16 @@
 
 use {
     super::{
-        State,
-        answer::seed,
+        State, answer as text,
         batch::Submission,
         cache::Change,
         prompt,
         run::{Progress, View},
     },
-    crate::server::{self, Body},
+    crate::{
+        host::{Body, json as answer},
+        sse,
+    },
     bytes::Bytes,
     futures_util::{Stream, stream},
     http_body_util::BodyExt as _,
@@ -52,14 +54,14 @@
         (&Method::POST, ["v1", "responses"]) => create(state, request).await,
         (&Method::GET, ["v1", "responses", id]) => resume(&state, id, request.uri().query()).await,
         (&Method::POST, ["v1", "responses", id, "cancel"]) => cancel(&state, id),
-        (&Method::GET, ["v1", "load"]) => server::json(StatusCode::OK, &state.reported_load()),
-        (&Method::GET, ["v1", "cache", "events"]) => server::events(cache_events(state)),
+        (&Method::GET, ["v1", "load"]) => answer(StatusCode::OK, &state.reported_load()),
+        (&Method::GET, ["v1", "cache", "events"]) => sse::answer(cache_events(state)),
         (&Method::GET, ["v1", "models"]) => models(&state),
         (&Method::POST, ["v1", "models", action @ ("load" | "unload")]) => {
             let load = *action == "load";
             order(&state, load, request).await
         }
-        (&Method::GET, ["health"]) => server::json(StatusCode::OK, &json!({ "status": "ok" })),
+        (&Method::GET, ["health"]) => answer(StatusCode::OK, &json!({ "status": "ok" })),
         _ => failure(StatusCode::NOT_FOUND, "no such path"),
     }
 }
@@ -91,7 +93,7 @@
         prompt_tokens: prompt::tokens(&creation.input),
         prefixes: prompt::prefixes(&creation.input),
         output_tokens,
-        seed: seed(&creation.model, &creation.input, output_tokens),
+        seed: text::seed(&creation.model, &creation.input, output_tokens),
         model: creation.model,
     };
     let mut batch = state.batch();
@@ -123,7 +125,7 @@
     if !state.batch().cancel(id) {
         return failure(StatusCode::NOT_FOUND, "no such response");
     }
-    server::json(StatusCode::OK, &json!({ "id": id, "status": "cancelled" }))
+    answer(StatusCode::OK, &json!({ "id": id, "status": "cancelled" }))
 }
 
 async fn respond(
@@ -133,7 +135,7 @@
     stream: bool,
 ) -> Response<Body> {
     if stream {
-        return server::events(run_events(view, progress, sequence));
+        return sse::answer(run_events(view, progress, sequence));
     }
     let is_over = |progress: &Progress| progress.outcome.is_over();
     match progress.wait_for(is_over).await.map(|progress| *progress) {
@@ -143,9 +145,9 @@
         }) => {
             let mut response = view.response("completed");
             response["output_text"] = view.text().into();
-            server::json(StatusCode::OK, &response)
+            answer(StatusCode::OK, &response)
         }
-        _ => server::json(StatusCode::OK, &view.response("cancelled")),
+        _ => answer(StatusCode::OK, &view.response("cancelled")),
     }
 }
 
@@ -161,7 +163,7 @@
             loop {
                 let seen = *progress.borrow_and_update();
                 if let Some((name, data)) = view.event(sequence, seen) {
-                    let event = server::event(name, &data);
+                    let event = sse::event(name, &data);
                     return Some((event, (view, progress, sequence + 1)));
                 }
                 if seen.outcome.is_over() {
@@ -201,7 +203,7 @@
         Change::Evicted(prefix) => ("cache.evicted", prefix),
     };
     let data = json!({ "type": name, "sequence_number": number, "prefix": prefix });
-    server::event(name, &data)
+    sse::event(name, &data)
 }
 
 fn models(state: &State) -> Response<Body> {
@@ -211,7 +213,7 @@
         .into_iter()
         .map(|id| json!({ "id": id, "object": "model" }))
         .collect();
-    server::json(StatusCode::OK, &json!({ "object": "list", "data": data }))
+    answer(StatusCode::OK, &json!({ "object": "list", "data": data }))
 }
 
 async fn order(state: &State, load: bool, request: Request<Incoming>) -> Response<Body> {
@@ -224,7 +226,7 @@
     }
     tokio::time::sleep(state.model.load_time).await;
     state.registry().carry_out(&order.model, load);
-    server::json(
+    answer(
         StatusCode::OK,
         &json!({ "model": order.model, "loaded": load }),
     )
@@ -242,5 +244,5 @@
 }
 
 fn failure(status: StatusCode, message: &str) -> Response<Body> {
-    server::json(status, &json!({ "error": { "message": message } }))
+    answer(status, &json!({ "error": { "message": message } }))
 }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
 
+pub mod deployment;
 pub mod engine;
 pub mod host;
 pub mod http;
@@ -8,5 +9,6 @@
 pub mod plain;
 pub mod process;
 pub mod proxy;
-pub mod server;
+pub mod sse;
 pub mod store;
+pub mod traffic;
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -5,12 +5,13 @@
 //! query `padding=N` adds N bytes to it.
 
 use {
-    crate::server::{self, Body, Server},
+    crate::host::{Body, Host, json as answer_json},
     http_body_util::BodyExt as _,
     hyper::{Request, Response, StatusCode, body::Incoming},
     serde_json::{Value, json},
     std::{
         io,
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard},
         time::{Duration, Instant},
     },
@@ -35,7 +36,7 @@
 /// A running service; stopped and joined on drop.
 pub struct Plain {
     state: Arc<State>,
-    server: Server,
+    host: Host,
 }
 
 struct State {
@@ -59,15 +60,16 @@
             calls: Mutex::new(Vec::new()),
         });
         let shared = Arc::clone(&state);
-        let server = Server::new(name, move || {
-            move |request| handle(Arc::clone(&shared), request)
+        let host = Host::new(name, move |request| {
+            let shared = Arc::clone(&shared);
+            async move { handle(shared, request).await }
         })?;
-        Ok(Self { state, server })
+        Ok(Self { state, host })
     }
 
-    /// The service's server.
-    pub fn server(&self) -> &Server {
-        &self.server
+    /// Address that the service serves.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
     }
 
     /// Sets the time that each call takes from now on.
@@ -92,18 +94,16 @@
     })
 }
 
-async fn handle(state: Arc<State>, request: Request<Incoming>) -> Response<Body> {
+/// Answers one call; a call whose body is cut gets no answer.
+async fn handle(state: Arc<State>, request: Request<Incoming>) -> Option<Response<Body>> {
     let (parts, body) = request.into_parts();
-    let Ok(body) = body.collect().await else {
-        let message = json!({ "error": { "message": "the body is cut" } });
-        return server::json(StatusCode::BAD_REQUEST, &message);
-    };
+    let body = body.collect().await.ok()?.to_bytes();
     let key = parts.headers.get("idempotency-key");
     let call = Call {
         method: parts.method.to_string(),
         path: parts.uri.to_string(),
         marker: key.and_then(|key| key.to_str().ok()).map(str::to_owned),
-        fingerprint: digest::fingerprint(&body.to_bytes()),
+        fingerprint: digest::fingerprint(&body),
         received: state.start.elapsed(),
     };
     lock(&state.calls).push(call.clone());
@@ -113,7 +113,7 @@
     if let Some(bytes) = padding(parts.uri.query()) {
         value["padding"] = "x".repeat(bytes).into();
     }
-    server::json(StatusCode::OK, &value)
+    Some(answer_json(StatusCode::OK, &value))
 }
 
 fn padding(query: Option<&str>) -> Option<usize> {
--- a/testbed/tests/engine.rs
+++ b/testbed/tests/engine.rs
@@ -53,7 +53,7 @@
 }
 
 async fn call(engine: &Engine, request: Request<Bytes>) -> Answer {
-    http::call(engine.server().address(), request, LIMIT)
+    http::call(engine.address(), request, LIMIT)
         .await
         .expect("answered")
 }
@@ -102,7 +102,7 @@
 #[tokio::test]
 async fn run_outlives_its_connection_and_a_cancel_ends_it() {
     let engine = start(quick());
-    let address = engine.server().address();
+    let address = engine.address();
     let mut reply = http::send(address, creation("roof", 100_000, "a"))
         .await
         .expect("answered");
@@ -157,7 +157,7 @@
     let input = "x".repeat(prompt::BLOCK_BYTES * 5);
     call(&engine, creation(&input, 1, "a")).await;
     let request = get("/v1/cache/events");
-    let mut reply = http::send(engine.server().address(), request)
+    let mut reply = http::send(engine.address(), request)
         .await
         .expect("answered");
 
@@ -202,7 +202,7 @@
 #[tokio::test]
 async fn load_report_lags() {
     let engine = start(quick());
-    let address = engine.server().address();
+    let address = engine.address();
     let early = call(&engine, get("/v1/load")).await.json();
     let reply = http::send(address, creation("load", 100_000, "a"))
         .await
--- a/testbed/tests/load.rs
+++ b/testbed/tests/load.rs
@@ -58,7 +58,7 @@
 async fn records_tell_what_the_engine_did() {
     let engine = Engine::new(Model::new(Hardware::newer().with_speedup(20.0))).expect("starts");
     let schedule = Schedule::poisson(200.0, Duration::from_millis(200), 1);
-    let generator = Generator::direct(engine.server().address());
+    let generator = Generator::direct(engine.address());
 
     let records = generator.run(&schedule, shot).await;
 
@@ -82,7 +82,7 @@
     let service = Plain::new("ordre-app").expect("starts");
     let mut shot = Shot::plain("ordre-app", "none", Method::GET, "/orders/1", "");
     shot.path = "/orders/2".to_owned();
-    let generator = Generator::direct(service.server().address());
+    let generator = Generator::direct(service.address());
 
     let record = generator.offer(tokio::time::Instant::now(), 0, &shot).await;
 
@@ -92,7 +92,7 @@
 
 #[tokio::test]
 async fn call_without_an_answer_is_broken() {
-    let address = Plain::new("gone").expect("starts").server().address();
+    let address = Plain::new("gone").expect("starts").address();
     let generator = Generator::direct(address).with_limit(Duration::from_secs(5));
 
     let record = generator
--- a/testbed/tests/plain.rs
+++ b/testbed/tests/plain.rs
@@ -27,7 +27,7 @@
     service.set_latency(latency);
     let start = Instant::now();
 
-    let answer = http::call(service.server().address(), booking("a"), LIMIT)
+    let answer = http::call(service.address(), booking("a"), LIMIT)
         .await
         .expect("answered");
 
