--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -8,7 +8,7 @@
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::{
         rt::{TokioIo, TokioTimer},
-        server::graceful::GracefulShutdown,
+        server::graceful::{GracefulConnection, GracefulShutdown},
     },
     std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration},
     tokio::{
@@ -110,9 +110,7 @@
         &self,
         stream: TcpStream,
         peer: SocketAddr,
-    ) -> impl hyper_util::server::graceful::GracefulConnection<Error = hyper::Error>
-    + Future<Output = Result<(), hyper::Error>>
-    + use<H> {
+    ) -> impl GracefulConnection<Error = hyper::Error> + use<H> {
         let handler = Arc::clone(&self.handler);
         let service = service_fn(move |request: Request<Incoming>| {
             let state = State::from_request(without_request_id(request), peer);
