--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -9,7 +9,6 @@
 pub mod plain;
 pub mod process;
 pub mod proxy;
-pub mod server;
 pub mod sse;
 pub mod store;
 pub mod traffic;
