Bounds and metrics: body budget, HTTP threads, unready delay, sidecar load

Cause: request bodies, threads and the time between unready and closed had no bound; ring messages could overtake each other; work of tiers that finish without their caller was withdrawn while it waited; a silent sidecar was chosen again at once. Change: budget for buffered bodies (503 when spent), two HTTP threads by default, a delay between unready and closed, messages go straight into the ring unless it is full, waiting work of such tiers goes on, a sidecar that does not answer is out until its next report, retries after a shed (only) take from the budget, sidecar metrics.

--- a/daemon/src/http/client.rs
+++ b/daemon/src/http/client.rs
@@ -11,7 +11,8 @@
 };
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Shorter than a listener's time-out for idle connections, so that the client closes first.
+const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A client that sends whole bodies.
 pub type Http = Client<HttpConnector, Full<Bytes>>;
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -113,7 +113,7 @@
     ) -> impl GracefulConnection<Error = hyper::Error> + use<H> {
         let handler = Arc::clone(&self.handler);
         let service = service_fn(move |request: Request<Incoming>| {
-            let state = State::from_request(without_request_id(request), peer);
+            let state = State::from_request(without_broken_request_id(request), peer);
             call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
         });
         http1::Builder::new()
@@ -124,9 +124,16 @@
     }
 }
 
-/// gotham panics on a request identifier that is not UTF-8, so the header is taken off.
-fn without_request_id(mut request: Request<Incoming>) -> Request<Incoming> {
-    request.headers_mut().remove("x-request-id");
+/// gotham panics on a request identifier that is not UTF-8, so such a header is taken off.
+fn without_broken_request_id(mut request: Request<Incoming>) -> Request<Incoming> {
+    let name = "x-request-id";
+    let is_broken = request
+        .headers()
+        .get(name)
+        .is_some_and(|value| std::str::from_utf8(value.as_bytes()).is_err());
+    if is_broken {
+        request.headers_mut().remove(name);
+    }
     request
 }
 
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -3,11 +3,12 @@
 use {
     opentelemetry::{
         KeyValue,
-        metrics::{Counter, Histogram, MeterProvider as _},
+        metrics::{Counter, Gauge, Histogram, MeterProvider as _},
     },
     opentelemetry_sdk::metrics::SdkMeterProvider,
     prometheus::{Registry, TextEncoder},
     std::time::Duration,
+    tamarackdale_core::{document::MAX_TIERS, report::Work},
 };
 
 /// Bounds of the latency histograms, in seconds.
@@ -29,6 +30,9 @@
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
     wasted_prefill: Counter<u64>,
+    running: Gauge<u64>,
+    limit: Gauge<u64>,
+    waiting: Gauge<u64>,
 }
 
 /// What a request is counted under.
@@ -76,6 +80,9 @@
         let count = |name: &'static str, help: &'static str| {
             meter.u64_counter(name).with_description(help).build()
         };
+        let gauge = |name: &'static str, help: &'static str| {
+            meter.u64_gauge(name).with_description(help).build()
+        };
         Ok(Self {
             requests: count("tamarackdale_requests", "Requests by outcome"),
             refusals: count("tamarackdale_refusals", "Refused requests by reason"),
@@ -94,6 +101,9 @@
                 "tamarackdale_wasted_prefill_tokens",
                 "Prompt tokens of dispatched requests whose answer was not delivered",
             ),
+            running: gauge("tamarackdale_running", "Requests at the backend server"),
+            limit: gauge("tamarackdale_limit", "Requests that may run at once"),
+            waiting: gauge("tamarackdale_waiting", "Waiting requests by rank"),
             registry,
             _provider: provider,
         })
@@ -140,6 +150,17 @@
         self.token_gap.record(elapsed.as_secs_f64(), &[]);
     }
 
+    /// Shows a sidecar's load; `waiting` has one element per rank.
+    pub fn set_load(&self, running: u32, limit: u32, waiting: &[Work]) {
+        self.running.record(running.into(), &[]);
+        self.limit.record(limit.into(), &[]);
+        for rank in 0..MAX_TIERS {
+            let requests = waiting.get(rank).map_or(0, |work| work.requests);
+            let label = KeyValue::new("rank", rank as i64);
+            self.waiting.record(requests.into(), &[label]);
+        }
+    }
+
     /// Counts prompt tokens that were prefilled for nothing.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
--- a/daemon/src/ring.rs
+++ b/daemon/src/ring.rs
@@ -40,8 +40,19 @@
         })
     }
 
+    /// Puts a message in the ring that must not be lost; while the ring is full, a task on the
+    /// caller's runtime tries again, and the message may be overtaken.
+    pub fn tell(&self, message: T)
+    where
+        T: Send + 'static,
+    {
+        if let Err(TrySendError::Full(message)) = self.sender.try_send(message) {
+            tokio::spawn(self.clone().deliver(message));
+        }
+    }
+
     /// Puts a message in the ring that must not be lost, trying again while the ring is full.
-    pub async fn deliver(self, message: T) {
+    async fn deliver(self, message: T) {
         let mut message = message;
         while let Err(TrySendError::Full(returned)) = self.sender.try_send(message) {
             message = returned;
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -32,6 +32,7 @@
     std::{io, sync::Arc},
     tamarackdale_core::{id::Boot, route::Policy},
     tamarackdale_wire::path,
+    tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -42,6 +43,7 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("http")
+        .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
     let services = settings.services.clone();
@@ -67,6 +69,7 @@
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
+        buffers: Arc::new(Semaphore::new(settings.max_buffered_bytes)),
     };
     let served = runtime.block_on(serve(&settings, &shutdown, context));
     shutdown.cutting.cancel();
@@ -114,8 +117,18 @@
         cutting: shutdown.cutting.clone(),
     };
     let finished = CancellationToken::new();
+    // The balancer sees the router unready before the listener closes.
+    let unready = Shutdown {
+        closing: CancellationToken::new(),
+        cutting: shutdown.cutting.clone(),
+    };
+    let announce = async {
+        shutdown.closing.cancelled().await;
+        tokio::time::sleep(settings.unready_delay).await;
+        unready.closing.cancel();
+    };
     let drain = async {
-        callers.serve(shutdown).await;
+        tokio::join!(callers.serve(&unready), announce);
         tracker.close();
         tokio::select! {
             () = tracker.wait() => {}
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         context::Context,
-        inbound::{Caller, Head, Inbound},
+        inbound::{Buffered, Caller, Head, Inbound},
         refusal::Invalid,
         relay::{Relay, responder::Responder},
     },
@@ -20,7 +20,8 @@
         },
         state::{FromState as _, State},
     },
-    std::time::Duration,
+    hyper::body::Body as _,
+    std::{sync::Arc, time::Duration},
     tokio::{sync::oneshot, time::timeout},
 };
 
@@ -70,19 +71,45 @@
     };
     let catalogue = context.catalogue.borrow().clone();
     let caller = Caller::check(&head, &catalogue)?;
+    let buffered = buffer(context, body).await?;
+    Ok(caller.with_body(&head, buffered))
+}
+
+/// Reads a body within the router's budget: room for the largest body is reserved first, and what
+/// was not needed is given back.
+async fn buffer(context: &Context, body: Body) -> Result<Buffered, Invalid> {
+    let limit = largest(context, &body)?;
+    let mut reserved = Arc::clone(&context.buffers)
+        .try_acquire_many_owned(limit)
+        .map_err(|_| Invalid::Full)?;
     let reading = body::read(body, context.max_body_bytes);
     let bytes = match timeout(BODY_READ_TIMEOUT, reading).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(Unreadable::TooLarge)) => return Err(Invalid::BodyTooLarge),
         Ok(Err(Unreadable::Broken)) | Err(_) => return Err(Invalid::BodyBroken),
     };
-    Ok(caller.with_body(&head, bytes))
+    drop(reserved.split((limit as usize).saturating_sub(bytes.len())));
+    Ok(Buffered {
+        bytes,
+        reserved: Arc::new(reserved),
+    })
+}
+
+/// Most bytes that the body can have: its stated length, or else the limit.
+fn largest(context: &Context, body: &Body) -> Result<u32, Invalid> {
+    let limit = context.max_body_bytes as u64;
+    let length = body.size_hint().upper().unwrap_or(limit);
+    if length > limit {
+        return Err(Invalid::BodyTooLarge);
+    }
+    u32::try_from(length).map_err(|_| Invalid::BodyTooLarge)
 }
 
 /// Relays the request in a task of its own, since this one ends when the caller goes away.
 async fn relay(context: &Context, request: Inbound) -> Response<Body> {
     let (head, response) = oneshot::channel();
-    let relay = Relay::new(context.clone(), request, Responder::new(head));
+    let responder = Responder::new(head, request.finish_alone);
+    let relay = Relay::new(context.clone(), request, responder);
     context.tracker.spawn(relay.run());
     response
         .await
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -4,7 +4,8 @@
     super::{peer, placement::Placement},
     crate::{configuration::catalogue::Shared, metrics::Metrics, uptime::Clock},
     gotham::state::StateData,
-    std::panic::RefUnwindSafe,
+    std::{panic::RefUnwindSafe, sync::Arc},
+    tokio::sync::Semaphore,
     tokio_util::task::TaskTracker,
 };
 
@@ -25,6 +26,8 @@
     pub tracker: TaskTracker,
     /// Largest request body accepted, in bytes.
     pub max_body_bytes: usize,
+    /// Bytes of request bodies that may still be taken in.
+    pub buffers: Arc<Semaphore>,
 }
 
 impl StateData for Context {}
--- a/daemon/src/router/inbound.rs
+++ b/daemon/src/router/inbound.rs
@@ -19,6 +19,7 @@
         tier::Rank,
     },
     tamarackdale_wire::frame::Header,
+    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Header that names a request.
@@ -92,7 +93,16 @@
     /// Headers for the backend server.
     pub headers: Vec<Header>,
     /// HTTP body.
-    pub body: Bytes,
+    pub body: Buffered,
+}
+
+/// A body that has been read, with its share of the router's budget.
+#[derive(Clone, Debug)]
+pub struct Buffered {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// Returned to the budget with the last clone.
+    pub reserved: Arc<OwnedSemaphorePermit>,
 }
 
 impl Inbound {
@@ -111,7 +121,7 @@
         digest.update(b" ");
         digest.update(self.path.as_bytes());
         digest.update(b"\n");
-        digest.update(&self.body);
+        digest.update(&self.body.bytes);
         digest.checksum()
     }
 }
@@ -165,12 +175,12 @@
     }
 
     /// Adds the body.
-    pub fn with_body(self, head: &Head<'_>, body: Bytes) -> Inbound {
+    pub fn with_body(self, head: &Head<'_>, body: Buffered) -> Inbound {
         let document = &self.version.document;
         let keyed = self.key.is_some();
         let key = self.key.unwrap_or_else(draw_key);
         let cost = match document.kind {
-            Kind::Model => model_cost(&body),
+            Kind::Model => model_cost(&body.bytes),
             Kind::Plain => Cost::default(),
         };
         Inbound {
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -7,7 +7,7 @@
 
 use {
     self::{
-        command::{Command, Sighting},
+        command::{Command, Sighting, Wanted},
         service::Service,
     },
     super::{inbound::Inbound, peer::Peer},
@@ -18,7 +18,7 @@
     tamarackdale_core::{
         failure::{Failure, Reason},
         floor::Notice,
-        id::{Attempt, Boot, Instance},
+        id::{Attempt, Boot},
         limit::Share,
         route::Policy,
         time::Timestamp,
@@ -79,37 +79,27 @@
 
     /// Takes an admitted request that has ended out of its organisation's limits.
     pub fn release(&self, request: &Inbound, elapsed: Duration) {
-        self.tell(Command::Release {
+        self.ring.tell(Command::Release {
             service: request.id.service.clone(),
             organisation: request.id.organisation.clone(),
             elapsed,
         });
     }
 
-    /// Chooses a sidecar other than the excluded ones.
+    /// Chooses a sidecar for a request.
     ///
     /// Fails with the reason why there is none.
-    pub async fn place(
-        &self,
-        request: Arc<Inbound>,
-        excluded: Vec<Instance>,
-        deadline: Timestamp,
-    ) -> Result<Placed, Failure> {
+    pub async fn place(&self, wanted: Wanted) -> Result<Placed, Failure> {
         let asked = self
             .ring
-            .ask(|reply| Command::Place {
-                request,
-                excluded,
-                deadline,
-                reply,
-            })
+            .ask(|reply| Command::Place { wanted, reply })
             .await;
         asked.map_err(undispatched)?
     }
 
     /// Tells that an attempt has ended, and why if its sidecar did not run it.
     pub fn settle(&self, placed: &Placed, refused: Option<Failure>) {
-        self.tell(Command::Settle {
+        self.ring.tell(Command::Settle {
             service: placed.service.clone(),
             instance: placed.peer.incarnation.instance.clone(),
             attempt: placed.attempt,
@@ -119,17 +109,12 @@
 
     /// Tells what has been seen of a sidecar.
     pub fn sight(&self, sighting: Sighting) {
-        self.tell(Command::Sight(Box::new(sighting)));
+        self.ring.tell(Command::Sight(Box::new(sighting)));
     }
 
     /// Tells this router's place among the live routers.
     pub fn set_share(&self, share: Share) {
-        self.tell(Command::Share(share));
-    }
-
-    /// Sends a message that must arrive, from the runtime that the caller runs on.
-    fn tell(&self, command: Command) {
-        tokio::spawn(self.ring.clone().deliver(command));
+        self.ring.tell(Command::Share(share));
     }
 }
 
@@ -169,45 +154,33 @@
                 organisation,
                 elapsed,
             } => self.service(&service).release(&organisation, elapsed),
-            Command::Place {
-                request,
-                excluded,
-                deadline,
-                reply,
-            } => {
-                let placed = self.place(&request, &excluded, deadline, now);
+            Command::Place { wanted, reply } => {
+                let placed = self.place(&wanted, now);
                 if let Err(Ok(placed)) = reply.send(placed) {
-                    self.service(&placed.service).settle(&placed.attempt, None);
+                    self.service(&placed.service).withdraw(placed.attempt);
                 }
             }
             Command::Settle {
                 service,
+                instance,
                 attempt,
                 refused,
-                ..
-            } => self.service(&service).settle(&attempt, refused),
+            } => self.service(&service).settle(&instance, attempt, refused),
             Command::Sight(sighting) => self.sight(*sighting, now),
             Command::Share(share) => self.set_share(share),
         }
     }
 
-    fn place(
-        &mut self,
-        request: &Inbound,
-        excluded: &[Instance],
-        deadline: Timestamp,
-        now: Timestamp,
-    ) -> Result<Placed, Failure> {
+    fn place(&mut self, wanted: &Wanted, now: Timestamp) -> Result<Placed, Failure> {
         let attempt = Attempt {
             router: self.router,
             sequence: self.sequence,
         };
         self.sequence += 1;
-        let rng = &mut self.rng;
-        let Some(service) = self.services.get_mut(&request.id.service) else {
+        let Some(service) = self.services.get_mut(&wanted.request.id.service) else {
             return Err(Failure::not_run(Reason::NoBackendServer));
         };
-        service.place(request, attempt, excluded, deadline, now, rng)
+        service.place(wanted, attempt, now, &mut self.rng)
     }
 
     fn sight(&mut self, sighting: Sighting, now: Timestamp) {
--- a/daemon/src/router/placement/command.rs
+++ b/daemon/src/router/placement/command.rs
@@ -34,12 +34,8 @@
     },
     /// Choose a sidecar.
     Place {
-        /// The request.
-        request: Arc<Inbound>,
-        /// Instances not to be chosen.
-        excluded: Vec<Instance>,
-        /// Deadline of the request.
-        deadline: Timestamp,
+        /// What is wanted.
+        wanted: Wanted,
         /// The choice, or why there is none.
         reply: oneshot::Sender<Result<Placed, Failure>>,
     },
@@ -60,6 +56,19 @@
     Share(Share),
 }
 
+/// A request for which a sidecar is wanted.
+#[derive(Clone, Debug)]
+pub struct Wanted {
+    /// The request.
+    pub request: Arc<Inbound>,
+    /// Instances not to be chosen.
+    pub excluded: Vec<Instance>,
+    /// Why the sidecar chosen before did not run it, if there was one.
+    pub moved: Option<Failure>,
+    /// Deadline of the request.
+    pub deadline: Timestamp,
+}
+
 /// What was seen of a sidecar.
 #[derive(Clone, Debug)]
 pub enum Sighting {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -1,7 +1,7 @@
 //! Placement for one service.
 
 use {
-    super::Placed,
+    super::{Placed, command::Wanted},
     crate::router::{inbound::Inbound, peer::Peer},
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
@@ -18,9 +18,6 @@
     },
 };
 
-/// Delay before a retry when the router has nothing better to tell.
-const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
-
 /// What a router knows of one service's sidecars, and the limits that it keeps for the service.
 pub struct Service {
     name: String,
@@ -69,19 +66,17 @@
     /// Chooses a sidecar and counts the attempt as offered to it.
     pub fn place(
         &mut self,
-        request: &Inbound,
+        wanted: &Wanted,
         attempt: Attempt,
-        excluded: &[Instance],
-        deadline: Timestamp,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Result<Placed, Failure> {
-        let placed = self.try_place(request, attempt, excluded, deadline, now, rng);
+        let placed = self.try_place(wanted, attempt, now, rng);
         if let Err(failure) = &placed {
             log::info!(
-                request:% = request.id,
-                tier = request.tier.as_str(),
-                excluded = excluded.len(),
+                request:% = wanted.request.id,
+                tier = wanted.request.tier.as_str(),
+                excluded = wanted.excluded.len(),
                 reason:% = failure.reason;
                 "not routed"
             );
@@ -91,41 +86,48 @@
 
     fn try_place(
         &mut self,
-        request: &Inbound,
+        wanted: &Wanted,
         attempt: Attempt,
-        excluded: &[Instance],
-        deadline: Timestamp,
         now: Timestamp,
         rng: &mut impl Rng,
     ) -> Result<Placed, Failure> {
+        let request = &wanted.request;
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
         }
-        if !excluded.is_empty() && !self.budget.retry() {
-            return Err(
-                Failure::not_run(Reason::NoBackendServer).with_retry_after(DEFAULT_RETRY_AFTER)
-            );
+        if let Some(failure) = wanted.moved {
+            self.spend_retry(failure)?;
         }
-        let wanted = Request::new(
-            request.rank,
-            &request.id.organisation,
-            request.cost.clone(),
-            deadline,
-        )
-        .with_weight(request.weight)
-        .with_may_be_late(request.finish_late);
         let choice = self
             .table
-            .choose(&wanted, excluded, now, rng)
+            .choose(&requirements(wanted), &wanted.excluded, now, rng)
             .inspect_err(|failure| self.note_shed(request.rank, failure, now))?;
         self.log_choice(request, attempt, &choice);
         self.offer(request, attempt, choice, now)
     }
 
-    /// Notes that an attempt has ended.
-    pub fn settle(&mut self, attempt: &Attempt, _refused: Option<Failure>) {
-        self.table.finished(*attempt);
+    /// Retries after a shed add to the overload, so that they are bounded; retries after the loss
+    /// of a sidecar are bounded by what waited there.
+    fn spend_retry(&mut self, moved: Failure) -> Result<(), Failure> {
+        if moved.reason.is_shed() && !self.budget.retry() {
+            return Err(moved);
+        }
+        Ok(())
+    }
+
+    /// Notes that an attempt has ended, and why its sidecar did not run it, if it did not. A
+    /// sidecar that does not answer is not chosen again before its next report.
+    pub fn settle(&mut self, instance: &Instance, attempt: Attempt, refused: Option<Failure>) {
+        self.withdraw(attempt);
+        if refused.is_some_and(|failure| failure.reason == Reason::ConnectionLost) {
+            self.table.gone(instance);
+        }
+    }
+
+    /// Notes that an attempt is not at its sidecar.
+    pub fn withdraw(&mut self, attempt: Attempt) {
+        self.table.finished(attempt);
     }
 
     /// Takes in a sidecar's report.
@@ -206,3 +208,16 @@
         );
     }
 }
+
+/// What the routing table needs to know of a request.
+fn requirements(wanted: &Wanted) -> Request {
+    let request = &wanted.request;
+    Request::new(
+        request.rank,
+        &request.id.organisation,
+        request.cost.clone(),
+        wanted.deadline,
+    )
+    .with_weight(request.weight)
+    .with_may_be_late(request.finish_late)
+}
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -31,6 +31,9 @@
 /// Header with the delay before a retry, in milliseconds.
 pub const RETRY_AFTER_MS: &str = "tamarackdale-retry-after-ms";
 
+/// Delay before a retry where nothing better is known.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// What is wrong with a caller's request.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Invalid {
@@ -52,6 +55,9 @@
     /// The body did not arrive whole.
     #[display("the body did not arrive whole")]
     BodyBroken,
+    /// The router holds as many bytes of bodies as it may.
+    #[display("too many requests are being taken in")]
+    Full,
 }
 
 impl Invalid {
@@ -62,6 +68,7 @@
             Self::TierNotAllowed => StatusCode::FORBIDDEN,
             Self::Header(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Full => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -71,20 +78,27 @@
             Self::Authorization => "authorization",
             Self::TierNotAllowed => super::inbound::TIER,
             Self::Header(name) => name,
-            Self::BodyTooLarge | Self::BodyBroken => "body",
+            Self::BodyTooLarge | Self::BodyBroken | Self::Full => "body",
+        }
+    }
+
+    fn failure(self) -> Failure {
+        match self {
+            Self::Full => Failure::not_run(Reason::Full),
+            _ => Failure::not_run(Reason::BadRequest),
         }
     }
 
     /// The answer to the invalid request.
     pub fn response(self) -> Response<Body> {
+        let failure = self.failure();
         let value = json!({
             "error": self.to_string(),
             "field": self.field(),
-            "verdict": Verdict::NotRun.to_string(),
-            "reason": Reason::BadRequest.to_string(),
+            "verdict": failure.verdict.to_string(),
+            "reason": failure.reason.to_string(),
         });
         let mut response = body::json(self.status(), &value);
-        let failure = Failure::not_run(Reason::BadRequest);
         put_failure(response.headers_mut(), &failure);
         response
     }
@@ -104,7 +118,7 @@
         "error": failure.to_string(),
         "verdict": failure.verdict.to_string(),
         "reason": failure.reason.to_string(),
-        "retry_after_ms": failure.retry_after.map(millis),
+        "retry_after_ms": retry_after(failure).map(millis),
     })
 }
 
@@ -127,7 +141,7 @@
     if let Ok(value) = HeaderValue::from_str(&failure.reason.to_string()) {
         headers.insert(REASON, value);
     }
-    if let Some(delay) = failure.retry_after {
+    if let Some(delay) = retry_after(failure) {
         headers.insert(
             RETRY_AFTER,
             HeaderValue::from(delay.as_secs_f64().ceil() as u64),
@@ -148,6 +162,16 @@
     }
 }
 
+/// When a retry is worth making. A request that was refused for no fault of its own can always be
+/// sent again.
+fn retry_after(failure: &Failure) -> Option<Duration> {
+    let is_own_fault = matches!(failure.reason, Reason::BadRequest | Reason::KeyReused);
+    if failure.verdict == Verdict::NotRun && !is_own_fault {
+        return failure.retry_after.or(Some(DEFAULT_RETRY_AFTER));
+    }
+    failure.retry_after
+}
+
 fn millis(delay: Duration) -> u64 {
     u64::try_from(delay.as_millis()).unwrap_or(u64::MAX)
 }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -14,7 +14,11 @@
         offer::{Granted, Offer, Unserved},
         responder::Responder,
     },
-    super::{context::Context, inbound::Inbound, placement::Placed},
+    super::{
+        context::Context,
+        inbound::Inbound,
+        placement::{Placed, command::Wanted},
+    },
     crate::metrics::Labels,
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
@@ -90,7 +94,7 @@
         let mut excluded: Vec<id::Instance> = Vec::new();
         let mut moved: Option<Failure> = None;
         loop {
-            let placed = match self.place(&excluded).await {
+            let placed = match self.place(&excluded, moved).await {
                 Ok(placed) => placed,
                 // The last sidecar's reason says more than that there is no further one.
                 Err(failure) => return Ending::Failed(moved.unwrap_or(failure)),
@@ -128,18 +132,23 @@
         attempted
     }
 
-    async fn place(&mut self, excluded: &[id::Instance]) -> Result<Placed, Failure> {
-        if self.deadline <= self.context.clock.now() {
+    async fn place(
+        &mut self,
+        excluded: &[id::Instance],
+        moved: Option<Failure>,
+    ) -> Result<Placed, Failure> {
+        if !self.request.finish_late && self.deadline <= self.context.clock.now() {
             return Err(Failure::not_run(Reason::DeadlinePassed));
         }
-        let placing = self.context.placement.place(
-            Arc::clone(&self.request),
-            excluded.to_vec(),
-            self.deadline,
-        );
+        let placing = self.context.placement.place(Wanted {
+            request: Arc::clone(&self.request),
+            excluded: excluded.to_vec(),
+            moved,
+            deadline: self.deadline,
+        });
         tokio::select! {
             placed = placing => placed,
-            () = self.responder.caller_gone() => Err(Failure::not_run(Reason::Cancelled)),
+            () = self.responder.abandoned() => Err(Failure::not_run(Reason::Cancelled)),
         }
     }
 
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -62,10 +62,10 @@
             .map_err(lost)?;
         let ready = tokio::select! {
             ready = wait_until_ready(&mut frames) => ready,
-            () = sleep(self.remaining()) => {
+            () = sleep(self.remaining()), if !self.request.finish_late => {
                 Err(Unserved::Final(Failure::not_run(Reason::DeadlinePassed)))
             }
-            () = responder.caller_gone() => Err(Unserved::CallerGone),
+            () = responder.abandoned() => Err(Unserved::CallerGone),
         };
         if let Err(unserved) = ready {
             self.withdraw(attempt);
@@ -129,7 +129,7 @@
             method: request.method.to_string(),
             path: request.path.clone(),
             headers: request.headers.clone(),
-            body: request.body.clone(),
+            body: request.body.bytes.clone(),
         }
     }
 }
--- a/daemon/src/router/relay/responder.rs
+++ b/daemon/src/router/relay/responder.rs
@@ -56,16 +56,28 @@
 /// Sends the answer to a caller.
 pub struct Responder {
     state: State,
+    finish_alone: bool,
 }
 
 impl Responder {
-    /// A responder that gives the response to `head`.
-    pub fn new(head: oneshot::Sender<Response<Body>>) -> Self {
+    /// A responder that gives the response to `head`; `finish_alone` tells whether the request
+    /// goes on when its caller has gone.
+    pub fn new(head: oneshot::Sender<Response<Body>>, finish_alone: bool) -> Self {
         Self {
             state: State::Pending(head),
+            finish_alone,
         }
     }
 
+    /// Waits until nobody wants the request to be served any more; for ever, if it goes on without
+    /// its caller.
+    pub async fn abandoned(&mut self) {
+        if self.finish_alone {
+            std::future::pending().await
+        }
+        self.caller_gone().await;
+    }
+
     /// Waits until the caller has gone.
     pub async fn caller_gone(&mut self) {
         match &mut self.state {
--- a/daemon/src/settings.rs
+++ b/daemon/src/settings.rs
@@ -37,6 +37,8 @@
     pub max_body_bytes: usize,
     /// Most connections that a listener holds at once.
     pub max_connections: usize,
+    /// Threads that serve HTTP.
+    pub http_threads: usize,
 }
 
 impl Common {
@@ -52,6 +54,7 @@
             shutdown_limit: Duration::from_secs(source.number("shutdown-limit-s")),
             max_body_bytes: source.number("max-body-bytes") as usize,
             max_connections: source.number("max-connections") as usize,
+            http_threads: source.number("http-threads") as usize,
         }
     }
 }
@@ -123,4 +126,5 @@
         "connections that a listener holds at once",
     )
     .with_default("4096"),
+    Flag::new("http-threads", "COUNT", "threads that serve HTTP").with_default("2"),
 ];
--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Common, Flag, source::Source},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
 };
 
 /// Settings of a router.
@@ -14,6 +14,10 @@
     pub listen: SocketAddr,
     /// Services that are routed to.
     pub services: Vec<String>,
+    /// Bytes of request bodies held at once.
+    pub max_buffered_bytes: usize,
+    /// Time for which callers are still accepted after the router has become unready.
+    pub unready_delay: Duration,
 }
 
 /// Flags of a router, besides the common ones.
@@ -24,6 +28,18 @@
         "NAMES",
         "services to route to, separated by commas",
     ),
+    Flag::new(
+        "max-buffered-bytes",
+        "BYTES",
+        "bytes of request bodies held at once",
+    )
+    .with_default("268435456"),
+    Flag::new(
+        "unready-delay-ms",
+        "MILLISECONDS",
+        "time for which callers are still accepted after a termination signal",
+    )
+    .with_default("1000"),
 ];
 
 impl Router {
@@ -33,6 +49,8 @@
             common: Common::read(source),
             listen: source.address("listen"),
             services: source.names("services"),
+            max_buffered_bytes: source.number("max-buffered-bytes") as usize,
+            unready_delay: Duration::from_millis(source.number("unready-delay-ms")),
         }
     }
 }
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -35,13 +35,15 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .thread_name("http")
+        .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
     let services = vec![settings.service.clone()];
     let (configuration, catalogue) =
         configuration::spawn(&settings.common.store, services, &shutdown)?;
-    let (context, dispatch) = assemble(&settings, &shutdown, catalogue)?;
-    let served = runtime.block_on(serve(&settings, &shutdown, context));
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let (context, dispatch) = assemble(&settings, &shutdown, catalogue, &metrics)?;
+    let served = runtime.block_on(serve(&settings, &shutdown, context, metrics));
     shutdown.cutting.cancel();
     drop(runtime);
     dispatch.join();
@@ -53,6 +55,7 @@
     settings: &settings::Sidecar,
     shutdown: &Shutdown,
     catalogue: Shared,
+    metrics: &Metrics,
 ) -> io::Result<(Context, Duty)> {
     let clock = Clock::new();
     let incarnation = id::Incarnation {
@@ -65,6 +68,7 @@
     let revision = revision_of(settings.service.clone(), catalogue.clone());
     let dispatch_settings = dispatch_settings(settings, incarnation);
     let closing = shutdown.closing.clone();
+    let metrics = metrics.clone();
     let dispatch = Duty::spawn("dispatch", move || {
         Dispatch::new(
             dispatch_settings,
@@ -72,6 +76,7 @@
             commands,
             report_sender,
             revision,
+            metrics,
             closing,
         )
         .run();
@@ -143,9 +148,9 @@
     settings: &settings::Sidecar,
     shutdown: &Shutdown,
     context: Context,
+    metrics: Metrics,
 ) -> io::Result<()> {
     let common = &settings.common;
-    let metrics = Metrics::new().map_err(io::Error::other)?;
     let admin = admin::Context {
         metrics,
         is_ready: readiness(&settings.service, &context, shutdown),
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -11,7 +11,7 @@
 use {
     self::ledger::Ledger,
     super::task::{Handle, Message},
-    crate::uptime::Clock,
+    crate::{metrics::Metrics, uptime::Clock},
     crossbeam_channel::{Receiver, RecvTimeoutError},
     std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
@@ -58,6 +58,7 @@
     commands: Receiver<Command>,
     report: watch::Sender<Report>,
     revision: Box<dyn Fn() -> Revision + Send>,
+    metrics: Metrics,
     closing: CancellationToken,
     closed: bool,
     table: Table,
@@ -78,6 +79,7 @@
         commands: Receiver<Command>,
         report: watch::Sender<Report>,
         revision: impl Fn() -> Revision + Send + 'static,
+        metrics: Metrics,
         closing: CancellationToken,
     ) -> Self {
         Self {
@@ -85,6 +87,7 @@
             commands,
             report,
             revision: Box::new(revision),
+            metrics,
             closing,
             closed: false,
             table: Table::new(settings.incarnation.boot),
@@ -260,20 +263,26 @@
             return;
         };
         if progress.first {
+            self.metrics.record_first_token(progress.elapsed);
             self.limit
                 .first_token(run.prefill_tokens, progress.elapsed, now);
             return;
         }
+        self.metrics.record_token_gap(progress.elapsed);
         self.limit.token_gap(progress.tokens, progress.elapsed, now);
     }
 
     fn finished(&mut self, attempt: Attempt, verdict: Verdict) {
         let now = self.clock.now();
-        if self.ledger.finish(attempt).is_none() {
+        let Some(run) = self.ledger.finish(attempt) else {
             return;
-        }
-        if verdict == Verdict::NotRun {
-            self.table.abort(attempt, now);
+        };
+        match verdict {
+            Verdict::Ran => {}
+            Verdict::MayHaveRun => self.metrics.count_wasted_prefill(run.prefill_tokens),
+            Verdict::NotRun => {
+                self.table.abort(attempt, now);
+            }
         }
         self.table.finish(attempt, now);
         self.limit.finished(now);
@@ -402,10 +411,15 @@
             evicted_prefixes: Vec::new(),
             seen: self.seen.values().copied().collect(),
         };
-        self.report.send_if_modified(|published| {
+        let modified = self.report.send_if_modified(|published| {
             let changed = *published != report;
             *published = report;
             changed
         });
+        if modified {
+            let report = self.report.borrow();
+            self.metrics
+                .set_load(report.running, report.limit, &report.waiting);
+        }
     }
 }
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -281,19 +281,13 @@
         self.exchange = None;
         self.ended_at = Some(self.context.clock.now());
         if self.started {
-            self.settle(Command::Finished {
+            self.context.dispatch.tell(Command::Finished {
                 attempt: self.attempt,
                 verdict,
             });
         }
     }
 
-    /// Tells the dispatch duty that a slot is free; waits outside the task if the ring is full.
-    fn settle(&self, command: Command) {
-        let dispatch = self.context.dispatch.clone();
-        self.context.tracker.spawn(dispatch.deliver(command));
-    }
-
     fn cancel(&mut self) {
         if let Some(running) = &self.exchange {
             running.cancelled.cancel();
