Explore the protocol's interleavings; a true verdict for doubled enqueues

Cause: the promises must hold for every order of late, doubled and lost messages, restarts and pauses, not only for the cases that come to mind. Change: core/tests/protocol.rs drives the real table, ledger and claim machine of two routers, two sidecars and a store through all orders (breadth first, nine sets of faults) and through random walks with all faults at once. Seven tests switch one safeguard off each and must find a violation. A property compares the table's answers with what was sent. Found by it: an enqueue that was doubled on the way and met the sidecar's next boot was refused as not-run although its other copy had run. The table now says may-have-run there, and grant::Ledger::judge turns that into not-run for a router that has not granted. Conclusion: each safeguard is needed, and together they suffice in this model.

--- a/core/src/grant.rs
+++ b/core/src/grant.rs
@@ -41,6 +41,15 @@
         }
     }
 
+    /// The failure as the router knows it: a sidecar's refusal of an attempt that was never granted
+    /// proves that the request was not run, even where the sidecar itself cannot prove it.
+    pub fn judge(&self, mut failure: Failure) -> Failure {
+        if self.outstanding.is_none() {
+            failure.verdict = Verdict::NotRun;
+        }
+        failure
+    }
+
     /// The attempt that may be dispatched.
     pub fn outstanding(&self) -> Option<Attempt> {
         self.outstanding
--- a/core/tests/breaker.rs
+++ b/core/tests/breaker.rs
@@ -106,11 +106,15 @@
     let refused = ledger.reserve(second);
     ledger.release(second);
     let granted = ledger.verdict();
+    let unproved = ledger.judge(Failure::may_have_run(Reason::WrongIncarnation));
     ledger.release(first);
+    let proved = ledger.judge(Failure::may_have_run(Reason::WrongIncarnation));
 
     assert_eq!(before, Verdict::NotRun);
     assert_eq!(refused, Err(Failure::not_run(Reason::Void)));
     assert_eq!(granted, Verdict::MayHaveRun);
+    assert_eq!(unproved.verdict, Verdict::MayHaveRun);
+    assert_eq!(proved.verdict, Verdict::NotRun);
     assert_eq!(ledger.reserve(second), Ok(()));
     assert_eq!(ledger.outstanding(), Some(second));
 }
--- /dev/null
+++ b/core/tests/protocol/world.rs
@@ -0,0 +1,367 @@
+//! Everything outside the routers: sidecars, store, network and what callers were told.
+
+use {
+    crate::router::{Router, Told},
+    std::{
+        hash::{Hash, Hasher},
+        time::Duration,
+    },
+    tamarackdale_core::{
+        attempt::{Resumption, Table},
+        claim::{self, Action, Event, Revision, Version},
+        failure::Failure,
+        id::{Attempt, Boot, Incarnation, Instance},
+        time::Timestamp,
+    },
+};
+
+/// A rule of the protocol that a test can switch off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Safeguard {
+    GrantBeforeDispatch,
+    OneGrant,
+    VoidBeforeTakeover,
+    BootId,
+    Nonce,
+    CompareAndSwap,
+    Lifetime,
+}
+
+/// What is explored.
+#[derive(Clone, Copy, Debug)]
+pub struct Model {
+    pub sidecars: usize,
+    /// Attempts that each router may make.
+    pub offers: [usize; 2],
+    pub claimed: bool,
+    pub disabled: Option<Safeguard>,
+    pub faults: Faults,
+}
+
+impl Model {
+    pub fn keeps(&self, safeguard: Safeguard) -> bool {
+        self.disabled != Some(safeguard)
+    }
+}
+
+/// How many more faults of each kind may happen.
+#[derive(Clone, Copy, Debug, Default, Hash)]
+pub struct Faults {
+    pub restarts: u8,
+    pub duplicates: u8,
+    pub timeouts: u8,
+    pub inquiries: u8,
+    pub sheds: u8,
+    pub sweeps: u8,
+    pub aborts: u8,
+    pub pauses: u8,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub enum Message {
+    Enqueue {
+        sidecar: usize,
+        attempt: Attempt,
+        boot: Boot,
+    },
+    Ready(Attempt),
+    Failed(Attempt, Failure),
+    Grant {
+        sidecar: usize,
+        attempt: Attempt,
+        boot: Boot,
+    },
+    Granted(Attempt, Result<(), Failure>),
+    Resume {
+        sidecar: usize,
+        attempt: Attempt,
+        boot: Boot,
+        router: usize,
+        call: u8,
+    },
+    Resumed {
+        router: usize,
+        call: u8,
+        resumption: Resumption,
+    },
+    Call {
+        router: usize,
+        call: u8,
+        action: Action,
+        sent: Timestamp,
+    },
+    Answer {
+        router: usize,
+        call: u8,
+        event: Event,
+    },
+}
+
+/// Messages in flight, in no order.
+#[derive(Clone, Debug, Default)]
+pub struct Network(pub Vec<Message>);
+
+impl Hash for Network {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let sum = self.0.iter().fold(0u64, |sum, message| {
+            let mut hasher = Mixer::default();
+            message.hash(&mut hasher);
+            sum.wrapping_add(hasher.finish())
+        });
+        state.write_u64(sum);
+    }
+}
+
+/// A hasher that is quick in unoptimised builds.
+#[derive(Default)]
+pub struct Mixer(u64);
+
+impl Hasher for Mixer {
+    fn write(&mut self, bytes: &[u8]) {
+        bytes
+            .iter()
+            .for_each(|byte| self.write_u64(u64::from(*byte)));
+    }
+
+    fn write_u64(&mut self, value: u64) {
+        let mixed = (self.0.rotate_left(23) ^ value).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        self.0 = mixed ^ (mixed >> 32);
+    }
+
+    fn finish(&self) -> u64 {
+        self.0
+    }
+}
+
+/// The claim as the store holds it.
+#[derive(Clone, Debug, Hash)]
+pub struct Held {
+    pub version: Version,
+    /// When its writer picked the lease that it lives under.
+    pub leased: Timestamp,
+}
+
+#[derive(Clone, Debug, Hash)]
+pub struct World {
+    pub now: Timestamp,
+    pub faults: Faults,
+    pub sidecars: Vec<Table>,
+    pub routers: Vec<Router>,
+    pub network: Network,
+    pub store: Option<Held>,
+    pub writes: i64,
+    pub dispatched: Vec<Attempt>,
+    pub aborted: Vec<Attempt>,
+}
+
+pub fn incarnation(sidecar: usize, boot: Boot) -> Incarnation {
+    Incarnation {
+        instance: Instance(sidecar.to_string()),
+        boot,
+    }
+}
+
+fn empty_table(boot: u64) -> Table {
+    Table::new(Boot(boot))
+        .with_retention(Duration::ZERO)
+        .with_unacknowledged_retention(Duration::ZERO)
+}
+
+impl World {
+    pub fn new(model: &Model) -> Self {
+        Self {
+            now: Timestamp::START,
+            faults: model.faults,
+            sidecars: vec![empty_table(1); model.sidecars],
+            routers: (0..model.offers.len()).map(Router::new).collect(),
+            network: Network::default(),
+            store: None,
+            writes: 0,
+            dispatched: Vec::new(),
+            aborted: Vec::new(),
+        }
+    }
+
+    pub fn send(&mut self, message: Message) {
+        self.network.0.push(message);
+    }
+
+    /// Delivers a message to the process that it is meant for.
+    pub fn deliver(&mut self, message: Message, model: &Model) {
+        match message {
+            Message::Enqueue {
+                sidecar,
+                attempt,
+                boot,
+            } => self.enqueue(sidecar, attempt, boot, model),
+            Message::Grant {
+                sidecar,
+                attempt,
+                boot,
+            } => {
+                let result = self.dispatch(sidecar, attempt, boot, model);
+                self.send(Message::Granted(attempt, result));
+            }
+            Message::Resume {
+                sidecar,
+                attempt,
+                boot,
+                router,
+                call,
+            } => {
+                let takeover = attempt.router.0 != router as u64;
+                let resumption = self.resume(sidecar, attempt, boot, takeover, model);
+                self.send(Message::Resumed {
+                    router,
+                    call,
+                    resumption,
+                });
+            }
+            Message::Call {
+                router,
+                call,
+                action,
+                sent,
+            } => {
+                let event = self.apply(action, sent, model);
+                self.send(Message::Answer {
+                    router,
+                    call,
+                    event,
+                });
+            }
+            other => self.receive(other, model),
+        }
+    }
+
+    fn enqueue(&mut self, sidecar: usize, attempt: Attempt, boot: Boot, model: &Model) {
+        let boot = self.checked_boot(sidecar, boot, model);
+        let result = self.sidecars[sidecar].enqueue(attempt, boot, self.now);
+        if let Err(failure) = result {
+            return self.send(Message::Failed(attempt, failure));
+        }
+        self.sidecars[sidecar].offer(attempt);
+        self.send(Message::Ready(attempt));
+        if !model.keeps(Safeguard::GrantBeforeDispatch) {
+            self.dispatch(sidecar, attempt, boot, model).ok();
+        }
+    }
+
+    fn dispatch(
+        &mut self,
+        sidecar: usize,
+        attempt: Attempt,
+        boot: Boot,
+        model: &Model,
+    ) -> Result<(), Failure> {
+        let boot = self.checked_boot(sidecar, boot, model);
+        let now = match model.keeps(Safeguard::Lifetime) {
+            true => self.now,
+            false => Timestamp::START,
+        };
+        self.sidecars[sidecar].grant(attempt, boot, now)?;
+        self.dispatched.push(attempt);
+        Ok(())
+    }
+
+    fn resume(
+        &mut self,
+        sidecar: usize,
+        attempt: Attempt,
+        boot: Boot,
+        takeover: bool,
+        model: &Model,
+    ) -> Resumption {
+        let boot = self.checked_boot(sidecar, boot, model);
+        let queued = self.sidecars[sidecar].state(attempt).is_queued();
+        if queued && takeover && !model.keeps(Safeguard::VoidBeforeTakeover) {
+            return Resumption::Voided;
+        }
+        self.sidecars[sidecar].resume(attempt, boot, self.now)
+    }
+
+    fn checked_boot(&self, sidecar: usize, boot: Boot, model: &Model) -> Boot {
+        match model.keeps(Safeguard::BootId) {
+            true => boot,
+            false => self.sidecars[sidecar].boot(),
+        }
+    }
+
+    fn apply(&mut self, action: Action, sent: Timestamp, model: &Model) -> Event {
+        let found = self.store.as_ref().map(|held| held.version.clone());
+        let (record, allowed) = match action {
+            Action::Create(record) => (record, found.is_none()),
+            Action::Replace { record, revision } => {
+                let same = found.as_ref().map(|version| version.revision) == Some(revision);
+                let checked = model.keeps(Safeguard::CompareAndSwap);
+                (record, same || !checked)
+            }
+            _ => return Event::Read(found),
+        };
+        if !allowed {
+            return Event::Conflict(found);
+        }
+        self.writes += 1;
+        let revision = Revision(self.writes);
+        self.store = Some(Held {
+            version: Version { record, revision },
+            leased: sent,
+        });
+        Event::Written
+    }
+
+    /// Whether the claim's lease can have run out.
+    pub fn can_expire(&self) -> bool {
+        let lifetime = claim::LEASE - claim::LEASE_ROTATION;
+        self.store
+            .as_ref()
+            .is_some_and(|held| self.now.since(held.leased) >= lifetime)
+    }
+
+    pub fn restart(&mut self, sidecar: usize) {
+        let boot = self.sidecars[sidecar].boot();
+        self.sidecars[sidecar] = empty_table(boot.0 + 1);
+    }
+
+    /// Drops what nobody would act on any more, so that equal worlds compare as equal.
+    pub fn tidy(&mut self) {
+        let routers = &self.routers;
+        self.network.0.retain(|message| match message {
+            Message::Ready(attempt)
+            | Message::Failed(attempt, _)
+            | Message::Granted(attempt, _) => routers[attempt.router.0 as usize].told.is_none(),
+            Message::Resumed { router, call, .. } | Message::Answer { router, call, .. } => {
+                routers[*router].awaits(*call)
+            }
+            _ => true,
+        });
+    }
+
+    /// A promise that this world breaks.
+    pub fn violation(&self, model: &Model) -> Option<&'static str> {
+        let runs = |router: usize| {
+            let own = |attempt: &&Attempt| attempt.router.0 == router as u64;
+            self.dispatched.iter().filter(own).count()
+        };
+        if model.claimed && self.dispatched.len() > 1 {
+            return Some("a non-idempotent request ran twice");
+        }
+        for (index, router) in self.routers.iter().enumerate() {
+            match router.told {
+                _ if runs(index) > 1 => return Some("a request was dispatched twice"),
+                Some(Told::NotRun) if runs(index) > 0 => {
+                    return Some("a request ran that was reported as not run");
+                }
+                Some(Told::Ran(attempt)) if !self.ran(attempt) => {
+                    return Some("an answer was promised that nobody produces");
+                }
+                _ => (),
+            }
+        }
+        None
+    }
+
+    fn ran(&self, attempt: Attempt) -> bool {
+        self.dispatched.contains(&attempt) || self.aborted.contains(&attempt)
+    }
+}
