--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -316,24 +316,31 @@
 
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
-/// Draws one of the few best, which it sorts to the front.
+/// Draws one of the few best, which it sorts to the front: of those whose completion is near the
+/// earliest, the ones that have most of the prompt cached.
 fn draw(weighed: &mut [Weighed], rng: &mut impl Rng) -> (usize, Basis) {
+    let completion = |candidate: &Weighed| candidate.prediction.completion();
+    let earliest = weighed.iter().map(completion).min().unwrap_or_default();
+    let bound = earliest.mul_f64(1.0 + BEST_MARGIN);
+    let order = |candidate: &Weighed| {
+        let completion = completion(candidate);
+        let is_far = completion > bound;
+        let uncached = u32::MAX - candidate.cached_tokens;
+        (is_far, if is_far { 0 } else { uncached }, completion)
+    };
     let few = BEST_FEW.min(weighed.len());
-    let by_completion = |candidate: &Weighed| candidate.prediction.completion();
     if few < weighed.len() {
-        weighed.select_nth_unstable_by_key(few, by_completion);
+        weighed.select_nth_unstable_by_key(few, order);
     }
-    weighed[..few].sort_by_key(by_completion);
-    let bound = weighed[0]
-        .prediction
-        .completion()
-        .mul_f64(1.0 + BEST_MARGIN);
-    let near = weighed[..few]
-        .iter()
-        .filter(|candidate| by_completion(candidate) <= bound)
-        .count();
-    let chosen = rng.random_range(0..near.max(1));
-    let basis = match weighed[chosen].cached_tokens {
+    weighed[..few].sort_by_key(order);
+    let (cached_tokens, best) = (weighed[0].cached_tokens, order(&weighed[0]));
+    let is_equal = |candidate: &&Weighed| {
+        let (is_far, uncached, _) = order(candidate);
+        (is_far, uncached) == (best.0, best.1)
+    };
+    let equals = weighed[..few].iter().take_while(is_equal).count();
+    let chosen = rng.random_range(0..equals.max(1));
+    let basis = match cached_tokens {
         0 => Basis::Fastest,
         _ => Basis::FastestWithPrefix,
     };
--- /dev/null
+++ b/core/tests/batch.rs
@@ -0,0 +1,170 @@
+//! The adaptive limit and the measured rates, against a simple engine.
+
+use {
+    rstest::rstest,
+    std::time::Duration,
+    tamarackdale_core::{
+        batch::{Limit, Settings},
+        cost::Rates,
+        tier::Rank,
+        time::Timestamp,
+    },
+};
+
+/// Engine with continuous batching: a step makes one token for each running request and takes
+/// `base + per_request * batch`. Work never runs out.
+struct Engine {
+    base: Duration,
+    per_request: Duration,
+    now: Timestamp,
+    limit: Limit,
+}
+
+impl Engine {
+    fn new(base_us: u64, per_request_us: u64, settings: Settings) -> Self {
+        Self {
+            base: Duration::from_micros(base_us),
+            per_request: Duration::from_micros(per_request_us),
+            now: Timestamp::START,
+            limit: Limit::new(settings),
+        }
+    }
+
+    fn run(&mut self, duration: Duration, slowness: u32) {
+        let end = self.now.plus(duration);
+        while self.now < end {
+            while self.limit.running() < self.limit.current() {
+                self.limit.started(self.now);
+                self.limit
+                    .first_token(1, Duration::from_micros(250), self.now);
+            }
+            while self.limit.running() > self.limit.current() {
+                self.limit.finished(self.now);
+            }
+
+            let gap = (self.base + self.per_request * self.limit.running()) * slowness;
+            self.now = self.now.plus(gap);
+            for _ in 0..self.limit.running() {
+                self.limit.token_gap(1, gap, self.now);
+            }
+        }
+    }
+
+    fn gap(&self) -> f64 {
+        1.0 / self.limit.rates(self.now).decode
+    }
+}
+
+fn seconds(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+/// The batch at which throughput grows by three tenths of the batch's growth is 7/3 of
+/// base / per request.
+#[rstest]
+#[case::grows(20_000, 1_000, 46.7)]
+#[case::shrinks(10_000, 4_000, 5.8)]
+#[case::stays(10_000, 1_500, 15.6)]
+fn limit_settles_where_a_larger_batch_gains_little(
+    #[case] base_us: u64,
+    #[case] per_request_us: u64,
+    #[case] expected: f64,
+) {
+    let mut engine = Engine::new(base_us, per_request_us, Settings::default());
+
+    engine.run(seconds(90), 1);
+
+    let limit = f64::from(engine.limit.current());
+    assert!(
+        (limit / expected).ln().abs() < 0.35,
+        "limit {limit}, expected {expected}"
+    );
+}
+
+#[test]
+fn rates_and_limit_follow_an_engine_that_slows_tenfold_and_recovers() {
+    let mut engine = Engine::new(20_000, 1_000, Settings::default());
+    engine.run(seconds(90), 1);
+    let (limit, gap) = (f64::from(engine.limit.current()), engine.gap());
+
+    engine.run(seconds(10), 10);
+    let slow_gap = engine.gap();
+    engine.run(seconds(110), 10);
+    let slow_limit = f64::from(engine.limit.current());
+    engine.run(seconds(5), 1);
+    let recovered_gap = engine.gap();
+    engine.run(seconds(60), 1);
+    let recovered_limit = f64::from(engine.limit.current());
+
+    assert!(slow_gap > 6.0 * gap, "gap {gap} s, slow {slow_gap} s");
+    assert!(
+        slow_limit > limit / 2.0 && slow_limit < limit * 2.0,
+        "{limit}, slow {slow_limit}"
+    );
+    assert!(
+        recovered_gap < 1.5 * gap,
+        "gap {gap} s, recovered {recovered_gap} s"
+    );
+    assert!(
+        (recovered_limit / limit).ln().abs() < 0.35,
+        "{limit}, recovered {recovered_limit}"
+    );
+}
+
+#[test]
+fn fixed_limit_does_not_adapt() {
+    let settings = Settings {
+        is_adaptive: false,
+        ..Settings::default()
+    };
+    let mut engine = Engine::new(20_000, 1_000, settings);
+
+    engine.run(seconds(30), 1);
+
+    assert_eq!(engine.limit.current(), settings.initial);
+}
+
+#[test]
+fn silence_lowers_the_decode_rate_before_any_token_comes() {
+    let mut engine = Engine::new(20_000, 1_000, Settings::default());
+    engine.run(seconds(10), 1);
+
+    let rates = engine.limit.rates(engine.now.plus(seconds(4)));
+
+    assert!(rates.decode <= 0.25, "{}", rates.decode);
+}
+
+#[test]
+fn prefill_rate_follows_the_time_to_the_first_token() {
+    let mut limit = Limit::new(Settings {
+        rates: Rates::new(4_000.0, 30.0),
+        ..Settings::default()
+    });
+    limit.started(Timestamp::START);
+
+    for second in 1..=20 {
+        limit.first_token(1_000, seconds(1), Timestamp::from_millis(second * 1_000));
+    }
+
+    let rates = limit.rates(Timestamp::from_millis(20_000));
+    assert!(
+        (900.0..1_200.0).contains(&rates.prefill),
+        "{}",
+        rates.prefill
+    );
+}
+
+#[rstest]
+#[case::most_urgent(0, true)]
+#[case::other(1, false)]
+fn only_the_most_urgent_rank_exceeds_the_limit(#[case] rank: u8, #[case] admitted: bool) {
+    let mut limit = Limit::new(Settings {
+        is_adaptive: false,
+        ..Settings::default()
+    });
+    for _ in 0..limit.current() {
+        limit.started(Timestamp::START);
+    }
+
+    assert_eq!(limit.admits(Rank(rank)), admitted);
+}
--- /dev/null
+++ b/core/tests/limit.rs
@@ -0,0 +1,180 @@
+//! Organisations' limits over several routers, and the retry budget.
+
+use {
+    rand::{Rng, SeedableRng, rngs::StdRng},
+    rstest::rstest,
+    std::time::Duration,
+    tamarackdale_core::{
+        failure::Reason,
+        limit::{Bound, Limiter, Share},
+        retry::{Budget, Settings},
+        time::Timestamp,
+    },
+};
+
+const RATE: Bound = Bound {
+    rate: Some(100.0),
+    concurrency: None,
+};
+
+const CONCURRENCY: Bound = Bound {
+    rate: None,
+    concurrency: Some(10),
+};
+
+fn routers(count: u32) -> Vec<Limiter> {
+    (0..count)
+        .map(|index| Limiter::new(Share::new(index, count)))
+        .collect()
+}
+
+/// Offers ten times the rate for `seconds`, spread over the routers at random, and counts what is
+/// let through.
+fn offer(routers: &mut [Limiter], from_s: u64, seconds: u64) -> u64 {
+    let mut rng = StdRng::seed_from_u64(5);
+    let mut accepted = 0;
+    for millisecond in from_s * 1_000..(from_s + seconds) * 1_000 {
+        let router = rng.random_range(0..routers.len());
+        let now = Timestamp::from_millis(millisecond);
+        accepted += u64::from(routers[router].acquire("large", RATE, now).is_ok());
+    }
+    accepted
+}
+
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+#[case(7)]
+fn rate_holds_over_all_routers_within_a_tenth(#[case] count: u32) {
+    let mut routers = routers(count);
+    offer(&mut routers, 0, 5);
+
+    let accepted = offer(&mut routers, 5, 20);
+
+    assert!((1_800..=2_200).contains(&accepted), "{accepted} of 2,000");
+}
+
+#[test]
+fn rate_holds_after_a_router_died_and_after_it_came_back() {
+    let mut routers = routers(3);
+    offer(&mut routers, 0, 5);
+
+    let mut two = routers.split_off(1);
+    for (index, router) in (0..).zip(&mut two) {
+        router.set_share(Share::new(index, 2));
+    }
+    offer(&mut two, 5, 2);
+    let with_two = offer(&mut two, 7, 20);
+    routers.append(&mut two);
+    for (index, router) in (0..).zip(&mut routers) {
+        router.set_share(Share::new(index, 3));
+    }
+    offer(&mut routers, 27, 2);
+    let with_three = offer(&mut routers, 29, 20);
+
+    assert!((1_800..=2_200).contains(&with_two), "{with_two} of 2,000");
+    assert!(
+        (1_800..=2_200).contains(&with_three),
+        "{with_three} of 2,000"
+    );
+}
+
+#[rstest]
+#[case(1)]
+#[case(3)]
+#[case(4)]
+#[case(20)]
+fn concurrency_parts_add_up(#[case] count: u32) {
+    let mut routers = routers(count);
+
+    let mut accepted = 0;
+    for router in &mut routers {
+        while router
+            .acquire("large", CONCURRENCY, Timestamp::START)
+            .is_ok()
+        {
+            accepted += 1;
+        }
+    }
+
+    assert_eq!(accepted, 10);
+}
+
+#[test]
+fn refusal_says_when_there_is_room_and_spares_other_organisations() {
+    let mut limiter = Limiter::new(Share::new(0, 1));
+    let bound = Bound {
+        rate: Some(1.0),
+        concurrency: None,
+    };
+    limiter
+        .acquire("large", bound, Timestamp::START)
+        .expect("the first fits");
+
+    let refused = limiter.acquire("large", bound, Timestamp::from_millis(250));
+    let other = limiter.acquire("small", bound, Timestamp::from_millis(250));
+    let later = limiter.acquire("large", bound, Timestamp::from_millis(1_000));
+
+    let failure = refused.expect_err("the second is too early");
+    assert_eq!(failure.reason, Reason::OrganisationLimit);
+    assert_eq!(failure.retry_after, Some(Duration::from_millis(750)));
+    assert!(other.is_ok() && later.is_ok());
+}
+
+#[test]
+fn released_place_is_free_again() {
+    let mut limiter = Limiter::new(Share::new(0, 1));
+    while limiter
+        .acquire("large", CONCURRENCY, Timestamp::START)
+        .is_ok()
+    {}
+
+    limiter.release("large", Duration::from_secs(2));
+
+    assert!(
+        limiter
+            .acquire("large", CONCURRENCY, Timestamp::START)
+            .is_ok()
+    );
+    assert!(
+        limiter
+            .acquire("large", CONCURRENCY, Timestamp::START)
+            .is_err()
+    );
+}
+
+#[test]
+fn retries_stay_within_their_part_of_the_traffic() {
+    let settings = Settings::default();
+    let mut budget = Budget::new(settings);
+
+    let mut retries = 0;
+    for _ in 0..10_000 {
+        budget.first_attempt();
+        retries += u32::from(budget.retry());
+    }
+
+    let bound = 10_000.0 * settings.ratio + settings.burst;
+    assert!(
+        f64::from(retries) <= bound && f64::from(retries) >= bound - 1.0,
+        "{retries}"
+    );
+}
+
+#[test]
+fn delays_are_spread_and_bounded() {
+    let settings = Settings::default();
+    let budget = Budget::new(settings);
+    let mut rng = StdRng::seed_from_u64(5);
+
+    let delays: Vec<Duration> = (0..100)
+        .map(|retry| budget.delay(retry, &mut rng))
+        .collect();
+
+    assert!(delays.iter().all(|delay| *delay <= settings.max));
+    assert!(delays[0] <= settings.base);
+    let late = &delays[20..];
+    assert!(late.iter().any(|delay| *delay > settings.max / 2));
+    assert!(late.iter().any(|delay| *delay < settings.max / 2));
+}
