--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -1,18 +1,14 @@
-//! When a request that was not run is offered again.
+//! When something that had no effect is tried again.
 
-use {rand::Rng, std::time::Duration};
+use std::time::Duration;
 
-/// Bounds of retries.
+/// Bounds of a retry budget.
 #[derive(Clone, Copy, Debug)]
 pub struct Settings {
     /// Retries allowed per first attempt, on average.
     pub ratio: f64,
     /// Retries that may be saved up.
     pub burst: f64,
-    /// Upper bound of the first delay.
-    pub base: Duration,
-    /// Upper bound of any delay.
-    pub max: Duration,
 }
 
 impl Default for Settings {
@@ -20,8 +16,6 @@
         Self {
             ratio: 0.2,
             burst: 50.0,
-            base: Duration::from_millis(5),
-            max: Duration::from_millis(500),
         }
     }
 }
@@ -54,16 +48,30 @@
         self.saved -= 1.0;
         true
     }
+}
+
+/// Exponential backoff with jitter.
+#[derive(Clone, Copy, Debug)]
+pub struct Backoff {
+    base: Duration,
+    cap: Duration,
+}
+
+impl Backoff {
+    /// Delays that start around `base` and double up to `cap`.
+    pub const fn new(base: Duration, cap: Duration) -> Self {
+        Self { base, cap }
+    }
 
-    /// Delay before the retry number `retry` (0 the first): random, up to a bound that doubles
-    /// each time.
-    pub fn delay(&self, retry: u32, rng: &mut impl Rng) -> Duration {
-        let factor = 2_u32.saturating_pow(retry);
-        let bound = self
-            .settings
-            .base
-            .saturating_mul(factor)
-            .min(self.settings.max);
-        bound.mul_f64(rng.random::<f64>())
+    /// The delay before retry number `count` (the first is 0).
+    ///
+    /// The jitter takes up to half of the delay away; it is drawn from `seed` and `count`, so that
+    /// callers with different seeds spread.
+    pub fn delay(&self, count: u32, seed: u64) -> Duration {
+        let factor = 1u32.checked_shl(count).unwrap_or(u32::MAX);
+        let full = self.base.saturating_mul(factor).min(self.cap);
+        let mixed = xxhash_rust::xxh3::xxh3_64_with_seed(&count.to_le_bytes(), seed);
+        let fraction = f64::from((mixed >> 32) as u32) / f64::from(u32::MAX);
+        full.mul_f64(1.0 - fraction / 2.0)
     }
 }
