--- a/testbed/src/deployment/router.rs
+++ b/testbed/src/deployment/router.rs
@@ -3,7 +3,7 @@
 use {
     super::{Fault, Layout, Platform, START_LIMIT},
     crate::{
-        list::Instance,
+        list::{Instance, List},
         process::{self, Process},
         proxy::Proxy,
     },
@@ -16,12 +16,14 @@
     pub name: String,
     /// The process.
     pub process: Process,
-    /// Address for callers.
+    /// Address for callers, behind its proxy if there is one.
     pub callers: SocketAddr,
     /// Address for other processes of the system.
     pub peers: SocketAddr,
     /// Address for metrics and probes.
     pub admin: SocketAddr,
+    /// The proxy on the links from callers, if the layout has proxies.
+    pub entry_proxy: Option<Proxy>,
     /// The proxy on its link to the store, if the layout has proxies.
     pub store_proxy: Option<Proxy>,
     arguments: Vec<String>,
@@ -41,12 +43,15 @@
         arguments.extend(["--services".into(), layout.service_names()]);
         arguments.extend(layout.router_flags.iter().cloned());
         let process = Process::new(name, "tamarackdaled", &arguments)?;
+        let listener = process.wait_for_listener("callers", START_LIMIT)?;
+        let entry_proxy = proxy(platform.proxied, listener)?;
         let router = Self {
             name: name.to_owned(),
-            callers: process.wait_for_listener("callers", START_LIMIT)?,
+            callers: entry_proxy.as_ref().map_or(listener, Proxy::address),
             peers: process.wait_for_listener("peers", START_LIMIT)?,
             admin: process.wait_for_listener("admin", START_LIMIT)?,
             process,
+            entry_proxy,
             store_proxy,
             arguments,
             data_centre: layout.data_centre.clone(),
@@ -55,14 +60,19 @@
         Ok(router)
     }
 
-    /// Starts the router anew, after its process has ended; its addresses change.
+    /// Starts the router anew, after its process has ended; behind a proxy it keeps its address
+    /// for callers.
     ///
     /// # Errors
     ///
     /// Fails when it does not start.
-    pub fn restart(&mut self, list: &crate::list::List) -> Result<(), process::Fault> {
+    pub fn restart(&mut self, list: &List) -> Result<(), process::Fault> {
         self.process = Process::new(&self.name, "tamarackdaled", &self.arguments)?;
-        self.callers = self.process.wait_for_listener("callers", START_LIMIT)?;
+        let listener = self.process.wait_for_listener("callers", START_LIMIT)?;
+        match &self.entry_proxy {
+            Some(proxy) => proxy.set_target(listener),
+            None => self.callers = listener,
+        }
         self.peers = self.process.wait_for_listener("peers", START_LIMIT)?;
         self.admin = self.process.wait_for_listener("admin", START_LIMIT)?;
         list.set(self.instance());
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod sse;
 pub mod store;
 pub mod traffic;
+pub mod wait;
--- a/testbed/src/load/generator.rs
+++ b/testbed/src/load/generator.rs
@@ -77,6 +77,29 @@
         records
     }
 
+    /// Keeps `concurrency` shots in flight for `length`, each offered when the one before it has
+    /// ended; `make` is given a number that no other shot has.
+    pub async fn saturate<F>(&self, concurrency: usize, length: Duration, make: F) -> Vec<Record>
+    where
+        F: Fn(usize) -> Shot + Send + Sync + 'static,
+    {
+        let start = Instant::now();
+        let make = Arc::new(make);
+        let mut callers = JoinSet::new();
+        for caller in 0..concurrency {
+            let (generator, make) = (self.clone(), Arc::clone(&make));
+            callers.spawn(async move {
+                let mut records = Vec::new();
+                while start.elapsed() < length {
+                    let index = caller + concurrency * records.len();
+                    records.push(generator.offer(start, index, &make(index)).await);
+                }
+                records
+            });
+        }
+        callers.join_all().await.concat()
+    }
+
     /// Offers one shot now; `start` is where its times count from.
     pub async fn offer(&self, start: Instant, index: usize, shot: &Shot) -> Record {
         let mut record = Record {
