--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,6 +4,7 @@
     crate::{failure::Failure, frame::Header, id::Attempt},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
+    tamarackdale_core::cost,
 };
 
 /// Offers a request to a sidecar. It gives no right to run.
@@ -23,10 +24,20 @@
     pub revision: i64,
     /// Shed floor known to the router.
     pub floor: u8,
+    /// Time until the floor is lowered, in milliseconds.
+    pub floor_ms: u32,
     /// Time left until the deadline, in milliseconds.
     pub remaining_ms: u64,
     /// Estimated cost.
     pub cost: Cost,
+    /// Whether the answer is kept whole for retries after it has been acknowledged.
+    pub keep_answer: bool,
+    /// Whether the request goes on when its caller and its router are gone.
+    pub finish_alone: bool,
+    /// Whether a request that can no longer meet its deadline is served all the same.
+    pub finish_late: bool,
+    /// Weight of the organisation in the sharing of its tier.
+    pub weight: u32,
     /// HTTP method.
     pub method: String,
     /// Path and query below the service's name.
@@ -109,3 +120,23 @@
     /// TOML text.
     pub text: String,
 }
+
+impl From<cost::Cost> for Cost {
+    fn from(cost: cost::Cost) -> Self {
+        Self {
+            prefill_tokens: cost.prefill_tokens,
+            decode_tokens: cost.decode_tokens,
+            prefixes: cost.prefixes,
+        }
+    }
+}
+
+impl From<Cost> for cost::Cost {
+    fn from(cost: Cost) -> Self {
+        Self {
+            prefill_tokens: cost.prefill_tokens,
+            decode_tokens: cost.decode_tokens,
+            prefixes: cost.prefixes,
+        }
+    }
+}
