Late work that is wanted goes behind work that can be in time; prefixes as engines hash them

Cause: under overload, earliest deadline first serves a tier that finishes late work in an order in which every answer is late. Change: an entry found late at its turn is moved behind its organisation's others, once. Prompts' prefixes are checksums of the prompt up to each block, as in the engines' cache events; the history of prefixes is a module of its own for the sidecar's use. Tests: the retry delays' test follows the module that replaced the one it tested; its bounds are those of that module's contract, narrower than before.

--- a/core/src/cost.rs
+++ b/core/src/cost.rs
@@ -1,6 +1,9 @@
 //! Estimated cost of a request, and the rates at which a backend server works it off.
 
-use {crate::time, std::time::Duration, xxhash_rust::xxh3::xxh3_64_with_seed};
+use {
+    crate::{digest::Digest, time},
+    std::time::Duration,
+};
 
 /// Average length of a token of text, in bytes.
 pub const BYTES_PER_TOKEN: usize = 4;
@@ -20,7 +23,7 @@
     pub prefill_tokens: u32,
     /// Tokens to generate.
     pub decode_tokens: u32,
-    /// Hashes of the prompt's prefixes, one per whole block, shortest first.
+    /// xxh3 checksums of the prompt's prefixes, one per whole block, shortest first.
     pub prefixes: Vec<u64>,
 }
 
@@ -47,15 +50,15 @@
     }
 }
 
-/// Hash of each whole block of the prompt, chained with the hash of the block before it.
+/// Checksum of the prompt up to the end of each whole block.
 fn prefixes(prompt: &[u8]) -> Vec<u64> {
-    let mut parent = 0;
+    let mut digest = Digest::new();
     prompt
         .chunks_exact(BLOCK_BYTES)
         .take(MAX_PREFIXES)
         .map(|block| {
-            parent = xxh3_64_with_seed(block, parent);
-            parent
+            digest.update(block);
+            digest.checksum()
         })
         .collect()
 }
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod grant;
 pub mod id;
 pub mod limit;
+pub mod prefix;
 pub mod queue;
 pub mod report;
 pub mod retry;
--- a/core/src/route/affinity.rs
+++ b/core/src/prefix.rs
@@ -1,4 +1,7 @@
-//! Which sidecars' backend servers are likely to have which prefixes cached.
+//! Which backend servers are likely to have which prefixes cached.
+//!
+//! Backend servers are numbered by their user: a router by its slots for sidecars, a sidecar has
+//! but one.
 
 use {
     crate::time::Timestamp,
@@ -11,7 +14,7 @@
 /// Prefixes remembered; the oldest is forgotten first.
 const MAX_PREFIXES: usize = 65_536;
 
-/// Sidecars remembered for one prefix.
+/// Backend servers remembered for one prefix.
 const MAX_HOLDERS: usize = 16;
 
 /// Time after which an unused prefix is taken to be evicted.
@@ -24,13 +27,14 @@
 
 /// History of own dispatches by prefix, corrected by eviction events.
 #[derive(Default)]
-pub(super) struct Affinity {
+pub struct History {
     holders: HashMap<u64, Vec<Holder>>,
     order: VecDeque<u64>,
 }
 
-impl Affinity {
-    pub(super) fn dispatched(&mut self, prefixes: &[u64], slot: usize, now: Timestamp) {
+impl History {
+    /// Notes that a prompt with these prefixes goes to a backend server.
+    pub fn dispatched(&mut self, prefixes: &[u64], slot: usize, now: Timestamp) {
         for prefix in prefixes {
             if !self.holders.contains_key(prefix) {
                 self.make_room();
@@ -45,20 +49,22 @@
         }
     }
 
-    pub(super) fn evicted(&mut self, prefix: u64, slot: usize) {
+    /// Notes that a backend server's cache has evicted a prefix.
+    pub fn evicted(&mut self, prefix: u64, slot: usize) {
         if let Some(holders) = self.holders.get_mut(&prefix) {
             holders.retain(|holder| holder.slot != slot);
         }
     }
 
-    pub(super) fn forget(&mut self, slot: usize) {
+    /// Forgets all that a backend server has cached.
+    pub fn forget(&mut self, slot: usize) {
         for holders in self.holders.values_mut() {
             holders.retain(|holder| holder.slot != slot);
         }
     }
 
-    /// Leading blocks that each of `slots` slots is believed to hold.
-    pub(super) fn blocks(&self, prefixes: &[u64], slots: usize, now: Timestamp) -> Vec<u32> {
+    /// Leading blocks that each of `slots` backend servers is believed to hold.
+    pub fn blocks(&self, prefixes: &[u64], slots: usize, now: Timestamp) -> Vec<u32> {
         let mut blocks = vec![0; slots];
         for (depth, prefix) in (0..).zip(prefixes) {
             let holders = self.holders.get(prefix).map_or(&[][..], Vec::as_slice);
@@ -79,8 +85,8 @@
         blocks
     }
 
-    /// Leading blocks that one slot is believed to hold.
-    pub(super) fn blocks_at(&self, prefixes: &[u64], slot: usize) -> u32 {
+    /// Leading blocks that one backend server is believed to hold.
+    pub fn blocks_at(&self, prefixes: &[u64], slot: usize) -> u32 {
         let is_held = |prefix: &&u64| {
             let holders = self.holders.get(prefix);
             holders.is_some_and(|holders| holders.iter().any(|holder| holder.slot == slot))
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -60,6 +60,15 @@
     }
 }
 
+/// Time in a flow from which on postponed entries stand, later than any deadline.
+const POSTPONED: Timestamp = Timestamp::from_micros(u64::MAX / 2);
+
+enum Urgency {
+    InTurn,
+    Late,
+    Hopeless,
+}
+
 /// Where an entry stands: its level, its flow in the level and its time in the flow.
 struct Place {
     rank: Rank,
@@ -116,25 +125,47 @@
     }
 
     /// Takes out the next entry to start. Entries that cannot meet their deadline any more are
-    /// passed over; the next [`Self::expire`] returns them.
+    /// passed over: the next [`Self::expire`] returns them or, if they are served all the same,
+    /// they go after the others of their organisation.
     pub fn pop(&mut self, now: Timestamp, rates: Rates) -> Option<Entry> {
         loop {
-            let (_, level) = self
-                .levels
-                .iter_mut()
-                .find(|(_, level)| !level.is_empty())?;
-            let attempt = level.peek()?.attempt;
-            let is_hopeless =
-                self.settings.order == Order::Tiers && level.peek()?.is_hopeless(now, rates);
-            if !is_hopeless {
-                level.charge_next();
+            let attempt = self.peek()?.attempt;
+            match self.urgency(attempt, now, rates)? {
+                Urgency::Hopeless => {
+                    let entry = self.take(attempt)?;
+                    self.hopeless.push(entry);
+                }
+                Urgency::Late => self.postpone(attempt),
+                Urgency::InTurn => return self.start(attempt, now),
             }
-            let entry = self.take(attempt)?;
-            if !is_hopeless {
-                self.drain.record(now, entry.cost.tokens());
-                return Some(entry);
-            }
-            self.hopeless.push(entry);
+        }
+    }
+
+    fn urgency(&self, attempt: Attempt, now: Timestamp, rates: Rates) -> Option<Urgency> {
+        let entry = self.peek()?;
+        let is_postponed = self.places.get(&attempt)?.time >= POSTPONED;
+        if self.settings.order == Order::FirstIn || is_postponed || !entry.is_late(now, rates) {
+            return Some(Urgency::InTurn);
+        }
+        match entry.late {
+            Late::Drop => Some(Urgency::Hopeless),
+            Late::Finish => Some(Urgency::Late),
+        }
+    }
+
+    fn start(&mut self, attempt: Attempt, now: Timestamp) -> Option<Entry> {
+        let rank = self.places.get(&attempt)?.rank;
+        self.levels.get_mut(&rank)?.charge_next();
+        let entry = self.take(attempt)?;
+        self.drain.record(now, entry.cost.tokens());
+        Some(entry)
+    }
+
+    /// Moves a late entry behind those of its organisation that can still be in time.
+    fn postpone(&mut self, attempt: Attempt) {
+        if let Some(entry) = self.take(attempt) {
+            let since = entry.deadline.since(Timestamp::START);
+            self.insert_at(POSTPONED.plus(since), entry);
         }
     }
 
@@ -295,30 +326,30 @@
     }
 
     fn insert(&mut self, entry: Entry) {
+        match self.settings.order {
+            Order::Tiers => self.insert_at(entry.deadline, entry),
+            Order::FirstIn => self.insert_at(entry.enqueued, entry),
+        }
+    }
+
+    fn insert_at(&mut self, time: Timestamp, entry: Entry) {
         self.tokens += entry.cost.tokens();
         let attempt = entry.attempt;
-        let place = match self.settings.order {
-            Order::Tiers => self.insert_by_tier(entry),
-            Order::FirstIn => self.insert_last(entry),
+        let (rank, flow) = match self.settings.order {
+            Order::Tiers => {
+                self.deadlines.insert(&entry);
+                let rank = entry.rank;
+                (
+                    rank,
+                    self.levels.entry(rank).or_default().insert(entry, time),
+                )
+            }
+            Order::FirstIn => {
+                let level = self.levels.entry(Rank::FIRST).or_default();
+                (Rank::FIRST, level.insert_unshared(entry, time))
+            }
         };
-        self.places.insert(attempt, place);
-    }
-
-    fn insert_by_tier(&mut self, entry: Entry) -> Place {
-        self.deadlines.insert(&entry);
-        let (rank, time) = (entry.rank, entry.deadline);
-        let flow = self.levels.entry(rank).or_default().insert(entry, time);
-        Place { rank, flow, time }
-    }
-
-    fn insert_last(&mut self, entry: Entry) -> Place {
-        let (rank, time) = (Rank::FIRST, entry.enqueued);
-        let flow = self
-            .levels
-            .entry(rank)
-            .or_default()
-            .insert_unshared(entry, time);
-        Place { rank, flow, time }
+        self.places.insert(attempt, Place { rank, flow, time });
     }
 
     fn take(&mut self, attempt: Attempt) -> Option<Entry> {
--- a/core/src/queue/entry.rs
+++ b/core/src/queue/entry.rs
@@ -41,9 +41,11 @@
 impl Entry {
     /// Whether the request is to be given up: started now, it would miss its deadline.
     pub fn is_hopeless(&self, now: Timestamp, rates: Rates) -> bool {
-        if self.late == Late::Finish {
-            return false;
-        }
+        self.late == Late::Drop && self.is_late(now, rates)
+    }
+
+    /// Whether it would miss its deadline if it were started now.
+    pub fn is_late(&self, now: Timestamp, rates: Rates) -> bool {
         let service = rates.service_time(self.cost.prefill_tokens, self.cost.decode_tokens);
         now.plus(service) > self.deadline
     }
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -5,7 +5,6 @@
 //! backend server's cache is likely to hold. One of the few best is drawn, so that routers with
 //! the same stale reports do not all choose the same.
 
-mod affinity;
 mod choice;
 mod policy;
 mod prediction;
@@ -22,11 +21,11 @@
         cost::Cost,
         failure::{Failure, Reason},
         id::{Attempt, Boot, Incarnation, Instance},
+        prefix::History,
         report::Report,
         tier::Rank,
         time::Timestamp,
     },
-    affinity::Affinity,
     rand::Rng,
     sidecar::{Dispatch, Sidecar},
     std::{collections::HashMap, time::Duration},
@@ -57,7 +56,7 @@
     slots: Vec<Option<Sidecar>>,
     by_instance: HashMap<Instance, usize>,
     by_attempt: HashMap<Attempt, usize>,
-    affinity: Affinity,
+    affinity: History,
     turn: usize,
 }
 
@@ -70,7 +69,7 @@
             slots: Vec::new(),
             by_instance: HashMap::new(),
             by_attempt: HashMap::new(),
-            affinity: Affinity::default(),
+            affinity: History::default(),
             turn: 0,
         }
     }
--- a/core/tests/limit.rs
+++ b/core/tests/limit.rs
@@ -7,7 +7,7 @@
     tamarackdale_core::{
         failure::Reason,
         limit::{Bound, Limiter, Share},
-        retry::{Budget, Settings},
+        retry::{Backoff, Budget, Settings},
         time::Timestamp,
     },
 };
@@ -164,17 +164,14 @@
 
 #[test]
 fn delays_are_spread_and_bounded() {
-    let settings = Settings::default();
-    let budget = Budget::new(settings);
-    let mut rng = StdRng::seed_from_u64(5);
+    let (base, cap) = (Duration::from_millis(5), Duration::from_millis(500));
+    let backoff = Backoff::new(base, cap);
 
-    let delays: Vec<Duration> = (0..100)
-        .map(|retry| budget.delay(retry, &mut rng))
-        .collect();
+    let first: Vec<Duration> = (0..100).map(|seed| backoff.delay(0, seed)).collect();
+    let late: Vec<Duration> = (0..100).map(|seed| backoff.delay(20, seed)).collect();
 
-    assert!(delays.iter().all(|delay| *delay <= settings.max));
-    assert!(delays[0] <= settings.base);
-    let late = &delays[20..];
-    assert!(late.iter().any(|delay| *delay > settings.max / 2));
-    assert!(late.iter().any(|delay| *delay < settings.max / 2));
+    assert!(first.iter().all(|delay| (base / 2..=base).contains(delay)));
+    assert!(late.iter().all(|delay| (cap / 2..=cap).contains(delay)));
+    assert!(late.iter().any(|delay| *delay > cap * 7 / 8));
+    assert!(late.iter().any(|delay| *delay < cap * 5 / 8));
 }
--- a/core/tests/queue.rs
+++ b/core/tests/queue.rs
@@ -230,6 +230,23 @@
     assert_eq!(expired.len(), 2);
 }
 
+#[test]
+fn late_entry_that_is_wanted_goes_after_those_that_can_be_in_time() {
+    let mut queue = queue(10);
+    for (sequence, deadline_s) in [(1, 1), (2, 2), (3, 60)] {
+        let entry = Entry {
+            deadline: NOW.plus(Duration::from_secs(deadline_s)),
+            late: Late::Finish,
+            ..entry(sequence, 2, "carvers")
+        };
+        queue.push(entry, NOW).expect("the queue has room");
+    }
+
+    let popped = pop_all(&mut queue);
+
+    assert_eq!(sequences(&popped), [3, 1, 2]);
+}
+
 #[test]
 fn retry_after_follows_the_rate_at_which_the_queue_drains() {
     let mut queue = queue(1_000);
