Daemon: floor told to all sidecars at once, cache events, uncached prefill, parts of the policy as settings

Change: routers post a floor that rose, and renew it while it holds; sidecars follow the engine's cache events and report evictions; deadlines are looked at after offers; settings for placement, queue order, batch limit, floor and report interval.

--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -46,6 +46,19 @@
     }
 }
 
+impl Settings {
+    /// A limit that stays at `limit`.
+    pub fn fixed(limit: u32) -> Self {
+        Self {
+            initial: limit,
+            max: limit,
+            min: limit,
+            is_adaptive: false,
+            ..Self::default()
+        }
+    }
+}
+
 /// Part of the limit by which the most urgent rank may exceed it.
 const URGENT_EXCESS: f64 = 0.25;
 
--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -21,6 +21,7 @@
         time::Timestamp,
     },
     deadline::Deadlines,
+    derive_more::{Display, FromStr},
     drain::Drain,
     level::Level,
     std::{
@@ -30,7 +31,9 @@
 };
 
 /// Order in which entries start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+#[from_str(rename_all = "kebab-case")]
 pub enum Order {
     /// Strict tier order, fair between organisations, earliest deadline first.
     #[default]
--- a/core/src/route/policy.rs
+++ b/core/src/route/policy.rs
@@ -29,6 +29,8 @@
     pub checks_feasibility: bool,
     /// Whether own dispatches are added to reports that do not know of them.
     pub corrects_reports: bool,
+    /// Whether the shed floor is used.
+    pub uses_floor: bool,
 }
 
 impl Default for Policy {
@@ -38,6 +40,7 @@
             uses_affinity: true,
             checks_feasibility: true,
             corrects_reports: true,
+            uses_floor: true,
         }
     }
 }
@@ -50,6 +53,7 @@
             uses_affinity: false,
             checks_feasibility: false,
             corrects_reports: false,
+            uses_floor: false,
         }
     }
 }
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -30,7 +30,7 @@
     },
     rand::Rng as _,
     std::{io, sync::Arc},
-    tamarackdale_core::{id::Boot, route::Policy},
+    tamarackdale_core::{floor::Notice, id::Boot},
     tamarackdale_wire::path,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -49,7 +49,9 @@
         configuration::spawn(&settings.common.store, services, &shutdown)?;
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
-    let (placement_duty, placement) = Placement::spawn(boot, clock, Policy::default())?;
+    let peers = peer::Client::new();
+    let notify = floor_notifier(runtime.handle().clone(), peers.clone());
+    let (placement_duty, placement) = Placement::spawn(boot, clock, settings.policy, notify)?;
     let membership = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
@@ -63,7 +65,7 @@
         clock,
         catalogue,
         placement,
-        peers: peer::Client::new(),
+        peers,
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
@@ -77,6 +79,19 @@
     served
 }
 
+/// Tells sidecars a shed floor from a thread outside of the runtime.
+fn floor_notifier(
+    runtime: tokio::runtime::Handle,
+    client: peer::Client,
+) -> impl Fn(Vec<peer::Peer>, Notice) + Send + 'static {
+    move |peers, notice| {
+        for peer in peers {
+            let client = client.clone();
+            runtime.spawn(async move { client.floor(&peer, notice).await });
+        }
+    }
+}
+
 async fn serve(
     settings: &settings::Router,
     shutdown: &Shutdown,
--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -14,11 +14,12 @@
     std::{net::SocketAddr, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
+        floor::Notice,
         id,
     },
     tamarackdale_wire::{
         codec,
-        message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, Granted, Resume},
         path,
     },
     tokio::time::timeout,
@@ -127,6 +128,13 @@
             .await;
     }
 
+    /// Tells a sidecar the shed floor, if it can be reached.
+    pub async fn floor(&self, peer: &Peer, notice: Notice) {
+        let message = Floor::from(notice);
+        // The floor also travels with each offer, so a lost message delays it only.
+        let _ = self.post(&self.pooled, peer, path::FLOOR, &message).await;
+    }
+
     async fn post<T: Serialize>(
         &self,
         client: &Http,
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -4,6 +4,7 @@
 
 pub mod command;
 pub mod service;
+pub mod spread;
 
 use {
     self::{
@@ -50,13 +51,20 @@
 impl Placement {
     /// Starts the duty of the router with the given boot.
     ///
-    /// Fails when the thread cannot be started.
-    pub fn spawn(router: Boot, clock: Clock, policy: Policy) -> io::Result<(Duty, Self)> {
+    /// `notify` tells sidecars the shed floor, without waiting for them. Fails when the thread
+    /// cannot be started.
+    pub fn spawn(
+        router: Boot,
+        clock: Clock,
+        policy: Policy,
+        notify: impl Fn(Vec<Peer>, Notice) + Send + 'static,
+    ) -> io::Result<(Duty, Self)> {
         let (ring, commands) = Ring::new(CAPACITY);
         let state = State {
             router,
             clock,
             policy,
+            notify: Box::new(notify),
             services: HashMap::new(),
             share: Share::new(0, 1),
             sequence: 0,
@@ -142,6 +150,7 @@
     router: Boot,
     clock: Clock,
     policy: Policy,
+    notify: Box<dyn Fn(Vec<Peer>, Notice) + Send>,
     services: HashMap<String, Service>,
     share: Share,
     sequence: u64,
@@ -207,7 +216,9 @@
         let Some(service) = self.services.get_mut(&request.id.service) else {
             return Err(Failure::not_run(Reason::NoBackendServer));
         };
-        service.place(request, attempt, excluded, deadline, now, rng)
+        let placed = service.place(request, attempt, excluded, deadline, now, rng);
+        self.spread_floor(&request.id.service, now);
+        placed
     }
 
     fn sight(&mut self, sighting: Sighting, now: Timestamp) {
@@ -215,12 +226,22 @@
             Sighting::Report { report, address } => {
                 let name = report.service.clone();
                 self.service(&name).report(report, address, now);
+                self.spread_floor(&name, now);
             }
             Sighting::Leaving { service, instance } => self.service(&service).leaving(&instance),
             Sighting::Gone { service, instance } => self.service(&service).gone(&instance),
         }
     }
 
+    /// Tells all sidecars of the service its floor, if they may not know it.
+    fn spread_floor(&mut self, name: &str, now: Timestamp) {
+        let service = self.service(name);
+        if let Some(notice) = service.floor_to_spread(now) {
+            let peers = service.peers();
+            (self.notify)(peers, notice);
+        }
+    }
+
     fn set_share(&mut self, share: Share) {
         self.share = share;
         for service in self.services.values_mut() {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -1,13 +1,13 @@
 //! Placement for one service.
 
 use {
-    super::Placed,
+    super::{Placed, spread::Spread},
     crate::router::{inbound::Inbound, peer::Peer},
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
-        floor::{self, Floor},
+        floor::{self, Floor, Notice},
         id::{Attempt, Boot, Instance},
         limit::{Bound, Limiter, Share},
         report::Report,
@@ -27,6 +27,7 @@
     table: Table,
     addresses: HashMap<Instance, SocketAddr>,
     floor: Floor,
+    spread: Spread,
     limiter: Limiter,
     budget: Budget,
 }
@@ -38,7 +39,11 @@
             name: name.to_owned(),
             table: Table::new(policy, router),
             addresses: HashMap::new(),
-            floor: Floor::new(floor::Settings::default()),
+            floor: Floor::new(floor::Settings {
+                is_enabled: policy.uses_floor,
+                ..floor::Settings::default()
+            }),
+            spread: Spread::default(),
             limiter: Limiter::new(share),
             budget: Budget::new(retry::Settings::default()),
         }
@@ -147,6 +152,26 @@
         self.addresses.remove(instance);
     }
 
+    /// The floor to tell all sidecars now, if it has risen or has long not been told.
+    pub fn floor_to_spread(&mut self, now: Timestamp) -> Option<Notice> {
+        let notice = self.floor.notice(now);
+        self.spread.is_due(notice, now).then_some(notice)
+    }
+
+    /// The sidecars that take work.
+    pub fn peers(&self) -> Vec<Peer> {
+        let incarnations = self.table.incarnations();
+        incarnations
+            .filter_map(|incarnation| {
+                let address = self.addresses.get(&incarnation.instance)?;
+                Some(Peer {
+                    incarnation: incarnation.clone(),
+                    address: *address,
+                })
+            })
+            .collect()
+    }
+
     /// Takes over a change of the number of live routers.
     pub fn set_share(&mut self, share: Share) {
         self.limiter.set_share(share);
--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -3,6 +3,7 @@
 use {
     super::{Common, Flag, source::Source},
     std::net::SocketAddr,
+    tamarackdale_core::route::Policy,
 };
 
 /// Settings of a router.
@@ -14,6 +15,8 @@
     pub listen: SocketAddr,
     /// Services that are routed to.
     pub services: Vec<String>,
+    /// How requests are placed.
+    pub policy: Policy,
 }
 
 /// Flags of a router, besides the common ones.
@@ -24,6 +27,18 @@
         "NAMES",
         "services to route to, separated by commas",
     ),
+    Flag::new(
+        "placement",
+        "NAME",
+        "predicted, least-outstanding, round-robin or random",
+    )
+    .with_default("predicted"),
+    Flag::new(
+        "policy-off",
+        "NAMES",
+        "parts not used, separated by commas: affinity, feasibility, correction, floor",
+    )
+    .with_default("none"),
 ];
 
 impl Router {
@@ -33,6 +48,33 @@
             common: Common::read(source),
             listen: source.address("listen"),
             services: source.names("services"),
+            policy: read_policy(source),
         }
     }
 }
+
+fn read_policy(source: &mut Source) -> Policy {
+    let placement = source.parsed(
+        "placement",
+        "predicted, least-outstanding, round-robin or random",
+    );
+    let mut policy = Policy {
+        placement: placement.unwrap_or_default(),
+        ..Policy::default()
+    };
+    for name in source.names("policy-off") {
+        switch_off(&mut policy, &name, source);
+    }
+    policy
+}
+
+fn switch_off(policy: &mut Policy, name: &str, source: &mut Source) {
+    match name {
+        "affinity" => policy.uses_affinity = false,
+        "feasibility" => policy.checks_feasibility = false,
+        "correction" => policy.corrects_reports = false,
+        "floor" => policy.uses_floor = false,
+        "none" => {}
+        _ => source.refuse("policy-off", name, "a part of the policy, or none"),
+    }
+}
--- a/daemon/src/settings/sidecar.rs
+++ b/daemon/src/settings/sidecar.rs
@@ -1,6 +1,10 @@
 //! Settings of a sidecar.
 
-use super::{Common, Flag, source::Source};
+use {
+    super::{Common, Flag, source::Source},
+    std::time::Duration,
+    tamarackdale_core::{batch, queue::Order},
+};
 
 /// Settings of a sidecar.
 #[derive(Clone, Debug)]
@@ -15,6 +19,14 @@
     pub max_waiting: usize,
     /// Bytes of answers kept until they are acknowledged.
     pub max_kept_bytes: usize,
+    /// Order in which requests start.
+    pub queue_order: Order,
+    /// How many requests may run at once.
+    pub batch: batch::Settings,
+    /// Whether the shed floor is used.
+    pub uses_floor: bool,
+    /// Shortest time between two reports.
+    pub report_interval: Duration,
 }
 
 /// Flags of a sidecar, besides the common ones.
@@ -32,6 +44,20 @@
         "bytes of answers kept until acknowledged",
     )
     .with_default("67108864"),
+    Flag::new("queue-order", "NAME", "tiers or first-in").with_default("tiers"),
+    Flag::new(
+        "batch-limit",
+        "COUNT",
+        "requests that may run at once, or adaptive",
+    )
+    .with_default("adaptive"),
+    Flag::new("shed-floor", "SWITCH", "on or off").with_default("on"),
+    Flag::new(
+        "report-interval-ms",
+        "MILLISECONDS",
+        "shortest time between two reports",
+    )
+    .with_default("100"),
 ];
 
 impl Sidecar {
@@ -43,6 +69,35 @@
             backend_server: source.url("backend-server"),
             max_waiting: source.number("max-waiting") as usize,
             max_kept_bytes: source.number("max-kept-bytes") as usize,
+            queue_order: source
+                .parsed("queue-order", "tiers or first-in")
+                .unwrap_or_default(),
+            batch: read_batch(source),
+            uses_floor: read_switch(source, "shed-floor"),
+            report_interval: Duration::from_millis(source.number("report-interval-ms")),
+        }
+    }
+}
+
+fn read_batch(source: &mut Source) -> batch::Settings {
+    const EXPECTED: &str = "adaptive, or a whole number above 0";
+    let text: String = source.parsed("batch-limit", EXPECTED).unwrap_or_default();
+    if text == "adaptive" {
+        return batch::Settings::default();
+    }
+    match text.parse() {
+        Ok(limit) if limit > 0 => batch::Settings::fixed(limit),
+        _ => {
+            source.refuse("batch-limit", &text, EXPECTED);
+            batch::Settings::default()
         }
     }
 }
+
+fn read_switch(source: &mut Source, flag: &str) -> bool {
+    let text: String = source.parsed(flag, "on or off").unwrap_or_default();
+    if text != "on" && text != "off" {
+        source.refuse(flag, &text, "on or off");
+    }
+    text == "on"
+}
--- a/daemon/src/settings/source.rs
+++ b/daemon/src/settings/source.rs
@@ -93,6 +93,15 @@
         .unwrap_or(1)
     }
 
+    /// Notes that a part of a setting's value is not usable.
+    pub fn refuse(&mut self, flag: &str, part: &str, expected: &str) {
+        self.problems.push(Problem {
+            origin: format!("--{flag}"),
+            found: format!("{part:?} is not usable"),
+            expected: expected.into(),
+        });
+    }
+
     /// A level of severity.
     pub fn log_level(&mut self, flag: &str) -> LevelFilter {
         self.parsed(flag, "error, warn, info, debug or trace")
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod backend_server;
+pub mod cache;
 pub mod context;
 pub mod dispatch;
 pub mod exchange;
@@ -17,7 +18,7 @@
     },
     rand::Rng as _,
     std::{io, sync::Arc, time::Duration},
-    tamarackdale_core::{batch, cost::Rates, floor, id, queue, report::Report},
+    tamarackdale_core::{cost::Rates, floor, id, queue, report::Report},
     tokio::sync::{Semaphore, watch},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -91,6 +92,7 @@
         dispatch: ring,
         tasks,
         report,
+        report_interval: settings.report_interval,
         catalogue,
         drained: CancellationToken::new(),
         max_body_bytes: settings.common.max_body_bytes,
@@ -106,16 +108,20 @@
         incarnation,
         service: settings.service.clone(),
         queue: queue::Settings {
+            order: settings.queue_order,
             max_requests: settings.max_waiting,
             ..queue::Settings::default()
         },
-        batch: batch::Settings::default(),
-        floor: floor::Settings::default(),
+        batch: settings.batch,
+        floor: floor::Settings {
+            is_enabled: settings.uses_floor,
+            ..floor::Settings::default()
+        },
     }
 }
 
 fn first_report(settings: &settings::Sidecar, incarnation: &id::Incarnation) -> Report {
-    let batch = batch::Settings::default();
+    let batch = settings.batch;
     Report {
         incarnation: incarnation.clone(),
         service: settings.service.clone(),
@@ -151,6 +157,12 @@
         is_ready: readiness(&settings.service, &context, shutdown),
     };
     let tracker = context.tasks.tracker.clone();
+    let cache = cache::follow(
+        Arc::clone(&context.tasks.backend_server),
+        context.dispatch.clone(),
+        settings.service.clone(),
+        context.catalogue.clone(),
+    );
     let drained = context.drained.clone();
     let peers = Server::bind(
         "peers",
@@ -183,9 +195,16 @@
         tokio::join!(peers.serve(&draining), admin.serve(&draining), drain);
         finished.cancel();
     };
-    let (watched, ()) = tokio::join!(
+    let followed = async {
+        tokio::select! {
+            () = cache => {}
+            () = finished.cancelled() => {}
+        }
+    };
+    let (watched, (), ()) = tokio::join!(
         shutdown.watch(common.shutdown_limit, finished.clone()),
-        serving
+        serving,
+        followed
     );
     log::info!("closed");
     watched
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -76,6 +76,12 @@
         }
     }
 
+    /// Asks for the events of its prefix cache; nothing if it publishes none.
+    pub async fn cache_events(&self) -> Option<Response<Incoming>> {
+        let response = self.control(Method::GET, "/v1/cache/events").await?;
+        response.status().is_success().then_some(response)
+    }
+
     async fn control(&self, method: Method, path: &str) -> Option<Response<Incoming>> {
         let request = Request::builder()
             .method(method)
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -4,7 +4,7 @@
     super::{dispatch::Command, task},
     crate::{configuration::catalogue::Shared, ring::Ring},
     gotham::state::StateData,
-    std::panic::RefUnwindSafe,
+    std::{panic::RefUnwindSafe, time::Duration},
     tamarackdale_core::{id::Boot, report::Report},
     tokio::sync::watch,
     tokio_util::sync::CancellationToken,
@@ -21,6 +21,8 @@
     pub tasks: task::Context,
     /// The newest report.
     pub report: watch::Receiver<Report>,
+    /// Shortest time between two reports.
+    pub report_interval: Duration,
     /// The documents in force.
     pub catalogue: Shared,
     /// Set when nothing is left to be done after closing.
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -4,12 +4,13 @@
 //! only one to change them.
 
 pub mod command;
+mod evictions;
 pub mod ledger;
 
 pub use command::{Command, Offer, Progress};
 
 use {
-    self::ledger::Ledger,
+    self::{evictions::Evictions, ledger::Ledger},
     super::task::{Handle, Message},
     crate::uptime::Clock,
     crossbeam_channel::{Receiver, RecvTimeoutError},
@@ -21,6 +22,7 @@
         failure::{Failure, Reason},
         floor::{self, Floor},
         id::{Attempt, Boot, Incarnation},
+        prefix::History,
         queue::{self, Entry, Queue},
         report::Report,
         tier::Rank,
@@ -34,6 +36,9 @@
 /// Longest time between two looks at deadlines and timeouts.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Number of the only backend server in the history of prefixes.
+const BACKEND_SERVER: usize = 0;
+
 /// Time that a router has to grant an attempt that is ready, before its slot goes to another.
 const OFFER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -65,6 +70,8 @@
     limit: Limit,
     floor: Floor,
     ledger: Ledger,
+    prefixes: History,
+    evictions: Evictions,
     tasks: HashMap<Attempt, Handle>,
     seen: HashMap<Boot, Attempt>,
 }
@@ -92,6 +99,8 @@
             limit: Limit::new(settings.batch),
             floor: Floor::new(settings.floor),
             ledger: Ledger::default(),
+            prefixes: History::default(),
+            evictions: Evictions::default(),
             tasks: HashMap::new(),
             seen: HashMap::new(),
             settings,
@@ -142,6 +151,15 @@
                 offset,
                 complete,
             } => self.acknowledge(attempt, offset, complete),
+            Command::Floor(notice) => {
+                let now = self.clock.now();
+                self.floor.merge(notice, now);
+                self.apply_floor(now);
+            }
+            Command::Evicted(prefix) => {
+                self.prefixes.evicted(prefix, BACKEND_SERVER);
+                self.evictions.add(prefix, self.clock.now());
+            }
             Command::Progressed(progress) => self.progressed(&progress),
             Command::Finished { attempt, verdict } => self.finished(attempt, verdict),
         }
@@ -211,7 +229,7 @@
             return Err(failure);
         };
         self.table.grant(attempt, boot, now)?;
-        self.ledger.start(attempt);
+        self.ledger.start(attempt, &mut self.prefixes, now);
         self.limit.started(now);
         permit.send(Message::Start);
         log::debug!(attempt:% = attempt, running = self.limit.running(); "dispatched");
@@ -286,14 +304,11 @@
             self.close(now);
         }
         self.apply_floor(now);
-        let rates = self.limit.rates(now);
-        for (entry, failure) in self.queue.expire(now, rates) {
-            self.void(entry.attempt, failure, now);
-        }
         for attempt in self.ledger.overdue(now, OFFER_TIMEOUT) {
             self.void(attempt, Failure::not_run(Reason::Void), now);
         }
         self.offer_next(now);
+        self.expire(now);
         for attempt in self.table.sweep(now) {
             self.tasks.remove(&attempt);
         }
@@ -320,6 +335,14 @@
         }
     }
 
+    /// Answers what can no longer meet its deadline, also what was passed over just now.
+    fn expire(&mut self, now: Timestamp) {
+        let rates = self.limit.rates(now);
+        for (entry, failure) in self.queue.expire(now, rates) {
+            self.void(entry.attempt, failure, now);
+        }
+    }
+
     /// Hands back all that waits, once.
     fn close(&mut self, now: Timestamp) {
         if self.closed {
@@ -387,7 +410,7 @@
         }
     }
 
-    fn publish(&self, now: Timestamp) {
+    fn publish(&mut self, now: Timestamp) {
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
             service: self.settings.service.clone(),
@@ -399,7 +422,7 @@
             running_tokens: self.ledger.running_tokens(),
             waiting: self.queue.work(),
             rates: self.limit.rates(now),
-            evicted_prefixes: Vec::new(),
+            evicted_prefixes: self.evictions.recent(now),
             seen: self.seen.values().copied().collect(),
         };
         self.report.send_if_modified(|published| {
--- a/daemon/src/sidecar/dispatch/command.rs
+++ b/daemon/src/sidecar/dispatch/command.rs
@@ -61,6 +61,10 @@
         /// Whether that is all.
         complete: bool,
     },
+    /// A router tells the shed floor.
+    Floor(Notice),
+    /// The backend server's cache has evicted a prefix.
+    Evicted(u64),
     /// A running attempt's answer has grown.
     Progressed(Progress),
     /// A running attempt has ended.
--- a/daemon/src/sidecar/dispatch/ledger.rs
+++ b/daemon/src/sidecar/dispatch/ledger.rs
@@ -1,14 +1,15 @@
 //! Attempts that are ready or running.
 
 use {
+    super::BACKEND_SERVER,
     std::{collections::HashMap, time::Duration},
-    tamarackdale_core::{id::Attempt, queue::Entry, tier::Rank, time::Timestamp},
+    tamarackdale_core::{id::Attempt, prefix::History, queue::Entry, tier::Rank, time::Timestamp},
 };
 
 /// A running attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Run {
-    /// Tokens to prefill.
+    /// Tokens to prefill, without those believed to be cached.
     pub prefill_tokens: u32,
     /// Tokens still to be generated.
     pub remaining_tokens: u32,
@@ -63,11 +64,15 @@
     }
 
     /// Notes that an attempt has been dispatched.
-    pub fn start(&mut self, attempt: Attempt) {
+    ///
+    /// What its prompt has in common with earlier ones is taken to be cached.
+    pub fn start(&mut self, attempt: Attempt, prefixes: &mut History, now: Timestamp) {
         if let Some(offered) = self.offered.remove(&attempt) {
             let cost = &offered.entry.cost;
+            let cached = prefixes.blocks_at(&cost.prefixes, BACKEND_SERVER);
+            prefixes.dispatched(&cost.prefixes, BACKEND_SERVER, now);
             let run = Run {
-                prefill_tokens: cost.prefill_tokens,
+                prefill_tokens: cost.uncached_tokens(cached),
                 remaining_tokens: cost.decode_tokens,
             };
             self.runs.insert(attempt, run);
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -31,7 +31,7 @@
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
         Frame, Report, codec,
-        message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, Granted, Resume},
         path,
     },
     tokio::time::{sleep, timeout},
@@ -40,8 +40,8 @@
 /// Room for the parts of a message besides the request's body, in bytes.
 const ENVELOPE_BYTES: usize = 256 * 1024;
 
-/// Shortest and longest time between two reports.
-const REPORT_INTERVALS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
+/// Longest time between two reports, unless the shortest is longer.
+const REPORT_HEARTBEAT: Duration = Duration::from_secs(1);
 
 /// The router of the peer listener.
 pub fn routes(context: Context) -> Router {
@@ -53,6 +53,7 @@
         route.post(path::RESUME).to_async(resume);
         route.post(path::CANCEL).to_async(cancel);
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
+        route.post(path::FLOOR).to_async(floor);
         route.get(path::REPORTS).to_async(reports);
         route
             .get(&format!("{}/:service", path::DOCUMENTS))
@@ -179,6 +180,18 @@
     Ok((state, response))
 }
 
+async fn floor(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Floor>(&context, &mut state).await {
+        Ok(floor) => match context.dispatch.send(Command::Floor(floor.into())) {
+            Ok(()) => body::status(StatusCode::NO_CONTENT),
+            Err(_) => body::status(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
 async fn reports(state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let response = Response::new(body::stream(report_stream(context)));
@@ -205,10 +218,10 @@
 }
 
 async fn next_report(context: &mut Context) {
-    let (shortest, longest) = REPORT_INTERVALS;
-    sleep(shortest).await;
+    sleep(context.report_interval).await;
+    let rest = REPORT_HEARTBEAT.saturating_sub(context.report_interval);
     // Without a change the old report is sent again, as a heartbeat.
-    let _ = timeout(longest - shortest, context.report.changed()).await;
+    let _ = timeout(rest, context.report.changed()).await;
 }
 
 fn frames(context: &Context, handle: Handle, position: Position) -> Response<Body> {
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -4,7 +4,8 @@
     crate::{failure::Failure, frame::Header, id::Attempt},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
-    tamarackdale_core::cost,
+    std::time::Duration,
+    tamarackdale_core::{cost, floor, tier::Rank},
 };
 
 /// Offers a request to a sidecar. It gives no right to run.
@@ -112,6 +113,33 @@
     pub complete: bool,
 }
 
+/// Tells the shed floor that is to be in force.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Floor {
+    /// The least urgent rank that is served.
+    pub rank: u8,
+    /// Time until the floor is lowered, in milliseconds.
+    pub remaining_ms: u32,
+}
+
+impl From<floor::Notice> for Floor {
+    fn from(notice: floor::Notice) -> Self {
+        Self {
+            rank: notice.rank.0,
+            remaining_ms: u32::try_from(notice.remaining.as_millis()).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl From<Floor> for floor::Notice {
+    fn from(floor: Floor) -> Self {
+        Self {
+            rank: Rank(floor.rank),
+            remaining: Duration::from_millis(floor.remaining_ms.into()),
+        }
+    }
+}
+
 /// A service document with its place in the store's history.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -15,6 +15,9 @@
 /// `POST` [`crate::message::Acknowledge`]; answers with an empty body.
 pub const ACKNOWLEDGE: &str = "/v1/acknowledge";
 
+/// `POST` [`crate::message::Floor`]; answers with an empty body.
+pub const FLOOR: &str = "/v1/floor";
+
 /// `GET`; answers with an endless stream of [`crate::Report`]s.
 pub const REPORTS: &str = "/v1/reports";
 
