Prefill is given to the engine only a little ahead, and counts in the prediction

Change: a sidecar offers no further request while running ones have more than 0.2 s of prefill left, so that a more urgent one can still pass; reports tell the tokens still to be prefilled.

--- a/core/benches/route.rs
+++ b/core/benches/route.rs
@@ -42,6 +42,7 @@
         limit: 16,
         running: 10 + number as u32 % 7,
         running_tokens: 2_000,
+        unprefilled_tokens: 0,
         waiting: vec![work; 5],
         rates: Rates::new(4_000.0, 30.0),
         evicted_prefixes: Vec::new(),
--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -59,6 +59,9 @@
     }
 }
 
+/// Prefill that is given to the engine ahead of time.
+const PREFILL_AHEAD_S: f64 = 0.2;
+
 /// Part of the limit by which the most urgent rank may exceed it.
 const URGENT_EXCESS: f64 = 0.25;
 
@@ -117,6 +120,14 @@
         limit_for(self.current(), rank)
     }
 
+    /// Whether another request may start although running ones still have so many tokens to
+    /// prefill. Engines prefill in the order of arrival, so that a request that starts early only
+    /// waits there instead of here, where more urgent ones can pass it.
+    pub fn has_prefill_room(&self, unprefilled_tokens: u32, now: Timestamp) -> bool {
+        let ahead_s = f64::from(unprefilled_tokens) / self.rates(now).prefill;
+        !self.settings.is_adaptive || ahead_s < PREFILL_AHEAD_S
+    }
+
     /// Measured speed of the backend server, for one request at the present batch.
     pub fn rates(&self, now: Timestamp) -> Rates {
         self.meter.rates(self.running > 0, now)
--- a/core/src/route/sidecar.rs
+++ b/core/src/route/sidecar.rs
@@ -99,6 +99,7 @@
     ) -> Prediction {
         let rates = self.report.rates;
         let mut ahead = self.waiting_before(request);
+        ahead.prefill += f64::from(self.report.unprefilled_tokens);
         if corrects_report {
             self.add_unreported(&mut ahead, request.rank);
         }
--- a/core/tests/batch.rs
+++ b/core/tests/batch.rs
@@ -168,3 +168,14 @@
 
     assert_eq!(limit.admits(Rank(rank)), admitted);
 }
+
+#[test]
+fn prefill_is_given_to_the_engine_only_a_little_ahead() {
+    let limit = Limit::new(Settings {
+        rates: Rates::new(4_000.0, 30.0),
+        ..Settings::default()
+    });
+
+    assert!(limit.has_prefill_room(700, Timestamp::START));
+    assert!(!limit.has_prefill_room(900, Timestamp::START));
+}
--- a/core/tests/route.rs
+++ b/core/tests/route.rs
@@ -43,6 +43,7 @@
         limit: 8,
         running: 0,
         running_tokens: 0,
+        unprefilled_tokens: 0,
         waiting: Vec::new(),
         rates: Rates::new(1_000.0, 10.0),
         evicted_prefixes: Vec::new(),
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -131,6 +131,7 @@
         limit: batch.initial,
         running: 0,
         running_tokens: 0,
+        unprefilled_tokens: 0,
         waiting: Vec::new(),
         rates: Rates::new(batch.rates.prefill, batch.rates.decode),
         evicted_prefixes: Vec::new(),
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -320,7 +320,9 @@
         let rates = self.limit.rates(now);
         while let Some(rank) = self.queue.peek().map(|entry| entry.rank) {
             let taken = self.limit.running() + self.ledger.offered();
-            if taken >= self.limit.limit_for(rank) {
+            let unprefilled = self.ledger.unprefilled_tokens();
+            if taken >= self.limit.limit_for(rank) || !self.limit.has_prefill_room(unprefilled, now)
+            {
                 return;
             }
             let Some(entry) = self.queue.pop(now, rates) else {
@@ -420,6 +422,7 @@
             limit: self.limit.current(),
             running: self.limit.running(),
             running_tokens: self.ledger.running_tokens(),
+            unprefilled_tokens: self.ledger.unprefilled_tokens(),
             waiting: self.queue.work(),
             rates: self.limit.rates(now),
             evicted_prefixes: self.evictions.recent(now),
--- a/wire/tests/report.rs
+++ b/wire/tests/report.rs
@@ -23,6 +23,7 @@
         limit: 16,
         running: 4,
         running_tokens: 400,
+        unprefilled_tokens: 90,
         waiting: vec![report::Work {
             requests: 2,
             prefill_tokens: 30,
