Past values, store keys, process status and remembered decisions

Cause: a refused edit has to show what another operator changed since the edited revision, and operators need to see which process holds what. The gateway's messages and the stand-in's operations are split by job. A danger that cannot arise, a renamed service, is dropped: the service is the key.

--- a/core/src/document/change.rs
+++ b/core/src/document/change.rs
@@ -25,25 +25,11 @@
     /// Backend servers are now taken to refuse old orders.
     #[display("backend servers are now taken to obey fencing numbers")]
     FencingTrusted,
-    /// The document is of another service.
-    #[display("the service is renamed from {from} to {to}")]
-    Renamed {
-        /// The old name.
-        from: String,
-        /// The new name.
-        to: String,
-    },
 }
 
 /// The dangerous differences from one version of a document to the next.
 pub fn dangers(old: &Document, new: &Document) -> Vec<Danger> {
     let mut dangers = Vec::new();
-    if old.service != new.service {
-        dangers.push(Danger::Renamed {
-            from: old.service.clone(),
-            to: new.service.clone(),
-        });
-    }
     dangers.extend(removed_tiers(old, new));
     dangers.extend(removed_actions(old, new));
     dangers.extend(removed_organisations(old, new));
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -2,6 +2,7 @@
 
 mod fault;
 mod gateway;
+mod operation;
 mod rate;
 mod state;
 mod watch;
--- a/testbed/src/store/state.rs
+++ b/testbed/src/store/state.rs
@@ -71,6 +71,20 @@
         self.records.get(key)
     }
 
+    /// A key as it was at a past revision. Its creation and lease are not told.
+    pub fn record_at(&self, key: &[u8], revision: i64) -> Option<Record> {
+        let write = self
+            .history
+            .iter()
+            .rfind(|write| write.key == key && write.revision <= revision)?;
+        Some(Record {
+            value: write.value.clone()?,
+            create_revision: 0,
+            mod_revision: write.revision,
+            lease: 0,
+        })
+    }
+
     /// Writes one key at a revision of its own.
     pub fn put(&mut self, key: &[u8], value: &[u8]) -> i64 {
         self.put_at(self.revision + 1, key, value, 0)
--- a/testbed/src/store/watch.rs
+++ b/testbed/src/store/watch.rs
@@ -3,7 +3,8 @@
 use {
     super::{
         Write,
-        gateway::{Gateway, blob, header, integer},
+        gateway::{Gateway, header},
+        operation::{blob, integer},
     },
     crate::host::Body,
     base64::{Engine as _, engine::general_purpose::STANDARD},
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod message;
 pub mod path;
 pub mod report;
+pub mod status;
 
-pub use {frame::Frame, report::Report};
+pub use {frame::Frame, report::Report, status::Status};
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -21,3 +21,10 @@
 /// `GET` with the service's name as last segment; answers with the newest
 /// [`crate::message::Document`] that the process has.
 pub const DOCUMENTS: &str = "/v1/documents";
+
+/// `GET`; answers with the [`crate::Status`] of the process.
+pub const STATUS: &str = "/v1/status";
+
+/// `GET` with a request's identifier as last segment, percent-encoded; answers with the
+/// [`crate::status::Decision`]s that the router remembers, oldest first.
+pub const DECISIONS: &str = "/v1/decisions";
