--- /dev/null
+++ b/client/src/command/get.rs
@@ -0,0 +1,41 @@
+//! `get`: prints a document with the revision that it is edited from.
+
+use {
+    crate::{
+        command::{store, unreadable},
+        header::Headed,
+        outcome::{Code, Outcome},
+        retry,
+        settings::Settings,
+    },
+    serde::Serialize,
+    tamarackdale_platform::key,
+};
+
+#[derive(Serialize)]
+struct Version {
+    service: String,
+    revision: i64,
+    text: String,
+}
+
+/// Runs the command.
+pub(super) async fn run(settings: &Settings, service: &str) -> Result<Outcome, Outcome> {
+    let client = store(settings);
+    let key = key::document(service);
+    let entry = retry::read(|| client.get(&key))
+        .await
+        .map_err(|error| unreadable(&error))?
+        .ok_or_else(|| {
+            let text = format!("there is no document of service {service}");
+            Outcome::failed(Code::NotFound, text)
+        })?;
+    let headed = Headed::new(&String::from_utf8_lossy(&entry.value));
+    let text = headed.for_editing(entry.revision);
+    let version = Version {
+        service: service.to_owned(),
+        revision: entry.revision,
+        text: headed.body,
+    };
+    Ok(Outcome::done(text, &version))
+}
--- /dev/null
+++ b/client/src/difference.rs
@@ -0,0 +1,15 @@
+//! Differences between two versions of a document.
+
+use similar::TextDiff;
+
+/// Lines shown around each change.
+const CONTEXT_LINES: usize = 2;
+
+/// The changed lines with their surroundings, in unified form; empty for equal texts.
+pub fn unified(old: &str, new: &str, old_name: &str, new_name: &str) -> String {
+    TextDiff::from_lines(old, new)
+        .unified_diff()
+        .context_radius(CONTEXT_LINES)
+        .header(old_name, new_name)
+        .to_string()
+}
--- a/client/src/main.rs
+++ b/client/src/main.rs
@@ -1,3 +1,7 @@
-//! Placeholder entry point.
+//! Entry point of `tamarackdale`.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    tamarackdale::cli::run()
+}
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -118,6 +118,12 @@
     }
 }
 
+/// An answer with a whole binary body.
+pub fn bytes(bytes: Bytes) -> Response<Body> {
+    let body = Full::from(bytes).map_err(|never| match never {});
+    Response::new(body.boxed_unsync())
+}
+
 /// An answer with a whole JSON body.
 pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
     let body = Full::from(value.to_string())
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,4 +2,6 @@
 
 pub mod host;
 pub mod list;
+pub mod operator;
+pub mod peer;
 pub mod store;
