Adoption, spreading plan and quorum as pure decisions

Cause: documents reach a process from several sides, late and out of order, and most processes must learn of changes without calls of the store. Change: adoption::Register puts only newer, valid versions in force and remembers refused ones; spread names the instances that watch the store (two a data centre, one more per 64 instances) and whom each instance follows; quorum says which revision a starting process may trust without the store; rendezvous makes the choices. With 2,964 instances in 13 data centres 52 watch, and a change known to any one of them reaches all. Conclusion: store calls grow with watchers, not with processes.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! an argument ([`time::Timestamp`]) and so is the seeded generator, which makes every decision
 //! repeatable in a test.
 
+pub mod adoption;
 pub mod attempt;
 pub mod batch;
 pub mod breaker;
@@ -17,9 +18,12 @@
 pub mod id;
 pub mod limit;
 pub mod queue;
+pub mod quorum;
+pub mod rendezvous;
 pub mod report;
 pub mod retry;
 pub mod route;
+pub mod spread;
 pub mod tier;
 pub mod time;
 pub mod verdict;
--- /dev/null
+++ b/core/src/quorum.rs
@@ -0,0 +1,31 @@
+//! Which revision a starting process may trust when only peers can be asked.
+
+use crate::document::Revision;
+
+/// What a peer answers about one service's document.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It has this revision in force.
+    Holds(Revision),
+    /// It has no document of the service.
+    HoldsNone,
+    /// It did not answer.
+    Silent,
+}
+
+/// The newest revision that the peers hold, if a majority of those that may hold one answered.
+///
+/// An accepted change is in force everywhere within seconds, so a majority knows it; a single peer
+/// may have been paused.
+pub fn newest(answers: &[Answer]) -> Option<Revision> {
+    let held = answers.iter().filter_map(|answer| match answer {
+        Answer::Holds(revision) => Some(*revision),
+        Answer::HoldsNone | Answer::Silent => None,
+    });
+    let holders = held.clone().count();
+    let silent = answers
+        .iter()
+        .filter(|answer| **answer == Answer::Silent)
+        .count();
+    held.max().filter(|_| holders > silent)
+}
--- /dev/null
+++ b/core/tests/adoption.rs
@@ -0,0 +1,92 @@
+//! Documents offered in any order: the revision in force never goes back.
+
+use {
+    proptest::prelude::*,
+    rstest::rstest,
+    tamarackdale_core::{
+        adoption::{Adoption, Register},
+        document::{Revision, example},
+        quorum::{self, Answer},
+    },
+};
+
+const SERVICE: &str = "ordre-app";
+
+/// A valid text for most revisions, a broken or misplaced one for some.
+fn text(revision: i64) -> String {
+    match revision % 7 {
+        3 => "broken".to_owned(),
+        5 => example::DISPATCH_APP.text.to_owned(),
+        _ => format!("{}# {revision}\n", example::ORDRE_APP.text),
+    }
+}
+
+fn is_valid(revision: i64) -> bool {
+    ![3, 5].contains(&(revision % 7))
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(6),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn revision_in_force_never_goes_back(offers in prop::collection::vec(1_i64..40, 1..60)) {
+        let mut register = Register::new();
+        let mut newest_offered = 0;
+        let mut in_force = Revision(0);
+
+        for revision in offers {
+            register.offer(SERVICE, Revision(revision), &text(revision));
+
+            let now = register.revision(SERVICE);
+            prop_assert!(now >= in_force);
+            if is_valid(revision) && revision > newest_offered {
+                prop_assert_eq!(now, Revision(revision));
+            }
+            newest_offered = newest_offered.max(revision);
+            in_force = now;
+        }
+
+        let version = register.get(SERVICE);
+        prop_assert!(version.is_none_or(|version| version.text == text(version.revision.0)));
+        prop_assert!(!register.is_newer(SERVICE, Revision(newest_offered)));
+    }
+}
+
+#[test]
+fn broken_version_leaves_the_one_before_in_force() {
+    let mut register = Register::new();
+    register.offer(SERVICE, Revision(1), &text(1));
+
+    let broken = register.offer(SERVICE, Revision(2), "broken");
+    let misplaced = register.offer(SERVICE, Revision(3), example::DISPATCH_APP.text);
+    let repeated = register.offer(SERVICE, Revision(3), example::DISPATCH_APP.text);
+    let mended = register.offer(SERVICE, Revision(4), &text(4));
+
+    assert!(matches!(broken, Adoption::Refused(_)));
+    assert_eq!(misplaced, Adoption::Misplaced("dispatch-app".to_owned()));
+    assert_eq!(repeated, Adoption::NotNewer);
+    assert_eq!(
+        (mended, register.revision(SERVICE)),
+        (Adoption::Adopted, Revision(4))
+    );
+}
+
+#[rstest]
+#[case::nobody(&[], None)]
+#[case::all_silent(&[Answer::Silent, Answer::Silent], None)]
+#[case::newest_wins(&[held(4), held(7), held(7)], Some(7))]
+#[case::half_is_too_few(&[held(7), Answer::Silent], None)]
+#[case::majority(&[held(7), held(6), Answer::Silent], Some(7))]
+#[case::others_do_not_count(&[held(7), Answer::HoldsNone, Answer::HoldsNone], Some(7))]
+#[case::none_is_held(&[Answer::HoldsNone, Answer::HoldsNone], None)]
+fn starting_process_trusts_a_majority(#[case] answers: &[Answer], #[case] expected: Option<i64>) {
+    assert_eq!(quorum::newest(answers), expected.map(Revision));
+}
+
+fn held(revision: i64) -> Answer {
+    Answer::Holds(Revision(revision))
+}
--- /dev/null
+++ b/core/tests/spread.rs
@@ -0,0 +1,120 @@
+//! Who follows whom: every instance is reached, by few hops and few calls of the store.
+
+use {
+    rstest::rstest,
+    std::collections::{HashMap, HashSet},
+    tamarackdale_core::{
+        rendezvous,
+        spread::{self, Candidate},
+    },
+};
+
+fn fleet(data_centres: usize, instances: usize) -> Vec<Candidate> {
+    (0..data_centres * instances)
+        .map(|index| Candidate {
+            instance: format!("instance-{index}"),
+            data_centre: format!("dc-{}", index % data_centres),
+        })
+        .collect()
+}
+
+#[rstest]
+#[case::one(1, 1, 1)]
+#[case::two_processes(1, 2, 2)]
+#[case::today(3, 8, 6)]
+#[case::target(13, 228, 52)]
+fn changes_reach_everybody_from_any_watcher(
+    #[case] data_centres: usize,
+    #[case] instances: usize,
+    #[case] watching: usize,
+) {
+    let fleet = fleet(data_centres, instances);
+
+    let watchers = spread::all_watchers(&fleet);
+    let sources: HashMap<&str, HashSet<&str>> = fleet
+        .iter()
+        .map(|own| {
+            let sources = spread::sources(&fleet, own);
+            (
+                own.instance.as_str(),
+                sources
+                    .iter()
+                    .map(|source| source.instance.as_str())
+                    .collect(),
+            )
+        })
+        .collect();
+
+    assert_eq!(watchers.len(), watching);
+    for start in &watchers {
+        assert_eq!(reached(start, &fleet, &sources), fleet.len(), "{start:?}");
+    }
+    for (own, sources) in &sources {
+        assert!(!sources.contains(own));
+        assert!(sources.len() <= spread::LOCAL_SOURCES + spread::REMOTE_SOURCES);
+    }
+    let followers = |name: &str| sources.values().filter(|of| of.contains(name)).count();
+    let most = fleet.iter().map(|own| followers(&own.instance)).max();
+    assert!(most <= Some(4 * spread::INSTANCES_PER_WATCHER), "{most:?}");
+}
+
+/// Number of instances that a change known to `start` alone reaches.
+fn reached(
+    start: &Candidate,
+    fleet: &[Candidate],
+    sources: &HashMap<&str, HashSet<&str>>,
+) -> usize {
+    let mut known = HashSet::from([start.instance.as_str()]);
+    loop {
+        let before = known.len();
+        for own in fleet {
+            if sources[own.instance.as_str()]
+                .iter()
+                .any(|source| known.contains(source))
+            {
+                known.insert(&own.instance);
+            }
+        }
+        if known.len() == before {
+            return before;
+        }
+    }
+}
+
+#[test]
+fn a_lost_watcher_moves_only_its_own_place() {
+    let fleet = fleet(1, 20);
+    let before: Vec<Candidate> = spread::watchers(&fleet, "dc-0")
+        .into_iter()
+        .cloned()
+        .collect();
+
+    let rest: Vec<Candidate> = fleet
+        .into_iter()
+        .filter(|candidate| *candidate != before[0])
+        .collect();
+    let after = spread::watchers(&rest, "dc-0");
+
+    assert_eq!(after.len(), before.len());
+    assert!(after.contains(&&before[1]));
+}
+
+#[test]
+fn choice_is_even_and_independent_of_order() {
+    let names: Vec<String> = (0..10).map(|index| format!("instance-{index}")).collect();
+    let reversed: Vec<String> = names.iter().rev().cloned().collect();
+    let mut chosen: HashMap<&str, usize> = HashMap::new();
+
+    for key in 0..1_000 {
+        let key = key.to_string();
+        let one = rendezvous::choose(&key, &names, String::as_str, 1);
+        let other = rendezvous::choose(&key, &reversed, String::as_str, 1);
+        assert_eq!(one, other);
+        *chosen.entry(one[0]).or_default() += 1;
+    }
+
+    assert!(
+        chosen.values().all(|count| (50..200).contains(count)),
+        "{chosen:?}"
+    );
+}
