--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod http;
 pub mod list;
 pub mod load;
+pub mod operator;
+pub mod peer;
 pub mod plain;
 pub mod process;
 pub mod proxy;
