--- a/testbed/src/deployment/router.rs
+++ b/testbed/src/deployment/router.rs
@@ -60,6 +60,20 @@
         Ok(router)
     }
 
+    /// Ends the process at once; its proxy then refuses connections as the dead process does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn kill(&mut self) -> Result<(), process::Fault> {
+        self.process.kill()?;
+        if let Some(proxy) = &self.entry_proxy {
+            proxy.refuse(true);
+            proxy.cut();
+        }
+        Ok(())
+    }
+
     /// Starts the router anew, after its process has ended; behind a proxy it keeps its address
     /// for callers.
     ///
@@ -70,7 +84,7 @@
         self.process = Process::new(&self.name, "tamarackdaled", &self.arguments)?;
         let listener = self.process.wait_for_listener("callers", START_LIMIT)?;
         match &self.entry_proxy {
-            Some(proxy) => proxy.set_target(listener),
+            Some(proxy) => proxy.lead_to(listener),
             None => self.callers = listener,
         }
         self.peers = self.process.wait_for_listener("peers", START_LIMIT)?;
--- a/testbed/src/deployment/sidecar.rs
+++ b/testbed/src/deployment/sidecar.rs
@@ -93,6 +93,20 @@
         Ok(sidecar)
     }
 
+    /// Ends the process at once; its proxy then refuses connections as the dead process does.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the operating system refuses.
+    pub fn kill(&mut self) -> Result<(), process::Fault> {
+        self.process.kill()?;
+        if let Some(proxy) = &self.peer_proxy {
+            proxy.refuse(true);
+            proxy.cut();
+        }
+        Ok(())
+    }
+
     /// Starts the sidecar anew, after its process has ended; behind a proxy it keeps its address.
     ///
     /// # Errors
@@ -103,7 +117,7 @@
         let listener = self.process.wait_for_listener("peers", START_LIMIT)?;
         self.admin = self.process.wait_for_listener("admin", START_LIMIT)?;
         match &self.peer_proxy {
-            Some(proxy) => proxy.set_target(listener),
+            Some(proxy) => proxy.lead_to(listener),
             None => self.peers = listener,
         }
         list.set(self.instance(false));
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -1,6 +1,7 @@
 //! HTTP host of the platform's stand-ins: a port that can be closed and opened again.
 
 use {
+    crate::port::Port,
     bytes::Bytes,
     derive_more::{Display, Error},
     http_body_util::{BodyExt as _, Full, combinators::UnsyncBoxBody},
@@ -15,15 +16,12 @@
         thread,
     },
     tokio::{
-        net::{TcpListener, TcpSocket},
+        net::TcpListener,
         sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
         task::JoinSet,
     },
 };
 
-/// Connections that may wait to be accepted.
-const BACKLOG: u32 = 1024;
-
 /// Body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -61,20 +59,15 @@
             .thread_name(name)
             .enable_all()
             .build()?;
-        // This socket never listens; it keeps the port while the host is closed.
-        let reservation = {
-            let _context = runtime.enter();
-            bind(SocketAddr::from(([127, 0, 0, 1], 0)))?
-        };
-        let address = reservation.local_addr()?;
+        let port = Port::new()?;
+        let address = port.address();
         let listener = {
             let _context = runtime.enter();
-            bind(address)?.listen(BACKLOG)?
+            port.listen()?
         };
         let (orders, receiver) = unbounded_channel();
         let thread = thread::Builder::new().name(name.into()).spawn(move || {
-            runtime.block_on(run(address, listener, receiver, handler));
-            drop(reservation);
+            runtime.block_on(run(port, listener, receiver, handler));
             runtime.shutdown_background();
         })?;
         Ok(Self {
@@ -128,15 +121,8 @@
     response
 }
 
-fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
-}
-
 async fn run<H, F>(
-    address: SocketAddr,
+    port: Port,
     listener: TcpListener,
     mut orders: UnboundedReceiver<Order>,
     handler: H,
@@ -162,7 +148,7 @@
                     let _ = done.send(());
                 }
                 Some(Order::Open(done)) => {
-                    listener = listener.or_else(|| bind(address).ok()?.listen(BACKLOG).ok());
+                    listener = listener.or_else(|| port.listen().ok());
                     let _ = done.send(());
                 }
             },
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod list;
 pub mod load;
 pub mod plain;
+mod port;
 pub mod process;
 pub mod proxy;
 pub mod sse;
--- a/testbed/src/proxy.rs
+++ b/testbed/src/proxy.rs
@@ -6,15 +6,23 @@
 mod pump;
 
 use {
+    crate::port::Port,
     pump::Link,
     std::{
+        future::pending,
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            mpsc::{SyncSender, sync_channel},
+        },
         thread,
         time::Duration,
     },
-    tokio::{net::TcpListener, sync::oneshot},
+    tokio::{
+        net::{TcpListener, TcpStream},
+        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    },
 };
 
 /// What happens to the bytes of one direction of a connection.
@@ -103,15 +111,20 @@
 pub struct Proxy {
     address: SocketAddr,
     state: Arc<Mutex<State>>,
-    stop: Option<oneshot::Sender<()>>,
+    orders: Option<UnboundedSender<Order>>,
     thread: Option<thread::JoinHandle<()>>,
 }
 
+/// Says whether new connections are refused, and by the channel when that is so.
+struct Order {
+    refusing: bool,
+    done: SyncSender<()>,
+}
+
 /// What the proxy's thread and its owner share.
 #[derive(Default)]
 pub(crate) struct State {
     target: Option<SocketAddr>,
-    refusing: bool,
     accepted: u64,
     faults: Faults,
     links: Vec<Link>,
@@ -129,35 +142,31 @@
         Ok(proxy)
     }
 
-    /// Starts a proxy that refuses connections until it has a target.
+    /// Starts a proxy that resets connections until it has a target.
     ///
     /// # Errors
     ///
     /// Fails when no port or thread can be had.
     pub fn unconnected() -> io::Result<Self> {
-        let listener = std::net::TcpListener::bind("127.0.0.1:0")?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
         let runtime = tokio::runtime::Builder::new_current_thread()
             .enable_all()
             .build()?;
-        let (stop, stopped) = oneshot::channel();
+        let port = Port::new()?;
+        let address = port.address();
+        let listener = {
+            let _context = runtime.enter();
+            port.listen()?
+        };
+        let (orders, receiver) = unbounded_channel();
         let thread = thread::Builder::new()
             .name("proxy".to_owned())
-            .spawn(move || {
-                runtime.block_on(async move {
-                    tokio::select! {
-                        _ = accept(listener, shared) => {}
-                        _ = stopped => {}
-                    }
-                });
-            })?;
+            .spawn(move || runtime.block_on(run(port, listener, receiver, shared)))?;
         Ok(Self {
             address,
             state,
-            stop: Some(stop),
+            orders: Some(orders),
             thread: Some(thread),
         })
     }
@@ -172,6 +181,12 @@
         lock(&self.state).target = Some(target);
     }
 
+    /// Leads new connections to a process started anew, and accepts them again.
+    pub fn lead_to(&self, target: SocketAddr) {
+        self.set_target(target);
+        self.refuse(false);
+    }
+
     /// Connections accepted so far.
     pub fn accepted(&self) -> u64 {
         lock(&self.state).accepted
@@ -210,15 +225,31 @@
         }
     }
 
-    /// Whether new connections are reset at once.
+    /// Refuses new connections, as a host does on which nobody listens, or accepts them again.
     pub fn refuse(&self, refusing: bool) {
-        lock(&self.state).refusing = refusing;
+        let (done, wait) = sync_channel(1);
+        if let Some(orders) = &self.orders {
+            // A proxy that has ended needs no order.
+            let _ = orders.send(Order { refusing, done });
+            let _ = wait.recv();
+        }
+    }
+}
+
+impl State {
+    fn accept(&mut self, stream: TcpStream) {
+        self.accepted += 1;
+        self.links.retain(Link::is_open);
+        match self.target {
+            Some(target) => self.links.push(Link::new(stream, target, self.faults)),
+            None => pump::reset(&stream),
+        }
     }
 }
 
 impl Drop for Proxy {
     fn drop(&mut self) {
-        drop(self.stop.take());
+        self.orders = None;
         if let Some(thread) = self.thread.take() {
             // A panic of the proxy's thread was already printed by the panic hook.
             let _ = thread.join();
@@ -226,20 +257,33 @@
     }
 }
 
-async fn accept(listener: std::net::TcpListener, state: Arc<Mutex<State>>) -> io::Result<()> {
-    let listener = TcpListener::from_std(listener)?;
+async fn run(
+    port: Port,
+    listener: TcpListener,
+    mut orders: UnboundedReceiver<Order>,
+    state: Arc<Mutex<State>>,
+) {
+    let mut listener = Some(listener);
     loop {
-        let (stream, _) = listener.accept().await?;
-        let mut state = lock(&state);
-        state.accepted += 1;
-        state.links.retain(Link::is_open);
-        let target = state.target.filter(|_| !state.refusing);
-        match target {
-            Some(target) => {
-                let link = Link::new(stream, target, state.faults);
-                state.links.push(link);
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => pending().await,
             }
-            None => pump::reset(&stream),
+        };
+        tokio::select! {
+            order = orders.recv() => {
+                let Some(order) = order else {
+                    return;
+                };
+                listener = match order.refusing {
+                    true => None,
+                    false => listener.or_else(|| port.listen().ok()),
+                };
+                // Whoever gave the order may have gone.
+                let _ = order.done.send(());
+            }
+            Ok((stream, _)) = accepted => lock(&state).accept(stream),
         }
     }
 }
