--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod operator;
 pub mod peer;
 pub mod plain;
+mod port;
 pub mod process;
 pub mod proxy;
 pub mod sse;
