Replace a router's own withdrawn claim without asking the sidecar

Cause: a sidecar that dies between claim and grant left its router unable to move the request, though the router knows that it never granted the attempt. Change: Machine::with_withdrawn names attempts that the router has released from its ledger; a record of one of them is replaced by revision at once.

--- a/core/src/claim/machine.rs
+++ b/core/src/claim/machine.rs
@@ -5,6 +5,7 @@
     crate::{
         attempt::Resumption,
         failure::{Failure, Reason},
+        id::Attempt,
         retry::Backoff,
         time::Timestamp,
     },
@@ -47,6 +48,8 @@
     state: State,
     /// Revision of a record whose attempt is proved void, the one to replace.
     voided: Option<Revision>,
+    /// Attempts that this router did not grant and will not.
+    withdrawn: Vec<Attempt>,
     lost: u32,
     rivals: u32,
 }
@@ -59,11 +62,19 @@
             deadline,
             state: State::Writing,
             voided: None,
+            withdrawn: Vec::new(),
             lost: 0,
             rivals: 0,
         }
     }
 
+    /// Names earlier attempts of this router that it has released from its ledger. Their records
+    /// can be replaced without asking their sidecars, which may have gone: nobody else grants them.
+    pub fn with_withdrawn(mut self, attempts: &[Attempt]) -> Self {
+        self.withdrawn = attempts.to_vec();
+        self
+    }
+
     /// The first action.
     pub fn start(&mut self) -> Step {
         self.write()
@@ -120,6 +131,9 @@
         if found.record.fingerprint != self.record.fingerprint {
             return self.fail(Failure::may_have_run(Reason::KeyReused));
         }
+        if self.withdrawn.contains(&found.record.attempt) {
+            self.voided = Some(found.revision);
+        }
         if self.voided == Some(found.revision) {
             return self.write();
         }
--- a/core/tests/claim.rs
+++ b/core/tests/claim.rs
@@ -252,3 +252,15 @@
 
     assert_eq!(step.map(|step| step.action), expected.map(Action::Fail));
 }
+
+#[test]
+fn own_withdrawn_attempt_is_replaced_without_asking() {
+    let mut machine = Machine::new(record(OUR), DEADLINE).with_withdrawn(&[attempt(OTHER)]);
+    machine.start();
+
+    let replaced = machine.handle(Event::Conflict(version(OTHER, 5)), NOW);
+    let granted = machine.handle(Event::Written, NOW);
+
+    assert_eq!(replaced.map(|step| step.action), Some(replace(5)));
+    assert_eq!(granted.map(|step| step.action), Some(Action::Grant));
+}
--- a/core/tests/protocol/router.rs
+++ b/core/tests/protocol/router.rs
@@ -45,6 +45,7 @@
     ledger: Ledger,
     claim: Option<(Machine, Attempt)>,
     granted: Option<Attempt>,
+    withdrawn: Vec<Attempt>,
     pending: Option<Pending>,
     call: u8,
     pub told: Option<Told>,
@@ -58,6 +59,7 @@
             ledger: Ledger::new(),
             claim: None,
             granted: None,
+            withdrawn: Vec::new(),
             pending: None,
             call: 0,
             told: None,
@@ -98,6 +100,7 @@
     fn release(&mut self, attempt: Attempt) {
         self.ledger.release(attempt);
         self.granted = None;
+        self.withdrawn.push(attempt);
     }
 }
 
@@ -199,7 +202,8 @@
             attempt,
             fingerprint: FINGERPRINT,
         };
-        let mut machine = Machine::new(record, DEADLINE);
+        let withdrawn = &self.routers[index].withdrawn;
+        let mut machine = Machine::new(record, DEADLINE).with_withdrawn(withdrawn);
         let action = machine.start().action;
         self.routers[index].claim = Some((machine, attempt));
         self.act(index, action);
