Non-idempotent work runs to its end; large files split

Cause: a caller that went away cancelled a booking half-way in tiers that cancel, so that its retry could only be told may-have-run. Ruled out: leaving it to the tier's setting; an action that may not be repeated must not be broken off. Change: once dispatched, non-idempotent requests run to their end and keep their answer. inbound.rs and task.rs split by concept.

--- a/daemon/src/router/inbound.rs
+++ b/daemon/src/router/inbound.rs
@@ -1,66 +1,20 @@
 //! A caller's request, checked against its service's document.
 
+pub mod caller;
+mod estimate;
+
+pub use caller::{Caller, Head};
+
 use {
-    super::refusal::Invalid,
-    crate::configuration::catalogue::{Catalogue, Version},
+    crate::configuration::catalogue::Version,
     bytes::Bytes,
-    gotham::hyper::{HeaderMap, Method, Uri, header::AUTHORIZATION},
-    rand::Rng as _,
-    serde::Deserialize,
-    std::{borrow::Cow, sync::Arc, time::Duration},
-    tamarackdale_core::{
-        cost::Cost,
-        digest,
-        document::{
-            Kind, Organisation, Tier,
-            tier::{Disconnect, Late},
-        },
-        id,
-        tier::Rank,
-    },
+    gotham::hyper::Method,
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{cost::Cost, digest, id, tier::Rank},
     tamarackdale_wire::frame::Header,
     tokio::sync::OwnedSemaphorePermit,
 };
 
-/// Header that names a request.
-pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
-
-/// Header that names a tier.
-pub const TIER: &str = "tamarackdale-tier";
-
-/// Header with a deadline shorter than the tier's, in milliseconds.
-pub const DEADLINE: &str = "tamarackdale-deadline-ms";
-
-/// Longest key accepted, in bytes.
-const MAX_KEY_BYTES: usize = 255;
-
-/// Tokens assumed of an answer whose length is not bounded by the request.
-const DEFAULT_OUTPUT_TOKENS: u32 = 256;
-
-/// The parts of a model request that its cost depends on.
-#[derive(Deserialize)]
-struct ModelRequest {
-    input: Input,
-    max_output_tokens: Option<u32>,
-}
-
-/// A prompt: a text, or messages of any form.
-#[derive(Deserialize)]
-#[serde(untagged)]
-enum Input {
-    Text(String),
-    Messages(Vec<serde_json::Value>),
-}
-
-impl Input {
-    fn text(&self) -> Cow<'_, str> {
-        match self {
-            Self::Text(text) => Cow::Borrowed(text),
-            Self::Messages(messages) => messages.iter().map(ToString::to_string).collect(),
-        }
-    }
-}
-
 /// A caller's request.
 #[derive(Clone, Debug)]
 pub struct Inbound {
@@ -114,6 +68,12 @@
         !self.idempotent || (self.keyed && self.finish_alone)
     }
 
+    /// Whether the request runs to its end once it has been dispatched, whatever becomes of its
+    /// caller: an action that may not be repeated must not be broken off half-way.
+    pub fn runs_to_its_end(&self) -> bool {
+        self.finish_alone || !self.idempotent
+    }
+
     /// Checksum of all that makes the request what it is, to notice a key used twice.
     pub fn fingerprint(&self) -> u64 {
         let mut digest = digest::Digest::new();
@@ -125,189 +85,3 @@
         digest.checksum()
     }
 }
-
-/// The head of a caller's request, before its body has been read.
-pub struct Head<'a> {
-    /// HTTP method.
-    pub method: &'a Method,
-    /// Path and query as the caller sent them.
-    pub uri: &'a Uri,
-    /// HTTP headers.
-    pub headers: &'a HeaderMap,
-}
-
-/// What the head alone tells: who asks for what.
-pub struct Caller {
-    version: Arc<Version>,
-    organisation: Organisation,
-    rank: Rank,
-    tier: Tier,
-    deadline: Duration,
-    key: Option<String>,
-    path: String,
-}
-
-impl Caller {
-    /// Finds service, organisation, tier, deadline and key.
-    ///
-    /// Fails with the part of the request that is at fault.
-    pub fn check(head: &Head<'_>, catalogue: &Catalogue) -> Result<Self, Invalid> {
-        let (service, path) = split(head.uri).ok_or(Invalid::Service)?;
-        let version = catalogue.get(service).ok_or(Invalid::Service)?;
-        let api_key = bearer(head.headers).ok_or(Invalid::Authorization)?;
-        let organisation = version
-            .document
-            .authenticate(api_key)
-            .ok_or(Invalid::Authorization)?
-            .clone();
-        let (rank, tier) = find_tier(head.headers, &version, &organisation)?;
-        let deadline = find_deadline(head.headers, tier.deadline)?;
-        let key = find_key(head.headers)?;
-        Ok(Self {
-            version,
-            organisation,
-            rank,
-            tier,
-            deadline,
-            key,
-            path,
-        })
-    }
-
-    /// Adds the body.
-    pub fn with_body(self, head: &Head<'_>, body: Buffered) -> Inbound {
-        let document = &self.version.document;
-        let keyed = self.key.is_some();
-        let key = self.key.unwrap_or_else(draw_key);
-        let cost = match document.kind {
-            Kind::Model => model_cost(&body.bytes),
-            Kind::Plain => Cost::default(),
-        };
-        Inbound {
-            idempotent: document.is_idempotent(head.method.as_str(), without_query(&self.path)),
-            headers: forwarded_headers(head.headers, &key),
-            id: id::Request {
-                service: document.service.clone(),
-                organisation: self.organisation.name.clone(),
-                key,
-            },
-            keyed,
-            rank: self.rank,
-            deadline: self.deadline,
-            finish_late: self.tier.late == Late::Finish,
-            finish_alone: self.tier.disconnect == Disconnect::Finish,
-            tier: self.tier.name,
-            weight: self.organisation.weight,
-            cost,
-            method: head.method.clone(),
-            path: self.path,
-            body,
-            version: self.version,
-        }
-    }
-}
-
-/// Splits `/{service}/{rest}` into the service and `/{rest}` with its query.
-fn split(uri: &Uri) -> Option<(&str, String)> {
-    let path = uri.path().strip_prefix('/')?;
-    let (service, rest) = path.split_once('/').unwrap_or((path, ""));
-    let query = uri
-        .query()
-        .map_or(String::new(), |query| format!("?{query}"));
-    Some((service, format!("/{rest}{query}")))
-}
-
-fn without_query(path: &str) -> &str {
-    path.split_once('?').map_or(path, |(path, _)| path)
-}
-
-/// Estimates what a model request costs; one in an unknown form is taken for its plain text.
-fn model_cost(body: &[u8]) -> Cost {
-    match serde_json::from_slice::<ModelRequest>(body) {
-        Ok(request) => Cost::estimate(
-            &request.input.text(),
-            request.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS),
-        ),
-        Err(_) => Cost::estimate(&String::from_utf8_lossy(body), DEFAULT_OUTPUT_TOKENS),
-    }
-}
-
-fn bearer(headers: &HeaderMap) -> Option<&str> {
-    headers
-        .get(AUTHORIZATION)?
-        .to_str()
-        .ok()?
-        .strip_prefix("Bearer ")
-}
-
-fn text<'a>(headers: &'a HeaderMap, name: &'static str) -> Result<Option<&'a str>, Invalid> {
-    let Some(value) = headers.get(name) else {
-        return Ok(None);
-    };
-    value.to_str().map(Some).map_err(|_| Invalid::Header(name))
-}
-
-fn find_tier(
-    headers: &HeaderMap,
-    version: &Version,
-    organisation: &Organisation,
-) -> Result<(Rank, Tier), Invalid> {
-    let name = text(headers, TIER)?.unwrap_or(organisation.default_tier());
-    let (rank, tier) = version.document.tier(name).ok_or(Invalid::Header(TIER))?;
-    if !organisation.may_use(name) {
-        return Err(Invalid::TierNotAllowed);
-    }
-    Ok((rank, tier.clone()))
-}
-
-fn find_deadline(headers: &HeaderMap, longest: Duration) -> Result<Duration, Invalid> {
-    let Some(text) = text(headers, DEADLINE)? else {
-        return Ok(longest);
-    };
-    match text.parse() {
-        Ok(millis) if millis > 0 => Ok(longest.min(Duration::from_millis(millis))),
-        _ => Err(Invalid::Header(DEADLINE)),
-    }
-}
-
-fn find_key(headers: &HeaderMap) -> Result<Option<String>, Invalid> {
-    let Some(key) = text(headers, IDEMPOTENCY_KEY)? else {
-        return Ok(None);
-    };
-    // The draft standard makes the key a quoted string; most clients leave the quotes out.
-    let key = key
-        .strip_prefix('"')
-        .and_then(|key| key.strip_suffix('"'))
-        .unwrap_or(key);
-    let usable = !key.is_empty()
-        && key.len() <= MAX_KEY_BYTES
-        && key.bytes().all(|byte| byte.is_ascii_graphic());
-    if !usable {
-        return Err(Invalid::Header(IDEMPOTENCY_KEY));
-    }
-    Ok(Some(key.to_owned()))
-}
-
-fn draw_key() -> String {
-    format!("{:032x}", rand::rng().random::<u128>())
-}
-
-/// The headers that the backend server gets: all but the caller's credentials and those meant
-/// for the router, and always the key.
-fn forwarded_headers(headers: &HeaderMap, key: &str) -> Vec<Header> {
-    let mut forwarded: Vec<Header> = headers
-        .iter()
-        .filter(|(name, _)| {
-            *name != AUTHORIZATION && !matches!(name.as_str(), TIER | DEADLINE | IDEMPOTENCY_KEY)
-        })
-        .map(|(name, value)| Header {
-            name: name.as_str().to_owned(),
-            value: value.as_bytes().to_vec(),
-        })
-        .collect();
-    forwarded.push(Header {
-        name: IDEMPOTENCY_KEY.to_owned(),
-        value: key.as_bytes().to_vec(),
-    });
-    forwarded
-}
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -76,7 +76,7 @@
         match self {
             Self::Service => "path",
             Self::Authorization => "authorization",
-            Self::TierNotAllowed => super::inbound::TIER,
+            Self::TierNotAllowed => super::inbound::caller::TIER,
             Self::Header(name) => name,
             Self::BodyTooLarge | Self::BodyBroken | Self::Full => "body",
         }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -160,7 +160,7 @@
             Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
                 Attempted::Moved(failure)
             }
-            Ending::CallerGone if !self.request.finish_alone => {
+            Ending::CallerGone if !self.request.runs_to_its_end() => {
                 answer.cancel().await;
                 Attempted::Over(ending)
             }
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -123,7 +123,7 @@
             remaining_ms: u64::try_from(self.remaining().as_millis()).unwrap_or(u64::MAX),
             cost: request.cost.clone().into(),
             keep_answer: request.needs_claim(),
-            finish_alone: request.finish_alone,
+            finish_alone: request.runs_to_its_end(),
             finish_late: request.finish_late,
             weight: request.weight,
             method: request.method.to_string(),
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -1,8 +1,12 @@
 //! One attempt: its request, its exchange with the backend server, its answer and its readers.
 
+pub mod message;
+
+pub use message::{Message, Portion, Read};
+
 use {
     super::{
-        answer::{Answer, Position, Unreadable},
+        answer::{Answer, Unreadable},
         backend_server::BackendServer,
         dispatch::{Command, Progress},
         exchange::{Exchange, event::Event},
@@ -15,9 +19,9 @@
         time::Timestamp,
         verdict::Verdict,
     },
-    tamarackdale_wire::{Frame, message::Enqueue},
+    tamarackdale_wire::message::Enqueue,
     tokio::{
-        sync::{Semaphore, mpsc, oneshot},
+        sync::{Semaphore, mpsc},
         time::{MissedTickBehavior, interval},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -46,43 +50,6 @@
 /// Time that an ended answer is kept for retries of its caller.
 const RETRY_RETENTION: Duration = Duration::from_secs(120);
 
-/// Message to a task.
-pub enum Message {
-    /// The attempt is next to start.
-    Ready,
-    /// The attempt is granted.
-    Start,
-    /// The attempt is void.
-    Fail(Failure),
-    /// Nobody wants the answer.
-    Cancel,
-    /// A reader wants the frames after a position.
-    Read(Read),
-    /// A router has the answer up to an offset.
-    Acknowledge {
-        /// Bytes received.
-        offset: u64,
-        /// Whether the end was received too.
-        complete: bool,
-    },
-}
-
-/// Request for the frames after a position.
-pub struct Read {
-    /// How far the reader has come.
-    pub position: Position,
-    /// Where the frames go; dropped without a reply when the bytes are gone.
-    pub reply: oneshot::Sender<Portion>,
-}
-
-/// Frames for a reader.
-pub struct Portion {
-    /// The frames.
-    pub frames: Vec<Frame>,
-    /// The position after them.
-    pub position: Position,
-}
-
 /// What all tasks of a sidecar share.
 #[derive(Clone)]
 pub struct Context {
