Spreading of documents: few watch, the others follow digests and pull

Cause: every process read the store once a second, so its calls grew with the fleet, nobody learnt anything in an outage, and a restart then found nothing. Change: the instances that spread::watchers names watch the store and read once a second what the watch may have missed; the others hold streams of digests to two of those and pull newer documents. The client offers a document to the watching instances as soon as the store has accepted it, because the store may go down before it tells anybody. A starting process takes its first documents from the store or, in an outage, the newest from a majority of up to eight peers; without it is not ready. A process without any live stream reads the store itself. Each process tells its status on the peer port. Seen to fail first, each with one safeguard off: no offer by the client (store down right after the write); no reads beside the watch (silent watches); any peer trusted (no majority); no digests followed (two tests); older revisions adopted (late offer).

--- a/client/src/command/apply.rs
+++ b/client/src/command/apply.rs
@@ -2,8 +2,10 @@
 
 mod conflict;
 mod force;
+mod push;
 
 use {
+    self::force::Written,
     crate::{
         command::{check, read_file, store, unreadable},
         edit::{Edit, Verdict},
@@ -44,7 +46,12 @@
         .await
         .map_err(|error| unreadable(&error))?;
     if let Some(entry) = present.as_ref().filter(|entry| body(entry) == new.body) {
-        return Ok(force::wait(settings, &document.service, entry.revision, false).await);
+        let written = Written {
+            service: &document.service,
+            revision: entry.revision,
+            text: Some(&String::from_utf8_lossy(&entry.value)),
+        };
+        return Ok(force::wait(settings, &written).await);
     }
     let expected = edited_from(revision.or(new.revision), present.as_ref())?;
     if expected != present.as_ref().map_or(0, |entry| entry.revision) {
@@ -58,7 +65,14 @@
         Verdict::Written {
             revision,
             superseded,
-        } => Ok(force::wait(settings, &document.service, revision, superseded).await),
+        } => {
+            let written = Written {
+                service: &document.service,
+                revision,
+                text: (!superseded).then(|| edit.text()),
+            };
+            Ok(force::wait(settings, &written).await)
+        }
         Verdict::Conflict(present) => {
             Err(conflict::outcome(&client, &key, expected, present.as_ref(), &new).await)
         }
--- a/client/src/command/apply/force.rs
+++ b/client/src/command/apply/force.rs
@@ -1,6 +1,7 @@
 //! The wait until a document is in force.
 
 use {
+    super::push,
     crate::{
         fleet::{Fleet, Sighting},
         outcome::{Code, Outcome},
@@ -9,7 +10,7 @@
     serde::Serialize,
     std::time::{Duration, Instant},
     tamarackdale_platform::list::Member,
-    tamarackdale_wire::Status,
+    tamarackdale_wire::{Status, message::Document},
 };
 
 /// Pause between two looks at the instances that are behind.
@@ -34,18 +35,24 @@
     reason: String,
 }
 
-/// Waits until every instance that can be seen has a revision in force.
-pub(super) async fn wait(
-    settings: &Settings,
-    service: &str,
-    revision: i64,
-    superseded: bool,
-) -> Outcome {
+/// A document in the store.
+pub(super) struct Written<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Revision of the present version.
+    pub revision: i64,
+    /// Text at that revision; `None` if a later edit has replaced this one.
+    pub text: Option<&'a str>,
+}
+
+/// Hands the document to the instances and waits until all that can be seen have it in force.
+pub(super) async fn wait(settings: &Settings, written: &Written<'_>) -> Outcome {
     let started = Instant::now();
+    let (service, revision) = (written.service, written.revision);
     let mut applied = Applied {
         service,
         revision,
-        superseded,
+        superseded: written.text.is_none(),
         in_force: 0,
         behind: Vec::new(),
         waited_ms: 0,
@@ -53,6 +60,13 @@
     };
     match Fleet::read(settings).await {
         Ok(fleet) => {
+            if let Some(text) = written.text {
+                let document = Document {
+                    revision,
+                    text: text.to_owned(),
+                };
+                push::run(&fleet, service, &document).await;
+            }
             let fleet = fleet.of_service(service);
             applied.behind = watch(settings, &fleet, service, revision).await;
             applied.in_force = staying(&fleet).len() - applied.behind.len();
--- a/client/src/edit.rs
+++ b/client/src/edit.rs
@@ -59,6 +59,11 @@
         }
     }
 
+    /// The text for the store.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
     /// Writes the edit, with bounded repetitions. Repeating is safe: the swap can take effect only
     /// once, and a repetition that comes second finds the edit's own name.
     pub async fn write(&self, client: &kv::Client) -> Verdict {
--- a/client/src/fleet.rs
+++ b/client/src/fleet.rs
@@ -19,7 +19,8 @@
 pub struct Fleet {
     /// Members of the instance list.
     pub members: Vec<Member>,
-    timeout: Duration,
+    /// Bound on each call.
+    pub timeout: Duration,
 }
 
 /// An instance, and what it tells of itself or why it tells nothing.
--- a/daemon/src/configuration.rs
+++ b/daemon/src/configuration.rs
@@ -1,75 +1,133 @@
 //! The configuration duty: keeps the service documents in force.
+//!
+//! A few instances watch the key-value service, the others follow the digests of those and pull
+//! what is newer ([`tamarackdale_core::spread`]). The revision in force never goes back.
 
+pub mod access;
+pub mod bootstrap;
 pub mod catalogue;
+pub mod follower;
 pub mod handlers;
+pub mod keeper;
+pub mod peer;
+pub mod roster;
+pub mod subscription;
+
+pub use access::Access;
 
 use {
-    self::catalogue::{Catalogue, Shared, Version},
+    self::{
+        access::Identity,
+        catalogue::Catalogue,
+        keeper::{Keeper, Offer},
+        roster::View,
+    },
     crate::{duty::Duty, signal::Shutdown},
-    std::{io, sync::Arc, time::Duration},
-    tamarackdale_core::document::{Document, Revision},
-    tamarackdale_platform::kv,
-    tokio::{sync::watch, time::sleep},
+    std::{
+        io,
+        sync::{Arc, atomic::AtomicUsize},
+    },
+    tamarackdale_core::document::Revision,
+    tamarackdale_platform::{kv, list},
+    tokio::sync::{mpsc, watch},
 };
 
-/// Prefix of the documents' keys in the key-value service.
-pub const PREFIX: &str = "tamarackdale/documents/";
+/// Offered versions that wait to be judged.
+const OFFER_CAPACITY: usize = 64;
 
-/// Time between two readings of the key-value service.
-const POLL_INTERVAL: Duration = Duration::from_secs(1);
+/// Settings of the duty.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Address of the key-value service.
+    pub store: String,
+    /// Address of the instance list.
+    pub instance_list: String,
+    /// Services whose documents this process needs.
+    pub services: Vec<String>,
+    /// This process.
+    pub identity: Identity,
+}
 
-/// Starts the duty for the given services. The documents appear in the returned catalogue.
-///
-/// Fails when the thread cannot be started.
-pub fn spawn(
-    store: &str,
-    services: Vec<String>,
-    shutdown: &Shutdown,
-) -> io::Result<(Duty, Shared)> {
-    let (sender, shared) = watch::channel(Arc::new(Catalogue::new()));
-    let client = kv::Client::new(store);
-    let closing = shutdown.cutting.clone();
-    let duty = Duty::spawn_async("configuration", async move {
-        tokio::select! {
-            () = follow(&client, &services, &sender) => {}
-            () = closing.cancelled() => {}
-        }
-    })?;
-    Ok((duty, shared))
+/// What the parts of the duty share.
+#[derive(Clone)]
+pub(crate) struct Context {
+    settings: Arc<Settings>,
+    store: kv::Client,
+    catalogue: catalogue::Shared,
+    offers: mpsc::Sender<Offer>,
+    view: watch::Receiver<Arc<View>>,
+    /// Digest streams that are alive.
+    followed: Arc<AtomicUsize>,
 }
 
-async fn follow(client: &kv::Client, services: &[String], sender: &watch::Sender<Arc<Catalogue>>) {
-    loop {
-        for service in services {
-            match client.get(&format!("{PREFIX}{service}")).await {
-                Ok(Some(entry)) => adopt(service, &entry, sender),
-                Ok(None) => log::warn!(service = service.as_str(); "the service has no document"),
-                Err(error) => log::warn!(service = service.as_str(); "document not read: {error}"),
-            }
-        }
-        sleep(POLL_INTERVAL).await;
+impl Context {
+    /// Whether this process keeps a service's document.
+    fn wants(&self, service: &str) -> bool {
+        self.settings.services.iter().any(|name| name == service) || self.view.borrow().is_watcher
     }
-}
 
-/// Puts a document in force if it is newer than the one that is.
-fn adopt(service: &str, entry: &kv::Entry, sender: &watch::Sender<Arc<Catalogue>>) {
-    let revision = Revision(entry.revision);
-    let text = String::from_utf8_lossy(&entry.value);
-    if !sender.borrow().is_newer(service, revision) {
-        return;
+    /// Whether a revision is worth pulling.
+    fn lacks(&self, service: &str, revision: i64) -> bool {
+        self.wants(service)
+            && self
+                .catalogue
+                .borrow()
+                .is_newer(service, Revision(revision))
     }
-    let document = match Document::parse(&text) {
-        Ok(document) => document,
-        Err(problems) => {
-            log::error!(service, revision = revision.0; "document refused: {problems}");
+
+    /// Offers a version to the keeper, if this process keeps the service's document.
+    async fn offer(&self, offer: Offer) {
+        if !self.wants(offer.service()) {
             return;
         }
+        // The keeper ends only with the whole duty.
+        let _ = self.offers.send(offer).await;
+    }
+}
+
+/// Starts the duty. The documents appear in the returned access's catalogue.
+///
+/// Fails when the thread cannot be started.
+pub fn spawn(settings: Settings, shutdown: &Shutdown) -> io::Result<(Duty, Access)> {
+    let (sender, catalogue) = watch::channel(Arc::new(Catalogue::new()));
+    let (offers, offered) = mpsc::channel(OFFER_CAPACITY);
+    let (view_sender, view) = watch::channel(Arc::new(View::default()));
+    let access = Access {
+        catalogue: catalogue.clone(),
+        offers: offers.clone(),
+        identity: Arc::new(settings.identity.clone()),
+        services: settings.services.clone().into(),
+        closing: shutdown.closing.clone(),
     };
-    let version = Version {
-        revision,
-        document,
-        text: text.into_owned(),
+    let context = Context {
+        store: kv::Client::new(&settings.store),
+        settings: Arc::new(settings),
+        catalogue,
+        offers,
+        view,
+        followed: Arc::new(AtomicUsize::new(0)),
     };
-    sender.send_modify(|catalogue| *catalogue = Arc::new(catalogue.with(version)));
-    log::info!(service, revision = revision.0; "document in force");
+    let ended = shutdown.cutting.clone();
+    let duty = Duty::spawn_async("configuration", async move {
+        let list = list::Client::new(&context.settings.instance_list);
+        let keeper = Keeper::new(sender, offered);
+        let parts = async {
+            tokio::join!(
+                keeper.run(),
+                roster::run(&context, &list, view_sender),
+                spread(&context),
+            )
+        };
+        tokio::select! {
+            _ = parts => {}
+            () = ended.cancelled() => {}
+        }
+    })?;
+    Ok((duty, access))
+}
+
+/// Finds the first documents, then follows changes.
+async fn spread(context: &Context) {
+    bootstrap::run(context).await;
+    tokio::join!(follower::run(context), subscription::run(context));
 }
--- /dev/null
+++ b/daemon/src/configuration/access.rs
@@ -0,0 +1,99 @@
+//! What the rest of the process has of the configuration duty.
+
+use {
+    super::{catalogue::Shared, keeper::Offer},
+    crate::settings,
+    std::{sync::Arc, time::Instant},
+    tamarackdale_core::id::Boot,
+    tamarackdale_wire::{Status, status},
+    tokio::sync::mpsc,
+    tokio_util::sync::CancellationToken,
+};
+
+/// Who a process is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub instance: String,
+    /// Boot of the process.
+    pub boot: u64,
+    /// `router` or `sidecar`.
+    pub role: &'static str,
+    /// Data centre.
+    pub data_centre: String,
+    /// When the process started.
+    pub started: Instant,
+}
+
+impl Identity {
+    /// The identity of a process that starts now.
+    pub fn new(settings: &settings::Common, boot: Boot, role: &'static str) -> Self {
+        Self {
+            instance: settings.instance.to_string(),
+            boot: boot.0,
+            role,
+            data_centre: settings.data_centre.clone(),
+            started: Instant::now(),
+        }
+    }
+}
+
+/// Access to the documents in force.
+#[derive(Clone)]
+pub struct Access {
+    /// The documents in force.
+    pub catalogue: Shared,
+    /// Where versions are offered to the duty.
+    pub(super) offers: mpsc::Sender<Offer>,
+    /// This process.
+    pub(super) identity: Arc<Identity>,
+    /// Services whose documents this process needs.
+    pub(super) services: Arc<[String]>,
+    /// Set when the process takes nothing new.
+    pub(super) closing: CancellationToken,
+}
+
+impl Access {
+    /// Whether the process has every document that it needs.
+    pub fn is_complete(&self) -> bool {
+        let catalogue = self.catalogue.borrow();
+        self.services
+            .iter()
+            .all(|service| catalogue.get(service).is_some())
+    }
+
+    /// What operators are told of the process.
+    pub fn status(&self) -> Status {
+        let state = if self.closing.is_cancelled() {
+            "leaving"
+        } else if self.is_complete() {
+            "ready"
+        } else {
+            "starting"
+        };
+        let now = Instant::now();
+        let documents = self
+            .catalogue
+            .borrow()
+            .held()
+            .map(|(service, revision, adopted)| status::Document {
+                service: service.to_owned(),
+                revision: revision.0,
+                age_ms: millis(adopted, now),
+            })
+            .collect();
+        Status {
+            instance: self.identity.instance.clone(),
+            boot: self.identity.boot,
+            role: self.identity.role.to_owned(),
+            data_centre: self.identity.data_centre.clone(),
+            state: state.to_owned(),
+            uptime_ms: millis(self.identity.started, now),
+            documents,
+        }
+    }
+}
+
+fn millis(from: Instant, to: Instant) -> u64 {
+    u64::try_from(to.saturating_duration_since(from).as_millis()).unwrap_or(u64::MAX)
+}
--- a/daemon/src/configuration/catalogue.rs
+++ b/daemon/src/configuration/catalogue.rs
@@ -1,29 +1,24 @@
 //! The documents in force.
 
 use {
-    std::{collections::HashMap, sync::Arc},
-    tamarackdale_core::document::{Document, Revision},
+    std::{collections::HashMap, sync::Arc, time::Instant},
+    tamarackdale_core::{
+        adoption::{Adoption, Register},
+        document::Revision,
+    },
     tokio::sync::watch,
 };
 
+pub use tamarackdale_core::adoption::Version;
+
 /// The newest catalogue, shared by the duties of a process.
 pub type Shared = watch::Receiver<Arc<Catalogue>>;
 
-/// A document with its place in the store's history.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Version {
-    /// Store revision at which it was written.
-    pub revision: Revision,
-    /// The document.
-    pub document: Document,
-    /// The text that it was parsed from.
-    pub text: String,
-}
-
 /// The newest known version of each service's document.
 #[derive(Clone, Debug, Default)]
 pub struct Catalogue {
-    versions: HashMap<String, Arc<Version>>,
+    register: Register,
+    adopted: HashMap<String, Instant>,
 }
 
 impl Catalogue {
@@ -34,28 +29,32 @@
 
     /// The version in force for a service.
     pub fn get(&self, service: &str) -> Option<Arc<Version>> {
-        self.versions.get(service).cloned()
+        self.register.get(service)
     }
 
     /// Revision in force for a service; zero if there is none.
     pub fn revision(&self, service: &str) -> Revision {
-        self.versions
-            .get(service)
-            .map_or(Revision(0), |version| version.revision)
+        self.register.revision(service)
     }
 
-    /// Whether a revision is newer than the one in force.
+    /// Whether a revision is newer than the one in force and than any refused.
     pub fn is_newer(&self, service: &str, revision: Revision) -> bool {
-        revision > self.revision(service)
+        self.register.is_newer(service, revision)
+    }
+
+    /// The services with the revisions in force and the times of their adoption.
+    pub fn held(&self) -> impl Iterator<Item = (&str, Revision, Instant)> {
+        self.adopted
+            .iter()
+            .map(|(service, adopted)| (service.as_str(), self.revision(service), *adopted))
     }
 
-    /// This catalogue with a newer version; an older one changes nothing.
-    pub fn with(&self, version: Version) -> Self {
-        let mut versions = self.versions.clone();
-        let service = version.document.service.clone();
-        if self.is_newer(&service, version.revision) {
-            versions.insert(service, Arc::new(version));
+    /// Puts a version in force if it is newer and valid.
+    pub fn offer(&mut self, service: &str, revision: Revision, text: &str) -> Adoption {
+        let adoption = self.register.offer(service, revision, text);
+        if adoption == Adoption::Adopted {
+            self.adopted.insert(service.to_owned(), Instant::now());
         }
-        Self { versions }
+        adoption
     }
 }
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -13,7 +13,7 @@
     self::{context::Context, placement::Placement},
     crate::{
         admin, configuration,
-        configuration::{catalogue::Shared, handlers::get_document},
+        configuration::{Access, access::Identity},
         http::Server,
         metrics::Metrics,
         settings,
@@ -23,15 +23,11 @@
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
-        router::{
-            Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
-        },
+        router::{Router, builder::build_router},
     },
     rand::Rng as _,
     std::{io, sync::Arc},
     tamarackdale_core::{id::Boot, route::Policy},
-    tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -46,11 +42,16 @@
         .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
-    let services = settings.services.clone();
-    let (configuration, catalogue) =
-        configuration::spawn(&settings.common.store, services, &shutdown)?;
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
+    let identity = Identity::new(&settings.common, boot, "router");
+    let configuration = configuration::Settings {
+        store: settings.common.store.clone(),
+        instance_list: settings.common.instance_list.clone(),
+        services: settings.services.clone(),
+        identity,
+    };
+    let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
     let (placement_duty, placement) = Placement::spawn(boot, clock, Policy::default())?;
     let membership = membership::spawn(
         membership::Settings {
@@ -63,7 +64,8 @@
     )?;
     let context = Context {
         clock,
-        catalogue,
+        catalogue: access.catalogue.clone(),
+        configuration: access,
         placement,
         peers: peer::Client::new(),
         metrics: Metrics::new().map_err(io::Error::other)?,
@@ -88,7 +90,7 @@
     let common = &settings.common;
     let admin = admin::Context {
         metrics: context.metrics.clone(),
-        is_ready: readiness(&settings.services, &context.catalogue, shutdown),
+        is_ready: readiness(context.configuration.clone(), shutdown),
     };
     let tracker = context.tracker.clone();
     let peers = Server::bind(
@@ -153,23 +155,11 @@
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
-        route
-            .get(&format!("{}/:service", path::DOCUMENTS))
-            .with_path_extractor::<configuration::handlers::Path>()
-            .to(get_document::<Context>);
+        configuration::handlers::draw::<Context, _, _>(route);
     })
 }
 
-fn readiness(
-    services: &[String],
-    catalogue: &Shared,
-    shutdown: &Shutdown,
-) -> Arc<dyn Fn() -> bool + Send + Sync> {
-    let services = services.to_vec();
-    let catalogue = catalogue.clone();
+fn readiness(access: Access, shutdown: &Shutdown) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let closing = shutdown.closing.clone();
-    Arc::new(move || {
-        let catalogue = catalogue.borrow();
-        !closing.is_cancelled() && services.iter().all(|name| catalogue.get(name).is_some())
-    })
+    Arc::new(move || !closing.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -2,7 +2,11 @@
 
 use {
     super::{peer, placement::Placement},
-    crate::{configuration::catalogue::Shared, metrics::Metrics, uptime::Clock},
+    crate::{
+        configuration::{Access, catalogue::Shared},
+        metrics::Metrics,
+        uptime::Clock,
+    },
     gotham::state::StateData,
     std::{panic::RefUnwindSafe, sync::Arc},
     tokio::sync::Semaphore,
@@ -16,6 +20,8 @@
     pub clock: Clock,
     /// The documents in force.
     pub catalogue: Shared,
+    /// The configuration duty.
+    pub configuration: Access,
     /// The placement duty.
     pub placement: Placement,
     /// Client of the sidecars.
@@ -35,8 +41,8 @@
 /// A panic in a handler leaves nothing half changed: state lives in duties, behind rings.
 impl RefUnwindSafe for Context {}
 
-impl AsRef<Shared> for Context {
-    fn as_ref(&self) -> &Shared {
-        &self.catalogue
+impl AsRef<Access> for Context {
+    fn as_ref(&self) -> &Access {
+        &self.configuration
     }
 }
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -12,8 +12,15 @@
 use {
     self::{backend_server::BackendServer, context::Context, dispatch::Dispatch},
     crate::{
-        admin, configuration, configuration::catalogue::Shared, duty::Duty, http::Server,
-        metrics::Metrics, ring::Ring, settings, signal::Shutdown, uptime::Clock,
+        admin, configuration,
+        configuration::{Access, access::Identity},
+        duty::Duty,
+        http::Server,
+        metrics::Metrics,
+        ring::Ring,
+        settings,
+        signal::Shutdown,
+        uptime::Clock,
     },
     rand::Rng as _,
     std::{io, sync::Arc, time::Duration},
@@ -38,11 +45,16 @@
         .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
-    let services = vec![settings.service.clone()];
-    let (configuration, catalogue) =
-        configuration::spawn(&settings.common.store, services, &shutdown)?;
+    let boot = id::Boot(rand::rng().random());
+    let configuration = configuration::Settings {
+        store: settings.common.store.clone(),
+        instance_list: settings.common.instance_list.clone(),
+        services: vec![settings.service.clone()],
+        identity: Identity::new(&settings.common, boot, "sidecar"),
+    };
+    let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
     let metrics = Metrics::new().map_err(io::Error::other)?;
-    let (context, dispatch) = assemble(&settings, &shutdown, catalogue, &metrics)?;
+    let (context, dispatch) = assemble(&settings, boot, &shutdown, access, &metrics)?;
     let served = runtime.block_on(serve(&settings, &shutdown, context, metrics));
     shutdown.cutting.cancel();
     drop(runtime);
@@ -53,19 +65,19 @@
 
 fn assemble(
     settings: &settings::Sidecar,
+    boot: id::Boot,
     shutdown: &Shutdown,
-    catalogue: Shared,
+    configuration: Access,
     metrics: &Metrics,
 ) -> io::Result<(Context, Duty)> {
     let clock = Clock::new();
     let incarnation = id::Incarnation {
         instance: settings.common.instance.clone(),
-        boot: id::Boot(rand::rng().random()),
+        boot,
     };
-    let boot = incarnation.boot;
     let (ring, commands) = Ring::new(DISPATCH_CAPACITY);
     let (report_sender, report) = watch::channel(first_report(settings, &incarnation));
-    let revision = revision_of(settings.service.clone(), catalogue.clone());
+    let revision = revision_of(settings.service.clone(), configuration.catalogue.clone());
     let dispatch_settings = dispatch_settings(settings, incarnation);
     let closing = shutdown.closing.clone();
     let metrics = metrics.clone();
@@ -96,7 +108,8 @@
         dispatch: ring,
         tasks,
         report,
-        catalogue,
+        catalogue: configuration.catalogue.clone(),
+        configuration,
         drained: CancellationToken::new(),
         max_body_bytes: settings.common.max_body_bytes,
     };
@@ -139,7 +152,7 @@
 
 fn revision_of(
     service: String,
-    catalogue: Shared,
+    catalogue: configuration::catalogue::Shared,
 ) -> impl Fn() -> tamarackdale_core::document::Revision + Send + 'static {
     move || catalogue.borrow().revision(&service)
 }
@@ -153,7 +166,7 @@
     let common = &settings.common;
     let admin = admin::Context {
         metrics,
-        is_ready: readiness(&settings.service, &context, shutdown),
+        is_ready: readiness(context.configuration.clone(), shutdown),
     };
     let tracker = context.tasks.tracker.clone();
     let drained = context.drained.clone();
@@ -196,13 +209,7 @@
     watched
 }
 
-fn readiness(
-    service: &str,
-    context: &Context,
-    shutdown: &Shutdown,
-) -> Arc<dyn Fn() -> bool + Send + Sync> {
-    let service = service.to_owned();
-    let catalogue = context.catalogue.clone();
+fn readiness(access: Access, shutdown: &Shutdown) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let closing = shutdown.closing.clone();
-    Arc::new(move || !closing.is_cancelled() && catalogue.borrow().get(&service).is_some())
+    Arc::new(move || !closing.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/sidecar/context.rs
+++ b/daemon/src/sidecar/context.rs
@@ -2,7 +2,10 @@
 
 use {
     super::{dispatch::Command, task},
-    crate::{configuration::catalogue::Shared, ring::Ring},
+    crate::{
+        configuration::{Access, catalogue::Shared},
+        ring::Ring,
+    },
     gotham::state::StateData,
     std::panic::RefUnwindSafe,
     tamarackdale_core::{id::Boot, report::Report},
@@ -23,6 +26,8 @@
     pub report: watch::Receiver<Report>,
     /// The documents in force.
     pub catalogue: Shared,
+    /// The configuration duty.
+    pub configuration: Access,
     /// Set when nothing is left to be done after closing.
     pub drained: CancellationToken,
     /// Largest request body accepted, in bytes.
@@ -41,8 +46,8 @@
 /// A panic in a handler leaves nothing half changed: state lives in duties, behind rings.
 impl RefUnwindSafe for Context {}
 
-impl AsRef<Shared> for Context {
-    fn as_ref(&self) -> &Shared {
-        &self.catalogue
+impl AsRef<Access> for Context {
+    fn as_ref(&self) -> &Access {
+        &self.configuration
     }
 }
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -9,7 +9,7 @@
         task::{self, Handle},
     },
     crate::{
-        configuration::handlers::get_document,
+        configuration,
         http::body::{self, Unreadable},
     },
     bytes::Bytes,
@@ -54,10 +54,7 @@
         route.post(path::CANCEL).to_async(cancel);
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
         route.get(path::REPORTS).to_async(reports);
-        route
-            .get(&format!("{}/:service", path::DOCUMENTS))
-            .with_path_extractor::<crate::configuration::handlers::Path>()
-            .to(get_document::<Context>);
+        configuration::handlers::draw::<Context, _, _>(route);
     })
 }
 
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -96,6 +96,12 @@
         self.gateway.faults().lose_answers(count);
     }
 
+    /// Begins a hanging outage as soon as `count` more writes have taken effect. Their answers still
+    /// go out, but no watch tells of the last one.
+    pub fn hang_after_writes(&self, count: u32) {
+        self.gateway.faults().hang_after_writes(count);
+    }
+
     /// Makes all present and future watches silent, or ends that for new ones.
     pub fn set_watches_silent(&self, silent: bool) {
         self.gateway.faults().set_watches_silent(silent);
--- a/testbed/src/store/fault.rs
+++ b/testbed/src/store/fault.rs
@@ -20,6 +20,8 @@
     hanging: tokio::sync::watch::Sender<bool>,
     delay_micros: AtomicU64,
     lost_answers: AtomicU32,
+    /// Writes until the outage; zero for no outage to come.
+    writes_left: AtomicU32,
     /// Incremented whenever present watches fall silent for good.
     silence: AtomicU64,
     watches_silent: AtomicBool,
@@ -64,6 +66,22 @@
             .is_ok()
     }
 
+    pub fn hang_after_writes(&self, count: u32) {
+        self.writes_left.store(count, Ordering::SeqCst);
+    }
+
+    /// Counts a write that has taken effect, and begins the outage if it was the last before it.
+    pub fn count_write(&self) {
+        let left = self
+            .writes_left
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, |left| {
+                left.checked_sub(1)
+            });
+        if left == Ok(1) {
+            self.set_hanging(true);
+        }
+    }
+
     /// Number of times that watches fell silent; a watch opened before the last is silent.
     pub fn silence(&self) -> u64 {
         self.silence.load(Ordering::SeqCst)
--- a/testbed/src/store/gateway.rs
+++ b/testbed/src/store/gateway.rs
@@ -119,6 +119,9 @@
             return Some(watch::answer(gateway, &call));
         }
         let answer = perform(&gateway, &path, &call);
+        if kind == Call::Write {
+            gateway.faults.count_write();
+        }
         gateway.notify();
         let is_lost = kind == Call::Write && gateway.faults.take_lost_answer();
         (!is_lost).then_some(answer)
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! change apart.
 
 pub mod codec;
+pub mod digest;
 pub mod failure;
 pub mod frame;
 pub mod id;
@@ -13,4 +14,4 @@
 pub mod report;
 pub mod status;
 
-pub use {frame::Frame, report::Report, status::Status};
+pub use {digest::Digest, frame::Frame, report::Report, status::Status};
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -19,7 +19,8 @@
 pub const REPORTS: &str = "/v1/reports";
 
 /// `GET` with the service's name as last segment; answers with the newest
-/// [`crate::message::Document`] that the process has.
+/// [`crate::message::Document`] that the process has. `POST` of a newer one, which the key-value
+/// service has accepted, offers it to the process.
 pub const DOCUMENTS: &str = "/v1/documents";
 
 /// `GET`; answers with the [`crate::Status`] of the process.
@@ -28,3 +29,6 @@
 /// `GET` with a request's identifier as last segment, percent-encoded; answers with the
 /// [`crate::status::Decision`]s that the router remembers, oldest first.
 pub const DECISIONS: &str = "/v1/decisions";
+
+/// `GET`; answers with an endless stream of [`crate::Digest`]s.
+pub const DIGESTS: &str = "/v1/digests";
