--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -9,7 +9,7 @@
         task::{self, Handle},
     },
     crate::{
-        configuration::handlers::get_document,
+        configuration,
         http::body::{self, Unreadable},
     },
     bytes::Bytes,
@@ -55,10 +55,7 @@
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
         route.post(path::FLOOR).to_async(floor);
         route.get(path::REPORTS).to_async(reports);
-        route
-            .get(&format!("{}/:service", path::DOCUMENTS))
-            .with_path_extractor::<crate::configuration::handlers::Path>()
-            .to(get_document::<Context>);
+        configuration::handlers::draw::<Context, _, _>(route);
     })
 }
 
