Backend servers that were never measured are assumed to be quick

Cause: before its first answer a backend server was assumed to generate 30 tokens a second. Beside one that had been measured first and was faster than that, it got no request and so was never measured. With one of two engines slowed tenfold (50 tokens a second), 50 to 59 of 60 requests went to the slow one whenever the first request of all had gone there.

Change: the assumed rates are those of a quick engine, so that each is tried.

Conclusion: an untried server is tried; its first answers correct the prediction.

--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -23,7 +23,8 @@
     pub target_gap: Duration,
     /// Largest accepted ratio between the gap and the best gap of late.
     pub tolerance: f64,
-    /// Rates assumed before anything was measured.
+    /// Rates assumed before anything was measured. High ones let every backend server be tried;
+    /// low ones would leave it idle for good beside a slow one that was measured first.
     pub rates: Rates,
     /// Whether the limit adapts; if not, it stays at `initial`.
     pub is_adaptive: bool,
@@ -37,7 +38,7 @@
             max: 256,
             target_gap: Duration::from_millis(31),
             tolerance: 2.5,
-            rates: Rates::new(4_000.0, 30.0),
+            rates: Rates::new(20_000.0, 200.0),
             is_adaptive: true,
         }
     }
