--- a/testbed/examples/demo.rs
+++ b/testbed/examples/demo.rs
@@ -18,7 +18,7 @@
 const SEED: u64 = 1;
 
 /// Requests offered per second.
-const RATE: f64 = 20.0;
+const RATE: f64 = 15.0;
 
 /// How long requests are offered.
 const LENGTH: Duration = Duration::from_secs(15);
@@ -32,7 +32,7 @@
     Layout::new(vec![
         Service::slibe_llm(&unlike),
         Service::ordre_app(1),
-        Service::tamarack_pool(&unlike[..2]),
+        Service::tamarack_pool(&unlike[1..]),
         Service::dispatch_app(1),
     ])
 }
--- a/testbed/src/load/generator.rs
+++ b/testbed/src/load/generator.rs
@@ -107,6 +107,7 @@
             service: shot.service.clone(),
             tier: shot.tier.clone().unwrap_or_default(),
             key: shot.key.clone(),
+            due: shot.due,
             offered: start.elapsed(),
             head: None,
             first_byte: None,
--- a/testbed/src/load/record.rs
+++ b/testbed/src/load/record.rs
@@ -13,6 +13,8 @@
     pub tier: String,
     /// Idempotency key: the caller's own or the one that the answer names.
     pub key: Option<String>,
+    /// Time within which its whole answer is worth having; always if `None`.
+    pub due: Option<Duration>,
     /// When it was offered.
     pub offered: Duration,
     /// When the answer's head came.
@@ -46,6 +48,11 @@
         Some(self.first_byte?.saturating_sub(self.offered))
     }
 
+    /// Whether the whole answer came while it was worth having.
+    pub fn is_in_time(&self) -> bool {
+        self.whole && self.due.is_none_or(|due| self.latency() <= due)
+    }
+
     /// Whether the call ended cleanly with a success status and yet not with the whole answer.
     pub fn is_corrupt(&self) -> bool {
         let succeeded = self
--- a/testbed/src/load/shot.rs
+++ b/testbed/src/load/shot.rs
@@ -24,6 +24,8 @@
     pub tier: Option<String>,
     /// Deadline shorter than the tier's.
     pub deadline: Option<Duration>,
+    /// Time within which the whole answer is worth having; always if `None`.
+    pub due: Option<Duration>,
     /// Idempotency key.
     pub key: Option<String>,
     /// Body.
@@ -84,6 +86,7 @@
             api_key: api_key.to_owned(),
             tier: None,
             deadline: None,
+            due: None,
             key: None,
             body: body.to_string().into(),
             expected: Expected::Text(answer::text(model, input, output_tokens)),
@@ -99,6 +102,7 @@
             api_key: api_key.to_owned(),
             tier: None,
             deadline: None,
+            due: None,
             key: None,
             body: body.to_owned().into(),
             expected: Expected::Object {
@@ -120,6 +124,12 @@
         self
     }
 
+    /// Sets the time within which the whole answer is worth having.
+    pub fn with_due(mut self, due: Duration) -> Self {
+        self.due = Some(due);
+        self
+    }
+
     /// Sets the idempotency key.
     pub fn with_key(mut self, key: &str) -> Self {
         self.key = Some(key.to_owned());
--- a/testbed/src/load/summary.rs
+++ b/testbed/src/load/summary.rs
@@ -24,6 +24,8 @@
     pub offered: u64,
     /// Whole answers.
     pub whole: u64,
+    /// Whole answers that came while they were worth having.
+    pub in_time: u64,
     /// Refusals proved not to have run.
     pub not_run: u64,
     /// Failures that may have run.
@@ -52,6 +54,7 @@
         Self {
             offered: 0,
             whole: 0,
+            in_time: 0,
             not_run: 0,
             may_have_run: 0,
             broken: 0,
@@ -75,6 +78,7 @@
         self.offered += 1;
         if record.whole {
             self.whole += 1;
+            self.in_time += u64::from(record.is_in_time());
             record_duration(&mut self.latency, record.latency());
             if let Some(latency) = record.first_byte_latency() {
                 record_duration(&mut self.first_byte, latency);
@@ -121,11 +125,12 @@
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "{:<15} {:<11} {:>7} {:>7} {:>7} {:>8} {:>6} {:>7} {:>21} {:>21}",
+            "{:<15} {:<11} {:>7} {:>7} {:>7} {:>7} {:>8} {:>6} {:>7} {:>21} {:>21}",
             "service",
             "tier",
             "offered",
             "whole",
+            "in time",
             "not-run",
             "may-have",
             "broken",
@@ -136,8 +141,14 @@
         for ((service, tier), row) in &self.rows {
             write!(
                 formatter,
-                "{service:<15} {tier:<11} {:>7} {:>7} {:>7} {:>8} {:>6} {:>7}",
-                row.offered, row.whole, row.not_run, row.may_have_run, row.broken, row.corrupt,
+                "{service:<15} {tier:<11} {:>7} {:>7} {:>7} {:>7} {:>8} {:>6} {:>7}",
+                row.offered,
+                row.whole,
+                row.in_time,
+                row.not_run,
+                row.may_have_run,
+                row.broken,
+                row.corrupt,
             )?;
             writeln!(
                 formatter,
--- a/testbed/src/traffic.rs
+++ b/testbed/src/traffic.rs
@@ -7,7 +7,11 @@
     crate::load::Shot,
     hyper::Method,
     rand::{Rng as _, SeedableRng as _, rngs::StdRng},
-    std::ops::Range,
+    std::{ops::Range, time::Duration},
+    tamarackdale_core::document::{
+        Document,
+        example::{self, Example},
+    },
 };
 
 /// Bytes of the instructions that all questions to an assistant begin with.
@@ -60,6 +64,7 @@
     generator: StdRng,
     seed: u64,
     kinds: Vec<(u32, Kind)>,
+    documents: Vec<Document>,
 }
 
 impl Traffic {
@@ -69,6 +74,7 @@
             generator: StdRng::seed_from_u64(seed),
             seed,
             kinds,
+            documents: example::ALL.iter().map(parse).collect(),
         }
     }
 
@@ -84,7 +90,19 @@
             Kind::Question(question) => self.question(question),
             Kind::Order(order) => self.order(order),
         };
-        shot.with_key(&format!("{}-{index}", self.seed))
+        let shot = shot.with_key(&format!("{}-{index}", self.seed));
+        match self.deadline(&shot) {
+            Some(deadline) => shot.with_due(deadline),
+            None => shot,
+        }
+    }
+
+    /// Deadline of the shot's tier in the example document of its service.
+    fn deadline(&self, shot: &Shot) -> Option<Duration> {
+        let of_service = |document: &&Document| document.service == shot.service;
+        let document = self.documents.iter().find(of_service)?;
+        let (_, tier) = document.tier(shot.tier.as_deref()?)?;
+        Some(tier.deadline)
     }
 
     fn draw_kind(&mut self) -> &Kind {
@@ -208,6 +226,10 @@
     ]
 }
 
+fn parse(example: &Example) -> Document {
+    Document::parse(example.text).expect("the examples are valid documents")
+}
+
 fn filler(word: &str, bytes: usize) -> String {
     let mut text = format!("{word} ").repeat(bytes / (word.len() + 1) + 1);
     text.truncate(bytes);
--- a/testbed/tests/faults.rs
+++ b/testbed/tests/faults.rs
@@ -20,6 +20,9 @@
 /// Time within which the end of a connection must have become the caller's answer.
 const AT_ONCE: Duration = Duration::from_secs(2);
 
+/// Deadline of the tier `site`.
+const SITE_DEADLINE: Duration = Duration::from_secs(8);
+
 /// Requests of a burst.
 const REQUESTS: usize = 100;
 
@@ -270,27 +273,42 @@
     assert_ne!(record.verdict, Some(Verdict::NotRun));
 }
 
+/// An engine's runs of requests offered from `start` on.
+fn runs_since(deployment: &Deployment, sidecar: usize, start: usize) -> usize {
+    deployment.sidecars[sidecar].engine().runs().len() - start
+}
+
+#[rstest]
+#[case::from_the_start(0)]
+#[case::while_serving(20)]
 #[tokio::test]
-async fn engine_slows_tenfold() {
+async fn engine_slows_tenfold(#[case] warm_up: usize) {
     let deployment = start().await;
     let generator = Generator::new(&deployment.entries()).with_limit(LIMIT);
-    let schedule = Schedule::even(10.0, Duration::from_secs(6));
+    let site = |index| shot(index).with_tier("site");
+    let warm_up = Schedule::even(10.0, Duration::from_millis(100) * warm_up as u32);
+    generator
+        .run(&warm_up, |index| site(REQUESTS + index))
+        .await;
+    let before = [0, 1].map(|sidecar| runs_since(&deployment, sidecar, 0));
     deployment.sidecars[0].engine().set_slow_factor(10.0);
+    let schedule = Schedule::even(10.0, Duration::from_secs(6));
 
-    let records = generator
-        .run(&schedule, |index| shot(index).with_tier("site"))
-        .await;
+    let records = generator.run(&schedule, site).await;
 
     assert_true_verdicts(&deployment, &records);
     assert_no_request_ran_twice(&deployment);
-    let whole = records.iter().filter(|record| record.whole).count();
+    let in_time = records
+        .iter()
+        .filter(|record| record.whole && record.latency() <= SITE_DEADLINE)
+        .count();
     assert!(
-        whole * 10 >= records.len() * 9,
-        "{whole} of {}",
+        in_time * 10 >= records.len() * 9,
+        "{in_time} of {}",
         records.len()
     );
-    let slow = deployment.sidecars[0].engine().runs().len();
-    let quick = deployment.sidecars[1].engine().runs().len();
+    let slow = runs_since(&deployment, 0, before[0]);
+    let quick = runs_since(&deployment, 1, before[1]);
     assert!(
         slow * 2 < quick,
         "{slow} runs at the slow engine, {quick} at the other"
