--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,10 +2,13 @@
 
 pub mod deployment;
 pub mod engine;
+pub mod history;
 pub mod host;
 pub mod http;
 pub mod list;
 pub mod load;
+pub mod operator;
+pub mod peer;
 pub mod plain;
 mod port;
 pub mod process;
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -15,9 +15,19 @@
 /// `POST` [`crate::message::Acknowledge`]; answers with an empty body.
 pub const ACKNOWLEDGE: &str = "/v1/acknowledge";
 
+/// `POST` [`crate::message::Floor`]; answers with an empty body.
+pub const FLOOR: &str = "/v1/floor";
+
 /// `GET`; answers with an endless stream of [`crate::Report`]s.
 pub const REPORTS: &str = "/v1/reports";
 
 /// `GET` with the service's name as last segment; answers with the newest
 /// [`crate::message::Document`] that the process has.
 pub const DOCUMENTS: &str = "/v1/documents";
+
+/// `GET`; answers with the [`crate::Status`] of the process.
+pub const STATUS: &str = "/v1/status";
+
+/// `GET` with a request's identifier as last segment, percent-encoded; answers with the
+/// [`crate::status::Decision`]s that the router remembers, oldest first.
+pub const DECISIONS: &str = "/v1/decisions";
