--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -27,7 +27,8 @@
     pub max: u32,
     /// Relative gain in throughput for which a relative gain in batch size is worth it.
     pub worthwhile_gain: f64,
-    /// Rates assumed before anything was measured.
+    /// Rates assumed before anything was measured. High ones let every backend server be tried;
+    /// low ones would leave it idle for good beside a slow one that was measured first.
     pub rates: Rates,
     /// Whether the limit adapts; if not, it stays at `initial`.
     pub is_adaptive: bool,
@@ -40,7 +41,7 @@
             min: 2,
             max: 256,
             worthwhile_gain: 0.3,
-            rates: Rates::new(4_000.0, 30.0),
+            rates: Rates::new(20_000.0, 200.0),
             is_adaptive: true,
         }
     }
