Capacity command: slopes of what a process costs, measured with real processes

Cause: what a role costs at the target has to be worked out from slopes. Change: an example of the testbed starts routers and sidecars on loopback, changes one size in four steps, and reads processor time, memory, bytes on counting relays and the store's calls; fits, rates and the table are pure and tested.

--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -141,7 +141,8 @@
     }
 }
 
-async fn wait_until_ready(name: &str, admin: SocketAddr) -> Result<(), Fault> {
+/// Waits until the process with this admin address says that it is ready.
+pub(crate) async fn wait_until_ready(name: &str, admin: SocketAddr) -> Result<(), Fault> {
     let deadline = Instant::now() + START_LIMIT;
     loop {
         let request = Request::get("/ready").body(Bytes::new());
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,5 +1,6 @@
 //! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
 
+pub mod capacity;
 pub mod deployment;
 pub mod engine;
 pub mod host;
@@ -12,3 +13,4 @@
 pub mod sse;
 pub mod store;
 pub mod traffic;
+pub mod wait;
--- a/testbed/src/list.rs
+++ b/testbed/src/list.rs
@@ -77,6 +77,11 @@
         self
     }
 
+    /// The address served.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
     /// The URL for a client.
     pub fn url(&self) -> String {
         format!("http://{}/", self.host.address())
--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -3,6 +3,10 @@
 //! The binaries are taken from the folder of the running test or example, so that both are of one
 //! build. JSON log lines on standard output are kept in memory.
 
+mod usage;
+
+pub use usage::Usage;
+
 use {
     derive_more::{Display, Error, From},
     nix::{
@@ -241,6 +245,15 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// Processor time and memory that the process has used.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn usage(&self) -> Result<Usage, Fault> {
+        Ok(Usage::of(self.child.id())?)
+    }
+
     /// Waits until the process has ended by itself.
     ///
     /// # Errors
