A router is ready once it has heard of the listed sidecars

Cause: tests that offered work right after readiness at times met a router without any sidecar, which refused it. Ruled out: the sidecars' own readiness; they were listed and up. Change: readiness also waits until each sidecar of the first list has sent a report or failed to.

--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -55,7 +55,7 @@
         identity,
     };
     let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
-    let membership = membership::spawn(
+    let (membership, acquainted) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
             instance: settings.common.instance.clone(),
@@ -75,7 +75,7 @@
         max_body_bytes: settings.common.max_body_bytes,
         buffers: Arc::new(Semaphore::new(settings.max_buffered_bytes)),
     };
-    let served = runtime.block_on(serve(&settings, &shutdown, context));
+    let served = runtime.block_on(serve(&settings, &shutdown, context, acquainted));
     shutdown.cutting.cancel();
     membership.join();
     configuration.join();
@@ -101,11 +101,12 @@
     settings: &settings::Router,
     shutdown: &Shutdown,
     context: Context,
+    acquainted: CancellationToken,
 ) -> io::Result<()> {
     let common = &settings.common;
     let admin = admin::Context {
         metrics: context.metrics.clone(),
-        is_ready: readiness(context.configuration.clone(), shutdown),
+        is_ready: readiness(context.configuration.clone(), acquainted, shutdown),
     };
     let tracker = context.tracker.clone();
     let peers = Server::bind(
@@ -174,7 +175,13 @@
     })
 }
 
-fn readiness(access: Access, shutdown: &Shutdown) -> Arc<dyn Fn() -> bool + Send + Sync> {
+/// A router is ready when it has its documents and has heard of the sidecars, so that the first
+/// requests do not meet a router that knows of none.
+fn readiness(
+    access: Access,
+    acquainted: CancellationToken,
+    shutdown: &Shutdown,
+) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let closing = shutdown.closing.clone();
-    Arc::new(move || !closing.is_cancelled() && access.is_complete())
+    Arc::new(move || !closing.is_cancelled() && acquainted.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/router/membership.rs
+++ b/daemon/src/router/membership.rs
@@ -12,7 +12,7 @@
     },
     tamarackdale_core::{id::Instance, limit::Share},
     tamarackdale_platform::list::{self, Member, Role},
-    tokio::{task::JoinSet, time::sleep},
+    tokio::{sync::mpsc, task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
 };
 
@@ -29,25 +29,40 @@
     pub services: Vec<String>,
 }
 
-/// Starts the duty, which tells placement what it sees.
+/// Starts the duty, which tells placement what it sees. The returned token is set once every
+/// sidecar of the first list has sent a report or failed to.
 ///
 /// Fails when the thread cannot be started.
-pub fn spawn(settings: Settings, placement: Placement, shutdown: &Shutdown) -> io::Result<Duty> {
+pub fn spawn(
+    settings: Settings,
+    placement: Placement,
+    shutdown: &Shutdown,
+) -> io::Result<(Duty, CancellationToken)> {
     let ended = shutdown.cutting.clone();
-    Duty::spawn_async("membership", async move {
+    let acquainted = CancellationToken::new();
+    let announced = acquainted.clone();
+    let (trying, mut all_tried) = mpsc::channel(1);
+    let duty = Duty::spawn_async("membership", async move {
         let client = list::Client::new(&settings.instance_list);
         let mut roster = Roster {
             settings,
             placement,
             followed: HashMap::new(),
             subscriptions: JoinSet::new(),
+            trying: Some(trying),
         };
+        // Nothing is sent; the channel ends when the last first attempt has ended.
+        roster.subscriptions.spawn(async move {
+            all_tried.recv().await;
+            announced.cancel();
+        });
         tokio::select! {
             () = roster.follow(&client) => {}
             () = ended.cancelled() => {}
         }
         roster.subscriptions.shutdown().await;
-    })
+    })?;
+    Ok((duty, acquainted))
 }
 
 struct Followed {
@@ -60,13 +75,18 @@
     placement: Placement,
     followed: HashMap<Instance, Followed>,
     subscriptions: JoinSet<()>,
+    /// Cloned by each subscription of the first list, until its first attempt has ended.
+    trying: Option<mpsc::Sender<()>>,
 }
 
 impl Roster {
     async fn follow(&mut self, client: &list::Client) {
         loop {
             match client.fetch().await {
-                Ok(members) => self.take(members),
+                Ok(members) => {
+                    self.take(members);
+                    self.trying = None;
+                }
                 Err(error) => log::warn!("instance list not read: {error}"),
             }
             while self.subscriptions.try_join_next().is_some() {}
@@ -140,7 +160,8 @@
 
     fn subscribe(&mut self, member: &Member) -> CancellationToken {
         let ended = CancellationToken::new();
-        let subscription = subscription::run(member.clone(), self.placement.clone());
+        let subscription =
+            subscription::run(member.clone(), self.placement.clone(), self.trying.clone());
         let stop = ended.clone();
         self.subscriptions.spawn(async move {
             tokio::select! {
--- a/daemon/src/router/membership/subscription.rs
+++ b/daemon/src/router/membership/subscription.rs
@@ -12,7 +12,10 @@
     tamarackdale_core::report::Report,
     tamarackdale_platform::list::Member,
     tamarackdale_wire::{self as wire, codec::Splitter, path},
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// Silence after which the connection is taken for dead; several report intervals.
@@ -21,12 +24,14 @@
 /// Pause before a new connection.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(250);
 
-/// Follows the reports for ever, over as many connections as it takes.
-pub async fn run(member: Member, placement: Placement) {
+/// Follows the reports for ever, over as many connections as it takes. `trying` is dropped at the
+/// first report or the first failure.
+pub async fn run(member: Member, placement: Placement, mut trying: Option<mpsc::Sender<()>>) {
     loop {
         if let Some(body) = connect(&member).await {
-            follow(&member, body, &placement).await;
+            follow(&member, body, &placement, &mut trying).await;
         }
+        trying = None;
         // Without reports the sidecar is not chosen; the next report brings it back.
         placement.sight(gone(&member));
         sleep(RECONNECT_BACKOFF).await;
@@ -44,7 +49,12 @@
     response.status().is_success().then(|| response.into_body())
 }
 
-async fn follow(member: &Member, mut body: Incoming, placement: &Placement) {
+async fn follow(
+    member: &Member,
+    mut body: Incoming,
+    placement: &Placement,
+    trying: &mut Option<mpsc::Sender<()>>,
+) {
     let mut splitter = Splitter::new();
     while let Ok(Some(Ok(frame))) = timeout(SILENCE_LIMIT, body.frame()).await {
         if let Some(bytes) = frame.data_ref() {
@@ -52,7 +62,10 @@
         }
         loop {
             match splitter.next_item::<wire::Report>() {
-                Ok(Some(report)) => sight(member, report, placement),
+                Ok(Some(report)) => {
+                    sight(member, report, placement);
+                    *trying = None;
+                }
                 Ok(None) => break,
                 Err(error) => {
                     log::warn!(instance = member.instance.as_str(); "broken reports: {error}");
