Log a sidecar that sends no reports

Cause: a request refused as no-backend-server left no line that says why. Change: one line when a sidecar's reports end or cannot be had.

--- a/daemon/src/router/membership/subscription.rs
+++ b/daemon/src/router/membership/subscription.rs
@@ -32,6 +32,7 @@
             follow(&member, body, &placement, &mut trying).await;
         }
         trying = None;
+        log::info!(instance = member.instance.as_str(); "no reports from the sidecar");
         // Without reports the sidecar is not chosen; the next report brings it back.
         placement.sight(gone(&member));
         sleep(RECONNECT_BACKOFF).await;
