Claims in the router: non-idempotent requests run at most once

Cause: a booking that was sent again with its key ran a second time. Change: between ready and grant the relay drives claim::Machine. The claims duty owns what routers share with the key-value service: one lease that is replaced while young, claims that wait together in one call, the breaker. A request whose claim names another attempt gets that attempt's answer. While the service is known to be down, non-idempotent requests are refused before they are queued, and those that wait are refused at once; idempotent ones go on without a claim. The machine of a request lives in the request's own task, not in the duty: no other request needs its state, and the duty is left with one kind of work.

--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -1,6 +1,7 @@
 //! The router: takes callers' requests and brings each to a sidecar.
 
 pub mod callers;
+pub mod claims;
 pub mod context;
 pub mod inbound;
 pub mod membership;
@@ -10,7 +11,7 @@
 pub mod relay;
 
 use {
-    self::{context::Context, placement::Placement},
+    self::{claims::Claims, context::Context, placement::Placement},
     crate::{
         admin, configuration,
         configuration::{catalogue::Shared, handlers::get_document},
@@ -52,6 +53,7 @@
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
     let (placement_duty, placement) = Placement::spawn(boot, clock, Policy::default())?;
+    let (claims_duty, claims) = Claims::spawn(&settings.common.store, clock, &shutdown)?;
     let membership = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
@@ -65,6 +67,7 @@
         clock,
         catalogue,
         placement,
+        claims,
         peers: peer::Client::new(),
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
@@ -74,6 +77,7 @@
     let served = runtime.block_on(serve(&settings, &shutdown, context));
     shutdown.cutting.cancel();
     membership.join();
+    claims_duty.join();
     configuration.join();
     drop(runtime);
     placement_duty.join();
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of a router share.
 
 use {
-    super::{peer, placement::Placement},
+    super::{claims::Claims, peer, placement::Placement},
     crate::{configuration::catalogue::Shared, metrics::Metrics, uptime::Clock},
     gotham::state::StateData,
     std::{panic::RefUnwindSafe, sync::Arc},
@@ -18,6 +18,8 @@
     pub catalogue: Shared,
     /// The placement duty.
     pub placement: Placement,
+    /// The claims duty.
+    pub claims: Claims,
     /// Client of the sidecars.
     pub peers: peer::Client,
     /// The process's metrics.
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -5,6 +5,7 @@
 //! the sidecar's word counts.
 
 pub mod answer;
+pub mod claim;
 pub mod offer;
 pub mod responder;
 
@@ -17,6 +18,7 @@
     super::{
         context::Context,
         inbound::Inbound,
+        peer::Peer,
         placement::{Placed, command::Wanted},
     },
     crate::metrics::Labels,
@@ -35,6 +37,8 @@
     request: Arc<Inbound>,
     responder: Responder,
     deadline: Timestamp,
+    /// Attempts that are not granted and will not be.
+    withdrawn: Vec<id::Attempt>,
 }
 
 /// How a request ended for its caller.
@@ -61,6 +65,7 @@
             request: Arc::new(request),
             responder,
             deadline,
+            withdrawn: Vec::new(),
         }
     }
 
@@ -91,6 +96,11 @@
     }
 
     async fn serve(&mut self) -> Ending {
+        if !self.request.idempotent
+            && let Err(failure) = self.context.claims.check()
+        {
+            return Ending::Failed(failure);
+        }
         let mut excluded: Vec<id::Instance> = Vec::new();
         let mut moved: Option<Failure> = None;
         loop {
@@ -103,6 +113,7 @@
                 Attempted::Over(ending) => return ending,
                 Attempted::Moved(failure) => {
                     self.log_move(&placed, &failure);
+                    self.withdrawn.push(placed.attempt);
                     excluded.push(placed.peer.incarnation.instance.clone());
                     moved = Some(failure);
                 }
@@ -116,10 +127,12 @@
             context: &self.context,
             request: &self.request,
             placed,
+            withdrawn: &self.withdrawn,
             deadline: self.deadline,
         };
         let attempted = match offer.make(&mut self.responder).await {
             Ok(granted) => self.relay(placed, granted).await,
+            Err(Unserved::Elsewhere { peer, attempt }) => self.attach(&peer, attempt).await,
             Err(Unserved::Moved(failure)) => Attempted::Moved(failure),
             Err(Unserved::Final(failure)) => Attempted::Over(Ending::Failed(failure)),
             Err(Unserved::CallerGone) => Attempted::Over(Ending::CallerGone),
@@ -168,6 +181,23 @@
         }
     }
 
+    /// Relays the answer of another attempt at the same request, which goes on without this caller.
+    async fn attach(&mut self, peer: &Peer, attempt: id::Attempt) -> Attempted {
+        log::info!(request:% = self.request.id, attempt:% = attempt, sidecar:% = peer; "attached");
+        let granted = Granted {
+            attempt,
+            frames: None,
+        };
+        let mut answer = Answer::new(&self.context, peer, granted);
+        match self.relay_answer(&mut answer).await {
+            // The other attempt came to nothing.
+            Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
+                Attempted::Moved(failure)
+            }
+            ending => Attempted::Over(ending),
+        }
+    }
+
     async fn relay_answer(&mut self, answer: &mut Answer) -> Ending {
         loop {
             let step = tokio::select! {
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -1,7 +1,10 @@
 //! Offers a request to one sidecar, up to the grant.
 
 use {
-    super::responder::Responder,
+    super::{
+        claim::{Claim, Claimed},
+        responder::Responder,
+    },
     crate::router::{
         context::Context,
         inbound::Inbound,
@@ -27,6 +30,8 @@
     pub request: &'a Arc<Inbound>,
     /// The choice.
     pub placed: &'a Placed,
+    /// Earlier attempts of the request, which are not granted and will not be.
+    pub withdrawn: &'a [id::Attempt],
     /// Deadline of the request.
     pub deadline: Timestamp,
 }
@@ -43,6 +48,13 @@
 pub enum Unserved {
     /// Proved not run here; another sidecar may be tried.
     Moved(Failure),
+    /// Another attempt runs the request.
+    Elsewhere {
+        /// Its sidecar.
+        peer: Peer,
+        /// The attempt.
+        attempt: id::Attempt,
+    },
     /// The request is over.
     Final(Failure),
     /// The caller has gone.
@@ -50,7 +62,7 @@
 }
 
 impl Offer<'_> {
-    /// Makes the offer, waits for its turn and grants it.
+    /// Makes the offer, waits for its turn, claims the request if need be, and grants it.
     pub async fn make(self, responder: &mut Responder) -> Result<Granted, Unserved> {
         let attempt = self.placed.attempt;
         let order = self.order(attempt);
@@ -65,15 +77,51 @@
             () = sleep(self.remaining()), if !self.request.finish_late => {
                 Err(Unserved::Final(Failure::not_run(Reason::DeadlinePassed)))
             }
+            failure = self.context.claims.unavailable(), if !self.request.idempotent => {
+                Err(Unserved::Final(failure))
+            }
             () = responder.abandoned() => Err(Unserved::CallerGone),
         };
-        if let Err(unserved) = ready {
+        let claimed = match ready {
+            Ok(()) => self.claim(responder).await,
+            Err(unserved) => Err(unserved),
+        };
+        if let Err(unserved) = claimed {
             self.withdraw(attempt);
             return Err(unserved);
         }
         self.grant(attempt, frames).await
     }
 
+    /// Claims the request, if it must not run twice or its answer may be asked for again.
+    async fn claim(&self, responder: &mut Responder) -> Result<(), Unserved> {
+        if !self.request.needs_claim() {
+            return Ok(());
+        }
+        let claim = Claim::new(
+            self.context,
+            self.request,
+            self.placed,
+            self.withdrawn,
+            self.deadline,
+        );
+        let claimed = tokio::select! {
+            claimed = claim.hold() => claimed,
+            () = responder.abandoned() => return Err(Unserved::CallerGone),
+        };
+        match claimed {
+            Claimed::Held => Ok(()),
+            Claimed::Elsewhere { peer, attempt } => Err(Unserved::Elsewhere { peer, attempt }),
+            // Without a claim an idempotent request only loses the way back to its answer.
+            Claimed::Refused(failure)
+                if self.request.idempotent && failure.reason != Reason::KeyReused =>
+            {
+                Ok(())
+            }
+            Claimed::Refused(failure) => Err(Unserved::Final(failure)),
+        }
+    }
+
     async fn grant(&self, attempt: id::Attempt, frames: Frames) -> Result<Granted, Unserved> {
         match self.context.peers.grant(self.peer(), attempt).await {
             Ok(Ok(())) => Ok(Granted {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,6 +4,7 @@
 //! types and convert by `From` and `TryFrom`, so that the wire format and the decision logic can
 //! change apart.
 
+pub mod claim;
 pub mod codec;
 pub mod failure;
 pub mod frame;
