A void attempt does not rule its sidecar out

Cause: of two calls with one key that race before a single sidecar, one could void the other's attempt, whose router then ruled the only sidecar out and answered not-run, while the answer was to be had there. Change: a sidecar is not excluded after Reason::Void; the next attempt finds the claim and relays the answer.

--- a/core/src/breaker.rs
+++ b/core/src/breaker.rs
@@ -6,7 +6,7 @@
 const THRESHOLD: u32 = 3;
 
 /// Time between probes of a service that is down.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time after which a probe without a result counts as failed.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -114,7 +114,10 @@
                 Attempted::Moved(failure) => {
                     self.log_move(&placed, &failure);
                     self.withdrawn.push(placed.attempt);
-                    excluded.push(placed.peer.incarnation.instance.clone());
+                    // A void attempt says nothing against its sidecar.
+                    if failure.reason != Reason::Void {
+                        excluded.push(placed.peer.incarnation.instance.clone());
+                    }
                     moved = Some(failure);
                 }
             }
--- a/daemon/tests/claims.rs
+++ b/daemon/tests/claims.rs
@@ -179,9 +179,13 @@
     bench.assert_kept(&[(&shot, &record), (&shot, &retry)]);
 }
 
+#[rstest::rstest]
+#[case(1)]
+#[case(2)]
 #[tokio::test]
-async fn bookings_racing_at_two_routers_run_once_and_are_answered_twice() {
-    let bench = Bench::start().await;
+async fn bookings_racing_at_two_routers_run_once_and_are_answered_twice(#[case] sidecars: usize) {
+    let layout = Layout::new(vec![Service::ordre_app(sidecars)]);
+    let bench = Bench::start_with(layout).await;
     bench.set_latency(Duration::from_millis(50));
     let shots: Vec<Shot> = (0..20).map(|n| booking(&format!("race-{n}"))).collect();
 
