--- a/daemon/tests/claims.rs
+++ b/daemon/tests/claims.rs
@@ -13,7 +13,7 @@
         load::{Generator, Record, Shot},
         plain::Call,
         proxy::{Direction, Fault, Scope},
-        store::Outage,
+        store::{self, Outage},
     },
     tokio::{task::JoinHandle, time::sleep},
 };
@@ -99,9 +99,12 @@
             .collect()
     }
 
-    fn has_claim(&self, key: &str) -> bool {
+    /// How often the claim has been written.
+    fn claims(&self, key: &str) -> usize {
         let key = format!("tamarackdale/claims/{SERVICE}/joiners/{key}");
-        self.deployment.store.record(&key).is_some()
+        let mut writes = self.deployment.store.history();
+        writes.retain(|write| write.key == key.as_bytes());
+        writes.len()
     }
 
     /// Checks the promises for these calls, each with its request.
@@ -179,6 +182,23 @@
     bench.assert_kept(&[(&shot, &record), (&shot, &retry)]);
 }
 
+#[tokio::test]
+async fn claims_that_wait_together_share_calls_of_the_store() {
+    let bench = Bench::start().await;
+    let shots: Vec<Shot> = (0..30).map(|n| booking(&format!("batch-{n}"))).collect();
+    let store = &bench.deployment.store;
+    let before = store.calls(store::Call::Write);
+
+    store.set_delay(Duration::from_millis(50));
+    let records = shots.iter().map(|shot| bench.book(0, shot));
+    let records = futures_util::future::join_all(records).await;
+
+    let calls = store.calls(store::Call::Write) - before;
+    assert!(records.iter().all(|record| record.whole), "{records:#?}");
+    assert!(calls * 2 < 30, "{calls} calls for 30 claims");
+    bench.assert_kept(&shots.iter().zip(&records).collect::<Vec<_>>());
+}
+
 #[rstest::rstest]
 #[case(1)]
 #[case(2)]
@@ -214,7 +234,7 @@
     link.inject(Scope::All, Direction::FromTarget, slow);
     let first = bench.book(0, &shot);
     let second = async {
-        wait_until("claim", || bench.has_claim("paused")).await;
+        wait_until("claim", || bench.claims("paused") == 1).await;
         router.process.pause().expect("paused");
         let record = bench.book(1, &shot).await;
         router.process.resume_execution().expect("goes on");
@@ -224,6 +244,7 @@
 
     assert!(second.whole, "{second:?}");
     assert!(first.whole, "{first:?}");
+    assert_eq!(bench.claims("paused"), 2, "the claim was not taken over");
     assert_eq!(bench.runs("paused"), 1);
     bench.assert_kept(&[(&shot, &first), (&shot, &second)]);
 }
--- a/wire/tests/codec.rs
+++ b/wire/tests/codec.rs
@@ -3,8 +3,12 @@
 use {
     bytes::Bytes,
     rstest::rstest,
-    tamarackdale_core::failure as core_failure,
-    tamarackdale_wire::{Frame, codec, failure::Failure},
+    tamarackdale_core::{
+        claim::{self as core_claim, Nonce},
+        failure as core_failure,
+        id::{Attempt, Boot, Incarnation, Instance},
+    },
+    tamarackdale_wire::{Frame, claim, codec, failure::Failure},
 };
 
 fn frames() -> Vec<Frame> {
@@ -64,3 +68,26 @@
 
     assert!(core_failure::Failure::try_from(failure).is_err());
 }
+
+#[test]
+fn claim_round_trips() {
+    let record = core_claim::Record {
+        nonce: Nonce(u64::MAX),
+        incarnation: Incarnation {
+            instance: Instance("ordre-app-vejle-a-17".into()),
+            boot: Boot(u64::MAX),
+        },
+        attempt: Attempt {
+            router: Boot(u64::MAX),
+            sequence: u64::MAX,
+        },
+        fingerprint: u64::MAX,
+    };
+    let address = "10.0.0.7:7701".parse().expect("an address");
+
+    let bytes = codec::encode(&claim::Record::new(&record, address)).expect("encodes");
+    let decoded: claim::Record = codec::decode(&bytes).expect("decodes");
+
+    assert_eq!(decoded.address, address);
+    assert_eq!(core_claim::Record::from(decoded), record);
+}
