Watch an attempt's stream while its claim is written

Cause: a sidecar that died between claim and grant was still sent the grant, and its silence ended the booking as may-have-run, although it had not been granted. Change: the stream of the attempt is read while the claim is under way; its end moves the request, and the next attempt replaces the claim. A takeover is logged. Tests: fixture and model in files of their own.

--- a/core/tests/protocol.rs
+++ b/core/tests/protocol.rs
@@ -3,6 +3,8 @@
 
 #[path = "protocol/explorer.rs"]
 mod explorer;
+#[path = "protocol/model.rs"]
+mod model;
 #[path = "protocol/router.rs"]
 mod router;
 #[path = "protocol/world.rs"]
@@ -10,10 +12,10 @@
 
 use {
     explorer::{Outcome, exhaust, walk},
+    model::{Faults, Model, Safeguard},
     router::Told,
     rstest::rstest,
     tamarackdale_core::id::{Attempt, Boot},
-    world::{Faults, Model, Safeguard},
 };
 
 const SEED: u64 = 4;
--- a/core/tests/protocol/explorer.rs
+++ b/core/tests/protocol/explorer.rs
@@ -2,8 +2,9 @@
 
 use {
     crate::{
+        model::{Message, Mixer, Model},
         router::Told,
-        world::{Message, Mixer, Model, World},
+        world::World,
     },
     rand::{Rng, SeedableRng, rngs::StdRng},
     std::{
--- a/core/tests/protocol/router.rs
+++ b/core/tests/protocol/router.rs
@@ -1,7 +1,10 @@
 //! A router that serves one submission of the request, driving the claim machine and the ledger.
 
 use {
-    crate::world::{Message, Model, Safeguard, World, incarnation},
+    crate::{
+        model::{Message, Model, Safeguard},
+        world::{World, incarnation},
+    },
     tamarackdale_core::{
         attempt::Resumption,
         claim::{Action, Event, Machine, Nonce, Record},
--- a/core/tests/protocol/world.rs
+++ b/core/tests/protocol/world.rs
@@ -1,11 +1,11 @@
 //! Everything outside the routers: sidecars, store, network and what callers were told.
 
 use {
-    crate::router::{Router, Told},
-    std::{
-        hash::{Hash, Hasher},
-        time::Duration,
+    crate::{
+        model::{Faults, Message, Model, Network, Safeguard},
+        router::{Router, Told},
     },
+    std::time::Duration,
     tamarackdale_core::{
         attempt::{Resumption, Table},
         claim::{self, Action, Event, Revision, Version},
@@ -15,124 +15,6 @@
     },
 };
 
-/// A rule of the protocol that a test can switch off.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Safeguard {
-    GrantBeforeDispatch,
-    OneGrant,
-    VoidBeforeTakeover,
-    BootId,
-    Nonce,
-    CompareAndSwap,
-    Lifetime,
-}
-
-/// What is explored.
-#[derive(Clone, Copy, Debug)]
-pub struct Model {
-    pub sidecars: usize,
-    /// Attempts that each router may make.
-    pub offers: [usize; 2],
-    pub claimed: bool,
-    pub disabled: Option<Safeguard>,
-    pub faults: Faults,
-}
-
-impl Model {
-    pub fn keeps(&self, safeguard: Safeguard) -> bool {
-        self.disabled != Some(safeguard)
-    }
-}
-
-/// How many more faults of each kind may happen.
-#[derive(Clone, Copy, Debug, Default, Hash)]
-pub struct Faults {
-    pub restarts: u8,
-    pub duplicates: u8,
-    pub timeouts: u8,
-    pub inquiries: u8,
-    pub sheds: u8,
-    pub sweeps: u8,
-    pub aborts: u8,
-    pub pauses: u8,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub enum Message {
-    Enqueue {
-        sidecar: usize,
-        attempt: Attempt,
-        boot: Boot,
-    },
-    Ready(Attempt),
-    Failed(Attempt, Failure),
-    Grant {
-        sidecar: usize,
-        attempt: Attempt,
-        boot: Boot,
-    },
-    Granted(Attempt, Result<(), Failure>),
-    Resume {
-        sidecar: usize,
-        attempt: Attempt,
-        boot: Boot,
-        router: usize,
-        call: u8,
-    },
-    Resumed {
-        router: usize,
-        call: u8,
-        resumption: Resumption,
-    },
-    Call {
-        router: usize,
-        call: u8,
-        action: Action,
-        sent: Timestamp,
-    },
-    Answer {
-        router: usize,
-        call: u8,
-        event: Event,
-    },
-}
-
-/// Messages in flight, in no order.
-#[derive(Clone, Debug, Default)]
-pub struct Network(pub Vec<Message>);
-
-impl Hash for Network {
-    fn hash<H: Hasher>(&self, state: &mut H) {
-        let sum = self.0.iter().fold(0u64, |sum, message| {
-            let mut hasher = Mixer::default();
-            message.hash(&mut hasher);
-            sum.wrapping_add(hasher.finish())
-        });
-        state.write_u64(sum);
-    }
-}
-
-/// A hasher that is quick in unoptimised builds.
-#[derive(Default)]
-pub struct Mixer(u64);
-
-impl Hasher for Mixer {
-    fn write(&mut self, bytes: &[u8]) {
-        bytes
-            .iter()
-            .for_each(|byte| self.write_u64(u64::from(*byte)));
-    }
-
-    fn write_u64(&mut self, value: u64) {
-        let mixed = (self.0.rotate_left(23) ^ value).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        self.0 = mixed ^ (mixed >> 32);
-    }
-
-    fn finish(&self) -> u64 {
-        self.0
-    }
-}
-
 /// The claim as the store holds it.
 #[derive(Clone, Debug, Hash)]
 pub struct Held {
--- a/daemon/src/router/relay/claim.rs
+++ b/daemon/src/router/relay/claim.rs
@@ -106,6 +106,11 @@
                     self.call(Call::Create(value)).await
                 }
                 Action::Replace { record, revision } => {
+                    log::info!(
+                        key = self.key.as_str(),
+                        attempt:% = record.attempt;
+                        "claim taken over"
+                    );
                     let value = self.encode(&record);
                     let revision = revision.0;
                     self.call(Call::Replace { value, revision }).await
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -83,7 +83,7 @@
             () = responder.abandoned() => Err(Unserved::CallerGone),
         };
         let claimed = match ready {
-            Ok(()) => self.claim(responder).await,
+            Ok(()) => self.claim(&mut frames, responder).await,
             Err(unserved) => Err(unserved),
         };
         if let Err(unserved) = claimed {
@@ -94,7 +94,7 @@
     }
 
     /// Claims the request, if it must not run twice or its answer may be asked for again.
-    async fn claim(&self, responder: &mut Responder) -> Result<(), Unserved> {
+    async fn claim(&self, frames: &mut Frames, responder: &mut Responder) -> Result<(), Unserved> {
         if !self.request.needs_claim() {
             return Ok(());
         }
@@ -107,6 +107,7 @@
         );
         let claimed = tokio::select! {
             claimed = claim.hold() => claimed,
+            unserved = wait_until_lost(frames) => return Err(unserved),
             () = responder.abandoned() => return Err(Unserved::CallerGone),
         };
         match claimed {
@@ -186,18 +187,34 @@
     loop {
         match frames.next().await {
             Ok(Frame::Ready) => return Ok(()),
-            Ok(Frame::Heartbeat { .. }) => {}
-            Ok(Frame::Failed(failure)) => {
-                // Nothing was granted, so nothing ran, whatever the sidecar can prove.
-                let failure = Failure {
-                    verdict: Verdict::NotRun,
-                    ..parse(failure)
-                };
-                return Err(Unserved::Moved(failure));
-            }
-            Ok(_) => return Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost))),
-            Err(silence) => return Err(lost(silence)),
+            frame => check_waiting(frame)?,
+        }
+    }
+}
+
+/// Waits until an attempt that has not been granted is void or its sidecar cannot be reached.
+async fn wait_until_lost(frames: &mut Frames) -> Unserved {
+    loop {
+        if let Err(unserved) = check_waiting(frames.next().await) {
+            return unserved;
+        }
+    }
+}
+
+/// Judges a frame of an attempt that has not been granted.
+fn check_waiting(frame: Result<Frame, Silence>) -> Result<(), Unserved> {
+    match frame {
+        Ok(Frame::Heartbeat { .. } | Frame::Ready) => Ok(()),
+        Ok(Frame::Failed(failure)) => {
+            // Nothing was granted, so nothing ran, whatever the sidecar can prove.
+            let failure = Failure {
+                verdict: Verdict::NotRun,
+                ..parse(failure)
+            };
+            Err(Unserved::Moved(failure))
         }
+        Ok(_) => Err(Unserved::Moved(Failure::not_run(Reason::ConnectionLost))),
+        Err(silence) => Err(lost(silence)),
     }
 }
 
--- a/daemon/tests/claims.rs
+++ b/daemon/tests/claims.rs
@@ -1,173 +1,20 @@
 //! Bookings under faults, with real processes: claims, takeovers and the loss of the store.
 
+#[path = "claims/bench.rs"]
+mod bench;
+
 use {
-    hyper::Method,
-    std::{
-        collections::BTreeSet,
-        time::{Duration, Instant},
-    },
+    bench::{AT_ONCE, Bench, LIMIT, booking, booking_of, layout, read, runs_at, wait_until},
+    std::time::Duration,
     tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service, Sidecar},
-        history::{Execution, History, Submission},
-        load::{Generator, Record, Shot},
-        plain::Call,
+        deployment::{Layout, Service, Sidecar},
+        load::Shot,
         proxy::{Direction, Fault, Scope},
         store::{self, Outage},
     },
-    tokio::{task::JoinHandle, time::sleep},
 };
 
-const SERVICE: &str = "ordre-app";
-const KEY: &str = "joiner-example-key";
-
-/// Bound on everything that is waited for.
-const LIMIT: Duration = Duration::from_secs(20);
-
-/// Longest that an answer may take that depends on nothing but what the router knows.
-const AT_ONCE: Duration = Duration::from_millis(500);
-
-/// A system, what its callers saw, and the client that they share.
-struct Bench {
-    deployment: Deployment,
-    generator: Generator,
-    start: tokio::time::Instant,
-}
-
-impl Bench {
-    async fn start() -> Self {
-        Self::start_with(layout()).await
-    }
-
-    async fn start_with(layout: Layout) -> Self {
-        let deployment = Deployment::start(&layout).await.expect("starts");
-        let generator = Generator::new(&deployment.entries()).with_limit(LIMIT);
-        let bench = Self {
-            deployment,
-            generator,
-            start: tokio::time::Instant::now(),
-        };
-        // From here on both routers know the sidecars and have a lease.
-        for router in 0..2 {
-            let shot = booking(&format!("warm-{router}"));
-            bench.book_until_served(router, &shot).await;
-        }
-        bench
-    }
-
-    /// Books again while the answer is that it was not run, as a caller does.
-    async fn book_until_served(&self, router: usize, shot: &Shot) -> Record {
-        let deadline = Instant::now() + LIMIT;
-        loop {
-            let record = self.book(router, shot).await;
-            if record.verdict != Some(Verdict::NotRun) {
-                assert!(record.whole, "{record:?}");
-                return record;
-            }
-            assert!(Instant::now() < deadline, "{record:?}");
-            let delay = record.retry_after;
-            sleep(delay.expect("a refusal says when to return")).await;
-        }
-    }
-
-    async fn book(&self, router: usize, shot: &Shot) -> Record {
-        self.generator.offer(self.start, router, shot).await
-    }
-
-    fn set_latency(&self, latency: Duration) {
-        for sidecar in self.deployment.sidecars_of(SERVICE) {
-            sidecar.plain().set_latency(latency);
-        }
-    }
-
-    /// Books in a task of its own, so that parts of the system can be stopped meanwhile.
-    fn spawn_booking(&self, router: usize, shot: &Shot) -> JoinHandle<Record> {
-        let (generator, start, shot) = (self.generator.clone(), self.start, shot.clone());
-        tokio::spawn(async move { generator.offer(start, router, &shot).await })
-    }
-
-    fn runs(&self, key: &str) -> usize {
-        let sidecars = self.deployment.sidecars.iter();
-        sidecars.map(|sidecar| runs_at(sidecar, key).len()).sum()
-    }
-
-    fn executions(&self, key: &str) -> Vec<Execution> {
-        let sidecars = self.deployment.sidecars.iter();
-        let calls = sidecars.flat_map(|sidecar| runs_at(sidecar, key));
-        calls
-            .filter_map(|call| Execution::of_call(SERVICE, &call))
-            .collect()
-    }
-
-    /// How often the claim has been written.
-    fn claims(&self, key: &str) -> usize {
-        let key = format!("tamarackdale/claims/{SERVICE}/joiners/{key}");
-        let mut writes = self.deployment.store.history();
-        writes.retain(|write| write.key == key.as_bytes());
-        writes.len()
-    }
-
-    /// Checks the promises for these calls, each with its request.
-    fn assert_kept(&self, calls: &[(&Shot, &Record)]) {
-        let submissions = calls
-            .iter()
-            .filter_map(|(shot, record)| Submission::of_record(record, shot, is_read(shot)))
-            .collect();
-        let executions = calls
-            .iter()
-            .filter_map(|(shot, _)| shot.key.clone())
-            .collect::<BTreeSet<_>>()
-            .iter()
-            .flat_map(|key| self.executions(key))
-            .collect();
-        let history = History {
-            submissions,
-            executions,
-            ..History::new()
-        };
-        assert_eq!(history.violations(), Vec::new());
-    }
-}
-
-/// Calls with this key that the sidecar's backend server has received.
-fn runs_at(sidecar: &Sidecar, key: &str) -> Vec<Call> {
-    let mut calls = sidecar.plain().calls();
-    calls.retain(|call| call.marker.as_deref() == Some(key));
-    calls
-}
-
-fn layout() -> Layout {
-    Layout::new(vec![Service::ordre_app(2)])
-}
-
-fn booking(key: &str) -> Shot {
-    booking_of(key, "{\"item\":1}")
-}
-
-fn booking_of(key: &str, body: &str) -> Shot {
-    Shot::plain(SERVICE, KEY, Method::POST, "/pickups", body)
-        .with_tier("order")
-        .with_key(key)
-}
-
-fn read(key: &str) -> Shot {
-    Shot::plain(SERVICE, KEY, Method::GET, "/orders/1", "")
-        .with_tier("status")
-        .with_key(key)
-}
-
-fn is_read(shot: &Shot) -> bool {
-    shot.method == Method::GET
-}
-
-async fn wait_until(awaited: &str, condition: impl Fn() -> bool) {
-    let deadline = Instant::now() + LIMIT;
-    while !condition() {
-        assert!(Instant::now() < deadline, "no {awaited} within {LIMIT:?}");
-        sleep(Duration::from_millis(2)).await;
-    }
-}
-
 #[tokio::test]
 async fn lost_answers_of_the_store_do_not_lose_or_double_a_booking() {
     let bench = Bench::start().await;
@@ -234,7 +81,7 @@
     link.inject(Scope::All, Direction::FromTarget, slow);
     let first = bench.book(0, &shot);
     let second = async {
-        wait_until("claim", || bench.claims("paused") == 1).await;
+        wait_until("claim", || bench.claims("paused").len() == 1).await;
         router.process.pause().expect("paused");
         let record = bench.book(1, &shot).await;
         router.process.resume_execution().expect("goes on");
@@ -244,11 +91,35 @@
 
     assert!(second.whole, "{second:?}");
     assert!(first.whole, "{first:?}");
-    assert_eq!(bench.claims("paused"), 2, "the claim was not taken over");
+    assert_eq!(bench.claims("paused").len(), 2, "not taken over");
     assert_eq!(bench.runs("paused"), 1);
     bench.assert_kept(&[(&shot, &first), (&shot, &second)]);
 }
 
+#[tokio::test]
+async fn booking_moves_when_its_sidecar_dies_between_claim_and_grant() {
+    let mut bench = Bench::start_with(layout().with_proxies()).await;
+    let shot = booking("moved");
+    let link = bench.deployment.routers[0].store_proxy.as_ref();
+    let slow = Fault::delay(Duration::from_millis(400));
+
+    let link = link.expect("the layout has proxies");
+    link.inject(Scope::All, Direction::FromTarget, slow);
+    let booked = bench.spawn_booking(0, &shot);
+    wait_until("claim", || bench.claims("moved").len() == 1).await;
+    let instance = bench.claims("moved")[0].instance.clone();
+    let sidecars = &mut bench.deployment.sidecars;
+    let claimed = sidecars.iter_mut().find(|sidecar| sidecar.name == instance);
+    let claimed = claimed.expect("the claim names a sidecar");
+    claimed.process.kill().expect("killed");
+    let record = booked.await.expect("ends");
+
+    assert!(record.whole, "{record:?}");
+    assert_eq!(bench.claims("moved").len(), 2);
+    assert_eq!(bench.runs("moved"), 1);
+    bench.assert_kept(&[(&shot, &record)]);
+}
+
 #[tokio::test]
 async fn retry_after_the_death_of_its_router_gets_the_answer_of_the_first_run() {
     let mut bench = Bench::start().await;
--- /dev/null
+++ b/daemon/tests/claims/bench.rs
@@ -0,0 +1,171 @@
+//! A system of two routers before plain services, and its callers.
+
+use {
+    hyper::Method,
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
+    tamarackdale_core::verdict::Verdict,
+    tamarackdale_testbed::{
+        deployment::{Deployment, Layout, Service, Sidecar},
+        history::{Execution, History, Submission},
+        load::{Generator, Record, Shot},
+        plain::Call,
+    },
+    tamarackdale_wire::{claim, codec},
+    tokio::{task::JoinHandle, time::sleep},
+};
+
+pub const SERVICE: &str = "ordre-app";
+pub const KEY: &str = "joiner-example-key";
+
+/// Bound on everything that is waited for.
+pub const LIMIT: Duration = Duration::from_secs(20);
+
+/// Longest that an answer may take that depends on nothing but what the router knows.
+pub const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// A system, what its callers saw, and the client that they share.
+pub struct Bench {
+    pub deployment: Deployment,
+    pub generator: Generator,
+    pub start: tokio::time::Instant,
+}
+
+impl Bench {
+    pub async fn start() -> Self {
+        Self::start_with(layout()).await
+    }
+
+    pub async fn start_with(layout: Layout) -> Self {
+        let deployment = Deployment::start(&layout).await.expect("starts");
+        let generator = Generator::new(&deployment.entries()).with_limit(LIMIT);
+        let bench = Self {
+            deployment,
+            generator,
+            start: tokio::time::Instant::now(),
+        };
+        // From here on both routers know the sidecars and have a lease.
+        for router in 0..2 {
+            let shot = booking(&format!("warm-{router}"));
+            bench.book_until_served(router, &shot).await;
+        }
+        bench
+    }
+
+    /// Books again while the answer is that it was not run, as a caller does.
+    pub async fn book_until_served(&self, router: usize, shot: &Shot) -> Record {
+        let deadline = Instant::now() + LIMIT;
+        loop {
+            let record = self.book(router, shot).await;
+            if record.verdict != Some(Verdict::NotRun) {
+                assert!(record.whole, "{record:?}");
+                return record;
+            }
+            assert!(Instant::now() < deadline, "{record:?}");
+            let delay = record.retry_after;
+            sleep(delay.expect("a refusal says when to return")).await;
+        }
+    }
+
+    pub async fn book(&self, router: usize, shot: &Shot) -> Record {
+        self.generator.offer(self.start, router, shot).await
+    }
+
+    pub fn set_latency(&self, latency: Duration) {
+        for sidecar in self.deployment.sidecars_of(SERVICE) {
+            sidecar.plain().set_latency(latency);
+        }
+    }
+
+    /// Books in a task of its own, so that parts of the system can be stopped meanwhile.
+    pub fn spawn_booking(&self, router: usize, shot: &Shot) -> JoinHandle<Record> {
+        let (generator, start, shot) = (self.generator.clone(), self.start, shot.clone());
+        tokio::spawn(async move { generator.offer(start, router, &shot).await })
+    }
+
+    pub fn runs(&self, key: &str) -> usize {
+        let sidecars = self.deployment.sidecars.iter();
+        sidecars.map(|sidecar| runs_at(sidecar, key).len()).sum()
+    }
+
+    pub fn executions(&self, key: &str) -> Vec<Execution> {
+        let sidecars = self.deployment.sidecars.iter();
+        let calls = sidecars.flat_map(|sidecar| runs_at(sidecar, key));
+        calls
+            .filter_map(|call| Execution::of_call(SERVICE, &call))
+            .collect()
+    }
+
+    /// The claims that have been written for a request, oldest first.
+    pub fn claims(&self, key: &str) -> Vec<claim::Record> {
+        let key = format!("tamarackdale/claims/{SERVICE}/joiners/{key}");
+        let mut writes = self.deployment.store.history();
+        writes.retain(|write| write.key == key.as_bytes());
+        let values = writes.into_iter().filter_map(|write| write.value);
+        values
+            .map(|value| codec::decode(&value).expect("a claim"))
+            .collect()
+    }
+
+    /// Checks the promises for these calls, each with its request.
+    pub fn assert_kept(&self, calls: &[(&Shot, &Record)]) {
+        let submissions = calls
+            .iter()
+            .filter_map(|(shot, record)| Submission::of_record(record, shot, is_read(shot)))
+            .collect();
+        let executions = calls
+            .iter()
+            .filter_map(|(shot, _)| shot.key.clone())
+            .collect::<BTreeSet<_>>()
+            .iter()
+            .flat_map(|key| self.executions(key))
+            .collect();
+        let history = History {
+            submissions,
+            executions,
+            ..History::new()
+        };
+        assert_eq!(history.violations(), Vec::new());
+    }
+}
+
+/// Calls with this key that the sidecar's backend server has received.
+pub fn runs_at(sidecar: &Sidecar, key: &str) -> Vec<Call> {
+    let mut calls = sidecar.plain().calls();
+    calls.retain(|call| call.marker.as_deref() == Some(key));
+    calls
+}
+
+pub fn layout() -> Layout {
+    Layout::new(vec![Service::ordre_app(2)])
+}
+
+pub fn booking(key: &str) -> Shot {
+    booking_of(key, "{\"item\":1}")
+}
+
+pub fn booking_of(key: &str, body: &str) -> Shot {
+    Shot::plain(SERVICE, KEY, Method::POST, "/pickups", body)
+        .with_tier("order")
+        .with_key(key)
+}
+
+pub fn read(key: &str) -> Shot {
+    Shot::plain(SERVICE, KEY, Method::GET, "/orders/1", "")
+        .with_tier("status")
+        .with_key(key)
+}
+
+pub fn is_read(shot: &Shot) -> bool {
+    shot.method == Method::GET
+}
+
+pub async fn wait_until(awaited: &str, condition: impl Fn() -> bool) {
+    let deadline = Instant::now() + LIMIT;
+    while !condition() {
+        assert!(Instant::now() < deadline, "no {awaited} within {LIMIT:?}");
+        sleep(Duration::from_millis(2)).await;
+    }
+}
