--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -125,6 +125,15 @@
         self.sidecars.iter().filter(of_service)
     }
 
+    /// Routing decisions that the present processes of the routers have logged.
+    pub fn routed(&self) -> usize {
+        let is_decision = |line: &&serde_json::Value| line["message"] == "routed";
+        self.routers
+            .iter()
+            .map(|router| router.process.logs().iter().filter(is_decision).count())
+            .sum()
+    }
+
     /// Waits until every router and sidecar says that it is ready.
     ///
     /// # Errors
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod history;
 pub mod host;
 pub mod http;
+pub mod injection;
 pub mod list;
 pub mod load;
 pub mod operator;
--- a/testbed/tests/faults.rs
+++ b/testbed/tests/faults.rs
@@ -97,8 +97,10 @@
     );
 }
 
-/// Waits until both engines have work.
+/// Waits until the whole burst has arrived and both engines have work.
 async fn wait_for_both(deployment: &Deployment) {
+    let routed = wait::until(LIMIT, || deployment.routed() >= REQUESTS);
+    assert!(routed.await, "not all requests have arrived");
     let busy = || {
         deployment
             .sidecars
--- a/testbed/tests/shutdown.rs
+++ b/testbed/tests/shutdown.rs
@@ -59,13 +59,16 @@
     let generator = Generator::new(&deployment.entries()).with_limit(LIMIT);
     let schedule = Schedule::burst(Duration::ZERO, REQUESTS);
     let offered = tokio::spawn(async move { generator.run(&schedule, shot).await });
+    let routed = wait::until(LIMIT, || deployment.routed() >= REQUESTS);
+    assert!(routed.await, "not all requests have arrived");
     let started = wait::until(LIMIT, || {
         deployment
             .sidecars
             .iter()
             .all(|sidecar| !sidecar.engine().runs().is_empty())
     });
-    assert!(started.await, "both engines have work");
+    assert!(started.await, "an engine has no work");
+    assert!(runs(&deployment).len() < REQUESTS, "nothing waits");
 
     let process = match role {
         Role::Router => &mut deployment.routers[0].process,
