--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod history;
 pub mod host;
 pub mod http;
+pub mod injection;
 pub mod list;
 pub mod load;
 pub mod operator;
