--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -130,7 +130,7 @@
 
     /// Measured speed of the backend server, for one request at the present batch.
     pub fn rates(&self, now: Timestamp) -> Rates {
-        self.meter.rates(self.running > 0, now)
+        self.meter.rates(self.decoding > 0, now)
     }
 
     /// A request was dispatched.
--- a/core/src/batch/meter.rs
+++ b/core/src/batch/meter.rs
@@ -29,8 +29,8 @@
 
     /// The speed by the averages or, if tokens have stayed away for longer than the average gap,
     /// by the time since the last one.
-    pub(super) fn rates(&self, is_running: bool, now: Timestamp) -> Rates {
-        let silence_s = match is_running {
+    pub(super) fn rates(&self, is_decoding: bool, now: Timestamp) -> Rates {
+        let silence_s = match is_decoding {
             true => now.since(self.last_token).as_secs_f64(),
             false => 0.0,
         };
--- a/core/tests/batch.rs
+++ b/core/tests/batch.rs
@@ -179,3 +179,14 @@
     assert!(limit.has_prefill_room(700, Timestamp::START));
     assert!(!limit.has_prefill_room(900, Timestamp::START));
 }
+
+#[test]
+fn silence_during_the_first_prefill_tells_nothing_of_the_decode_rate() {
+    let mut limit = Limit::new(Settings::default());
+    let before = limit.rates(Timestamp::START).decode;
+    limit.started(Timestamp::START);
+
+    let rates = limit.rates(Timestamp::START.plus(seconds(4)));
+
+    assert_eq!(rates.decode, before);
+}
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -86,6 +86,7 @@
             log::info!(
                 request:% = request.id,
                 tier = request.tier.as_str(),
+                rank = request.rank.0,
                 excluded = excluded.len(),
                 reason:% = failure.reason;
                 "not routed"
@@ -105,6 +106,8 @@
     ) -> Result<Placed, Failure> {
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
+            // Once the present floor has ended, lower ranks still come after this one.
+            self.floor.raise(request.rank, now);
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
         }
         if !excluded.is_empty() && !self.budget.retry() {
@@ -181,6 +184,7 @@
     fn note_shed(&mut self, rank: Rank, failure: &Failure, now: Timestamp) {
         if failure.reason.is_shed() {
             self.floor.raise(rank, now);
+            log::info!(service = self.name.as_str(), rank = rank.0; "floor raised");
         }
     }
 
@@ -223,6 +227,7 @@
             service = self.name.as_str(),
             organisation = request.id.organisation.as_str(),
             tier = request.tier.as_str(),
+            rank = request.rank.0,
             candidates = weighed.join(" "),
             sidecar:% = choice.incarnation,
             predicted_ms = choice.predicted.as_millis() as u64,
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -33,6 +33,13 @@
     deadline: Timestamp,
 }
 
+/// The reason to give when no further sidecar is found. The last sidecar's says more than that
+/// there is no further one; but one that gave the request up knew only of itself.
+fn last_word(failure: Failure, moved: Option<Failure>) -> Failure {
+    let is_final = failure.reason != Reason::NoBackendServer;
+    moved.filter(|_| !is_final).unwrap_or(failure)
+}
+
 /// How a request ended for its caller.
 enum Ending {
     Served,
@@ -92,8 +99,7 @@
         loop {
             let placed = match self.place(&excluded).await {
                 Ok(placed) => placed,
-                // The last sidecar's reason says more than that there is no further one.
-                Err(failure) => return Ending::Failed(moved.unwrap_or(failure)),
+                Err(failure) => return Ending::Failed(last_word(failure, moved)),
             };
             match self.attempt(&placed).await {
                 Attempted::Over(ending) => return ending,
@@ -187,6 +193,7 @@
         log::info!(
             request:% = self.request.id,
             tier = self.request.tier.as_str(),
+            rank = self.request.rank.0,
             verdict:% = failure.verdict,
             reason:% = failure.reason,
             retry_after_ms = failure.retry_after.map_or(0, |delay| delay.as_millis() as u64);
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -190,9 +190,10 @@
     /// Queues an entry, shedding what has to go for it in the order of urgency.
     fn push(&mut self, entry: Entry, now: Timestamp) -> Result<(), Failure> {
         self.apply_floor(now);
+        self.check_feasible(&entry, now)?;
         let rank = entry.rank;
         let pushed = match self.queue.push(entry.clone(), now) {
-            Err(failure) if failure.reason == Reason::Overload && self.floor.serves(rank, now) => {
+            Err(failure) if failure.reason == Reason::Overload => {
                 // The entry is about to be shed: nothing less urgent may be served any more.
                 self.floor.raise(rank, now);
                 self.apply_floor(now);
@@ -208,6 +209,22 @@
         Ok(())
     }
 
+    /// Refuses at once what would miss its deadline behind the prompts that are before it, so that
+    /// its router can move it: the report by which it was chosen may be old.
+    fn check_feasible(&self, entry: &Entry, now: Timestamp) -> Result<(), Failure> {
+        let above = self.queue.work();
+        let above = above.iter().take(usize::from(entry.rank.0));
+        let prefill_tokens = above
+            .map(|work| work.prefill_tokens)
+            .fold(self.ledger.unprefilled_tokens(), u32::saturating_add);
+        let wait = self.limit.rates(now).service_time(prefill_tokens, 0);
+        let is_checked = self.settings.queue.order == queue::Order::Tiers;
+        if !is_checked || !entry.is_hopeless(now.plus(wait), self.limit.rates(now)) {
+            return Ok(());
+        }
+        Err(Failure::not_run(Reason::Infeasible).with_retry_after(wait))
+    }
+
     fn grant(&mut self, attempt: Attempt, boot: Boot) -> Result<(), Failure> {
         let now = self.clock.now();
         let Some(handle) = self.tasks.get(&attempt).cloned() else {
@@ -216,7 +233,8 @@
             self.table.abort(attempt, now);
             return Err(Failure::not_run(Reason::Void));
         };
-        if let Some(rank) = self.ledger.offered_rank(attempt)
+        let rank = self.ledger.offered_rank(attempt);
+        if let Some(rank) = rank
             && !self.floor.serves(rank, now)
         {
             let failure = self.overload(rank);
@@ -232,7 +250,13 @@
         self.ledger.start(attempt, &mut self.prefixes, now);
         self.limit.started(now);
         permit.send(Message::Start);
-        log::debug!(attempt:% = attempt, running = self.limit.running(); "dispatched");
+        log::info!(
+            attempt:% = attempt,
+            rank = rank.map_or(0, |rank| rank.0),
+            running = self.limit.running(),
+            limit = self.limit.current();
+            "dispatched"
+        );
         Ok(())
     }
 
@@ -341,6 +365,12 @@
     fn expire(&mut self, now: Timestamp) {
         let rates = self.limit.rates(now);
         for (entry, failure) in self.queue.expire(now, rates) {
+            log::info!(
+                attempt:% = entry.attempt,
+                organisation = entry.organisation.as_str(),
+                rank = entry.rank.0;
+                "given up"
+            );
             self.void(entry.attempt, failure, now);
         }
     }
@@ -366,6 +396,7 @@
         let rank = self.floor.current(now);
         self.queue.lower_floor(rank);
         for entry in self.queue.raise_floor(rank) {
+            self.floor.raise(entry.rank, now);
             self.shed(&entry, now);
         }
     }
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod host;
 pub mod http;
 pub mod list;
