--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Common, Flag, source::Source},
-    std::net::SocketAddr,
+    std::{net::SocketAddr, time::Duration},
     tamarackdale_core::route::Policy,
 };
 
@@ -17,6 +17,10 @@
     pub services: Vec<String>,
     /// How requests are placed.
     pub policy: Policy,
+    /// Bytes of request bodies held at once.
+    pub max_buffered_bytes: usize,
+    /// Time for which callers are still accepted after the router has become unready.
+    pub unready_delay: Duration,
 }
 
 /// Flags of a router, besides the common ones.
@@ -39,6 +43,18 @@
         "parts not used, separated by commas: affinity, feasibility, correction, floor",
     )
     .with_default("none"),
+    Flag::new(
+        "max-buffered-bytes",
+        "BYTES",
+        "bytes of request bodies held at once",
+    )
+    .with_default("268435456"),
+    Flag::new(
+        "unready-delay-ms",
+        "MILLISECONDS",
+        "time for which callers are still accepted after a termination signal",
+    )
+    .with_default("1000"),
 ];
 
 impl Router {
@@ -49,6 +65,8 @@
             listen: source.address("listen"),
             services: source.names("services"),
             policy: read_policy(source),
+            max_buffered_bytes: source.number("max-buffered-bytes") as usize,
+            unready_delay: Duration::from_millis(source.number("unready-delay-ms")),
         }
     }
 }
