First measurements replace what was assumed of an engine's speed

Cause: engine_slows_tenfold failed (28 runs at the slow engine, 32 at the other): the averages moved away from the assumed rates too slowly for short answers. Change: samples count alike until there are enough for the moving average.

--- a/core/src/batch/meter.rs
+++ b/core/src/batch/meter.rs
@@ -8,13 +8,17 @@
 /// Weight of the newest gap in the average, for a batch of one.
 const GAP_WEIGHT: f64 = 0.1;
 
-/// Tokens of prefill over which half of the measured prefill rate is renewed.
+/// Tokens of prefill over which half of the measured prefill rate is renewed, once as many have
+/// been seen.
 const PREFILL_MEMORY_TOKENS: f64 = 2_000.0;
 
 /// Averages of prefill rate and gap between tokens.
 pub(super) struct Meter {
     prefill_rate: f64,
     gap_s: f64,
+    /// Tokens prefilled so far, up to the memory.
+    prefill_seen: f64,
+    gaps_seen: u32,
     last_token: Timestamp,
 }
 
@@ -23,6 +27,8 @@
         Self {
             prefill_rate: rates.prefill,
             gap_s: 1.0 / rates.decode,
+            prefill_seen: 0.0,
+            gaps_seen: 0,
             last_token: Timestamp::START,
         }
     }
@@ -45,7 +51,8 @@
     pub(super) fn first_token(&mut self, prefill_tokens: u32, elapsed: Duration, now: Timestamp) {
         self.last_token = now;
         let tokens = f64::from(prefill_tokens.max(1));
-        let weight = tokens / (tokens + PREFILL_MEMORY_TOKENS);
+        let weight = tokens / (tokens + self.prefill_seen);
+        self.prefill_seen = (self.prefill_seen + tokens).min(PREFILL_MEMORY_TOKENS);
         let sample = elapsed.as_secs_f64() / tokens;
         let time_per_token = (1.0 - weight) / self.prefill_rate + weight * sample;
         self.prefill_rate = 1.0 / time_per_token.max(1e-9);
@@ -60,7 +67,10 @@
     ) {
         self.last_token = now;
         let sample = elapsed.as_secs_f64() / f64::from(tokens.max(1));
+        self.gaps_seen = self.gaps_seen.saturating_add(1);
+        // What was assumed before counts for nothing, and the first gaps count alike.
         let weight = GAP_WEIGHT / f64::from(running.max(1)).sqrt();
+        let weight = weight.max(1.0 / f64::from(self.gaps_seen));
         self.gap_s += (sample - self.gap_s) * weight;
     }
 }
--- a/core/tests/batch.rs
+++ b/core/tests/batch.rs
@@ -190,3 +190,16 @@
 
     assert_eq!(rates.decode, before);
 }
+
+#[test]
+fn first_measurement_replaces_what_was_assumed() {
+    let mut limit = Limit::new(Settings::default());
+    limit.started(Timestamp::START);
+
+    limit.first_token(40, Duration::from_millis(400), Timestamp::START);
+    limit.token_gap(1, Duration::from_millis(250), Timestamp::START);
+
+    let rates = limit.rates(Timestamp::START);
+    assert_eq!(rates.decode, 4.0);
+    assert!((rates.prefill - 100.0).abs() < 1e-6, "{}", rates.prefill);
+}
