--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -81,6 +81,7 @@
             log::info!(
                 request:% = wanted.request.id,
                 tier = wanted.request.tier.as_str(),
+                rank = wanted.request.rank.0,
                 excluded = wanted.excluded.len(),
                 reason:% = failure.reason;
                 "not routed"
@@ -99,6 +100,8 @@
         let request = &wanted.request;
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
+            // Once the present floor has ended, lower ranks still come after this one.
+            self.floor.raise(request.rank, now);
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
         }
         if let Some(failure) = wanted.moved {
@@ -183,6 +186,7 @@
     fn note_shed(&mut self, rank: Rank, failure: &Failure, now: Timestamp) {
         if failure.reason.is_shed() {
             self.floor.raise(rank, now);
+            log::info!(service = self.name.as_str(), rank = rank.0; "floor raised");
         }
     }
 
@@ -225,6 +229,7 @@
             service = self.name.as_str(),
             organisation = request.id.organisation.as_str(),
             tier = request.tier.as_str(),
+            rank = request.rank.0,
             candidates = weighed.join(" "),
             sidecar:% = choice.incarnation,
             predicted_ms = choice.predicted.as_millis() as u64,
--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -15,12 +15,12 @@
     pub listen: SocketAddr,
     /// Services that are routed to.
     pub services: Vec<String>,
+    /// How requests are placed.
+    pub policy: Policy,
     /// Bytes of request bodies held at once.
     pub max_buffered_bytes: usize,
     /// Time for which callers are still accepted after the router has become unready.
     pub unready_delay: Duration,
-    /// How requests are placed.
-    pub policy: Policy,
 }
 
 /// Flags of a router, besides the common ones.
@@ -31,18 +31,6 @@
         "NAMES",
         "services to route to, separated by commas",
     ),
-    Flag::new(
-        "max-buffered-bytes",
-        "BYTES",
-        "bytes of request bodies held at once",
-    )
-    .with_default("268435456"),
-    Flag::new(
-        "unready-delay-ms",
-        "MILLISECONDS",
-        "time for which callers are still accepted after a termination signal",
-    )
-    .with_default("1000"),
     Flag::new(
         "placement",
         "NAME",
@@ -55,6 +43,18 @@
         "parts not used, separated by commas: affinity, feasibility, correction, floor",
     )
     .with_default("none"),
+    Flag::new(
+        "max-buffered-bytes",
+        "BYTES",
+        "bytes of request bodies held at once",
+    )
+    .with_default("268435456"),
+    Flag::new(
+        "unready-delay-ms",
+        "MILLISECONDS",
+        "time for which callers are still accepted after a termination signal",
+    )
+    .with_default("1000"),
 ];
 
 impl Router {
@@ -64,9 +64,9 @@
             common: Common::read(source),
             listen: source.address("listen"),
             services: source.names("services"),
+            policy: read_policy(source),
             max_buffered_bytes: source.number("max-buffered-bytes") as usize,
             unready_delay: Duration::from_millis(source.number("unready-delay-ms")),
-            policy: read_policy(source),
         }
     }
 }
