Routers remember their decisions; client tested against real processes

Cause: explain had nobody to ask. Change: the placement duty keeps the last 1,024 decisions of each service, and the peer port gives those on one request.

--- a/daemon/src/configuration/access.rs
+++ b/daemon/src/configuration/access.rs
@@ -54,6 +54,11 @@
 }
 
 impl Access {
+    /// Name of this instance.
+    pub fn instance(&self) -> &str {
+        &self.identity.instance
+    }
+
     /// Whether the process has every document that it needs.
     pub fn is_complete(&self) -> bool {
         let catalogue = self.catalogue.borrow();
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -2,6 +2,7 @@
 
 pub mod callers;
 pub mod context;
+pub mod explanation;
 pub mod inbound;
 pub mod membership;
 pub mod peer;
@@ -23,11 +24,15 @@
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
-        router::{Router, builder::build_router},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
     },
     rand::Rng as _,
     std::{io, sync::Arc},
     tamarackdale_core::{id::Boot, route::Policy},
+    tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -156,6 +161,10 @@
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
         configuration::handlers::draw::<Context, _, _>(route);
+        route
+            .get(&format!("{}/:request", path::DECISIONS))
+            .with_path_extractor::<explanation::Path>()
+            .to_async(explanation::get_decisions);
     })
 }
 
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -3,6 +3,7 @@
 //! It owns the routing tables, the shed floors, the organisations' limits and the retry budget.
 
 pub mod command;
+pub mod memory;
 pub mod service;
 
 use {
@@ -23,6 +24,7 @@
         route::Policy,
         time::Timestamp,
     },
+    tamarackdale_wire::status::Decision,
 };
 
 /// Commands that wait for the duty.
@@ -107,6 +109,12 @@
         });
     }
 
+    /// The remembered decisions on a request, oldest first.
+    pub async fn recall(&self, key: &str) -> Result<Vec<Decision>, Failure> {
+        let key = key.to_owned();
+        self.ring.ask(|reply| Command::Recall { key, reply }).await
+    }
+
     /// Tells what has been seen of a sidecar.
     pub fn sight(&self, sighting: Sighting) {
         self.ring.tell(Command::Sight(Box::new(sighting)));
@@ -166,6 +174,14 @@
                 attempt,
                 refused,
             } => self.service(&service).settle(&instance, attempt, refused),
+            Command::Recall { key, reply } => {
+                let recalled = self
+                    .services
+                    .values()
+                    .flat_map(|service| service.recall(&key, now))
+                    .collect();
+                let _ = reply.send(recalled);
+            }
             Command::Sight(sighting) => self.sight(*sighting, now),
             Command::Share(share) => self.set_share(share),
         }
--- a/daemon/src/router/placement/command.rs
+++ b/daemon/src/router/placement/command.rs
@@ -11,6 +11,7 @@
         report::Report,
         time::Timestamp,
     },
+    tamarackdale_wire::status::Decision,
     tokio::sync::oneshot,
 };
 
@@ -50,6 +51,13 @@
         /// Why the sidecar did not run it, if it did not.
         refused: Option<Failure>,
     },
+    /// Recall the decisions on a request.
+    Recall {
+        /// Identifier of the request.
+        key: String,
+        /// The decisions, oldest first.
+        reply: oneshot::Sender<Vec<Decision>>,
+    },
     /// Something was seen of a sidecar.
     Sight(Box<Sighting>),
     /// This router's place among the live routers has changed.
--- /dev/null
+++ b/daemon/src/router/placement/memory.rs
@@ -0,0 +1,91 @@
+//! The last decisions, for operators who ask why a request went where it went.
+
+use {
+    crate::router::inbound::Inbound,
+    std::{collections::VecDeque, time::Duration},
+    tamarackdale_core::{failure::Failure, route::Choice, time::Timestamp},
+    tamarackdale_wire::status::{Candidate, Decision},
+};
+
+/// Decisions remembered for each service.
+const CAPACITY: usize = 1024;
+
+struct Entry {
+    /// Identifier of the request.
+    key: String,
+    at: Timestamp,
+    decision: Decision,
+}
+
+/// The last decisions on requests for one service, oldest first.
+#[derive(Default)]
+pub struct Memory {
+    entries: VecDeque<Entry>,
+}
+
+impl Memory {
+    /// Remembers that a sidecar was chosen.
+    pub fn note_choice(&mut self, request: &Inbound, choice: &Choice, now: Timestamp) {
+        let candidates = choice
+            .weighed
+            .iter()
+            .map(|candidate| Candidate {
+                instance: candidate.incarnation.instance.to_string(),
+                predicted_ms: millis(candidate.predicted),
+            })
+            .collect();
+        let decision = Decision {
+            candidates,
+            chosen: choice.incarnation.to_string(),
+            reason: choice.basis.to_string(),
+            ..decision(request)
+        };
+        self.note(request, decision, now);
+    }
+
+    /// Remembers that no sidecar was chosen.
+    pub fn note_refusal(&mut self, request: &Inbound, failure: &Failure, now: Timestamp) {
+        let decision = Decision {
+            reason: failure.reason.to_string(),
+            ..decision(request)
+        };
+        self.note(request, decision, now);
+    }
+
+    /// The decisions on a request, oldest first.
+    pub fn recall(&self, key: &str, now: Timestamp) -> Vec<Decision> {
+        self.entries
+            .iter()
+            .filter(|entry| entry.key == key)
+            .map(|entry| Decision {
+                age_ms: millis(now.since(entry.at)),
+                ..entry.decision.clone()
+            })
+            .collect()
+    }
+
+    fn note(&mut self, request: &Inbound, decision: Decision, now: Timestamp) {
+        if self.entries.len() == CAPACITY {
+            self.entries.pop_front();
+        }
+        self.entries.push_back(Entry {
+            key: request.id.key.clone(),
+            at: now,
+            decision,
+        });
+    }
+}
+
+fn decision(request: &Inbound) -> Decision {
+    Decision {
+        service: request.id.service.clone(),
+        organisation: request.id.organisation.clone(),
+        tier: request.tier.clone(),
+        revision: request.version.revision.0,
+        ..Decision::default()
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -1,7 +1,7 @@
 //! Placement for one service.
 
 use {
-    super::{Placed, command::Wanted},
+    super::{Placed, command::Wanted, memory::Memory},
     crate::router::{inbound::Inbound, peer::Peer},
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
@@ -16,6 +16,7 @@
         tier::Rank,
         time::Timestamp,
     },
+    tamarackdale_wire::status::Decision,
 };
 
 /// What a router knows of one service's sidecars, and the limits that it keeps for the service.
@@ -26,6 +27,7 @@
     floor: Floor,
     limiter: Limiter,
     budget: Budget,
+    memory: Memory,
 }
 
 impl Service {
@@ -38,6 +40,7 @@
             floor: Floor::new(floor::Settings::default()),
             limiter: Limiter::new(share),
             budget: Budget::new(retry::Settings::default()),
+            memory: Memory::default(),
         }
     }
 
@@ -73,6 +76,7 @@
     ) -> Result<Placed, Failure> {
         let placed = self.try_place(wanted, attempt, now, rng);
         if let Err(failure) = &placed {
+            self.memory.note_refusal(&wanted.request, failure, now);
             log::info!(
                 request:% = wanted.request.id,
                 tier = wanted.request.tier.as_str(),
@@ -104,6 +108,7 @@
             .choose(&requirements(wanted), &wanted.excluded, now, rng)
             .inspect_err(|failure| self.note_shed(request.rank, failure, now))?;
         self.log_choice(request, attempt, &choice);
+        self.memory.note_choice(request, &choice, now);
         self.offer(request, attempt, choice, now)
     }
 
@@ -130,6 +135,11 @@
         self.table.finished(attempt);
     }
 
+    /// The remembered decisions on a request, oldest first.
+    pub fn recall(&self, key: &str, now: Timestamp) -> Vec<Decision> {
+        self.memory.recall(key, now)
+    }
+
     /// Takes in a sidecar's report.
     pub fn report(&mut self, report: Report, address: SocketAddr, now: Timestamp) {
         self.floor.merge(report.floor, now);
--- /dev/null
+++ b/daemon/tests/operator.rs
@@ -0,0 +1,90 @@
+//! The operators' client against a running system.
+
+use {
+    hyper::Method,
+    serde_json::Value,
+    std::process::{Command, Output},
+    tamarackdale_testbed::{
+        deployment::{Deployment, Layout, Service},
+        load::{Generator, Shot},
+        process,
+    },
+};
+
+const SERVICE: &str = "ordre-app";
+
+async fn deployment() -> Deployment {
+    let layout = Layout::new(vec![Service::ordre_app(2)]);
+    Deployment::start(&layout).await.expect("the system starts")
+}
+
+fn client(deployment: &Deployment, arguments: &[&str]) -> Output {
+    let binary = process::binary("tamarackdale").expect("the client is built");
+    Command::new(binary)
+        .args(arguments)
+        .env("TAMARACKDALE_STORE", deployment.store.url())
+        .env("TAMARACKDALE_INSTANCE_LIST", deployment.list.url())
+        .output()
+        .expect("the client runs")
+}
+
+fn json(output: &Output) -> Value {
+    serde_json::from_slice(&output.stdout).unwrap_or_default()
+}
+
+#[tokio::test]
+async fn edit_is_in_force_on_every_instance_when_apply_returns() {
+    let deployment = deployment().await;
+    let folder = tempfile::tempdir().expect("a folder is to be had");
+    let file = folder.path().join("edit.toml");
+    let got = client(&deployment, &["get", SERVICE]).stdout;
+    let text = String::from_utf8_lossy(&got).replace("weight = 4", "weight = 7");
+    std::fs::write(&file, text).expect("the folder is writable");
+
+    let applied = client(
+        &deployment,
+        &["apply", "--json", &file.display().to_string()],
+    );
+    let status = client(&deployment, &["status", "--json", SERVICE]);
+
+    assert_eq!(applied.status.code(), Some(0));
+    assert_eq!(json(&applied)["in_force"], 4);
+    let rows = json(&status)["instances"]
+        .as_array()
+        .cloned()
+        .unwrap_or_default();
+    assert_eq!(rows.len(), 4);
+    for row in rows {
+        assert_eq!(
+            (&row["state"], &row["behind"]),
+            (&"ready".into(), &false.into())
+        );
+        assert_eq!(row["revision"], json(&applied)["revision"]);
+    }
+}
+
+#[tokio::test]
+async fn decision_on_a_request_is_explained() {
+    let deployment = deployment().await;
+    let generator = Generator::new(&deployment.entries());
+    let shot = Shot::plain(SERVICE, "slibe-example-key", Method::GET, "/orders/7", "")
+        .with_key("order/7%b");
+    let record = generator.offer(tokio::time::Instant::now(), 1, &shot).await;
+    assert!(record.whole, "{record:?}");
+
+    let known = client(&deployment, &["explain", "--json", "order/7%b"]);
+    let unknown = client(&deployment, &["explain", "order-8"]);
+
+    assert_eq!(
+        (known.status.code(), unknown.status.code()),
+        (Some(0), Some(7))
+    );
+    let decision = &json(&known)["decisions"][0];
+    assert_eq!(decision["router"], deployment.routers[1].name.as_str());
+    assert_eq!(decision["organisation"], "slibehuset");
+    assert!(
+        decision["chosen"]
+            .as_str()
+            .is_some_and(|chosen| chosen.starts_with(SERVICE))
+    );
+}
