A change known to any one process reaches all

Change: a process compares the digests that it follows with what it has, and offers what the other has still not learnt at the second look. Ruled out: pushing every change to the sources at once, which would send each document several times in the ordinary case.

--- a/daemon/src/configuration.rs
+++ b/daemon/src/configuration.rs
@@ -6,6 +6,7 @@
 pub mod access;
 pub mod bootstrap;
 pub mod catalogue;
+pub mod comparison;
 pub mod follower;
 pub mod handlers;
 pub mod keeper;
--- a/daemon/src/configuration/handlers.rs
+++ b/daemon/src/configuration/handlers.rs
@@ -93,7 +93,7 @@
     let Ok(document) = codec::decode::<Document>(bytes) else {
         return body::status(StatusCode::BAD_REQUEST);
     };
-    let offer = Offer::new(service, document, Origin::Operator);
+    let offer = Offer::new(service, document, Origin::Offered);
     match access.offers.try_send(offer) {
         Ok(()) => body::status(StatusCode::ACCEPTED),
         Err(_) => body::status(StatusCode::SERVICE_UNAVAILABLE),
--- a/daemon/src/configuration/keeper.rs
+++ b/daemon/src/configuration/keeper.rs
@@ -19,9 +19,9 @@
     /// A peer that has it in force.
     #[display("{_0}")]
     Peer(SocketAddr),
-    /// An operator's client that has written it.
-    #[display("operator")]
-    Operator,
+    /// An operator's client that has written it, or a peer that learnt of it first.
+    #[display("offer")]
+    Offered,
 }
 
 /// A version offered for adoption.
--- a/daemon/src/configuration/peer.rs
+++ b/daemon/src/configuration/peer.rs
@@ -52,6 +52,15 @@
     Ok(codec::decode(&answer)?)
 }
 
+/// Offers a document to a peer.
+pub async fn offer(address: SocketAddr, service: &str, document: &Document) -> Result<(), Fault> {
+    let message = codec::encode(document)?;
+    let path = format!("{}/{service}", path::DOCUMENTS);
+    let client = http::Client::new(&format!("http://{address}"), ANSWER_TIMEOUT);
+    client.post(&path, message).await?;
+    Ok(())
+}
+
 /// An open stream of digests.
 pub struct Digests {
     body: Incoming,
--- a/daemon/src/configuration/subscription.rs
+++ b/daemon/src/configuration/subscription.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Context,
+        comparison::Comparison,
         keeper::{Offer, Origin},
         peer::{self, Digests, Fault},
     },
@@ -15,6 +16,7 @@
         },
         time::Duration,
     },
+    tamarackdale_wire::{Digest, message::Document},
     tokio::{
         task::{AbortHandle, JoinSet},
         time::sleep,
@@ -63,18 +65,49 @@
     let mut digests = Digests::open(source).await?;
     let mut digest = digests.next().await?;
     let _presence = Presence::new(&context.followed);
+    let mut comparison = Comparison::default();
     loop {
-        for held in &digest.documents {
-            if context.lacks(&held.service, held.revision) {
-                let document = peer::document(source, &held.service).await?;
-                let offer = Offer::new(&held.service, document, Origin::Peer(source));
-                context.offer(offer).await;
-            }
-        }
+        pull(context, source, &digest).await?;
+        comparison.update(&digest);
+        offer_back(context, source, &mut comparison).await?;
         digest = digests.next().await?;
     }
 }
 
+/// Pulls the documents that a digest says are newer.
+async fn pull(context: &Context, source: SocketAddr, digest: &Digest) -> Result<(), Fault> {
+    for held in &digest.documents {
+        if context.lacks(&held.service, held.revision) {
+            let document = peer::document(source, &held.service).await?;
+            let offer = Offer::new(&held.service, document, Origin::Peer(source));
+            context.offer(offer).await;
+        }
+    }
+    Ok(())
+}
+
+/// Offers what the source has still not learnt by itself, so that a change which reached this
+/// process alone reaches everybody.
+async fn offer_back(
+    context: &Context,
+    source: SocketAddr,
+    comparison: &mut Comparison,
+) -> Result<(), Fault> {
+    let catalogue = Arc::clone(&context.catalogue.borrow());
+    let ours = catalogue.held();
+    let ours = ours.map(|(service, revision, _)| (service, revision.0));
+    for service in comparison.overdue(ours) {
+        if let Some(version) = catalogue.get(&service) {
+            let document = Document {
+                revision: version.revision.0,
+                text: version.text.clone(),
+            };
+            peer::offer(source, &service, &document).await?;
+        }
+    }
+    Ok(())
+}
+
 /// Counts a live stream while it lives.
 struct Presence(Arc<AtomicUsize>);
 
--- /dev/null
+++ b/daemon/tests/comparison.rs
@@ -0,0 +1,43 @@
+//! Which revisions are offered back to a followed instance.
+
+use {
+    tamarackdale_wire::{Digest, digest::Held},
+    tamarackdaled::configuration::comparison::Comparison,
+};
+
+fn digest(service: &str, revision: i64) -> Digest {
+    Digest {
+        documents: vec![Held {
+            service: service.to_owned(),
+            revision,
+        }],
+    }
+}
+
+#[test]
+fn revision_is_offered_once_and_only_after_a_grace() {
+    let mut comparison = Comparison::default();
+    comparison.update(&digest("a", 4));
+
+    let first = comparison.overdue([("a", 5), ("b", 1)].into_iter());
+    let second = comparison.overdue([("a", 5), ("b", 1)].into_iter());
+    let third = comparison.overdue([("a", 5), ("b", 1)].into_iter());
+    let newer = comparison.overdue([("a", 6)].into_iter());
+
+    assert!(first.is_empty());
+    assert_eq!(second, ["a", "b"]);
+    assert!(third.is_empty());
+    assert_eq!(newer, ["a"]);
+}
+
+#[test]
+fn revision_learnt_meanwhile_is_not_offered() {
+    let mut comparison = Comparison::default();
+    comparison.update(&digest("a", 4));
+    let first = comparison.overdue([("a", 5)].into_iter());
+
+    comparison.update(&digest("a", 5));
+    let second = comparison.overdue([("a", 5)].into_iter());
+
+    assert!(first.is_empty() && second.is_empty());
+}
