--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod grant;
 pub mod id;
 pub mod limit;
+pub mod prefix;
 pub mod queue;
 pub mod quorum;
 pub mod rendezvous;
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -31,7 +31,7 @@
     },
     rand::Rng as _,
     std::{io, sync::Arc},
-    tamarackdale_core::{id::Boot, route::Policy},
+    tamarackdale_core::{floor::Notice, id::Boot},
     tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -49,6 +49,9 @@
     let shutdown = Shutdown::new();
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
+    let peers = peer::Client::new();
+    let notify = floor_notifier(runtime.handle().clone(), peers.clone());
+    let (placement_duty, placement) = Placement::spawn(boot, clock, settings.policy, notify)?;
     let identity = Identity::new(&settings.common, boot, "router");
     let configuration = configuration::Settings {
         store: settings.common.store.clone(),
@@ -57,8 +60,7 @@
         identity,
     };
     let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
-    let (placement_duty, placement) = Placement::spawn(boot, clock, Policy::default())?;
-    let membership = membership::spawn(
+    let (membership, acquainted) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
             instance: settings.common.instance.clone(),
@@ -72,13 +74,13 @@
         catalogue: access.catalogue.clone(),
         configuration: access,
         placement,
-        peers: peer::Client::new(),
+        peers,
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
         buffers: Arc::new(Semaphore::new(settings.max_buffered_bytes)),
     };
-    let served = runtime.block_on(serve(&settings, &shutdown, context));
+    let served = runtime.block_on(serve(&settings, &shutdown, context, acquainted));
     shutdown.cutting.cancel();
     membership.join();
     configuration.join();
@@ -87,15 +89,29 @@
     served
 }
 
+/// Tells sidecars a shed floor from a thread outside of the runtime.
+fn floor_notifier(
+    runtime: tokio::runtime::Handle,
+    client: peer::Client,
+) -> impl Fn(Vec<peer::Peer>, Notice) + Send + 'static {
+    move |peers, notice| {
+        for peer in peers {
+            let client = client.clone();
+            runtime.spawn(async move { client.floor(&peer, notice).await });
+        }
+    }
+}
+
 async fn serve(
     settings: &settings::Router,
     shutdown: &Shutdown,
     context: Context,
+    acquainted: CancellationToken,
 ) -> io::Result<()> {
     let common = &settings.common;
     let admin = admin::Context {
         metrics: context.metrics.clone(),
-        is_ready: readiness(context.configuration.clone(), shutdown),
+        is_ready: readiness(context.configuration.clone(), acquainted, shutdown),
     };
     let tracker = context.tracker.clone();
     let peers = Server::bind(
@@ -168,7 +184,13 @@
     })
 }
 
-fn readiness(access: Access, shutdown: &Shutdown) -> Arc<dyn Fn() -> bool + Send + Sync> {
+/// A router is ready when it has its documents and has heard of the sidecars, so that the first
+/// requests do not meet a router that knows of none.
+fn readiness(
+    access: Access,
+    acquainted: CancellationToken,
+    shutdown: &Shutdown,
+) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let closing = shutdown.closing.clone();
-    Arc::new(move || !closing.is_cancelled() && access.is_complete())
+    Arc::new(move || !closing.is_cancelled() && acquainted.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -3,6 +3,7 @@
 use {
     super::{Common, Flag, source::Source},
     std::{net::SocketAddr, time::Duration},
+    tamarackdale_core::route::Policy,
 };
 
 /// Settings of a router.
@@ -18,6 +19,8 @@
     pub max_buffered_bytes: usize,
     /// Time for which callers are still accepted after the router has become unready.
     pub unready_delay: Duration,
+    /// How requests are placed.
+    pub policy: Policy,
 }
 
 /// Flags of a router, besides the common ones.
@@ -40,6 +43,18 @@
         "time for which callers are still accepted after a termination signal",
     )
     .with_default("1000"),
+    Flag::new(
+        "placement",
+        "NAME",
+        "predicted, least-outstanding, round-robin or random",
+    )
+    .with_default("predicted"),
+    Flag::new(
+        "policy-off",
+        "NAMES",
+        "parts not used, separated by commas: affinity, feasibility, correction, floor",
+    )
+    .with_default("none"),
 ];
 
 impl Router {
@@ -51,6 +66,33 @@
             services: source.names("services"),
             max_buffered_bytes: source.number("max-buffered-bytes") as usize,
             unready_delay: Duration::from_millis(source.number("unready-delay-ms")),
+            policy: read_policy(source),
         }
     }
 }
+
+fn read_policy(source: &mut Source) -> Policy {
+    let placement = source.parsed(
+        "placement",
+        "predicted, least-outstanding, round-robin or random",
+    );
+    let mut policy = Policy {
+        placement: placement.unwrap_or_default(),
+        ..Policy::default()
+    };
+    for name in source.names("policy-off") {
+        switch_off(&mut policy, &name, source);
+    }
+    policy
+}
+
+fn switch_off(policy: &mut Policy, name: &str, source: &mut Source) {
+    match name {
+        "affinity" => policy.uses_affinity = false,
+        "feasibility" => policy.checks_feasibility = false,
+        "correction" => policy.corrects_reports = false,
+        "floor" => policy.uses_floor = false,
+        "none" => {}
+        _ => source.refuse("policy-off", name, "a part of the policy, or none"),
+    }
+}
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -4,12 +4,13 @@
 //! only one to change them.
 
 pub mod command;
+mod evictions;
 pub mod ledger;
 
 pub use command::{Command, Offer, Progress};
 
 use {
-    self::ledger::Ledger,
+    self::{evictions::Evictions, ledger::Ledger},
     super::task::{Handle, Message},
     crate::{metrics::Metrics, uptime::Clock},
     crossbeam_channel::{Receiver, RecvTimeoutError},
@@ -21,6 +22,7 @@
         failure::{Failure, Reason},
         floor::{self, Floor},
         id::{Attempt, Boot, Incarnation},
+        prefix::History,
         queue::{self, Entry, Queue},
         report::Report,
         tier::Rank,
@@ -34,6 +36,9 @@
 /// Longest time between two looks at deadlines and timeouts.
 const TICK: Duration = Duration::from_millis(10);
 
+/// Number of the only backend server in the history of prefixes.
+const BACKEND_SERVER: usize = 0;
+
 /// Time that a router has to grant an attempt that is ready, before its slot goes to another.
 const OFFER_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -66,6 +71,8 @@
     limit: Limit,
     floor: Floor,
     ledger: Ledger,
+    prefixes: History,
+    evictions: Evictions,
     tasks: HashMap<Attempt, Handle>,
     seen: HashMap<Boot, Attempt>,
 }
@@ -95,6 +102,8 @@
             limit: Limit::new(settings.batch),
             floor: Floor::new(settings.floor),
             ledger: Ledger::default(),
+            prefixes: History::default(),
+            evictions: Evictions::default(),
             tasks: HashMap::new(),
             seen: HashMap::new(),
             settings,
@@ -145,6 +154,15 @@
                 offset,
                 complete,
             } => self.acknowledge(attempt, offset, complete),
+            Command::Floor(notice) => {
+                let now = self.clock.now();
+                self.floor.merge(notice, now);
+                self.apply_floor(now);
+            }
+            Command::Evicted(prefix) => {
+                self.prefixes.evicted(prefix, BACKEND_SERVER);
+                self.evictions.add(prefix, self.clock.now());
+            }
             Command::Progressed(progress) => self.progressed(&progress),
             Command::Finished { attempt, verdict } => self.finished(attempt, verdict),
         }
@@ -214,7 +232,7 @@
             return Err(failure);
         };
         self.table.grant(attempt, boot, now)?;
-        self.ledger.start(attempt);
+        self.ledger.start(attempt, &mut self.prefixes, now);
         self.limit.started(now);
         permit.send(Message::Start);
         log::debug!(attempt:% = attempt, running = self.limit.running(); "dispatched");
@@ -295,14 +313,11 @@
             self.close(now);
         }
         self.apply_floor(now);
-        let rates = self.limit.rates(now);
-        for (entry, failure) in self.queue.expire(now, rates) {
-            self.void(entry.attempt, failure, now);
-        }
         for attempt in self.ledger.overdue(now, OFFER_TIMEOUT) {
             self.void(attempt, Failure::not_run(Reason::Void), now);
         }
         self.offer_next(now);
+        self.expire(now);
         for attempt in self.table.sweep(now) {
             self.tasks.remove(&attempt);
         }
@@ -314,7 +329,9 @@
         let rates = self.limit.rates(now);
         while let Some(rank) = self.queue.peek().map(|entry| entry.rank) {
             let taken = self.limit.running() + self.ledger.offered();
-            if taken >= self.limit.limit_for(rank) {
+            let unprefilled = self.ledger.unprefilled_tokens();
+            if taken >= self.limit.limit_for(rank) || !self.limit.has_prefill_room(unprefilled, now)
+            {
                 return;
             }
             let Some(entry) = self.queue.pop(now, rates) else {
@@ -329,6 +346,14 @@
         }
     }
 
+    /// Answers what can no longer meet its deadline, also what was passed over just now.
+    fn expire(&mut self, now: Timestamp) {
+        let rates = self.limit.rates(now);
+        for (entry, failure) in self.queue.expire(now, rates) {
+            self.void(entry.attempt, failure, now);
+        }
+    }
+
     /// Hands back all that waits, once.
     fn close(&mut self, now: Timestamp) {
         if self.closed {
@@ -396,7 +421,7 @@
         }
     }
 
-    fn publish(&self, now: Timestamp) {
+    fn publish(&mut self, now: Timestamp) {
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
             service: self.settings.service.clone(),
@@ -406,9 +431,10 @@
             limit: self.limit.current(),
             running: self.limit.running(),
             running_tokens: self.ledger.running_tokens(),
+            unprefilled_tokens: self.ledger.unprefilled_tokens(),
             waiting: self.queue.work(),
             rates: self.limit.rates(now),
-            evicted_prefixes: Vec::new(),
+            evicted_prefixes: self.evictions.recent(now),
             seen: self.seen.values().copied().collect(),
         };
         let modified = self.report.send_if_modified(|published| {
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,7 +1,9 @@
 //! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
 
+pub mod capacity;
 pub mod deployment;
 pub mod engine;
+pub mod history;
 pub mod host;
 pub mod http;
 pub mod list;
@@ -9,8 +11,10 @@
 pub mod operator;
 pub mod peer;
 pub mod plain;
+mod port;
 pub mod process;
 pub mod proxy;
 pub mod sse;
 pub mod store;
 pub mod traffic;
+pub mod wait;
