--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -3,6 +3,7 @@
 pub mod callers;
 pub mod claims;
 pub mod context;
+pub mod explanation;
 pub mod inbound;
 pub mod membership;
 pub mod peer;
@@ -24,11 +25,15 @@
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
-        router::{Router, builder::build_router},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
     },
     rand::Rng as _,
     std::{io, sync::Arc},
     tamarackdale_core::{floor::Notice, id::Boot},
+    tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -176,6 +181,10 @@
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
         configuration::handlers::draw::<Context, _, _>(route);
+        route
+            .get(&format!("{}/:request", path::DECISIONS))
+            .with_path_extractor::<explanation::Path>()
+            .to_async(explanation::get_decisions);
     })
 }
 
--- a/testbed/tests/experiment.rs
+++ b/testbed/tests/experiment.rs
@@ -34,6 +34,7 @@
         service: "slibe-llm".to_owned(),
         tier: "site".to_owned(),
         key: Some(key.to_owned()),
+        due: None,
         offered: Duration::ZERO,
         head: None,
         first_byte: None,
