A sidecar listed as leaving hands its waiting requests back

Cause: the instance list's word reached routers only. Ruled out: routers withdrawing their attempts one by one; the sidecar's configuration duty reads the list anyway. Change: the sidecar looks for itself in the list and hands back what waits as at SIGTERM.

--- a/daemon/src/configuration.rs
+++ b/daemon/src/configuration.rs
@@ -99,6 +99,7 @@
         identity: Arc::new(settings.identity.clone()),
         services: settings.services.clone().into(),
         closing: shutdown.closing.clone(),
+        view: view.clone(),
     };
     let context = Context {
         store: kv::Client::new(&settings.store),
--- a/daemon/src/configuration/access.rs
+++ b/daemon/src/configuration/access.rs
@@ -1,12 +1,12 @@
 //! What the rest of the process has of the configuration duty.
 
 use {
-    super::{catalogue::Shared, keeper::Offer},
+    super::{catalogue::Shared, keeper::Offer, roster::View},
     crate::settings,
     std::{sync::Arc, time::Instant},
     tamarackdale_core::id::Boot,
     tamarackdale_wire::{Status, status},
-    tokio::sync::mpsc,
+    tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
 
@@ -51,6 +51,8 @@
     pub(super) services: Arc<[String]>,
     /// Set when the process takes nothing new.
     pub(super) closing: CancellationToken,
+    /// The fleet as the instance list shows it.
+    pub(super) view: watch::Receiver<Arc<View>>,
 }
 
 impl Access {
@@ -67,9 +69,14 @@
             .all(|service| catalogue.get(service).is_some())
     }
 
+    /// Whether the process is to take no new work: it is shutting down, or it is listed as leaving.
+    pub fn is_leaving(&self) -> bool {
+        self.closing.is_cancelled() || self.view.borrow().is_leaving
+    }
+
     /// What operators are told of the process.
     pub fn status(&self) -> Status {
-        let state = if self.closing.is_cancelled() {
+        let state = if self.is_leaving() {
             "leaving"
         } else if self.is_complete() {
             "ready"
--- a/daemon/src/configuration/roster.rs
+++ b/daemon/src/configuration/roster.rs
@@ -22,11 +22,16 @@
     pub sources: Vec<SocketAddr>,
     /// Whether the list has been read.
     pub is_known: bool,
+    /// Whether this instance is listed as leaving.
+    pub is_leaving: bool,
 }
 
 impl View {
     /// The view of the instance `own` on the listed members.
     pub fn new(members: Vec<Member>, own: &Candidate) -> Self {
+        let is_leaving = members
+            .iter()
+            .any(|member| member.leaving && member.instance == own.instance);
         let peers: Vec<Member> = members
             .into_iter()
             .filter(|member| !member.leaving && member.instance != own.instance)
@@ -52,6 +57,7 @@
             sources,
             peers,
             is_known: true,
+            is_leaving,
         }
     }
 
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -80,7 +80,7 @@
     let (report_sender, report) = watch::channel(first_report(settings, &incarnation));
     let revision = revision_of(settings.service.clone(), configuration.catalogue.clone());
     let dispatch_settings = dispatch_settings(settings, incarnation);
-    let closing = shutdown.closing.clone();
+    let access = configuration.clone();
     let metrics = metrics.clone();
     let dispatch = Duty::spawn("dispatch", move || {
         Dispatch::new(
@@ -90,7 +90,7 @@
             report_sender,
             revision,
             metrics,
-            closing,
+            move || access.is_leaving(),
         )
         .run();
     })?;
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -6,11 +6,12 @@
 pub mod command;
 mod evictions;
 pub mod ledger;
+mod seen;
 
 pub use command::{Command, Offer, Progress};
 
 use {
-    self::{evictions::Evictions, ledger::Ledger},
+    self::{evictions::Evictions, ledger::Ledger, seen::Seen},
     super::task::{Handle, Message},
     crate::{metrics::Metrics, uptime::Clock},
     crossbeam_channel::{Receiver, RecvTimeoutError},
@@ -30,7 +31,6 @@
         verdict::Verdict,
     },
     tokio::sync::watch,
-    tokio_util::sync::CancellationToken,
 };
 
 /// Longest time between two looks at deadlines and timeouts.
@@ -64,7 +64,7 @@
     report: watch::Sender<Report>,
     revision: Box<dyn Fn() -> Revision + Send>,
     metrics: Metrics,
-    closing: CancellationToken,
+    is_leaving: Box<dyn Fn() -> bool + Send>,
     closed: bool,
     table: Table,
     queue: Queue,
@@ -74,12 +74,12 @@
     prefixes: History,
     evictions: Evictions,
     tasks: HashMap<Attempt, Handle>,
-    seen: HashMap<Boot, Attempt>,
+    seen: Seen,
 }
 
 impl Dispatch {
     /// An idle duty that takes commands from a ring and publishes reports; `revision` gives the
-    /// revision of the document in force.
+    /// revision of the document in force, and `is_leaving` whether no new work is to be taken.
     pub fn new(
         settings: Settings,
         clock: Clock,
@@ -87,7 +87,7 @@
         report: watch::Sender<Report>,
         revision: impl Fn() -> Revision + Send + 'static,
         metrics: Metrics,
-        closing: CancellationToken,
+        is_leaving: impl Fn() -> bool + Send + 'static,
     ) -> Self {
         Self {
             clock,
@@ -95,7 +95,7 @@
             report,
             revision: Box::new(revision),
             metrics,
-            closing,
+            is_leaving: Box::new(is_leaving),
             closed: false,
             table: Table::new(settings.incarnation.boot),
             queue: Queue::new(settings.queue),
@@ -105,7 +105,7 @@
             prefixes: History::default(),
             evictions: Evictions::default(),
             tasks: HashMap::new(),
-            seen: HashMap::new(),
+            seen: Seen::default(),
             settings,
         }
     }
@@ -178,7 +178,7 @@
         }
         self.floor.merge(offer.floor, now);
         self.table.enqueue(offer.attempt, offer.boot, now)?;
-        self.note_seen(offer.attempt);
+        self.seen.add(offer.attempt, now);
         let attempt = offer.attempt;
         let entry = offer.into_entry(now);
         if let Err(failure) = self.push(entry, now) {
@@ -333,7 +333,7 @@
     /// Does all that has become due.
     fn advance(&mut self) {
         let now = self.clock.now();
-        if self.closing.is_cancelled() {
+        if (self.is_leaving)() {
             self.close(now);
         }
         self.apply_floor(now);
@@ -384,7 +384,8 @@
         }
     }
 
-    /// Hands back all that waits, once.
+    /// Hands back all that waits, once. A sidecar that has been leaving takes new work only after
+    /// a restart, as its routers expect of it.
     fn close(&mut self, now: Timestamp) {
         if self.closed {
             return;
@@ -445,13 +446,6 @@
         }
     }
 
-    fn note_seen(&mut self, attempt: Attempt) {
-        let newest = self.seen.entry(attempt.router).or_insert(attempt);
-        if newest.sequence < attempt.sequence {
-            *newest = attempt;
-        }
-    }
-
     fn publish(&mut self, now: Timestamp) {
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
@@ -466,7 +460,7 @@
             waiting: self.queue.work(),
             rates: self.limit.rates(now),
             evicted_prefixes: self.evictions.recent(now),
-            seen: self.seen.values().copied().collect(),
+            seen: self.seen.recent(now),
         };
         let modified = self.report.send_if_modified(|published| {
             let changed = *published != report;
--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -108,6 +108,31 @@
     assert_eq!(leaving.plain().calls().len(), after_limit);
 }
 
+#[tokio::test]
+async fn listed_as_leaving_hands_back_what_waits() {
+    const LATENCY: Duration = Duration::from_secs(4);
+    const REQUESTS: usize = 80;
+    let layout = Layout::new(vec![Service::ordre_app(2)]);
+    let deployment = Deployment::start(&layout).await.expect("the system starts");
+    let leaving = &deployment.sidecars[0];
+    leaving.plain().set_latency(LATENCY);
+    let generator = Generator::new(&deployment.entries()).with_limit(RESTART_LIMIT);
+    let burst = Schedule::burst(Duration::ZERO, REQUESTS);
+
+    let leave = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        deployment.list.set_leaving(&leaving.name);
+        tokio::time::sleep(LEAVE_LIMIT).await;
+        leaving.plain().calls().len()
+    };
+    let shot = |index| read(index).with_tier("order");
+    let (records, after_limit) = tokio::join!(generator.run(&burst, shot), leave);
+
+    check_all_whole(&records);
+    assert!(after_limit > 0, "it had work before");
+    assert_eq!(leaving.plain().calls().len(), after_limit);
+}
+
 /// Restarts every process in turn; the routers' new addresses for callers go into `entries`.
 async fn restart_all(deployment: &mut Deployment, entries: &Mutex<Vec<SocketAddr>>) {
     for index in 0..deployment.sidecars.len() {
