Decode rate averaged over two seconds; floor holds for half a second

Cause: the decode rate followed single prompts' prefill, which made requests look infeasible; each refusal for overload closes the tiers below for the floor's hold. Change: gaps are averaged over two seconds whatever the batch; the floor holds 0.5 s after the last shed.

--- a/core/src/batch.rs
+++ b/core/src/batch.rs
@@ -160,7 +160,7 @@
 
     /// A running request's next `tokens` tokens came `elapsed` after its last ones.
     pub fn token_gap(&mut self, tokens: u32, elapsed: Duration, now: Timestamp) {
-        self.meter.token_gap(tokens, elapsed, self.running, now);
+        self.meter.token_gap(tokens, elapsed, now);
         self.probe.token_gap(tokens, elapsed, now, &self.settings);
     }
 }
--- a/core/src/batch/meter.rs
+++ b/core/src/batch/meter.rs
@@ -5,8 +5,8 @@
     std::time::Duration,
 };
 
-/// Weight of the newest gap in the average, for a batch of one.
-const GAP_WEIGHT: f64 = 0.1;
+/// Time over which gaps are averaged; longer than one prompt's prefill, which stretches them.
+const GAP_MEMORY_S: f64 = 2.0;
 
 /// Tokens of prefill over which half of the measured prefill rate is renewed, once as many have
 /// been seen.
@@ -58,18 +58,13 @@
         self.prefill_rate = 1.0 / time_per_token.max(1e-9);
     }
 
-    pub(super) fn token_gap(
-        &mut self,
-        tokens: u32,
-        elapsed: Duration,
-        running: u32,
-        now: Timestamp,
-    ) {
+    pub(super) fn token_gap(&mut self, tokens: u32, elapsed: Duration, now: Timestamp) {
+        let since_last_s = now.since(self.last_token).as_secs_f64();
         self.last_token = now;
         let sample = elapsed.as_secs_f64() / f64::from(tokens.max(1));
         self.gaps_seen = self.gaps_seen.saturating_add(1);
         // What was assumed before counts for nothing, and the first gaps count alike.
-        let weight = GAP_WEIGHT / f64::from(running.max(1)).sqrt();
+        let weight = 1.0 - (-since_last_s / GAP_MEMORY_S).exp();
         let weight = weight.max(1.0 / f64::from(self.gaps_seen));
         self.gap_s += (sample - self.gap_s) * weight;
     }
--- a/core/src/floor.rs
+++ b/core/src/floor.rs
@@ -21,7 +21,7 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            hold: Duration::from_secs(1),
+            hold: Duration::from_millis(500),
             is_enabled: true,
         }
     }
--- a/daemon/src/router/placement/spread.rs
+++ b/daemon/src/router/placement/spread.rs
@@ -6,7 +6,7 @@
 };
 
 /// Time after which a floor that still holds is told again, shorter than it holds.
-const RENEWAL: Duration = Duration::from_millis(300);
+const RENEWAL: Duration = Duration::from_millis(150);
 
 /// The floor that was told last.
 #[derive(Default)]
