Requests are given up only when they are certain to be late

Cause: no request that was let through was late, and many were refused: predictions are made from the speed of a loaded engine, which gets faster when load goes down. Change: a request is given up when four fifths of the predicted time are not left.

--- a/core/src/cost.rs
+++ b/core/src/cost.rs
@@ -63,6 +63,16 @@
         .collect()
 }
 
+/// Part of a predicted time that a request takes at the least. Predictions are made from a loaded
+/// backend server's speed; it is faster when the load goes down meanwhile.
+const CERTAIN_PART: f64 = 0.8;
+
+/// The least time that something takes that is predicted to take so long. A request is given up
+/// only if not even this is left until its deadline.
+pub fn least_time(predicted: Duration) -> Duration {
+    predicted.mul_f64(CERTAIN_PART)
+}
+
 /// Measured speed of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rates {
--- a/core/src/queue/deadline.rs
+++ b/core/src/queue/deadline.rs
@@ -6,7 +6,11 @@
 
 use {
     super::{Entry, Late},
-    crate::{cost::Rates, id::Attempt, time::Timestamp},
+    crate::{
+        cost::{self, Rates},
+        id::Attempt,
+        time::Timestamp,
+    },
     std::collections::{BTreeMap, BTreeSet},
 };
 
@@ -57,7 +61,7 @@
         let mut attempts = Vec::new();
         for (class, entries) in &self.classes {
             let service = rates.service_time(smallest(class.prefill), smallest(class.decode));
-            let earliest_end = now.plus(service);
+            let earliest_end = now.plus(cost::least_time(service));
             let late = entries
                 .iter()
                 .take_while(|(deadline, _)| *deadline < earliest_end);
--- a/core/src/queue/entry.rs
+++ b/core/src/queue/entry.rs
@@ -1,7 +1,7 @@
 //! One waiting request.
 
 use crate::{
-    cost::{Cost, Rates},
+    cost::{self, Cost, Rates},
     id::Attempt,
     tier::Rank,
     time::Timestamp,
@@ -47,6 +47,6 @@
     /// Whether it would miss its deadline if it were started now.
     pub fn is_late(&self, now: Timestamp, rates: Rates) -> bool {
         let service = rates.service_time(self.cost.prefill_tokens, self.cost.decode_tokens);
-        now.plus(service) > self.deadline
+        now.plus(cost::least_time(service)) > self.deadline
     }
 }
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -18,7 +18,7 @@
 
 use {
     crate::{
-        cost::Cost,
+        cost::{self, Cost},
         failure::{Failure, Reason},
         id::{Attempt, Boot, Incarnation, Instance},
         prefix::History,
@@ -297,14 +297,14 @@
 fn check_feasible(weighed: &[Weighed], remaining: Duration) -> Result<(), Failure> {
     let best = weighed
         .iter()
-        .map(|candidate| candidate.prediction.completion())
+        .map(|candidate| cost::least_time(candidate.prediction.completion()))
         .min();
     let Some(excess) = best.and_then(|best| best.checked_sub(remaining)) else {
         return Ok(());
     };
     let is_feasible_idle = weighed
         .iter()
-        .any(|candidate| candidate.prediction.service < remaining);
+        .any(|candidate| cost::least_time(candidate.prediction.service) < remaining);
     let reason = if is_feasible_idle {
         Reason::Overload
     } else {
