--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -1,8 +1,12 @@
 //! What the parts of a router share.
 
 use {
-    super::{peer, placement::Placement},
-    crate::{configuration::catalogue::Shared, metrics::Metrics, uptime::Clock},
+    super::{claims::Claims, peer, placement::Placement},
+    crate::{
+        configuration::{Access, catalogue::Shared},
+        metrics::Metrics,
+        uptime::Clock,
+    },
     gotham::state::StateData,
     std::{panic::RefUnwindSafe, sync::Arc},
     tokio::sync::Semaphore,
@@ -16,8 +20,12 @@
     pub clock: Clock,
     /// The documents in force.
     pub catalogue: Shared,
+    /// The configuration duty.
+    pub configuration: Access,
     /// The placement duty.
     pub placement: Placement,
+    /// The claims duty.
+    pub claims: Claims,
     /// Client of the sidecars.
     pub peers: peer::Client,
     /// The process's metrics.
@@ -35,8 +43,8 @@
 /// A panic in a handler leaves nothing half changed: state lives in duties, behind rings.
 impl RefUnwindSafe for Context {}
 
-impl AsRef<Shared> for Context {
-    fn as_ref(&self) -> &Shared {
-        &self.catalogue
+impl AsRef<Access> for Context {
+    fn as_ref(&self) -> &Access {
+        &self.configuration
     }
 }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -5,7 +5,9 @@
 //! the sidecar's word counts.
 
 pub mod answer;
+pub mod claim;
 pub mod offer;
+pub mod renewal;
 pub mod responder;
 
 use {
@@ -17,6 +19,7 @@
     super::{
         context::Context,
         inbound::Inbound,
+        peer::Peer,
         placement::{Placed, command::Wanted},
     },
     crate::metrics::Labels,
@@ -35,6 +38,8 @@
     request: Arc<Inbound>,
     responder: Responder,
     deadline: Timestamp,
+    /// Attempts that are not granted and will not be.
+    withdrawn: Vec<id::Attempt>,
 }
 
 /// The reason to give when no further sidecar is found. The last sidecar's says more than that
@@ -68,6 +73,7 @@
             request: Arc::new(request),
             responder,
             deadline,
+            withdrawn: Vec::new(),
         }
     }
 
@@ -98,6 +104,11 @@
     }
 
     async fn serve(&mut self) -> Ending {
+        if !self.request.idempotent
+            && let Err(failure) = self.context.claims.check()
+        {
+            return Ending::Failed(failure);
+        }
         let mut excluded: Vec<id::Instance> = Vec::new();
         let mut moved: Option<Failure> = None;
         loop {
@@ -109,23 +120,43 @@
                 Attempted::Over(ending) => return ending,
                 Attempted::Moved(failure) => {
                     self.log_move(&placed, &failure);
-                    excluded.push(placed.peer.incarnation.instance.clone());
+                    self.withdrawn.push(placed.attempt);
+                    if failure.reason == Reason::StaleRevision && self.renew().await {
+                        continue;
+                    }
+                    // A void attempt says nothing against its sidecar.
+                    if failure.reason != Reason::Void {
+                        excluded.push(placed.peer.incarnation.instance.clone());
+                    }
                     moved = Some(failure);
                 }
             }
         }
     }
 
+    /// Brings the request up to the document that the sidecars have; whether it could.
+    async fn renew(&mut self) -> bool {
+        let catalogue = self.context.catalogue.clone();
+        let renewed = renewal::renew(&self.request, catalogue).await;
+        let is_renewed = renewed.is_some();
+        if let Some(request) = renewed {
+            self.request = Arc::new(request);
+        }
+        is_renewed
+    }
+
     /// Makes one attempt, to its end or to the proof that it was not dispatched.
     async fn attempt(&mut self, placed: &Placed) -> Attempted {
         let offer = Offer {
             context: &self.context,
             request: &self.request,
             placed,
+            withdrawn: &self.withdrawn,
             deadline: self.deadline,
         };
         let attempted = match offer.make(&mut self.responder).await {
             Ok(granted) => self.relay(placed, granted).await,
+            Err(Unserved::Elsewhere { peer, attempt }) => self.attach(&peer, attempt).await,
             Err(Unserved::Moved(failure)) => Attempted::Moved(failure),
             Err(Unserved::Final(failure)) => Attempted::Over(Ending::Failed(failure)),
             Err(Unserved::CallerGone) => Attempted::Over(Ending::CallerGone),
@@ -166,7 +197,7 @@
             Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
                 Attempted::Moved(failure)
             }
-            Ending::CallerGone if !self.request.finish_alone => {
+            Ending::CallerGone if !self.request.runs_to_its_end() => {
                 answer.cancel().await;
                 Attempted::Over(ending)
             }
@@ -174,6 +205,23 @@
         }
     }
 
+    /// Relays the answer of another attempt at the same request, which goes on without this caller.
+    async fn attach(&mut self, peer: &Peer, attempt: id::Attempt) -> Attempted {
+        log::info!(request:% = self.request.id, attempt:% = attempt, sidecar:% = peer; "attached");
+        let granted = Granted {
+            attempt,
+            frames: None,
+        };
+        let mut answer = Answer::new(&self.context, peer, granted);
+        match self.relay_answer(&mut answer).await {
+            // The other attempt came to nothing.
+            Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
+                Attempted::Moved(failure)
+            }
+            ending => Attempted::Over(ending),
+        }
+    }
+
     async fn relay_answer(&mut self, answer: &mut Answer) -> Ending {
         loop {
             let step = tokio::select! {
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -125,6 +125,15 @@
         self.sidecars.iter().filter(of_service)
     }
 
+    /// Routing decisions that the present processes of the routers have logged.
+    pub fn routed(&self) -> usize {
+        let is_decision = |line: &&serde_json::Value| line["message"] == "routed";
+        self.routers
+            .iter()
+            .map(|router| router.process.logs().iter().filter(is_decision).count())
+            .sum()
+    }
+
     /// Waits until every router and sidecar says that it is ready.
     ///
     /// # Errors
@@ -141,7 +150,8 @@
     }
 }
 
-async fn wait_until_ready(name: &str, admin: SocketAddr) -> Result<(), Fault> {
+/// Waits until the process with this admin address says that it is ready.
+pub(crate) async fn wait_until_ready(name: &str, admin: SocketAddr) -> Result<(), Fault> {
     let deadline = Instant::now() + START_LIMIT;
     loop {
         let request = Request::get("/ready").body(Bytes::new());
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -1,13 +1,19 @@
 //! Stand-ins, fault proxy, load tool and history checkers for tests of tamarackdale.
 
+pub mod capacity;
 pub mod deployment;
 pub mod engine;
 pub mod experiment;
+pub mod history;
 pub mod host;
 pub mod http;
+pub mod injection;
 pub mod list;
 pub mod load;
+pub mod operator;
+pub mod peer;
 pub mod plain;
+mod port;
 pub mod process;
 pub mod proxy;
 pub mod sse;
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -4,12 +4,15 @@
 //! types and convert by `From` and `TryFrom`, so that the wire format and the decision logic can
 //! change apart.
 
+pub mod claim;
 pub mod codec;
+pub mod digest;
 pub mod failure;
 pub mod frame;
 pub mod id;
 pub mod message;
 pub mod path;
 pub mod report;
+pub mod status;
 
-pub use {frame::Frame, report::Report};
+pub use {digest::Digest, frame::Frame, report::Report, status::Status};
