--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -12,7 +12,7 @@
         time::{Duration, Instant},
     },
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service},
+        deployment::{Deployment, Layout, Service, documents::orders_with_weight},
         load::{Generator, Record, Schedule, Shot},
     },
     tokio::task::JoinSet,
@@ -74,10 +74,7 @@
 
     let changes = async {
         for weight in 5..25 {
-            let document = Service::ordre_app(0)
-                .document
-                .replace("weight = 4", &format!("weight = {weight}"));
-            deployment.apply(SERVICE, &document);
+            deployment.apply(SERVICE, &orders_with_weight(weight));
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     };
--- a/daemon/tests/operator.rs
+++ b/daemon/tests/operator.rs
@@ -2,12 +2,10 @@
 
 use {
     hyper::Method,
-    serde_json::Value,
-    std::process::{Command, Output},
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service},
         load::{Generator, Shot},
-        process,
+        operator::Run,
     },
 };
 
@@ -18,18 +16,8 @@
     Deployment::start(&layout).await.expect("the system starts")
 }
 
-fn client(deployment: &Deployment, arguments: &[&str]) -> Output {
-    let binary = process::binary("tamarackdale").expect("the client is built");
-    Command::new(binary)
-        .args(arguments)
-        .env("TAMARACKDALE_STORE", deployment.store.url())
-        .env("TAMARACKDALE_INSTANCE_LIST", deployment.list.url())
-        .output()
-        .expect("the client runs")
-}
-
-fn json(output: &Output) -> Value {
-    serde_json::from_slice(&output.stdout).unwrap_or_default()
+fn client(deployment: &Deployment, arguments: &[&str]) -> Run {
+    deployment.operate(arguments).expect("the client runs")
 }
 
 #[tokio::test]
@@ -38,7 +26,7 @@
     let folder = tempfile::tempdir().expect("a folder is to be had");
     let file = folder.path().join("edit.toml");
     let got = client(&deployment, &["get", SERVICE]).stdout;
-    let text = String::from_utf8_lossy(&got).replace("weight = 4", "weight = 7");
+    let text = got.replace("weight = 4", "weight = 7");
     std::fs::write(&file, text).expect("the folder is writable");
 
     let applied = client(
@@ -47,9 +35,9 @@
     );
     let status = client(&deployment, &["status", "--json", SERVICE]);
 
-    assert_eq!(applied.status.code(), Some(0));
-    assert_eq!(json(&applied)["in_force"], 4);
-    let rows = json(&status)["instances"]
+    assert_eq!(applied.code, 0);
+    assert_eq!(applied.json()["in_force"], 4);
+    let rows = status.json()["instances"]
         .as_array()
         .cloned()
         .unwrap_or_default();
@@ -59,7 +47,7 @@
             (&row["state"], &row["behind"]),
             (&"ready".into(), &false.into())
         );
-        assert_eq!(row["revision"], json(&applied)["revision"]);
+        assert_eq!(row["revision"], applied.json()["revision"]);
     }
 }
 
@@ -75,11 +63,8 @@
     let known = client(&deployment, &["explain", "--json", "order/7%b"]);
     let unknown = client(&deployment, &["explain", "order-8"]);
 
-    assert_eq!(
-        (known.status.code(), unknown.status.code()),
-        (Some(0), Some(7))
-    );
-    let decision = &json(&known)["decisions"][0];
+    assert_eq!((known.code, unknown.code), (0, 7));
+    let decision = &known.json()["decisions"][0];
     assert_eq!(decision["router"], deployment.routers[1].name.as_str());
     assert_eq!(decision["organisation"], "slibehuset");
     assert!(
--- a/testbed/examples/spreading.rs
+++ b/testbed/examples/spreading.rs
@@ -13,8 +13,7 @@
         time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service},
-        process::Process,
+        deployment::{Deployment, Layout, Service, documents::orders_with_weight},
         store::Call,
     },
     tokio::time::sleep,
@@ -78,9 +77,7 @@
     let started = Instant::now();
     let mut in_force_ms = Vec::new();
     for change in 0..changes {
-        let document = Service::ordre_app(0)
-            .document
-            .replace("weight = 4", &format!("weight = {}", change + 5));
+        let document = orders_with_weight(change + 5);
         let written = wall_clock_ms();
         let revision = deployment.apply(SERVICE, &document);
         in_force_ms.push(
@@ -91,7 +88,7 @@
     }
     let reads = deployment.store.calls(Call::Read) - before;
     Ok(Row {
-        processes: processes(&deployment).count(),
+        processes: deployment.processes().count(),
         watches: deployment.store.open_watches(),
         reads_at_rest,
         reads_in_change: per_second(reads, started.elapsed()),
@@ -99,23 +96,17 @@
     })
 }
 
-fn processes(deployment: &Deployment) -> impl Iterator<Item = &Process> {
-    let routers = deployment.routers.iter().map(|router| &router.process);
-    let sidecars = deployment.sidecars.iter().map(|sidecar| &sidecar.process);
-    routers.chain(sidecars)
-}
-
 /// When the last process put a revision in force, by the clock of the logs.
 async fn last_in_force(deployment: &Deployment, revision: i64) -> Result<u64, Missing> {
     let started = Instant::now();
     let mut seen: HashMap<&str, u64> = HashMap::new();
-    let count = processes(deployment).count();
+    let count = deployment.processes().count();
     while seen.len() < count {
         if started.elapsed() > LIMIT {
             return Err(Missing { revision });
         }
         sleep(POLL_INTERVAL).await;
-        for process in processes(deployment) {
+        for process in deployment.processes() {
             if seen.contains_key(process.name()) {
                 continue;
             }
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -1,6 +1,7 @@
 //! A whole system on loopback: stand-ins, routers and sidecars as real processes, and fault
 //! proxies on the links between them.
 
+pub mod documents;
 mod layout;
 mod router;
 mod sidecar;
--- a/testbed/src/operator.rs
+++ b/testbed/src/operator.rs
@@ -10,7 +10,7 @@
     std::{
         fs, io,
         net::SocketAddr,
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::{Command, Output},
     },
     tempfile::TempDir,
@@ -105,16 +105,24 @@
     ///
     /// The binary cannot be run.
     pub fn run_with(&self, arguments: &[&str], variables: &[(&str, String)]) -> io::Result<Run> {
-        let output = Command::new(&self.binary)
-            .args(arguments)
-            .env_clear()
-            .envs(variables.iter().cloned())
-            .current_dir(self.folder.path())
-            .output()?;
-        Ok(output.into())
+        run(&self.binary, arguments, variables)
     }
 }
 
+/// Runs a client with these environment variables only.
+///
+/// # Errors
+///
+/// The binary cannot be run.
+pub fn run(binary: &Path, arguments: &[&str], variables: &[(&str, String)]) -> io::Result<Run> {
+    let output = Command::new(binary)
+        .args(arguments)
+        .env_clear()
+        .envs(variables.iter().cloned())
+        .output()?;
+    Ok(output.into())
+}
+
 impl Run {
     /// Standard output as JSON; `Null` if it is not.
     pub fn json(&self) -> Value {
