--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -1,6 +1,7 @@
 //! The router: takes callers' requests and brings each to a sidecar.
 
 pub mod callers;
+pub mod claims;
 pub mod context;
 pub mod explanation;
 pub mod inbound;
@@ -11,7 +12,7 @@
 pub mod relay;
 
 use {
-    self::{context::Context, placement::Placement},
+    self::{claims::Claims, context::Context, placement::Placement},
     crate::{
         admin, configuration,
         configuration::{Access, access::Identity},
@@ -60,6 +61,7 @@
         identity,
     };
     let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
+    let (claims_duty, claims) = Claims::spawn(&settings.common.store, clock, &shutdown)?;
     let (membership, acquainted) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
@@ -74,6 +76,7 @@
         catalogue: access.catalogue.clone(),
         configuration: access,
         placement,
+        claims,
         peers,
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
@@ -83,6 +86,7 @@
     let served = runtime.block_on(serve(&settings, &shutdown, context, acquainted));
     shutdown.cutting.cancel();
     membership.join();
+    claims_duty.join();
     configuration.join();
     drop(runtime);
     placement_duty.join();
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -1,7 +1,7 @@
 //! What the parts of a router share.
 
 use {
-    super::{peer, placement::Placement},
+    super::{claims::Claims, peer, placement::Placement},
     crate::{
         configuration::{Access, catalogue::Shared},
         metrics::Metrics,
@@ -24,6 +24,8 @@
     pub configuration: Access,
     /// The placement duty.
     pub placement: Placement,
+    /// The claims duty.
+    pub claims: Claims,
     /// Client of the sidecars.
     pub peers: peer::Client,
     /// The process's metrics.
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -5,6 +5,7 @@
 //! the sidecar's word counts.
 
 pub mod answer;
+pub mod claim;
 pub mod offer;
 pub mod renewal;
 pub mod responder;
@@ -18,6 +19,7 @@
     super::{
         context::Context,
         inbound::Inbound,
+        peer::Peer,
         placement::{Placed, command::Wanted},
     },
     crate::metrics::Labels,
@@ -36,6 +38,15 @@
     request: Arc<Inbound>,
     responder: Responder,
     deadline: Timestamp,
+    /// Attempts that are not granted and will not be.
+    withdrawn: Vec<id::Attempt>,
+}
+
+/// The reason to give when no further sidecar is found. The last sidecar's says more than that
+/// there is no further one; but one that gave the request up knew only of itself.
+fn last_word(failure: Failure, moved: Option<Failure>) -> Failure {
+    let is_final = failure.reason != Reason::NoBackendServer;
+    moved.filter(|_| !is_final).unwrap_or(failure)
 }
 
 /// How a request ended for its caller.
@@ -62,6 +73,7 @@
             request: Arc::new(request),
             responder,
             deadline,
+            withdrawn: Vec::new(),
         }
     }
 
@@ -92,22 +104,30 @@
     }
 
     async fn serve(&mut self) -> Ending {
+        if !self.request.idempotent
+            && let Err(failure) = self.context.claims.check()
+        {
+            return Ending::Failed(failure);
+        }
         let mut excluded: Vec<id::Instance> = Vec::new();
         let mut moved: Option<Failure> = None;
         loop {
             let placed = match self.place(&excluded, moved).await {
                 Ok(placed) => placed,
-                // The last sidecar's reason says more than that there is no further one.
-                Err(failure) => return Ending::Failed(moved.unwrap_or(failure)),
+                Err(failure) => return Ending::Failed(last_word(failure, moved)),
             };
             match self.attempt(&placed).await {
                 Attempted::Over(ending) => return ending,
                 Attempted::Moved(failure) => {
                     self.log_move(&placed, &failure);
+                    self.withdrawn.push(placed.attempt);
                     if failure.reason == Reason::StaleRevision && self.renew().await {
                         continue;
                     }
-                    excluded.push(placed.peer.incarnation.instance.clone());
+                    // A void attempt says nothing against its sidecar.
+                    if failure.reason != Reason::Void {
+                        excluded.push(placed.peer.incarnation.instance.clone());
+                    }
                     moved = Some(failure);
                 }
             }
@@ -131,10 +151,12 @@
             context: &self.context,
             request: &self.request,
             placed,
+            withdrawn: &self.withdrawn,
             deadline: self.deadline,
         };
         let attempted = match offer.make(&mut self.responder).await {
             Ok(granted) => self.relay(placed, granted).await,
+            Err(Unserved::Elsewhere { peer, attempt }) => self.attach(&peer, attempt).await,
             Err(Unserved::Moved(failure)) => Attempted::Moved(failure),
             Err(Unserved::Final(failure)) => Attempted::Over(Ending::Failed(failure)),
             Err(Unserved::CallerGone) => Attempted::Over(Ending::CallerGone),
@@ -183,6 +205,23 @@
         }
     }
 
+    /// Relays the answer of another attempt at the same request, which goes on without this caller.
+    async fn attach(&mut self, peer: &Peer, attempt: id::Attempt) -> Attempted {
+        log::info!(request:% = self.request.id, attempt:% = attempt, sidecar:% = peer; "attached");
+        let granted = Granted {
+            attempt,
+            frames: None,
+        };
+        let mut answer = Answer::new(&self.context, peer, granted);
+        match self.relay_answer(&mut answer).await {
+            // The other attempt came to nothing.
+            Ending::Failed(failure) if failure.verdict == Verdict::NotRun => {
+                Attempted::Moved(failure)
+            }
+            ending => Attempted::Over(ending),
+        }
+    }
+
     async fn relay_answer(&mut self, answer: &mut Answer) -> Ending {
         loop {
             let step = tokio::select! {
@@ -211,6 +250,7 @@
         log::info!(
             request:% = self.request.id,
             tier = self.request.tier.as_str(),
+            rank = self.request.rank.0,
             verdict:% = failure.verdict,
             reason:% = failure.reason,
             retry_after_ms = failure.retry_after.map_or(0, |delay| delay.as_millis() as u64);
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -6,11 +6,12 @@
 pub mod command;
 mod evictions;
 pub mod ledger;
+mod seen;
 
 pub use command::{Command, Offer, Progress};
 
 use {
-    self::{evictions::Evictions, ledger::Ledger},
+    self::{evictions::Evictions, ledger::Ledger, seen::Seen},
     super::task::{Handle, Message},
     crate::{metrics::Metrics, uptime::Clock},
     crossbeam_channel::{Receiver, RecvTimeoutError},
@@ -30,7 +31,6 @@
         verdict::Verdict,
     },
     tokio::sync::watch,
-    tokio_util::sync::CancellationToken,
 };
 
 /// Longest time between two looks at deadlines and timeouts.
@@ -64,7 +64,7 @@
     report: watch::Sender<Report>,
     revision: Box<dyn Fn() -> Revision + Send>,
     metrics: Metrics,
-    closing: CancellationToken,
+    is_leaving: Box<dyn Fn() -> bool + Send>,
     closed: bool,
     table: Table,
     queue: Queue,
@@ -74,12 +74,12 @@
     prefixes: History,
     evictions: Evictions,
     tasks: HashMap<Attempt, Handle>,
-    seen: HashMap<Boot, Attempt>,
+    seen: Seen,
 }
 
 impl Dispatch {
     /// An idle duty that takes commands from a ring and publishes reports; `revision` gives the
-    /// revision of the document in force.
+    /// revision of the document in force, and `is_leaving` whether no new work is to be taken.
     pub fn new(
         settings: Settings,
         clock: Clock,
@@ -87,7 +87,7 @@
         report: watch::Sender<Report>,
         revision: impl Fn() -> Revision + Send + 'static,
         metrics: Metrics,
-        closing: CancellationToken,
+        is_leaving: impl Fn() -> bool + Send + 'static,
     ) -> Self {
         Self {
             clock,
@@ -95,7 +95,7 @@
             report,
             revision: Box::new(revision),
             metrics,
-            closing,
+            is_leaving: Box::new(is_leaving),
             closed: false,
             table: Table::new(settings.incarnation.boot),
             queue: Queue::new(settings.queue),
@@ -105,7 +105,7 @@
             prefixes: History::default(),
             evictions: Evictions::default(),
             tasks: HashMap::new(),
-            seen: HashMap::new(),
+            seen: Seen::default(),
             settings,
         }
     }
@@ -178,7 +178,7 @@
         }
         self.floor.merge(offer.floor, now);
         self.table.enqueue(offer.attempt, offer.boot, now)?;
-        self.note_seen(offer.attempt);
+        self.seen.add(offer.attempt, now);
         let attempt = offer.attempt;
         let entry = offer.into_entry(now);
         if let Err(failure) = self.push(entry, now) {
@@ -193,9 +193,10 @@
     /// Queues an entry, shedding what has to go for it in the order of urgency.
     fn push(&mut self, entry: Entry, now: Timestamp) -> Result<(), Failure> {
         self.apply_floor(now);
+        self.check_feasible(&entry, now)?;
         let rank = entry.rank;
         let pushed = match self.queue.push(entry.clone(), now) {
-            Err(failure) if failure.reason == Reason::Overload && self.floor.serves(rank, now) => {
+            Err(failure) if failure.reason == Reason::Overload => {
                 // The entry is about to be shed: nothing less urgent may be served any more.
                 self.floor.raise(rank, now);
                 self.apply_floor(now);
@@ -211,6 +212,22 @@
         Ok(())
     }
 
+    /// Refuses at once what would miss its deadline behind the prompts that are before it, so that
+    /// its router can move it: the report by which it was chosen may be old.
+    fn check_feasible(&self, entry: &Entry, now: Timestamp) -> Result<(), Failure> {
+        let above = self.queue.work();
+        let above = above.iter().take(usize::from(entry.rank.0));
+        let prefill_tokens = above
+            .map(|work| work.prefill_tokens)
+            .fold(self.ledger.unprefilled_tokens(), u32::saturating_add);
+        let wait = self.limit.rates(now).service_time(prefill_tokens, 0);
+        let is_checked = self.settings.queue.order == queue::Order::Tiers;
+        if !is_checked || !entry.is_hopeless(now.plus(wait), self.limit.rates(now)) {
+            return Ok(());
+        }
+        Err(Failure::not_run(Reason::Infeasible).with_retry_after(wait))
+    }
+
     fn grant(&mut self, attempt: Attempt, boot: Boot) -> Result<(), Failure> {
         let now = self.clock.now();
         let Some(handle) = self.tasks.get(&attempt).cloned() else {
@@ -219,7 +236,8 @@
             self.table.abort(attempt, now);
             return Err(Failure::not_run(Reason::Void));
         };
-        if let Some(rank) = self.ledger.offered_rank(attempt)
+        let rank = self.ledger.offered_rank(attempt);
+        if let Some(rank) = rank
             && !self.floor.serves(rank, now)
         {
             let failure = self.overload(rank);
@@ -235,7 +253,13 @@
         self.ledger.start(attempt, &mut self.prefixes, now);
         self.limit.started(now);
         permit.send(Message::Start);
-        log::debug!(attempt:% = attempt, running = self.limit.running(); "dispatched");
+        log::info!(
+            attempt:% = attempt,
+            rank = rank.map_or(0, |rank| rank.0),
+            running = self.limit.running(),
+            limit = self.limit.current();
+            "dispatched"
+        );
         Ok(())
     }
 
@@ -309,7 +333,7 @@
     /// Does all that has become due.
     fn advance(&mut self) {
         let now = self.clock.now();
-        if self.closing.is_cancelled() {
+        if (self.is_leaving)() {
             self.close(now);
         }
         self.apply_floor(now);
@@ -350,11 +374,18 @@
     fn expire(&mut self, now: Timestamp) {
         let rates = self.limit.rates(now);
         for (entry, failure) in self.queue.expire(now, rates) {
+            log::info!(
+                attempt:% = entry.attempt,
+                organisation = entry.organisation.as_str(),
+                rank = entry.rank.0;
+                "given up"
+            );
             self.void(entry.attempt, failure, now);
         }
     }
 
-    /// Hands back all that waits, once.
+    /// Hands back all that waits, once. A sidecar that has been leaving takes new work only after
+    /// a restart, as its routers expect of it.
     fn close(&mut self, now: Timestamp) {
         if self.closed {
             return;
@@ -375,6 +406,7 @@
         let rank = self.floor.current(now);
         self.queue.lower_floor(rank);
         for entry in self.queue.raise_floor(rank) {
+            self.floor.raise(entry.rank, now);
             self.shed(&entry, now);
         }
     }
@@ -414,13 +446,6 @@
         }
     }
 
-    fn note_seen(&mut self, attempt: Attempt) {
-        let newest = self.seen.entry(attempt.router).or_insert(attempt);
-        if newest.sequence < attempt.sequence {
-            *newest = attempt;
-        }
-    }
-
     fn publish(&mut self, now: Timestamp) {
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
@@ -435,7 +460,7 @@
             waiting: self.queue.work(),
             rates: self.limit.rates(now),
             evicted_prefixes: self.evictions.recent(now),
-            seen: self.seen.values().copied().collect(),
+            seen: self.seen.recent(now),
         };
         let modified = self.report.send_if_modified(|published| {
             let changed = *published != report;
--- /dev/null
+++ b/daemon/tests/claims.rs
@@ -0,0 +1,243 @@
+//! Bookings under faults, with real processes: claims, takeovers and the loss of the store.
+
+#[path = "claims/bench.rs"]
+mod bench;
+
+use {
+    bench::{AT_ONCE, Bench, LIMIT, booking, booking_of, layout, read, runs_at, wait_until},
+    std::time::Duration,
+    tamarackdale_core::verdict::Verdict,
+    tamarackdale_testbed::{
+        deployment::{Layout, Service, Sidecar},
+        load::Shot,
+        proxy::{Direction, Fault, Scope},
+        store::{self, Outage},
+    },
+};
+
+#[tokio::test]
+async fn lost_answers_of_the_store_do_not_lose_or_double_a_booking() {
+    let bench = Bench::start().await;
+    let shot = booking("lost");
+
+    bench.deployment.store.lose_answers(1);
+    let record = bench.book(0, &shot).await;
+    let retry = bench.book(1, &shot).await;
+
+    assert!(record.whole && retry.whole, "{record:?} {retry:?}");
+    assert_eq!(bench.runs("lost"), 1);
+    bench.assert_kept(&[(&shot, &record), (&shot, &retry)]);
+}
+
+#[tokio::test]
+async fn slow_store_delays_bookings_and_refuses_none() {
+    let bench = Bench::start().await;
+    let shots: Vec<Shot> = (0..4).map(|n| booking(&format!("slow-{n}"))).collect();
+
+    bench.deployment.store.set_delay(Duration::from_millis(700));
+    let records = shots
+        .iter()
+        .enumerate()
+        .map(|(n, shot)| bench.book(n, shot));
+    let records = futures_util::future::join_all(records).await;
+
+    assert!(records.iter().all(|record| record.whole), "{records:#?}");
+    bench.assert_kept(&shots.iter().zip(&records).collect::<Vec<_>>());
+}
+
+#[tokio::test]
+async fn claims_that_wait_together_share_calls_of_the_store() {
+    let bench = Bench::start().await;
+    let shots: Vec<Shot> = (0..30).map(|n| booking(&format!("batch-{n}"))).collect();
+    let store = &bench.deployment.store;
+    let before = store.calls(store::Call::Write);
+
+    store.set_delay(Duration::from_millis(50));
+    let records = shots.iter().map(|shot| bench.book(0, shot));
+    let records = futures_util::future::join_all(records).await;
+
+    let calls = store.calls(store::Call::Write) - before;
+    assert!(records.iter().all(|record| record.whole), "{records:#?}");
+    assert!(calls * 2 < 30, "{calls} calls for 30 claims");
+    bench.assert_kept(&shots.iter().zip(&records).collect::<Vec<_>>());
+}
+
+#[rstest::rstest]
+#[case(1)]
+#[case(2)]
+#[tokio::test]
+async fn bookings_racing_at_two_routers_run_once_and_are_answered_twice(#[case] sidecars: usize) {
+    let layout = Layout::new(vec![Service::ordre_app(sidecars)]);
+    let bench = Bench::start_with(layout).await;
+    bench.set_latency(Duration::from_millis(50));
+    let shots: Vec<Shot> = (0..20).map(|n| booking(&format!("race-{n}"))).collect();
+
+    let races = shots
+        .iter()
+        .flat_map(|shot| [bench.book(0, shot), bench.book(1, shot)]);
+    let records = futures_util::future::join_all(races).await;
+
+    let calls: Vec<_> = shots
+        .iter()
+        .flat_map(|shot| [shot, shot])
+        .zip(&records)
+        .collect();
+    assert!(records.iter().all(|record| record.whole), "{records:#?}");
+    bench.assert_kept(&calls);
+}
+
+#[tokio::test]
+async fn router_paused_between_claim_and_grant_does_not_run_the_booking_again() {
+    let bench = Bench::start_with(layout().with_proxies()).await;
+    let shot = booking("paused");
+    let router = &bench.deployment.routers[0];
+    let link = router.store_proxy.as_ref().expect("the layout has proxies");
+    let slow = Fault::delay(Duration::from_millis(400));
+
+    link.inject(Scope::All, Direction::FromTarget, slow);
+    let first = bench.book(0, &shot);
+    let second = async {
+        wait_until("claim", || bench.claims("paused").len() == 1).await;
+        router.process.pause().expect("paused");
+        let record = bench.book(1, &shot).await;
+        router.process.resume_execution().expect("goes on");
+        record
+    };
+    let (first, second) = tokio::join!(first, second);
+
+    assert!(second.whole, "{second:?}");
+    assert!(first.whole, "{first:?}");
+    assert_eq!(bench.claims("paused").len(), 2, "not taken over");
+    assert_eq!(bench.runs("paused"), 1);
+    bench.assert_kept(&[(&shot, &first), (&shot, &second)]);
+}
+
+#[tokio::test]
+async fn booking_moves_when_its_sidecar_dies_between_claim_and_grant() {
+    let mut bench = Bench::start_with(layout().with_proxies()).await;
+    let shot = booking("moved");
+    let link = bench.deployment.routers[0].store_proxy.as_ref();
+    let slow = Fault::delay(Duration::from_millis(400));
+
+    let link = link.expect("the layout has proxies");
+    link.inject(Scope::All, Direction::FromTarget, slow);
+    let booked = bench.spawn_booking(0, &shot);
+    wait_until("claim", || bench.claims("moved").len() == 1).await;
+    let instance = bench.claims("moved")[0].instance.clone();
+    let sidecars = &mut bench.deployment.sidecars;
+    let claimed = sidecars.iter_mut().find(|sidecar| sidecar.name == instance);
+    let claimed = claimed.expect("the claim names a sidecar");
+    claimed.process.kill().expect("killed");
+    let record = booked.await.expect("ends");
+
+    assert!(record.whole, "{record:?}");
+    assert_eq!(bench.claims("moved").len(), 2);
+    assert_eq!(bench.runs("moved"), 1);
+    bench.assert_kept(&[(&shot, &record)]);
+}
+
+#[tokio::test]
+async fn retry_after_the_death_of_its_router_gets_the_answer_of_the_first_run() {
+    let mut bench = Bench::start().await;
+    bench.set_latency(Duration::from_millis(500));
+    let shot = booking("orphan");
+
+    let first = bench.spawn_booking(0, &shot);
+    wait_until("run", || bench.runs("orphan") == 1).await;
+    bench.deployment.routers[0].process.kill().expect("killed");
+    let first = first.await.expect("ends");
+    let retry = bench.book(1, &shot).await;
+
+    assert!(first.broken, "{first:?}");
+    assert!(retry.whole, "{retry:?}");
+    assert_eq!(bench.runs("orphan"), 1);
+    bench.assert_kept(&[(&shot, &first), (&shot, &retry)]);
+}
+
+#[tokio::test]
+async fn other_payload_under_the_same_key_is_refused() {
+    let bench = Bench::start().await;
+    let (shot, other) = (booking("reused"), booking_of("reused", "{\"item\":2}"));
+
+    let first = bench.book(0, &shot).await;
+    let second = bench.book(1, &other).await;
+
+    assert!(first.whole, "{first:?}");
+    assert_eq!(second.status, Some(422));
+    assert_eq!(second.reason.as_deref(), Some("key-reused"));
+    assert_eq!(second.verdict, Some(Verdict::MayHaveRun));
+    assert_eq!(bench.runs("reused"), 1);
+}
+
+#[tokio::test]
+async fn booking_whose_sidecar_died_is_never_run_again() {
+    let mut bench = Bench::start().await;
+    bench.set_latency(LIMIT);
+    let shot = booking("bereft");
+
+    let first = bench.spawn_booking(0, &shot);
+    wait_until("run", || bench.runs("bereft") == 1).await;
+    let sidecars = &mut bench.deployment.sidecars;
+    let has_run = |sidecar: &&mut Sidecar| !runs_at(sidecar, "bereft").is_empty();
+    let sidecar = sidecars.iter_mut().find(has_run).expect("one has run it");
+    sidecar.process.kill().expect("killed");
+    let killed = bench.start.elapsed();
+    let first = first.await.expect("ends");
+    let retry = bench.book(1, &shot).await;
+
+    assert_eq!(first.verdict, Some(Verdict::MayHaveRun), "{first:?}");
+    assert!(first.ended < killed + AT_ONCE, "{first:?}");
+    assert_eq!(
+        (retry.status, retry.verdict),
+        (Some(409), Some(Verdict::MayHaveRun))
+    );
+    assert_eq!(bench.runs("bereft"), 1);
+    bench.assert_kept(&[(&shot, &first), (&shot, &retry)]);
+}
+
+#[rstest::rstest]
+#[case(Outage::Refuse)]
+#[case(Outage::Hang)]
+#[tokio::test]
+async fn bookings_are_refused_and_reads_go_on_while_the_store_is_down(#[case] outage: Outage) {
+    let bench = Bench::start().await;
+    let shots: Vec<Shot> = (0..12).map(|n| booking(&format!("outage-{n}"))).collect();
+    let reads: Vec<Shot> = (0..12).map(|n| read(&format!("read-{n}"))).collect();
+    let (early, late) = shots.split_at(6);
+
+    bench.deployment.store.stop(outage);
+    let refused = early
+        .iter()
+        .enumerate()
+        .map(|(n, shot)| bench.book(n, shot));
+    let refused = futures_util::future::join_all(refused).await;
+    let known = late.iter().enumerate().map(|(n, shot)| bench.book(n, shot));
+    let known = futures_util::future::join_all(known).await;
+    let read = reads
+        .iter()
+        .enumerate()
+        .map(|(n, shot)| bench.book(n, shot));
+    let read = futures_util::future::join_all(read).await;
+    bench.deployment.store.resume();
+    let recovered = bench.book_until_served(0, &booking("again")).await;
+
+    for record in refused.iter().chain(&known) {
+        assert_eq!(record.status, Some(503), "{record:?}");
+        assert_eq!(record.verdict, Some(Verdict::NotRun), "{record:?}");
+        assert_eq!(
+            record.reason.as_deref(),
+            Some("store-unavailable"),
+            "{record:?}"
+        );
+        assert!(record.retry_after.is_some(), "{record:?}");
+    }
+    for record in &known {
+        assert!(record.latency() < AT_ONCE, "{record:?}");
+    }
+    assert!(read.iter().all(|record| record.whole), "{read:#?}");
+    assert!(recovered.whole, "{recovered:?}");
+    assert_eq!(bench.runs("again"), 1);
+    for shot in &shots {
+        assert_eq!(bench.runs(shot.key.as_deref().expect("keyed")), 0);
+    }
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,9 +3,11 @@
 pub mod capacity;
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod history;
 pub mod host;
 pub mod http;
+pub mod injection;
 pub mod list;
 pub mod load;
 pub mod operator;
