--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -134,6 +134,20 @@
             .sum()
     }
 
+    /// Log lines of all processes that name a request's key, one a line.
+    pub fn logs_about(&self, key: &str) -> String {
+        let routers = self.routers.iter().map(|router| &router.process);
+        let sidecars = self.sidecars.iter().map(|sidecar| &sidecar.process);
+        let names_it = |line: &String| line.contains(&format!("{key}\""));
+        routers
+            .chain(sidecars)
+            .flat_map(|process| process.logs())
+            .map(|line| line.to_string())
+            .filter(names_it)
+            .collect::<Vec<_>>()
+            .join("\n")
+    }
+
     /// Waits until every router and sidecar says that it is ready.
     ///
     /// # Errors
