--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -1,7 +1,9 @@
 //! The router: takes callers' requests and brings each to a sidecar.
 
 pub mod callers;
+pub mod claims;
 pub mod context;
+pub mod explanation;
 pub mod inbound;
 pub mod membership;
 pub mod peer;
@@ -10,7 +12,7 @@
 pub mod relay;
 
 use {
-    self::{context::Context, placement::Placement},
+    self::{claims::Claims, context::Context, placement::Placement},
     crate::{
         admin, configuration,
         configuration::{Access, access::Identity},
@@ -23,11 +25,15 @@
     gotham::{
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
-        router::{Router, builder::build_router},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
     },
     rand::Rng as _,
     std::{io, sync::Arc},
     tamarackdale_core::{floor::Notice, id::Boot},
+    tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -55,6 +61,7 @@
         identity,
     };
     let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
+    let (claims_duty, claims) = Claims::spawn(&settings.common.store, clock, &shutdown)?;
     let (membership, acquainted) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
@@ -69,6 +76,7 @@
         catalogue: access.catalogue.clone(),
         configuration: access,
         placement,
+        claims,
         peers,
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
@@ -78,6 +86,7 @@
     let served = runtime.block_on(serve(&settings, &shutdown, context, acquainted));
     shutdown.cutting.cancel();
     membership.join();
+    claims_duty.join();
     configuration.join();
     drop(runtime);
     placement_duty.join();
@@ -172,6 +181,10 @@
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
         configuration::handlers::draw::<Context, _, _>(route);
+        route
+            .get(&format!("{}/:request", path::DECISIONS))
+            .with_path_extractor::<explanation::Path>()
+            .to_async(explanation::get_decisions);
     })
 }
 
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod capacity;
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
 pub mod history;
 pub mod host;
 pub mod http;
