Bookings outlive their router in every tier, shown by a test; grant wait measured

Cause: a running non-idempotent request in a tier with disconnect = "cancel" must not be broken off because its router has gone. Change: test with a router killed under a running booking; the limit of a router's absence becomes a flag of the sidecar (--router-absence-ms, default unchanged at 15 s) so that the test is quick. The plain stand-in counts calls that were worked on to their end. Also: histogram tamarackdale_grant_wait_seconds in the sidecar, from Ready to dispatch, labelled by whether the request needs a claim; the dispatch log line carries the same time.

--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -16,6 +16,11 @@
     0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0,
 ];
 
+/// Bounds of the histogram of grants, in seconds.
+const GRANT_BOUNDS_S: &[f64] = &[
+    0.000_1, 0.000_2, 0.000_5, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0,
+];
+
 /// Instruments of a process.
 #[derive(Clone)]
 pub struct Metrics {
@@ -27,6 +32,7 @@
     moves: Counter<u64>,
     first_byte: Histogram<f64>,
     duration: Histogram<f64>,
+    grant_wait: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
     wasted_prefill: Counter<u64>,
@@ -69,14 +75,15 @@
             .build()?;
         let provider = SdkMeterProvider::builder().with_reader(exporter).build();
         let meter = provider.meter("tamarackdale");
-        let latency = |name: &'static str, help: &'static str| {
+        let histogram = |name: &'static str, help: &'static str, bounds: &[f64]| {
             meter
                 .f64_histogram(name)
                 .with_description(help)
                 .with_unit("s")
-                .with_boundaries(LATENCY_BOUNDS_S.to_vec())
+                .with_boundaries(bounds.to_vec())
                 .build()
         };
+        let latency = |name, help| histogram(name, help, LATENCY_BOUNDS_S);
         let count = |name: &'static str, help: &'static str| {
             meter.u64_counter(name).with_description(help).build()
         };
@@ -92,6 +99,11 @@
             ),
             first_byte: latency("tamarackdale_first_byte", "Time to the head of the answer"),
             duration: latency("tamarackdale_duration", "Time to the end of the answer"),
+            grant_wait: histogram(
+                "tamarackdale_grant_wait",
+                "Time from asking for a grant to dispatch, by whether the request needs a claim",
+                GRANT_BOUNDS_S,
+            ),
             first_token: latency(
                 "tamarackdale_first_token",
                 "Time from dispatch to first token",
@@ -140,6 +152,12 @@
             .record(elapsed.as_secs_f64(), &labels.attributes());
     }
 
+    /// Records the time from asking for a grant to the dispatch.
+    pub fn record_grant_wait(&self, elapsed: Duration, claimed: bool) {
+        let label = KeyValue::new("claimed", claimed);
+        self.grant_wait.record(elapsed.as_secs_f64(), &[label]);
+    }
+
     /// Records the time from dispatch to the first token.
     pub fn record_first_token(&self, elapsed: Duration) {
         self.first_token.record(elapsed.as_secs_f64(), &[]);
--- a/daemon/src/settings/sidecar.rs
+++ b/daemon/src/settings/sidecar.rs
@@ -27,6 +27,8 @@
     pub uses_floor: bool,
     /// Shortest time between two reports.
     pub report_interval: Duration,
+    /// Time that a router may be gone before its running work is cancelled.
+    pub router_absence_limit: Duration,
 }
 
 /// Flags of a sidecar, besides the common ones.
@@ -58,6 +60,12 @@
         "shortest time between two reports",
     )
     .with_default("100"),
+    Flag::new(
+        "router-absence-ms",
+        "MILLISECONDS",
+        "time that a router may be gone before its running work is cancelled",
+    )
+    .with_default("15000"),
 ];
 
 impl Sidecar {
@@ -75,6 +83,7 @@
             batch: read_batch(source),
             uses_floor: read_switch(source, "shed-floor"),
             report_interval: Duration::from_millis(source.number("report-interval-ms")),
+            router_absence_limit: Duration::from_millis(source.number("router-absence-ms")),
         }
     }
 }
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -100,6 +100,7 @@
         dispatch: ring.clone(),
         budget: Arc::new(Semaphore::new(settings.max_kept_bytes)),
         budget_bytes: settings.max_kept_bytes,
+        router_absence_limit: settings.router_absence_limit,
         tracker: TaskTracker::new(),
         closing: shutdown.closing.clone(),
         cutting: shutdown.cutting.clone(),
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -250,14 +250,18 @@
             return Err(failure);
         };
         self.table.grant(attempt, boot, now)?;
-        self.ledger.start(attempt, &mut self.prefixes, now);
+        let wait = self.ledger.start(attempt, &mut self.prefixes, now);
+        let wait = wait.unwrap_or_default();
+        self.metrics.record_grant_wait(wait, handle.needs_claim);
         self.limit.started(now);
         permit.send(Message::Start);
         log::info!(
             attempt:% = attempt,
             rank = rank.map_or(0, |rank| rank.0),
             running = self.limit.running(),
-            limit = self.limit.current();
+            limit = self.limit.current(),
+            grant_wait_us = wait.as_micros() as u64,
+            needs_claim = handle.needs_claim;
             "dispatched"
         );
         Ok(())
--- a/daemon/src/sidecar/dispatch/ledger.rs
+++ b/daemon/src/sidecar/dispatch/ledger.rs
@@ -65,21 +65,26 @@
         self.offered.remove(&attempt);
     }
 
-    /// Notes that an attempt has been dispatched.
+    /// Notes that an attempt has been dispatched; gives the time that its grant took.
     ///
     /// What its prompt has in common with earlier ones is taken to be cached.
-    pub fn start(&mut self, attempt: Attempt, prefixes: &mut History, now: Timestamp) {
-        if let Some(offered) = self.offered.remove(&attempt) {
-            let cost = &offered.entry.cost;
-            let cached = prefixes.blocks_at(&cost.prefixes, BACKEND_SERVER);
-            prefixes.dispatched(&cost.prefixes, BACKEND_SERVER, now);
-            let run = Run {
-                prefill_tokens: cost.uncached_tokens(cached),
-                remaining_tokens: cost.decode_tokens,
-                has_first_token: false,
-            };
-            self.runs.insert(attempt, run);
-        }
+    pub fn start(
+        &mut self,
+        attempt: Attempt,
+        prefixes: &mut History,
+        now: Timestamp,
+    ) -> Option<Duration> {
+        let offered = self.offered.remove(&attempt)?;
+        let cost = &offered.entry.cost;
+        let cached = prefixes.blocks_at(&cost.prefixes, BACKEND_SERVER);
+        prefixes.dispatched(&cost.prefixes, BACKEND_SERVER, now);
+        let run = Run {
+            prefill_tokens: cost.uncached_tokens(cached),
+            remaining_tokens: cost.decode_tokens,
+            has_first_token: false,
+        };
+        self.runs.insert(attempt, run);
+        Some(now.since(offered.since))
     }
 
     /// Notes that a running attempt has generated tokens; gives its state.
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -38,9 +38,6 @@
 /// Time that a router without a connection has to come back before its waiting work is dropped.
 const WAITING_DETACH_LIMIT: Duration = Duration::from_secs(3);
 
-/// Time that a router without a connection has to come back before its running work is cancelled.
-const RUNNING_DETACH_LIMIT: Duration = Duration::from_secs(15);
-
 /// Time that the failure of a void attempt is kept for its router.
 const VOID_RETENTION: Duration = Duration::from_secs(2);
 
@@ -63,6 +60,9 @@
     pub budget: Arc<Semaphore>,
     /// Bytes that the whole budget holds.
     pub budget_bytes: usize,
+    /// Time that a router without a connection has to come back before its running work is
+    /// cancelled.
+    pub router_absence_limit: Duration,
     /// Tracks the tasks so that they can be awaited.
     pub tracker: TaskTracker,
     /// Set when nothing is kept beyond what routers still fetch.
@@ -76,6 +76,8 @@
 pub struct Handle {
     /// The mailbox.
     pub messages: mpsc::Sender<Message>,
+    /// Whether the router claims the request before it grants the attempt.
+    pub needs_claim: bool,
     /// Counts the handles: each reader holds one for as long as it is connected.
     _presence: Arc<()>,
 }
@@ -109,6 +111,8 @@
     let presence = Arc::new(());
     let handle = Handle {
         messages: sender,
+        // A claimed request's answer is what its caller can come back for.
+        needs_claim: order.keep_answer,
         _presence: Arc::clone(&presence),
     };
     let task = Task {
@@ -283,7 +287,8 @@
                 attempt: self.attempt,
             });
         }
-        if self.exchange.is_some() && !self.order.finish_alone && absent > RUNNING_DETACH_LIMIT {
+        let is_orphaned = absent > self.context.router_absence_limit;
+        if self.exchange.is_some() && !self.order.finish_alone && is_orphaned {
             log::info!(attempt:% = self.attempt; "cancelled: its router has gone");
             self.cancel();
         }
--- a/daemon/tests/claims.rs
+++ b/daemon/tests/claims.rs
@@ -4,7 +4,9 @@
 mod bench;
 
 use {
-    bench::{AT_ONCE, Bench, LIMIT, booking, booking_of, layout, read, runs_at, wait_until},
+    bench::{
+        AT_ONCE, Bench, LIMIT, SERVICE, booking, booking_of, layout, read, runs_at, wait_until,
+    },
     std::time::Duration,
     tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
@@ -154,6 +156,58 @@
     bench.assert_kept(&[(&shot, &first), (&shot, &retry)]);
 }
 
+#[tokio::test]
+async fn booking_whose_router_died_is_not_broken_off() {
+    let layout = Layout::new(vec![Service::ordre_app(1)])
+        .with_edit(
+            SERVICE,
+            "disconnect = \"finish\"",
+            "disconnect = \"cancel\"",
+        )
+        .with_sidecar_flags(&["--router-absence-ms", "500"]);
+    let mut bench = Bench::start_with(layout).await;
+    let warm = bench.completed();
+    bench.set_latency(Duration::from_secs(3));
+    let shot = booking("left");
+
+    let first = bench.spawn_booking(0, &shot);
+    wait_until("run", || bench.runs("left") == 1).await;
+    bench.deployment.routers[0].process.kill().expect("killed");
+    let first = first.await.expect("ends");
+    wait_until("end of the run", || bench.completed() > warm).await;
+    let retry = bench.book(1, &shot).await;
+
+    assert!(first.broken, "{first:?}");
+    assert!(retry.whole, "{retry:?}");
+    assert_eq!(bench.runs("left"), 1);
+    bench.assert_kept(&[(&shot, &first), (&shot, &retry)]);
+}
+
+#[tokio::test]
+async fn grants_are_timed_by_whether_they_need_a_claim() {
+    let bench = Bench::start_with(Layout::new(vec![Service::ordre_app(1)])).await;
+    let count = |metrics: &str, claimed: bool| {
+        let name = "tamarackdale_grant_wait_seconds_count";
+        let label = format!("claimed=\"{claimed}\"");
+        let mut lines = metrics.lines();
+        let line = lines.find(|line| line.starts_with(name) && line.contains(&label));
+        line.and_then(|line| line.rsplit(' ').next()?.parse().ok())
+            .unwrap_or(0)
+    };
+    let before = bench.sidecar_metrics().await;
+
+    for n in 0..3 {
+        assert!(bench.book(n, &booking(&format!("timed-{n}"))).await.whole);
+    }
+    for n in 0..2 {
+        assert!(bench.book(n, &read(&format!("timed-read-{n}"))).await.whole);
+    }
+    let after = bench.sidecar_metrics().await;
+
+    assert_eq!(count(&after, true), count(&before, true) + 3, "{after}");
+    assert_eq!(count(&after, false), count(&before, false) + 2, "{after}");
+}
+
 #[tokio::test]
 async fn other_payload_under_the_same_key_is_refused() {
     let bench = Bench::start().await;
--- a/daemon/tests/claims/bench.rs
+++ b/daemon/tests/claims/bench.rs
@@ -1,7 +1,8 @@
 //! A system of two routers before plain services, and its callers.
 
 use {
-    hyper::Method,
+    bytes::Bytes,
+    hyper::{Method, Request},
     std::{
         collections::BTreeSet,
         time::{Duration, Instant},
@@ -10,6 +11,7 @@
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service, Sidecar},
         history::{Execution, History, Submission},
+        http,
         load::{Generator, Record, Shot},
         plain::Call,
     },
@@ -90,6 +92,20 @@
         sidecars.map(|sidecar| runs_at(sidecar, key).len()).sum()
     }
 
+    /// Calls that the backend servers have worked on to their end.
+    pub fn completed(&self) -> usize {
+        let sidecars = self.deployment.sidecars_of(SERVICE);
+        sidecars.map(|sidecar| sidecar.plain().completed()).sum()
+    }
+
+    /// Metrics of the first sidecar.
+    pub async fn sidecar_metrics(&self) -> String {
+        let request = Request::get("/metrics").body(Bytes::new());
+        let admin = self.deployment.sidecars[0].admin;
+        let answer = http::call(admin, request.expect("a valid request"), LIMIT).await;
+        answer.expect("metrics").text().to_owned()
+    }
+
     pub fn executions(&self, key: &str) -> Vec<Execution> {
         let sidecars = self.deployment.sidecars.iter();
         let calls = sidecars.flat_map(|sidecar| runs_at(sidecar, key));
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -12,7 +12,10 @@
     std::{
         io,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard},
+        sync::{
+            Arc, Mutex, MutexGuard,
+            atomic::{AtomicUsize, Ordering},
+        },
         time::{Duration, Instant},
     },
     tamarackdale_core::digest,
@@ -44,6 +47,7 @@
     start: Instant,
     latency: Mutex<Duration>,
     calls: Mutex<Vec<Call>>,
+    completed: AtomicUsize,
 }
 
 impl Plain {
@@ -58,6 +62,7 @@
             start: Instant::now(),
             latency: Mutex::new(Duration::ZERO),
             calls: Mutex::new(Vec::new()),
+            completed: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let host = Host::new(name, move |request| {
@@ -81,6 +86,12 @@
     pub fn calls(&self) -> Vec<Call> {
         lock(&self.state.calls).clone()
     }
+
+    /// Number of calls that were worked on to their end: a caller that closes its connection
+    /// before that breaks its call off.
+    pub fn completed(&self) -> usize {
+        self.state.completed.load(Ordering::Relaxed)
+    }
 }
 
 /// The answer of the service `name` to a call, without padding.
@@ -109,6 +120,7 @@
     lock(&state.calls).push(call.clone());
     let latency = *lock(&state.latency);
     tokio::time::sleep(latency).await;
+    state.completed.fetch_add(1, Ordering::Relaxed);
     let mut value = answer(&state.name, &call);
     if let Some(bytes) = padding(parts.uri.query()) {
         value["padding"] = "x".repeat(bytes).into();
