Capacity: finer processor time, mean sidecar, busy sidecars

Cause: ticks of 10 ms hide slopes at rest; one prompt for all requests was routed to the sidecar that had it. Change: processor time from the threads' schedstat, the mean of all sidecars in place of the first, a question of its own for each request, and the reports of busy sidecars as seen from an idle router.

--- a/testbed/src/capacity.rs
+++ b/testbed/src/capacity.rs
@@ -7,6 +7,7 @@
 
 pub mod fit;
 pub mod fleet;
+pub mod processor;
 pub mod reading;
 pub mod relay;
 pub mod report;
--- a/testbed/src/capacity/fleet.rs
+++ b/testbed/src/capacity/fleet.rs
@@ -1,10 +1,10 @@
 //! Real routers and sidecars around stand-ins, with counting relays on the observed links.
 //!
 //! The first router is the observed one: it has a list of its own, in which every sidecar stands
-//! with a relay that no other router uses. The observed sidecar is the first one.
+//! with a relay that no other router uses. Of the sidecars the mean is observed.
 
 use {
-    super::{reading::Counters, relay::Relay},
+    super::{processor, reading::Counters, relay::Relay},
     crate::{
         deployment::{BackendServer, Fault, START_LIMIT, Standin, wait_until_ready},
         engine::Engine,
@@ -41,7 +41,7 @@
     Router,
     /// The second router, through which all requests go.
     Worker,
-    /// The first sidecar.
+    /// The mean of all sidecars.
     Sidecar,
 }
 
@@ -49,7 +49,7 @@
 pub struct Fleet {
     /// Routers; the first is the observed one.
     pub routers: Vec<Node>,
-    /// Sidecars; the first is the observed one.
+    /// Sidecars.
     pub sidecars: Vec<Node>,
     /// Killed sidecars, with the links to them.
     dead: Vec<Node>,
@@ -167,22 +167,27 @@
     ///
     /// Fails when the process is gone.
     pub fn counters(&self, observed: Observed) -> Result<Counters, Fault> {
-        let (node, link_bytes) = match observed {
-            Observed::Router => (&self.routers[0], self.sidecar_links(Node::observed_bytes)),
-            Observed::Worker => (&self.routers[1], self.sidecar_links(Node::peer_bytes)),
-            Observed::Sidecar => (&self.sidecars[0], self.sidecars[0].observed_bytes()),
-        };
-        let usage = node.process.usage()?;
+        let used = match observed {
+            Observed::Router => self.routers[0].counters(self.sidecar_links(Node::observed_bytes)),
+            Observed::Worker => self.routers[1].counters(self.sidecar_links(Node::peer_bytes)),
+            Observed::Sidecar => self.mean_sidecar(),
+        }?;
         let reads = [Call::Read, Call::Lease, Call::Watch];
         Ok(Counters {
-            processor: usage.processor,
-            memory_bytes: usage.memory_bytes,
-            link_bytes: link_bytes + node.own_bytes(),
             store_reads: reads.map(|call| self.store.calls(call)).iter().sum(),
             store_writes: self.store.calls(Call::Write),
+            ..used
         })
     }
 
+    fn mean_sidecar(&self) -> Result<Counters, Fault> {
+        let mut sum = Counters::default();
+        for node in &self.sidecars {
+            sum = sum.plus(&node.counters(node.observed_bytes())?);
+        }
+        Ok(sum.divided_by(self.sidecars.len() as u32))
+    }
+
     fn sidecar_links(&self, bytes: fn(&Node) -> u64) -> u64 {
         self.sidecars.iter().chain(&self.dead).map(bytes).sum()
     }
@@ -254,6 +259,16 @@
 }
 
 impl Node {
+    /// What it has used, besides the store's calls.
+    fn counters(&self, other_bytes: u64) -> Result<Counters, Fault> {
+        Ok(Counters {
+            processor: processor::time(self.process.id())?,
+            memory_bytes: self.process.usage()?.memory_bytes,
+            link_bytes: other_bytes + self.own_bytes(),
+            ..Counters::default()
+        })
+    }
+
     /// Bytes on its links to the platform and from peers.
     fn own_bytes(&self) -> u64 {
         self.peer_bytes() + self.store.bytes() + self.list.bytes()
--- a/testbed/src/capacity/reading.rs
+++ b/testbed/src/capacity/reading.rs
@@ -17,6 +17,29 @@
     pub store_writes: u64,
 }
 
+impl Counters {
+    /// Both together; the store's calls, which all processes share, are the first's.
+    pub fn plus(&self, other: &Self) -> Self {
+        Self {
+            processor: self.processor + other.processor,
+            memory_bytes: self.memory_bytes + other.memory_bytes,
+            link_bytes: self.link_bytes + other.link_bytes,
+            ..*self
+        }
+    }
+
+    /// The share of one process of `count`; nothing of none.
+    pub fn divided_by(&self, count: u32) -> Self {
+        let count = count.max(1);
+        Self {
+            processor: self.processor / count,
+            memory_bytes: self.memory_bytes / u64::from(count),
+            link_bytes: self.link_bytes / u64::from(count),
+            ..*self
+        }
+    }
+}
+
 /// What a process uses, and the platform's services are called, per second.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Reading {
--- a/testbed/src/capacity/scenario.rs
+++ b/testbed/src/capacity/scenario.rs
@@ -37,6 +37,7 @@
     "changes",
     "requests",
     "tokens",
+    "busy",
     "failures",
 ];
 
@@ -54,6 +55,7 @@
         "changes" => change::rate(settings).await,
         "requests" => load::requests(settings).await,
         "tokens" => load::tokens(settings).await,
+        "busy" => load::busy(settings).await,
         "failures" => failure::kills(settings).await,
         _ => Ok(Vec::new()),
     }
--- a/testbed/src/capacity/scenario/load.rs
+++ b/testbed/src/capacity/scenario/load.rs
@@ -1,5 +1,5 @@
-//! Scenarios with requests. They enter by the second router, so that the observed one, which
-//! follows the same sidecars, shows what control costs under load.
+//! Scenarios with requests. They enter by the second router, so that the first one, which follows
+//! the same sidecars, shows what control costs under load.
 
 use {
     super::{Settings, group::Group},
@@ -15,7 +15,7 @@
         load::{Generator, Schedule, Shot},
     },
     hyper::Method,
-    std::{slice, time::Duration},
+    std::{net::SocketAddr, time::Duration},
     tamarackdale_core::document::example::{ORDRE_APP, SLIBE_LLM},
 };
 
@@ -27,6 +27,11 @@
 const TOKENS: [u32; 4] = [50, 100, 200, 400];
 const TOKEN_REQUESTS_PER_S: f64 = 16.0;
 
+/// Sidecars that have requests, each as many per second and as long.
+const BUSY_SIDECARS: [usize; 4] = [4, 8, 16, 32];
+const BUSY_REQUESTS_PER_S: f64 = 1.0;
+const BUSY_TOKENS: u32 = 200;
+
 /// How much faster than the newer hardware the engines are.
 const SPEEDUP: f64 = 4.0;
 
@@ -43,7 +48,7 @@
     );
     let mut groups = Groups::new("requests/s", target::REQUESTS_PER_S);
     for rate in RATES {
-        let readings = offer(settings, &fleet, rate, &shot).await?;
+        let readings = offer(settings, &fleet, rate, |_| shot.clone()).await?;
         groups.push(rate, &readings);
     }
     Ok(groups.into_series())
@@ -51,52 +56,75 @@
 
 /// Tokens generated per second.
 pub(super) async fn tokens(settings: &Settings) -> Result<Vec<Series>, Fault> {
-    let hardware = Hardware::newer().with_speedup(SPEEDUP);
-    let model = Model::new(hardware).with_models(&["sharpening"]);
-    let server = BackendServer::Engine(model);
-    let mut fleet = Fleet::new(SLIBE_LLM.service, SLIBE_LLM.text, server)?;
+    let mut fleet = engines(SPEEDUP)?;
     start(&mut fleet).await?;
     let size = format!("tokens/s in {TOKEN_REQUESTS_PER_S} requests/s");
     let mut groups = Groups::new(&size, target::TOKENS_PER_S);
     for tokens in TOKENS {
-        let shot = Shot::model(
-            SLIBE_LLM.service,
-            "carver-example-key",
-            "sharpening",
-            "Which bevel for mortise chisels?",
-            tokens,
-        );
-        let readings = offer(settings, &fleet, TOKEN_REQUESTS_PER_S, &shot).await?;
+        let ask = |index| question(index, tokens);
+        let readings = offer(settings, &fleet, TOKEN_REQUESTS_PER_S, ask).await?;
         groups.push(TOKEN_REQUESTS_PER_S * f64::from(tokens), &readings);
     }
     Ok(groups.into_series())
 }
 
+/// A question of its own, so that no sidecar is preferred for having its prompt.
+fn question(index: usize, tokens: u32) -> Shot {
+    Shot::model(
+        SLIBE_LLM.service,
+        "carver-example-key",
+        "sharpening",
+        &format!("{index}: which bevel for a mortise chisel?"),
+        tokens,
+    )
+}
+
+/// Sidecars that have requests, seen from a router that has none.
+pub(super) async fn busy(settings: &Settings) -> Result<Vec<Series>, Fault> {
+    let mut fleet = engines(1.0)?;
+    let size = "sidecars that serve requests of another router";
+    let mut group = Group::new("router", size, target::FOLLOWED);
+    for count in BUSY_SIDECARS {
+        fleet.grow_sidecars(count).await?;
+        fleet.grow_routers(2).await?;
+        let rate = BUSY_REQUESTS_PER_S * count as f64;
+        let ask = |index| question(index, BUSY_TOKENS);
+        let [_, _, idle] = offer(settings, &fleet, rate, ask).await?;
+        group.push(count as f64, &idle);
+    }
+    Ok(group.into_series())
+}
+
+fn engines(speedup: f64) -> Result<Fleet, Fault> {
+    let hardware = Hardware::newer().with_speedup(speedup);
+    let model = Model::new(hardware).with_models(&["sharpening"]);
+    let server = BackendServer::Engine(model);
+    Fleet::new(SLIBE_LLM.service, SLIBE_LLM.text, server)
+}
+
 async fn start(fleet: &mut Fleet) -> Result<(), Fault> {
     fleet.grow_sidecars(SIDECARS).await?;
     fleet.grow_routers(2).await
 }
 
-/// Readings of the router that does the work, the observed router, and the observed sidecar.
+/// Readings of the router that does the work, of the mean sidecar, and of the idle router.
 type Readings = [Reading; 3];
 
 async fn offer(
     settings: &Settings,
     fleet: &Fleet,
     rate: f64,
-    shot: &Shot,
+    shot: impl FnMut(usize) -> Shot,
 ) -> Result<Readings, Fault> {
-    let Some(entry) = fleet.routers[1].callers else {
-        return Ok(Readings::default());
-    };
-    let generator = Generator::new(slice::from_ref(&entry)).with_limit(Duration::from_secs(10));
+    let entries: Vec<SocketAddr> = fleet.routers[1].callers.into_iter().collect();
+    let generator = Generator::new(&entries).with_limit(Duration::from_secs(10));
     let schedule = Schedule::poisson(rate, settings.settling + settings.window, settings.seed);
-    let all = [Observed::Worker, Observed::Router, Observed::Sidecar];
+    let all = [Observed::Worker, Observed::Sidecar, Observed::Router];
     let observed = async {
         settings.settle().await;
         settings.observe_all(fleet, all).await
     };
-    let (records, readings) = tokio::join!(generator.run(&schedule, |_| shot.clone()), observed);
+    let (records, readings) = tokio::join!(generator.run(&schedule, shot), observed);
     let whole = records.iter().filter(|record| record.whole).count();
     if whole < records.len() {
         println!("{whole} of {} answers were whole", records.len());
@@ -104,9 +132,9 @@
     readings
 }
 
+/// The series of the working processes.
 struct Groups {
     worker: Group,
-    router: Group,
     sidecar: Group,
 }
 
@@ -114,22 +142,19 @@
     /// Groups whose sizes are shared by the routers and by the sidecars.
     fn new(size: &str, target: f64) -> Self {
         let (per_router, per_sidecar) = (target / target::ROUTERS, target / target::SIDECARS);
-        let elsewhere = format!("{size} through another router, {SIDECARS} sidecars");
         Self {
             worker: Group::without_budget("router, all its work", size, per_router),
-            router: Group::new("router, control", &elsewhere, per_router),
             sidecar: Group::without_budget("sidecar, all its work", size, per_sidecar),
         }
     }
 
-    fn push(&mut self, size: f64, [worker, router, sidecar]: &Readings) {
+    fn push(&mut self, size: f64, [worker, sidecar, _]: &Readings) {
         self.worker.push(size, worker);
-        self.router.push(size, router);
         self.sidecar.push(size / SIDECARS as f64, sidecar);
     }
 
     fn into_series(self) -> Vec<Series> {
-        [self.worker, self.router, self.sidecar]
+        [self.worker, self.sidecar]
             .into_iter()
             .flat_map(Group::into_series)
             .collect()
--- a/testbed/src/capacity/scenario/rest.rs
+++ b/testbed/src/capacity/scenario/rest.rs
@@ -22,7 +22,7 @@
 pub(super) async fn sidecars(settings: &Settings) -> Result<Vec<Series>, Fault> {
     let mut fleet = plain()?;
     fleet.grow_routers(1).await?;
-    let mut group = Group::new("router", "sidecars in the system", target::SIDECARS);
+    let mut group = Group::new("router", "sidecars that it follows", target::FOLLOWED);
     let mut reads = Series::new(
         "store",
         "processes at rest",
@@ -46,7 +46,7 @@
 pub(super) async fn routers(settings: &Settings) -> Result<Vec<Series>, Fault> {
     let mut fleet = plain()?;
     fleet.grow_sidecars(1).await?;
-    let mut group = Group::new("sidecar", "routers in the system", target::ROUTERS);
+    let mut group = Group::new("sidecar", "routers that follow it", target::FOLLOWERS);
     for count in ROUTERS {
         fleet.grow_routers(count).await?;
         settings.settle().await;
--- a/testbed/src/capacity/target.rs
+++ b/testbed/src/capacity/target.rs
@@ -4,8 +4,10 @@
 pub const ROUTERS: f64 = 360.0;
 /// Sidecars, one beside each backend server.
 pub const SIDECARS: f64 = 2_600.0;
-/// Data centres.
-pub const DATA_CENTRES: f64 = 13.0;
+/// Sidecars that a router follows.
+pub const FOLLOWED: f64 = SIDECARS;
+/// Routers that follow a sidecar.
+pub const FOLLOWERS: f64 = ROUTERS;
 /// Organisations.
 pub const ORGANISATIONS: f64 = 4_400.0;
 /// Requests per second at the peak.
--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -151,6 +151,11 @@
         &self.name
     }
 
+    /// Process identifier.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// JSON log lines written so far.
     pub fn logs(&self) -> Vec<Value> {
         self.output.lock().logs.clone()
