Reports at the pace of the router's budget, from its own data centre and a sample; list read only when changed

Change: a router follows its own data centre and, of the rest, the sidecars that rendezvous hash gives it, at least 32 of a service; it asks each sidecar for a share of 10 KB/s; changes of leaving, revision and floor go out at once, others wait for their share, and a report that holds is confirmed in a few bytes; the report names only the router's own attempts; the list's entity tag is sent back.

--- /dev/null
+++ b/core/src/rendezvous.rs
@@ -0,0 +1,35 @@
+//! Rendezvous hashing: every process that knows the same names makes the same choice.
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+/// The `count` candidates that rank highest for `key`, the first first.
+///
+/// Adding or removing a candidate changes nothing in the order of the others.
+pub fn choose<'a, T>(
+    key: &str,
+    candidates: impl IntoIterator<Item = &'a T>,
+    name: impl Fn(&T) -> &str,
+    count: usize,
+) -> Vec<&'a T> {
+    let mut ranked: Vec<(u64, &T)> = candidates
+        .into_iter()
+        .map(|candidate| (score(key, name(candidate)), candidate))
+        .collect();
+    ranked.sort_by(|(one, first), (other, second)| {
+        other.cmp(one).then_with(|| name(first).cmp(name(second)))
+    });
+    ranked
+        .into_iter()
+        .take(count)
+        .map(|(_, candidate)| candidate)
+        .collect()
+}
+
+fn score(key: &str, name: &str) -> u64 {
+    let mut hasher = Xxh3Default::new();
+    hasher.update(key.as_bytes());
+    // A byte that no text holds keeps "a" + "bc" apart from "ab" + "c".
+    hasher.update(&[u8::MAX]);
+    hasher.update(name.as_bytes());
+    hasher.digest()
+}
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -3,7 +3,7 @@
 use crate::{
     cost::Rates,
     floor,
-    id::{Attempt, Incarnation},
+    id::{Attempt, Boot, Incarnation},
 };
 
 /// Load and state of one sidecar and its backend server.
@@ -35,6 +35,22 @@
     pub seen: Vec<Attempt>,
 }
 
+impl Report {
+    /// The report as one router needs it.
+    pub fn for_router(&self, router: Boot) -> Self {
+        let mut report = self.clone();
+        report.seen.retain(|attempt| attempt.router == router);
+        report
+    }
+
+    /// Whether a router that knows `previous` has to learn of this report without delay.
+    pub fn is_urgent_after(&self, previous: &Self) -> bool {
+        self.leaving != previous.leaving
+            || self.revision != previous.revision
+            || self.floor.rank != previous.floor.rank
+    }
+}
+
 /// Waiting work of one rank.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Work {
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -55,7 +55,9 @@
     let membership = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
+            boot,
             instance: settings.common.instance.clone(),
+            data_centre: settings.common.data_centre.clone(),
             services: settings.services.clone(),
         },
         placement.clone(),
--- a/daemon/src/router/membership.rs
+++ b/daemon/src/router/membership.rs
@@ -1,8 +1,9 @@
 //! The membership duty: follows the instance list and the sidecars' reports.
 
-pub mod subscription;
+pub mod follower;
 
 use {
+    self::follower::Order,
     super::placement::{Placement, command::Sighting},
     crate::{duty::Duty, signal::Shutdown},
     std::{
@@ -10,7 +11,11 @@
         io,
         time::Duration,
     },
-    tamarackdale_core::{id::Instance, limit::Share},
+    tamarackdale_core::{
+        id::{Boot, Instance},
+        limit::Share,
+        subscription,
+    },
     tamarackdale_platform::list::{self, Member, Role},
     tokio::{task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
@@ -19,12 +24,19 @@
 /// Time between two readings of the instance list.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Bytes per second that a router spends on the reports of all its sidecars together.
+const REPORT_BYTES_PER_S: usize = 10_000;
+
 /// Settings of the duty.
 pub struct Settings {
+    /// Boot of this process.
+    pub boot: Boot,
     /// Address of the instance list.
     pub instance_list: String,
     /// This instance.
     pub instance: Instance,
+    /// Data centre of this instance.
+    pub data_centre: String,
     /// Services whose sidecars are followed.
     pub services: Vec<String>,
 }
@@ -39,6 +51,8 @@
         let mut roster = Roster {
             settings,
             placement,
+            listed: Vec::new(),
+            chosen: Vec::new(),
             followed: HashMap::new(),
             subscriptions: JoinSet::new(),
         };
@@ -52,12 +66,17 @@
 
 struct Followed {
     member: Member,
+    order: Order,
     ended: CancellationToken,
 }
 
 struct Roster {
     settings: Settings,
     placement: Placement,
+    /// The list as last read.
+    listed: Vec<Member>,
+    /// The sidecars to follow, of the list as last read.
+    chosen: Vec<Member>,
     followed: HashMap<Instance, Followed>,
     subscriptions: JoinSet<()>,
 }
@@ -76,15 +95,47 @@
 
     fn take(&mut self, members: Vec<Member>) {
         self.take_routers(&members);
-        let sidecars: Vec<Member> = members
-            .into_iter()
-            .filter(|member| member.role == Role::Sidecar)
-            .filter(|member| self.settings.services.contains(&member.service))
-            .collect();
+        if members != self.listed {
+            self.chosen = self.choose(&members);
+            self.listed = members;
+        }
+        let sidecars = self.chosen.clone();
         self.drop_missing(&sidecars);
+        let order = Order {
+            router: self.settings.boot,
+            bytes_per_s: (REPORT_BYTES_PER_S / sidecars.len().max(1)) as u32,
+        };
         for member in sidecars {
-            self.take_sidecar(member);
+            self.take_sidecar(member, order);
+        }
+    }
+
+    /// The sidecars to follow, of all services.
+    fn choose(&self, members: &[Member]) -> Vec<Member> {
+        let own = subscription::Member {
+            instance: &self.settings.instance.0,
+            data_centre: &self.settings.data_centre,
+        };
+        let routers: Vec<_> = members
+            .iter()
+            .filter(|member| member.role == Role::Router && !member.leaving)
+            .map(candidate)
+            .collect();
+        let mut chosen = HashSet::new();
+        for service in &self.settings.services {
+            let sidecars: Vec<_> = members
+                .iter()
+                .filter(|member| member.role == Role::Sidecar && member.service == *service)
+                .map(candidate)
+                .collect();
+            let followed = subscription::followed(own, &routers, &sidecars);
+            chosen.extend(followed.into_iter().map(str::to_owned));
         }
+        members
+            .iter()
+            .filter(|member| member.role == Role::Sidecar && chosen.contains(&member.instance))
+            .cloned()
+            .collect()
     }
 
     fn take_routers(&self, members: &[Member]) {
@@ -116,7 +167,7 @@
         });
     }
 
-    fn take_sidecar(&mut self, member: Member) {
+    fn take_sidecar(&mut self, member: Member, order: Order) {
         let instance = Instance(member.instance.clone());
         if let Some(followed) = self.followed.get(&instance)
             && followed.member.address != member.address
@@ -132,15 +183,24 @@
                 instance: instance.clone(),
             });
         }
-        if !self.followed.contains_key(&instance) {
-            let ended = self.subscribe(&member);
-            self.followed.insert(instance, Followed { member, ended });
+        let present = self.followed.get(&instance);
+        if present.is_some_and(|followed| followed.order.is_near(order)) {
+            return;
+        }
+        let ended = self.subscribe(&member, order);
+        let followed = Followed {
+            member,
+            order,
+            ended,
+        };
+        if let Some(former) = self.followed.insert(instance, followed) {
+            former.ended.cancel();
         }
     }
 
-    fn subscribe(&mut self, member: &Member) -> CancellationToken {
+    fn subscribe(&mut self, member: &Member, order: Order) -> CancellationToken {
         let ended = CancellationToken::new();
-        let subscription = subscription::run(member.clone(), self.placement.clone());
+        let subscription = follower::run(member.clone(), order, self.placement.clone());
         let stop = ended.clone();
         self.subscriptions.spawn(async move {
             tokio::select! {
@@ -152,6 +212,13 @@
     }
 }
 
+fn candidate(member: &Member) -> subscription::Member<'_> {
+    subscription::Member {
+        instance: &member.instance,
+        data_centre: &member.data_centre,
+    }
+}
+
 /// The sighting that a sidecar is not to be reached any more.
 fn gone(member: &Member) -> Sighting {
     Sighting::Gone {
--- a/daemon/src/router/membership/subscription.rs
+++ b/daemon/src/router/membership/follower.rs
@@ -9,7 +9,7 @@
     http_body_util::{BodyExt as _, Full},
     hyper::{Request, body::Incoming},
     std::time::Duration,
-    tamarackdale_core::report::Report,
+    tamarackdale_core::{id::Boot, report::Report},
     tamarackdale_platform::list::Member,
     tamarackdale_wire::{self as wire, codec::Splitter, path},
     tokio::time::{sleep, timeout},
@@ -21,10 +21,27 @@
 /// Pause before a new connection.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(250);
 
+/// What is asked of the sidecar.
+#[derive(Clone, Copy, Debug)]
+pub struct Order {
+    /// This router.
+    pub router: Boot,
+    /// Bytes per second that are to spare for this sidecar's reports.
+    pub bytes_per_s: u32,
+}
+
+impl Order {
+    /// Whether this order may stand where `other` is due.
+    pub fn is_near(self, other: Self) -> bool {
+        self.bytes_per_s <= other.bytes_per_s + other.bytes_per_s / 4
+            && self.bytes_per_s >= other.bytes_per_s / 2
+    }
+}
+
 /// Follows the reports for ever, over as many connections as it takes.
-pub async fn run(member: Member, placement: Placement) {
+pub async fn run(member: Member, order: Order, placement: Placement) {
     loop {
-        if let Some(body) = connect(&member).await {
+        if let Some(body) = connect(&member, order).await {
             follow(&member, body, &placement).await;
         }
         // Without reports the sidecar is not chosen; the next report brings it back.
@@ -33,10 +50,15 @@
     }
 }
 
-async fn connect(member: &Member) -> Option<Incoming> {
-    let request = Request::get(format!("http://{}{}", member.address, path::REPORTS))
-        .body(Full::default())
-        .ok()?;
+async fn connect(member: &Member, order: Order) -> Option<Incoming> {
+    let url = format!(
+        "http://{}{}?router={}&bytes_per_s={}",
+        member.address,
+        path::REPORTS,
+        order.router.0,
+        order.bytes_per_s
+    );
+    let request = Request::get(url).body(Full::default()).ok()?;
     let response = timeout(SILENCE_LIMIT, client::fresh().request(request))
         .await
         .ok()?
@@ -46,13 +68,19 @@
 
 async fn follow(member: &Member, mut body: Incoming, placement: &Placement) {
     let mut splitter = Splitter::new();
+    let mut last = None;
     while let Ok(Some(Ok(frame))) = timeout(SILENCE_LIMIT, body.frame()).await {
         if let Some(bytes) = frame.data_ref() {
             splitter.push(bytes);
         }
         loop {
-            match splitter.next_item::<wire::Report>() {
-                Ok(Some(report)) => sight(member, report, placement),
+            match splitter.next_item::<Option<wire::Report>>() {
+                Ok(Some(item)) => {
+                    last = item.or(last);
+                    if let Some(report) = &last {
+                        sight(member, report.clone(), placement);
+                    }
+                }
                 Ok(None) => break,
                 Err(error) => {
                     log::warn!(instance = member.instance.as_str(); "broken reports: {error}");
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -5,6 +5,7 @@
 pub mod context;
 pub mod dispatch;
 pub mod exchange;
+pub mod feed;
 pub mod handlers;
 pub mod reader;
 pub mod task;
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -5,6 +5,7 @@
         answer::Position,
         context::Context,
         dispatch::{Command, Offer},
+        feed,
         reader::Reader,
         task::{self, Handle},
     },
@@ -12,12 +13,10 @@
         configuration::handlers::get_document,
         http::body::{self, Unreadable},
     },
-    bytes::Bytes,
-    futures_util::{Stream, stream},
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::{Response, StatusCode, body::Frame as HttpFrame},
+        hyper::{Response, StatusCode},
         middleware::state::StateMiddleware,
         pipeline::{single_middleware, single_pipeline},
         router::{
@@ -27,22 +26,17 @@
         state::{FromState as _, State},
     },
     serde::de::DeserializeOwned,
-    std::{io, time::Duration},
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
-        Frame, Report, codec,
+        Frame, codec,
         message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
         path,
     },
-    tokio::time::{sleep, timeout},
 };
 
 /// Room for the parts of a message besides the request's body, in bytes.
 const ENVELOPE_BYTES: usize = 256 * 1024;
 
-/// Shortest and longest time between two reports.
-const REPORT_INTERVALS: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(1));
-
 /// The router of the peer listener.
 pub fn routes(context: Context) -> Router {
     let middleware = StateMiddleware::new(context);
@@ -53,7 +47,10 @@
         route.post(path::RESUME).to_async(resume);
         route.post(path::CANCEL).to_async(cancel);
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
-        route.get(path::REPORTS).to_async(reports);
+        route
+            .get(path::REPORTS)
+            .with_query_string_extractor::<feed::Query>()
+            .to_async(reports);
         route
             .get(&format!("{}/:service", path::DOCUMENTS))
             .with_path_extractor::<crate::configuration::handlers::Path>()
@@ -179,38 +176,14 @@
     Ok((state, response))
 }
 
-async fn reports(state: State) -> HandlerResult {
+async fn reports(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
-    let response = Response::new(body::stream(report_stream(context)));
+    let query = feed::Query::take_from(&mut state);
+    let items = feed::items(context.report, query, context.drained);
+    let response = Response::new(body::stream(items));
     Ok((state, response))
 }
 
-/// A report at once, then one at each change, neither too often nor too seldom. Ends when the
-/// sidecar has drained.
-fn report_stream(context: Context) -> impl Stream<Item = io::Result<HttpFrame<Bytes>>> + Send {
-    stream::unfold((context, true), |(mut context, first)| async move {
-        if !first {
-            let drained = context.drained.clone();
-            tokio::select! {
-                () = next_report(&mut context) => {}
-                () = drained.cancelled() => return None,
-            }
-        }
-        let report = Report::from(context.report.borrow_and_update().clone());
-        let item = codec::encode_item(&report)
-            .map(HttpFrame::data)
-            .map_err(io::Error::other);
-        Some((item, (context, false)))
-    })
-}
-
-async fn next_report(context: &mut Context) {
-    let (shortest, longest) = REPORT_INTERVALS;
-    sleep(shortest).await;
-    // Without a change the old report is sent again, as a heartbeat.
-    let _ = timeout(longest - shortest, context.report.changed()).await;
-}
-
 fn frames(context: &Context, handle: Handle, position: Position) -> Response<Body> {
     let report = context.report.clone();
     let floor = move || report.borrow().floor.rank;
--- a/testbed/src/capacity/target.rs
+++ b/testbed/src/capacity/target.rs
@@ -1,13 +1,17 @@
 //! The size that the system is built for, and the budget for control.
 
+use tamarackdale_core::subscription::REMOTE_FOLLOWERS;
+
 /// Routers.
 pub const ROUTERS: f64 = 360.0;
 /// Sidecars, one beside each backend server.
 pub const SIDECARS: f64 = 2_600.0;
-/// Sidecars that a router follows.
-pub const FOLLOWED: f64 = SIDECARS;
-/// Routers that follow a sidecar.
-pub const FOLLOWERS: f64 = ROUTERS;
+/// Data centres.
+pub const DATA_CENTRES: f64 = 13.0;
+/// Sidecars that a router follows: those of its data centre and a sample of the others.
+pub const FOLLOWED: f64 = SIDECARS / DATA_CENTRES + SIDECARS * (REMOTE_FOLLOWERS as f64) / ROUTERS;
+/// Routers that follow a sidecar: those of its data centre and some of the others.
+pub const FOLLOWERS: f64 = ROUTERS / DATA_CENTRES + REMOTE_FOLLOWERS as f64;
 /// Organisations.
 pub const ORGANISATIONS: f64 = 4_400.0;
 /// Requests per second at the peak.
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -128,6 +128,16 @@
     response
 }
 
+/// An answer without a body.
+pub fn empty(status: StatusCode) -> Response<Body> {
+    let body = Full::default()
+        .map_err(|never| match never {})
+        .boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response
+}
+
 fn bind(address: SocketAddr) -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
--- a/testbed/src/list.rs
+++ b/testbed/src/list.rs
@@ -1,8 +1,12 @@
 //! Stand-in for the instance list, in the JSON of Prometheus HTTP service discovery.
 
 use {
-    crate::host::{Host, json},
-    hyper::StatusCode,
+    crate::host::{Body, Host, empty, json},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{ETAG, HeaderValue, IF_NONE_MATCH},
+    },
     serde_json::{Value, json as value},
     std::{
         collections::VecDeque,
@@ -14,6 +18,7 @@
         },
         time::{Duration, Instant},
     },
+    tamarackdale_core::digest,
 };
 
 /// One listed instance, with the values of its labels.
@@ -45,6 +50,7 @@
     host: Host,
     state: Arc<Mutex<State>>,
     calls: Arc<AtomicU64>,
+    sent: Arc<AtomicU64>,
 }
 
 impl List {
@@ -56,18 +62,25 @@
     pub fn start() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let calls = Arc::new(AtomicU64::new(0));
+        let sent = Arc::new(AtomicU64::new(0));
         let handler = {
             let (state, calls) = (Arc::clone(&state), Arc::clone(&calls));
-            move |_| {
+            let sent = Arc::clone(&sent);
+            move |request: Request<Incoming>| {
                 calls.fetch_add(1, Ordering::SeqCst);
                 let visible = lock(&state).visible(Instant::now());
-                async move { Some(json(StatusCode::OK, &visible)) }
+                let response = answer(&request, &visible);
+                if response.status().is_success() {
+                    sent.fetch_add(1, Ordering::SeqCst);
+                }
+                async move { Some(response) }
             }
         };
         Ok(Self {
             host: Host::new("list", handler)?,
             state,
             calls,
+            sent,
         })
     }
 
@@ -92,6 +105,11 @@
         self.calls.load(Ordering::SeqCst)
     }
 
+    /// Calls answered with the list itself, since the caller did not know it.
+    pub fn lists_sent(&self) -> u64 {
+        self.sent.load(Ordering::SeqCst)
+    }
+
     /// Refuses connections until [`List::resume`].
     pub fn stop(&self) {
         self.host.close();
@@ -154,6 +172,21 @@
     }
 }
 
+/// The list, unless the caller knows it by its entity tag.
+fn answer(request: &Request<Incoming>, list: &Value) -> Response<Body> {
+    let tag = format!(
+        "\"{:016x}\"",
+        digest::fingerprint(list.to_string().as_bytes())
+    );
+    let tag = HeaderValue::try_from(tag).expect("hexadecimal digits are valid in a header");
+    let mut response = match request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+        true => empty(StatusCode::NOT_MODIFIED),
+        false => json(StatusCode::OK, list),
+    };
+    response.headers_mut().insert(ETAG, tag);
+    response
+}
+
 fn group(instance: &Instance) -> Value {
     value!({
         "targets": [instance.address.to_string()],
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -15,7 +15,9 @@
 /// `POST` [`crate::message::Acknowledge`]; answers with an empty body.
 pub const ACKNOWLEDGE: &str = "/v1/acknowledge";
 
-/// `GET`; answers with an endless stream of [`crate::Report`]s.
+/// `GET` with the query `router` (boot) and `bytes_per_s` (share of the router's budget); answers
+/// with an endless stream of optional [`crate::Report`]s, where nothing means that the last one
+/// still holds.
 pub const REPORTS: &str = "/v1/reports";
 
 /// `GET` with the service's name as last segment; answers with the newest
