Instance list packed with gzip

Cause: a change of a list of 2,960 entries costs each reader 452 KB, 6.6 KB/s at the target's 0.0147 changes a second, of 15 KB/s for all control. The stand-in's names are more alike than real ones.

--- a/testbed/src/capacity/fleet.rs
+++ b/testbed/src/capacity/fleet.rs
@@ -142,6 +142,17 @@
         }
     }
 
+    /// Replaces a listed instance of another service.
+    pub fn change_stranger(&self) {
+        let calls = self.observed_list.calls();
+        let name = format!("other-service-new-{calls}");
+        self.observed_list.remove("other-service-0");
+        self.observed_list.set(Instance {
+            service: "other-service".to_owned(),
+            ..instance("sidecar", &name, SocketAddr::from(([127, 0, 0, 1], 9)))
+        });
+    }
+
     /// Kills the last `count` sidecars; they stay listed. Gives their names.
     pub fn kill_sidecars(&mut self, count: usize) -> Vec<String> {
         let from = self.sidecars.len().saturating_sub(count);
--- a/testbed/src/capacity/scenario/rest.rs
+++ b/testbed/src/capacity/scenario/rest.rs
@@ -11,6 +11,7 @@
         deployment::{BackendServer, Fault},
     },
     tamarackdale_core::document::example::ORDRE_APP,
+    tokio::time::sleep,
 };
 
 /// Sizes of the scenarios.
@@ -18,6 +19,9 @@
 const ROUTERS: [usize; 4] = [1, 5, 10, 20];
 const INSTANCES: [usize; 4] = [100, 500, 1_500, 3_000];
 
+/// Changes of the list in one window, further apart than two readings of it.
+const LIST_CHANGES: [u32; 4] = [0, 1, 2, 3];
+
 /// Sidecars that one router follows; also the store's reads by number of processes.
 pub(super) async fn sidecars(settings: &Settings) -> Result<Vec<Series>, Fault> {
     let mut fleet = plain()?;
@@ -75,6 +79,31 @@
     Ok(group.into_series())
 }
 
+/// Changes of an instance list of the target's size.
+pub(super) async fn list_changes(settings: &Settings) -> Result<Vec<Series>, Fault> {
+    let mut fleet = plain()?;
+    fleet.grow_sidecars(1).await?;
+    fleet.grow_routers(1).await?;
+    let entries = target::ROUTERS + target::SIDECARS;
+    fleet.list_strangers(entries as usize);
+    let size = format!("changes/s of an instance list of {entries} entries");
+    let mut group = Group::new("router", &size, target::LIST_CHANGES_PER_S);
+    for changes in LIST_CHANGES {
+        settings.settle().await;
+        let interval = settings.window / (changes + 1);
+        let change = async {
+            for _ in 0..changes {
+                sleep(interval).await;
+                fleet.change_stranger();
+            }
+        };
+        let (reading, ()) = tokio::join!(settings.observe(&fleet, Observed::Router), change);
+        let rate = f64::from(changes) / settings.window.as_secs_f64();
+        group.push(rate, &reading?);
+    }
+    Ok(group.into_series())
+}
+
 fn plain() -> Result<Fleet, Fault> {
     Fleet::new(ORDRE_APP.service, ORDRE_APP.text, BackendServer::Plain)
 }
--- a/testbed/src/capacity/target.rs
+++ b/testbed/src/capacity/target.rs
@@ -21,6 +21,10 @@
 /// Configuration changes per second, on average over a day.
 pub const CHANGES_PER_S: f64 = 14_000.0 / 86_400.0;
 
+/// Changes of the instance list per second, on average over a day: each instance that fails or is
+/// replaced goes and comes.
+pub const LIST_CHANGES_PER_S: f64 = 2.0 * (53.0 + 580.0) / 86_400.0;
+
 /// Processor time for control, in percent of a core.
 pub const CONTROL_PROCESSOR_PERCENT: f64 = 4.0;
 /// Memory for control, in megabytes.
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -120,17 +120,12 @@
 
 /// An answer with a whole JSON body.
 pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
-    let body = Full::from(value.to_string())
-        .map_err(|never| match never {})
-        .boxed_unsync();
-    let mut response = Response::new(body);
-    *response.status_mut() = status;
-    response
+    whole(status, value.to_string().into())
 }
 
-/// An answer without a body.
-pub fn empty(status: StatusCode) -> Response<Body> {
-    let body = Full::default()
+/// An answer with a body of known bytes.
+pub fn whole(status: StatusCode, bytes: Bytes) -> Response<Body> {
+    let body = Full::new(bytes)
         .map_err(|never| match never {})
         .boxed_unsync();
     let mut response = Response::new(body);
--- a/testbed/src/list.rs
+++ b/testbed/src/list.rs
@@ -1,16 +1,18 @@
 //! Stand-in for the instance list, in the JSON of Prometheus HTTP service discovery.
 
 use {
-    crate::host::{Body, Host, empty, json},
+    crate::host::{Body, Host, json, whole},
+    bytes::Bytes,
+    flate2::{Compression, write::GzEncoder},
     hyper::{
         Request, Response, StatusCode,
         body::Incoming,
-        header::{ETAG, HeaderValue, IF_NONE_MATCH},
+        header::{ACCEPT_ENCODING, CONTENT_ENCODING, ETAG, HeaderValue, IF_NONE_MATCH},
     },
     serde_json::{Value, json as value},
     std::{
         collections::VecDeque,
-        io,
+        io::{self, Write as _},
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -21,6 +23,9 @@
     tamarackdale_core::digest,
 };
 
+/// Encoding of a packed answer.
+const GZIP: &str = "gzip";
+
 /// One listed instance, with the values of its labels.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -172,21 +177,36 @@
     }
 }
 
-/// The list, unless the caller knows it by its entity tag.
+/// The list, packed if the caller takes that, unless the caller knows it by its entity tag.
 fn answer(request: &Request<Incoming>, list: &Value) -> Response<Body> {
-    let tag = format!(
-        "\"{:016x}\"",
-        digest::fingerprint(list.to_string().as_bytes())
-    );
+    let text = list.to_string();
+    let tag = format!("\"{:016x}\"", digest::fingerprint(text.as_bytes()));
     let tag = HeaderValue::try_from(tag).expect("hexadecimal digits are valid in a header");
     let mut response = match request.headers().get(IF_NONE_MATCH) == Some(&tag) {
-        true => empty(StatusCode::NOT_MODIFIED),
+        true => whole(StatusCode::NOT_MODIFIED, Bytes::new()),
+        false if accepts_gzip(request) => packed(&text),
         false => json(StatusCode::OK, list),
     };
     response.headers_mut().insert(ETAG, tag);
     response
 }
 
+fn accepts_gzip(request: &Request<Incoming>) -> bool {
+    let accepted = request.headers().get(ACCEPT_ENCODING);
+    accepted.is_some_and(|encoding| encoding == GZIP)
+}
+
+fn packed(text: &str) -> Response<Body> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    let written = encoder.write_all(text.as_bytes());
+    written.expect("writing to memory does not fail");
+    let bytes = encoder.finish().expect("writing to memory does not fail");
+    let mut response = whole(StatusCode::OK, bytes.into());
+    let encoding = HeaderValue::from_static(GZIP);
+    response.headers_mut().insert(CONTENT_ENCODING, encoding);
+    response
+}
+
 fn group(instance: &Instance) -> Value {
     value!({
         "targets": [instance.address.to_string()],
