--- a/testbed/src/capacity/fleet.rs
+++ b/testbed/src/capacity/fleet.rs
@@ -18,6 +18,9 @@
 
 const DATA_CENTRE: &str = "vejle-a";
 
+/// Settings of every process. Requests go to all sidecars alike.
+const ENVIRONMENT: &[(&str, &str)] = &[("TAMARACKDALE_PLACEMENT", "round-robin")];
+
 /// A process of the system with relays on its links.
 pub struct Node {
     /// Name of the instance.
@@ -229,7 +232,7 @@
             .chain(flags.iter().copied())
             .map(str::to_owned)
             .collect();
-        let process = Process::new(name, "tamarackdaled", &arguments)?;
+        let process = Process::with_environment(name, "tamarackdaled", &arguments, ENVIRONMENT)?;
         let listener = process.wait_for_listener("peers", START_LIMIT)?;
         let callers = match role {
             "router" => Some(process.wait_for_listener("callers", START_LIMIT)?),
--- a/testbed/src/capacity/scenario/load.rs
+++ b/testbed/src/capacity/scenario/load.rs
@@ -28,9 +28,12 @@
 const TOKEN_REQUESTS_PER_S: f64 = 16.0;
 
 /// Sidecars that have requests, each as many per second and as long.
-const BUSY_SIDECARS: [usize; 4] = [4, 8, 16, 32];
-const BUSY_REQUESTS_PER_S: f64 = 1.0;
-const BUSY_TOKENS: u32 = 200;
+const BUSY_SIDECARS: [usize; 4] = [16, 32, 64, 100];
+const BUSY_REQUESTS_PER_S: f64 = 0.5;
+const BUSY_TOKENS: u32 = 100;
+
+/// Longest that a request may take.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
 
 /// How much faster than the newer hardware the engines are.
 const SPEEDUP: f64 = 4.0;
@@ -56,7 +59,7 @@
 
 /// Tokens generated per second.
 pub(super) async fn tokens(settings: &Settings) -> Result<Vec<Series>, Fault> {
-    let mut fleet = engines(SPEEDUP)?;
+    let mut fleet = engines(Hardware::newer().with_speedup(SPEEDUP))?;
     start(&mut fleet).await?;
     let size = format!("tokens/s in {TOKEN_REQUESTS_PER_S} requests/s");
     let mut groups = Groups::new(&size, target::TOKENS_PER_S);
@@ -81,22 +84,31 @@
 
 /// Sidecars that have requests, seen from a router that has none.
 pub(super) async fn busy(settings: &Settings) -> Result<Vec<Series>, Fault> {
-    let mut fleet = engines(1.0)?;
+    let mut fleet = engines(Hardware::older())?;
     let size = "sidecars that serve requests of another router";
     let mut group = Group::new("router", size, target::FOLLOWED);
     for count in BUSY_SIDECARS {
         fleet.grow_sidecars(count).await?;
         fleet.grow_routers(2).await?;
         let rate = BUSY_REQUESTS_PER_S * count as f64;
-        let ask = |index| question(index, BUSY_TOKENS);
-        let [_, _, idle] = offer(settings, &fleet, rate, ask).await?;
-        group.push(count as f64, &idle);
+        let length = 2 * (settings.settling + settings.window);
+        let schedule = Schedule::poisson(rate, length, settings.seed);
+        let generator = generator(&fleet);
+        let observed = async {
+            settings.settle().await;
+            settings.observe(&fleet, Observed::Router).await
+        };
+        // The requests are given up with the measurement.
+        let reading = tokio::select! {
+            reading = observed => reading?,
+            _ = generator.run(&schedule, |index| question(index, BUSY_TOKENS)) => continue,
+        };
+        group.push(count as f64, &reading);
     }
     Ok(group.into_series())
 }
 
-fn engines(speedup: f64) -> Result<Fleet, Fault> {
-    let hardware = Hardware::newer().with_speedup(speedup);
+fn engines(hardware: Hardware) -> Result<Fleet, Fault> {
     let model = Model::new(hardware).with_models(&["sharpening"]);
     let server = BackendServer::Engine(model);
     Fleet::new(SLIBE_LLM.service, SLIBE_LLM.text, server)
@@ -107,8 +119,8 @@
     fleet.grow_routers(2).await
 }
 
-/// Readings of the router that does the work, of the mean sidecar, and of the idle router.
-type Readings = [Reading; 3];
+/// Readings of the router that does the work and of the mean sidecar.
+type Readings = [Reading; 2];
 
 async fn offer(
     settings: &Settings,
@@ -116,10 +128,9 @@
     rate: f64,
     shot: impl FnMut(usize) -> Shot,
 ) -> Result<Readings, Fault> {
-    let entries: Vec<SocketAddr> = fleet.routers[1].callers.into_iter().collect();
-    let generator = Generator::new(&entries).with_limit(Duration::from_secs(10));
+    let generator = generator(fleet);
     let schedule = Schedule::poisson(rate, settings.settling + settings.window, settings.seed);
-    let all = [Observed::Worker, Observed::Sidecar, Observed::Router];
+    let all = [Observed::Worker, Observed::Sidecar];
     let observed = async {
         settings.settle().await;
         settings.observe_all(fleet, all).await
@@ -132,6 +143,12 @@
     readings
 }
 
+/// A generator that sends all requests to the router that does the work.
+fn generator(fleet: &Fleet) -> Generator {
+    let entries: Vec<SocketAddr> = fleet.routers[1].callers.into_iter().collect();
+    Generator::new(&entries).with_limit(CALL_LIMIT)
+}
+
 /// The series of the working processes.
 struct Groups {
     worker: Group,
@@ -148,7 +165,7 @@
         }
     }
 
-    fn push(&mut self, size: f64, [worker, sidecar, _]: &Readings) {
+    fn push(&mut self, size: f64, [worker, sidecar]: &Readings) {
         self.worker.push(size, worker);
         self.sidecar.push(size / SIDECARS as f64, sidecar);
     }
