--- a/testbed/src/capacity/scenario/rest.rs
+++ b/testbed/src/capacity/scenario/rest.rs
@@ -29,11 +29,11 @@
     let mut group = Group::new("router", "sidecars that it follows", target::FOLLOWED);
     let mut reads = Series::new(
         "store",
-        "processes at rest",
+        "processes of one data centre, at rest",
         "reads/s",
-        target::ROUTERS + target::SIDECARS,
+        (target::ROUTERS + target::SIDECARS) / target::DATA_CENTRES,
     )
-    .with_budget(target::STORE_READS_PER_S);
+    .with_budget(target::STORE_READS_PER_S / target::DATA_CENTRES);
     for count in SIDECARS {
         fleet.grow_sidecars(count).await?;
         settings.settle().await;
