--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -1,7 +1,9 @@
 //! The router: takes callers' requests and brings each to a sidecar.
 
 pub mod callers;
+pub mod claims;
 pub mod context;
+pub mod explanation;
 pub mod inbound;
 pub mod membership;
 pub mod peer;
@@ -10,10 +12,10 @@
 pub mod relay;
 
 use {
-    self::{context::Context, placement::Placement},
+    self::{claims::Claims, context::Context, placement::Placement},
     crate::{
         admin, configuration,
-        configuration::{catalogue::Shared, handlers::get_document},
+        configuration::{Access, access::Identity},
         http::Server,
         metrics::Metrics,
         settings,
@@ -30,7 +32,7 @@
     },
     rand::Rng as _,
     std::{io, sync::Arc},
-    tamarackdale_core::{id::Boot, route::Policy},
+    tamarackdale_core::{floor::Notice, id::Boot},
     tamarackdale_wire::path,
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -46,13 +48,21 @@
         .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
-    let services = settings.services.clone();
-    let (configuration, catalogue) =
-        configuration::spawn(&settings.common.store, services, &shutdown)?;
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
-    let (placement_duty, placement) = Placement::spawn(boot, clock, Policy::default())?;
-    let membership = membership::spawn(
+    let peers = peer::Client::new();
+    let notify = floor_notifier(runtime.handle().clone(), peers.clone());
+    let (placement_duty, placement) = Placement::spawn(boot, clock, settings.policy, notify)?;
+    let identity = Identity::new(&settings.common, boot, "router");
+    let configuration = configuration::Settings {
+        store: settings.common.store.clone(),
+        instance_list: settings.common.instance_list.clone(),
+        services: settings.services.clone(),
+        identity,
+    };
+    let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
+    let (claims_duty, claims) = Claims::spawn(&settings.common.store, clock, &shutdown)?;
+    let (membership, acquainted) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
             boot,
@@ -65,32 +75,49 @@
     )?;
     let context = Context {
         clock,
-        catalogue,
+        catalogue: access.catalogue.clone(),
+        configuration: access,
         placement,
-        peers: peer::Client::new(),
+        claims,
+        peers,
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
         buffers: Arc::new(Semaphore::new(settings.max_buffered_bytes)),
     };
-    let served = runtime.block_on(serve(&settings, &shutdown, context));
+    let served = runtime.block_on(serve(&settings, &shutdown, context, acquainted));
     shutdown.cutting.cancel();
     membership.join();
+    claims_duty.join();
     configuration.join();
     drop(runtime);
     placement_duty.join();
     served
 }
 
+/// Tells sidecars a shed floor from a thread outside of the runtime.
+fn floor_notifier(
+    runtime: tokio::runtime::Handle,
+    client: peer::Client,
+) -> impl Fn(Vec<peer::Peer>, Notice) + Send + 'static {
+    move |peers, notice| {
+        for peer in peers {
+            let client = client.clone();
+            runtime.spawn(async move { client.floor(&peer, notice).await });
+        }
+    }
+}
+
 async fn serve(
     settings: &settings::Router,
     shutdown: &Shutdown,
     context: Context,
+    acquainted: CancellationToken,
 ) -> io::Result<()> {
     let common = &settings.common;
     let admin = admin::Context {
         metrics: context.metrics.clone(),
-        is_ready: readiness(&settings.services, &context.catalogue, shutdown),
+        is_ready: readiness(context.configuration.clone(), acquainted, shutdown),
     };
     let tracker = context.tracker.clone();
     let peers = Server::bind(
@@ -155,23 +182,21 @@
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
+        configuration::handlers::draw::<Context, _, _>(route);
         route
-            .get(&format!("{}/:service", path::DOCUMENTS))
-            .with_path_extractor::<configuration::handlers::Path>()
-            .to(get_document::<Context>);
+            .get(&format!("{}/:request", path::DECISIONS))
+            .with_path_extractor::<explanation::Path>()
+            .to_async(explanation::get_decisions);
     })
 }
 
+/// A router is ready when it has its documents and has heard of the sidecars, so that the first
+/// requests do not meet a router that knows of none.
 fn readiness(
-    services: &[String],
-    catalogue: &Shared,
+    access: Access,
+    acquainted: CancellationToken,
     shutdown: &Shutdown,
 ) -> Arc<dyn Fn() -> bool + Send + Sync> {
-    let services = services.to_vec();
-    let catalogue = catalogue.clone();
     let closing = shutdown.closing.clone();
-    Arc::new(move || {
-        let catalogue = catalogue.borrow();
-        !closing.is_cancelled() && services.iter().all(|name| catalogue.get(name).is_some())
-    })
+    Arc::new(move || !closing.is_cancelled() && acquainted.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/router/membership/follower.rs
+++ b/daemon/src/router/membership/follower.rs
@@ -12,7 +12,10 @@
     tamarackdale_core::{id::Boot, report::Report},
     tamarackdale_platform::list::Member,
     tamarackdale_wire::{self as wire, codec::Splitter, path},
-    tokio::time::{sleep, timeout},
+    tokio::{
+        sync::mpsc,
+        time::{sleep, timeout},
+    },
 };
 
 /// Silence after which the connection is taken for dead; several report intervals.
@@ -38,12 +41,20 @@
     }
 }
 
-/// Follows the reports for ever, over as many connections as it takes.
-pub async fn run(member: Member, order: Order, placement: Placement) {
+/// Follows the reports for ever, over as many connections as it takes. `trying` is dropped at the
+/// first report or the first failure.
+pub async fn run(
+    member: Member,
+    order: Order,
+    placement: Placement,
+    mut trying: Option<mpsc::Sender<()>>,
+) {
     loop {
         if let Some(body) = connect(&member, order).await {
-            follow(&member, body, &placement).await;
+            follow(&member, body, &placement, &mut trying).await;
         }
+        trying = None;
+        log::info!(instance = member.instance.as_str(); "no reports from the sidecar");
         // Without reports the sidecar is not chosen; the next report brings it back.
         placement.sight(gone(&member));
         sleep(RECONNECT_BACKOFF).await;
@@ -66,7 +77,12 @@
     response.status().is_success().then(|| response.into_body())
 }
 
-async fn follow(member: &Member, mut body: Incoming, placement: &Placement) {
+async fn follow(
+    member: &Member,
+    mut body: Incoming,
+    placement: &Placement,
+    trying: &mut Option<mpsc::Sender<()>>,
+) {
     let mut splitter = Splitter::new();
     let mut last = None;
     while let Ok(Some(Ok(frame))) = timeout(SILENCE_LIMIT, body.frame()).await {
@@ -80,6 +96,7 @@
                     if let Some(report) = &last {
                         sight(member, report.clone(), placement);
                     }
+                    *trying = None;
                 }
                 Ok(None) => break,
                 Err(error) => {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -1,13 +1,13 @@
 //! Placement for one service.
 
 use {
-    super::{Placed, command::Wanted},
+    super::{Placed, command::Wanted, memory::Memory, spread::Spread},
     crate::router::{inbound::Inbound, peer::Peer},
     rand::Rng,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
-        floor::{self, Floor},
+        floor::{self, Floor, Notice},
         id::{Attempt, Boot, Instance},
         limit::{Bound, Limiter, Share},
         report::Report,
@@ -16,6 +16,7 @@
         tier::Rank,
         time::Timestamp,
     },
+    tamarackdale_wire::status::Decision,
 };
 
 /// What a router knows of one service's sidecars, and the limits that it keeps for the service.
@@ -24,8 +25,10 @@
     table: Table,
     addresses: HashMap<Instance, SocketAddr>,
     floor: Floor,
+    spread: Spread,
     limiter: Limiter,
     budget: Budget,
+    memory: Memory,
 }
 
 impl Service {
@@ -35,9 +38,14 @@
             name: name.to_owned(),
             table: Table::new(policy, router),
             addresses: HashMap::new(),
-            floor: Floor::new(floor::Settings::default()),
+            floor: Floor::new(floor::Settings {
+                is_enabled: policy.uses_floor,
+                ..floor::Settings::default()
+            }),
+            spread: Spread::default(),
             limiter: Limiter::new(share),
             budget: Budget::new(retry::Settings::default()),
+            memory: Memory::default(),
         }
     }
 
@@ -73,9 +81,11 @@
     ) -> Result<Placed, Failure> {
         let placed = self.try_place(wanted, attempt, now, rng);
         if let Err(failure) = &placed {
+            self.memory.note_refusal(&wanted.request, failure, now);
             log::info!(
                 request:% = wanted.request.id,
                 tier = wanted.request.tier.as_str(),
+                rank = wanted.request.rank.0,
                 excluded = wanted.excluded.len(),
                 reason:% = failure.reason;
                 "not routed"
@@ -94,6 +104,8 @@
         let request = &wanted.request;
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
+            // Once the present floor has ended, lower ranks still come after this one.
+            self.floor.raise(request.rank, now);
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
         }
         if let Some(failure) = wanted.moved {
@@ -104,6 +116,7 @@
             .choose(&requirements(wanted), &wanted.excluded, now, rng)
             .inspect_err(|failure| self.note_shed(request.rank, failure, now))?;
         self.log_choice(request, attempt, &choice);
+        self.memory.note_choice(request, &choice, now);
         self.offer(request, attempt, choice, now)
     }
 
@@ -130,6 +143,11 @@
         self.table.finished(attempt);
     }
 
+    /// The remembered decisions on a request, oldest first.
+    pub fn recall(&self, key: &str, now: Timestamp) -> Vec<Decision> {
+        self.memory.recall(key, now)
+    }
+
     /// Takes in a sidecar's report.
     pub fn report(&mut self, report: Report, address: SocketAddr, now: Timestamp) {
         self.floor.merge(report.floor, now);
@@ -149,6 +167,26 @@
         self.addresses.remove(instance);
     }
 
+    /// The floor to tell all sidecars now, if it has risen or has long not been told.
+    pub fn floor_to_spread(&mut self, now: Timestamp) -> Option<Notice> {
+        let notice = self.floor.notice(now);
+        self.spread.is_due(notice, now).then_some(notice)
+    }
+
+    /// The sidecars that take work.
+    pub fn peers(&self) -> Vec<Peer> {
+        let incarnations = self.table.incarnations();
+        incarnations
+            .filter_map(|incarnation| {
+                let address = self.addresses.get(&incarnation.instance)?;
+                Some(Peer {
+                    incarnation: incarnation.clone(),
+                    address: *address,
+                })
+            })
+            .collect()
+    }
+
     /// Takes over a change of the number of live routers.
     pub fn set_share(&mut self, share: Share) {
         self.limiter.set_share(share);
@@ -158,6 +196,7 @@
     fn note_shed(&mut self, rank: Rank, failure: &Failure, now: Timestamp) {
         if failure.reason.is_shed() {
             self.floor.raise(rank, now);
+            log::info!(service = self.name.as_str(), rank = rank.0; "floor raised");
         }
     }
 
@@ -200,6 +239,7 @@
             service = self.name.as_str(),
             organisation = request.id.organisation.as_str(),
             tier = request.tier.as_str(),
+            rank = request.rank.0,
             candidates = weighed.join(" "),
             sidecar:% = choice.incarnation,
             predicted_ms = choice.predicted.as_millis() as u64,
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -2,6 +2,7 @@
 
 pub mod answer;
 pub mod backend_server;
+pub mod cache;
 pub mod context;
 pub mod dispatch;
 pub mod exchange;
@@ -13,12 +14,19 @@
 use {
     self::{backend_server::BackendServer, context::Context, dispatch::Dispatch},
     crate::{
-        admin, configuration, configuration::catalogue::Shared, duty::Duty, http::Server,
-        metrics::Metrics, ring::Ring, settings, signal::Shutdown, uptime::Clock,
+        admin, configuration,
+        configuration::{Access, access::Identity},
+        duty::Duty,
+        http::Server,
+        metrics::Metrics,
+        ring::Ring,
+        settings,
+        signal::Shutdown,
+        uptime::Clock,
     },
     rand::Rng as _,
     std::{io, sync::Arc, time::Duration},
-    tamarackdale_core::{batch, cost::Rates, floor, id, queue, report::Report},
+    tamarackdale_core::{cost::Rates, floor, id, queue, report::Report},
     tokio::sync::{Semaphore, watch},
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -39,11 +47,16 @@
         .worker_threads(settings.common.http_threads)
         .build()?;
     let shutdown = Shutdown::new();
-    let services = vec![settings.service.clone()];
-    let (configuration, catalogue) =
-        configuration::spawn(&settings.common.store, services, &shutdown)?;
+    let boot = id::Boot(rand::rng().random());
+    let configuration = configuration::Settings {
+        store: settings.common.store.clone(),
+        instance_list: settings.common.instance_list.clone(),
+        services: vec![settings.service.clone()],
+        identity: Identity::new(&settings.common, boot, "sidecar"),
+    };
+    let (configuration, access) = configuration::spawn(configuration, &shutdown)?;
     let metrics = Metrics::new().map_err(io::Error::other)?;
-    let (context, dispatch) = assemble(&settings, &shutdown, catalogue, &metrics)?;
+    let (context, dispatch) = assemble(&settings, boot, &shutdown, access, &metrics)?;
     let served = runtime.block_on(serve(&settings, &shutdown, context, metrics));
     shutdown.cutting.cancel();
     drop(runtime);
@@ -54,19 +67,19 @@
 
 fn assemble(
     settings: &settings::Sidecar,
+    boot: id::Boot,
     shutdown: &Shutdown,
-    catalogue: Shared,
+    configuration: Access,
     metrics: &Metrics,
 ) -> io::Result<(Context, Duty)> {
     let clock = Clock::new();
     let incarnation = id::Incarnation {
         instance: settings.common.instance.clone(),
-        boot: id::Boot(rand::rng().random()),
+        boot,
     };
-    let boot = incarnation.boot;
     let (ring, commands) = Ring::new(DISPATCH_CAPACITY);
     let (report_sender, report) = watch::channel(first_report(settings, &incarnation));
-    let revision = revision_of(settings.service.clone(), catalogue.clone());
+    let revision = revision_of(settings.service.clone(), configuration.catalogue.clone());
     let dispatch_settings = dispatch_settings(settings, incarnation);
     let closing = shutdown.closing.clone();
     let metrics = metrics.clone();
@@ -97,7 +110,9 @@
         dispatch: ring,
         tasks,
         report,
-        catalogue,
+        report_interval: settings.report_interval,
+        catalogue: configuration.catalogue.clone(),
+        configuration,
         drained: CancellationToken::new(),
         max_body_bytes: settings.common.max_body_bytes,
     };
@@ -112,16 +127,20 @@
         incarnation,
         service: settings.service.clone(),
         queue: queue::Settings {
+            order: settings.queue_order,
             max_requests: settings.max_waiting,
             ..queue::Settings::default()
         },
-        batch: batch::Settings::default(),
-        floor: floor::Settings::default(),
+        batch: settings.batch,
+        floor: floor::Settings {
+            is_enabled: settings.uses_floor,
+            ..floor::Settings::default()
+        },
     }
 }
 
 fn first_report(settings: &settings::Sidecar, incarnation: &id::Incarnation) -> Report {
-    let batch = batch::Settings::default();
+    let batch = settings.batch;
     Report {
         incarnation: incarnation.clone(),
         service: settings.service.clone(),
@@ -131,6 +150,7 @@
         limit: batch.initial,
         running: 0,
         running_tokens: 0,
+        unprefilled_tokens: 0,
         waiting: Vec::new(),
         rates: Rates::new(batch.rates.prefill, batch.rates.decode),
         evicted_prefixes: Vec::new(),
@@ -140,7 +160,7 @@
 
 fn revision_of(
     service: String,
-    catalogue: Shared,
+    catalogue: configuration::catalogue::Shared,
 ) -> impl Fn() -> tamarackdale_core::document::Revision + Send + 'static {
     move || catalogue.borrow().revision(&service)
 }
@@ -154,9 +174,15 @@
     let common = &settings.common;
     let admin = admin::Context {
         metrics,
-        is_ready: readiness(&settings.service, &context, shutdown),
+        is_ready: readiness(context.configuration.clone(), shutdown),
     };
     let tracker = context.tasks.tracker.clone();
+    let cache = cache::follow(
+        Arc::clone(&context.tasks.backend_server),
+        context.dispatch.clone(),
+        settings.service.clone(),
+        context.catalogue.clone(),
+    );
     let drained = context.drained.clone();
     let peers = Server::bind(
         "peers",
@@ -189,21 +215,22 @@
         tokio::join!(peers.serve(&draining), admin.serve(&draining), drain);
         finished.cancel();
     };
-    let (watched, ()) = tokio::join!(
+    let followed = async {
+        tokio::select! {
+            () = cache => {}
+            () = finished.cancelled() => {}
+        }
+    };
+    let (watched, (), ()) = tokio::join!(
         shutdown.watch(common.shutdown_limit, finished.clone()),
-        serving
+        serving,
+        followed
     );
     log::info!("closed");
     watched
 }
 
-fn readiness(
-    service: &str,
-    context: &Context,
-    shutdown: &Shutdown,
-) -> Arc<dyn Fn() -> bool + Send + Sync> {
-    let service = service.to_owned();
-    let catalogue = context.catalogue.clone();
+fn readiness(access: Access, shutdown: &Shutdown) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let closing = shutdown.closing.clone();
-    Arc::new(move || !closing.is_cancelled() && catalogue.borrow().get(&service).is_some())
+    Arc::new(move || !closing.is_cancelled() && access.is_complete())
 }
--- a/daemon/src/sidecar/feed.rs
+++ b/daemon/src/sidecar/feed.rs
@@ -21,9 +21,6 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Shortest time between two items.
-const MIN_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Longest time between two items while nothing changes.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -42,6 +39,8 @@
 struct Feed {
     reports: watch::Receiver<Report>,
     query: Query,
+    /// Shortest time between two items.
+    interval: Duration,
     sent: Option<Report>,
     /// When the last item went out.
     last: Instant,
@@ -49,17 +48,19 @@
     due: Instant,
 }
 
-/// The items for a router: a report, or nothing where the last one still holds. Ends when
-/// `drained` is cancelled.
+/// The items for a router: a report, or nothing where the last one still holds, at least
+/// `interval` apart. Ends when `drained` is cancelled.
 pub fn items(
     reports: watch::Receiver<Report>,
     query: Query,
+    interval: Duration,
     drained: CancellationToken,
 ) -> impl Stream<Item = io::Result<Frame<Bytes>>> + Send {
     let now = Instant::now();
     let feed = Feed {
         reports,
         query,
+        interval,
         sent: None,
         last: now,
         due: now,
@@ -80,10 +81,10 @@
             return self.send(report);
         };
         let heartbeat = self.last + HEARTBEAT_INTERVAL;
-        let mut earliest = self.last + MIN_INTERVAL;
+        let mut earliest = self.last + self.interval;
         loop {
             sleep_until(earliest).await;
-            earliest = Instant::now() + MIN_INTERVAL;
+            earliest = Instant::now() + self.interval;
             let report = self.newest();
             let now = Instant::now();
             let wake = match report == sent {
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -10,7 +10,7 @@
         task::{self, Handle},
     },
     crate::{
-        configuration::handlers::get_document,
+        configuration,
         http::body::{self, Unreadable},
     },
     gotham::{
@@ -29,7 +29,7 @@
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
         Frame, codec,
-        message::{Acknowledge, Cancel, Enqueue, Grant, Granted, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, Granted, Resume},
         path,
     },
 };
@@ -47,14 +47,12 @@
         route.post(path::RESUME).to_async(resume);
         route.post(path::CANCEL).to_async(cancel);
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
+        route.post(path::FLOOR).to_async(floor);
         route
             .get(path::REPORTS)
             .with_query_string_extractor::<feed::Query>()
             .to_async(reports);
-        route
-            .get(&format!("{}/:service", path::DOCUMENTS))
-            .with_path_extractor::<crate::configuration::handlers::Path>()
-            .to(get_document::<Context>);
+        configuration::handlers::draw::<Context, _, _>(route);
     })
 }
 
@@ -176,10 +174,27 @@
     Ok((state, response))
 }
 
+async fn floor(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Floor>(&context, &mut state).await {
+        Ok(floor) => match context.dispatch.send(Command::Floor(floor.into())) {
+            Ok(()) => body::status(StatusCode::NO_CONTENT),
+            Err(_) => body::status(StatusCode::SERVICE_UNAVAILABLE),
+        },
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
 async fn reports(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let query = feed::Query::take_from(&mut state);
-    let items = feed::items(context.report, query, context.drained);
+    let items = feed::items(
+        context.report,
+        query,
+        context.report_interval,
+        context.drained,
+    );
     let response = Response::new(body::stream(items));
     Ok((state, response))
 }
--- a/daemon/tests/feed.rs
+++ b/daemon/tests/feed.rs
@@ -23,6 +23,9 @@
 
 const ROUTER: u64 = 7;
 
+/// Shortest time between two items.
+const INTERVAL: Duration = Duration::from_millis(100);
+
 /// Longest delay of an urgent change.
 const URGENT_LIMIT: Duration = Duration::from_millis(200);
 
@@ -40,7 +43,7 @@
             router: ROUTER,
             bytes_per_s,
         };
-        let items = feed::items(receiver, query, drained.clone());
+        let items = feed::items(receiver, query, INTERVAL, drained.clone());
         let items = items.map(|item| item.map(|frame| frame.into_data().expect("data")));
         Self {
             reports,
@@ -72,6 +75,7 @@
         limit: 8,
         running: 0,
         running_tokens: 0,
+        unprefilled_tokens: 0,
         waiting: Vec::new(),
         rates: Rates::new(1_000.0, 10.0),
         evicted_prefixes: Vec::new(),
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -3,11 +3,17 @@
 pub mod capacity;
 pub mod deployment;
 pub mod engine;
+pub mod experiment;
+pub mod history;
 pub mod host;
 pub mod http;
+pub mod injection;
 pub mod list;
 pub mod load;
+pub mod operator;
+pub mod peer;
 pub mod plain;
+mod port;
 pub mod process;
 pub mod proxy;
 pub mod sse;
