--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod retry;
 pub mod route;
 pub mod spread;
+pub mod subscription;
 pub mod tier;
 pub mod time;
 pub mod verdict;
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -6,6 +6,7 @@
 pub mod context;
 pub mod dispatch;
 pub mod exchange;
+pub mod feed;
 pub mod handlers;
 pub mod reader;
 pub mod task;
--- a/testbed/src/capacity/scenario.rs
+++ b/testbed/src/capacity/scenario.rs
@@ -33,10 +33,12 @@
     "sidecars",
     "routers",
     "instances",
+    "list-changes",
     "organisations",
     "changes",
     "requests",
     "tokens",
+    "busy",
     "failures",
 ];
 
@@ -50,10 +52,12 @@
         "sidecars" => rest::sidecars(settings).await,
         "routers" => rest::routers(settings).await,
         "instances" => rest::instances(settings).await,
+        "list-changes" => rest::list_changes(settings).await,
         "organisations" => change::organisations(settings).await,
         "changes" => change::rate(settings).await,
         "requests" => load::requests(settings).await,
         "tokens" => load::tokens(settings).await,
+        "busy" => load::busy(settings).await,
         "failures" => failure::kills(settings).await,
         _ => Ok(Vec::new()),
     }
--- a/testbed/src/capacity/target.rs
+++ b/testbed/src/capacity/target.rs
@@ -1,11 +1,17 @@
 //! The size that the system is built for, and the budget for control.
 
+use tamarackdale_core::subscription::REMOTE_FOLLOWERS;
+
 /// Routers.
 pub const ROUTERS: f64 = 360.0;
 /// Sidecars, one beside each backend server.
 pub const SIDECARS: f64 = 2_600.0;
 /// Data centres.
 pub const DATA_CENTRES: f64 = 13.0;
+/// Sidecars that a router follows: those of its data centre and a sample of the others.
+pub const FOLLOWED: f64 = SIDECARS / DATA_CENTRES + SIDECARS * (REMOTE_FOLLOWERS as f64) / ROUTERS;
+/// Routers that follow a sidecar: those of its data centre and some of the others.
+pub const FOLLOWERS: f64 = ROUTERS / DATA_CENTRES + REMOTE_FOLLOWERS as f64;
 /// Organisations.
 pub const ORGANISATIONS: f64 = 4_400.0;
 /// Requests per second at the peak.
@@ -15,6 +21,10 @@
 /// Configuration changes per second, on average over a day.
 pub const CHANGES_PER_S: f64 = 14_000.0 / 86_400.0;
 
+/// Changes of the instance list per second, on average over a day: each instance that fails or is
+/// replaced goes and comes.
+pub const LIST_CHANGES_PER_S: f64 = 2.0 * (53.0 + 580.0) / 86_400.0;
+
 /// Processor time for control, in percent of a core.
 pub const CONTROL_PROCESSOR_PERCENT: f64 = 4.0;
 /// Memory for control, in megabytes.
