A key that may have run is not run again, idempotent or not

Cause: an idempotent request with a key, in a tier that finishes without its caller, was granted without a claim whenever the claim was refused, also when the claim showed that an earlier attempt may have run: the same key was dispatched a second time after its sidecar had died. Ruled out: doing so for all idempotent requests, since without a claim nothing is known of earlier attempts, and reads go on while the store is down. Change: granted without a claim only if the refusal proves that nothing is known to have run under the key.

--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -113,9 +113,10 @@
         match claimed {
             Claimed::Held => Ok(()),
             Claimed::Elsewhere { peer, attempt } => Err(Unserved::Elsewhere { peer, attempt }),
-            // Without a claim an idempotent request only loses the way back to its answer.
+            // No other attempt is known to hold the key, so that without a claim an idempotent
+            // request only loses the way back to its answer.
             Claimed::Refused(failure)
-                if self.request.idempotent && failure.reason != Reason::KeyReused =>
+                if self.request.idempotent && failure.verdict == Verdict::NotRun =>
             {
                 Ok(())
             }
--- a/daemon/tests/claims.rs
+++ b/daemon/tests/claims.rs
@@ -223,11 +223,13 @@
     assert_eq!(bench.runs("reused"), 1);
 }
 
+#[rstest::rstest]
+#[case::booking(booking("bereft"))]
+#[case::read_that_goes_on_without_its_caller(read("bereft").with_tier("order"))]
 #[tokio::test]
-async fn booking_whose_sidecar_died_is_never_run_again() {
+async fn claimed_request_whose_sidecar_died_is_never_run_again(#[case] shot: Shot) {
     let mut bench = Bench::start().await;
     bench.set_latency(LIMIT);
-    let shot = booking("bereft");
 
     let first = bench.spawn_booking(0, &shot);
     wait_until("run", || bench.runs("bereft") == 1).await;
