--- a/core/src/cost.rs
+++ b/core/src/cost.rs
@@ -92,6 +92,14 @@
         }
     }
 
+    /// The higher of both rates each.
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            prefill: self.prefill.max(other.prefill),
+            decode: self.decode.max(other.decode),
+        }
+    }
+
     /// Time to prefill and generate the given tokens, from the moment of dispatch.
     pub fn service_time(&self, prefill_tokens: u32, decode_tokens: u32) -> Duration {
         let prefill = f64::from(prefill_tokens) / self.prefill;
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -18,7 +18,7 @@
 
 use {
     crate::{
-        cost::{self, Cost},
+        cost::{self, Cost, Rates},
         failure::{Failure, Reason},
         id::{Attempt, Boot, Incarnation, Instance},
         prefix::History,
@@ -57,6 +57,8 @@
     by_instance: HashMap<Instance, usize>,
     by_attempt: HashMap<Attempt, usize>,
     affinity: History,
+    /// The highest rates ever reported: those of the fastest backend server when idle.
+    fastest: Option<Rates>,
     turn: usize,
 }
 
@@ -70,6 +72,7 @@
             by_instance: HashMap::new(),
             by_attempt: HashMap::new(),
             affinity: History::default(),
+            fastest: None,
             turn: 0,
         }
     }
@@ -97,6 +100,10 @@
                 self.affinity.evicted(*prefix, slot);
             }
         }
+        self.fastest = Some(
+            self.fastest
+                .map_or(report.rates, |known| known.max(report.rates)),
+        );
         let router = self.router;
         match self.sidecar_mut(&instance) {
             Some(sidecar) => sidecar.update(report, router, now),
@@ -176,7 +183,7 @@
             );
         }
         if self.policy.checks_feasibility && !request.may_be_late {
-            check_feasible(&weighed, request.deadline.since(now))?;
+            self.check_feasible(request, &weighed, now)?;
         }
         let (chosen, basis) = self.select(&mut weighed, rng);
         Ok(self.choice(&weighed, chosen, basis))
@@ -208,6 +215,37 @@
         weighed
     }
 
+    /// Fails if no candidate can meet the deadline, with the time after which the load ahead of
+    /// the request will have gone down enough.
+    fn check_feasible(
+        &self,
+        request: &Request,
+        weighed: &[Weighed],
+        now: Timestamp,
+    ) -> Result<(), Failure> {
+        let remaining = request.deadline.since(now);
+        let completions = weighed
+            .iter()
+            .map(|candidate| candidate.prediction.completion());
+        let best = completions.min().map(cost::least_time);
+        let Some(excess) = best.and_then(|best| best.checked_sub(remaining)) else {
+            return Ok(());
+        };
+        let idle = self.fastest.map_or(Duration::ZERO, |rates| {
+            let cached = weighed
+                .iter()
+                .map(|candidate| candidate.cached_tokens)
+                .max();
+            let uncached = request.cost.prefill_tokens - cached.unwrap_or(0);
+            rates.service_time(uncached, request.cost.decode_tokens)
+        });
+        let reason = match cost::least_time(idle) < remaining {
+            true => Reason::Overload,
+            false => Reason::Infeasible,
+        };
+        Err(Failure::not_run(reason).with_retry_after(excess.max(MIN_RETRY_AFTER)))
+    }
+
     /// Index of the chosen candidate, and why it was chosen. Sorts the best to the front.
     fn select(&mut self, weighed: &mut [Weighed], rng: &mut impl Rng) -> (usize, Basis) {
         match self.policy.placement {
@@ -292,27 +330,6 @@
     }
 }
 
-/// Fails if no candidate can meet the deadline, with the time after which the load ahead of the
-/// request will have gone down enough.
-fn check_feasible(weighed: &[Weighed], remaining: Duration) -> Result<(), Failure> {
-    let best = weighed
-        .iter()
-        .map(|candidate| cost::least_time(candidate.prediction.completion()))
-        .min();
-    let Some(excess) = best.and_then(|best| best.checked_sub(remaining)) else {
-        return Ok(());
-    };
-    let is_feasible_idle = weighed
-        .iter()
-        .any(|candidate| cost::least_time(candidate.prediction.service) < remaining);
-    let reason = if is_feasible_idle {
-        Reason::Overload
-    } else {
-        Reason::Infeasible
-    };
-    Err(Failure::not_run(reason).with_retry_after(excess.max(MIN_RETRY_AFTER)))
-}
-
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
 /// Draws one of the few best, which it sorts to the front: of those whose completion is near the
--- a/core/tests/route.rs
+++ b/core/tests/route.rs
@@ -60,6 +60,14 @@
     }
 }
 
+/// The same sidecar, whose engine has become ten times as slow.
+fn slowed(number: usize) -> Report {
+    Report {
+        rates: Rates::new(100.0, 1.0),
+        ..report(number)
+    }
+}
+
 fn work(requests: u32) -> Work {
     Work {
         requests,
@@ -113,6 +121,7 @@
 #[case::no_sidecar(Vec::new(), 60, Some(Reason::NoBackendServer))]
 #[case::idle(vec![report(0)], 7, None)]
 #[case::idle_but_too_slow(vec![report(0)], 4, Some(Reason::Infeasible))]
+#[case::slow_under_load(vec![report(1), slowed(1)], 30, Some(Reason::Overload))]
 #[case::too_loaded(vec![busy(0, vec![work(0), work(80)])], 30, Some(Reason::Overload))]
 #[case::loaded_below(vec![busy(0, vec![work(0), work(0), work(80)])], 30, None)]
 #[case::loaded_above(vec![busy(0, vec![work(80)])], 30, Some(Reason::Overload))]
