--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -13,7 +13,6 @@
         report::Report,
         retry::{self, Budget},
         route::{Choice, Policy, Request, Table},
-        tier::Rank,
         time::Timestamp,
     },
     tamarackdale_wire::status::Decision,
@@ -81,6 +80,7 @@
     ) -> Result<Placed, Failure> {
         let placed = self.try_place(wanted, attempt, now, rng);
         if let Err(failure) = &placed {
+            self.note_shed(wanted, failure, now);
             self.memory.note_refusal(&wanted.request, failure, now);
             log::info!(
                 request:% = wanted.request.id,
@@ -104,8 +104,6 @@
         let request = &wanted.request;
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
-            // Once the present floor has ended, lower ranks still come after this one.
-            self.floor.raise(request.rank, now);
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
         }
         if let Some(failure) = wanted.moved {
@@ -113,8 +111,7 @@
         }
         let choice = self
             .table
-            .choose(&requirements(wanted), &wanted.excluded, now, rng)
-            .inspect_err(|failure| self.note_shed(request.rank, failure, now))?;
+            .choose(&requirements(wanted), &wanted.excluded, now, rng)?;
         self.log_choice(request, attempt, &choice);
         self.memory.note_choice(request, &choice, now);
         self.offer(request, attempt, choice, now)
@@ -192,9 +189,13 @@
         self.limiter.set_share(share);
     }
 
-    /// Before a request is shed here, nothing less urgent may be served.
-    fn note_shed(&mut self, rank: Rank, failure: &Failure, now: Timestamp) {
-        if failure.reason.is_shed() {
+    /// Before a request is shed, here or with a sidecar's word, nothing less urgent may be served.
+    /// That holds for a refusal by the floor too: once a higher floor has ended, lower ranks still
+    /// come after this one.
+    fn note_shed(&mut self, wanted: &Wanted, failure: &Failure, now: Timestamp) {
+        let mut failures = wanted.moved.iter().chain([failure]);
+        if failures.any(|failure| failure.reason.is_shed()) {
+            let rank = wanted.request.rank;
             self.floor.raise(rank, now);
             log::info!(service = self.name.as_str(), rank = rank.0; "floor raised");
         }
