A replaced key is followed by every router; no empty arm in apply

Change: a test of what callers see of a change: within the limit the old key is refused and the new one served at every router.

--- a/client/src/command/apply.rs
+++ b/client/src/command/apply.rs
@@ -76,7 +76,21 @@
         Verdict::Conflict(present) => {
             Err(conflict::outcome(&client, &key, expected, present.as_ref(), &new).await)
         }
-        verdict => Err(unwritten(&document.service, verdict)),
+        Verdict::Unavailable(text) => Err(Outcome::failed(
+            Code::Unavailable,
+            format!("nothing was written, the key-value service is unavailable: {text}"),
+        )),
+        Verdict::Refused(text) => Err(Outcome::failed(
+            Code::Refused,
+            format!("nothing was written, the key-value service refused it: {text}"),
+        )),
+        Verdict::Unknown(text) => Err(Outcome::failed(
+            Code::Unknown,
+            format!(
+                "it is not known whether the edit was written: {text}\napply the same file again \
+                 when the key-value service answers; it is written at most once"
+            ),
+        )),
     }
 }
 
@@ -120,29 +134,6 @@
     Err(Outcome::new(Code::Dangerous, text, &refusal))
 }
 
-/// The outcome for an edit that is not known to be written.
-fn unwritten(service: &str, verdict: Verdict) -> Outcome {
-    let (code, text) = match verdict {
-        Verdict::Unavailable(text) => (
-            Code::Unavailable,
-            format!("nothing was written, the key-value service is unavailable: {text}"),
-        ),
-        Verdict::Refused(text) => (
-            Code::Refused,
-            format!("nothing was written, the key-value service refused it: {text}"),
-        ),
-        Verdict::Unknown(text) => (
-            Code::Unknown,
-            format!(
-                "it is not known whether the edit was written: {text}\napply the same file again \
-                 when the key-value service answers; it is written at most once"
-            ),
-        ),
-        Verdict::Written { .. } | Verdict::Conflict(_) => (Code::Refused, String::new()),
-    };
-    Outcome::failed(code, format!("{service}: {text}"))
-}
-
 /// The document of an entry, without its header.
 fn body(entry: &kv::Entry) -> String {
     Headed::new(&String::from_utf8_lossy(&entry.value)).body
--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -11,8 +11,12 @@
         },
         time::{Duration, Instant},
     },
+    tamarackdale_core::document::Hash,
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service, documents::orders_with_weight},
+        deployment::{
+            Deployment, Layout, Service,
+            documents::{orders_with_weight, wait_in_force},
+        },
         load::{Generator, Record, Schedule, Shot},
     },
     tokio::task::JoinSet,
@@ -24,6 +28,9 @@
 /// Time within which a leaving backend server receives no new work.
 const LEAVE_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time within which an accepted change is in force everywhere.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(4);
+
 /// Bound on the restart of one process, and on one caller's patience.
 const RESTART_LIMIT: Duration = Duration::from_secs(20);
 
@@ -218,3 +225,34 @@
     assert_eq!(markers.len(), different.len(), "none was dispatched twice");
     assert!(records.len() > 100);
 }
+
+#[tokio::test]
+async fn replaced_key_is_followed_by_every_router() {
+    const OTHER_KEY: &str = "another-example-key";
+    let deployment = deployment().await;
+    let old_hash = Hash::of(API_KEY).to_string();
+    let new_hash = Hash::of(OTHER_KEY).to_string();
+    let replaced = orders_with_weight(4).replace(&old_hash, &new_hash);
+
+    let since = Instant::now();
+    let revision = deployment.apply(SERVICE, &replaced);
+    wait_in_force(
+        &deployment.peers(),
+        SERVICE,
+        revision,
+        since,
+        IN_FORCE_LIMIT,
+    )
+    .await
+    .expect("in force in time");
+
+    let started = tokio::time::Instant::now();
+    for entry in deployment.entries() {
+        let generator = Generator::new(&[entry]).with_limit(RESTART_LIMIT);
+        let old = generator.offer(started, 0, &read(0)).await;
+        let shot = Shot::plain(SERVICE, OTHER_KEY, Method::GET, "/orders/1", "");
+        let new = generator.offer(started, 1, &shot).await;
+        assert_eq!(old.status, Some(401));
+        assert!(new.whole, "{new:?}");
+    }
+}
