--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -6,6 +6,7 @@
 pub mod context;
 pub mod dispatch;
 pub mod exchange;
+pub mod feed;
 pub mod handlers;
 pub mod reader;
 pub mod task;
@@ -100,6 +101,7 @@
         dispatch: ring.clone(),
         budget: Arc::new(Semaphore::new(settings.max_kept_bytes)),
         budget_bytes: settings.max_kept_bytes,
+        router_absence_limit: settings.router_absence_limit,
         tracker: TaskTracker::new(),
         closing: shutdown.closing.clone(),
         cutting: shutdown.cutting.clone(),
