Race of operators: writers pause after a refusal

Cause: refused writers came back at once, so that most tries were in vain; the two races took 75 s in a run of the whole suite on a busy machine (load 58). Change: a refused writer pauses 10 to 100 ms. Still ten writers and a hundred edits, with the same checks of the history, and one more: some were refused. Seen to fail as before with the compare-and-swap off: both races fail.

--- a/client/tests/race.rs
+++ b/client/tests/race.rs
@@ -1,7 +1,7 @@
 //! Operators race on one document; the store's history shows that no accepted edit is lost.
 
 use {
-    std::{collections::HashSet, thread},
+    std::{collections::HashSet, thread, time::Duration},
     tamarackdale_core::document::example,
     tamarackdale_testbed::{operator::Operator, store::Write},
 };
@@ -9,6 +9,9 @@
 const SERVICE: &str = "ordre-app";
 const WRITERS: usize = 10;
 
+/// Pause of the first writer after a refusal; each further writer pauses longer by as much.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(10);
+
 /// Exit code of an edit that another operator preceded.
 const CONFLICT: i32 = 3;
 
@@ -43,6 +46,7 @@
             }
             assert_eq!(applied.code, CONFLICT, "{}", applied.stderr);
             tally.refused.push(mark);
+            thread::sleep(REFUSAL_PAUSE * (writer as u32 + 1));
         }
     }
     tally
@@ -107,6 +111,10 @@
             .iter()
             .all(|mark| written.contains(*mark) && last.contains(*mark))
     );
+    assert!(
+        tallies.iter().any(|tally| !tally.refused.is_empty()),
+        "the writers race"
+    );
     for refused in tallies.iter().flat_map(|tally| &tally.refused) {
         assert!(
             !written.contains(refused),
