--- a/testbed/src/deployment/layout.rs
+++ b/testbed/src/deployment/layout.rs
@@ -95,6 +95,23 @@
         }
     }
 
+    /// Both operators' services at today's sizes, on engines of both generations, before three
+    /// routers.
+    pub fn of_today() -> Self {
+        let unlike = |count| {
+            let generations = [Hardware::older(), Hardware::newer()];
+            let hardware = generations.into_iter().cycle().take(count);
+            hardware.collect::<Vec<_>>()
+        };
+        let services = vec![
+            Service::slibe_llm(&unlike(20)),
+            Service::ordre_app(3),
+            Service::tamarack_pool(&unlike(10)),
+            Service::dispatch_app(3),
+        ];
+        Self::new(services).with_routers(3)
+    }
+
     /// Sets the number of routers.
     pub fn with_routers(mut self, count: usize) -> Self {
         self.routers = count;
--- a/testbed/src/history.rs
+++ b/testbed/src/history.rs
@@ -4,12 +4,14 @@
 //! its service and idempotency key: the caller's own or the one that the answer names.
 
 mod check;
+mod collection;
 mod execution;
 mod order;
 mod submission;
 mod violation;
 
 pub use {
+    collection::is_idempotent,
     execution::Execution,
     order::{Floor, Tiered},
     submission::Submission,
