--- a/testbed/src/capacity/scenario.rs
+++ b/testbed/src/capacity/scenario.rs
@@ -38,6 +38,7 @@
     "changes",
     "requests",
     "tokens",
+    "claims",
     "busy",
     "failures",
 ];
@@ -57,6 +58,7 @@
         "changes" => change::rate(settings).await,
         "requests" => load::requests(settings).await,
         "tokens" => load::tokens(settings).await,
+        "claims" => load::claims(settings).await,
         "busy" => load::busy(settings).await,
         "failures" => failure::kills(settings).await,
         _ => Ok(Vec::new()),
--- a/testbed/src/capacity/scenario/load.rs
+++ b/testbed/src/capacity/scenario/load.rs
@@ -32,6 +32,10 @@
 const BUSY_REQUESTS_PER_S: f64 = 0.5;
 const BUSY_TOKENS: u32 = 100;
 
+/// Non-idempotent requests per second, and the routers that share them.
+const CLAIM_RATES: [f64; 4] = [10.0, 25.0, 50.0, 100.0];
+const CLAIMING_ROUTERS: usize = 4;
+
 /// Longest that a request may take.
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
@@ -82,6 +86,36 @@
     )
 }
 
+/// Non-idempotent requests per second, spread over several routers.
+pub(super) async fn claims(settings: &Settings) -> Result<Vec<Series>, Fault> {
+    let mut fleet = Fleet::new(ORDRE_APP.service, ORDRE_APP.text, BackendServer::Plain)?;
+    fleet.grow_sidecars(SIDECARS).await?;
+    fleet.grow_routers(1 + CLAIMING_ROUTERS).await?;
+    let size = format!("non-idempotent requests/s through {CLAIMING_ROUTERS} routers");
+    let mut writes = Series::new("store", &size, "writes/s", target::CLAIMS_PER_S)
+        .with_budget(target::STORE_WRITES_PER_S);
+    let mut reads = Series::new("store", &size, "reads/s", target::CLAIMS_PER_S)
+        .with_budget(target::STORE_READS_PER_S);
+    for rate in CLAIM_RATES {
+        let [worker, _] = offer(settings, &fleet, rate, booking).await?;
+        writes.push(rate, worker.store_writes_per_s);
+        reads.push(rate, worker.store_reads_per_s);
+    }
+    Ok(vec![writes, reads])
+}
+
+fn booking(index: usize) -> Shot {
+    let body = format!("{{\"item\":{index}}}");
+    Shot::plain(
+        ORDRE_APP.service,
+        "joiner-example-key",
+        Method::POST,
+        "/pickups",
+        &body,
+    )
+    .with_tier("order")
+}
+
 /// Sidecars that have requests, seen from a router that has none.
 pub(super) async fn busy(settings: &Settings) -> Result<Vec<Series>, Fault> {
     let mut fleet = engines(Hardware::older())?;
@@ -143,9 +177,12 @@
     readings
 }
 
-/// A generator that sends all requests to the router that does the work.
+/// A generator that sends the requests to all routers but the first.
 fn generator(fleet: &Fleet) -> Generator {
-    let entries: Vec<SocketAddr> = fleet.routers[1].callers.into_iter().collect();
+    let entries: Vec<SocketAddr> = fleet.routers[1..]
+        .iter()
+        .filter_map(|router| router.callers)
+        .collect();
     Generator::new(&entries).with_limit(CALL_LIMIT)
 }
 
--- a/testbed/src/capacity/target.rs
+++ b/testbed/src/capacity/target.rs
@@ -21,6 +21,8 @@
 /// Configuration changes per second, on average over a day.
 pub const CHANGES_PER_S: f64 = 14_000.0 / 86_400.0;
 
+/// Non-idempotent requests per second, if one request in ten is one.
+pub const CLAIMS_PER_S: f64 = REQUESTS_PER_S / 10.0;
 /// Changes of the instance list per second, on average over a day: each instance that fails or is
 /// replaced goes and comes.
 pub const LIST_CHANGES_PER_S: f64 = 2.0 * (53.0 + 580.0) / 86_400.0;
@@ -33,5 +35,7 @@
 pub const CONTROL_TRAFFIC_KB_PER_S: f64 = 15.0;
 /// Reads per second that the key-value service takes.
 pub const STORE_READS_PER_S: f64 = 2_000.0;
+/// Writes per second that the key-value service takes.
+pub const STORE_WRITES_PER_S: f64 = 300.0;
 /// Time until a change is in force everywhere, in seconds.
 pub const IN_FORCE_S: f64 = 4.0;
