--- a/daemon/src/router/membership.rs
+++ b/daemon/src/router/membership.rs
@@ -25,7 +25,7 @@
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Bytes per second that a router spends on the reports of all its sidecars together.
-const REPORT_BYTES_PER_S: usize = 10_000;
+const REPORT_BYTES_PER_S: usize = 8_000;
 
 /// Settings of the duty.
 pub struct Settings {
--- a/testbed/src/capacity/scenario/load.rs
+++ b/testbed/src/capacity/scenario/load.rs
@@ -28,8 +28,8 @@
 const TOKEN_REQUESTS_PER_S: f64 = 16.0;
 
 /// Sidecars that have requests, each as many per second and as long.
-const BUSY_SIDECARS: [usize; 4] = [16, 32, 64, 100];
-const BUSY_REQUESTS_PER_S: f64 = 0.5;
+const BUSY_SIDECARS: [usize; 4] = [24, 48, 72, 100];
+const BUSY_REQUESTS_PER_S: f64 = 1.0;
 const BUSY_TOKENS: u32 = 100;
 
 /// Non-idempotent requests per second, and the routers that share them.
