--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -81,7 +81,7 @@
     let (report_sender, report) = watch::channel(first_report(settings, &incarnation));
     let revision = revision_of(settings.service.clone(), configuration.catalogue.clone());
     let dispatch_settings = dispatch_settings(settings, incarnation);
-    let closing = shutdown.closing.clone();
+    let access = configuration.clone();
     let metrics = metrics.clone();
     let dispatch = Duty::spawn("dispatch", move || {
         Dispatch::new(
@@ -91,7 +91,7 @@
             report_sender,
             revision,
             metrics,
-            closing,
+            move || access.is_leaving(),
         )
         .run();
     })?;
@@ -101,6 +101,7 @@
         dispatch: ring.clone(),
         budget: Arc::new(Semaphore::new(settings.max_kept_bytes)),
         budget_bytes: settings.max_kept_bytes,
+        router_absence_limit: settings.router_absence_limit,
         tracker: TaskTracker::new(),
         closing: shutdown.closing.clone(),
         cutting: shutdown.cutting.clone(),
