--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -18,7 +18,9 @@
 /// `POST` [`crate::message::Floor`]; answers with an empty body.
 pub const FLOOR: &str = "/v1/floor";
 
-/// `GET`; answers with an endless stream of [`crate::Report`]s.
+/// `GET` with the query `router` (boot) and `bytes_per_s` (share of the router's budget); answers
+/// with an endless stream of optional [`crate::Report`]s, where nothing means that the last one
+/// still holds.
 pub const REPORTS: &str = "/v1/reports";
 
 /// `GET` with the service's name as last segment; answers with the newest
