--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -119,7 +119,12 @@
 
 /// An answer with a whole JSON body.
 pub fn json(status: StatusCode, value: &serde_json::Value) -> Response<Body> {
-    let body = Full::from(value.to_string())
+    whole(status, value.to_string().into())
+}
+
+/// An answer with a body of known bytes.
+pub fn whole(status: StatusCode, bytes: Bytes) -> Response<Body> {
+    let body = Full::new(bytes)
         .map_err(|never| match never {})
         .boxed_unsync();
     let mut response = Response::new(body);
--- a/testbed/src/list.rs
+++ b/testbed/src/list.rs
@@ -1,12 +1,18 @@
 //! Stand-in for the instance list, in the JSON of Prometheus HTTP service discovery.
 
 use {
-    crate::host::{Host, json},
-    hyper::StatusCode,
+    crate::host::{Body, Host, json, whole},
+    bytes::Bytes,
+    flate2::{Compression, write::GzEncoder},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{ACCEPT_ENCODING, CONTENT_ENCODING, ETAG, HeaderValue, IF_NONE_MATCH},
+    },
     serde_json::{Value, json as value},
     std::{
         collections::VecDeque,
-        io,
+        io::{self, Write as _},
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -14,8 +20,12 @@
         },
         time::{Duration, Instant},
     },
+    tamarackdale_core::digest,
 };
 
+/// Encoding of a packed answer.
+const GZIP: &str = "gzip";
+
 /// One listed instance, with the values of its labels.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Instance {
@@ -45,6 +55,7 @@
     host: Host,
     state: Arc<Mutex<State>>,
     calls: Arc<AtomicU64>,
+    sent: Arc<AtomicU64>,
 }
 
 impl List {
@@ -56,18 +67,25 @@
     pub fn start() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let calls = Arc::new(AtomicU64::new(0));
+        let sent = Arc::new(AtomicU64::new(0));
         let handler = {
             let (state, calls) = (Arc::clone(&state), Arc::clone(&calls));
-            move |_| {
+            let sent = Arc::clone(&sent);
+            move |request: Request<Incoming>| {
                 calls.fetch_add(1, Ordering::SeqCst);
                 let visible = lock(&state).visible(Instant::now());
-                async move { Some(json(StatusCode::OK, &visible)) }
+                let response = answer(&request, &visible);
+                if response.status().is_success() {
+                    sent.fetch_add(1, Ordering::SeqCst);
+                }
+                async move { Some(response) }
             }
         };
         Ok(Self {
             host: Host::new("list", handler)?,
             state,
             calls,
+            sent,
         })
     }
 
@@ -92,6 +110,11 @@
         self.calls.load(Ordering::SeqCst)
     }
 
+    /// Calls answered with the list itself, since the caller did not know it.
+    pub fn lists_sent(&self) -> u64 {
+        self.sent.load(Ordering::SeqCst)
+    }
+
     /// Refuses connections until [`List::resume`].
     pub fn stop(&self) {
         self.host.close();
@@ -154,6 +177,36 @@
     }
 }
 
+/// The list, packed if the caller takes that, unless the caller knows it by its entity tag.
+fn answer(request: &Request<Incoming>, list: &Value) -> Response<Body> {
+    let text = list.to_string();
+    let tag = format!("\"{:016x}\"", digest::fingerprint(text.as_bytes()));
+    let tag = HeaderValue::try_from(tag).expect("hexadecimal digits are valid in a header");
+    let mut response = match request.headers().get(IF_NONE_MATCH) == Some(&tag) {
+        true => whole(StatusCode::NOT_MODIFIED, Bytes::new()),
+        false if accepts_gzip(request) => packed(&text),
+        false => json(StatusCode::OK, list),
+    };
+    response.headers_mut().insert(ETAG, tag);
+    response
+}
+
+fn accepts_gzip(request: &Request<Incoming>) -> bool {
+    let accepted = request.headers().get(ACCEPT_ENCODING);
+    accepted.is_some_and(|encoding| encoding == GZIP)
+}
+
+fn packed(text: &str) -> Response<Body> {
+    let mut encoder = GzEncoder::new(Vec::new(), Compression::default());
+    let written = encoder.write_all(text.as_bytes());
+    written.expect("writing to memory does not fail");
+    let bytes = encoder.finish().expect("writing to memory does not fail");
+    let mut response = whole(StatusCode::OK, bytes.into());
+    let encoding = HeaderValue::from_static(GZIP);
+    response.headers_mut().insert(CONTENT_ENCODING, encoding);
+    response
+}
+
 fn group(instance: &Instance) -> Value {
     value!({
         "targets": [instance.address.to_string()],
