The demo checks the history of its run

Cause: the demo only counted runs of bookings. Change: it runs the history checker over all its calls and fails on a violation; a history prints itself, which the outage and grant tools use too.

--- a/testbed/examples/demo.rs
+++ b/testbed/examples/demo.rs
@@ -1,6 +1,7 @@
 //! Runs both example operators on loopback and prints what became of their requests.
 //!
-//! Exits with 0 only if every answer was whole and no booking ran twice.
+//! Exits with 0 only if every answer was whole, no booking ran twice and the history of the run
+//! breaks no promise.
 
 use {
     miette::IntoDiagnostic as _,
@@ -8,6 +9,7 @@
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service, Standin},
         engine::Hardware,
+        history::{History, is_idempotent},
         load::{Generator, Record, Schedule, Shot, Table},
         traffic::Traffic,
     },
@@ -62,8 +64,14 @@
         "\n{} bookings were sent again with their key; the most often that one ran: {most_runs}",
         retries.len(),
     );
+    let retried = retries
+        .iter()
+        .map(|record| (&shots[record.index - 1], record));
+    let history = History::of_run(&deployment, shots.iter().zip(&records).chain(retried));
+    println!("{history}");
     let is_whole = records.iter().chain(&retries).all(|record| record.whole);
-    Ok(match is_whole && most_runs <= 1 {
+    let is_kept = history.violations().is_empty();
+    Ok(match is_whole && is_kept && most_runs <= 1 {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     })
@@ -75,15 +83,11 @@
     let bookings = shots
         .iter()
         .enumerate()
-        .filter(|(_, shot)| is_booking(shot));
+        .filter(|(_, shot)| !is_idempotent(shot));
     let calls = bookings.map(|(index, shot)| generator.offer(start, index + 1, shot));
     futures_util::future::join_all(calls).await
 }
 
-fn is_booking(shot: &Shot) -> bool {
-    shot.method == hyper::Method::POST && !shot.path.starts_with("/v1/")
-}
-
 fn most_runs_of_a_booking(deployment: &Deployment) -> usize {
     let mut runs = HashMap::new();
     for sidecar in &deployment.sidecars {
--- a/testbed/examples/grant.rs
+++ b/testbed/examples/grant.rs
@@ -276,15 +276,6 @@
 
 fn violations(run: &Run) -> usize {
     let history = History::of_run(&run.deployment, run.shots.iter().zip(&run.records));
-    let violations = history.violations();
-    println!(
-        "{} submissions, {} executions, {} violations\n",
-        history.submissions.len(),
-        history.executions.len(),
-        violations.len(),
-    );
-    for violation in &violations {
-        println!("  {violation}");
-    }
-    violations.len()
+    println!("{history}\n");
+    history.violations().len()
 }
--- a/testbed/examples/outage.rs
+++ b/testbed/examples/outage.rs
@@ -142,17 +142,8 @@
 
 fn check(deployment: &Deployment, shots: &[Shot], records: &[Record]) -> ExitCode {
     let history = History::of_run(deployment, shots.iter().zip(records));
-    let violations = history.violations();
-    println!(
-        "\n{} submissions, {} executions, {} violations",
-        history.submissions.len(),
-        history.executions.len(),
-        violations.len(),
-    );
-    for violation in &violations {
-        println!("  {violation}");
-    }
-    match violations.is_empty() {
+    println!("\n{history}");
+    match history.violations().is_empty() {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
--- a/testbed/src/history/collection.rs
+++ b/testbed/src/history/collection.rs
@@ -1,4 +1,4 @@
-//! Collects the history of a whole system's run.
+//! Collects and prints the history of a whole system's run.
 
 use {
     super::{Execution, History, Submission},
@@ -6,6 +6,7 @@
         deployment::{Deployment, Sidecar, Standin},
         load::{Record, Shot},
     },
+    std::fmt::{self, Display, Formatter},
     tamarackdale_core::document::{Document, example},
 };
 
@@ -24,6 +25,22 @@
     }
 }
 
+impl Display for History {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let violations = self.violations();
+        write!(
+            formatter,
+            "{} submissions, {} executions, {} violations",
+            self.submissions.len(),
+            self.executions.len(),
+            violations.len(),
+        )?;
+        violations
+            .iter()
+            .try_for_each(|violation| write!(formatter, "\n  {violation}"))
+    }
+}
+
 /// Whether a request may run more than once, by the example document of its service.
 pub fn is_idempotent(shot: &Shot) -> bool {
     example::ALL
