Grant waits told apart by kind of backend server

Cause: waits of plain services and model engines were in one row, and the first byte counted bookings. Change: rows for engines and plain services, with and without claim; the last row is the time to the first token of questions only.

--- a/testbed/examples/grant.rs
+++ b/testbed/examples/grant.rs
@@ -15,10 +15,11 @@
         time::{Duration, SystemTime, UNIX_EPOCH},
     },
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout},
+        deployment::{Deployment, Layout, Standin},
         grant::{Death, Toll, Waits},
         history::History,
         load::{Generator, Record, Schedule, Shot, Summary},
+        outage::Kind,
         process::Process,
         sample::{Quantiles, Sample},
         traffic::{self, Traffic},
@@ -64,15 +65,9 @@
     );
 
     let steady = run_steady(&settings).await?;
-    let lines = logs(
-        steady
-            .deployment
-            .sidecars
-            .iter()
-            .map(|sidecar| &sidecar.process),
-    );
-    let waits = Waits::of(&lines);
-    print_waits(&waits, &steady.records);
+    let engines = waits(&steady, |standin| matches!(standin, Standin::Engine(_)));
+    let plain = waits(&steady, |standin| matches!(standin, Standin::Plain(_)));
+    print_waits(&engines, &plain, &steady);
     let mut broken = violations(&steady);
     drop(steady);
 
@@ -93,8 +88,8 @@
 
     if let Some(path) = &settings.output {
         let counts = json!({
-            "unclaimed": waits.unclaimed.quantiles(),
-            "claimed": waits.claimed.quantiles(),
+            "engines": engines.quantiles(),
+            "plain": plain.quantiles(),
             "kills": deaths.len(),
             "toll": toll,
             "violations": broken,
@@ -230,18 +225,32 @@
     processes.flat_map(Process::logs).collect()
 }
 
-fn print_waits(waits: &Waits, records: &[Record]) {
+/// Waits at the sidecars of these backend servers.
+fn waits(run: &Run, is_meant: impl Fn(&Standin) -> bool) -> Waits {
+    let sidecars = run.deployment.sidecars.iter();
+    let meant = sidecars.filter(|sidecar| is_meant(&sidecar.backend_server));
+    Waits::of(&logs(meant.map(|sidecar| &sidecar.process)))
+}
+
+fn print_waits(engines: &Waits, plain: &Waits, run: &Run) {
     println!("| time | requests | p50 ms | p99 ms | longest ms |");
     println!("|---|---|---|---|---|");
-    print_quantiles("grant, no claim", waits.unclaimed.quantiles());
-    print_quantiles("grant with claim", waits.claimed.quantiles());
-    let is_answer = |record: &&Record| record.whole && record.tier != "status";
-    let first: Sample = records
-        .iter()
-        .filter(is_answer)
-        .filter_map(Record::first_byte_latency)
+    print_quantiles("grant, model engine", engines.unclaimed.quantiles());
+    print_quantiles(
+        "grant, model engine, with claim",
+        engines.claimed.quantiles(),
+    );
+    print_quantiles("grant, plain service", plain.unclaimed.quantiles());
+    print_quantiles(
+        "grant, plain service, with claim",
+        plain.claimed.quantiles(),
+    );
+    let answers = run.shots.iter().zip(&run.records);
+    let tokens: Sample = answers
+        .filter(|(shot, _)| matches!(Kind::of(shot), Kind::Question | Kind::Kept))
+        .filter_map(|(_, record)| record.first_byte_latency())
         .collect();
-    print_quantiles("first byte of an answer, reads left out", first.quantiles());
+    print_quantiles("first token, from the offer", tokens.quantiles());
     println!();
 }
 
--- a/testbed/src/grant.rs
+++ b/testbed/src/grant.rs
@@ -9,5 +9,5 @@
 
 pub use {
     death::{Death, Toll},
-    wait::Waits,
+    wait::{Quantiles, Waits},
 };
--- a/testbed/src/grant/wait.rs
+++ b/testbed/src/grant/wait.rs
@@ -1,6 +1,11 @@
 //! Time that grants take.
 
-use {crate::sample::Sample, serde_json::Value, std::time::Duration};
+use {
+    crate::sample::{self, Sample},
+    serde::Serialize,
+    serde_json::Value,
+    std::time::Duration,
+};
 
 /// Waits for grants, by whether the request needed a claim.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -11,7 +16,24 @@
     pub claimed: Sample,
 }
 
+/// Quantiles of waits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub struct Quantiles {
+    /// Of requests that needed no claim.
+    pub unclaimed: sample::Quantiles,
+    /// Of requests that had to be claimed.
+    pub claimed: sample::Quantiles,
+}
+
 impl Waits {
+    /// Quantiles of both.
+    pub fn quantiles(&self) -> Quantiles {
+        Quantiles {
+            unclaimed: self.unclaimed.quantiles(),
+            claimed: self.claimed.quantiles(),
+        }
+    }
+
     /// The waits in the log lines of sidecars.
     pub fn of<'a>(lines: impl IntoIterator<Item = &'a Value>) -> Self {
         let waits: Vec<(bool, Duration)> = lines.into_iter().filter_map(wait).collect();
