Requests go round the sidecars again while they can be served in time

Cause: where every sidecar had refused once, a request ended, also when the refusal was one sidecar's view of a moment: 503 after 0.4 s of a 30 s deadline while an engine stalled shortly (the known red test). A router without documents yet called a service unknown (404) instead of asking to come back. Ruled out: holding refused requests until their deadline; placement's prediction ends the rounds as soon as it says that the request cannot be served. Change: relay::route keeps where a request has been, and starts another round with backoff unless something was shed. 503 not-ready for a service whose document has not come.

--- a/core/src/failure.rs
+++ b/core/src/failure.rs
@@ -21,6 +21,8 @@
     OrganisationLimit,
     /// The process is shutting down.
     Closing,
+    /// The process does not have its configuration yet.
+    NotReady,
     /// The configuration revision of the request is older than the one in force.
     StaleRevision,
     /// The message names another boot of the instance.
--- a/daemon/src/configuration/access.rs
+++ b/daemon/src/configuration/access.rs
@@ -61,6 +61,11 @@
         &self.identity.instance
     }
 
+    /// Whether the process is to have a service's document.
+    pub fn needs(&self, service: &str) -> bool {
+        self.services.iter().any(|needed| needed == service)
+    }
+
     /// Whether the process has every document that it needs.
     pub fn is_complete(&self) -> bool {
         let catalogue = self.catalogue.borrow();
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -70,7 +70,8 @@
         headers: HeaderMap::borrow_from(state),
     };
     let catalogue = context.catalogue.borrow().clone();
-    let caller = Caller::check(&head, &catalogue)?;
+    let is_served = |service: &str| context.configuration.needs(service);
+    let caller = Caller::check(&head, &catalogue, is_served)?;
     let buffered = buffer(context, body).await?;
     Ok(caller.with_body(&head, buffered))
 }
--- a/daemon/src/router/inbound/caller.rs
+++ b/daemon/src/router/inbound/caller.rs
@@ -55,12 +55,22 @@
 }
 
 impl Caller {
-    /// Finds service, organisation, tier, deadline and key.
+    /// Finds service, organisation, tier, deadline and key. `is_served` tells whether the router
+    /// is to serve a service, whose document may not have come yet.
     ///
     /// Fails with the part of the request that is at fault.
-    pub fn check(head: &Head<'_>, catalogue: &Catalogue) -> Result<Self, Invalid> {
+    pub fn check(
+        head: &Head<'_>,
+        catalogue: &Catalogue,
+        is_served: impl Fn(&str) -> bool,
+    ) -> Result<Self, Invalid> {
         let (service, path) = split(head.uri).ok_or(Invalid::Service)?;
-        let version = catalogue.get(service).ok_or(Invalid::Service)?;
+        let version = catalogue
+            .get(service)
+            .ok_or_else(|| match is_served(service) {
+                true => Invalid::NotReady,
+                false => Invalid::Service,
+            })?;
         let api_key = bearer(head.headers).ok_or(Invalid::Authorization)?;
         let organisation = version
             .document
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -55,6 +55,9 @@
     /// The body did not arrive whole.
     #[display("the body did not arrive whole")]
     BodyBroken,
+    /// The service's document has not come yet.
+    #[display("the router does not have the service's document yet")]
+    NotReady,
     /// The router holds as many bytes of bodies as it may.
     #[display("too many requests are being taken in")]
     Full,
@@ -68,13 +71,13 @@
             Self::TierNotAllowed => StatusCode::FORBIDDEN,
             Self::Header(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Full => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Full | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     fn field(self) -> &'static str {
         match self {
-            Self::Service => "path",
+            Self::Service | Self::NotReady => "path",
             Self::Authorization => "authorization",
             Self::TierNotAllowed => super::inbound::caller::TIER,
             Self::Header(name) => name,
@@ -85,6 +88,7 @@
     fn failure(self) -> Failure {
         match self {
             Self::Full => Failure::not_run(Reason::Full),
+            Self::NotReady => Failure::not_run(Reason::NotReady),
             _ => Failure::not_run(Reason::BadRequest),
         }
     }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -9,12 +9,14 @@
 pub mod offer;
 pub mod renewal;
 pub mod responder;
+pub mod route;
 
 use {
     self::{
         answer::{Answer, Step},
         offer::{Granted, Offer, Unserved},
         responder::Responder,
+        route::Route,
     },
     super::{
         context::Context,
@@ -30,6 +32,7 @@
         time::Timestamp,
         verdict::Verdict,
     },
+    tokio::time::sleep,
 };
 
 /// One request on its way.
@@ -42,13 +45,6 @@
     withdrawn: Vec<id::Attempt>,
 }
 
-/// The reason to give when no further sidecar is found. The last sidecar's says more than that
-/// there is no further one; but one that gave the request up knew only of itself.
-fn last_word(failure: Failure, moved: Option<Failure>) -> Failure {
-    let is_final = failure.reason != Reason::NoBackendServer;
-    moved.filter(|_| !is_final).unwrap_or(failure)
-}
-
 /// How a request ended for its caller.
 enum Ending {
     Served,
@@ -109,12 +105,19 @@
         {
             return Ending::Failed(failure);
         }
-        let mut excluded: Vec<id::Instance> = Vec::new();
-        let mut moved: Option<Failure> = None;
+        let mut route = Route::default();
         loop {
-            let placed = match self.place(&excluded, moved).await {
+            let placed = match self.place(&route).await {
                 Ok(placed) => placed,
-                Err(failure) => return Ending::Failed(last_word(failure, moved)),
+                Err(failure) => {
+                    let Some(pause) = route.next_round(failure, self.request.fingerprint()) else {
+                        return Ending::Failed(route.last_word(failure));
+                    };
+                    tokio::select! {
+                        () = sleep(pause) => continue,
+                        () = self.responder.abandoned() => return Ending::CallerGone,
+                    }
+                }
             };
             match self.attempt(&placed).await {
                 Attempted::Over(ending) => return ending,
@@ -124,11 +127,7 @@
                     if failure.reason == Reason::StaleRevision && self.renew().await {
                         continue;
                     }
-                    // A void attempt says nothing against its sidecar.
-                    if failure.reason != Reason::Void {
-                        excluded.push(placed.peer.incarnation.instance.clone());
-                    }
-                    moved = Some(failure);
+                    route.leave(&placed.peer.incarnation.instance, failure);
                 }
             }
         }
@@ -169,18 +168,14 @@
         attempted
     }
 
-    async fn place(
-        &mut self,
-        excluded: &[id::Instance],
-        moved: Option<Failure>,
-    ) -> Result<Placed, Failure> {
+    async fn place(&mut self, route: &Route) -> Result<Placed, Failure> {
         if !self.request.finish_late && self.deadline <= self.context.clock.now() {
             return Err(Failure::not_run(Reason::DeadlinePassed));
         }
         let placing = self.context.placement.place(Wanted {
             request: Arc::clone(&self.request),
-            excluded: excluded.to_vec(),
-            moved,
+            excluded: route.excluded().to_vec(),
+            moved: route.moved(),
             deadline: self.deadline,
         });
         tokio::select! {
--- /dev/null
+++ b/daemon/tests/unready.rs
@@ -0,0 +1,41 @@
+//! A router that does not have its documents yet.
+
+use {
+    bytes::Bytes,
+    hyper::Request,
+    std::time::Duration,
+    tamarackdale_testbed::{http, list::List, process::Process, store::Store},
+};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+#[tokio::test]
+async fn request_without_document_is_told_to_come_back() {
+    let store = Store::start().expect("the store starts");
+    let list = List::start().expect("the list starts");
+    let arguments = [
+        "router",
+        "--instance=router-0",
+        "--data-centre=vejle-a",
+        "--services=ordre-app",
+        "--listen=127.0.0.1:0",
+        "--peer-listen=127.0.0.1:0",
+        "--admin-listen=127.0.0.1:0",
+        &format!("--store={}", store.url()),
+        &format!("--instance-list={}", list.url()),
+    ]
+    .map(str::to_owned);
+    let router = Process::new("router-0", "tamarackdaled", &arguments).expect("starts");
+    let callers = router.wait_for_listener("callers", LIMIT).expect("listens");
+
+    let request = Request::get("/ordre-app/orders/1")
+        .header("authorization", "Bearer joiner-example-key")
+        .body(Bytes::new())
+        .expect("a valid request");
+    let answer = http::call(callers, request, LIMIT).await.expect("answers");
+
+    assert_eq!(answer.status(), 503);
+    assert_eq!(answer.header("tamarackdale-verdict"), "not-run");
+    assert_eq!(answer.header("tamarackdale-reason"), "not-ready");
+    assert_eq!(answer.header("retry-after"), "1");
+}
