A router without documents does not call the request bad

Cause: a router that started while the store was down answered 404 bad-request, "unknown service", to valid requests, so that their callers would give up.

A service that has no document while others have one is still called unknown.

Conclusion: callers and balancers see that the router is at fault.

--- a/daemon/src/router/inbound/caller.rs
+++ b/daemon/src/router/inbound/caller.rs
@@ -60,7 +60,7 @@
     /// Fails with the part of the request that is at fault.
     pub fn check(head: &Head<'_>, catalogue: &Catalogue) -> Result<Self, Invalid> {
         let (service, path) = split(head.uri).ok_or(Invalid::Service)?;
-        let version = catalogue.get(service).ok_or(Invalid::Service)?;
+        let version = catalogue.get(service).ok_or_else(|| unknown(catalogue))?;
         let api_key = bearer(head.headers).ok_or(Invalid::Authorization)?;
         let organisation = version
             .document
@@ -114,6 +114,14 @@
     }
 }
 
+/// What to say of a service without a document.
+fn unknown(catalogue: &Catalogue) -> Invalid {
+    match catalogue.held().next() {
+        Some(_) => Invalid::Service,
+        None => Invalid::NoDocuments,
+    }
+}
+
 /// Splits `/{service}/{rest}` into the service and `/{rest}` with its query.
 fn split(uri: &Uri) -> Option<(&str, String)> {
     let path = uri.path().strip_prefix('/')?;
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -40,6 +40,9 @@
     /// The path names no service that is served here.
     #[display("unknown service")]
     Service,
+    /// The router has read no document yet, so that it cannot tell which services there are.
+    #[display("the services' documents have not been read yet")]
+    NoDocuments,
     /// The API key is missing or unknown.
     #[display("missing or unknown API key")]
     Authorization,
@@ -68,13 +71,13 @@
             Self::TierNotAllowed => StatusCode::FORBIDDEN,
             Self::Header(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Full => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Full | Self::NoDocuments => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     fn field(self) -> &'static str {
         match self {
-            Self::Service => "path",
+            Self::Service | Self::NoDocuments => "path",
             Self::Authorization => "authorization",
             Self::TierNotAllowed => super::inbound::caller::TIER,
             Self::Header(name) => name,
@@ -85,6 +88,7 @@
     fn failure(self) -> Failure {
         match self {
             Self::Full => Failure::not_run(Reason::Full),
+            Self::NoDocuments => Failure::not_run(Reason::StoreUnavailable),
             _ => Failure::not_run(Reason::BadRequest),
         }
     }
--- a/testbed/tests/input.rs
+++ b/testbed/tests/input.rs
@@ -12,6 +12,7 @@
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service},
         http,
+        store::Outage,
     },
 };
 
@@ -124,3 +125,24 @@
     assert!(refused);
     assert!(deployment.sidecars[0].plain().calls().is_empty());
 }
+
+#[tokio::test]
+async fn router_without_documents_does_not_blame_the_request() {
+    let layout = Layout::new(vec![Service::ordre_app(1)]).with_proxies();
+    let mut deployment = Deployment::start(&layout).await.expect("starts");
+    deployment.routers[0].kill().expect("running");
+    deployment.store.stop(Outage::Refuse);
+    deployment.routers[0]
+        .restart(&deployment.list)
+        .expect("starts");
+    let request = good()
+        .body(Bytes::from_static(b"{}"))
+        .expect("valid in HTTP");
+
+    let answer = http::call(deployment.routers[0].callers, request, LIMIT)
+        .await
+        .expect("answered");
+
+    assert_eq!(answer.status(), 503, "{}", answer.text());
+    assert_eq!(answer.header("tamarackdale-verdict"), "not-run");
+}
