--- a/client/src/header.rs
+++ b/client/src/header.rs
@@ -10,7 +10,7 @@
 const EDITS: &str = "# tamarackdale-edits: ";
 
 /// Edits remembered with a document.
-const MAX_EDITS: usize = 16;
+const MAX_EDITS: usize = 64;
 
 /// The header and the text after it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/core/src/queue/entry.rs
+++ b/core/src/queue/entry.rs
@@ -1,5 +1,7 @@
 //! One waiting request.
 
+pub use crate::document::tier::Late;
+
 use crate::{
     cost::{self, Cost, Rates},
     id::Attempt,
@@ -7,16 +9,6 @@
     time::Timestamp,
 };
 
-/// What happens to a request that cannot meet its deadline any more.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Late {
-    /// It is answered at once and not started.
-    #[default]
-    Drop,
-    /// It is served all the same.
-    Finish,
-}
-
 /// One waiting request.
 #[derive(Clone, Debug)]
 pub struct Entry {
--- /dev/null
+++ b/daemon/src/sidecar/dispatch/schedule.rs
@@ -0,0 +1,116 @@
+//! What becomes due with time.
+
+use {
+    super::Dispatch,
+    crate::sidecar::task::Message,
+    std::time::Duration,
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        report::Report,
+        time::Timestamp,
+    },
+};
+
+/// Time that a router has to grant an attempt that is ready, before its slot goes to another.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(5);
+
+impl Dispatch {
+    /// Does all that has become due.
+    pub(super) fn advance(&mut self) {
+        let now = self.clock.now();
+        if (self.is_leaving)() {
+            self.close(now);
+        }
+        self.apply_floor(now);
+        for attempt in self.ledger.overdue(now, OFFER_TIMEOUT) {
+            self.void(attempt, Failure::not_run(Reason::Void), now);
+        }
+        self.offer_next(now);
+        self.expire(now);
+        for attempt in self.table.sweep(now) {
+            self.tasks.remove(&attempt);
+        }
+        self.publish(now);
+    }
+
+    /// Asks for grants while the backend server has room.
+    pub(super) fn offer_next(&mut self, now: Timestamp) {
+        let rates = self.limit.rates(now);
+        while let Some(rank) = self.queue.peek().map(|entry| entry.rank) {
+            let taken = self.limit.running() + self.ledger.offered();
+            let unprefilled = self.ledger.unprefilled_tokens();
+            if taken >= self.limit.limit_for(rank) || !self.limit.has_prefill_room(unprefilled, now)
+            {
+                return;
+            }
+            let Some(entry) = self.queue.pop(now, rates) else {
+                return;
+            };
+            if !self.table.offer(entry.attempt) {
+                continue;
+            }
+            let attempt = entry.attempt;
+            self.ledger.offer(entry, now);
+            self.notify(attempt, Message::Ready);
+        }
+    }
+
+    /// Answers what can no longer meet its deadline, also what was passed over just now.
+    pub(super) fn expire(&mut self, now: Timestamp) {
+        let rates = self.limit.rates(now);
+        for (entry, failure) in self.queue.expire(now, rates) {
+            log::info!(
+                attempt:% = entry.attempt,
+                organisation = entry.organisation.as_str(),
+                rank = entry.rank.0;
+                "given up"
+            );
+            self.void(entry.attempt, failure, now);
+        }
+    }
+
+    /// Hands back all that waits, once. A sidecar that has been leaving takes new work only after
+    /// a restart, as its routers expect of it.
+    pub(super) fn close(&mut self, now: Timestamp) {
+        if self.closed {
+            return;
+        }
+        self.closed = true;
+        let waiting = self.queue.drain();
+        let attempts = waiting
+            .into_iter()
+            .map(|entry| entry.attempt)
+            .chain(self.ledger.offered_attempts());
+        for attempt in attempts.collect::<Vec<_>>() {
+            self.void(attempt, Failure::not_run(Reason::Closing), now);
+        }
+    }
+
+    pub(super) fn publish(&mut self, now: Timestamp) {
+        let report = Report {
+            incarnation: self.settings.incarnation.clone(),
+            service: self.settings.service.clone(),
+            leaving: self.closed,
+            revision: (self.revision)().0,
+            floor: self.floor.notice(now),
+            limit: self.limit.current(),
+            running: self.limit.running(),
+            running_tokens: self.ledger.running_tokens(),
+            unprefilled_tokens: self.ledger.unprefilled_tokens(),
+            waiting: self.queue.work(),
+            rates: self.limit.rates(now),
+            evicted_prefixes: self.evictions.recent(now),
+            seen: self.seen.recent(now),
+        };
+        let modified = self.report.send_if_modified(|published| {
+            let changed = *published != report;
+            *published = report;
+            changed
+        });
+        if modified {
+            let report = self.report.borrow();
+            self.metrics
+                .set_load(report.running, report.limit, &report.waiting);
+        }
+    }
+}
--- a/testbed/examples/soak.rs
+++ b/testbed/examples/soak.rs
@@ -6,14 +6,11 @@
     getopts::Options,
     miette::{IntoDiagnostic as _, miette},
     std::{collections::BTreeMap, process::ExitCode, str::FromStr, time::Duration},
-    tamarackdale_core::{
-        document::{Document, example},
-        verdict::Verdict,
-    },
+    tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service, Standin},
+        deployment::{Deployment, Layout, Service},
         engine::Hardware,
-        history::{Execution, History, Submission},
+        history::{History, is_idempotent},
         injection::Injector,
         load::{Generator, Record, Schedule, Shot, Summary, Table},
         traffic::Traffic,
@@ -161,18 +158,15 @@
     println!("last call of each request:\n{}", Table::of(last));
     print_bookings(exchanges);
     print_failures(calls());
-    let history = history(deployment, exchanges);
-    let violations = history.violations();
-    println!(
-        "\n{} submissions, {} executions, {} violations",
-        history.submissions.len(),
-        history.executions.len(),
-        violations.len(),
-    );
-    for violation in &violations {
-        println!("  {violation}");
-    }
-    match violations.is_empty() {
+    let pairs = exchanges.iter().flat_map(|exchange| {
+        exchange
+            .records
+            .iter()
+            .map(|record| (&exchange.shot, record))
+    });
+    let history = History::of_run(deployment, pairs);
+    println!("\n{history}");
+    match history.violations().is_empty() {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
@@ -213,43 +207,3 @@
         println!("  {name:<40} {count:>6}");
     }
 }
-
-fn history(deployment: &Deployment, exchanges: &[Exchange]) -> History {
-    let mut history = History::new();
-    for exchange in exchanges {
-        let idempotent = is_idempotent(&exchange.shot);
-        let submissions = exchange
-            .records
-            .iter()
-            .filter_map(|record| Submission::of_record(record, &exchange.shot, idempotent));
-        history.submissions.extend(submissions);
-    }
-    for sidecar in &deployment.sidecars {
-        let service = &sidecar.service;
-        let executions: Vec<Execution> = match &sidecar.backend_server {
-            Standin::Engine(engine) => {
-                let runs = engine.runs();
-                runs.iter()
-                    .filter_map(|run| Execution::of_run(service, run))
-                    .collect()
-            }
-            Standin::Plain(plain) => {
-                let calls = plain.calls();
-                calls
-                    .iter()
-                    .filter_map(|call| Execution::of_call(service, call))
-                    .collect()
-            }
-        };
-        history.executions.extend(executions);
-    }
-    history
-}
-
-fn is_idempotent(shot: &Shot) -> bool {
-    example::ALL
-        .iter()
-        .find(|example| example.service == shot.service)
-        .and_then(|example| Document::parse(example.text).ok())
-        .is_some_and(|document| document.is_idempotent(shot.method.as_str(), &shot.path))
-}
