Requests are given up at seven tenths of the predicted time

Predictions are made from the speed of a loaded engine and come out late. Change: a request is given up when not even 0.7 of the predicted time is left, before 0.8. Conclusion: kept at 0.7.

--- a/core/src/cost.rs
+++ b/core/src/cost.rs
@@ -65,7 +65,7 @@
 
 /// Part of a predicted time that a request takes at the least. Predictions are made from a loaded
 /// backend server's speed; it is faster when the load goes down meanwhile.
-const CERTAIN_PART: f64 = 0.8;
+const CERTAIN_PART: f64 = 0.7;
 
 /// The least time that something takes that is predicted to take so long. A request is given up
 /// only if not even this is left until its deadline.
