One piece for what router and sidecar did alike

Cause: both roles built the HTTP runtime, the admin listener and shutdowns that close later in the same words, and each looked for event streams by itself. Change: http::runtime, admin::bind, Shutdown::with_closing and http::body::is_event_stream serve both. Behaviour is the same. Left as they are: set-up of the testbed's host and proxy (they differ in runtime and shutdown), the configurations of property tests.

--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -1,7 +1,11 @@
 //! The admin listener: metrics and probes.
 
 use {
-    crate::{http::body, metrics::Metrics},
+    crate::{
+        http::{Server, body},
+        metrics::Metrics,
+        settings::Common,
+    },
     gotham::{
         helpers::http::Body,
         hyper::{Response, StatusCode},
@@ -13,7 +17,7 @@
         },
         state::{FromState as _, State, StateData},
     },
-    std::{panic::RefUnwindSafe, sync::Arc},
+    std::{io, panic::RefUnwindSafe, sync::Arc},
 };
 
 /// What the admin handlers share.
@@ -30,8 +34,21 @@
 /// The handlers only read.
 impl RefUnwindSafe for Context {}
 
+/// Binds the admin listener.
+///
+/// Fails when the address cannot be bound.
+pub async fn bind(common: &Common, context: Context) -> io::Result<Server<Router>> {
+    Server::bind(
+        "admin",
+        common.admin_listen,
+        common.max_connections,
+        routes(context),
+    )
+    .await
+}
+
 /// The router of the admin listener: `/metrics`, `/live` and `/ready`.
-pub fn routes(context: Context) -> Router {
+fn routes(context: Context) -> Router {
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -5,3 +5,16 @@
 pub mod server;
 
 pub use server::Server;
+
+use {std::io, tokio::runtime::Runtime};
+
+/// The runtime that HTTP is served on.
+///
+/// Fails when its threads cannot be started.
+pub fn runtime(threads: usize) -> io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .enable_all()
+        .thread_name("http")
+        .worker_threads(threads)
+        .build()
+}
--- a/daemon/src/http/body.rs
+++ b/daemon/src/http/body.rs
@@ -5,7 +5,7 @@
     futures_util::Stream,
     gotham::{
         helpers::http::Body,
-        hyper::{Response, StatusCode, body::Frame, header},
+        hyper::{HeaderMap, Response, StatusCode, body::Frame, header},
     },
     http_body_util::{BodyExt as _, Full, LengthLimitError, Limited, StreamBody},
     std::io,
@@ -77,3 +77,10 @@
     *response.status_mut() = code;
     response
 }
+
+/// Whether a body with these headers consists of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    headers
+        .get(header::CONTENT_TYPE)
+        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
+}
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -16,7 +16,7 @@
     crate::{
         admin, configuration,
         configuration::{Access, access::Identity},
-        http::Server,
+        http::{self, Server},
         metrics::Metrics,
         settings,
         signal::Shutdown,
@@ -42,11 +42,7 @@
 ///
 /// Fails when a listener cannot be bound or a thread cannot be started.
 pub fn run(settings: settings::Router) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .thread_name("http")
-        .worker_threads(settings.common.http_threads)
-        .build()?;
+    let runtime = http::runtime(settings.common.http_threads)?;
     let shutdown = Shutdown::new();
     let clock = Clock::new();
     let boot = Boot(rand::rng().random());
@@ -134,23 +130,11 @@
         callers::routes(context),
     )
     .await?;
-    let admin = Server::bind(
-        "admin",
-        common.admin_listen,
-        common.max_connections,
-        admin::routes(admin),
-    )
-    .await?;
-    let drained = Shutdown {
-        closing: CancellationToken::new(),
-        cutting: shutdown.cutting.clone(),
-    };
+    let admin = admin::bind(common, admin).await?;
+    let drained = shutdown.with_closing(CancellationToken::new());
     let finished = CancellationToken::new();
     // The balancer sees the router unready before the listener closes.
-    let unready = Shutdown {
-        closing: CancellationToken::new(),
-        cutting: shutdown.cutting.clone(),
-    };
+    let unready = shutdown.with_closing(CancellationToken::new());
     let announce = async {
         shutdown.closing.cancelled().await;
         tokio::time::sleep(settings.unready_delay).await;
--- a/daemon/src/router/relay/responder.rs
+++ b/daemon/src/router/relay/responder.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        http::body,
+        http::body::{self, is_event_stream},
         router::{inbound::Inbound, refusal},
     },
     bytes::Bytes,
@@ -12,7 +12,7 @@
         hyper::{
             Response, StatusCode,
             body::Frame as HttpFrame,
-            header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue},
+            header::{HeaderMap, HeaderName, HeaderValue},
         },
     },
     std::{io, time::Duration},
@@ -176,12 +176,6 @@
     }
 }
 
-fn is_event_stream(headers: &HeaderMap) -> bool {
-    headers
-        .get(CONTENT_TYPE)
-        .is_some_and(|value| value.as_bytes().starts_with(b"text/event-stream"))
-}
-
 fn error_event(failure: &Failure) -> Bytes {
     format!("event: error\ndata: {}\n\n", refusal::describe(failure)).into()
 }
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -17,7 +17,7 @@
         admin, configuration,
         configuration::{Access, access::Identity},
         duty::Duty,
-        http::Server,
+        http::{self, Server},
         metrics::Metrics,
         ring::Ring,
         settings,
@@ -41,11 +41,7 @@
 ///
 /// Fails when a listener cannot be bound or a thread cannot be started.
 pub fn run(settings: settings::Sidecar) -> io::Result<()> {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .enable_all()
-        .thread_name("http")
-        .worker_threads(settings.common.http_threads)
-        .build()?;
+    let runtime = http::runtime(settings.common.http_threads)?;
     let shutdown = Shutdown::new();
     let boot = id::Boot(rand::rng().random());
     let configuration = configuration::Settings {
@@ -192,18 +188,9 @@
         handlers::routes(context),
     )
     .await?;
-    let admin = Server::bind(
-        "admin",
-        common.admin_listen,
-        common.max_connections,
-        admin::routes(admin),
-    )
-    .await?;
+    let admin = admin::bind(common, admin).await?;
     // The peer listener stays open while answers are still to be fetched.
-    let draining = Shutdown {
-        closing: drained.clone(),
-        cutting: shutdown.cutting.clone(),
-    };
+    let draining = shutdown.with_closing(drained.clone());
     let finished = CancellationToken::new();
     let drain = async {
         shutdown.closing.cancelled().await;
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -9,6 +9,7 @@
         stream::{Ended, Progress},
     },
     super::{answer::Chunk, backend_server::BackendServer},
+    crate::http::body::is_event_stream,
     bytes::Bytes,
     futures_util::StreamExt as _,
     http_body_util::BodyExt as _,
@@ -70,7 +71,7 @@
             Err(failure) => return self.fail(failure).await,
         };
         self.send_head(&response).await?;
-        if stream::is_event_stream(&response) {
+        if is_event_stream(response.headers()) {
             return self.relay_events(response, progress).await;
         }
         self.relay_bytes(response).await
--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -5,7 +5,7 @@
     eventsource_stream::{Event, EventStreamError, Eventsource as _},
     futures_util::Stream,
     http_body_util::BodyExt as _,
-    hyper::{Response, body::Incoming, header::CONTENT_TYPE},
+    hyper::body::Incoming,
     serde::Deserialize,
     std::time::Duration,
 };
@@ -121,15 +121,6 @@
     }
 }
 
-/// Whether a response's body consists of server-sent events.
-pub fn is_event_stream(response: &Response<Incoming>) -> bool {
-    response
-        .headers()
-        .get(CONTENT_TYPE)
-        .and_then(|value| value.to_str().ok())
-        .is_some_and(|value| value.starts_with("text/event-stream"))
-}
-
 /// The events in a body.
 pub fn events(
     body: Incoming,
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -21,6 +21,14 @@
         Self::default()
     }
 
+    /// A shutdown that closes by a token of its own and is cut together with this one.
+    pub fn with_closing(&self, closing: CancellationToken) -> Self {
+        Self {
+            closing,
+            cutting: self.cutting.clone(),
+        }
+    }
+
     /// Waits for SIGTERM or SIGINT, starts closing, and after a second signal or after `limit`
     /// starts cutting. Returns early once `finished` is set.
     pub async fn watch(&self, limit: Duration, finished: CancellationToken) -> std::io::Result<()> {
