--- a/client/src/command.rs
+++ b/client/src/command.rs
@@ -12,7 +12,7 @@
         settings::{Command, Settings},
     },
     std::{fs, path::Path},
-    tamarackdale_platform::kv,
+    tamarackdale_store::kv,
 };
 
 /// Runs the command of the settings.
--- a/client/src/command/apply.rs
+++ b/client/src/command/apply.rs
@@ -17,7 +17,7 @@
     serde::Serialize,
     std::path::Path,
     tamarackdale_core::document::{Document, change},
-    tamarackdale_platform::{
+    tamarackdale_store::{
         key,
         kv::{self, Entry},
     },
--- a/client/src/command/apply/conflict.rs
+++ b/client/src/command/apply/conflict.rs
@@ -9,7 +9,7 @@
         retry,
     },
     serde::Serialize,
-    tamarackdale_platform::kv::{self, Entry},
+    tamarackdale_store::kv::{self, Entry},
 };
 
 #[derive(Serialize)]
--- a/client/src/command/apply/force.rs
+++ b/client/src/command/apply/force.rs
@@ -9,7 +9,7 @@
     },
     serde::Serialize,
     std::time::{Duration, Instant},
-    tamarackdale_platform::list::Member,
+    tamarackdale_store::list::Member,
     tamarackdale_wire::{Status, message::Document},
 };
 
--- a/client/src/command/apply/push.rs
+++ b/client/src/command/apply/push.rs
@@ -6,7 +6,7 @@
     crate::fleet::Fleet,
     futures_util::{StreamExt as _, stream},
     tamarackdale_core::spread::{self, Candidate},
-    tamarackdale_platform::{http, list::Member},
+    tamarackdale_store::{http, list::Member},
     tamarackdale_wire::{codec, message::Document, path},
 };
 
--- a/client/src/command/explain.rs
+++ b/client/src/command/explain.rs
@@ -9,7 +9,7 @@
     percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode},
     serde::Serialize,
     std::cmp::Reverse,
-    tamarackdale_platform::list::{Member, Role},
+    tamarackdale_store::list::{Member, Role},
     tamarackdale_wire::{path, status::Decision},
 };
 
--- a/client/src/command/get.rs
+++ b/client/src/command/get.rs
@@ -9,7 +9,7 @@
         settings::Settings,
     },
     serde::Serialize,
-    tamarackdale_platform::key,
+    tamarackdale_store::key,
 };
 
 #[derive(Serialize)]
--- a/client/src/command/status.rs
+++ b/client/src/command/status.rs
@@ -9,7 +9,7 @@
     },
     serde::Serialize,
     std::{collections::HashMap, time::Duration},
-    tamarackdale_platform::{key, list::Member},
+    tamarackdale_store::{key, list::Member},
     tamarackdale_wire::Status,
 };
 
@@ -66,7 +66,7 @@
         .list(key::DOCUMENTS)
         .await
         .map_err(|error| error.to_string())?;
-    let revision = |entry: &tamarackdale_platform::kv::Entry| {
+    let revision = |entry: &tamarackdale_store::kv::Entry| {
         let service = key::service_of(&entry.key)?;
         Some((service.to_owned(), entry.revision))
     };
--- a/client/src/edit.rs
+++ b/client/src/edit.rs
@@ -5,7 +5,7 @@
         header::{self, Headed},
         retry,
     },
-    tamarackdale_platform::{
+    tamarackdale_store::{
         key,
         kv::{self, Entry, Swap},
     },
--- a/client/src/fleet.rs
+++ b/client/src/fleet.rs
@@ -5,7 +5,7 @@
     futures_util::{StreamExt as _, stream},
     serde::de::DeserializeOwned,
     std::time::Duration,
-    tamarackdale_platform::{
+    tamarackdale_store::{
         http,
         list::{self, Member, Role},
     },
--- a/client/src/retry.rs
+++ b/client/src/retry.rs
@@ -1,6 +1,6 @@
 //! Bounded retries of calls to the key-value service.
 
-use {rand::Rng as _, std::time::Duration, tamarackdale_platform::kv};
+use {rand::Rng as _, std::time::Duration, tamarackdale_store::kv};
 
 /// Calls made before giving up.
 pub const ATTEMPTS: u32 = 5;
--- a/client/tests/edit.rs
+++ b/client/tests/edit.rs
@@ -6,7 +6,7 @@
         edit::{Edit, Verdict},
         header::Headed,
     },
-    tamarackdale_platform::{key, kv::Client},
+    tamarackdale_store::{key, kv::Client},
     tamarackdale_testbed::store::{Outage, Store},
 };
 
--- /dev/null
+++ b/core/src/fleet.rs
@@ -0,0 +1,354 @@
+//! The backend servers that a router sends to itself: what each can do, what it is doing for all
+//! routers together, and which one should take the next request.
+
+pub mod health;
+pub mod load;
+pub mod speed;
+
+pub use {
+    health::Health,
+    load::{Load, Share},
+    speed::Speed,
+};
+
+use {
+    crate::time::{self, Timestamp},
+    rand::{Rng, RngCore},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::Duration,
+    },
+};
+
+/// Random spread of predictions, so that routers with the same view do not all choose the same
+/// backend server; about the error of a prediction.
+const JITTER: f64 = 0.1;
+
+/// Time after which room that was given and not used counts as free again.
+const RESERVATION: Duration = Duration::from_millis(100);
+
+/// Time that a lost request costs its caller, weighed by the chance that it is lost.
+const LOSS_S: f64 = 3.0;
+
+/// A backend server, as it registered itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Identifier, new with most starts.
+    pub id: String,
+    /// Start of the process, in Unix milliseconds: tells apart two starts under one identifier.
+    pub born: u64,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Data centre that it is in.
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving and must get no new work.
+    pub is_leaving: bool,
+}
+
+/// All known backend servers by identifier.
+pub type Roster = BTreeMap<String, Member>;
+
+/// A backend server with all that is known of it.
+#[derive(Debug)]
+struct Server {
+    member: Member,
+    own: Load,
+    reserved: Vec<(Share, Timestamp)>,
+    peers: HashMap<u64, Load>,
+    speed: Speed,
+    health: Health,
+}
+
+/// What a request asks of a backend server.
+#[derive(Clone, Copy, Debug)]
+pub struct Demand<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Prompt tokens; zero at a plain service.
+    pub prompt: u32,
+    /// Most output tokens; zero at a plain service.
+    pub output: u32,
+    /// Identifiers of backend servers that it must not be sent to again.
+    pub excluded: &'a [String],
+    /// Longest wait for a slot that is acceptable.
+    pub patience: Duration,
+    /// Time left until the whole answer must be there.
+    pub deadline: Duration,
+    /// Data centre of the router.
+    pub data_centre: &'a str,
+}
+
+/// A prediction for one backend server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Estimate {
+    /// Time until a slot is free.
+    pub wait: Duration,
+    /// Time until the first token, or the answer of a plain service.
+    pub first: Duration,
+    /// Time until the whole answer.
+    pub total: Duration,
+}
+
+/// The backend server that was chosen.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// Who.
+    pub member: Member,
+    /// What is predicted.
+    pub estimate: Estimate,
+}
+
+/// Why no backend server can take a request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shortage {
+    /// None of the service is known and in health.
+    Nobody,
+    /// All are full; the time until a slot may be free.
+    Full(Duration),
+}
+
+/// The fleet as one router knows it.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: BTreeMap<String, Server>,
+}
+
+impl Fleet {
+    /// A fleet of which nobody is known.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Takes over who is registered. What was learnt of those that stay is kept.
+    pub fn adopt(&mut self, roster: &Roster) {
+        self.servers.retain(|id, server| {
+            roster
+                .get(id)
+                .is_some_and(|member| member.born == server.member.born)
+        });
+        for member in roster.values() {
+            match self.servers.get_mut(&member.id) {
+                Some(server) => server.member = member.clone(),
+                None => {
+                    self.servers
+                        .insert(member.id.clone(), Server::new(member.clone()));
+                }
+            }
+        }
+    }
+
+    /// Whether any backend server takes new work.
+    pub fn has_servers(&self) -> bool {
+        self.servers
+            .values()
+            .any(|server| !server.member.is_leaving)
+    }
+
+    /// Whether a backend server may still get new work.
+    pub fn takes_work(&self, id: &str) -> bool {
+        self.servers
+            .get(id)
+            .is_some_and(|server| !server.member.is_leaving)
+    }
+
+    /// Chooses the backend server that is predicted to finish first among those that can start in
+    /// time.
+    pub fn choose(
+        &self,
+        demand: &Demand,
+        now: Timestamp,
+        random: &mut dyn RngCore,
+    ) -> Result<Choice, Shortage> {
+        let mut best: Option<(f64, &Server, Estimate)> = None;
+        let mut soonest: Option<Duration> = None;
+        for server in self.candidates(demand, now) {
+            let estimate = server.estimate(demand, now);
+            soonest = Some(soonest.map_or(estimate.wait, |known| known.min(estimate.wait)));
+            if estimate.wait > demand.patience {
+                continue;
+            }
+            let cost = server.cost(&estimate, demand) * (1.0 + JITTER * random.random::<f64>());
+            if best.as_ref().is_none_or(|(known, ..)| cost < *known) {
+                best = Some((cost, server, estimate));
+            }
+        }
+        match (best, soonest) {
+            (Some((_, server, estimate)), _) => Ok(Choice {
+                member: server.member.clone(),
+                estimate,
+            }),
+            (None, Some(wait)) => Err(Shortage::Full(wait)),
+            (None, None) => Err(Shortage::Nobody),
+        }
+    }
+
+    fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
+        self.servers.values().filter(move |server| {
+            server.member.service == demand.service
+                && !server.member.is_leaving
+                && !server.health.is_ejected(now)
+                && !demand.excluded.contains(&server.member.id)
+        })
+    }
+
+    /// Part of a service's slots that are taken, over all routers; none if nobody is known.
+    pub fn utilisation(&self, service: &str, now: Timestamp) -> Option<f64> {
+        let mut taken = 0;
+        let mut slots = 0;
+        for server in self.servers.values() {
+            if server.member.service == service && !server.member.is_leaving {
+                taken += server.load(now).requests.min(server.member.slots);
+                slots += server.member.slots;
+            }
+        }
+        (slots > 0).then(|| f64::from(taken) / f64::from(slots))
+    }
+
+    /// Notes that this router sends a request to `id`; a reservation for it is used up.
+    pub fn start(&mut self, id: &str, share: Share) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.reserved.pop();
+            server.own.start(share);
+        }
+    }
+
+    /// Counts a request that has been given room at `id` and will be sent in a moment.
+    pub fn reserve(&mut self, id: &str, share: Share, now: Timestamp) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.reserved.retain(|(_, end)| *end > now);
+            server.reserved.push((share, now.plus(RESERVATION)));
+        }
+    }
+
+    /// Notes the first event of a request's answer, `elapsed` after it was sent.
+    pub fn progress(&mut self, id: &str, share: Share, elapsed: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.progress(share);
+            server.speed.learn_first(share.prompt, elapsed);
+        }
+    }
+
+    /// Notes that a request no longer occupies `id`.
+    pub fn end(&mut self, id: &str, share: Share, has_begun: bool) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.own.end(share, has_begun);
+        }
+    }
+
+    /// Learns from a whole answer: `tokens` of output after the first event took `decoding`, and
+    /// the request occupied its slot for `stay`.
+    pub fn learn(&mut self, id: &str, tokens: u32, decoding: Duration, stay: Duration) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.speed.learn_decoding(tokens, decoding);
+            server.speed.learn_stay(stay);
+            server.health.succeed();
+        }
+    }
+
+    /// Notes a failure; returns whether the backend server is ejected by it.
+    pub fn fail(&mut self, id: &str, failure: health::Failure, now: Timestamp) -> bool {
+        match self.servers.get_mut(id) {
+            Some(server) => server.health.fail(failure, now),
+            None => false,
+        }
+    }
+
+    /// Takes in what the peer numbered `peer` does at `id`.
+    pub fn merge(&mut self, peer: u64, id: &str, load: Load) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.peers.insert(peer, load);
+        }
+    }
+
+    /// Takes in what a peer has learnt of the speed of `id`.
+    pub fn merge_speed(&mut self, id: &str, speed: &Speed) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.speed.merge(speed);
+        }
+    }
+
+    /// Forgets what a peer did.
+    pub fn forget(&mut self, peer: u64) {
+        for server in self.servers.values_mut() {
+            server.peers.remove(&peer);
+        }
+    }
+
+    /// What this router does at each backend server, and what it has learnt.
+    pub fn own(&self) -> impl Iterator<Item = (&str, Load, &Speed)> {
+        self.servers
+            .iter()
+            .map(|(id, server)| (id.as_str(), server.own, &server.speed))
+    }
+}
+
+impl Server {
+    fn new(member: Member) -> Self {
+        Self {
+            member,
+            own: Load::default(),
+            reserved: Vec::new(),
+            peers: HashMap::new(),
+            speed: Speed::new(),
+            health: Health::new(),
+        }
+    }
+
+    fn load(&self, now: Timestamp) -> Load {
+        let peers = self.peers.values();
+        let mut total = peers.fold(self.own, |total, load| total.plus(*load));
+        let reserved = self.reserved.iter().filter(|(_, end)| *end > now);
+        for (share, _) in reserved {
+            total.start(*share);
+        }
+        total
+    }
+
+    fn estimate(&self, demand: &Demand, now: Timestamp) -> Estimate {
+        let load = self.load(now);
+        let slots = self.member.slots.max(1);
+        let wait = match (load.requests + 1).checked_sub(slots) {
+            None | Some(0) => Duration::ZERO,
+            Some(ahead) => self
+                .speed
+                .stay()
+                .mul_f64(f64::from(ahead) / f64::from(slots)),
+        };
+        if demand.prompt == 0 && demand.output == 0 {
+            let total = wait + self.speed.stay();
+            return Estimate {
+                wait,
+                first: total,
+                total,
+            };
+        }
+        let pending = load.prompt.saturating_add(demand.prompt);
+        let first = wait + self.speed.prefill(pending);
+        Estimate {
+            wait,
+            first,
+            total: first + self.speed.decode(demand.output),
+        }
+    }
+
+    /// Predicted time with what the risk of a lost request is worth.
+    fn cost(&self, estimate: &Estimate, demand: &Demand) -> f64 {
+        let risk = self.health.risk();
+        let mut seconds = estimate.total.as_secs_f64() + risk * LOSS_S;
+        let late = estimate.total.saturating_sub(demand.deadline);
+        seconds += late.as_secs_f64() * LOSS_S;
+        if self.member.data_centre != demand.data_centre {
+            seconds += time::seconds(CROSS_PENALTY_S).as_secs_f64();
+        }
+        seconds
+    }
+}
+
+/// Time by which a backend server in another data centre must be better to be chosen; the price
+/// of traffic between data centres, in time.
+const CROSS_PENALTY_S: f64 = 0.005;
--- /dev/null
+++ b/core/src/fleet/load.rs
@@ -0,0 +1,46 @@
+//! Work at a backend server.
+
+/// What one request adds to a backend server's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Share {
+    /// Prompt tokens that must be read before the first event.
+    pub prompt: u32,
+}
+
+/// Work that one router, or all of them, have at a backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests sent and not ended.
+    pub requests: u32,
+    /// Prompt tokens of requests without a first event.
+    pub prompt: u32,
+}
+
+impl Load {
+    /// Both together.
+    pub fn plus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_add(other.requests),
+            prompt: self.prompt.saturating_add(other.prompt),
+        }
+    }
+
+    /// Notes that a request was sent.
+    pub fn start(&mut self, share: Share) {
+        self.requests += 1;
+        self.prompt = self.prompt.saturating_add(share.prompt);
+    }
+
+    /// Notes the first event of a request.
+    pub fn progress(&mut self, share: Share) {
+        self.prompt = self.prompt.saturating_sub(share.prompt);
+    }
+
+    /// Notes the end of a request; `has_begun` tells whether its first event had come.
+    pub fn end(&mut self, share: Share, has_begun: bool) {
+        self.requests = self.requests.saturating_sub(1);
+        if !has_begun {
+            self.prompt = self.prompt.saturating_sub(share.prompt);
+        }
+    }
+}
--- /dev/null
+++ b/core/src/fleet/speed.rs
@@ -0,0 +1,120 @@
+//! Speed of a backend server, learnt from its answers.
+
+use std::time::Duration;
+
+/// Weight of the newest sample in an average.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Weight of what a peer has learnt, each time it tells.
+const PEER_WEIGHT: f64 = 0.05;
+
+/// Time for a token of output before anything is known, in milliseconds; a usual engine's.
+const INITIAL_DECODE_MS: f64 = 5.0;
+
+/// Time for a token of prompt before anything is known, in milliseconds; a usual engine's.
+const INITIAL_PREFILL_MS: f64 = 0.015;
+
+/// Time that a request occupies its slot before anything is known, in milliseconds.
+const INITIAL_STAY_MS: f64 = 300.0;
+
+/// Shortest prompt whose first event tells of the speed of reading prompts, in tokens; the time to
+/// the first event of a shorter one is mostly something else.
+const MIN_PREFILL_SAMPLE: u32 = 1_000;
+
+/// Fewest tokens from which the speed of decoding is learnt.
+const MIN_DECODE_SAMPLE: u32 = 8;
+
+/// Moving averages of what a backend server takes for its work.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Speed {
+    /// Time for a token of output, in milliseconds; none while nothing is known.
+    pub decode_ms: Option<f64>,
+    /// Time for a token of prompt, in milliseconds; none while nothing is known.
+    pub prefill_ms: Option<f64>,
+    /// Time that a request occupies its slot, in milliseconds; none while nothing is known.
+    pub stay_ms: Option<f64>,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Speed {
+    /// Nothing is known.
+    pub const fn new() -> Self {
+        Self {
+            decode_ms: None,
+            prefill_ms: None,
+            stay_ms: None,
+        }
+    }
+
+    /// Time to read so many prompt tokens.
+    pub fn prefill(&self, tokens: u32) -> Duration {
+        let per_token = self.prefill_ms.unwrap_or(INITIAL_PREFILL_MS);
+        millis(per_token * f64::from(tokens))
+    }
+
+    /// Time to write so many output tokens.
+    pub fn decode(&self, tokens: u32) -> Duration {
+        let per_token = self.decode_ms.unwrap_or(INITIAL_DECODE_MS);
+        millis(per_token * f64::from(tokens))
+    }
+
+    /// Time that a request occupies its slot on average.
+    pub fn stay(&self) -> Duration {
+        millis(self.stay_ms.unwrap_or(INITIAL_STAY_MS))
+    }
+
+    /// Learns from the time to a first event.
+    pub fn learn_first(&mut self, prompt: u32, elapsed: Duration) {
+        if prompt >= MIN_PREFILL_SAMPLE {
+            let sample = to_millis(elapsed) / f64::from(prompt);
+            average(&mut self.prefill_ms, sample, SAMPLE_WEIGHT);
+        }
+    }
+
+    /// Learns from the time that `tokens` of output took.
+    pub fn learn_decoding(&mut self, tokens: u32, elapsed: Duration) {
+        if tokens >= MIN_DECODE_SAMPLE {
+            let sample = to_millis(elapsed) / f64::from(tokens);
+            average(&mut self.decode_ms, sample, SAMPLE_WEIGHT);
+        }
+    }
+
+    /// Learns from the time that a request occupied its slot.
+    pub fn learn_stay(&mut self, elapsed: Duration) {
+        average(&mut self.stay_ms, to_millis(elapsed), SAMPLE_WEIGHT);
+    }
+
+    /// Takes in what a peer has learnt.
+    pub fn merge(&mut self, other: &Self) {
+        let pairs = [
+            (&mut self.decode_ms, other.decode_ms),
+            (&mut self.prefill_ms, other.prefill_ms),
+            (&mut self.stay_ms, other.stay_ms),
+        ];
+        for (known, told) in pairs {
+            if let Some(told) = told {
+                average(known, told, PEER_WEIGHT);
+            }
+        }
+    }
+}
+
+fn average(known: &mut Option<f64>, sample: f64, weight: f64) {
+    if !sample.is_finite() || sample < 0.0 {
+        return;
+    }
+    *known = Some(known.map_or(sample, |known| known + (sample - known) * weight));
+}
+
+fn to_millis(elapsed: Duration) -> f64 {
+    elapsed.as_secs_f64() * 1_000.0
+}
+
+fn millis(millis: f64) -> Duration {
+    crate::time::seconds(millis / 1_000.0)
+}
--- a/core/src/floor.rs
+++ b/core/src/floor.rs
@@ -47,6 +47,8 @@
 /// Shed floor as one process knows it.
 pub struct Floor {
     settings: Settings,
+    /// The last shed of this process's own: its rank and until when others should hear of it.
+    own: Option<(Rank, Timestamp)>,
     /// End of each floor that holds. A less urgent floor that ends later is kept, to take effect
     /// when the more urgent ones have ended.
     ends: BTreeMap<Rank, Timestamp>,
@@ -57,6 +59,7 @@
     pub fn new(settings: Settings) -> Self {
         Self {
             settings,
+            own: None,
             ends: BTreeMap::new(),
         }
     }
@@ -87,6 +90,18 @@
         self.merge(Notice { rank, remaining }, now)
     }
 
+    /// Raises the floor as [`Self::raise`] does, for a rank that this process itself sheds.
+    pub fn raise_own(&mut self, rank: Rank, now: Timestamp) -> bool {
+        let rank = self.own(now).map_or(rank, |known| known.min(rank));
+        self.own = Some((rank, now.plus(self.settings.hold)));
+        self.raise(rank, now)
+    }
+
+    /// The most urgent rank that this process itself shed of late.
+    pub fn own(&self, now: Timestamp) -> Option<Rank> {
+        self.own.filter(|(_, end)| *end > now).map(|(rank, _)| rank)
+    }
+
     /// Takes in the floor of another process. Returns whether the current floor changed.
     pub fn merge(&mut self, notice: Notice, now: Timestamp) -> bool {
         if !self.settings.is_enabled || notice.rank == Rank::LAST {
--- a/core/src/rendezvous.rs
+++ b/core/src/rendezvous.rs
@@ -25,6 +25,11 @@
         .collect()
 }
 
+/// A hash that every process computes alike, to split by weight.
+pub fn hash(key: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(key.as_bytes())
+}
+
 fn score(key: &str, name: &str) -> u64 {
     let mut hasher = Xxh3Default::new();
     hasher.update(key.as_bytes());
--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -35,6 +35,12 @@
         }
     }
 
+    /// Takes over other settings; what was saved is cut to the new burst.
+    pub fn adopt(&mut self, settings: Settings) {
+        self.saved = self.saved.min(settings.burst);
+        self.settings = settings;
+    }
+
     /// Notes a request's first attempt.
     pub fn first_attempt(&mut self) {
         self.saved = (self.saved + self.settings.ratio).min(self.settings.burst);
--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -48,7 +48,7 @@
 }
 
 /// The router of the admin listener: `/metrics`, `/live` and `/ready`.
-fn routes(context: Context) -> Router {
+pub fn routes(context: Context) -> Router {
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -2,16 +2,20 @@
 
 use {
     crate::{
-        logging, router,
+        gateway, logging, router,
         settings::{self, Flag, Problems, source::Source},
         sidecar,
     },
     getopts::{Matches, Options},
     miette::{Diagnostic, IntoDiagnostic as _},
     std::process::ExitCode,
+    tamarackdale_platform as platform,
 };
 
 const USAGE: &str = "Usage: tamarackdaled router|sidecar [OPTIONS]
+       tamarackdaled gateway
+
+A gateway takes its settings from the file that TAMARACKDALE_NODE_FILE names.
 
 Every option can also be set by an environment variable: --data-centre by
 TAMARACKDALE_DATA_CENTRE, and so on. An option wins over its variable.";
@@ -58,9 +62,12 @@
         println!("tamarackdaled {}", env!("CARGO_PKG_VERSION"));
         return Ok(ExitCode::SUCCESS);
     }
+    if arguments.first().is_some_and(|name| name == "gateway") {
+        return gateway(matches.opt_present("check-settings"));
+    }
     let Some(role) = role else {
         return Ok(unusable(&miette::miette!(
-            help = "give the role first: tamarackdaled router … or tamarackdaled sidecar …",
+            help = "give the role first: tamarackdaled router …, sidecar … or gateway",
             "no role given"
         )));
     };
@@ -76,6 +83,26 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Runs a gateway, whose settings the platform writes to a file.
+fn gateway(only_check: bool) -> miette::Result<ExitCode> {
+    let settings = platform::Settings::path().and_then(|path| {
+        let settings = platform::Settings::read(&path)?;
+        Ok((path, settings))
+    });
+    let (path, settings) = match settings {
+        Ok(read) => read,
+        Err(error) => return Ok(unusable(&miette::miette!("{error}"))),
+    };
+    if only_check {
+        println!("the settings are usable");
+        return Ok(ExitCode::SUCCESS);
+    }
+    let instance = settings.instance.clone();
+    logging::start(log::LevelFilter::Info, "gateway", instance).into_diagnostic()?;
+    gateway::run(path, settings).into_diagnostic()?;
+    Ok(ExitCode::SUCCESS)
+}
+
 fn launch(settings: Settings) -> miette::Result<()> {
     match settings {
         Settings::Router(settings) => {
--- a/daemon/src/configuration.rs
+++ b/daemon/src/configuration.rs
@@ -29,7 +29,7 @@
         sync::{Arc, atomic::AtomicUsize},
     },
     tamarackdale_core::document::Revision,
-    tamarackdale_platform::{kv, list},
+    tamarackdale_store::{kv, list},
     tokio::sync::{mpsc, watch},
 };
 
--- a/daemon/src/configuration/bootstrap.rs
+++ b/daemon/src/configuration/bootstrap.rs
@@ -14,7 +14,7 @@
         document::Revision,
         quorum::{self, Answer},
     },
-    tamarackdale_platform::{key, kv},
+    tamarackdale_store::{key, kv},
     tokio::time::sleep,
 };
 
--- a/daemon/src/configuration/follower.rs
+++ b/daemon/src/configuration/follower.rs
@@ -7,7 +7,7 @@
         sync::atomic::Ordering,
         time::{Duration, Instant},
     },
-    tamarackdale_platform::{
+    tamarackdale_store::{
         key,
         kv::{self, Change},
     },
--- a/daemon/src/configuration/keeper.rs
+++ b/daemon/src/configuration/keeper.rs
@@ -5,7 +5,7 @@
     derive_more::Display,
     std::{net::SocketAddr, sync::Arc},
     tamarackdale_core::{adoption::Adoption, document::Revision},
-    tamarackdale_platform::{key, kv},
+    tamarackdale_store::{key, kv},
     tamarackdale_wire::message::Document,
     tokio::sync::{mpsc, watch},
 };
--- a/daemon/src/configuration/peer.rs
+++ b/daemon/src/configuration/peer.rs
@@ -7,7 +7,7 @@
     http_body_util::{BodyExt as _, Full},
     hyper::{Request, body::Incoming},
     std::{net::SocketAddr, time::Duration},
-    tamarackdale_platform::http,
+    tamarackdale_store::http,
     tamarackdale_wire::{
         Digest, Status,
         codec::{self, Splitter},
--- a/daemon/src/configuration/roster.rs
+++ b/daemon/src/configuration/roster.rs
@@ -4,7 +4,7 @@
     super::Context,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_core::spread::{self, Candidate},
-    tamarackdale_platform::list::{self, Member, Role},
+    tamarackdale_store::list::{self, Member, Role},
     tokio::{sync::watch, time::sleep},
 };
 
--- /dev/null
+++ b/daemon/src/gateway.rs
@@ -0,0 +1,225 @@
+//! The gateway: a router that sends callers' requests to backend servers itself.
+//!
+//! It runs on the platform of the `tamarackdale-platform` adapter, where answers do not pass a
+//! sidecar. Gateways tell each other what they have at each backend server ([`peers`]), so that
+//! each of them knows the load of all.
+
+pub mod callers;
+pub mod context;
+pub mod follower;
+pub mod peers;
+pub mod pool;
+pub mod refusal;
+pub mod relay;
+pub mod scheduler;
+
+use {
+    self::{context::Context, follower::Follower, pool::Pool, scheduler::Scheduler},
+    crate::{
+        admin,
+        duty::Duty,
+        http::Server,
+        metrics::Metrics,
+        signal::Shutdown,
+        uptime::{self, Clock},
+    },
+    gotham::{
+        middleware::state::StateMiddleware,
+        pipeline::{single_middleware, single_pipeline},
+        router::{
+            Router,
+            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+        },
+    },
+    rand::Rng as _,
+    std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    tamarackdale_platform::Settings,
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        sync::watch,
+        time::sleep,
+    },
+    tokio_util::sync::CancellationToken,
+};
+
+/// Time from SIGTERM to the end of listening: the balancer asks every second and takes an instance
+/// out after two misses.
+const UNREADY_DELAY: Duration = Duration::from_millis(3_500);
+
+/// Part of the grace period that is left for the process's own end.
+const EXIT_RESERVE: Duration = Duration::from_millis(400);
+
+/// Descriptors that are kept for everything but callers: backend servers, peers, store and files.
+const RESERVED_DESCRIPTORS: usize = 900;
+
+/// Pause between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Runs a gateway with the settings file at `path` until it has been told to end.
+///
+/// Fails when a listener cannot be bound or a thread cannot be started.
+pub fn run(path: PathBuf, settings: Settings) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let shutdown = Shutdown::new();
+    let clock = Clock::new();
+    let scheduler = Arc::new(Scheduler::new(clock, &settings));
+    let (publisher, followed) = follower::channels();
+    let following = Follower::new(&settings, publisher, shutdown.clone());
+    let duty = Duty::spawn_async("follower", following.run())?;
+    let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
+    let context = Context {
+        clock,
+        boot: rand::rng().random(),
+        settings: settings_receiver,
+        followed,
+        scheduler,
+        pool: Arc::new(Pool::new()),
+        publication: Arc::default(),
+        acquaintance: Arc::default(),
+        introduced: watch::Sender::new(None),
+        metrics: Metrics::new().map_err(io::Error::other)?,
+        closing: shutdown.closing.clone(),
+    };
+    log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
+    let watched = watch_settings(path, settings_sender, shutdown.closing.clone());
+    let served = runtime.block_on(async {
+        tokio::select! {
+            served = serve(&settings, &shutdown, context) => served,
+            error = watched => error,
+        }
+    });
+    shutdown.closing.cancel();
+    shutdown.cutting.cancel();
+    drop(runtime);
+    duty.join();
+    log::info!("stopped");
+    served
+}
+
+async fn serve(settings: &Settings, shutdown: &Shutdown, context: Context) -> io::Result<()> {
+    let is_ready = readiness(&context);
+    let admin_context = admin::Context {
+        metrics: context.metrics.clone(),
+        is_ready,
+    };
+    let most = settings
+        .descriptors
+        .saturating_sub(RESERVED_DESCRIPTORS)
+        .max(64);
+    let idle = context.clone();
+    let callers = Server::bind(
+        "callers",
+        settings.callers,
+        most,
+        callers::routes(context.clone()),
+    )
+    .await?
+    .with_header_timeout(move || idle.idle_timeout());
+    let readiness = bind_admin("readiness", settings.readiness, &admin_context).await?;
+    let metrics = bind_admin(
+        "metrics",
+        SocketAddr::new(settings.address, METRICS_PORT),
+        &admin_context,
+    )
+    .await?;
+    let peers = Server::bind(
+        "peers",
+        settings.peers,
+        MAX_PEERS,
+        peer_routes(context.clone()),
+    )
+    .await?;
+    let unready = shutdown.with_closing(CancellationToken::new());
+    let drained = shutdown.with_closing(CancellationToken::new());
+    let finished = CancellationToken::new();
+    let announce = async {
+        shutdown.closing.cancelled().await;
+        sleep(UNREADY_DELAY).await;
+        unready.closing.cancel();
+    };
+    let drain = async {
+        tokio::join!(callers.serve(&unready), announce);
+        drained.closing.cancel();
+        // Peers follow for as long as they like; nothing of theirs is lost.
+        shutdown.cutting.cancel();
+    };
+    let serving = async {
+        tokio::join!(
+            drain,
+            peers.serve(&drained),
+            readiness.serve(&drained),
+            metrics.serve(&drained),
+        );
+        finished.cancel();
+    };
+    let limit = settings.bounds.grace.saturating_sub(EXIT_RESERVE);
+    let exchange = peers::run(context.clone());
+    let (watched, ()) = tokio::select! {
+        ended = async { tokio::join!(shutdown.watch(limit, finished.clone()), serving) } => ended,
+        () = exchange => unreachable!("the exchange with peers does not end"),
+    };
+    watched
+}
+
+/// Port of the metrics listener, as the deploy file states it.
+const METRICS_PORT: u16 = 9_464;
+
+/// Connections of peers and probes that are held at once.
+const MAX_PEERS: usize = 512;
+
+async fn bind_admin(
+    name: &'static str,
+    address: SocketAddr,
+    context: &admin::Context,
+) -> io::Result<Server<Router>> {
+    Server::bind(name, address, MAX_PEERS, admin::routes(context.clone())).await
+}
+
+/// The router of the peers' listener.
+fn peer_routes(context: Context) -> Router {
+    let middleware = StateMiddleware::new(context);
+    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
+    build_router(chain, pipelines, |route| {
+        route
+            .post(tamarackdale_wire::path::SUMMARIES)
+            .to_async(peers::publish);
+    })
+}
+
+/// A gateway is ready while its configuration is proved and it knows backend servers.
+fn readiness(context: &Context) -> Arc<dyn Fn() -> bool + Send + Sync> {
+    let context = context.clone();
+    Arc::new(move || {
+        let is_proved = context
+            .snapshot()
+            .is_some_and(|snapshot| snapshot.freshness.is_proved(uptime::boot_time()));
+        !context.closing.is_cancelled() && is_proved && context.scheduler.has_servers()
+    })
+}
+
+/// Reads the settings again at SIGHUP and when the file has changed. What cannot be used is
+/// refused with a log line and the settings stay.
+async fn watch_settings(
+    path: PathBuf,
+    sender: watch::Sender<Arc<Settings>>,
+    closing: CancellationToken,
+) -> io::Result<()> {
+    let mut hangup = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = hangup.recv() => {}
+            () = sleep(SETTINGS_INTERVAL) => {}
+            () = closing.cancelled() => std::future::pending().await,
+        }
+        match Settings::read(&path) {
+            Ok(settings) if settings == **sender.borrow() => {}
+            Ok(settings) => {
+                log::info!(path:? = path; "settings reloaded");
+                sender.send_replace(Arc::new(settings));
+            }
+            Err(error) => log::warn!(path:? = path; "settings not reloaded: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/gateway/context.rs
@@ -0,0 +1,61 @@
+//! What the handlers of a gateway share.
+
+use {
+    super::{
+        follower::{Followed, Snapshot},
+        peers::{Acquaintance, Publication},
+        pool::Pool,
+        scheduler::Scheduler,
+    },
+    crate::{metrics::Metrics, uptime::Clock},
+    gotham::state::StateData,
+    std::{net::SocketAddr, panic::RefUnwindSafe, sync::Arc, time::Duration},
+    tamarackdale_platform::Settings,
+    tokio::sync::watch,
+    tokio_util::sync::CancellationToken,
+};
+
+/// What the handlers of a gateway share.
+#[derive(Clone)]
+pub struct Context {
+    /// The process's clock.
+    pub clock: Clock,
+    /// Random number of this start.
+    pub boot: u64,
+    /// Settings as they are now.
+    pub settings: watch::Receiver<Arc<Settings>>,
+    /// What the platform's store says.
+    pub followed: Followed,
+    /// Decides where and when requests run.
+    pub scheduler: Arc<Scheduler>,
+    /// Connections to backend servers.
+    pub pool: Arc<Pool>,
+    /// The stream of this gateway's summaries.
+    pub publication: Arc<Publication>,
+    /// The peers that are known.
+    pub acquaintance: Arc<Acquaintance>,
+    /// The peer that introduced itself last.
+    pub introduced: watch::Sender<Option<SocketAddr>>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    /// Set while the process is closing.
+    pub closing: CancellationToken,
+}
+
+impl Context {
+    /// The newest configuration, once there is one.
+    pub fn snapshot(&self) -> Option<Arc<Snapshot>> {
+        self.followed.configuration.borrow().clone()
+    }
+
+    /// Time that a caller's connection may stay idle.
+    pub fn idle_timeout(&self) -> Duration {
+        let limits = self.snapshot().map(|snapshot| snapshot.directory.limits());
+        limits.unwrap_or_default().idle_timeout
+    }
+}
+
+impl StateData for Context {}
+
+/// The handlers change the context only through its own locks and channels.
+impl RefUnwindSafe for Context {}
--- /dev/null
+++ b/daemon/src/gateway/peers.rs
@@ -0,0 +1,328 @@
+//! The exchange of summaries between gateways.
+//!
+//! Each gateway publishes its summary on one stream that any number of peers read, and reads the
+//! streams of the peers it knows: those that are registered in the store, and those that have
+//! introduced themselves.
+
+use {
+    super::context::Context,
+    crate::http::body,
+    bytes::Bytes,
+    futures_util::stream,
+    gotham::{
+        handler::HandlerResult,
+        helpers::http::Body,
+        hyper::{Response, StatusCode, body::Frame},
+        state::{FromState as _, State},
+    },
+    http_body_util::BodyExt as _,
+    hyper::body::Incoming,
+    std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration},
+    tamarackdale_core::summary::{Entry, Summary},
+    tamarackdale_store::http,
+    tamarackdale_wire::{
+        codec::{self, Splitter},
+        path,
+        summary::{Frame as Message, Introduction},
+    },
+    tokio::{
+        sync::broadcast,
+        task::JoinSet,
+        time::{Instant, interval, sleep, timeout},
+    },
+};
+
+/// Pause between two summaries while something changes.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Summaries after which one is sent though nothing has changed, so that peers hear that this
+/// gateway lives.
+const QUIET_ROUNDS: u32 = 8;
+
+/// Summaries after which speeds are told again.
+const SPEED_ROUNDS: u32 = 20;
+
+/// Silence after which a peer is taken to be out of reach.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
+
+/// Pause before a peer is tried again.
+const RECONNECT_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Time after which a peer that is out of reach is no longer known: the window in which quotas are
+/// counted has passed since it was heard.
+const FORGET_AFTER: Duration = Duration::from_secs(10);
+
+/// Summaries that a slow reader may be behind before it gets a full one instead.
+const BEHIND: usize = 8;
+
+/// The stream of this gateway's summaries.
+pub struct Publication {
+    sender: broadcast::Sender<Bytes>,
+}
+
+impl Default for Publication {
+    fn default() -> Self {
+        let (sender, _) = broadcast::channel(BEHIND);
+        Self { sender }
+    }
+}
+
+/// Peers by address, each with when it was last heard; none while it is being heard.
+#[derive(Default)]
+pub struct Acquaintance {
+    peers: Mutex<HashMap<SocketAddr, Option<Instant>>>,
+}
+
+impl Acquaintance {
+    /// Notes a peer; returns whether it is new.
+    fn meet(&self, address: SocketAddr) -> bool {
+        let mut peers = self.lock();
+        let is_new = !peers.contains_key(&address);
+        peers.entry(address).or_insert(Some(Instant::now()));
+        is_new
+    }
+
+    fn hear(&self, address: SocketAddr) {
+        self.lock().insert(address, None);
+    }
+
+    fn lose(&self, address: SocketAddr) {
+        let mut peers = self.lock();
+        let known = peers.entry(address).or_default();
+        if known.is_none() {
+            *known = Some(Instant::now());
+        }
+    }
+
+    /// Drops a peer that has been out of reach for too long; returns whether it did.
+    fn drop_stale(&self, address: SocketAddr) -> bool {
+        let mut peers = self.lock();
+        let lost = peers.get(&address).copied().flatten();
+        let is_stale = lost.is_some_and(|lost| lost.elapsed() > FORGET_AFTER);
+        if is_stale {
+            peers.remove(&address);
+        }
+        is_stale
+    }
+
+    /// Gateways that are heard, and those that are known; this one counts in both.
+    fn count(&self) -> (usize, usize) {
+        let peers = self.lock();
+        let heard = peers.values().filter(|lost| lost.is_none()).count();
+        (heard + 1, peers.len() + 1)
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Option<Instant>>> {
+        self.peers
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
+
+/// Publishes summaries and follows peers for ever.
+pub async fn run(context: Context) {
+    tokio::join!(
+        publish_all(&context),
+        follow_all(&context),
+        adopt_rosters(&context)
+    );
+}
+
+async fn adopt_rosters(context: &Context) {
+    let mut roster = context.followed.roster.clone();
+    loop {
+        let known = roster.borrow_and_update().clone();
+        context.scheduler.adopt(&known);
+        context.pool.prune(&known);
+        if timeout(Duration::from_secs(1), roster.changed())
+            .await
+            .is_ok_and(|end| end.is_err())
+        {
+            return std::future::pending().await;
+        }
+    }
+}
+
+async fn publish_all(context: &Context) {
+    let mut ticks = interval(INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut told = Summary::default();
+    let mut round = 0_u32;
+    let mut quiet = 0_u32;
+    loop {
+        ticks.tick().await;
+        context.scheduler.pump();
+        round = round.wrapping_add(1);
+        let full = context.scheduler.summary();
+        let changed = difference(&told, &full, round.is_multiple_of(SPEED_ROUNDS));
+        quiet = if is_empty(&changed) { quiet + 1 } else { 0 };
+        told = full;
+        if quiet > 0 && !quiet.is_multiple_of(QUIET_ROUNDS) {
+            continue;
+        }
+        match codec::encode_item(&Message::new(context.boot, &changed)) {
+            // Fails only while nobody reads.
+            Ok(bytes) => drop(context.publication.sender.send(bytes)),
+            Err(error) => log::error!("summary not published: {error}"),
+        }
+    }
+}
+
+fn is_empty(summary: &Summary) -> bool {
+    summary.entries.is_empty() && summary.usages.is_empty() && summary.floors.is_empty()
+}
+
+/// What a peer that knows `told` must hear to know `full`.
+fn difference(told: &Summary, full: &Summary, with_speed: bool) -> Summary {
+    let entries = full.entries.iter().filter_map(|entry| {
+        let known = told.entries.iter().find(|known| known.id == entry.id);
+        let has_changed = match known {
+            Some(known) => known.load != entry.load,
+            None => true,
+        };
+        (with_speed || has_changed).then(|| Entry {
+            speed: entry.speed.filter(|_| with_speed || known.is_none()),
+            ..entry.clone()
+        })
+    });
+    let usages = full.usages.iter().filter(|usage| {
+        let known = told
+            .usages
+            .iter()
+            .find(|known| known.organisation == usage.organisation);
+        known.is_none_or(|known| known.total != usage.total)
+    });
+    Summary {
+        entries: entries.collect(),
+        usages: usages.cloned().collect(),
+        floors: full.floors.clone(),
+    }
+}
+
+/// Answers a peer with the stream of summaries.
+pub async fn publish(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let introduction = body::read(Body::take_from(&mut state), 1024).await;
+    let address = introduction
+        .ok()
+        .and_then(|bytes| codec::decode::<Introduction>(&bytes).ok())
+        .and_then(|introduction| introduction.address.parse().ok());
+    let Some(address) = address else {
+        log::warn!("a peer's introduction cannot be read");
+        return Ok((state, body::status(StatusCode::BAD_REQUEST)));
+    };
+    context.introduced.send_replace(Some(address));
+    let reader = context.publication.sender.subscribe();
+    let first = full(&context);
+    let frames = stream::unfold(
+        (Some(first), reader, context),
+        |(first, mut reader, context)| async move {
+            if let Some(first) = first {
+                return Some((Ok(Frame::data(first)), (None, reader, context)));
+            }
+            let bytes = match reader.recv().await {
+                Ok(bytes) => bytes,
+                Err(broadcast::error::RecvError::Lagged(_)) => full(&context),
+                Err(broadcast::error::RecvError::Closed) => return None,
+            };
+            Some((Ok(Frame::data(bytes)), (None, reader, context)))
+        },
+    );
+    Ok((state, Response::new(body::stream(frames))))
+}
+
+fn full(context: &Context) -> Bytes {
+    let message = Message::new(context.boot, &context.scheduler.summary());
+    codec::encode_item(&message).unwrap_or_else(|error| {
+        log::error!("summary not published: {error}");
+        Bytes::new()
+    })
+}
+
+/// Follows every peer that is registered or introduces itself.
+async fn follow_all(context: &Context) {
+    let own = context.settings.borrow().peers;
+    let mut gateways = context.followed.gateways.clone();
+    let mut introduced = context.introduced.subscribe();
+    let mut followers = JoinSet::new();
+    loop {
+        let registered = gateways.borrow_and_update().clone();
+        let newcomer = *introduced.borrow_and_update();
+        for address in registered.iter().copied().chain(newcomer) {
+            if address != own && context.acquaintance.meet(address) {
+                followers.spawn(follow(context.clone(), address));
+            }
+        }
+        tokio::select! {
+            _ = gateways.changed() => {}
+            _ = introduced.changed() => {}
+            Some(_) = followers.join_next() => {}
+        }
+    }
+}
+
+/// Follows one peer until it has been out of reach for too long.
+async fn follow(context: Context, address: SocketAddr) {
+    let client = http::Client::new(&format!("http://{address}"), SILENCE_LIMIT);
+    let introduction = Introduction {
+        address: context.settings.borrow().peers.to_string(),
+    };
+    let Ok(introduction) = codec::encode(&introduction) else {
+        return;
+    };
+    loop {
+        match client.open(path::SUMMARIES, introduction.clone()).await {
+            Ok(body) => read(&context, address, body).await,
+            Err(error) => log::debug!(peer:% = address; "peer not reached: {error}"),
+        }
+        context.acquaintance.lose(address);
+        update_share(&context);
+        if context.acquaintance.drop_stale(address) {
+            log::info!(peer:% = address; "peer forgotten");
+            update_share(&context);
+            return;
+        }
+        sleep(RECONNECT_INTERVAL).await;
+    }
+}
+
+fn update_share(context: &Context) {
+    let (visible, known) = context.acquaintance.count();
+    context.scheduler.set_peers(visible, known);
+}
+
+async fn read(context: &Context, address: SocketAddr, mut body: Incoming) {
+    let mut splitter = Splitter::new();
+    let mut boot = None;
+    while let Ok(Some(Ok(frame))) = timeout(SILENCE_LIMIT, body.frame()).await {
+        if let Some(bytes) = frame.data_ref() {
+            splitter.push(bytes);
+        }
+        loop {
+            match splitter.next_item::<Message>() {
+                Ok(Some(message)) => {
+                    if boot.replace(message.boot).is_none() {
+                        context.acquaintance.hear(address);
+                        update_share(context);
+                        log::info!(peer:% = address, boot = message.boot; "peer heard");
+                    }
+                    take(context, message);
+                }
+                Ok(None) => break,
+                Err(error) => {
+                    log::warn!(peer:% = address; "broken summaries: {error}");
+                    break;
+                }
+            }
+        }
+    }
+    if let Some(boot) = boot {
+        context.scheduler.forget(boot);
+        log::info!(peer:% = address, boot; "peer lost");
+    }
+}
+
+fn take(context: &Context, message: Message) {
+    let boot = message.boot;
+    context.scheduler.merge(boot, &message.into());
+}
--- /dev/null
+++ b/daemon/src/gateway/relay.rs
@@ -0,0 +1,246 @@
+//! Brings a request to a backend server and its answer back.
+
+mod exchange;
+mod stream;
+
+use {
+    self::exchange::{Ending, Exchange},
+    super::{
+        context::Context,
+        refusal::{Cause, Refusal},
+        scheduler::Ask,
+    },
+    crate::{http::body, metrics::Labels, uptime},
+    bytes::Bytes,
+    gotham::{
+        helpers::http::Body,
+        hyper::{HeaderMap, Method, Response, Uri},
+    },
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{
+        directory::{Organisation, Route},
+        dispatch::{Dispatch, Setback, Step},
+        fleet::Choice,
+        patience, rendezvous,
+        time::Timestamp,
+    },
+    tamarackdale_platform::request::Head,
+};
+
+/// Part of the route's time by which a caller's stated time may be shorter before it counts as one
+/// that comes back after a refusal.
+const RETURNING_PART: f64 = 0.95;
+
+/// A caller's request that may run.
+pub struct Request {
+    /// What its headers say.
+    pub head: Head,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub uri: Uri,
+    /// Headers as they came.
+    pub headers: HeaderMap,
+    /// Whole body.
+    pub body: Bytes,
+    /// When it was accepted.
+    pub accepted: Timestamp,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Whose it is.
+    pub organisation: Option<Arc<Organisation>>,
+    /// What it took from the organisation's quota.
+    pub cost: f64,
+}
+
+/// A request on its way, with what was tried.
+struct Job {
+    context: Context,
+    request: Request,
+    service: String,
+    dispatch: Dispatch,
+    excluded: Vec<String>,
+    deadline: Timestamp,
+    last_event: Option<u64>,
+}
+
+/// Runs the request and answers.
+pub async fn run(context: &Context, request: Request) -> Response<Body> {
+    let route = &request.route;
+    let hash = rendezvous::hash(&request.head.id);
+    let service = route.target(hash).unwrap_or_default().to_owned();
+    context.scheduler.count_request(&service);
+    let time_left = request
+        .head
+        .time_left
+        .map_or(route.timeout, |left| left.min(route.timeout));
+    let job = Job {
+        context: context.clone(),
+        dispatch: Dispatch::new(route.repetition, route.attempts),
+        excluded: Vec::new(),
+        deadline: request.accepted.plus(time_left),
+        last_event: request.head.last_event,
+        service,
+        request,
+    };
+    job.run().await
+}
+
+impl Job {
+    async fn run(mut self) -> Response<Body> {
+        match self.attempt().await {
+            Ok(exchange) => self.respond(exchange).await,
+            Err(cause) => self.refuse(cause),
+        }
+    }
+
+    /// Sends the request until a backend server answers, or until it must be given up.
+    async fn attempt(&mut self) -> Result<Exchange, Cause> {
+        loop {
+            let choice = match self.place().await {
+                Ok(choice) => choice,
+                Err(cause) => return Err(self.give_up(cause)),
+            };
+            if self.dispatch.sent() > 0 && !self.context.scheduler.may_repeat(&self.service) {
+                return Err(self.give_up(Cause::NotExecuted));
+            }
+            let setback = match self.exchange(&choice).await {
+                Ok(exchange) => return Ok(exchange),
+                Err(Ending::GivenUp(cause)) => return Err(cause),
+                Err(Ending::Setback(setback)) => setback,
+            };
+            let step = self.dispatch.fail(setback);
+            self.excluded.push(choice.member.id);
+            log::info!(
+                request = self.request.head.id.as_str(),
+                backend_server = self.excluded.last().map(String::as_str).unwrap_or_default(),
+                setback:? = setback,
+                verdict:% = self.dispatch.verdict();
+                "moved or given up"
+            );
+            match step {
+                Step::Resend => {}
+                Step::Refuse => return Err(Cause::NotExecuted),
+                Step::Fail => return Err(Cause::BackendServer),
+            }
+        }
+    }
+
+    async fn place(&self) -> Result<Choice, Cause> {
+        let route = &self.request.route;
+        let tokens = self.request.head.tokens;
+        let organisation = self.request.organisation.as_ref();
+        let stated = self.request.head.time_left.unwrap_or(route.timeout);
+        let ask = Ask {
+            service: self.service.clone(),
+            rank: organisation.and_then(|own| own.rank).unwrap_or(route.rank),
+            prompt: tokens.map_or(0, |tokens| tokens.prompt),
+            output: tokens.map_or(0, |tokens| tokens.output),
+            excluded: self.excluded.clone(),
+            accepted: self.request.accepted,
+            objective: route.objective,
+            deadline: self.deadline,
+            is_returning: stated < route.timeout.mul_f64(RETURNING_PART),
+        };
+        let choice = self.context.scheduler.place(ask).await?;
+        if self.time_left().is_zero() {
+            return Err(Cause::TimeoutUnsent);
+        }
+        Ok(choice)
+    }
+
+    async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, Ending> {
+        // The configuration may have gone stale while the request waited.
+        if self.request.organisation.is_some() && !self.is_proved() {
+            return Err(Ending::GivenUp(self.give_up(Cause::NotProved)));
+        }
+        exchange::run(self, choice).await
+    }
+
+    fn is_proved(&self) -> bool {
+        let snapshot = self.context.snapshot();
+        snapshot.is_some_and(|snapshot| snapshot.freshness.is_proved(uptime::boot_time()))
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.since(self.context.clock.now())
+    }
+
+    /// The cause of the end of a request that is not sent again: once it may have run, a refusal
+    /// would be untrue.
+    fn give_up(&self, refusal: Cause) -> Cause {
+        match self.dispatch.give_up() {
+            Step::Fail => Cause::BackendServer,
+            Step::Refuse | Step::Resend => refusal,
+        }
+    }
+
+    async fn respond(self, exchange: Exchange) -> Response<Body> {
+        if exchange.is_stream() {
+            return stream::respond(self, exchange);
+        }
+        match exchange.read_whole().await {
+            Ok((parts, bytes)) => {
+                self.finish("answered");
+                Response::from_parts(parts, body::whole(bytes))
+            }
+            Err(()) => self.retry_or_fail().await,
+        }
+    }
+
+    /// An answer broke off before any of it was passed on.
+    async fn retry_or_fail(mut self) -> Response<Body> {
+        match self.dispatch.fail(Setback::Lost) {
+            Step::Resend => Box::pin(self.run()).await,
+            Step::Refuse | Step::Fail => self.refuse(Cause::BackendServer),
+        }
+    }
+
+    fn refuse(&self, cause: Cause) -> Response<Body> {
+        let organisation = self.request.organisation.as_ref();
+        let has_run = matches!(cause, Cause::BackendServer | Cause::Timeout);
+        if let Some(organisation) = organisation.filter(|_| !has_run) {
+            self.context
+                .scheduler
+                .refund(&organisation.name, self.request.cost);
+        }
+        let mut refusal = Refusal::new(cause);
+        if !has_run {
+            let random = self.context.scheduler.random();
+            refusal = refusal.with_retry_after(patience::retry_after(self.time_left(), random));
+        }
+        self.finish(&cause.to_string());
+        refusal.response(&self.request.head.id)
+    }
+
+    /// Output tokens in so many events, but for the first, which came with the prompt.
+    fn output_tokens(&self, events: u32) -> u32 {
+        let snapshot = self.context.snapshot();
+        let engine = snapshot
+            .as_ref()
+            .and_then(|snapshot| snapshot.directory.service(&self.service)?.engine);
+        let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
+        events.saturating_sub(1).saturating_mul(per_event)
+    }
+
+    /// Logs and counts the end of the request.
+    fn finish(&self, outcome: &str) {
+        let elapsed = self.context.clock.now().since(self.request.accepted);
+        let rank = self.request.route.rank.to_string();
+        let labels = Labels {
+            service: &self.service,
+            tier: &rank,
+        };
+        self.context.metrics.count_request(labels, outcome, elapsed);
+        log::info!(
+            request = self.request.head.id.as_str(),
+            route = self.request.route.name.as_str(),
+            service = self.service.as_str(),
+            outcome,
+            verdict:% = self.dispatch.verdict(),
+            sent = self.dispatch.sent(),
+            elapsed_ms = elapsed.as_millis() as u64;
+            "ended"
+        );
+    }
+}
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -28,6 +28,7 @@
     listener: TcpListener,
     handler: Arc<H>,
     connections: Arc<Semaphore>,
+    header_timeout: Arc<dyn Fn() -> Duration + Send + Sync>,
 }
 
 impl<H> Server<H>
@@ -51,9 +52,19 @@
             listener,
             handler: Arc::new(handler),
             connections: Arc::new(Semaphore::new(max_connections)),
+            header_timeout: Arc::new(|| HEADER_READ_TIMEOUT),
         })
     }
 
+    /// Sets how long a new connection may take for the next request's head, idle time included.
+    pub fn with_header_timeout(
+        mut self,
+        timeout: impl Fn() -> Duration + Send + Sync + 'static,
+    ) -> Self {
+        self.header_timeout = Arc::new(timeout);
+        self
+    }
+
     /// Serves until closing, then ends each connection after the request it carries; at cutting,
     /// ends them all.
     pub async fn serve(self, shutdown: &Shutdown) {
@@ -118,7 +129,7 @@
         });
         http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(HEADER_READ_TIMEOUT)
+            .header_read_timeout((self.header_timeout)())
             .max_buf_size(MAX_HEADER_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service)
     }
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -1,12 +1,14 @@
-//! `tamarackdaled`, the daemon of tamarackdale, in one of two roles.
+//! `tamarackdaled`, the daemon of tamarackdale, in one of three roles.
 //!
 //! A *router* takes callers' requests, chooses a sidecar for each and relays the answer. A
-//! *sidecar* runs beside one backend server, queues requests in tier order and dispatches them.
+//! *sidecar* runs beside one backend server, queues requests in tier order and dispatches them. A
+//! *gateway* is a router that sends to backend servers itself, on the users' platform.
 
 pub mod admin;
 pub mod cli;
 pub mod configuration;
 pub mod duty;
+pub mod gateway;
 pub mod http;
 pub mod logging;
 pub mod metrics;
--- a/daemon/src/router/claims.rs
+++ b/daemon/src/router/claims.rs
@@ -15,7 +15,7 @@
     crate::{duty::Duty, signal::Shutdown, uptime::Clock},
     std::{io, time::Duration},
     tamarackdale_core::failure::{Failure, Reason},
-    tamarackdale_platform::kv,
+    tamarackdale_store::kv,
     tokio::sync::{mpsc, oneshot, watch},
 };
 
--- a/daemon/src/router/claims/call.rs
+++ b/daemon/src/router/claims/call.rs
@@ -1,6 +1,6 @@
 //! Calls for one claim, and their outcomes.
 
-use {tamarackdale_platform::kv, tokio::sync::oneshot};
+use {tamarackdale_store::kv, tokio::sync::oneshot};
 
 /// Message to the claims duty.
 pub(super) struct Command {
--- a/daemon/src/router/claims/duty.rs
+++ b/daemon/src/router/claims/duty.rs
@@ -8,7 +8,7 @@
     crate::uptime::Clock,
     std::{collections::HashSet, time::Duration},
     tamarackdale_core::breaker::Breaker,
-    tamarackdale_platform::kv,
+    tamarackdale_store::kv,
     tokio::{
         sync::{mpsc, oneshot, watch},
         task::JoinSet,
--- a/daemon/src/router/claims/lease.rs
+++ b/daemon/src/router/claims/lease.rs
@@ -5,7 +5,7 @@
         claim::{LEASE, LEASE_ROTATION},
         time::Timestamp,
     },
-    tamarackdale_platform::kv,
+    tamarackdale_store::kv,
 };
 
 /// Keeps a lease at hand that is young enough.
--- a/daemon/src/router/membership.rs
+++ b/daemon/src/router/membership.rs
@@ -16,7 +16,7 @@
         limit::Share,
         subscription,
     },
-    tamarackdale_platform::list::{self, Member, Role},
+    tamarackdale_store::list::{self, Member, Role},
     tokio::{sync::mpsc, task::JoinSet, time::sleep},
     tokio_util::sync::CancellationToken,
 };
--- a/daemon/src/router/membership/follower.rs
+++ b/daemon/src/router/membership/follower.rs
@@ -10,7 +10,7 @@
     hyper::{Request, body::Incoming},
     std::time::Duration,
     tamarackdale_core::{id::Boot, report::Report},
-    tamarackdale_platform::list::Member,
+    tamarackdale_store::list::Member,
     tamarackdale_wire::{self as wire, codec::Splitter, path},
     tokio::{
         sync::mpsc,
--- a/daemon/src/router/relay/claim.rs
+++ b/daemon/src/router/relay/claim.rs
@@ -17,7 +17,7 @@
         time::Timestamp,
         verdict::Verdict,
     },
-    tamarackdale_platform::kv,
+    tamarackdale_store::kv,
     tamarackdale_wire::{Frame, claim, codec, message::Resume},
 };
 
--- a/daemon/src/uptime.rs
+++ b/daemon/src/uptime.rs
@@ -1,6 +1,18 @@
 //! The process's monotonic clock.
 
-use {std::time::Instant, tamarackdale_core::time::Timestamp};
+use {
+    rustix::time::{ClockId, clock_gettime},
+    std::time::Instant,
+    tamarackdale_core::{freshness::BootTime, time::Timestamp},
+};
+
+/// The present time of the clock that goes on while the machine is suspended.
+pub fn boot_time() -> BootTime {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    BootTime(seconds * 1_000 + nanos / 1_000_000)
+}
 
 /// Clock that starts when the process does.
 #[derive(Clone, Copy, Debug)]
--- a/platform/src/http.rs
+++ b/store/src/http.rs
@@ -123,7 +123,12 @@
 
     /// Reads the endpoint itself.
     pub async fn get(&self) -> Result<Bytes, Error> {
-        let request = Request::get(&self.endpoint)
+        self.fetch("").await
+    }
+
+    /// Reads a path below the endpoint.
+    pub async fn fetch(&self, path: &str) -> Result<Bytes, Error> {
+        let request = Request::get(format!("{}{path}", self.endpoint))
             .body(Full::default())
             .map_err(|error| Error::Connect(error.to_string()))?;
         self.bounded(async { read(self.send(request).await?.into_body()).await })
--- a/platform/tests/kv.rs
+++ b/store/tests/kv.rs
@@ -3,7 +3,7 @@
 use {
     rstest::rstest,
     std::time::{Duration, Instant},
-    tamarackdale_platform::kv::{Change, Client, Creation, Error, Swap, Watch},
+    tamarackdale_store::kv::{Change, Client, Creation, Error, Swap, Watch},
     tamarackdale_testbed::store::{Call, Outage, Store},
     tokio::time::timeout,
 };
--- a/platform/tests/list.rs
+++ b/store/tests/list.rs
@@ -2,7 +2,7 @@
 
 use {
     std::time::{Duration, Instant},
-    tamarackdale_platform::list::{Client, Error, Member, Role},
+    tamarackdale_store::list::{Client, Error, Member, Role},
     tamarackdale_testbed::list::{Instance, List},
 };
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod path;
 pub mod report;
 pub mod status;
+pub mod summary;
 
 pub use {digest::Digest, frame::Frame, report::Report, status::Status};
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -37,3 +37,7 @@
 
 /// `GET`; answers with an endless stream of [`crate::Digest`]s.
 pub const DIGESTS: &str = "/v1/digests";
+
+/// `POST` [`crate::summary::Introduction`]; answers with an endless stream of
+/// [`crate::summary::Frame`]s: the first in full, the others with what has changed.
+pub const SUMMARIES: &str = "/v1/summaries";
