Predictions from the caller's guess of the length, overhead and prompt speed apart

Ruled out: stale loads; the loads at placement stay near the slots. Change: the guess is the expected length; overhead and prompt speed are learnt apart, only from requests that got a slot at once. A quota's unknown use before a start flows out at 0.7 of the rate. Organisations' and routes' ranks order requests together.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -71,7 +71,7 @@
     pub service: &'a str,
     /// Prompt tokens; zero at a plain service.
     pub prompt: u32,
-    /// Most output tokens; zero at a plain service.
+    /// Expected output tokens; zero at a plain service.
     pub output: u32,
     /// Identifiers of backend servers that it must not be sent to again.
     pub excluded: &'a [String],
@@ -101,6 +101,10 @@
     pub member: Member,
     /// What is predicted.
     pub estimate: Estimate,
+    /// What all routers have there.
+    pub load: Load,
+    /// What has been learnt of it.
+    pub speed: Speed,
 }
 
 /// Why no backend server can take a request now.
@@ -118,6 +122,17 @@
     servers: BTreeMap<String, Server>,
 }
 
+impl Choice {
+    /// What the request adds to the load.
+    pub fn share(&self, prompt: u32) -> Share {
+        let has_slot = self.load.requests < self.member.slots;
+        Share {
+            prompt,
+            ahead: has_slot.then_some(self.load.prompt),
+        }
+    }
+}
+
 impl Fleet {
     /// A fleet of which nobody is known.
     pub fn new() -> Self {
@@ -181,6 +196,8 @@
             (Some((_, server, estimate)), _) => Ok(Choice {
                 member: server.member.clone(),
                 estimate,
+                load: server.load(now),
+                speed: server.speed,
             }),
             (None, Some(wait)) => Err(Shortage::Full(wait)),
             (None, None) => Err(Shortage::Nobody),
@@ -229,7 +246,10 @@
     pub fn progress(&mut self, id: &str, share: Share, elapsed: Duration) {
         if let Some(server) = self.servers.get_mut(id) {
             server.own.progress(share);
-            server.speed.learn_first(share.prompt, elapsed);
+            if let Some(ahead) = share.ahead.filter(|_| share.prompt > 0) {
+                let tokens = ahead.saturating_add(share.prompt);
+                server.speed.learn_first(tokens, elapsed);
+            }
         }
     }
 
@@ -328,7 +348,7 @@
             };
         }
         let pending = load.prompt.saturating_add(demand.prompt);
-        let first = wait + self.speed.prefill(pending);
+        let first = wait + self.speed.first(pending);
         Estimate {
             wait,
             first,
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -3,8 +3,11 @@
 /// What one request adds to a backend server's load.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Share {
-    /// Prompt tokens that must be read before the first event.
+    /// Prompt tokens of its own.
     pub prompt: u32,
+    /// Prompt tokens of others that had to be read when it was sent; none if it had to wait for a
+    /// slot, so that its first event tells nothing of the speed.
+    pub ahead: Option<u32>,
 }
 
 /// Work that one router, or all of them, have at a backend server.
--- a/core/src/fleet/speed.rs
+++ b/core/src/fleet/speed.rs
@@ -17,9 +17,13 @@
 /// Time that a request occupies its slot before anything is known, in milliseconds.
 const INITIAL_STAY_MS: f64 = 300.0;
 
-/// Shortest prompt whose first event tells of the speed of reading prompts, in tokens; the time to
-/// the first event of a shorter one is mostly something else.
-const MIN_PREFILL_SAMPLE: u32 = 1_000;
+/// Time to a first event beside the reading of prompts before anything is known, in milliseconds;
+/// a usual engine's.
+const INITIAL_OVERHEAD_MS: f64 = 50.0;
+
+/// Fewest prompt tokens ahead of a first event that tell of the speed of reading prompts; with
+/// fewer, the time is mostly overhead and tells of that.
+const MIN_PREFILL_SAMPLE: u32 = 2_000;
 
 /// Fewest tokens from which the speed of decoding is learnt.
 const MIN_DECODE_SAMPLE: u32 = 8;
@@ -31,6 +35,9 @@
     pub decode_ms: Option<f64>,
     /// Time for a token of prompt, in milliseconds; none while nothing is known.
     pub prefill_ms: Option<f64>,
+    /// Time to a first event beside the reading of prompts, in milliseconds; none while nothing is
+    /// known.
+    pub overhead_ms: Option<f64>,
     /// Time that a request occupies its slot, in milliseconds; none while nothing is known.
     pub stay_ms: Option<f64>,
 }
@@ -47,14 +54,22 @@
         Self {
             decode_ms: None,
             prefill_ms: None,
+            overhead_ms: None,
             stay_ms: None,
         }
     }
 
-    /// Time to read so many prompt tokens.
-    pub fn prefill(&self, tokens: u32) -> Duration {
-        let per_token = self.prefill_ms.unwrap_or(INITIAL_PREFILL_MS);
-        millis(per_token * f64::from(tokens))
+    /// Time from a slot to the first event, while so many prompt tokens must be read.
+    pub fn first(&self, tokens: u32) -> Duration {
+        millis(self.overhead() + self.prefill(tokens))
+    }
+
+    fn overhead(&self) -> f64 {
+        self.overhead_ms.unwrap_or(INITIAL_OVERHEAD_MS)
+    }
+
+    fn prefill(&self, tokens: u32) -> f64 {
+        self.prefill_ms.unwrap_or(INITIAL_PREFILL_MS) * f64::from(tokens)
     }
 
     /// Time to write so many output tokens.
@@ -68,11 +83,16 @@
         millis(self.stay_ms.unwrap_or(INITIAL_STAY_MS))
     }
 
-    /// Learns from the time to a first event.
-    pub fn learn_first(&mut self, prompt: u32, elapsed: Duration) {
-        if prompt >= MIN_PREFILL_SAMPLE {
-            let sample = to_millis(elapsed) / f64::from(prompt);
+    /// Learns from the time to the first event of a request that got a slot at once, while so many
+    /// prompt tokens had to be read, its own among them.
+    pub fn learn_first(&mut self, tokens: u32, elapsed: Duration) {
+        let elapsed = to_millis(elapsed);
+        if tokens >= MIN_PREFILL_SAMPLE {
+            let sample = (elapsed - self.overhead()).max(0.0) / f64::from(tokens);
             average(&mut self.prefill_ms, sample, SAMPLE_WEIGHT);
+        } else {
+            let sample = (elapsed - self.prefill(tokens)).max(0.0);
+            average(&mut self.overhead_ms, sample, SAMPLE_WEIGHT);
         }
     }
 
@@ -94,6 +114,7 @@
         let pairs = [
             (&mut self.decode_ms, other.decode_ms),
             (&mut self.prefill_ms, other.prefill_ms),
+            (&mut self.overhead_ms, other.overhead_ms),
             (&mut self.stay_ms, other.stay_ms),
         ];
         for (known, told) in pairs {
--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -21,7 +21,12 @@
 
 /// Part of the tolerance that is used. The rest covers what routers admit before they hear of each
 /// other.
-const TOLERANCE_PART: f64 = 0.5;
+const TOLERANCE_PART: f64 = 0.4;
+
+/// Part of its rate that an organisation is let use while what it used before a start is unknown:
+/// more than organisations use on an ordinary day, and less than would overrun the quota of one
+/// that had used up its window.
+const UNKNOWN_PART: f64 = 0.7;
 
 /// How quotas are counted.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -32,6 +37,8 @@
     pub overrun: f64,
     /// Units by which it may be overrun besides.
     pub slack: f64,
+    /// Whether nothing can have been admitted before this router's start.
+    pub is_first_start: bool,
 }
 
 /// Use of one organisation's quota, as routers tell it to each other.
@@ -88,11 +95,13 @@
             return Ok(());
         };
         let limit = self.limit(quota);
+        let unknown = self.unknown(quota, limit, now);
         let window = self.settings.window;
         let account = self.account(&organisation.name, now);
-        let excess = account.used + cost - limit;
+        let used = account.used + unknown;
+        let excess = used + cost - limit;
         // A request larger than the whole quota passes when nothing else is counted.
-        if excess > 0.0 && account.used > 0.0 {
+        if excess > 0.0 && used > 0.0 {
             return Err(account.room_in(excess, now, window));
         }
         account.add(cost, now, window);
@@ -144,6 +153,17 @@
         (stated + tolerance * TOLERANCE_PART) * self.share
     }
 
+    /// Units that may have been admitted within the window but before this router's start. All
+    /// routers may have started together, so nobody may know.
+    fn unknown(&self, quota: Quota, limit: f64, now: Timestamp) -> f64 {
+        let since_start = now.since(Timestamp::START);
+        if self.settings.is_first_start || since_start >= self.settings.window {
+            return 0.0;
+        }
+        let passed = quota.rate * UNKNOWN_PART * since_start.as_secs_f64();
+        (limit - passed * self.share).max(0.0)
+    }
+
     fn account(&mut self, name: &str, now: Timestamp) -> &mut Account {
         if !self.accounts.contains_key(name) {
             self.accounts.insert(name.to_owned(), Account::default());
--- a/core/src/tier.rs
+++ b/core/src/tier.rs
@@ -13,6 +13,12 @@
     /// The least urgent rank there can be.
     pub const LAST: Self = Self(u8::MAX);
 
+    /// One rank of two: the outer one decides first. Both count up to 15.
+    pub fn within(self, outer: Self) -> Self {
+        const STEPS: u8 = 16;
+        Self(outer.0.min(STEPS - 1) * STEPS + self.0.min(STEPS - 1))
+    }
+
     /// Whether this rank is more urgent than `other`.
     pub fn is_above(self, other: Self) -> bool {
         self.0 < other.0
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -22,9 +22,10 @@
     tokio::{sync::watch, time::sleep},
 };
 
-/// Pause between two proofs of the configuration: half of the time within which a change must be in
-/// force everywhere, as a proof also brings the change.
-const PROOF_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Part of the time within which a change must be in force everywhere that lies between two proofs
+/// of the configuration, as a proof also brings the change; the rest is for the calls and the
+/// reading.
+const PROOF_PART: f64 = 0.7;
 
 /// Pause after a call that failed.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
@@ -105,6 +106,7 @@
     store: Store,
     address: SocketAddr,
     freshness: Freshness,
+    proof_interval: Duration,
     publisher: Publisher,
     shutdown: Shutdown,
     trouble: watch::Sender<Option<Instant>>,
@@ -122,6 +124,7 @@
             store: Store::new(&settings.store, WATCH_WAIT),
             address: settings.peers,
             freshness: Freshness::new(limit),
+            proof_interval: settings.bounds.convergence.mul_f64(PROOF_PART),
             publisher,
             shutdown,
             trouble,
@@ -170,7 +173,7 @@
             sleep(if is_lost {
                 RETRY_INTERVAL
             } else {
-                PROOF_INTERVAL
+                self.proof_interval
             })
             .await;
         }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -28,19 +28,23 @@
     tokio::{
         sync::broadcast,
         task::JoinSet,
-        time::{Instant, interval, sleep, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
-/// Pause between two summaries while something changes.
-const INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest pause between two summaries: about the time between two changes at a busy gateway.
+const MIN_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Summaries after which one is sent though nothing has changed, so that peers hear that this
+/// Pause between two summaries for each peer, so that the summaries that a gateway sends and
+/// receives stay below five hundred a second each, however many peers there are.
+const INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
+
+/// Time after which a summary is sent though nothing has changed, so that peers hear that this
 /// gateway lives.
-const QUIET_ROUNDS: u32 = 8;
+const QUIET_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Summaries after which speeds are told again.
-const SPEED_ROUNDS: u32 = 20;
+/// Time after which speeds are told again.
+const SPEED_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Silence after which a peer is taken to be out of reach.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_200);
@@ -144,22 +148,25 @@
 }
 
 async fn publish_all(context: &Context) {
-    let mut ticks = interval(INTERVAL);
-    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut told = Summary::default();
-    let mut round = 0_u32;
-    let mut quiet = 0_u32;
+    let mut told_at = Instant::now();
+    let mut speeds_at = Instant::now();
     loop {
-        ticks.tick().await;
+        let (visible, _) = context.acquaintance.count();
+        let peers = u32::try_from(visible - 1).unwrap_or(u32::MAX);
+        sleep(MIN_INTERVAL.max(INTERVAL_PER_PEER * peers)).await;
         context.scheduler.pump();
-        round = round.wrapping_add(1);
+        let with_speeds = speeds_at.elapsed() >= SPEED_INTERVAL;
         let full = context.scheduler.summary();
-        let changed = difference(&told, &full, round.is_multiple_of(SPEED_ROUNDS));
-        quiet = if is_empty(&changed) { quiet + 1 } else { 0 };
+        let changed = difference(&told, &full, with_speeds);
         told = full;
-        if quiet > 0 && !quiet.is_multiple_of(QUIET_ROUNDS) {
+        if is_empty(&changed) && told_at.elapsed() < QUIET_INTERVAL {
             continue;
         }
+        told_at = Instant::now();
+        if with_speeds {
+            speeds_at = told_at;
+        }
         match codec::encode_item(&Message::new(context.boot, &changed)) {
             // Fails only while nobody reads.
             Ok(bytes) => drop(context.publication.sender.send(bytes)),
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -8,7 +8,7 @@
     super::{
         context::Context,
         refusal::{Cause, Refusal},
-        scheduler::Ask,
+        scheduler::{Ask, Occupation},
     },
     crate::{http::body, metrics::Labels, uptime},
     bytes::Bytes,
@@ -62,6 +62,8 @@
     excluded: Vec<String>,
     deadline: Timestamp,
     last_event: Option<u64>,
+    /// Events that were passed on.
+    events: u32,
 }
 
 /// Runs the request and answers.
@@ -82,6 +84,7 @@
         last_event: request.head.last_event,
         service,
         request,
+        events: 0,
     };
     job.run().await
 }
@@ -130,25 +133,48 @@
         let route = &self.request.route;
         let tokens = self.request.head.tokens;
         let organisation = self.request.organisation.as_ref();
+        // An organisation's rank goes before the route's, which decides among its own requests.
+        let outer = organisation.and_then(|own| own.rank).unwrap_or(route.rank);
         let stated = self.request.head.time_left.unwrap_or(route.timeout);
         let ask = Ask {
             service: self.service.clone(),
-            rank: organisation.and_then(|own| own.rank).unwrap_or(route.rank),
+            rank: route.rank.within(outer),
+            route_rank: route.rank,
             prompt: tokens.map_or(0, |tokens| tokens.prompt),
-            output: tokens.map_or(0, |tokens| tokens.output),
+            output: tokens.map_or(0, |tokens| tokens.expected()),
             excluded: self.excluded.clone(),
             accepted: self.request.accepted,
             objective: route.objective,
             deadline: self.deadline,
             is_returning: stated < route.timeout.mul_f64(RETURNING_PART),
         };
+        let asked = self.context.clock.now();
         let choice = self.context.scheduler.place(ask).await?;
+        self.log_choice(&choice, asked);
         if self.time_left().is_zero() {
             return Err(Cause::TimeoutUnsent);
         }
         Ok(choice)
     }
 
+    fn log_choice(&self, choice: &Choice, asked: Timestamp) {
+        let waited = self.context.clock.now().since(asked);
+        log::info!(
+            request = self.request.head.id.as_str(),
+            backend_server = choice.member.id.as_str(),
+            waited_ms = waited.as_millis() as u64,
+            requests_there = choice.load.requests,
+            prompt_there = choice.load.prompt,
+            predicted_wait_ms = choice.estimate.wait.as_millis() as u64,
+            predicted_first_ms = choice.estimate.first.as_millis() as u64,
+            predicted_total_ms = choice.estimate.total.as_millis() as u64,
+            decode_ms = choice.speed.decode_ms.unwrap_or_default(),
+            prefill_ms = choice.speed.prefill_ms.unwrap_or_default(),
+            stay_ms = choice.speed.stay_ms.unwrap_or_default();
+            "placed"
+        );
+    }
+
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, Ending> {
         // The configuration may have gone stale while the request waited.
         if self.request.organisation.is_some() && !self.is_proved() {
@@ -180,8 +206,8 @@
             return stream::respond(self, exchange);
         }
         match exchange.read_whole().await {
-            Ok((parts, bytes)) => {
-                self.finish("answered");
+            Ok((parts, bytes, occupation)) => {
+                self.finish("answered", Some(&occupation));
                 Response::from_parts(parts, body::whole(bytes))
             }
             Err(()) => self.retry_or_fail().await,
@@ -209,22 +235,22 @@
             let random = self.context.scheduler.random();
             refusal = refusal.with_retry_after(patience::retry_after(self.time_left(), random));
         }
-        self.finish(&cause.to_string());
+        self.finish(&cause.to_string(), None);
         refusal.response(&self.request.head.id)
     }
 
     /// Output tokens in so many events, but for the first, which came with the prompt.
-    fn output_tokens(&self, events: u32) -> u32 {
+    fn output_tokens(&self) -> u32 {
         let snapshot = self.context.snapshot();
         let engine = snapshot
             .as_ref()
             .and_then(|snapshot| snapshot.directory.service(&self.service)?.engine);
         let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
-        events.saturating_sub(1).saturating_mul(per_event)
+        self.events.saturating_sub(1).saturating_mul(per_event)
     }
 
     /// Logs and counts the end of the request.
-    fn finish(&self, outcome: &str) {
+    fn finish(&self, outcome: &str, occupation: Option<&Occupation>) {
         let elapsed = self.context.clock.now().since(self.request.accepted);
         let rank = self.request.route.rank.to_string();
         let labels = Labels {
@@ -239,6 +265,11 @@
             outcome,
             verdict:% = self.dispatch.verdict(),
             sent = self.dispatch.sent(),
+            backend_server = occupation.map_or("", Occupation::id),
+            first_ms = occupation.and_then(Occupation::first).map_or(0, |first| first.as_millis() as u64),
+            prompt = self.request.head.tokens.map_or(0, |tokens| tokens.prompt),
+            expected_output = self.request.head.tokens.map_or(0, |tokens| tokens.expected()),
+            events = self.events,
             elapsed_ms = elapsed.as_millis() as u64;
             "ended"
         );
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -16,7 +16,7 @@
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         dispatch::Setback,
-        fleet::{Choice, Share, health::Failure},
+        fleet::{Choice, health::Failure},
     },
     tamarackdale_platform::{
         request::{self, Order},
@@ -55,9 +55,7 @@
     let member = &choice.member;
     let scheduler = Arc::clone(&job.context.scheduler);
     let tokens = job.request.head.tokens;
-    let share = Share {
-        prompt: tokens.map_or(0, |tokens| tokens.prompt),
-    };
+    let share = choice.share(tokens.map_or(0, |tokens| tokens.prompt));
     let mut occupation = scheduler.start(&member.id, share);
     let pool = Arc::clone(&job.context.pool);
     let mut connection = match pool.connect(member).await {
@@ -162,13 +160,12 @@
     }
 
     /// Reads the whole answer; fails if it breaks off.
-    pub async fn read_whole(mut self) -> Result<(Parts, Bytes), ()> {
+    pub async fn read_whole(mut self) -> Result<(Parts, Bytes, Occupation), ()> {
         let reading = body::read(&mut self.body, MAX_HELD_BYTES);
         match timeout(self.time_left, reading).await {
             Ok(Ok(bytes)) => {
                 let parts = self.parts.clone();
-                self.finish(0);
-                Ok((parts, bytes))
+                Ok((parts, bytes, self.finish(0)))
             }
             Ok(Err(error)) => {
                 log::info!(backend_server = self.occupation.id(); "answer broke off: {error:?}");
@@ -188,11 +185,12 @@
         self.occupation.scheduler().fail(id, Failure::Broken);
     }
 
-    /// Ends a whole answer and keeps the connection.
-    pub fn finish(mut self, tokens: u32) {
+    /// Ends a whole answer and keeps the connection; gives the place back to be looked at.
+    pub fn finish(mut self, tokens: u32) -> Occupation {
         self.occupation.finish(tokens);
         if let Some(idle) = self.idle {
             self.pool.put(self.occupation.id(), self.connection, idle);
         }
+        self.occupation
     }
 }
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -33,7 +33,6 @@
         job,
         exchange: Some(exchange),
         splitter: Splitter::new(),
-        events: 0,
     };
     let events = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
@@ -47,7 +46,6 @@
     /// None after the end.
     exchange: Option<Exchange>,
     splitter: Splitter,
-    events: u32,
 }
 
 /// What came of the backend server's stream.
@@ -101,7 +99,7 @@
     fn limit(&self) -> Duration {
         let left = self.job.time_left();
         let route = &self.job.request.route;
-        match (route.repetition, self.events) {
+        match (route.repetition, self.job.events) {
             (Repetition::ResumableStream, 0) => left.min(FIRST_EVENT_TIMEOUT + route.objective * 2),
             (Repetition::ResumableStream, _) => left.min(EVENT_TIMEOUT),
             _ => left,
@@ -110,7 +108,7 @@
 
     fn pass(&mut self, batch: Batch) -> Bytes {
         self.job.last_event = batch.last_id.or(self.job.last_event);
-        self.events += batch.count;
+        self.job.events += batch.count;
         if let Some(exchange) = &mut self.exchange {
             let is_first = exchange.occupation.first().is_none();
             exchange.occupation.begin();
@@ -133,7 +131,7 @@
         log::info!(
             request = self.job.request.head.id.as_str(),
             backend_server = broken.occupation.id(),
-            events = self.events,
+            events = self.job.events,
             last_event:? = self.job.last_event;
             "stream broken: {reason}"
         );
@@ -153,14 +151,13 @@
     }
 
     fn break_off(&mut self) -> io::Result<Bytes> {
-        self.job.finish("broken");
+        self.job.finish("broken", None);
         Err(io::Error::other("the stream broke"))
     }
 
     fn finish(&mut self) {
-        if let Some(exchange) = self.exchange.take() {
-            exchange.finish(self.job.output_tokens(self.events));
-        }
-        self.job.finish("answered");
+        let tokens = self.job.output_tokens();
+        let occupation = self.exchange.take().map(|exchange| exchange.finish(tokens));
+        self.job.finish("answered", occupation.as_ref());
     }
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -32,11 +32,13 @@
 pub struct Ask {
     /// Service.
     pub service: String,
-    /// Rank.
+    /// Rank among all requests.
     pub rank: Rank,
+    /// Rank of its route.
+    pub route_rank: Rank,
     /// Prompt tokens.
     pub prompt: u32,
-    /// Most output tokens.
+    /// Expected output tokens.
     pub output: u32,
     /// Backend servers that it was sent to already.
     pub excluded: Vec<String>,
@@ -321,7 +323,7 @@
             prompt: ask.prompt,
             output: ask.output,
             excluded: &ask.excluded,
-            patience: patience::engine_wait(ask.rank, ask.objective),
+            patience: patience::engine_wait(ask.route_rank, ask.objective),
             deadline: ask.deadline.since(now),
             data_centre: &self.data_centre,
         };
@@ -330,7 +332,7 @@
 
     /// Counts a request that is about to be sent, or else the next one would get the same slot.
     fn reserve(&mut self, choice: &Choice, ask: &Ask, now: Timestamp) {
-        let share = Share { prompt: ask.prompt };
+        let share = choice.share(ask.prompt);
         self.fleet.reserve(&choice.member.id, share, now);
     }
 
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -38,8 +38,9 @@
     pub requests: u32,
     /// Prompt tokens of requests without a first event.
     pub prompt: u32,
-    /// Milliseconds a token of output, milliseconds a token of prompt, milliseconds a request.
-    pub speed: Option<(Option<f32>, Option<f32>, Option<f32>)>,
+    /// Milliseconds for a token of output, for a token of prompt, to a first event beside that, and
+    /// for a request.
+    pub speed: Option<[Option<f32>; 4]>,
 }
 
 /// Use of one organisation's quota.
@@ -86,11 +87,12 @@
             requests: entry.load.requests,
             prompt: entry.load.prompt,
             speed: entry.speed.map(|speed| {
-                (
+                [
                     short(speed.decode_ms),
                     short(speed.prefill_ms),
+                    short(speed.overhead_ms),
                     short(speed.stay_ms),
-                )
+                ]
             }),
         }
     }
@@ -105,9 +107,10 @@
                 requests: entry.requests,
                 prompt: entry.prompt,
             },
-            speed: entry.speed.map(|(decode, prefill, stay)| Speed {
+            speed: entry.speed.map(|[decode, prefill, overhead, stay]| Speed {
                 decode_ms: long(decode),
                 prefill_ms: long(prefill),
+                overhead_ms: long(overhead),
                 stay_ms: long(stay),
             }),
         }
