A free slot goes before the queue of a faster engine

Cause: placements preferred to wait at fast engines while slow ones had free slots; waiting adds no capacity, a slot at a slow engine does, and a slow stream is still on time. Change: among backend servers the ones with a free slot are compared first.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -179,7 +179,7 @@
         now: Timestamp,
         random: &mut dyn RngCore,
     ) -> Result<Choice, Shortage> {
-        let mut best: Option<(f64, &Server, Estimate)> = None;
+        let mut best: Option<((bool, f64), &Server, Estimate)> = None;
         let mut soonest: Option<Duration> = None;
         for server in self.candidates(demand, now) {
             let estimate = server.estimate(demand, now);
@@ -188,8 +188,10 @@
                 continue;
             }
             let cost = server.cost(&estimate, demand) * (1.0 + JITTER * random.random::<f64>());
-            if best.as_ref().is_none_or(|(known, ..)| cost < *known) {
-                best = Some((cost, server, estimate));
+            // A free slot goes before the queue of a faster engine, which adds no capacity.
+            let rank = (!estimate.wait.is_zero(), cost);
+            if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
+                best = Some((rank, server, estimate));
             }
         }
         match (best, soonest) {
