--- a/core/src/line.rs
+++ b/core/src/line.rs
@@ -1,28 +1,31 @@
 //! Requests that wait at a router for a backend server to have room.
+//!
+//! The more urgent rank goes first. Within a rank, requests that can still be on time go before
+//! those that will be late, so that a wait that was too long does not make the next one too long
+//! as well; late ones get what is left.
 
 use {
     crate::{tier::Rank, time::Timestamp},
     std::collections::BTreeMap,
 };
 
-/// Place in the line: the more urgent rank first, then callers that come back after a refusal,
-/// then the earlier limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// What decides a request's turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Place {
     /// Rank.
     pub rank: Rank,
-    /// Whether the caller is here for the first time.
-    pub is_new: bool,
-    /// Time until which the request waits.
-    pub until: Timestamp,
-    /// Number of the request, which tells equal places apart.
-    pub number: u64,
+    /// Whether the caller comes back after a refusal; among requests that can be on time it goes
+    /// first.
+    pub is_returning: bool,
+    /// Until when the request can be on time.
+    pub on_time_until: Timestamp,
 }
 
-/// Waiting requests in order.
+/// Waiting requests by the number that each got when it came.
 #[derive(Debug)]
 pub struct Line<T> {
-    waiting: BTreeMap<Place, T>,
+    waiting: BTreeMap<u64, (Place, T)>,
+    next: u64,
 }
 
 impl<T> Default for Line<T> {
@@ -36,25 +39,28 @@
     pub fn new() -> Self {
         Self {
             waiting: BTreeMap::new(),
+            next: 0,
         }
     }
 
-    /// Puts a request in its place.
-    pub fn insert(&mut self, place: Place, request: T) {
-        self.waiting.insert(place, request);
+    /// Puts a request in the line; returns its number.
+    pub fn insert(&mut self, place: Place, request: T) -> u64 {
+        let number = self.next;
+        self.next += 1;
+        self.waiting.insert(number, (place, request));
+        number
     }
 
     /// Takes a request out; none if it has left already.
-    pub fn remove(&mut self, place: &Place) -> Option<T> {
-        self.waiting.remove(place)
+    pub fn remove(&mut self, number: u64) -> Option<T> {
+        self.waiting.remove(&number).map(|(_, request)| request)
     }
 
-    /// Number of waiting requests that fulfil a condition.
-    pub fn count(&self, condition: impl Fn(&Place, &T) -> bool) -> usize {
-        let waiting = self.waiting.iter();
-        waiting
-            .filter(|(place, request)| condition(place, request))
-            .count()
+    /// Waiting requests, the oldest first.
+    pub fn iter(&self) -> impl Iterator<Item = (&Place, &T)> {
+        self.waiting
+            .values()
+            .map(|(place, request)| (place, request))
     }
 
     /// Whether nobody waits.
@@ -62,8 +68,32 @@
         self.waiting.is_empty()
     }
 
-    /// Offers room to each waiting request in order; those for which `serve` returns true leave.
-    pub fn offer(&mut self, mut serve: impl FnMut(&Place, &mut T) -> bool) {
-        self.waiting.retain(|place, request| !serve(place, request));
+    /// Numbers of the waiting requests in the order of their turns.
+    pub fn order(&self, now: Timestamp) -> Vec<u64> {
+        let mut order: Vec<_> = self
+            .waiting
+            .iter()
+            .map(|(number, (place, _))| (place.turn(*number, now), *number))
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, number)| number).collect()
+    }
+
+    /// A waiting request.
+    pub fn get(&self, number: u64) -> Option<&T> {
+        self.waiting.get(&number).map(|(_, request)| request)
+    }
+}
+
+impl Place {
+    fn turn(&self, number: u64, now: Timestamp) -> (Rank, bool, bool, Timestamp, u64) {
+        let is_late = self.on_time_until <= now;
+        let by = if is_late {
+            Timestamp::START
+        } else {
+            self.on_time_until
+        };
+        let is_new = !self.is_returning && !is_late;
+        (self.rank, is_late, is_new, by, number)
     }
 }
--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -1,9 +1,6 @@
 //! How long a request may wait, and where.
 
-use {
-    crate::{tier::Rank, time::Timestamp},
-    std::time::Duration,
-};
+use {crate::time::Timestamp, std::time::Duration};
 
 /// Time for which less urgent ranks are not served after a rank was shed: a few rounds of summaries
 /// between routers.
@@ -11,26 +8,37 @@
 
 /// Requests of the same or a more urgent rank that may wait at one router before another is
 /// refused at once.
-pub const MAX_LINE: usize = 24;
+pub const MAX_LINE: usize = 48;
 
-/// Part of the objective that a request may wait for a slot inside an engine, where its turn
-/// depends on nobody's rank.
-const ENGINE_PART: f64 = 0.4;
+/// Longest wait for a slot inside an engine, where its turn depends on nobody's rank: about the
+/// time in which routers hear of a slot that has become free, so that none stays empty.
+const ENGINE_WAIT: Duration = Duration::from_millis(80);
 
-/// Part of the objective after which a request has waited for long enough at the router: what is
-/// left must do for the prompt.
-const LINE_PART: f64 = 0.5;
+/// Part of the objective that a request may wait at the router and still be on time: what is left
+/// must do for the prompt.
+const ON_TIME_PART: f64 = 0.6;
 
-/// Longest wait inside an engine; each rank less urgent than the first gets half as much, so that
-/// room that turns up goes to the more urgent.
-pub fn engine_wait(rank: Rank, objective: Duration) -> Duration {
-    let halvings = i32::from(rank.0.min(8));
-    objective.mul_f64(ENGINE_PART * 0.5_f64.powi(halvings))
+/// Longest wait at the router; callers give up a stream that shows nothing for two seconds.
+const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Part of the time left that a request may wait at the router, so that a refusal leaves time to
+/// come back.
+const WAIT_PART: f64 = 0.4;
+
+/// Longest wait inside an engine for a request with this objective.
+pub fn engine_wait(objective: Duration) -> Duration {
+    ENGINE_WAIT.min(objective.mul_f64(ON_TIME_PART))
+}
+
+/// Until when a request can wait at the router and still be on time.
+pub fn on_time_until(accepted: Timestamp, objective: Duration) -> Timestamp {
+    accepted.plus(objective.mul_f64(ON_TIME_PART))
 }
 
-/// Until when a request may wait at the router.
-pub fn line_end(accepted: Timestamp, objective: Duration, deadline: Timestamp) -> Timestamp {
-    accepted.plus(objective.mul_f64(LINE_PART)).min(deadline)
+/// Until when a request may wait at the router at all.
+pub fn line_end(accepted: Timestamp, deadline: Timestamp) -> Timestamp {
+    let time_left = deadline.since(accepted);
+    accepted.plus(LONGEST_WAIT.min(time_left.mul_f64(WAIT_PART)))
 }
 
 /// Shortest time after which a refused caller is asked to come back: an overload takes longer to
--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -8,10 +8,10 @@
 use {
     crate::{
         directory::{Organisation, Quota, Unit},
-        time::{self, Timestamp},
+        time::Timestamp,
     },
     std::{
-        collections::{HashMap, VecDeque},
+        collections::{HashMap, HashSet, VecDeque},
         time::Duration,
     },
 };
@@ -23,6 +23,16 @@
 /// other.
 const TOLERANCE_PART: f64 = 0.4;
 
+/// Parts of a window by which use is kept over a start of all routers.
+const KEPT_PARTS: usize = 16;
+
+/// Part of the quota from which an organisation's use is worth keeping over a start of all routers.
+const NEAR_PART: f64 = 0.5;
+
+/// Newest parts of kept use that may have been repeated between the last record and the start: the
+/// time between two records, and that of a call.
+const UNRECORDED_PARTS: usize = 3;
+
 /// Part of its rate that an organisation is let use while what it used before a start is unknown:
 /// more than organisations use on an ordinary day, and less than would overrun the quota of one
 /// that had used up its window.
@@ -48,13 +58,17 @@
     pub organisation: String,
     /// Units admitted by the teller since its start.
     pub total: f64,
-    /// Units that all routers the teller knows admitted within the window.
-    pub used: f64,
+    /// What all routers that the teller knows admitted within the window; only told at first.
+    pub known: Option<Kept>,
 }
 
+/// Units that were used within a window, by age: the window in equal parts, the newest first.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Kept(pub Vec<f64>);
+
 #[derive(Debug, Default)]
 struct Account {
-    /// Units by the time at which they were noted, oldest first.
+    /// Units by the time at which they leave the window, the next first.
     steps: VecDeque<(Timestamp, f64)>,
     used: f64,
     own: f64,
@@ -67,6 +81,10 @@
     settings: Settings,
     accounts: HashMap<String, Account>,
     share: f64,
+    /// Whether a router that has counted for a whole window has told its counts.
+    is_told: bool,
+    /// Organisations that were near their quotas before the start, once known.
+    kept: Option<HashSet<String>>,
 }
 
 impl Ledger {
@@ -76,9 +94,55 @@
             settings,
             accounts: HashMap::new(),
             share: 1.0,
+            is_told: false,
+            kept: None,
         }
     }
 
+    /// Takes in what was kept of the use before a start of all routers.
+    pub fn remember(&mut self, kept: HashMap<String, Kept>, now: Timestamp) {
+        for (organisation, kept) in &kept {
+            let window = self.settings.window;
+            let unrecorded = kept.0.iter().take(UNRECORDED_PARTS).sum();
+            let account = self.account(organisation, now);
+            account.import(kept, now, window);
+            account.add(unrecorded, now, window);
+        }
+        self.kept = Some(kept.into_keys().collect());
+    }
+
+    /// Use that must be kept in case all routers start again: that of organisations near their
+    /// quotas.
+    pub fn to_keep<'a>(
+        &self,
+        organisations: impl Iterator<Item = &'a Organisation>,
+        now: Timestamp,
+    ) -> HashMap<String, Kept> {
+        organisations
+            .filter_map(|organisation| {
+                let limit = self.limit(organisation.quota?);
+                let unknown = self.unknown(organisation, limit, now);
+                let account = self.accounts.get(&organisation.name)?;
+                let is_near = account.used + unknown > limit * NEAR_PART;
+                let kept = || account.by_age(unknown, now, self.settings.window);
+                is_near.then(|| (organisation.name.clone(), kept()))
+            })
+            .collect()
+    }
+
+    /// Whether all that was admitted within the window is counted here, also what was admitted
+    /// before this router's start.
+    pub fn is_complete(&self, now: Timestamp) -> bool {
+        self.is_told
+            || self.settings.is_first_start
+            || now.since(Timestamp::START) >= self.settings.window
+    }
+
+    /// Takes in that a peer whose counts are complete has told all of them.
+    pub fn complete(&mut self) {
+        self.is_told = true;
+    }
+
     /// Takes over which part of the known routers this one hears from, itself included.
     pub fn set_share(&mut self, visible: usize, known: usize) {
         self.share = visible as f64 / known.max(visible).max(1) as f64;
@@ -95,7 +159,7 @@
             return Ok(());
         };
         let limit = self.limit(quota);
-        let unknown = self.unknown(quota, limit, now);
+        let unknown = self.unknown(organisation, limit, now);
         let window = self.settings.window;
         let account = self.account(&organisation.name, now);
         let used = account.used + unknown;
@@ -122,12 +186,13 @@
     pub fn merge(&mut self, peer: u64, usage: &Usage, now: Timestamp) {
         let window = self.settings.window;
         let account = self.account(&usage.organisation, now);
-        let added = match account.peers.insert(peer, usage.total) {
-            Some(before) => usage.total - before,
-            // What was admitted before the peer was known shows in its count only.
-            None => (usage.used - account.used).max(0.0),
-        };
-        account.add(added, now, window);
+        let before = account.peers.insert(peer, usage.total);
+        // What was admitted before the peer was heard shows in what it knows only.
+        match (before, &usage.known) {
+            (Some(before), _) => account.add(usage.total - before, now, window),
+            (None, Some(known)) => account.import(known, now, window),
+            (None, None) => {}
+        }
     }
 
     /// Forgets a peer that has gone; what it used stays counted until the window has passed.
@@ -137,15 +202,22 @@
         }
     }
 
-    /// What to tell the peers.
-    pub fn usages(&self) -> impl Iterator<Item = Usage> {
-        self.accounts.iter().map(|(name, account)| Usage {
+    /// What to tell the peers; a peer that hears it for the first time must hear all that is known.
+    pub fn usages(&self, is_first: bool, now: Timestamp) -> impl Iterator<Item = Usage> {
+        let window = self.settings.window;
+        self.accounts.iter().map(move |(name, account)| Usage {
             organisation: name.clone(),
             total: account.own,
-            used: account.used,
+            known: is_first.then(|| account.by_age(0.0, now, window)),
         })
     }
 
+    /// Units of an organisation that are counted now.
+    pub fn used(&self, organisation: &str) -> f64 {
+        let account = self.accounts.get(organisation);
+        account.map_or(0.0, |account| account.used)
+    }
+
     /// Units that may be used within a window by the routers that hear each other.
     fn limit(&self, quota: Quota) -> f64 {
         let stated = quota.rate * self.settings.window.as_secs_f64() + quota.burst;
@@ -155,25 +227,33 @@
 
     /// Units that may have been admitted within the window but before this router's start. All
     /// routers may have started together, so nobody may know.
-    fn unknown(&self, quota: Quota, limit: f64, now: Timestamp) -> f64 {
-        let since_start = now.since(Timestamp::START);
-        if self.settings.is_first_start || since_start >= self.settings.window {
+    fn unknown(&self, organisation: &Organisation, limit: f64, now: Timestamp) -> f64 {
+        if self.is_complete(now) {
+            return 0.0;
+        }
+        let kept = self.kept.as_ref();
+        if kept.is_some_and(|kept| kept.contains(&organisation.name)) {
             return 0.0;
         }
-        let passed = quota.rate * UNKNOWN_PART * since_start.as_secs_f64();
-        (limit - passed * self.share).max(0.0)
+        // Without a record that it was near its quota, an organisation was not.
+        let most = match kept {
+            Some(_) => limit * NEAR_PART,
+            None => limit,
+        };
+        let rate = organisation.quota.map_or(0.0, |quota| quota.rate);
+        let since_start = now.since(Timestamp::START).as_secs_f64();
+        (most - rate * UNKNOWN_PART * self.share * since_start).max(0.0)
     }
 
     fn account(&mut self, name: &str, now: Timestamp) -> &mut Account {
         if !self.accounts.contains_key(name) {
             self.accounts.insert(name.to_owned(), Account::default());
         }
-        let window = self.settings.window;
         let account = self
             .accounts
             .get_mut(name)
             .expect("the account was inserted above");
-        account.expire(now, window);
+        account.expire(now);
         account
     }
 }
@@ -184,18 +264,34 @@
             return;
         }
         self.used += units;
+        // Counted for a step longer, as all units of a step leave with its first.
+        let step = window / STEPS;
+        let end = now.plus(window + step);
         match self.steps.back_mut() {
-            Some((start, sum)) if now.since(*start) < window / STEPS => *sum += units,
-            _ => self.steps.push_back((now, units)),
+            Some((known, sum)) if end.since(*known) < step => *sum += units,
+            _ => self.steps.push_back((end, units)),
         }
     }
 
-    fn expire(&mut self, now: Timestamp, window: Duration) {
-        let kept = window + window / STEPS;
-        while let Some((_, units)) = self
-            .steps
-            .pop_front_if(|(start, _)| now.since(*start) > kept)
-        {
+    /// Takes in use that another router knows of, as far as it is more than is known here.
+    fn import(&mut self, kept: &Kept, now: Timestamp, window: Duration) {
+        let total: f64 = kept.0.iter().sum();
+        let missing = total - self.used;
+        if missing <= 0.0 {
+            return;
+        }
+        let part = window / u32::try_from(kept.0.len()).unwrap_or(1).max(1);
+        for (index, units) in kept.0.iter().enumerate() {
+            let age = part * u32::try_from(index).unwrap_or(u32::MAX);
+            let end = now.plus(window.saturating_sub(age));
+            self.steps.push_back((end, units * missing / total));
+        }
+        self.used += missing;
+        self.steps.make_contiguous().sort_by_key(|(end, _)| *end);
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        while let Some((_, units)) = self.steps.pop_front_if(|(end, _)| *end <= now) {
             self.used -= units;
         }
         if self.steps.is_empty() {
@@ -203,16 +299,29 @@
         }
     }
 
+    /// The use by age; `unknown` units count as the newest.
+    fn by_age(&self, unknown: f64, now: Timestamp, window: Duration) -> Kept {
+        let mut parts = vec![0.0; KEPT_PARTS];
+        parts[0] = unknown;
+        for (end, units) in self.steps.iter().filter(|(end, _)| *end > now) {
+            let left = end.since(now).as_secs_f64() / window.as_secs_f64();
+            let age = (1.0 - left).max(0.0);
+            let index = (age * KEPT_PARTS as f64) as usize;
+            parts[index.min(KEPT_PARTS - 1)] += units;
+        }
+        Kept(parts)
+    }
+
     /// Time until `units` have left the window.
     fn room_in(&self, units: f64, now: Timestamp, window: Duration) -> Duration {
         let mut left = units;
-        for (start, step) in &self.steps {
+        for (end, step) in &self.steps {
             left -= step;
             if left <= 0.0 {
-                return (window + window / STEPS).saturating_sub(now.since(*start));
+                return end.since(now);
             }
         }
-        time::seconds(window.as_secs_f64())
+        window
     }
 }
 
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -24,6 +24,10 @@
     pub entries: Vec<Entry>,
     /// Use of quotas.
     pub usages: Vec<Usage>,
+    /// Whether the counts of quotas cover the whole window.
+    pub is_complete: bool,
+    /// Most urgent rank that waits at the router, by service.
+    pub waits: Vec<(String, Rank)>,
     /// Most urgent rank that the router shed of late, by service.
     pub floors: Vec<(String, Rank)>,
 }
--- /dev/null
+++ b/core/tests/dispatch.rs
@@ -0,0 +1,90 @@
+//! A request's sendings, in every order of setbacks.
+
+use {
+    proptest::prelude::*,
+    rstest::rstest,
+    tamarackdale_core::{
+        directory::Repetition,
+        dispatch::{Dispatch, Setback, Step},
+        verdict::Verdict,
+    },
+};
+
+#[rstest]
+#[case(Repetition::Never, Setback::NotSent, Step::Resend)]
+#[case(Repetition::Never, Setback::NotExecuted, Step::Resend)]
+#[case(Repetition::Never, Setback::Lost, Step::Fail)]
+#[case(Repetition::Stream, Setback::Lost, Step::Fail)]
+#[case(Repetition::ResumableStream, Setback::Lost, Step::Resend)]
+#[case(Repetition::Idempotent, Setback::Failed, Step::Resend)]
+fn setback_decides_whether_the_request_is_sent_again(
+    #[case] repetition: Repetition,
+    #[case] setback: Setback,
+    #[case] expected: Step,
+) {
+    let mut dispatch = Dispatch::new(repetition, 2);
+    dispatch.send();
+
+    assert_eq!(dispatch.fail(setback), expected);
+}
+
+#[test]
+fn only_what_was_sent_counts_as_an_attempt() {
+    let mut dispatch = Dispatch::new(Repetition::Never, 1);
+
+    for _ in 0..5 {
+        dispatch.send();
+        assert_eq!(dispatch.fail(Setback::NotSent), Step::Resend);
+    }
+    dispatch.send();
+
+    assert_eq!(dispatch.fail(Setback::NotExecuted), Step::Refuse);
+}
+
+fn setback() -> impl Strategy<Value = Setback> {
+    prop_oneof![
+        Just(Setback::NotSent),
+        Just(Setback::NotExecuted),
+        Just(Setback::Failed),
+        Just(Setback::Lost),
+    ]
+}
+
+fn repetition() -> impl Strategy<Value = Repetition> {
+    prop_oneof![
+        Just(Repetition::Idempotent),
+        Just(Repetition::Never),
+        Just(Repetition::Stream),
+        Just(Repetition::ResumableStream),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn a_request_that_may_have_run_is_never_refused_or_repeated_without_leave(
+        repetition in repetition(),
+        attempts in 1_u32..5,
+        setbacks in prop::collection::vec(setback(), 1..12),
+    ) {
+        let mut dispatch = Dispatch::new(repetition, attempts);
+        let mut may_have_run = false;
+        let mut sent = 0;
+        for setback in setbacks {
+            dispatch.send();
+            sent += u32::from(setback != Setback::NotSent);
+            may_have_run |= matches!(setback, Setback::Failed | Setback::Lost);
+            let step = dispatch.fail(setback);
+
+            prop_assert!(sent <= attempts);
+            prop_assert_eq!(dispatch.verdict() == Verdict::NotRun, !may_have_run);
+            match step {
+                Step::Resend => prop_assert!(!may_have_run || repetition.may_rerun()),
+                Step::Refuse => prop_assert!(!may_have_run),
+                Step::Fail => prop_assert!(may_have_run),
+            }
+            if step != Step::Resend {
+                break;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/core/tests/fleet.rs
@@ -0,0 +1,239 @@
+//! Choice of a backend server, one test for each pattern of load.
+
+use {
+    rand::{SeedableRng, rngs::StdRng},
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    tamarackdale_core::{
+        fleet::{Demand, Fleet, Load, Member, Roster, Share, Shortage, Speed, health::Failure},
+        time::Timestamp,
+    },
+};
+
+const SLOTS: u32 = 10;
+
+fn member(id: &str) -> Member {
+    Member {
+        id: id.to_owned(),
+        born: 1,
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        service: "llm".to_owned(),
+        data_centre: "a".to_owned(),
+        slots: SLOTS,
+        is_leaving: false,
+    }
+}
+
+fn roster(ids: &[&str]) -> Roster {
+    ids.iter()
+        .map(|id| ((*id).to_owned(), member(id)))
+        .collect()
+}
+
+fn fleet(ids: &[&str]) -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.adopt(&roster(ids));
+    fleet
+}
+
+fn demand<'a>(prompt: u32, output: u32) -> Demand<'a> {
+    Demand {
+        service: "llm",
+        prompt,
+        output,
+        excluded: &[],
+        patience: Duration::from_millis(300),
+        deadline: Duration::from_secs(15),
+        data_centre: "a",
+    }
+}
+
+fn load(requests: u32) -> Load {
+    Load {
+        requests,
+        prompt: 0,
+    }
+}
+
+fn speed(decode_ms: f64, stay_ms: f64) -> Speed {
+    Speed {
+        decode_ms: Some(decode_ms),
+        prefill_ms: Some(0.01),
+        overhead_ms: Some(60.0),
+        stay_ms: Some(stay_ms),
+    }
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+/// How often each backend server is chosen for one demand.
+fn choices(fleet: &Fleet, demand: &Demand) -> HashMap<String, u32> {
+    let mut random = StdRng::seed_from_u64(3);
+    let mut counts = HashMap::new();
+    for _ in 0..200 {
+        if let Ok(choice) = fleet.choose(demand, at(1_000), &mut random) {
+            *counts.entry(choice.member.id).or_default() += 1;
+        }
+    }
+    counts
+}
+
+#[test]
+fn long_answer_goes_to_the_fast_engine() {
+    let mut fleet = fleet(&["fast", "slow"]);
+    fleet.merge_speed("fast", &speed(3.0, 700.0));
+    fleet.merge_speed("slow", &speed(12.0, 2_800.0));
+    fleet.merge(1, "fast", load(6));
+
+    let chosen = choices(&fleet, &demand(600, 400));
+
+    assert_eq!(chosen.get("fast"), Some(&200));
+}
+
+#[test]
+fn slow_engine_with_a_free_slot_is_used_while_the_fast_one_is_full() {
+    let mut fleet = fleet(&["fast", "slow"]);
+    fleet.merge_speed("fast", &speed(3.0, 700.0));
+    fleet.merge_speed("slow", &speed(12.0, 2_800.0));
+    fleet.merge(1, "fast", load(SLOTS));
+    fleet.merge(1, "slow", load(SLOTS - 1));
+
+    let chosen = choices(&fleet, &demand(600, 400));
+
+    assert_eq!(chosen.get("slow"), Some(&200));
+}
+
+#[test]
+fn full_fleet_tells_when_a_slot_may_be_free() {
+    let mut fleet = fleet(&["one"]);
+    fleet.merge_speed("one", &speed(3.0, 1_000.0));
+    fleet.merge(1, "one", load(SLOTS + 4));
+    let mut random = StdRng::seed_from_u64(3);
+
+    let shortage = fleet.choose(&demand(600, 400), at(0), &mut random);
+
+    assert_eq!(
+        shortage.map(|choice| choice.member.id),
+        Err(Shortage::Full(Duration::from_millis(500)))
+    );
+}
+
+#[test]
+fn prompts_that_are_being_read_count_against_an_engine() {
+    let mut fleet = fleet(&["reading", "decoding"]);
+    fleet.merge_speed("reading", &speed(3.0, 700.0));
+    fleet.merge_speed("decoding", &speed(3.0, 700.0));
+    let pending = Load {
+        requests: 1,
+        prompt: 50_000,
+    };
+    fleet.merge(1, "reading", pending);
+    fleet.merge(1, "decoding", load(3));
+
+    let chosen = choices(&fleet, &demand(600, 20));
+
+    assert_eq!(chosen.get("decoding"), Some(&200));
+}
+
+#[test]
+fn engine_that_breaks_answers_gets_less_while_others_can_take_the_work() {
+    let mut fleet = fleet(&["grey", "sound"]);
+    fleet.merge_speed("grey", &speed(3.0, 700.0));
+    fleet.merge_speed("sound", &speed(3.0, 700.0));
+    for _ in 0..5 {
+        fleet.fail("grey", Failure::Broken, at(0));
+    }
+
+    let chosen = choices(&fleet, &demand(600, 100));
+
+    assert_eq!(chosen.get("sound"), Some(&200));
+}
+
+#[test]
+fn engine_that_cannot_be_reached_is_ejected_and_tried_again() {
+    let mut fleet = fleet(&["dark"]);
+    let mut random = StdRng::seed_from_u64(3);
+
+    let first = fleet.fail("dark", Failure::Unreachable, at(0));
+    let second = fleet.fail("dark", Failure::Unreachable, at(10));
+
+    assert!(!first && second);
+    let during = fleet.choose(&demand(10, 10), at(100), &mut random);
+    let after = fleet.choose(&demand(10, 10), at(1_000), &mut random);
+    assert_eq!(during.map(|_| ()), Err(Shortage::Nobody));
+    assert!(after.is_ok());
+}
+
+#[test]
+fn leaving_engine_gets_nothing() {
+    let mut fleet = fleet(&["stays", "leaves"]);
+    let mut roster = roster(&["stays", "leaves"]);
+    if let Some(leaves) = roster.get_mut("leaves") {
+        leaves.is_leaving = true;
+    }
+
+    fleet.adopt(&roster);
+
+    assert_eq!(choices(&fleet, &demand(10, 10)).get("leaves"), None);
+    assert!(!fleet.takes_work("leaves"));
+}
+
+#[test]
+fn engine_that_started_again_under_its_name_is_a_new_one() {
+    let mut fleet = fleet(&["one"]);
+    fleet.merge(1, "one", load(SLOTS));
+    let mut roster = roster(&["one"]);
+    if let Some(member) = roster.get_mut("one") {
+        member.born = 2;
+    }
+
+    fleet.adopt(&roster);
+
+    assert_eq!(fleet.utilisation("llm", at(0)), Some(0.0));
+}
+
+#[test]
+fn room_that_was_given_counts_until_it_is_used_or_lapses() {
+    let mut fleet = fleet(&["one"]);
+    let share = Share::default();
+    fleet.merge(1, "one", load(5));
+
+    fleet.reserve("one", share, at(0));
+    let reserved = fleet.utilisation("llm", at(50));
+    fleet.start("one", share);
+    let started = fleet.utilisation("llm", at(50));
+    fleet.reserve("one", share, at(60));
+    let lapsed = fleet.utilisation("llm", at(1_000));
+
+    assert_eq!(reserved, Some(0.6));
+    assert_eq!(started, Some(0.6));
+    assert_eq!(lapsed, Some(0.6));
+}
+
+#[test]
+fn work_of_a_lost_peer_is_forgotten() {
+    let mut fleet = fleet(&["one"]);
+    fleet.merge(1, "one", load(5));
+    fleet.merge(2, "one", load(2));
+
+    fleet.forget(1);
+
+    assert_eq!(fleet.utilisation("llm", at(0)), Some(0.2));
+}
+
+#[test]
+fn equal_engines_share_the_work_of_routers_with_the_same_view() {
+    let ids = ["a", "b", "c", "d"];
+    let mut fleet = fleet(&ids);
+    for id in ids {
+        fleet.merge_speed(id, &speed(3.0, 700.0));
+    }
+
+    let chosen = choices(&fleet, &demand(600, 100));
+
+    assert!(
+        ids.iter()
+            .all(|id| chosen.get(*id).is_some_and(|count| *count > 20))
+    );
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -44,7 +44,7 @@
 
 /// Time from SIGTERM to the end of listening: the balancer asks every second and takes an instance
 /// out after two misses.
-const UNREADY_DELAY: Duration = Duration::from_millis(3_500);
+const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Part of the grace period that is left for the process's own end.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
@@ -81,6 +81,7 @@
         introduced: watch::Sender::new(None),
         metrics: Metrics::new().map_err(io::Error::other)?,
         closing: shutdown.closing.clone(),
+        leaving: CancellationToken::new(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
     let watched = watch_settings(path, settings_sender, shutdown.closing.clone());
@@ -137,6 +138,7 @@
     let announce = async {
         shutdown.closing.cancelled().await;
         sleep(UNREADY_DELAY).await;
+        context.leaving.cancel();
         unready.closing.cancel();
     };
     let drain = async {
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -41,6 +41,9 @@
 /// When to come back to a gateway without a proved configuration: another one will take the caller.
 const UNPROVED_RETURN: Duration = Duration::from_millis(500);
 
+/// When to come back to an instance that is about to end: another one takes the next connection.
+const LEAVING_RETURN: Duration = Duration::from_millis(50);
+
 /// The router of the callers' listener: every method and path.
 pub fn routes(context: Context) -> Router {
     let middleware = StateMiddleware::new(context);
@@ -91,6 +94,9 @@
         log::info!(request = id.as_str(), cause:% = refusal.cause, retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64); "refused");
         refusal.response(&id)
     };
+    if context.leaving.is_cancelled() {
+        return refuse(Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETURN));
+    }
     let permit = match permit(context, &headers, &uri, &head) {
         Ok(permit) => permit,
         Err(refusal) => return refuse(refusal),
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -38,8 +38,10 @@
     pub introduced: watch::Sender<Option<SocketAddr>>,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// Set while the process is closing.
+    /// Set while the process is closing: it still serves what comes.
     pub closing: CancellationToken,
+    /// Set when the process takes no more requests, as they might outlast it.
+    pub leaving: CancellationToken,
 }
 
 impl Context {
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -19,6 +19,7 @@
         Settings, configuration, server,
         store::{Change, Check, Entry, Error, Store},
     },
+    tamarackdale_wire::{codec, summary::Kept},
     tokio::{sync::watch, time::sleep},
 };
 
@@ -47,6 +48,12 @@
 /// Pause between renewals, a third of the lease.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Key of the use of quotas, kept for a start of all gateways.
+const QUOTA_USE: &str = "quota-use";
+
+/// Pause between two looks at whether use of quotas must be kept.
+const KEEP_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Prefix of the gateways' registrations; the rest of a key is the address for peers.
 const GATEWAYS: &str = "gateways/";
 
@@ -74,6 +81,10 @@
     pub roster: watch::Receiver<Arc<Roster>>,
     /// Addresses of the registered gateways.
     pub gateways: watch::Receiver<Arc<BTreeSet<SocketAddr>>>,
+    /// Use of quotas before this start, once it is known.
+    pub kept: watch::Receiver<Option<Kept>>,
+    /// Use of quotas that this gateway must keep in the store; empty if another one does.
+    pub to_keep: watch::Sender<Kept>,
 }
 
 /// Sending ends of what the follower tells.
@@ -81,6 +92,8 @@
     configuration: watch::Sender<Option<Arc<Snapshot>>>,
     roster: watch::Sender<Arc<Roster>>,
     gateways: watch::Sender<Arc<BTreeSet<SocketAddr>>>,
+    kept: watch::Sender<Option<Kept>>,
+    to_keep: watch::Receiver<Kept>,
 }
 
 /// Both ends of what the follower tells.
@@ -88,15 +101,21 @@
     let (configuration, followed_configuration) = watch::channel(None);
     let (roster, followed_roster) = watch::channel(Arc::new(Roster::new()));
     let (gateways, followed_gateways) = watch::channel(Arc::new(BTreeSet::new()));
+    let (kept, followed_kept) = watch::channel(None);
+    let (to_keep, published_to_keep) = watch::channel(Kept::default());
     let publisher = Publisher {
         configuration,
         roster,
         gateways,
+        kept,
+        to_keep: published_to_keep,
     };
     let followed = Followed {
         configuration: followed_configuration,
         roster: followed_roster,
         gateways: followed_gateways,
+        kept: followed_kept,
+        to_keep,
     };
     (publisher, followed)
 }
@@ -138,6 +157,7 @@
                 self.follow_configuration(),
                 self.follow_servers(),
                 self.follow_gateways(),
+                self.keep_quota_use(),
             )
         };
         tokio::select! {
@@ -375,6 +395,47 @@
         Ok(lease)
     }
 
+    /// Reads the use of quotas that was kept before this start, then keeps that of this gateway
+    /// whenever there is some. It hangs on a lease, since it is worth nothing after a window.
+    async fn keep_quota_use(&self) {
+        let kept = loop {
+            match self.store.get(QUOTA_USE).await {
+                Ok(entry) => break decode_kept(&entry),
+                Err(Error::NoKey) => break Kept::default(),
+                Err(error) => self.lose("use of quotas", &error),
+            }
+            sleep(RETRY_INTERVAL).await;
+        };
+        self.publisher.kept.send_replace(Some(kept));
+        let mut to_keep = self.publisher.to_keep.clone();
+        let mut lease = None;
+        loop {
+            sleep(KEEP_INTERVAL).await;
+            let use_now = to_keep.borrow_and_update().clone();
+            if use_now.used.is_empty() {
+                continue;
+            }
+            match self.put_quota_use(&use_now, lease).await {
+                Ok(held) => lease = Some(held),
+                Err(Error::NoLease) => lease = None,
+                Err(error) => self.lose("use of quotas", &error),
+            }
+        }
+    }
+
+    async fn put_quota_use(&self, kept: &Kept, lease: Option<u64>) -> Result<u64, Error> {
+        let lease = match lease {
+            Some(lease) => {
+                self.store.keep(lease).await?;
+                lease
+            }
+            None => self.store.lease(LEASE).await?,
+        };
+        let bytes = codec::encode(kept).map_err(|error| Error::Malformed(error.to_string()))?;
+        self.store.put(QUOTA_USE, &bytes, lease).await?;
+        Ok(lease)
+    }
+
     fn lose(&self, what: &str, error: &Error) {
         if matches!(error, Error::HistoryGone | Error::NoKey) {
             log::info!(what; "{error}");
@@ -395,6 +456,13 @@
     }
 }
 
+fn decode_kept(entry: &Entry) -> Kept {
+    codec::decode(&entry.value).unwrap_or_else(|error| {
+        log::warn!("the kept use of quotas cannot be read: {error}");
+        Kept::default()
+    })
+}
+
 fn register(roster: &mut Roster, entry: &Entry, known: &Roster) {
     match server::decode(&entry.key, &entry.value) {
         Ok(member) => {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -56,6 +56,9 @@
 /// counted has passed since it was heard.
 const FORGET_AFTER: Duration = Duration::from_secs(10);
 
+/// Pause between two looks at the use of quotas.
+const QUOTA_USE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Summaries that a slow reader may be behind before it gets a full one instead.
 const BEHIND: usize = 8;
 
@@ -109,6 +112,13 @@
         is_stale
     }
 
+    /// Whether this gateway's address comes before those of all that are heard.
+    fn is_first(&self, own: SocketAddr) -> bool {
+        let peers = self.lock();
+        let mut heard = peers.iter().filter(|(_, lost)| lost.is_none());
+        heard.all(|(address, _)| own < *address)
+    }
+
     /// Gateways that are heard, and those that are known; this one counts in both.
     fn count(&self) -> (usize, usize) {
         let peers = self.lock();
@@ -128,10 +138,32 @@
     tokio::join!(
         publish_all(&context),
         follow_all(&context),
-        adopt_rosters(&context)
+        adopt_rosters(&context),
+        keep_quota_use(&context),
     );
 }
 
+/// Hands over use of quotas to be kept, at the gateway whose address is the first of those heard.
+async fn keep_quota_use(context: &Context) {
+    let mut kept = context.followed.kept.clone();
+    if let Ok(known) = kept.wait_for(Option::is_some).await
+        && let Some(known) = known.as_ref()
+    {
+        context.scheduler.remember(known.clone().into());
+    }
+    let own = context.settings.borrow().peers;
+    loop {
+        sleep(QUOTA_USE_INTERVAL).await;
+        let used = match context.snapshot() {
+            Some(snapshot) if context.acquaintance.is_first(own) => {
+                context.scheduler.quota_use(&snapshot.directory)
+            }
+            _ => HashMap::new(),
+        };
+        context.followed.to_keep.send_replace(used.into());
+    }
+}
+
 async fn adopt_rosters(context: &Context) {
     let mut roster = context.followed.roster.clone();
     loop {
@@ -157,10 +189,11 @@
         sleep(MIN_INTERVAL.max(INTERVAL_PER_PEER * peers)).await;
         context.scheduler.pump();
         let with_speeds = speeds_at.elapsed() >= SPEED_INTERVAL;
-        let full = context.scheduler.summary();
+        let full = context.scheduler.summary(false);
         let changed = difference(&told, &full, with_speeds);
+        let is_quiet = is_empty(&changed) && told.waits == full.waits;
         told = full;
-        if is_empty(&changed) && told_at.elapsed() < QUIET_INTERVAL {
+        if is_quiet && told_at.elapsed() < QUIET_INTERVAL {
             continue;
         }
         told_at = Instant::now();
@@ -202,6 +235,8 @@
     Summary {
         entries: entries.collect(),
         usages: usages.cloned().collect(),
+        is_complete: full.is_complete,
+        waits: full.waits.clone(),
         floors: full.floors.clone(),
     }
 }
@@ -239,7 +274,7 @@
 }
 
 fn full(context: &Context) -> Bytes {
-    let message = Message::new(context.boot, &context.scheduler.summary());
+    let message = Message::new(context.boot, &context.scheduler.summary(true));
     codec::encode_item(&message).unwrap_or_else(|error| {
         log::error!("summary not published: {error}");
         Bytes::new()
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -32,6 +32,8 @@
     BodyBroken,
     /// No configuration is known, or it is not proved to be the newest.
     NotProved,
+    /// The process is about to end.
+    Leaving,
     /// The organisation is over its quota.
     Quota,
     /// No backend server of the service is known and in health.
@@ -60,6 +62,7 @@
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Quota => StatusCode::TOO_MANY_REQUESTS,
             Self::NotProved
+            | Self::Leaving
             | Self::NoBackendServer
             | Self::Overload
             | Self::Floor
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -139,7 +139,6 @@
         let ask = Ask {
             service: self.service.clone(),
             rank: route.rank.within(outer),
-            route_rank: route.rank,
             prompt: tokens.map_or(0, |tokens| tokens.prompt),
             output: tokens.map_or(0, |tokens| tokens.expected()),
             excluded: self.excluded.clone(),
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -9,12 +9,12 @@
         time::Duration,
     },
     tamarackdale_core::{
-        directory::Organisation,
+        directory::{Directory, Organisation},
         fleet::{self, Choice, Demand, Fleet, Roster, Share, Shortage},
         floor::{self, Floor},
         line::{Line, Place},
         patience,
-        quota::Ledger,
+        quota::{Kept, Ledger},
         retry::{self, Budget},
         summary::{Entry, Summary},
         tier::Rank,
@@ -34,8 +34,6 @@
     pub service: String,
     /// Rank among all requests.
     pub rank: Rank,
-    /// Rank of its route.
-    pub route_rank: Rank,
     /// Prompt tokens.
     pub prompt: u32,
     /// Expected output tokens.
@@ -65,7 +63,7 @@
 
 struct Waiter {
     ask: Ask,
-    reply: Option<oneshot::Sender<Choice>>,
+    reply: oneshot::Sender<Choice>,
 }
 
 struct State {
@@ -74,7 +72,8 @@
     floors: HashMap<String, Floor>,
     budgets: HashMap<String, Budget>,
     line: Line<Waiter>,
-    next_number: u64,
+    /// Most urgent rank that waits at each peer, by service.
+    peer_waits: HashMap<u64, Vec<(String, Rank)>>,
     random: SmallRng,
     data_centre: String,
     peers: usize,
@@ -99,7 +98,7 @@
                 floors: HashMap::new(),
                 budgets: HashMap::new(),
                 line: Line::new(),
-                next_number: 0,
+                peer_waits: HashMap::new(),
                 random: SmallRng::from_os_rng(),
                 data_centre: settings.data_centre.clone(),
                 peers: 0,
@@ -127,6 +126,19 @@
         self.lock().ledger.admit(organisation, cost, now)
     }
 
+    /// Takes in the use of quotas before this start.
+    pub fn remember(&self, used: HashMap<String, Kept>) {
+        let now = self.clock.now();
+        self.lock().ledger.remember(used, now);
+    }
+
+    /// Use of quotas that must outlast a start of all gateways.
+    pub fn quota_use(&self, directory: &Directory) -> HashMap<String, Kept> {
+        let now = self.clock.now();
+        let organisations = directory.organisations().iter().map(AsRef::as_ref);
+        self.lock().ledger.to_keep(organisations, now)
+    }
+
     /// Gives back the quota of a request that did not run.
     pub fn refund(&self, organisation: &str, cost: f64) {
         let now = self.clock.now();
@@ -145,13 +157,13 @@
 
     /// Finds a backend server for the request, which waits for one as long as that can help.
     pub async fn place(&self, ask: Ask) -> Result<Choice, Refusal> {
-        let (place, reply, until) = {
+        let (number, reply, wait) = {
             let mut state = self.lock();
             let now = self.clock.now();
             if !state.floor(&ask.service).serves(ask.rank, now) {
                 return Err(Refusal::Floor);
             }
-            if !state.is_behind(&ask) {
+            if state.ahead(&ask) == 0 && !state.is_behind_peers(&ask) {
                 match state.choose(&ask, now) {
                     Ok(choice) => {
                         state.reserve(&choice, &ask, now);
@@ -161,20 +173,20 @@
                     Err(Shortage::Full(_)) => {}
                 }
             }
-            let until = patience::line_end(ask.accepted, ask.objective, ask.deadline);
-            if until <= now || state.is_hopeless(&ask) {
+            let until = patience::line_end(ask.accepted, ask.deadline);
+            if until <= now || state.ahead(&ask) >= patience::MAX_LINE {
                 state.shed(&ask, now);
                 return Err(Refusal::Overload);
             }
-            let (place, reply) = state.join(ask.clone(), until);
-            (place, reply, until.since(now))
+            let (number, reply) = state.join(ask.clone());
+            (number, reply, until.since(now))
         };
         // The place is left when the caller goes away as well.
         let _leave = Leave {
             scheduler: self,
-            place,
+            number,
         };
-        match timeout(until, reply).await {
+        match timeout(wait, reply).await {
             Ok(Ok(choice)) => Ok(choice),
             _ => {
                 let now = self.clock.now();
@@ -222,6 +234,11 @@
         for usage in &summary.usages {
             state.ledger.merge(peer, usage, now);
         }
+        // A peer's first summary has all its counts, and any later one comes after it.
+        if summary.is_complete {
+            state.ledger.complete();
+        }
+        state.peer_waits.insert(peer, summary.waits.clone());
         for (service, rank) in &summary.floors {
             state.floor(service).raise(*rank, now);
         }
@@ -233,6 +250,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.forget(peer);
+        state.ledger.forget(peer);
+        state.peer_waits.remove(&peer);
         state.pump(now);
     }
 
@@ -250,8 +269,9 @@
         }
     }
 
-    /// What this gateway has at each backend server, what it used, and what it shed.
-    pub fn summary(&self) -> Summary {
+    /// What this gateway has at each backend server, what it used, and what it shed; all that it
+    /// knows of quotas for a peer that hears it for the first time.
+    pub fn summary(&self, is_first: bool) -> Summary {
         let now = self.clock.now();
         let state = self.lock();
         let entries = state.fleet.own().map(|(id, load, speed)| Entry {
@@ -265,7 +285,9 @@
         });
         Summary {
             entries: entries.collect(),
-            usages: state.ledger.usages().collect(),
+            usages: state.ledger.usages(is_first, now).collect(),
+            is_complete: state.ledger.is_complete(now),
+            waits: state.waits(),
             floors: floors.collect(),
         }
     }
@@ -323,7 +345,7 @@
             prompt: ask.prompt,
             output: ask.output,
             excluded: &ask.excluded,
-            patience: patience::engine_wait(ask.route_rank, ask.objective),
+            patience: patience::engine_wait(ask.objective),
             deadline: ask.deadline.since(now),
             data_centre: &self.data_centre,
         };
@@ -336,36 +358,44 @@
         self.fleet.reserve(&choice.member.id, share, now);
     }
 
-    /// Whether somebody waits whose turn comes before this request.
-    fn is_behind(&self, ask: &Ask) -> bool {
-        self.line
-            .count(|place, waiter| place.rank <= ask.rank && waiter.ask.service == ask.service)
-            > 0
+    /// Requests that wait here and whose turn comes before this one.
+    fn ahead(&self, ask: &Ask) -> usize {
+        let waiting = self.line.iter();
+        let ahead = waiting
+            .filter(|(place, waiter)| place.rank <= ask.rank && waiter.ask.service == ask.service);
+        ahead.count()
+    }
+
+    /// Whether a more urgent request waits at a peer: what becomes free is for that one.
+    fn is_behind_peers(&self, ask: &Ask) -> bool {
+        let waits = self.peer_waits.values().flatten();
+        waits
+            .filter(|(service, _)| *service == ask.service)
+            .any(|(_, rank)| rank.is_above(ask.rank))
     }
 
-    /// Whether so many wait before this request that its turn cannot come in time.
-    fn is_hopeless(&self, ask: &Ask) -> bool {
-        let ahead = self
-            .line
-            .count(|place, waiter| place.rank <= ask.rank && waiter.ask.service == ask.service);
-        ahead >= patience::MAX_LINE
+    /// Most urgent rank that waits here, by service.
+    fn waits(&self) -> Vec<(String, Rank)> {
+        let mut waits: Vec<(String, Rank)> = Vec::new();
+        for (place, waiter) in self.line.iter() {
+            let service = &waiter.ask.service;
+            match waits.iter_mut().find(|(known, _)| known == service) {
+                Some((_, rank)) => *rank = place.rank.min(*rank),
+                None => waits.push((service.clone(), place.rank)),
+            }
+        }
+        waits
     }
 
-    fn join(&mut self, ask: Ask, until: Timestamp) -> (Place, oneshot::Receiver<Choice>) {
-        self.next_number += 1;
+    fn join(&mut self, ask: Ask) -> (u64, oneshot::Receiver<Choice>) {
         let place = Place {
             rank: ask.rank,
-            is_new: !ask.is_returning,
-            until,
-            number: self.next_number,
+            is_returning: ask.is_returning,
+            on_time_until: patience::on_time_until(ask.accepted, ask.objective),
         };
         let (reply, answer) = oneshot::channel();
-        let waiter = Waiter {
-            ask,
-            reply: Some(reply),
-        };
-        self.line.insert(place, waiter);
-        (place, answer)
+        let number = self.line.insert(place, Waiter { ask, reply });
+        (number, answer)
     }
 
     /// Notes that a request is shed: less urgent ones are not served for a while.
@@ -375,40 +405,46 @@
         }
     }
 
+    /// Gives what is free to those who wait, in their order. A less urgent request never passes
+    /// one for which there is no room.
     fn pump(&mut self, now: Timestamp) {
         if self.line.is_empty() {
             return;
         }
-        let mut line = std::mem::take(&mut self.line);
         let mut full: Vec<String> = Vec::new();
-        line.offer(|_, waiter| {
-            if full.contains(&waiter.ask.service) {
-                return false;
+        for number in self.line.order(now) {
+            let Some(waiter) = self.line.get(number) else {
+                continue;
+            };
+            let ask = waiter.ask.clone();
+            if full.contains(&ask.service) {
+                continue;
             }
-            let Ok(choice) = self.choose(&waiter.ask, now) else {
-                // A less urgent request must not pass one for which there is no room.
-                full.push(waiter.ask.service.clone());
-                return false;
+            let choice = match self.is_behind_peers(&ask) {
+                true => None,
+                false => self.choose(&ask, now).ok(),
+            };
+            let Some(choice) = choice else {
+                full.push(ask.service);
+                continue;
             };
-            let reply = waiter.reply.take();
-            if reply.is_some_and(|reply| reply.send(choice.clone()).is_ok()) {
-                self.reserve(&choice, &waiter.ask, now);
+            let waiter = self.line.remove(number);
+            if waiter.is_some_and(|waiter| waiter.reply.send(choice.clone()).is_ok()) {
+                self.reserve(&choice, &ask, now);
             }
-            true
-        });
-        self.line = line;
+        }
     }
 }
 
 /// Takes a request out of the line when it is dropped.
 struct Leave<'a> {
     scheduler: &'a Scheduler,
-    place: Place,
+    number: u64,
 }
 
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
-        self.scheduler.lock().line.remove(&self.place);
+        self.scheduler.lock().line.remove(self.number);
     }
 }
 
--- a/testbed/src/http.rs
+++ b/testbed/src/http.rs
@@ -114,10 +114,8 @@
         let _ = connection.await;
     });
     let host = header::HeaderValue::from_str(&address.to_string());
-    request.headers_mut().insert(
-        header::HOST,
-        host.expect("an address is a valid header value"),
-    );
+    let host = host.expect("an address is a valid header value");
+    request.headers_mut().entry(header::HOST).or_insert(host);
     let response = sender.send_request(request.map(Full::new)).await?;
     Ok(Reply {
         response,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod outage;
 pub mod peer;
 pub mod plain;
+pub mod platform;
 mod port;
 pub mod process;
 pub mod proxy;
--- /dev/null
+++ b/testbed/src/platform.rs
@@ -0,0 +1,10 @@
+//! The users' platform in small: its store, backend servers that register there, and gateways as
+//! real processes.
+
+mod server;
+mod site;
+
+pub use {
+    server::{Behaviour, Run, Server},
+    site::{Configuration, Gateway, Site, request},
+};
--- /dev/null
+++ b/testbed/src/platform/server.rs
@@ -0,0 +1,293 @@
+//! Stand-in for a backend server of the users' platform.
+
+use {
+    crate::host::{Body, Host, json, whole},
+    bytes::Bytes,
+    futures_util::stream,
+    http_body_util::{BodyExt as _, StreamBody},
+    hyper::{Request, Response, StatusCode, body::Frame, body::Incoming},
+    serde_json::json as value,
+    std::{
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+    tokio::time::sleep,
+};
+
+/// How the server treats requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Behaviour {
+    /// Runs them and answers.
+    #[default]
+    Sound,
+    /// Says that it did not run them.
+    Full,
+    /// Runs them and cuts the connection before an answer.
+    LosesAnswers,
+    /// Runs them and answers with the identifier of another request.
+    MixesAnswers,
+    /// Runs them and answers without a signature.
+    Unsigned,
+    /// Runs them and breaks off in the middle of the answer, or of a stream's third event.
+    BreaksOff,
+    /// Runs them and answers with an error.
+    Fails,
+    /// Takes them and never answers.
+    Silent,
+}
+
+/// A request that the server ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// Identifier of the request.
+    pub id: String,
+    /// Time that was left, in milliseconds.
+    pub time_left_ms: u64,
+    /// Organisation that it was said to be for.
+    pub organisation: String,
+    /// Event after which it was to go on.
+    pub resumed_after: Option<u64>,
+    /// Whether the caller's key came with it.
+    pub has_key: bool,
+    /// Body as it came.
+    pub body: Bytes,
+}
+
+/// A running server; stopped and joined on drop.
+pub struct Server {
+    id: String,
+    service: String,
+    state: Arc<State>,
+    host: Host,
+}
+
+struct State {
+    id: String,
+    behaviour: Mutex<Behaviour>,
+    latency: Mutex<Duration>,
+    events: Mutex<u64>,
+    runs: Mutex<Vec<Run>>,
+    working: AtomicUsize,
+}
+
+impl Server {
+    /// Starts a server of a service on a free loopback port.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port or thread can be had.
+    pub fn new(id: &str, service: &str) -> io::Result<Self> {
+        let state = Arc::new(State {
+            id: id.to_owned(),
+            behaviour: Mutex::default(),
+            latency: Mutex::new(Duration::from_millis(10)),
+            events: Mutex::new(5),
+            runs: Mutex::default(),
+            working: AtomicUsize::new(0),
+        });
+        let shared = Arc::clone(&state);
+        let host = Host::new(id, move |request| {
+            let shared = Arc::clone(&shared);
+            async move { shared.answer(request).await }
+        })?;
+        Ok(Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            state,
+            host,
+        })
+    }
+
+    /// Its identifier.
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+
+    /// Sets how requests are treated from now on.
+    pub fn set_behaviour(&self, behaviour: Behaviour) {
+        *lock(&self.state.behaviour) = behaviour;
+    }
+
+    /// Sets the time that an answer takes, or the time between two events.
+    pub fn set_latency(&self, latency: Duration) {
+        *lock(&self.state.latency) = latency;
+    }
+
+    /// Sets the number of events of a stream.
+    pub fn set_events(&self, events: u64) {
+        *lock(&self.state.events) = events;
+    }
+
+    /// The requests that it ran, oldest first.
+    pub fn runs(&self) -> Vec<Run> {
+        lock(&self.state.runs).clone()
+    }
+
+    /// Requests that it works on now.
+    pub fn working(&self) -> usize {
+        self.state.working.load(Ordering::SeqCst)
+    }
+
+    /// Refuses connections and cuts those that are open.
+    pub fn close(&self) {
+        self.host.close();
+    }
+
+    /// Its registration in the store.
+    pub fn registration(&self, state: &str) -> (String, Vec<u8>) {
+        let entry = value!({
+            "service": self.service,
+            "address": self.address().to_string(),
+            "zone": "a",
+            "version": "v1",
+            "slots": 8,
+            "state": state,
+            "cold_remaining_ms": 0,
+            "sequence": 1,
+            "born": 1,
+        });
+        (format!("servers/{}", self.id), entry.to_string().into())
+    }
+}
+
+/// Counts a request as worked on until it is dropped, as when its connection is closed.
+struct Work(Arc<State>);
+
+impl Work {
+    fn new(state: &Arc<State>) -> Self {
+        state.working.fetch_add(1, Ordering::SeqCst);
+        Self(Arc::clone(state))
+    }
+}
+
+impl Drop for Work {
+    fn drop(&mut self) {
+        self.0.working.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl State {
+    async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
+        let (parts, body) = request.into_parts();
+        let text = |name: &str| {
+            let value = parts.headers.get(name);
+            value
+                .and_then(|value| value.to_str().ok())
+                .unwrap_or_default()
+        };
+        let behaviour = *lock(&self.behaviour);
+        let is_meant = text("expect-instance") == self.id;
+        if !is_meant || behaviour == Behaviour::Full {
+            let status = match is_meant {
+                true => StatusCode::SERVICE_UNAVAILABLE,
+                false => StatusCode::MISDIRECTED_REQUEST,
+            };
+            let mut response = json(status, &value!({}));
+            put(&mut response, "not-executed", "1");
+            return Some(response);
+        }
+        let id = text("attempt-id").to_owned();
+        let resumed_after = text("last-event-id").parse().ok();
+        let run = Run {
+            id: id.clone(),
+            time_left_ms: text("time-budget").parse().unwrap_or_default(),
+            organisation: text("tenant").to_owned(),
+            resumed_after,
+            has_key: parts.headers.contains_key("authorization"),
+            body: body.collect().await.ok()?.to_bytes(),
+        };
+        let size = run.body.len();
+        lock(&self.runs).push(run);
+        let work = Work::new(&self);
+        let latency = *lock(&self.latency);
+        let is_stream = parts.headers.contains_key("token-usage");
+        if !is_stream || resumed_after.is_none() {
+            sleep(latency).await;
+        }
+        match behaviour {
+            Behaviour::LosesAnswers => return None,
+            Behaviour::Silent => std::future::pending().await,
+            Behaviour::Fails => {
+                return Some(signed(
+                    json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
+                    &id,
+                ));
+            }
+            _ => {}
+        }
+        let echo = match behaviour {
+            Behaviour::MixesAnswers => "another-request",
+            _ => &id,
+        };
+        let response = match is_stream {
+            true => self.stream(resumed_after.unwrap_or(0), work, behaviour),
+            false => answer_whole(&self.id, size, behaviour),
+        };
+        if behaviour == Behaviour::Unsigned {
+            let mut response = response;
+            put(&mut response, "attempt-id", echo);
+            return Some(response);
+        }
+        Some(signed(response, echo))
+    }
+
+    fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
+        let count = *lock(&self.events);
+        let latency = *lock(&self.latency);
+        let events = stream::unfold((after + 1, work), move |(id, work)| async move {
+            if id > count {
+                return None;
+            }
+            sleep(latency).await;
+            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let breaks = behaviour == Behaviour::BreaksOff;
+            let item = match (breaks, id) {
+                (true, 3) => Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))),
+                (true, 4..) => Err(io::Error::other("broken off")),
+                _ => Ok(Frame::data(event.into())),
+            };
+            Some((item, (id + 1, work)))
+        });
+        let mut response = Response::new(StreamBody::new(events).boxed_unsync());
+        put(&mut response, "content-type", "text/event-stream");
+        response
+    }
+}
+
+/// The answer of the server `id` to a request with a body of `size` bytes.
+fn answer_whole(id: &str, size: usize, behaviour: Behaviour) -> Response<Body> {
+    let text = format!("{id} got {size} bytes");
+    if behaviour != Behaviour::BreaksOff {
+        return whole(StatusCode::OK, text.into());
+    }
+    let pieces = stream::iter([
+        Ok(Frame::data(Bytes::from(text))),
+        Err(io::Error::other("broken off")),
+    ]);
+    Response::new(StreamBody::new(pieces).boxed_unsync())
+}
+
+fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
+    put(&mut response, "attempt-id", id);
+    put(&mut response, "response-seal", "signature");
+    response
+}
+
+fn put(response: &mut Response<Body>, name: &'static str, value: &str) {
+    let value = value.parse().expect("the value is a header value");
+    response.headers_mut().insert(name, value);
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/testbed/src/platform/site.rs
@@ -0,0 +1,253 @@
+//! A site: one store, its configuration, and gateways.
+
+use {
+    super::Server,
+    crate::{
+        http,
+        process::{self, Process},
+        store::Store,
+    },
+    bytes::Bytes,
+    hyper::Request,
+    serde_json::{Value, json},
+    std::{
+        fs, io,
+        net::{Ipv4Addr, SocketAddr},
+        path::PathBuf,
+        sync::atomic::{AtomicU32, Ordering},
+        time::{Duration, Instant},
+    },
+    tempfile::TempDir,
+    tokio::time::sleep,
+};
+
+/// Ports of a gateway; each has a loopback address of its own.
+const CALLERS_PORT: u16 = 8_001;
+const READINESS_PORT: u16 = 8_002;
+const PEERS_PORT: u16 = 8_003;
+
+/// Longest time for a gateway to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
+/// How often a condition is looked at.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest time for an answer to a request of a test.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// The operator's configuration, to be changed and put again.
+#[derive(Clone, Debug)]
+pub struct Configuration {
+    /// What lies in the store.
+    pub value: Value,
+}
+
+impl Default for Configuration {
+    /// One engine service `engine` and one plain service `plain`; the organisation `o` has the key
+    /// `key`. Routes: `/stream/`, `/resumable/`, `/booking/` and `/status/` on `site.example`.
+    fn default() -> Self {
+        let route = |name: &str, kind: &str, service: &str, attempts: u32, resumes: bool| {
+            json!({
+                "name": name, "host": "site.example", "prefix": format!("/{name}/"),
+                "route_type": kind, "timeout_ms": 3000, "target_latency_ms": 400,
+                "priority": 0, "service": service, "attempts": attempts, "anonymous": false,
+                "stream_resume": resumes,
+            })
+        };
+        let value = json!({
+            "version": 1,
+            "routes": [
+                route("stream", "streaming", "engine", 1, false),
+                route("resumable", "streaming", "engine", 3, true),
+                route("booking", "non_idempotent", "plain", 2, false),
+                route("status", "idempotent", "plain", 3, false),
+            ],
+            "services": [
+                {"name": "engine", "health_check": "/health", "max_conns": 100,
+                 "engine": {"slots": 8, "kv_capacity_tokens": 100_000, "stride": 1}},
+                {"name": "plain", "health_check": "/health", "max_conns": 100},
+            ],
+            "limits": {"max_header_bytes": 16384, "max_body_bytes": 65536,
+                       "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+            "tenants": [{"name": "o", "api_keys": ["key"], "priority": 1, "unit": "tokens",
+                         "uncached_tokens": 1, "rate_per_s": 100_000, "burst": 100_000}],
+        });
+        Self { value }
+    }
+}
+
+impl Configuration {
+    /// The next version, with another value at a JSON pointer.
+    pub fn with(mut self, pointer: &str, value: Value) -> Self {
+        self.value["version"] = (self.value["version"].as_u64().unwrap_or_default() + 1).into();
+        if let Some(place) = self.value.pointer_mut(pointer) {
+            *place = value;
+        }
+        self
+    }
+}
+
+/// A running site.
+pub struct Site {
+    /// Its store.
+    pub store: Store,
+    folder: TempDir,
+}
+
+/// A gateway of a site as a real process.
+pub struct Gateway {
+    /// The process.
+    pub process: Process,
+    /// Its settings file.
+    pub settings: PathBuf,
+    address: Ipv4Addr,
+}
+
+impl Site {
+    /// Starts a store with a configuration.
+    ///
+    /// # Errors
+    ///
+    /// Fails when no port, thread or folder can be had.
+    pub fn new(configuration: &Configuration) -> io::Result<Self> {
+        let site = Self {
+            store: Store::start()?,
+            folder: TempDir::new()?,
+        };
+        site.configure(configuration);
+        Ok(site)
+    }
+
+    /// Puts a configuration.
+    pub fn configure(&self, configuration: &Configuration) {
+        let text = configuration.value.to_string();
+        self.store.put("op/config", text.as_bytes());
+    }
+
+    /// Registers a server as one that takes work.
+    pub fn register(&self, server: &Server) {
+        self.set_state(server, "ready");
+    }
+
+    /// Registers a server with a state.
+    pub fn set_state(&self, server: &Server, state: &str) {
+        let (key, value) = server.registration(state);
+        self.store.put(&key, &value);
+    }
+
+    /// Starts a gateway, without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings cannot be written or the binary is missing.
+    pub fn gateway(&self, name: &str) -> Result<Gateway, process::Fault> {
+        let address = own_address();
+        let settings = self.folder.path().join(format!("{name}.toml"));
+        fs::write(&settings, self.settings(name, address))?;
+        let path = settings.to_string_lossy().into_owned();
+        let process = Process::with_environment(
+            name,
+            "tamarackdaled",
+            &["gateway".to_owned()],
+            &[("TAMARACKDALE_NODE_FILE", &path)],
+        )?;
+        Ok(Gateway {
+            process,
+            settings,
+            address,
+        })
+    }
+
+    fn settings(&self, name: &str, address: Ipv4Addr) -> String {
+        let store = self.store.address();
+        format!(
+            r#"node_name = "{name}"
+zone = "a"
+ip = "{address}"
+port_range = [{PEERS_PORT}, {PEERS_PORT}]
+bootstrap = true
+[bind]
+frontend = "{address}:{CALLERS_PORT}"
+readiness = "{address}:{READINESS_PORT}"
+[limits]
+memory_mb = 182
+max_fds = 2048
+[bounds]
+grace_s = 6
+converge_ms = 1000
+drain_ms = 2000
+revoke_ms = 3000
+retry_budget = 0.2
+budget_window_s = 10
+retry_extra = 100
+quota_window_s = 8
+quota_overrun = 0.1
+quota_slack = 1000
+[platform_api]
+address = "{store}"
+"#
+        )
+    }
+}
+
+/// An address of this process's own in the loopback network.
+fn own_address() -> Ipv4Addr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let number = NEXT.fetch_add(1, Ordering::SeqCst);
+    // Tests run as several processes at once, and each starts a few gateways.
+    let [.., high, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 1 + (number % 200) as u8, high, low.max(2))
+}
+
+impl Gateway {
+    /// Where callers connect.
+    pub fn callers(&self) -> SocketAddr {
+        SocketAddr::new(self.address.into(), CALLERS_PORT)
+    }
+
+    /// Waits until the gateway says that it is ready, or that it is not.
+    pub async fn wait_ready(&self, expected: bool) -> bool {
+        let start = Instant::now();
+        while start.elapsed() < READY_LIMIT {
+            if self.is_ready().await == expected {
+                return true;
+            }
+            sleep(POLL_INTERVAL).await;
+        }
+        false
+    }
+
+    /// Whether the gateway says that it is ready.
+    pub async fn is_ready(&self) -> bool {
+        let address = SocketAddr::new(self.address.into(), READINESS_PORT);
+        let request = Request::get("/ready").body(Bytes::new());
+        let request = request.expect("the request is well formed");
+        let answer = http::call(address, request, Duration::from_secs(1)).await;
+        answer.is_ok_and(|answer| answer.status() == 200)
+    }
+
+    /// Sends a request with the key `key` and reads its whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the answer breaks off or does not come.
+    pub async fn call(&self, path: &str, id: &str) -> Result<http::Answer, http::Fault> {
+        http::call(self.callers(), request(path, id), CALL_LIMIT).await
+    }
+}
+
+/// A caller's request; one to a stream states its tokens.
+pub fn request(path: &str, id: &str) -> Request<Bytes> {
+    let mut builder = Request::post(path)
+        .header("host", "site.example")
+        .header("attempt-id", id)
+        .header("time-budget", "3000")
+        .header("authorization", "Bearer key");
+    if path.starts_with("/stream") || path.starts_with("/resumable") {
+        builder = builder
+            .header("token-usage", "50,20")
+            .header("length-hint", "10");
+    }
+    let body = Bytes::from_static(b"a request's body");
+    builder.body(body).expect("the request is well formed")
+}
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -3,6 +3,7 @@
 mod fault;
 mod gateway;
 mod operation;
+mod platform;
 mod rate;
 mod state;
 mod watch;
@@ -127,6 +128,15 @@
         self.gateway.state().record(key.as_bytes()).cloned()
     }
 
+    /// Removes a key directly, without a call.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.gateway.state();
+        let revision = state.revision() + 1;
+        state.delete_at(revision, key.as_bytes(), &[]);
+        drop(state);
+        self.gateway.notify();
+    }
+
     /// Writes a key directly, without a call; returns the revision.
     pub fn put(&self, key: &str, value: &[u8]) -> i64 {
         let revision = self.gateway.state().put(key.as_bytes(), value);
--- a/testbed/src/store/gateway.rs
+++ b/testbed/src/store/gateway.rs
@@ -5,6 +5,7 @@
         Call,
         fault::Faults,
         operation::{self, INVALID_ARGUMENT, NOT_FOUND, Refusal},
+        platform,
         rate::Bucket,
         state::State,
         watch,
@@ -77,11 +78,11 @@
         self.written.subscribe()
     }
 
-    fn count(&self, kind: Call) {
+    pub fn count(&self, kind: Call) {
         *lock(&self.counts).entry(kind).or_default() += 1;
     }
 
-    fn is_within_caps(&self, kind: Call) -> bool {
+    pub fn is_within_caps(&self, kind: Call) -> bool {
         match (&mut *lock(&self.caps), kind) {
             (None, _) => true,
             (Some((_, writes)), Call::Write) => writes.take(Instant::now()),
@@ -96,6 +97,9 @@
     request: Request<Incoming>,
 ) -> Option<Response<Body>> {
     let path = request.uri().path().to_owned();
+    if platform::speaks(&path) {
+        return platform::answer(gateway, request).await;
+    }
     let Some(kind) = kind_of(&path) else {
         return Some(failure(StatusCode::NOT_FOUND, NOT_FOUND, "no such path"));
     };
--- /dev/null
+++ b/testbed/tests/gateway.rs
@@ -0,0 +1,573 @@
+//! Gateways as real processes against the stand-ins of the users' platform.
+
+use {
+    bytes::Bytes,
+    hyper::Request,
+    rstest::rstest,
+    serde_json::json,
+    std::{collections::BTreeSet, time::Duration},
+    tamarackdale_testbed::{
+        http,
+        platform::{Behaviour, Configuration, Gateway, Server, Site, request},
+        store::Outage,
+        wait,
+    },
+    tokio::time::{Instant, sleep},
+};
+
+/// Time within which a change must be in force: the convergence of the site's settings, with
+/// something for a loaded machine.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Limit for what should happen at once.
+const SOON: Duration = Duration::from_secs(3);
+
+struct Bench {
+    site: Site,
+    gateway: Gateway,
+    engines: Vec<Server>,
+    plains: Vec<Server>,
+}
+
+async fn start() -> Bench {
+    start_with(&Configuration::default()).await
+}
+
+/// A site with two engines, two plain servers and one gateway that is ready.
+async fn start_with(configuration: &Configuration) -> Bench {
+    let site = Site::new(configuration).expect("starts");
+    let servers = |service: &str| -> Vec<Server> {
+        let server = |number| Server::new(&format!("{service}-{number}"), service);
+        (1..=2)
+            .map(|number| server(number).expect("starts"))
+            .collect()
+    };
+    let (engines, plains) = (servers("engine"), servers("plain"));
+    engines
+        .iter()
+        .chain(&plains)
+        .for_each(|server| site.register(server));
+    let gateway = site.gateway("one").expect("starts");
+    assert!(gateway.wait_ready(true).await, "not ready");
+    Bench {
+        site,
+        gateway,
+        engines,
+        plains,
+    }
+}
+
+fn total_runs(servers: &[Server]) -> usize {
+    servers.iter().map(|server| server.runs().len()).sum()
+}
+
+/// Identifiers of the events in a stream's body.
+fn event_ids(body: &Bytes) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body).into_owned();
+    text.lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect()
+}
+
+#[tokio::test]
+async fn calm_day() {
+    let bench = start().await;
+
+    let status = bench
+        .gateway
+        .call("/status/1", "s-1")
+        .await
+        .expect("answered");
+    let booking = bench
+        .gateway
+        .call("/booking/1", "b-1")
+        .await
+        .expect("answered");
+    let stream = bench
+        .gateway
+        .call("/stream/1", "t-1")
+        .await
+        .expect("answered");
+
+    assert_eq!((status.status(), status.header("attempt-id")), (200, "s-1"));
+    assert_eq!(
+        (booking.status(), booking.header("response-seal")),
+        (200, "signature")
+    );
+    assert_eq!(event_ids(&stream.body), [1, 2, 3, 4, 5]);
+    let runs: Vec<_> = bench.plains.iter().flat_map(Server::runs).collect();
+    assert_eq!(runs.len(), 2);
+    for run in runs {
+        assert_eq!((run.organisation.as_str(), run.has_key), ("o", false));
+        assert!((1..=3_000).contains(&run.time_left_ms), "{run:?}");
+        assert_eq!(&run.body[..], b"a request's body");
+    }
+}
+
+#[rstest]
+#[case::unknown_route("/nowhere/", "Bearer key", "x", 404)]
+#[case::unknown_key("/status/", "Bearer other", "x", 401)]
+#[case::no_identifier("/status/", "Bearer key", "", 400)]
+#[tokio::test]
+async fn improper_request_is_refused_and_not_run(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] id: &str,
+    #[case] expected: u16,
+) {
+    let bench = start().await;
+    let mut improper = request(path, id);
+    let key = key.parse().expect("a header value");
+    improper.headers_mut().insert("authorization", key);
+
+    let answer = http::call(bench.gateway.callers(), improper, SOON).await;
+
+    assert_eq!(answer.expect("answered").status(), expected);
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
+#[tokio::test]
+async fn body_over_the_limit_is_refused() {
+    let bench = start().await;
+    let large = request("/status/", "x").map(|_| Bytes::from(vec![b'x'; 70_000]));
+
+    let answer = http::call(bench.gateway.callers(), large, SOON).await;
+
+    assert_eq!(answer.expect("answered").status(), 413);
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
+#[tokio::test]
+async fn gateway_without_a_configuration_is_not_ready_and_denies_nothing() {
+    let site = Site::new(&Configuration::default()).expect("starts");
+    site.store.remove("op/config");
+    let gateway = site.gateway("one").expect("starts");
+    gateway
+        .process
+        .wait_for_listener("callers", SOON)
+        .expect("listens");
+
+    let answer = gateway.call("/status/1", "x").await.expect("answered");
+
+    assert_eq!(answer.status(), 503);
+    assert!(!answer.header("retry-after").is_empty());
+    assert!(!gateway.is_ready().await);
+}
+
+#[tokio::test]
+async fn request_that_was_not_executed_moves() {
+    let bench = start().await;
+    bench.plains[0].set_behaviour(Behaviour::Full);
+
+    for number in 0..6 {
+        let answer = bench
+            .gateway
+            .call("/booking/1", &format!("b-{number}"))
+            .await;
+        assert_eq!(answer.expect("answered").status(), 200);
+    }
+
+    assert_eq!(bench.plains[1].runs().len(), 6);
+}
+
+#[tokio::test]
+async fn refusal_is_true_and_says_when_to_come_back() {
+    let bench = start().await;
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_behaviour(Behaviour::Full));
+
+    let answer = bench
+        .gateway
+        .call("/booking/1", "b-1")
+        .await
+        .expect("answered");
+
+    assert_eq!(answer.status(), 503);
+    let seconds: f64 = answer.header("retry-after").parse().expect("seconds");
+    assert!(seconds > 0.0 && seconds <= 1.0, "{seconds}");
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
+#[rstest]
+#[case(Behaviour::LosesAnswers)]
+#[case(Behaviour::MixesAnswers)]
+#[case(Behaviour::Unsigned)]
+#[case(Behaviour::BreaksOff)]
+#[tokio::test]
+async fn booking_whose_answer_is_spoilt_runs_once_and_fails(#[case] behaviour: Behaviour) {
+    let bench = start().await;
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_behaviour(behaviour));
+
+    let answer = bench
+        .gateway
+        .call("/booking/1", "b-1")
+        .await
+        .expect("answered");
+
+    assert_eq!(answer.status(), 502);
+    assert_eq!(total_runs(&bench.plains), 1);
+}
+
+#[rstest]
+#[case(Behaviour::LosesAnswers)]
+#[case(Behaviour::MixesAnswers)]
+#[case(Behaviour::Unsigned)]
+#[case(Behaviour::BreaksOff)]
+#[case(Behaviour::Fails)]
+#[tokio::test]
+async fn status_whose_answer_is_spoilt_is_asked_again(#[case] behaviour: Behaviour) {
+    let bench = start().await;
+    bench.plains[0].set_behaviour(behaviour);
+
+    for number in 0..6 {
+        let id = format!("s-{number}");
+        let answer = bench
+            .gateway
+            .call("/status/1", &id)
+            .await
+            .expect("answered");
+        assert_eq!(
+            (answer.status(), answer.header("attempt-id")),
+            (200, id.as_str())
+        );
+        assert!(answer.text().starts_with("plain-2"), "{}", answer.text());
+    }
+}
+
+#[tokio::test]
+async fn resumable_stream_goes_on_elsewhere_after_its_last_event() {
+    let bench = start().await;
+    bench.engines[0].set_behaviour(Behaviour::BreaksOff);
+    bench.engines[0].set_latency(Duration::from_millis(500));
+    bench.site.set_state(&bench.engines[1], "draining");
+    sleep(IN_FORCE).await;
+    let reply = http::send(bench.gateway.callers(), request("/resumable/1", "r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    bench.site.register(&bench.engines[1]);
+    let rest = reply.collect().await.expect("whole");
+
+    assert_eq!(event_ids(&first), [1]);
+    assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
+    assert_eq!(bench.engines[1].runs()[0].resumed_after, Some(2));
+}
+
+#[tokio::test]
+async fn other_stream_that_breaks_is_never_ended_clean() {
+    let bench = start().await;
+    bench
+        .engines
+        .iter()
+        .for_each(|server| server.set_behaviour(Behaviour::BreaksOff));
+
+    let answer = bench.gateway.call("/stream/1", "t-1").await;
+
+    assert!(answer.is_err(), "{answer:?}");
+    assert_eq!(total_runs(&bench.engines), 1);
+}
+
+#[tokio::test]
+async fn silent_server_is_given_up_at_the_routes_time_without_a_promise() {
+    let bench = start().await;
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_behaviour(Behaviour::Silent));
+    let started = Instant::now();
+
+    let answer = bench
+        .gateway
+        .call("/booking/1", "b-1")
+        .await
+        .expect("answered");
+
+    assert_eq!(answer.status(), 504);
+    assert!(started.elapsed() < Duration::from_millis(3_500));
+}
+
+#[rstest]
+#[case::leaving(true)]
+#[case::gone(false)]
+#[tokio::test]
+async fn leaving_server_gets_no_new_requests(#[case] tells: bool) {
+    let bench = start().await;
+    let leaving = &bench.plains[0];
+    match tells {
+        true => bench.site.set_state(leaving, "draining"),
+        false => bench.site.store.remove(&leaving.registration("ready").0),
+    }
+    sleep(IN_FORCE).await;
+    let before = leaving.runs().len();
+
+    for number in 0..10 {
+        let answer = bench
+            .gateway
+            .call("/status/1", &format!("s-{number}"))
+            .await;
+        assert_eq!(answer.expect("answered").status(), 200);
+    }
+
+    assert_eq!(leaving.runs().len(), before);
+}
+
+#[tokio::test]
+async fn configuration_is_in_force_soon_and_a_broken_one_changes_nothing() {
+    let bench = start().await;
+    let newer = Configuration::default().with("/routes/3/prefix", json!("/moved/"));
+
+    bench.site.configure(&newer);
+    sleep(IN_FORCE).await;
+    let moved = bench
+        .gateway
+        .call("/moved/1", "m-1")
+        .await
+        .expect("answered");
+    let former = bench
+        .gateway
+        .call("/status/1", "m-2")
+        .await
+        .expect("answered");
+    bench.site.store.put("op/config", b"not a configuration");
+    sleep(Duration::from_millis(1_200)).await;
+    let kept = bench
+        .gateway
+        .call("/moved/1", "m-3")
+        .await
+        .expect("answered");
+
+    assert_eq!(
+        (moved.status(), former.status(), kept.status()),
+        (200, 404, 200)
+    );
+}
+
+#[tokio::test]
+async fn key_that_was_taken_away_stops_working() {
+    let bench = start().await;
+    let without = Configuration::default().with("/tenants/0/api_keys", json!(["another"]));
+
+    bench.site.configure(&without);
+    sleep(IN_FORCE).await;
+    let answer = bench
+        .gateway
+        .call("/status/1", "x")
+        .await
+        .expect("answered");
+
+    assert_eq!(answer.status(), 401);
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
+#[rstest]
+#[case(Outage::Refuse)]
+#[case(Outage::Hang)]
+#[tokio::test]
+async fn keys_are_not_accepted_without_a_fresh_proof(#[case] outage: Outage) {
+    let bench = start().await;
+    bench.site.store.stop(outage);
+    let unready = bench.gateway.wait_ready(false).await;
+
+    let refused = bench
+        .gateway
+        .call("/status/1", "x-1")
+        .await
+        .expect("answered");
+    bench.site.store.resume();
+    let ready = bench.gateway.wait_ready(true).await;
+    let served = bench
+        .gateway
+        .call("/status/1", "x-2")
+        .await
+        .expect("answered");
+
+    assert!(unready && ready);
+    assert_eq!((refused.status(), served.status()), (503, 200));
+    assert_eq!(total_runs(&bench.plains), 1);
+}
+
+#[tokio::test]
+async fn short_outage_of_the_store_stops_nothing() {
+    let bench = start().await;
+    bench.site.store.stop(Outage::Refuse);
+    sleep(Duration::from_millis(500)).await;
+
+    let answer = bench
+        .gateway
+        .call("/status/1", "x-1")
+        .await
+        .expect("answered");
+
+    bench.site.store.resume();
+    assert_eq!(answer.status(), 200);
+}
+
+#[tokio::test]
+async fn server_stops_working_soon_after_the_caller_has_left() {
+    let bench = start().await;
+    bench
+        .engines
+        .iter()
+        .for_each(|server| server.set_events(1_000));
+    let working = || bench.engines.iter().map(Server::working).sum::<usize>();
+    let reply = http::send(bench.gateway.callers(), request("/stream/1", "t-1")).await;
+    let mut reply = reply.expect("a head");
+    reply.chunk().await.expect("an event");
+    assert_eq!(working(), 1);
+
+    drop(reply);
+
+    assert!(wait::until(Duration::from_millis(500), || working() == 0).await);
+}
+
+#[tokio::test]
+async fn shutdown_cuts_nothing() {
+    let mut bench = start().await;
+    bench
+        .engines
+        .iter()
+        .for_each(|server| server.set_events(150));
+    let reply = http::send(bench.gateway.callers(), request("/stream/1", "t-1")).await;
+    let mut reply = reply.expect("a head");
+    reply.chunk().await.expect("an event");
+
+    bench.gateway.process.terminate().expect("signalled");
+    let unready = bench.gateway.wait_ready(false).await;
+    let late = bench
+        .gateway
+        .call("/status/1", "s-1")
+        .await
+        .expect("answered");
+    let answer = reply.collect().await.expect("whole");
+    let status = bench
+        .gateway
+        .process
+        .wait(Duration::from_secs(7))
+        .expect("ends");
+
+    assert!(unready && status.success());
+    assert_eq!((late.status(), late.header("connection")), (200, "close"));
+    assert_eq!(event_ids(&answer.body).last(), Some(&150));
+}
+
+#[tokio::test]
+async fn settings_are_read_again_and_unusable_ones_refused() {
+    let mut bench = start().await;
+    let text = std::fs::read_to_string(&bench.gateway.settings).expect("readable");
+
+    std::fs::write(&bench.gateway.settings, "nothing").expect("writable");
+    let refused = bench.gateway.process.wait_for_log("refusal", SOON, |line| {
+        let message = line["message"].as_str().unwrap_or_default();
+        message.starts_with("settings not reloaded")
+    });
+    let changed = text.replace("retry_extra = 100", "retry_extra = 50");
+    std::fs::write(&bench.gateway.settings, changed).expect("writable");
+    let reloaded = bench.gateway.process.wait_for_log("reload", SOON, |line| {
+        line["message"] == "settings reloaded"
+    });
+
+    assert!(refused.is_ok() && reloaded.is_ok());
+    assert!(bench.gateway.process.is_running());
+}
+
+#[tokio::test]
+async fn two_gateways_keep_one_quota() {
+    let limited = Configuration::default()
+        .with("/tenants/0/rate_per_s", json!(40))
+        .with("/tenants/0/burst", json!(40))
+        .with("/tenants/0/unit", json!("requests"));
+    let bench = start_with(&limited).await;
+    let second = bench.site.gateway("two").expect("starts");
+    assert!(second.wait_ready(true).await);
+    bench
+        .gateway
+        .process
+        .wait_for_log("peer", SOON, |line| line["message"] == "peer heard")
+        .expect("the gateways hear each other");
+
+    let mut served = 0;
+    for number in 0..1_200 {
+        let gateway = if number % 2 == 0 {
+            &bench.gateway
+        } else {
+            &second
+        };
+        let answer = gateway.call("/status/1", &format!("q-{number}")).await;
+        let status = answer.expect("answered").status();
+        assert!(status == 200 || status == 429, "{status}");
+        served += usize::from(status == 200);
+        if number > 800 && served < 200 {
+            break;
+        }
+    }
+
+    // Eight seconds' worth and the burst, a tenth more, and the stated slack is not reached: the
+    // bound that counts is that of the settings, in requests.
+    let allowed = (40.0 * 8.0 + 40.0) * 1.1 + 1_000.0;
+    assert!((served as f64) <= allowed, "{served}");
+}
+
+#[tokio::test]
+async fn smuggled_request_never_runs() {
+    let bench = start().await;
+    let inner = "POST /booking/1 HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: inner\r\n\
+                 Authorization: Bearer key\r\nContent-Length: 0\r\n\r\n";
+    let body = format!("0\r\n\r\n{inner}");
+    let raw = format!(
+        "POST /status/1 HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: outer\r\n\
+         Authorization: Bearer key\r\nTransfer-Encoding: chunked\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+
+    send_raw(bench.gateway.callers(), raw.as_bytes()).await;
+
+    let ids: BTreeSet<String> = bench
+        .plains
+        .iter()
+        .flat_map(Server::runs)
+        .map(|run| run.id)
+        .collect();
+    assert!(!ids.contains("inner"), "{ids:?}");
+}
+
+/// Sends bytes on a connection of their own and reads what comes for a while.
+async fn send_raw(address: std::net::SocketAddr, bytes: &[u8]) {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let mut stream = tokio::net::TcpStream::connect(address)
+        .await
+        .expect("connects");
+    stream.write_all(bytes).await.expect("sent");
+    let mut answer = vec![0; 4_096];
+    while let Ok(Ok(read)) =
+        tokio::time::timeout(Duration::from_millis(500), stream.read(&mut answer)).await
+    {
+        if read == 0 {
+            break;
+        }
+    }
+}
+
+#[tokio::test]
+async fn callers_headers_cannot_speak_for_the_system() {
+    let bench = start().await;
+    let mut forged: Request<Bytes> = request("/status/1", "x-1");
+    for (name, value) in [
+        ("tenant", "other"),
+        ("expect-instance", "other"),
+        ("hold", "1"),
+    ] {
+        let value = value.parse().expect("a header value");
+        forged.headers_mut().insert(name, value);
+    }
+
+    let answer = http::call(bench.gateway.callers(), forged, SOON).await;
+
+    assert_eq!(answer.expect("answered").status(), 200);
+    let runs: Vec<_> = bench.plains.iter().flat_map(Server::runs).collect();
+    assert_eq!(runs[0].organisation, "o");
+}
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -2,6 +2,7 @@
 
 use {
     serde::{Deserialize, Serialize},
+    std::collections::HashMap,
     tamarackdale_core::{
         fleet::{Load, Speed},
         quota, summary,
@@ -25,10 +26,38 @@
     pub entries: Vec<Entry>,
     /// Use of quotas.
     pub usages: Vec<Usage>,
+    /// Whether the counts of quotas cover the whole window.
+    pub is_complete: bool,
+    /// Most urgent rank that waits, by service.
+    pub waits: Vec<(String, u8)>,
     /// Most urgent rank that was shed of late, by service.
     pub floors: Vec<(String, u8)>,
 }
 
+/// Use of quotas as it is kept in the store over a start of all routers.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Kept {
+    /// Units by organisation and age; the window in equal parts, the newest first.
+    pub used: HashMap<String, Vec<f64>>,
+}
+
+impl From<HashMap<String, quota::Kept>> for Kept {
+    fn from(used: HashMap<String, quota::Kept>) -> Self {
+        let used = used.into_iter();
+        Self {
+            used: used.map(|(name, kept)| (name, kept.0)).collect(),
+        }
+    }
+}
+
+impl From<Kept> for HashMap<String, quota::Kept> {
+    fn from(kept: Kept) -> Self {
+        let used = kept.used.into_iter();
+        used.map(|(name, parts)| (name, quota::Kept(parts)))
+            .collect()
+    }
+}
+
 /// Work at one backend server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Entry {
@@ -50,30 +79,44 @@
     pub organisation: String,
     /// Units admitted since the sender's start.
     pub total: f64,
-    /// Units that the sender knows to be admitted within the window.
-    pub used: f64,
+    /// Units that the sender knows to be admitted within the window, by age; only at first.
+    pub known: Option<Vec<f64>>,
 }
 
 impl Frame {
     /// A summary of the process that started as `boot`.
     pub fn new(boot: u64, summary: &summary::Summary) -> Self {
-        let floors = summary.floors.iter();
+        let numbers = |ranks: &[(String, Rank)]| {
+            let ranks = ranks.iter();
+            ranks
+                .map(|(service, rank)| (service.clone(), rank.0))
+                .collect()
+        };
         Self {
             boot,
             entries: summary.entries.iter().map(Entry::from).collect(),
             usages: summary.usages.iter().map(Usage::from).collect(),
-            floors: floors.map(|(name, rank)| (name.clone(), rank.0)).collect(),
+            is_complete: summary.is_complete,
+            waits: numbers(&summary.waits),
+            floors: numbers(&summary.floors),
         }
     }
 }
 
 impl From<Frame> for summary::Summary {
     fn from(frame: Frame) -> Self {
-        let floors = frame.floors.into_iter();
+        let ranks = |numbers: Vec<(String, u8)>| {
+            let numbers = numbers.into_iter();
+            numbers
+                .map(|(service, number)| (service, Rank(number)))
+                .collect()
+        };
         Self {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: frame.usages.into_iter().map(Into::into).collect(),
-            floors: floors.map(|(name, rank)| (name, Rank(rank))).collect(),
+            is_complete: frame.is_complete,
+            waits: ranks(frame.waits),
+            floors: ranks(frame.floors),
         }
     }
 }
@@ -122,7 +165,7 @@
         Self {
             organisation: usage.organisation.clone(),
             total: usage.total,
-            used: usage.used,
+            known: usage.known.as_ref().map(|known| known.0.clone()),
         }
     }
 }
@@ -132,7 +175,7 @@
         Self {
             organisation: usage.organisation,
             total: usage.total,
-            used: usage.used,
+            known: usage.known.map(quota::Kept),
         }
     }
 }
