Slots that peers freed are taken by chance; late and returning requests last

Ruled out: wrong speeds (predictions agree within a fifth without a line). Change: a gateway gives a slot that it freed itself to its own line, and one freed by a peer with a chance of one in the waiting gateways, in rounds; the spread of choices grows with utilisation. Callers that come back count as late. Refused callers return after 0.15 to 0.32 of their time. Answers may be 2.5 times longer than guessed. Logs are written by a thread of their own; explain reads logs.

--- a/client/src/command.rs
+++ b/client/src/command.rs
@@ -5,6 +5,7 @@
 mod explain;
 mod get;
 mod status;
+mod story;
 
 use {
     crate::{
@@ -27,6 +28,7 @@
         } => apply::run(settings, file, *revision, *allow_dangerous).await,
         Command::Status(service) => status::run(settings, service.as_deref()).await,
         Command::Explain(request) => explain::run(settings, request).await,
+        Command::Story { request, files } => story::run(request, files),
     };
     result.unwrap_or_else(|failure| failure)
 }
--- a/client/src/settings.rs
+++ b/client/src/settings.rs
@@ -12,6 +12,8 @@
     tamarackdale apply FILE          write an edited document and wait until it is in force
     tamarackdale status [SERVICE]    show every instance, its state, revision and age
     tamarackdale explain REQUEST-ID  show why a request went where it went
+    tamarackdale explain REQUEST-ID FILE...
+                                     the same from log files, or - for the standard input
 
 Exit codes: 0 done, 1 document wrong, 2 usage, 3 another operator came first, 4 unavailable,
 5 outcome unknown, 6 not in force everywhere, 7 not found, 8 dangerous change, 9 refused.
@@ -50,6 +52,13 @@
     Status(Option<String>),
     /// Show the decisions on a request.
     Explain(String),
+    /// Show what logs tell of a request.
+    Story {
+        /// The request's identifier.
+        request: String,
+        /// Files with log lines.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// Checked settings.
@@ -131,7 +140,7 @@
     fn settings(&self) -> Result<Settings, Outcome> {
         let command = self.command()?;
         let (needs_store, needs_list) = match &command {
-            Command::Check(_) => (false, false),
+            Command::Check(_) | Command::Story { .. } => (false, false),
             Command::Get(_) => (true, false),
             Command::Apply { .. } | Command::Status(_) => (true, true),
             Command::Explain(_) => (false, true),
@@ -161,6 +170,10 @@
             ["status"] => Ok(Command::Status(None)),
             ["status", service] => Ok(Command::Status(Some((*service).to_owned()))),
             ["explain", request] => Ok(Command::Explain((*request).to_owned())),
+            ["explain", request, files @ ..] => Ok(Command::Story {
+                request: (*request).to_owned(),
+                files: files.iter().map(PathBuf::from).collect(),
+            }),
             [] => Err(wrong("no command given")),
             [name, ..] => Err(wrong(format!(
                 "{name:?} with these arguments is no command"
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -21,9 +21,12 @@
     },
 };
 
-/// Random spread of predictions, so that routers with the same view do not all choose the same
-/// backend server; about the error of a prediction.
-const JITTER: f64 = 0.1;
+/// Random spread of predictions while the fleet is idle; about the error of a prediction.
+const IDLE_JITTER: f64 = 0.1;
+
+/// Random spread of predictions while the fleet is full: routers that see the same last free slots
+/// must not all choose the same one.
+const FULL_JITTER: f64 = 1.0;
 
 /// Time after which room that was given and not used counts as free again.
 const RESERVATION: Duration = Duration::from_millis(100);
@@ -81,6 +84,8 @@
     pub deadline: Duration,
     /// Data centre of the router.
     pub data_centre: &'a str,
+    /// The only backend server that is considered; any if none is named.
+    pub only: Option<&'a str>,
 }
 
 /// A prediction for one backend server.
@@ -179,6 +184,7 @@
         now: Timestamp,
         random: &mut dyn RngCore,
     ) -> Result<Choice, Shortage> {
+        let jitter = self.jitter(demand.service, now);
         let mut best: Option<((bool, f64), &Server, Estimate)> = None;
         let mut soonest: Option<Duration> = None;
         for server in self.candidates(demand, now) {
@@ -187,7 +193,7 @@
             if estimate.wait > demand.patience {
                 continue;
             }
-            let cost = server.cost(&estimate, demand) * (1.0 + JITTER * random.random::<f64>());
+            let cost = server.cost(&estimate, demand) * (1.0 + jitter * random.random::<f64>());
             // A free slot goes before the queue of a faster engine, which adds no capacity.
             let rank = (!estimate.wait.is_zero(), cost);
             if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
@@ -206,12 +212,18 @@
         }
     }
 
+    fn jitter(&self, service: &str, now: Timestamp) -> f64 {
+        let utilisation = self.utilisation(service, now).unwrap_or_default();
+        IDLE_JITTER + (FULL_JITTER - IDLE_JITTER) * utilisation.powi(4)
+    }
+
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
                 && !server.member.is_leaving
                 && !server.health.is_ejected(now)
                 && !demand.excluded.contains(&server.member.id)
+                && demand.only.is_none_or(|only| only == server.member.id)
         })
     }
 
@@ -362,7 +374,8 @@
     fn cost(&self, estimate: &Estimate, demand: &Demand) -> f64 {
         let risk = self.health.risk();
         let mut seconds = estimate.total.as_secs_f64() + risk * LOSS_S;
-        let late = estimate.total.saturating_sub(demand.deadline);
+        let long = estimate.total.mul_f64(LENGTH_RISK);
+        let late = long.saturating_sub(demand.deadline);
         seconds += late.as_secs_f64() * LOSS_S;
         if self.member.data_centre != demand.data_centre {
             seconds += time::seconds(CROSS_PENALTY_S).as_secs_f64();
@@ -371,6 +384,10 @@
     }
 }
 
+/// How much longer than expected an answer may well be: callers' guesses of the length are often
+/// far off.
+const LENGTH_RISK: f64 = 2.5;
+
 /// Time by which a backend server in another data centre must be better to be chosen; the price
 /// of traffic between data centres, in time.
 const CROSS_PENALTY_S: f64 = 0.005;
--- a/core/src/line.rs
+++ b/core/src/line.rs
@@ -14,8 +14,8 @@
 pub struct Place {
     /// Rank.
     pub rank: Rank,
-    /// Whether the caller comes back after a refusal; among requests that can be on time it goes
-    /// first.
+    /// Whether the caller comes back after a refusal. It is late already, and goes before others
+    /// that are.
     pub is_returning: bool,
     /// Until when the request can be on time.
     pub on_time_until: Timestamp,
--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -2,9 +2,9 @@
 
 use {crate::time::Timestamp, std::time::Duration};
 
-/// Time for which less urgent ranks are not served after a rank was shed: a few rounds of summaries
+/// Time for which less urgent ranks are not served after a rank was shed: some rounds of summaries
 /// between routers.
-pub const FLOOR_HOLD: Duration = Duration::from_millis(300);
+pub const FLOOR_HOLD: Duration = Duration::from_millis(120);
 
 /// Requests of the same or a more urgent rank that may wait at one router before another is
 /// refused at once.
@@ -18,6 +18,12 @@
 /// must do for the prompt.
 const ON_TIME_PART: f64 = 0.6;
 
+/// Chance that a router takes a slot that a peer has freed, while it and `peers` other routers have
+/// requests waiting: on average one of them takes it.
+pub fn take_chance(peers: usize) -> f64 {
+    1.0 / (1.0 + peers as f64)
+}
+
 /// Longest wait at the router; callers give up a stream that shows nothing for two seconds.
 const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
 
@@ -41,19 +47,16 @@
     accepted.plus(LONGEST_WAIT.min(time_left.mul_f64(WAIT_PART)))
 }
 
-/// Shortest time after which a refused caller is asked to come back: an overload takes longer to
-/// pass.
-const SHORTEST_RETURN: Duration = Duration::from_millis(500);
-
-/// Longest time after which a refused caller is asked to come back.
-const LONGEST_RETURN: Duration = Duration::from_secs(4);
+/// Shortest part of the time that a caller has left after which it is asked to come back: an
+/// overload takes longer to pass than a caller waited.
+const SHORTEST_RETURN_PART: f64 = 0.15;
 
-/// Part of the time that a caller has left within which it is asked to come back.
-const RETURN_PART: f64 = 0.3;
+/// Longest part of the time that a caller has left after which it is asked to come back; callers
+/// follow up to a third.
+const LONGEST_RETURN_PART: f64 = 0.32;
 
 /// When a refused caller should come back; `random`, from zero up to one, spreads the returns.
 pub fn retry_after(time_left: Duration, random: f64) -> Duration {
-    let longest = time_left.mul_f64(RETURN_PART).min(LONGEST_RETURN);
-    let shortest = SHORTEST_RETURN.min(longest);
-    shortest + (longest - shortest).mul_f64(random)
+    let part = SHORTEST_RETURN_PART + (LONGEST_RETURN_PART - SHORTEST_RETURN_PART) * random;
+    time_left.mul_f64(part)
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -44,6 +44,7 @@
         patience: Duration::from_millis(300),
         deadline: Duration::from_secs(15),
         data_centre: "a",
+        only: None,
     }
 }
 
@@ -237,3 +238,19 @@
             .all(|id| chosen.get(*id).is_some_and(|count| *count > 20))
     );
 }
+
+#[test]
+fn routers_that_see_the_last_free_slots_do_not_all_take_the_same() {
+    let ids = ["a", "b", "c", "d", "e", "f"];
+    let mut fleet = fleet(&ids);
+    for (number, id) in ids.iter().enumerate() {
+        // One of them is a little faster than the others.
+        fleet.merge_speed(id, &speed(3.0 + 0.1 * number as f64, 700.0));
+        fleet.merge(1, id, load(SLOTS - 1));
+    }
+
+    let chosen = choices(&fleet, &demand(600, 100));
+
+    let most = chosen.values().max().copied().unwrap_or_default();
+    assert!(most < 80, "{chosen:?}");
+}
--- a/daemon/src/cli.rs
+++ b/daemon/src/cli.rs
@@ -98,8 +98,10 @@
         return Ok(ExitCode::SUCCESS);
     }
     let instance = settings.instance.clone();
-    logging::start(log::LevelFilter::Info, "gateway", instance).into_diagnostic()?;
-    gateway::run(path, settings).into_diagnostic()?;
+    let log = logging::start(log::LevelFilter::Info, "gateway", instance).into_diagnostic()?;
+    let result = gateway::run(path, settings);
+    log.finish();
+    result.into_diagnostic()?;
     Ok(ExitCode::SUCCESS)
 }
 
@@ -107,13 +109,19 @@
     match settings {
         Settings::Router(settings) => {
             let instance = settings.common.instance.to_string();
-            logging::start(settings.common.log_level, "router", instance).into_diagnostic()?;
-            router::run(settings).into_diagnostic()
+            let level = settings.common.log_level;
+            let log = logging::start(level, "router", instance).into_diagnostic()?;
+            let result = router::run(settings);
+            log.finish();
+            result.into_diagnostic()
         }
         Settings::Sidecar(settings) => {
             let instance = settings.common.instance.to_string();
-            logging::start(settings.common.log_level, "sidecar", instance).into_diagnostic()?;
-            sidecar::run(settings).into_diagnostic()
+            let level = settings.common.log_level;
+            let log = logging::start(level, "sidecar", instance).into_diagnostic()?;
+            let result = sidecar::run(settings);
+            log.finish();
+            result.into_diagnostic()
         }
     }
 }
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -91,7 +91,13 @@
     };
     let id = head.id.clone();
     let refuse = |refusal: Refusal| {
-        log::info!(request = id.as_str(), cause:% = refusal.cause, retry_after_ms = refusal.retry_after.map_or(0, |delay| delay.as_millis() as u64); "refused");
+        let retry_after = refusal.retry_after.unwrap_or_default();
+        log::warn!(
+            request = id.as_str(),
+            cause:% = refusal.cause,
+            retry_after_ms = retry_after.as_millis() as u64;
+            "refused"
+        );
         refusal.response(&id)
     };
     if context.leaving.is_cancelled() {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -31,6 +31,9 @@
 /// that comes back after a refusal.
 const RETURNING_PART: f64 = 0.95;
 
+/// Outcome of a request whose answer was passed on whole.
+const ANSWERED: &str = "answered";
+
 /// A caller's request that may run.
 pub struct Request {
     /// What its headers say.
@@ -114,7 +117,7 @@
             };
             let step = self.dispatch.fail(setback);
             self.excluded.push(choice.member.id);
-            log::info!(
+            log::warn!(
                 request = self.request.head.id.as_str(),
                 backend_server = self.excluded.last().map(String::as_str).unwrap_or_default(),
                 setback:? = setback,
@@ -206,7 +209,7 @@
         }
         match exchange.read_whole().await {
             Ok((parts, bytes, occupation)) => {
-                self.finish("answered", Some(&occupation));
+                self.finish(ANSWERED, Some(&occupation));
                 Response::from_parts(parts, body::whole(bytes))
             }
             Err(()) => self.retry_or_fail().await,
@@ -257,7 +260,12 @@
             tier: &rank,
         };
         self.context.metrics.count_request(labels, outcome, elapsed);
-        log::info!(
+        let level = match outcome {
+            ANSWERED => log::Level::Info,
+            _ => log::Level::Warn,
+        };
+        log::log!(
+            level,
             request = self.request.head.id.as_str(),
             route = self.request.route.name.as_str(),
             service = self.service.as_str(),
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -128,7 +128,7 @@
             broken.fail();
         }
         self.job.excluded.push(broken.occupation.id().to_owned());
-        log::info!(
+        log::warn!(
             request = self.job.request.head.id.as_str(),
             backend_server = broken.occupation.id(),
             events = self.job.events,
@@ -158,6 +158,6 @@
     fn finish(&mut self) {
         let tokens = self.job.output_tokens();
         let occupation = self.exchange.take().map(|exchange| exchange.finish(tokens));
-        self.job.finish("answered", occupation.as_ref());
+        self.job.finish(super::ANSWERED, occupation.as_ref());
     }
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -110,9 +110,7 @@
 
     /// Takes over who is registered.
     pub fn adopt(&self, roster: &Roster) {
-        let mut state = self.lock();
-        state.fleet.adopt(roster);
-        state.pump(self.clock.now());
+        self.lock().fleet.adopt(roster);
     }
 
     /// Whether any backend server takes work.
@@ -164,7 +162,7 @@
                 return Err(Refusal::Floor);
             }
             if state.ahead(&ask) == 0 && !state.is_behind_peers(&ask) {
-                match state.choose(&ask, now) {
+                match state.choose(&ask, None, now) {
                     Ok(choice) => {
                         state.reserve(&choice, &ask, now);
                         return Ok(choice);
@@ -242,17 +240,14 @@
         for (service, rank) in &summary.floors {
             state.floor(service).raise(*rank, now);
         }
-        state.pump(now);
     }
 
     /// Forgets the work of a peer that is no longer heard.
     pub fn forget(&self, peer: u64) {
-        let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.forget(peer);
         state.ledger.forget(peer);
         state.peer_waits.remove(&peer);
-        state.pump(now);
     }
 
     /// Takes over how many of the known gateways are heard, this one included in both.
@@ -297,10 +292,17 @@
         self.lock().random.random()
     }
 
-    /// Offers room to those who wait.
+    /// Offers room that peers have freed to those who wait here; called in regular rounds.
     pub fn pump(&self) {
         let now = self.clock.now();
-        self.lock().pump(now);
+        let mut state = self.lock();
+        if state.line.is_empty() {
+            return;
+        }
+        let chance = patience::take_chance(state.waiting_peers());
+        if state.random.random::<f64>() < chance {
+            state.pump(None, now);
+        }
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -339,7 +341,12 @@
             .expect("the budget was inserted above")
     }
 
-    fn choose(&mut self, ask: &Ask, now: Timestamp) -> Result<Choice, Shortage> {
+    fn choose(
+        &mut self,
+        ask: &Ask,
+        only: Option<&str>,
+        now: Timestamp,
+    ) -> Result<Choice, Shortage> {
         let demand = Demand {
             service: &ask.service,
             prompt: ask.prompt,
@@ -348,6 +355,7 @@
             patience: patience::engine_wait(ask.objective),
             deadline: ask.deadline.since(now),
             data_centre: &self.data_centre,
+            only,
         };
         self.fleet.choose(&demand, now, &mut self.random)
     }
@@ -405,9 +413,15 @@
         }
     }
 
-    /// Gives what is free to those who wait, in their order. A less urgent request never passes
-    /// one for which there is no room.
-    fn pump(&mut self, now: Timestamp) {
+    /// Peers at which requests wait that can be on time.
+    fn waiting_peers(&self) -> usize {
+        let peers = self.peer_waits.values();
+        peers.filter(|waits| !waits.is_empty()).count()
+    }
+
+    /// Gives what is free, at one backend server or at any, to those who wait, in their order. A
+    /// less urgent request never passes one for which there is no room.
+    fn pump(&mut self, only: Option<&str>, now: Timestamp) {
         if self.line.is_empty() {
             return;
         }
@@ -422,7 +436,7 @@
             }
             let choice = match self.is_behind_peers(&ask) {
                 true => None,
-                false => self.choose(&ask, now).ok(),
+                false => self.choose(&ask, only, now).ok(),
             };
             let Some(choice) = choice else {
                 full.push(ask.service);
@@ -500,6 +514,7 @@
         let now = self.scheduler.clock.now();
         let mut state = self.scheduler.lock();
         state.fleet.end(&self.id, self.share, self.first.is_some());
-        state.pump(now);
+        // Nobody else knows yet that there is room.
+        state.pump(Some(&self.id), now);
     }
 }
--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -1,6 +1,10 @@
 //! Logs as JSON lines on the standard output.
 
+mod writer;
+
 use {
+    self::writer::Writer,
+    crate::duty::Duty,
     log::{
         LevelFilter, Record,
         kv::{self, Key, Value, VisitSource},
@@ -8,26 +12,41 @@
     serde_json::Map,
     std::{
         fmt::Arguments,
+        io,
         time::{SystemTime, UNIX_EPOCH},
     },
 };
 
+/// Running log; [`Self::finish`] writes what is left.
+pub struct Log {
+    writer: Writer,
+    duty: Duty,
+}
+
+impl Log {
+    /// Waits until all lines are written. None is taken after that.
+    pub fn finish(self) {
+        self.writer.end();
+        self.duty.join();
+    }
+}
+
 /// Starts logging at `level`; lines carry the role and the instance's name.
 ///
-/// Fails when a logger is already set.
-pub fn start(
-    level: LevelFilter,
-    role: &'static str,
-    instance: String,
-) -> Result<(), log::SetLoggerError> {
+/// Fails when a logger is already set or no thread can be had.
+pub fn start(level: LevelFilter, role: &'static str, instance: String) -> io::Result<Log> {
+    let (writer, duty) = Writer::spawn()?;
+    let output = writer.clone();
     fern::Dispatch::new()
         .level(LevelFilter::Warn)
         .level_for("tamarackdaled", level)
         .format(move |out, message, record| {
             out.finish(format_args!("{}", line(role, &instance, message, record)));
         })
-        .chain(std::io::stdout())
+        .chain(fern::Output::call(move |record| output.take(record)))
         .apply()
+        .map_err(io::Error::other)?;
+    Ok(Log { writer, duty })
 }
 
 fn line(
