--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -230,6 +230,17 @@
         })
     }
 
+    /// Time from a slot to the first event at the backend server that is soonest with it, in case
+    /// it has one to give.
+    pub fn soonest_first(&self, demand: &Demand, now: Timestamp) -> Option<Duration> {
+        self.candidates(demand, now)
+            .map(|server| {
+                let estimate = server.estimate(demand, now);
+                estimate.first.saturating_sub(estimate.wait)
+            })
+            .min()
+    }
+
     /// Part of a service's slots that are taken, over all routers; none if nobody is known.
     pub fn utilisation(&self, service: &str, now: Timestamp) -> Option<f64> {
         let mut taken = 0;
--- a/core/src/line.rs
+++ b/core/src/line.rs
@@ -1,9 +1,8 @@
 //! Requests that wait at a router for a backend server to have room.
 //!
-//! Requests that can still be on time go before those that will be late, so that a wait that was
-//! too long does not make the next one too long as well; late ones get what is left. Among either,
-//! the more urgent rank goes first. A late request that is shed in the end raises the shed floor
-//! like any other, so that less urgent ones are not served instead.
+//! The more urgent rank goes first. Within a rank, requests that can still be on time go before
+//! those that will be late, so that a wait that was too long does not make the next one too long
+//! as well; late ones get what is left.
 
 use {
     crate::{tier::Rank, time::Timestamp},
@@ -15,8 +14,8 @@
 pub struct Place {
     /// Rank.
     pub rank: Rank,
-    /// Whether the caller comes back after a refusal. It is late already, and goes before others
-    /// that are.
+    /// Whether the caller comes back after a refusal. It is late already, and goes before others of
+    /// its rank that are.
     pub is_returning: bool,
     /// Until when the request can be on time.
     pub on_time_until: Timestamp,
@@ -92,13 +91,13 @@
         self.is_returning || self.on_time_until <= now
     }
 
-    fn turn(&self, number: u64, now: Timestamp) -> (bool, Rank, bool, Timestamp, u64) {
+    fn turn(&self, number: u64, now: Timestamp) -> (Rank, bool, bool, Timestamp, u64) {
         let is_late = self.is_late(now);
         let by = if is_late {
             Timestamp::START
         } else {
             self.on_time_until
         };
-        (is_late, self.rank, !self.is_returning, by, number)
+        (self.rank, is_late, !self.is_returning, by, number)
     }
 }
--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -14,9 +14,9 @@
 /// time in which routers hear of a slot that has become free, so that none stays empty.
 const ENGINE_WAIT: Duration = Duration::from_millis(80);
 
-/// Part of the objective that a request may wait at the router and still be on time: what is left
-/// must do for the prompt.
-const ON_TIME_PART: f64 = 0.6;
+/// Part of the objective that may be used up before a first event: predictions are right within a
+/// fifth.
+const ON_TIME_PART: f64 = 0.8;
 
 /// Chance that a router takes a slot that a peer has freed, while it and `peers` other routers have
 /// requests waiting: on average one of them takes it.
@@ -33,12 +33,13 @@
 
 /// Longest wait inside an engine for a request with this objective.
 pub fn engine_wait(objective: Duration) -> Duration {
-    ENGINE_WAIT.min(objective.mul_f64(ON_TIME_PART))
+    ENGINE_WAIT.min(objective / 2)
 }
 
-/// Until when a request can wait at the router and still be on time.
-pub fn on_time_until(accepted: Timestamp, objective: Duration) -> Timestamp {
-    accepted.plus(objective.mul_f64(ON_TIME_PART))
+/// Until when a request can wait at the router and still be on time, if its first event comes
+/// `first` after it has got a slot.
+pub fn on_time_until(accepted: Timestamp, objective: Duration, first: Duration) -> Timestamp {
+    accepted.plus(objective.mul_f64(ON_TIME_PART).saturating_sub(first))
 }
 
 /// Until when a request may wait at the router at all.
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -120,7 +120,7 @@
                 state.shed(&ask, now);
                 return Err(Refusal::Overload);
             }
-            let (number, reply) = state.join(ask.clone());
+            let (number, reply) = state.join(ask.clone(), now);
             (number, reply, until.since(now))
         };
         // The place is left when the caller goes away as well.
@@ -221,7 +221,7 @@
             entries: entries.collect(),
             usages: state.ledger.usages(is_first, now).collect(),
             is_complete: state.ledger.is_complete(now),
-            waits: state.waits(now),
+            waits: state.waits(),
             floors: floors.collect(),
         }
     }
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -94,16 +94,7 @@
         only: Option<&str>,
         now: Timestamp,
     ) -> Result<Choice, Shortage> {
-        let demand = Demand {
-            service: &ask.service,
-            prompt: ask.prompt,
-            output: ask.output,
-            excluded: &ask.excluded,
-            patience: patience::engine_wait(ask.objective),
-            deadline: ask.deadline.since(now),
-            data_centre: &self.data_centre,
-            only,
-        };
+        let demand = demand(ask, only, &self.data_centre, now);
         self.fleet.choose(&demand, now, &mut self.random)
     }
 
@@ -124,7 +115,10 @@
     /// Whether a request waits here whose turn comes before this new one.
     pub(super) fn is_behind(&self, ask: &Ask, now: Timestamp) -> bool {
         self.line.iter().any(|(place, waiter)| {
-            place.rank <= ask.rank && !place.is_late(now) && waiter.ask.service == ask.service
+            let is_same = waiter.ask.service == ask.service;
+            let is_before =
+                place.rank.is_above(ask.rank) || (place.rank == ask.rank && !place.is_late(now));
+            is_same && is_before
         })
     }
 
@@ -136,11 +130,10 @@
             .any(|(_, rank)| rank.is_above(ask.rank))
     }
 
-    /// Most urgent rank that waits here and can be on time, by service.
-    pub(super) fn waits(&self, now: Timestamp) -> Vec<(String, Rank)> {
+    /// Most urgent rank that waits here, by service.
+    pub(super) fn waits(&self) -> Vec<(String, Rank)> {
         let mut waits: Vec<(String, Rank)> = Vec::new();
-        let on_time = self.line.iter().filter(|(place, _)| !place.is_late(now));
-        for (place, waiter) in on_time {
+        for (place, waiter) in self.line.iter() {
             let service = &waiter.ask.service;
             match waits.iter_mut().find(|(known, _)| known == service) {
                 Some((_, rank)) => *rank = place.rank.min(*rank),
@@ -150,11 +143,13 @@
         waits
     }
 
-    pub(super) fn join(&mut self, ask: Ask) -> (u64, oneshot::Receiver<Choice>) {
+    pub(super) fn join(&mut self, ask: Ask, now: Timestamp) -> (u64, oneshot::Receiver<Choice>) {
+        let demand = demand(&ask, None, &self.data_centre, now);
+        let first = self.fleet.soonest_first(&demand, now).unwrap_or_default();
         let place = Place {
             rank: ask.rank,
             is_returning: ask.is_returning,
-            on_time_until: patience::on_time_until(ask.accepted, ask.objective),
+            on_time_until: patience::on_time_until(ask.accepted, ask.objective, first),
         };
         let (reply, answer) = oneshot::channel();
         let number = self.line.insert(place, Waiter { ask, reply });
@@ -204,3 +199,21 @@
         }
     }
 }
+
+fn demand<'a>(
+    ask: &'a Ask,
+    only: Option<&'a str>,
+    data_centre: &'a str,
+    now: Timestamp,
+) -> Demand<'a> {
+    Demand {
+        service: &ask.service,
+        prompt: ask.prompt,
+        output: ask.output,
+        excluded: &ask.excluded,
+        patience: patience::engine_wait(ask.objective),
+        deadline: ask.deadline.since(now),
+        data_centre,
+        only,
+    }
+}
