Gateway: callers that go away are told and refunded; parts in files of their own

Cause: a request whose caller had gone left no line and kept its part of the quota. Change: the end of a job that is dropped is logged as caller-gone; what was never sent is given back. Tests: logs_tell_the_whole_story_of_a_request_that_failed, and the line of a caller that left.

--- /dev/null
+++ b/daemon/src/gateway/follower/channel.rs
@@ -0,0 +1,67 @@
+//! What the follower tells the rest of the process, and what it is told.
+
+use {
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    tamarackdale_core::{directory::Directory, fleet::Roster, freshness::Freshness},
+    tamarackdale_wire::summary::Kept,
+    tokio::sync::watch,
+};
+
+/// A configuration with the proof of its being the newest.
+#[derive(Debug)]
+pub struct Snapshot {
+    /// The configuration.
+    pub directory: Arc<Directory>,
+    /// Revision of the store that it was read at.
+    pub revision: u64,
+    /// Age of the newest proof.
+    pub freshness: Freshness,
+}
+
+/// What the follower tells the rest of the process.
+#[derive(Clone)]
+pub struct Followed {
+    /// The newest configuration.
+    pub configuration: watch::Receiver<Option<Arc<Snapshot>>>,
+    /// Backend servers.
+    pub roster: watch::Receiver<Arc<Roster>>,
+    /// Addresses of the registered gateways.
+    pub gateways: watch::Receiver<Arc<BTreeSet<SocketAddr>>>,
+    /// Use of quotas before this start, once it is known.
+    pub kept: watch::Receiver<Option<Kept>>,
+    /// Use of quotas that this gateway must keep in the store; empty if another one does.
+    pub to_keep: watch::Sender<Kept>,
+}
+
+/// Sending ends of what the follower tells.
+pub struct Publisher {
+    pub(super) configuration: watch::Sender<Option<Arc<Snapshot>>>,
+    pub(super) roster: watch::Sender<Arc<Roster>>,
+    pub(super) gateways: watch::Sender<Arc<BTreeSet<SocketAddr>>>,
+    pub(super) kept: watch::Sender<Option<Kept>>,
+    pub(super) to_keep: watch::Receiver<Kept>,
+}
+
+/// Both ends of what the follower tells.
+pub fn channels() -> (Publisher, Followed) {
+    let (configuration, followed_configuration) = watch::channel(None);
+    let (roster, followed_roster) = watch::channel(Arc::new(Roster::new()));
+    let (gateways, followed_gateways) = watch::channel(Arc::new(BTreeSet::new()));
+    let (kept, followed_kept) = watch::channel(None);
+    let (to_keep, published_to_keep) = watch::channel(Kept::default());
+    let publisher = Publisher {
+        configuration,
+        roster,
+        gateways,
+        kept,
+        to_keep: published_to_keep,
+    };
+    let followed = Followed {
+        configuration: followed_configuration,
+        roster: followed_roster,
+        gateways: followed_gateways,
+        kept: followed_kept,
+        to_keep,
+    };
+    (publisher, followed)
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -4,6 +4,10 @@
 //! streams of the peers it knows: those that are registered in the store, and those that have
 //! introduced themselves.
 
+mod acquaintance;
+
+pub use acquaintance::Acquaintance;
+
 use {
     super::context::Context,
     crate::http::body,
@@ -17,7 +21,7 @@
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
-    std::{collections::HashMap, net::SocketAddr, sync::Mutex, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, time::Duration},
     tamarackdale_core::summary::{Entry, Summary},
     tamarackdale_store::http,
     tamarackdale_wire::{
@@ -59,10 +63,6 @@
 /// Pause before a peer is tried again.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time after which a peer that is out of reach is no longer known: the window in which quotas are
-/// counted has passed since it was heard.
-const FORGET_AFTER: Duration = Duration::from_secs(10);
-
 /// Pause between two looks at the use of quotas.
 const QUOTA_USE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -81,65 +81,6 @@
     }
 }
 
-/// Peers by address, each with when it was last heard; none while it is being heard.
-#[derive(Default)]
-pub struct Acquaintance {
-    peers: Mutex<HashMap<SocketAddr, Option<Instant>>>,
-}
-
-impl Acquaintance {
-    /// Notes a peer; returns whether it is new.
-    fn meet(&self, address: SocketAddr) -> bool {
-        let mut peers = self.lock();
-        let is_new = !peers.contains_key(&address);
-        peers.entry(address).or_insert(Some(Instant::now()));
-        is_new
-    }
-
-    fn hear(&self, address: SocketAddr) {
-        self.lock().insert(address, None);
-    }
-
-    fn lose(&self, address: SocketAddr) {
-        let mut peers = self.lock();
-        let known = peers.entry(address).or_default();
-        if known.is_none() {
-            *known = Some(Instant::now());
-        }
-    }
-
-    /// Drops a peer that has been out of reach for too long; returns whether it did.
-    fn drop_stale(&self, address: SocketAddr) -> bool {
-        let mut peers = self.lock();
-        let lost = peers.get(&address).copied().flatten();
-        let is_stale = lost.is_some_and(|lost| lost.elapsed() > FORGET_AFTER);
-        if is_stale {
-            peers.remove(&address);
-        }
-        is_stale
-    }
-
-    /// Whether this gateway's address comes before those of all that are heard.
-    fn is_first(&self, own: SocketAddr) -> bool {
-        let peers = self.lock();
-        let mut heard = peers.iter().filter(|(_, lost)| lost.is_none());
-        heard.all(|(address, _)| own < *address)
-    }
-
-    /// Gateways that are heard, and those that are known; this one counts in both.
-    fn count(&self) -> (usize, usize) {
-        let peers = self.lock();
-        let heard = peers.values().filter(|lost| lost.is_none()).count();
-        (heard + 1, peers.len() + 1)
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Option<Instant>>> {
-        self.peers
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-    }
-}
-
 /// Publishes summaries and follows peers for ever.
 pub async fn run(context: Context) {
     tokio::join!(
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -16,13 +16,20 @@
         helpers::http::Body,
         hyper::{HeaderMap, Method, Response, Uri},
     },
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tamarackdale_core::{
         directory::{Organisation, Route},
         dispatch::{Dispatch, Setback, Step},
         fleet::Choice,
         patience, rendezvous,
         time::Timestamp,
+        verdict::Verdict,
     },
     tamarackdale_platform::request::Head,
 };
@@ -34,6 +41,9 @@
 /// Outcome of a request whose answer was passed on whole.
 const ANSWERED: &str = "answered";
 
+/// Outcome of a request whose caller went away before its end.
+const CALLER_GONE: &str = "caller-gone";
+
 /// A caller's request that may run.
 pub struct Request {
     /// What its headers say.
@@ -67,6 +77,21 @@
     last_event: Option<u64>,
     /// Events that were passed on.
     events: u32,
+    /// Whether the end was logged and counted.
+    has_ended: AtomicBool,
+}
+
+/// A job that is dropped before its end is one whose caller has gone.
+impl Drop for Job {
+    fn drop(&mut self) {
+        if self.has_ended.load(Ordering::Relaxed) {
+            return;
+        }
+        if self.dispatch.sent() == 0 && self.dispatch.verdict() == Verdict::NotRun {
+            self.refund();
+        }
+        self.finish(CALLER_GONE, None);
+    }
 }
 
 /// Runs the request and answers.
@@ -88,6 +113,7 @@
         service,
         request,
         events: 0,
+        has_ended: AtomicBool::new(false),
     };
     job.run().await
 }
@@ -225,15 +251,10 @@
     }
 
     fn refuse(&self, cause: Cause) -> Response<Body> {
-        let organisation = self.request.organisation.as_ref();
-        let has_run = matches!(cause, Cause::BackendServer | Cause::Timeout);
-        if let Some(organisation) = organisation.filter(|_| !has_run) {
-            self.context
-                .scheduler
-                .refund(&organisation.name, self.request.cost);
-        }
+        let may_have_run = matches!(cause, Cause::BackendServer | Cause::Timeout);
         let mut refusal = Refusal::new(cause);
-        if !has_run {
+        if !may_have_run {
+            self.refund();
             let random = self.context.scheduler.random();
             refusal = refusal.with_retry_after(patience::retry_after(self.time_left(), random));
         }
@@ -251,8 +272,17 @@
         self.events.saturating_sub(1).saturating_mul(per_event)
     }
 
+    /// Gives back what the request took from its organisation's quota.
+    fn refund(&self) {
+        if let Some(organisation) = &self.request.organisation {
+            let scheduler = &self.context.scheduler;
+            scheduler.refund(&organisation.name, self.request.cost);
+        }
+    }
+
     /// Logs and counts the end of the request.
     fn finish(&self, outcome: &str, occupation: Option<&Occupation>) {
+        self.has_ended.store(true, Ordering::Relaxed);
         let elapsed = self.context.clock.now().since(self.request.accepted);
         let rank = self.request.route.rank.to_string();
         let labels = Labels {
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -423,6 +423,42 @@
     drop(reply);
 
     assert!(wait::until(Duration::from_millis(500), || working() == 0).await);
+    let told = bench.gateway.process.wait_for_log("the end", SOON, |line| {
+        line["request"] == "t-1" && line["outcome"] == "caller-gone"
+    });
+    assert!(told.is_ok(), "{told:?}");
+}
+
+#[tokio::test]
+async fn logs_tell_the_whole_story_of_a_request_that_failed() {
+    let bench = start().await;
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_behaviour(Behaviour::LosesAnswers));
+
+    let answer = bench.gateway.call("/booking/1", "b-1").await;
+
+    assert_eq!(answer.expect("answered").status(), 502);
+    let ended = bench.gateway.process.wait_for_log("the end", SOON, |line| {
+        line["request"] == "b-1" && line["message"] == "ended"
+    });
+    let ended = ended.expect("the end is told");
+    assert_eq!(ended["outcome"], "backend-server");
+    assert_eq!(ended["verdict"], "may-have-run");
+    assert_eq!(ended["sent"], 1);
+    let logs = bench.gateway.process.logs();
+    let own: Vec<_> = logs
+        .iter()
+        .filter(|line| line["request"] == "b-1")
+        .collect();
+    let messages: Vec<_> = own
+        .iter()
+        .filter_map(|line| line["message"].as_str())
+        .collect();
+    assert_eq!(messages, ["placed", "moved or given up", "ended"]);
+    assert!(own[0]["predicted_total_ms"].is_u64() && own[0]["requests_there"].is_u64());
+    assert_eq!(own[1]["setback"], "Lost");
 }
 
 #[tokio::test]
