--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -290,18 +290,20 @@
             tier: &rank,
         };
         self.context.metrics.count_request(labels, outcome, elapsed);
-        let level = match outcome {
-            ANSWERED => log::Level::Info,
-            _ => log::Level::Warn,
+        let (level, verdict) = match outcome {
+            ANSWERED => (log::Level::Info, Verdict::Ran),
+            _ => (log::Level::Warn, self.dispatch.verdict()),
         };
+        let utilisation = self.context.scheduler.utilisation(&self.service);
         log::log!(
             level,
             request = self.request.head.id.as_str(),
             route = self.request.route.name.as_str(),
             service = self.service.as_str(),
             outcome,
-            verdict:% = self.dispatch.verdict(),
+            verdict:% = verdict,
             sent = self.dispatch.sent(),
+            utilisation = utilisation.unwrap_or_default(),
             backend_server = occupation.map_or("", Occupation::id),
             first_ms = occupation.and_then(Occupation::first).map_or(0, |first| first.as_millis() as u64),
             prompt = self.request.head.tokens.map_or(0, |tokens| tokens.prompt),
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -62,6 +62,12 @@
         self.lock().fleet.has_servers()
     }
 
+    /// Part of a service's slots that are taken, over all gateways; none if nobody is known.
+    pub fn utilisation(&self, service: &str) -> Option<f64> {
+        let now = self.clock.now();
+        self.lock().fleet.utilisation(service, now)
+    }
+
     /// Takes a request into its organisation's quota, or says when there is room.
     pub fn admit(&self, organisation: &Organisation, cost: f64) -> Result<(), Duration> {
         let now = self.clock.now();
