--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -8,7 +8,10 @@
         relay::{self, Request},
     },
     crate::{
-        http::body::{self, Unreadable},
+        http::{
+            self,
+            body::{self, Unreadable},
+        },
         uptime,
     },
     gotham::{
@@ -49,23 +52,11 @@
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
-        route.request(methods(), "/").to_async(serve);
-        route.request(methods(), "/*").to_async(serve);
+        route.request(http::methods(), "/").to_async(serve);
+        route.request(http::methods(), "/*").to_async(serve);
     })
 }
 
-fn methods() -> Vec<Method> {
-    vec![
-        Method::GET,
-        Method::HEAD,
-        Method::POST,
-        Method::PUT,
-        Method::PATCH,
-        Method::DELETE,
-        Method::OPTIONS,
-    ]
-}
-
 async fn serve(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let mut response = answer(&context, &mut state).await;
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -6,7 +6,20 @@
 
 pub use server::Server;
 
-use {std::io, tokio::runtime::Runtime};
+use {hyper::Method, std::io, tokio::runtime::Runtime};
+
+/// Every method that callers use; a listener for callers takes them all.
+pub fn methods() -> Vec<Method> {
+    vec![
+        Method::GET,
+        Method::HEAD,
+        Method::POST,
+        Method::PUT,
+        Method::PATCH,
+        Method::DELETE,
+        Method::OPTIONS,
+    ]
+}
 
 /// The runtime that HTTP is served on.
 ///
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -7,7 +7,10 @@
         refusal::Invalid,
         relay::{Relay, responder::Responder},
     },
-    crate::http::body::{self, Unreadable},
+    crate::http::{
+        self,
+        body::{self, Unreadable},
+    },
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
@@ -33,23 +36,11 @@
     let middleware = StateMiddleware::new(context);
     let (chain, pipelines) = single_pipeline(single_middleware(middleware));
     build_router(chain, pipelines, |route| {
-        route.request(methods(), "/").to_async(serve);
-        route.request(methods(), "/*").to_async(serve);
+        route.request(http::methods(), "/").to_async(serve);
+        route.request(http::methods(), "/*").to_async(serve);
     })
 }
 
-fn methods() -> Vec<Method> {
-    vec![
-        Method::GET,
-        Method::HEAD,
-        Method::POST,
-        Method::PUT,
-        Method::PATCH,
-        Method::DELETE,
-        Method::OPTIONS,
-    ]
-}
-
 async fn serve(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let response = match accept(&context, &mut state).await {
--- a/testbed/src/platform.rs
+++ b/testbed/src/platform.rs
@@ -3,6 +3,7 @@
 
 mod server;
 mod site;
+pub mod soak;
 
 pub use {
     server::{Behaviour, Run, Server},
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -13,7 +13,7 @@
     std::{
         fs, io,
         net::{Ipv4Addr, SocketAddr},
-        path::PathBuf,
+        path::{Path, PathBuf},
         sync::atomic::{AtomicU32, Ordering},
         time::{Duration, Instant},
     },
@@ -144,15 +144,8 @@
         let address = own_address();
         let settings = self.folder.path().join(format!("{name}.toml"));
         fs::write(&settings, self.settings(name, address))?;
-        let path = settings.to_string_lossy().into_owned();
-        let process = Process::with_environment(
-            name,
-            "tamarackdaled",
-            &["gateway".to_owned()],
-            &[("TAMARACKDALE_NODE_FILE", &path)],
-        )?;
         Ok(Gateway {
-            process,
+            process: start(name, &settings)?,
             settings,
             address,
         })
@@ -190,6 +183,16 @@
     }
 }
 
+fn start(name: &str, settings: &Path) -> Result<Process, process::Fault> {
+    let path = settings.to_string_lossy().into_owned();
+    Process::with_environment(
+        name,
+        "tamarackdaled",
+        &["gateway".to_owned()],
+        &[("TAMARACKDALE_NODE_FILE", &path)],
+    )
+}
+
 /// An address of this process's own in the loopback network.
 fn own_address() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
@@ -200,6 +203,23 @@
 }
 
 impl Gateway {
+    /// Starts the process again, at the same addresses, after it has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the binary is missing.
+    pub fn restart(&mut self) -> Result<(), process::Fault> {
+        let name = self.process.name().to_owned();
+        // The whole site does not start for the first time any more.
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(
+            &self.settings,
+            text.replace("bootstrap = true", "bootstrap = false"),
+        )?;
+        self.process = start(&name, &self.settings)?;
+        Ok(())
+    }
+
     /// Where callers connect.
     pub fn callers(&self) -> SocketAddr {
         SocketAddr::new(self.address.into(), CALLERS_PORT)
