--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{Follower, LEASE, RETRY_INTERVAL},
-    std::{sync::Arc, time::Duration},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_platform::store::Error,
     tokio::time::sleep,
 };
@@ -52,10 +52,22 @@
         let addresses = range
             .entries
             .iter()
-            .filter_map(|entry| entry.key.strip_prefix(GATEWAYS)?.parse().ok())
+            .filter_map(|entry| address(&entry.key))
             .filter(|address| *address != self.address)
             .collect();
         self.publisher.gateways.send_replace(Arc::new(addresses));
         Ok(lease)
     }
 }
+
+/// The address for peers in a registration's key; one of another writer names no gateway.
+fn address(key: &str) -> Option<SocketAddr> {
+    let text = key.strip_prefix(GATEWAYS)?;
+    match text.parse() {
+        Ok(address) => Some(address),
+        Err(error) => {
+            log::warn!(key; "registration names no gateway: {error}");
+            None
+        }
+    }
+}
