Dispatch: a sending that never began gives no earlier attempt back

Cause: a failed connection was reported as a request that was not sent, and the dispatch took an attempt back for it though none had been counted. After a sending that was not executed, each failed connection allowed one sending more than the route does, outside the retry budget. While a request was being sent, logs called it not run. Change: the dispatch knows whether a sending is under way; only that one is taken back, and meanwhile the request may have run. Tests that failed first: connection_that_never_came_about_gives_no_earlier_attempt_back, request_that_is_being_sent_may_have_run, and the property over sendings with and without a connection.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -36,6 +36,8 @@
     repetition: Repetition,
     attempts: u32,
     sent: u32,
+    /// Whether the last sending has not ended.
+    is_sending: bool,
     may_have_run: bool,
 }
 
@@ -46,6 +48,7 @@
             repetition,
             attempts: attempts.max(1),
             sent: 0,
+            is_sending: false,
             may_have_run: false,
         }
     }
@@ -54,6 +57,7 @@
     /// Returns whether this is a repetition, which the retry budget must allow.
     pub fn send(&mut self) -> bool {
         self.sent += 1;
+        self.is_sending = true;
         self.sent > 1
     }
 
@@ -62,18 +66,19 @@
         self.sent
     }
 
-    /// What is known of the request's execution between two sendings.
+    /// What is known of the request's execution now, also while it is being sent.
     pub fn verdict(&self) -> Verdict {
-        match self.may_have_run {
+        match self.may_have_run || self.is_sending {
             true => Verdict::MayHaveRun,
             false => Verdict::NotRun,
         }
     }
 
-    /// Takes in how the last sending ended.
+    /// Takes in how the last sending ended, or that none came about.
     pub fn fail(&mut self, setback: Setback) -> Step {
+        let was_sending = std::mem::take(&mut self.is_sending);
         match setback {
-            Setback::NotSent => self.sent = self.sent.saturating_sub(1),
+            Setback::NotSent => self.sent -= u32::from(was_sending),
             Setback::NotExecuted => {}
             Setback::Failed | Setback::Lost => self.may_have_run = true,
         }
@@ -86,9 +91,9 @@
 
     /// The end of a request that is not sent again.
     pub fn give_up(&self) -> Step {
-        match self.may_have_run {
-            true => Step::Fail,
-            false => Step::Refuse,
+        match self.verdict() {
+            Verdict::MayHaveRun | Verdict::Ran => Step::Fail,
+            Verdict::NotRun => Step::Refuse,
         }
     }
 }
--- a/core/tests/dispatch.rs
+++ b/core/tests/dispatch.rs
@@ -41,6 +41,31 @@
     assert_eq!(dispatch.fail(Setback::NotExecuted), Step::Refuse);
 }
 
+#[test]
+fn connection_that_never_came_about_gives_no_earlier_attempt_back() {
+    let mut dispatch = Dispatch::new(Repetition::Never, 2);
+    dispatch.send();
+    assert_eq!(dispatch.fail(Setback::NotExecuted), Step::Resend);
+
+    assert_eq!(dispatch.fail(Setback::NotSent), Step::Resend);
+    assert_eq!(dispatch.sent(), 1);
+    dispatch.send();
+
+    assert_eq!(dispatch.fail(Setback::NotExecuted), Step::Refuse);
+}
+
+#[test]
+fn request_that_is_being_sent_may_have_run() {
+    let mut dispatch = Dispatch::new(Repetition::Never, 2);
+
+    dispatch.send();
+    let during = dispatch.verdict();
+    dispatch.fail(Setback::NotExecuted);
+
+    assert_eq!(during, Verdict::MayHaveRun);
+    assert_eq!(dispatch.verdict(), Verdict::NotRun);
+}
+
 fn setback() -> impl Strategy<Value = Setback> {
     prop_oneof![
         Just(Setback::NotSent),
@@ -64,18 +89,25 @@
     fn a_request_that_may_have_run_is_never_refused_or_repeated_without_leave(
         repetition in repetition(),
         attempts in 1_u32..5,
-        setbacks in prop::collection::vec(setback(), 1..12),
+        setbacks in prop::collection::vec((any::<bool>(), setback()), 1..12),
     ) {
         let mut dispatch = Dispatch::new(repetition, attempts);
         let mut may_have_run = false;
         let mut sent = 0;
-        for setback in setbacks {
-            dispatch.send();
+        for (has_connection, setback) in setbacks {
+            let setback = match has_connection {
+                true => setback,
+                false => Setback::NotSent,
+            };
+            if has_connection {
+                dispatch.send();
+            }
             sent += u32::from(setback != Setback::NotSent);
             may_have_run |= matches!(setback, Setback::Failed | Setback::Lost);
             let step = dispatch.fail(setback);
 
             prop_assert!(sent <= attempts);
+            prop_assert_eq!(dispatch.sent(), sent);
             prop_assert_eq!(dispatch.verdict() == Verdict::NotRun, !may_have_run);
             match step {
                 Step::Resend => prop_assert!(!may_have_run || repetition.may_rerun()),
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -87,7 +87,7 @@
         if self.has_ended.load(Ordering::Relaxed) {
             return;
         }
-        if self.dispatch.sent() == 0 && self.dispatch.verdict() == Verdict::NotRun {
+        if self.dispatch.verdict() == Verdict::NotRun {
             self.refund();
         }
         self.finish(CALLER_GONE, None);
