Log: what was counted when a quota refuses, and whose request ended

Needed to trace QUOTA on a grown site: the refusal names the organisation, its counted and assumed use and the limit; the end of a request its organisation and cost. Accepting a request is a function of its own.

--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -72,6 +72,21 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Kept(pub Vec<f64>);
 
+/// Why a request does not fit in a quota, in units of the window.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Excess {
+    /// Whose quota it is.
+    pub organisation: String,
+    /// Time until there is room.
+    pub delay: Duration,
+    /// Counted use, by all routers that were heard.
+    pub used: f64,
+    /// Use that peers may not have told yet, or that lies before this router's start.
+    pub assumed: f64,
+    /// What may be used.
+    pub limit: f64,
+}
+
 #[derive(Debug, Default)]
 struct Account {
     /// Units by the time at which they leave the window, the next first.
@@ -161,13 +176,13 @@
         self.share = visible as f64 / known.max(visible).max(1) as f64;
     }
 
-    /// Takes a request of `cost` units in, or fails with the time until there is room.
+    /// Takes a request of `cost` units in, or fails with what does not fit.
     pub fn admit(
         &mut self,
         organisation: &Organisation,
         cost: f64,
         now: Timestamp,
-    ) -> Result<(), Duration> {
+    ) -> Result<(), Excess> {
         let Some(quota) = organisation.quota else {
             return Ok(());
         };
@@ -176,11 +191,18 @@
         let window = self.settings.window;
         let lag = self.lag;
         let account = self.account(&organisation.name, now);
-        let used = account.used + unknown + account.unheard(now, lag);
-        let excess = used + cost - limit;
+        let assumed = unknown + account.unheard(now, lag);
+        let used = account.used;
+        let excess = used + assumed + cost - limit;
         // A request larger than the whole quota passes when nothing else is counted.
-        if excess > 0.0 && used > 0.0 {
-            return Err(account.room_in(excess, now, window));
+        if excess > 0.0 && used + assumed > 0.0 {
+            return Err(Excess {
+                organisation: organisation.name.clone(),
+                delay: account.room_in(excess, now, window),
+                used,
+                assumed,
+                limit,
+            });
         }
         account.add(cost, now, window);
         account.own += cost;
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -33,6 +33,7 @@
     tamarackdale_core::{
         directory::{Denial, Organisation, Route},
         patience, quota,
+        time::Timestamp,
     },
     tamarackdale_platform::request::Head,
     tokio::time::timeout,
@@ -81,47 +82,68 @@
         }
     };
     let id = head.id.clone();
-    let refuse = |refusal: Refusal| {
-        let retry_after = refusal.retry_after.unwrap_or_default();
-        log::warn!(
-            request = id.as_str(),
-            cause:% = refusal.cause,
-            retry_after_ms = retry_after.as_millis() as u64;
-            "refused"
-        );
-        refusal.response(&id)
+    let arrival = Arrival {
+        head,
+        method,
+        uri,
+        headers,
+        accepted,
     };
+    match accept(context, arrival, caller_body).await {
+        Ok(request) => relay::run(context, request).await,
+        Err(refusal) => refuse(&id, refusal),
+    }
+}
+
+fn refuse(id: &str, refusal: Refusal) -> Response<Body> {
+    let retry_after = refusal.retry_after.unwrap_or_default();
+    let excess = refusal.excess.as_ref();
+    log::warn!(
+        request = id,
+        cause:% = refusal.cause,
+        retry_after_ms = retry_after.as_millis() as u64,
+        organisation = excess.map(|excess| excess.organisation.as_str()),
+        quota_used = excess.map(|excess| excess.used),
+        quota_assumed = excess.map(|excess| excess.assumed),
+        quota_limit = excess.map(|excess| excess.limit);
+        "refused"
+    );
+    refusal.response(id)
+}
+
+/// A request whose head has come.
+struct Arrival {
+    head: Head,
+    method: Method,
+    uri: Uri,
+    headers: HeaderMap,
+    accepted: Timestamp,
+}
+
+/// Checks a request against the configuration, reads its body and takes it into its quota.
+async fn accept(context: &Context, arrival: Arrival, body: Body) -> Result<Request, Refusal> {
     if context.leaving.is_cancelled() {
-        return refuse(Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETURN));
+        return Err(Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETURN));
     }
-    let permit = match permit(context, &headers, &uri, &head) {
-        Ok(permit) => permit,
-        Err(refusal) => return refuse(refusal),
-    };
+    let permit = permit(context, &arrival.headers, &arrival.uri, &arrival.head)?;
     let limit = permit.snapshot.directory.limits().body_bytes;
-    let bytes = match timeout(BODY_READ_TIMEOUT, body::read(caller_body, limit)).await {
+    let bytes = match timeout(BODY_READ_TIMEOUT, body::read(body, limit)).await {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(Unreadable::TooLarge)) => return refuse(Refusal::new(Cause::BodyTooLarge)),
-        Ok(Err(Unreadable::Broken)) | Err(_) => {
-            return refuse(Refusal::new(Cause::BodyBroken));
-        }
+        Ok(Err(Unreadable::TooLarge)) => return Err(Refusal::new(Cause::BodyTooLarge)),
+        Ok(Err(Unreadable::Broken)) | Err(_) => return Err(Refusal::new(Cause::BodyBroken)),
     };
-    let cost = match charge(context, &permit, &head) {
-        Ok(cost) => cost,
-        Err(refusal) => return refuse(refusal),
-    };
-    let request = Request {
-        head,
-        method,
-        uri,
-        headers,
+    let cost = charge(context, &permit, &arrival.head)?;
+    Ok(Request {
+        head: arrival.head,
+        method: arrival.method,
+        uri: arrival.uri,
+        headers: arrival.headers,
         body: bytes,
-        accepted,
+        accepted: arrival.accepted,
         route: permit.route,
         organisation: permit.organisation,
         cost,
-    };
-    relay::run(context, request).await
+    })
 }
 
 /// What a request may do under the configuration in force.
@@ -139,11 +161,11 @@
     uri: &Uri,
     head: &Head,
 ) -> Result<Permit, Refusal> {
-    let unproved = Refusal::new(Cause::NotProved).with_retry_after(UNPROVED_RETURN);
-    let snapshot = context.snapshot().ok_or(unproved)?;
+    let unproved = || Refusal::new(Cause::NotProved).with_retry_after(UNPROVED_RETURN);
+    let snapshot = context.snapshot().ok_or_else(unproved)?;
     let is_proved = snapshot.freshness.is_proved(uptime::boot_time());
     let deny = |denial: Denial| match (is_proved, denial) {
-        (false, _) => unproved,
+        (false, _) => unproved(),
         (true, Denial::NoRoute) => Refusal::new(Cause::NoRoute),
         (true, Denial::UnknownKey) => Refusal::new(Cause::UnknownKey),
     };
@@ -158,7 +180,7 @@
         .organisation(route, head.key.as_deref())
         .map_err(deny)?;
     if organisation.is_some() && !is_proved {
-        return Err(unproved);
+        return Err(unproved());
     }
     Ok(Permit {
         route: Arc::clone(route),
@@ -181,10 +203,11 @@
     let cost = quota::cost(quota.unit, tokens);
     match context.scheduler.admit(organisation, cost) {
         Ok(()) => Ok(cost),
-        Err(delay) => {
+        Err(excess) => {
             let time_left = head.time_left.unwrap_or(permit.route.timeout);
             let spread = patience::retry_after(time_left, context.scheduler.random());
-            Err(Refusal::new(Cause::Quota).with_retry_after(delay.max(spread)))
+            let refusal = Refusal::new(Cause::Quota).with_retry_after(excess.delay.max(spread));
+            Err(refusal.with_excess(excess))
         }
     }
 }
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -13,6 +13,7 @@
     },
     serde_json::json,
     std::time::Duration,
+    tamarackdale_core::quota::Excess,
     tamarackdale_platform::response,
 };
 
@@ -85,12 +86,14 @@
 }
 
 /// A final answer of the gateway's own.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Refusal {
     /// Why.
     pub cause: Cause,
     /// When the caller should come back.
     pub retry_after: Option<Duration>,
+    /// What did not fit in the organisation's quota, where that is the cause.
+    pub excess: Option<Excess>,
 }
 
 impl Refusal {
@@ -99,6 +102,7 @@
         Self {
             cause,
             retry_after: None,
+            excess: None,
         }
     }
 
@@ -108,6 +112,12 @@
         self
     }
 
+    /// Sets what did not fit in the organisation's quota.
+    pub fn with_excess(mut self, excess: Excess) -> Self {
+        self.excess = Some(excess);
+        self
+    }
+
     /// The answer to the request `id`.
     pub fn response(self, id: &str) -> Response<Body> {
         let value = json!({ "error": self.cause.to_string() });
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -300,6 +300,8 @@
             request = self.request.head.id.as_str(),
             route = self.request.route.name.as_str(),
             service = self.service.as_str(),
+            organisation = self.request.organisation.as_ref().map(|own| own.name.as_str()),
+            quota_cost = self.request.cost,
             outcome,
             verdict:% = verdict,
             sent = self.dispatch.sent(),
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -19,7 +19,7 @@
         directory::{Directory, Organisation},
         fleet::{self, Choice, Roster, Share, Shortage},
         patience,
-        quota::Kept,
+        quota::{Excess, Kept},
         summary::{Entry, Summary},
     },
     tamarackdale_platform::Settings,
@@ -68,8 +68,8 @@
         self.lock().fleet.utilisation(service, now)
     }
 
-    /// Takes a request into its organisation's quota, or says when there is room.
-    pub fn admit(&self, organisation: &Organisation, cost: f64) -> Result<(), Duration> {
+    /// Takes a request into its organisation's quota, or says what does not fit.
+    pub fn admit(&self, organisation: &Organisation, cost: f64) -> Result<(), Excess> {
         let now = self.clock.now();
         self.lock().ledger.admit(organisation, cost, now)
     }
