Gateways that start together all hear each other

Cause: introductions of peers went through a watch channel, which keeps the last one only. Ruled out: the lag assumed between gateways (b and c refused at the limit, some gateways of a admitted for 1.3 s more, and their limits were those of fewer peers). Change: a bounded channel that waits. Test that failed first (3 of 3): gateways_that_start_together_all_hear_each_other.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -36,7 +36,7 @@
     tamarackdale_platform::Settings,
     tokio::{
         signal::unix::{SignalKind, signal},
-        sync::watch,
+        sync::{mpsc, watch},
         time::sleep,
     },
     tokio_util::sync::CancellationToken,
@@ -68,6 +68,7 @@
     let (publisher, followed) = follower::channels();
     let following = Follower::new(&settings, publisher, shutdown.clone());
     let duty = Duty::spawn_async("follower", following.run())?;
+    let (introduced, introductions) = mpsc::channel(MAX_PEERS);
     let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
     let context = Context {
         clock,
@@ -78,7 +79,7 @@
         pool: Arc::new(Pool::new()),
         publication: Arc::default(),
         acquaintance: Arc::default(),
-        introduced: watch::Sender::new(None),
+        introduced,
         metrics: Metrics::new().map_err(io::Error::other)?,
         closing: shutdown.closing.clone(),
         leaving: CancellationToken::new(),
@@ -87,7 +88,7 @@
     let watched = watch_settings(path, settings_sender, shutdown.closing.clone());
     let served = runtime.block_on(async {
         tokio::select! {
-            served = serve(&settings, &shutdown, context) => served,
+            served = serve(&settings, &shutdown, context, introductions) => served,
             error = watched => error,
         }
     });
@@ -99,7 +100,12 @@
     served
 }
 
-async fn serve(settings: &Settings, shutdown: &Shutdown, context: Context) -> io::Result<()> {
+async fn serve(
+    settings: &Settings,
+    shutdown: &Shutdown,
+    context: Context,
+    introductions: mpsc::Receiver<SocketAddr>,
+) -> io::Result<()> {
     let is_ready = readiness(&context);
     let admin_context = admin::Context {
         metrics: context.metrics.clone(),
@@ -157,7 +163,7 @@
         finished.cancel();
     };
     let limit = settings.bounds.grace.saturating_sub(EXIT_RESERVE);
-    let exchange = peers::run(context.clone());
+    let exchange = peers::run(context.clone(), introductions);
     let (watched, ()) = tokio::select! {
         ended = async { tokio::join!(shutdown.watch(limit, finished.clone()), serving) } => ended,
         () = exchange => unreachable!("the exchange with peers does not end"),
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -11,7 +11,7 @@
     gotham::state::StateData,
     std::{net::SocketAddr, panic::RefUnwindSafe, sync::Arc, time::Duration},
     tamarackdale_platform::Settings,
-    tokio::sync::watch,
+    tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
 };
 
@@ -34,8 +34,8 @@
     pub publication: Arc<Publication>,
     /// The peers that are known.
     pub acquaintance: Arc<Acquaintance>,
-    /// The peer that introduced itself last.
-    pub introduced: watch::Sender<Option<SocketAddr>>,
+    /// Takes the addresses of peers that introduce themselves.
+    pub introduced: mpsc::Sender<SocketAddr>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Set while the process is closing: it still serves what comes.
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -30,7 +30,7 @@
         summary::{Frame as Message, Introduction},
     },
     tokio::{
-        sync::broadcast,
+        sync::{broadcast, mpsc},
         task::JoinSet,
         time::{Instant, sleep, timeout},
     },
@@ -82,10 +82,10 @@
 }
 
 /// Publishes summaries and follows peers for ever.
-pub async fn run(context: Context) {
+pub async fn run(context: Context, introductions: mpsc::Receiver<SocketAddr>) {
     tokio::join!(
         publish_all(&context),
-        follow_all(&context),
+        follow_all(&context, introductions),
         adopt_rosters(&context),
         keep_quota_use(&context),
     );
@@ -206,7 +206,9 @@
         log::warn!("a peer's introduction cannot be read");
         return Ok((state, body::status(StatusCode::BAD_REQUEST)));
     };
-    context.introduced.send_replace(Some(address));
+    if context.introduced.send(address).await.is_err() {
+        log::debug!(peer:% = address; "introduced at the end of the exchange");
+    }
     let reader = context.publication.sender.subscribe();
     let first = full(&context);
     let frames = stream::unfold(
@@ -235,22 +237,21 @@
 }
 
 /// Follows every peer that is registered or introduces itself.
-async fn follow_all(context: &Context) {
+async fn follow_all(context: &Context, mut introductions: mpsc::Receiver<SocketAddr>) {
     let own = context.settings.borrow().peers;
     let mut gateways = context.followed.gateways.clone();
-    let mut introduced = context.introduced.subscribe();
     let mut followers = JoinSet::new();
+    let mut newcomer = None;
     loop {
         let registered = gateways.borrow_and_update().clone();
-        let newcomer = *introduced.borrow_and_update();
-        for address in registered.iter().copied().chain(newcomer) {
+        for address in registered.iter().copied().chain(newcomer.take()) {
             if address != own && context.acquaintance.meet(address) {
                 followers.spawn(follow(context.clone(), address));
             }
         }
         tokio::select! {
             _ = gateways.changed() => {}
-            _ = introduced.changed() => {}
+            address = introductions.recv() => newcomer = address,
             Some(_) = followers.join_next() => {}
         }
     }
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -22,6 +22,9 @@
 /// Limit for what should happen at once.
 const SOON: Duration = Duration::from_secs(3);
 
+/// Gateways that start at the same moment: enough for several introductions at one of them at once.
+const STARTED_TOGETHER: usize = 12;
+
 struct Bench {
     site: Site,
     gateway: Gateway,
@@ -511,6 +514,24 @@
     assert!(bench.gateway.process.is_running());
 }
 
+#[tokio::test]
+async fn gateways_that_start_together_all_hear_each_other() {
+    let site = Site::new(&Configuration::default()).expect("starts");
+    let gateways: Vec<Gateway> = (0..STARTED_TOGETHER)
+        .map(|number| site.gateway(&format!("g-{number}")).expect("starts"))
+        .collect();
+    let has_heard_all = |gateway: &Gateway| {
+        let logs = gateway.process.logs();
+        let heard = logs.iter().filter(|line| line["message"] == "peer heard");
+        let peers: BTreeSet<_> = heard.map(|line| line["peer"].to_string()).collect();
+        peers.len() == STARTED_TOGETHER - 1
+    };
+
+    let all_heard = wait::until(SOON, || gateways.iter().all(has_heard_all)).await;
+
+    assert!(all_heard);
+}
+
 #[tokio::test]
 async fn two_gateways_keep_one_quota() {
     let limited = Configuration::default()
