Quota refunds at the time of the admission; cut-off peers found again; changed bounds in force at once

Three faults found by reading, each with its test: - A refund was counted as new negative use, so that after the admission had left the window its refund still made room (units_that_were_given_back_make_no_room_later). Registrations are read again while a peer is missing. - Changed bounds were read and logged, and used at the next start only (changed_bounds_are_in_force_after_a_reload).

--- a/core/src/freshness.rs
+++ b/core/src/freshness.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Changes how long a proof counts.
+    pub fn with_limit(mut self, limit: Duration) -> Self {
+        self.limit = limit;
+        self
+    }
+
     /// Takes in a proof that was asked for at `sent`; an older one than known changes nothing.
     pub fn prove(&mut self, sent: BootTime) {
         self.proved = self.proved.max(Some(sent));
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! an argument ([`time::Timestamp`]) and so is the seeded generator, which makes every decision
 //! repeatable in a test.
 
+pub mod acquaintance;
 pub mod adoption;
 pub mod attempt;
 pub mod batch;
--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -57,13 +57,19 @@
     pub is_first_start: bool,
 }
 
+/// Age of a peer's admissions that it takes back, at least: a request that does not run has waited
+/// for up to this long.
+const REFUND_AGE: Duration = Duration::from_secs(2);
+
 /// Use of one organisation's quota, as routers tell it to each other.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Usage {
     /// The organisation.
     pub organisation: String,
     /// Units admitted by the teller since its start.
-    pub total: f64,
+    pub admitted: f64,
+    /// Those of them whose requests did not run.
+    pub refunded: f64,
     /// What all routers that the teller knows admitted within the window; only told at first.
     pub known: Option<Kept>,
 }
@@ -94,8 +100,10 @@
     used: f64,
     /// Units that peers told, by the time at which they were heard, for about the last second.
     told: VecDeque<(Timestamp, f64)>,
-    own: f64,
-    peers: HashMap<u64, f64>,
+    /// Units that this router admitted, and those of them whose requests did not run.
+    own: (f64, f64),
+    /// The same of each peer.
+    peers: HashMap<u64, (f64, f64)>,
 }
 
 /// All organisations' use of their quotas, at one router.
@@ -125,6 +133,14 @@
         }
     }
 
+    /// Takes over other settings. Whether this was a first start does not change with them.
+    pub fn adopt(&mut self, settings: Settings) {
+        self.settings = Settings {
+            is_first_start: self.settings.is_first_start,
+            ..settings
+        };
+    }
+
     /// Takes in what was kept of the use before a start of all routers.
     pub fn remember(&mut self, kept: HashMap<String, Kept>, now: Timestamp) {
         for (organisation, kept) in &kept {
@@ -205,16 +221,16 @@
             });
         }
         account.add(cost, now, window);
-        account.own += cost;
+        account.own.0 += cost;
         Ok(())
     }
 
-    /// Gives back what was admitted for a request that did not run.
-    pub fn refund(&mut self, organisation: &str, cost: f64, now: Timestamp) {
+    /// Gives back what was admitted at `admitted` for a request that did not run.
+    pub fn refund(&mut self, organisation: &str, cost: f64, admitted: Timestamp) {
         let window = self.settings.window;
         if let Some(account) = self.accounts.get_mut(organisation) {
-            account.own -= cost;
-            account.add(-cost, now, window);
+            account.own.1 += cost;
+            account.take_back(cost, admitted, window);
         }
     }
 
@@ -222,10 +238,16 @@
     pub fn merge(&mut self, peer: u64, usage: &Usage, now: Timestamp) {
         let window = self.settings.window;
         let account = self.account(&usage.organisation, now);
-        let before = account.peers.insert(peer, usage.total);
+        let totals = (usage.admitted, usage.refunded);
+        let before = account.peers.insert(peer, totals);
         // What was admitted before the peer was heard shows in what it knows only.
         match (before, &usage.known) {
-            (Some(before), _) => account.hear(usage.total - before, now, window),
+            (Some((admitted, refunded)), _) => {
+                account.hear(usage.admitted - admitted, now, window);
+                let age = now.since(Timestamp::START.plus(REFUND_AGE));
+                let oldest = Timestamp::START.plus(age);
+                account.take_back(usage.refunded - refunded, oldest, window);
+            }
             (None, Some(known)) => account.import(known, now, window),
             (None, None) => {}
         }
@@ -243,7 +265,8 @@
         let window = self.settings.window;
         self.accounts.iter().map(move |(name, account)| Usage {
             organisation: name.clone(),
-            total: account.own,
+            admitted: account.own.0,
+            refunded: account.own.1,
             known: is_first.then(|| account.by_age(0.0, now, window)),
         })
     }
@@ -311,6 +334,22 @@
         }
     }
 
+    /// Takes units out that were added at `admitted`. If they were added later than that, they are
+    /// counted again when those of that time have left the window, until they leave it themselves.
+    fn take_back(&mut self, units: f64, admitted: Timestamp, window: Duration) {
+        if units == 0.0 {
+            return;
+        }
+        let end = admitted.plus(window + window / STEPS);
+        let later = self.steps.partition_point(|(known, _)| *known <= end);
+        // Without a step of that time or before it, the units have left the window or are in the
+        // first step.
+        if let Some((_, sum)) = self.steps.get_mut(later.saturating_sub(1)) {
+            *sum -= units;
+            self.used -= units;
+        }
+    }
+
     /// Adds units that a peer has told.
     fn hear(&mut self, units: f64, now: Timestamp, window: Duration) {
         self.add(units, now, window);
--- a/core/tests/quota.rs
+++ b/core/tests/quota.rs
@@ -197,7 +197,8 @@
     });
     let refused = ledger.admit(&organisation, 10.0, at(100));
 
-    let delay = refused.expect_err("more than the lowered quota is used");
+    let excess = refused.expect_err("more than the lowered quota is used");
+    let delay = excess.delay;
     assert!(delay > Duration::from_secs(7) && delay <= Duration::from_secs(9));
 }
 
@@ -220,6 +221,71 @@
     assert_eq!(listener.used("large"), 100.0);
 }
 
+/// Overload refuses part of what a flood was admitted for.
+#[test]
+fn flood_whose_requests_are_partly_refused_stays_within_its_quota() {
+    let mut random = StdRng::seed_from_u64(12);
+    let organisation = organisation();
+    let mut routers: Vec<Ledger> = (0..4).map(|_| Ledger::new(settings(true))).collect();
+    routers
+        .iter_mut()
+        .for_each(|router| router.set_share(4, 4, assumed_lag(50)));
+    let mut run = Vec::new();
+    let mut waiting: Vec<(u64, usize, f64)> = Vec::new();
+    for millis in (0..30_000).step_by(5) {
+        let cost = random.random_range(5.0..60.0);
+        let chosen = random.random_range(0..routers.len());
+        let is_admitted = routers[chosen]
+            .admit(&organisation, cost, at(millis))
+            .is_ok();
+        // Each burst of the flood is refused for the most part, after a wait.
+        let is_overloaded = millis % 4_000 < 1_500;
+        match (is_admitted, is_overloaded) {
+            (true, true) => waiting.push((millis, chosen, cost)),
+            (true, false) => run.push((millis, cost)),
+            (false, _) => {}
+        }
+        for (admitted, router, cost) in
+            waiting.extract_if(.., |(since, ..)| *since + 1_400 <= millis)
+        {
+            routers[router].refund("large", cost, at(admitted));
+        }
+        if millis.is_multiple_of(50) {
+            exchange(&mut routers, at(millis));
+        }
+    }
+
+    let allowed = (RATE * WINDOW_S as f64 + RATE) * 1.1 + 500.0;
+    let most = most_in_window(&run);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
+
+#[test]
+fn units_that_were_given_back_make_no_room_later() {
+    let organisation = organisation();
+    let mut own = Ledger::new(settings(true));
+    let mut peer = Ledger::new(settings(true));
+    let tell = |own: &Ledger, peer: &mut Ledger, millis: u64| {
+        own.usages(false, at(millis))
+            .for_each(|usage| peer.merge(1, &usage, at(millis)));
+    };
+    own.admit(&organisation, 1.0, at(0)).expect("there is room");
+    tell(&own, &mut peer, 1);
+
+    own.admit(&organisation, 5_000.0, at(10))
+        .expect("there is room");
+    tell(&own, &mut peer, 20);
+    own.refund("large", 5_000.0, at(10));
+    tell(&own, &mut peer, 1_500);
+
+    assert!((own.used("large"), peer.used("large")) == (1.0, 0.0));
+    for ledger in [&mut own, &mut peer] {
+        // Between the admission's leaving of the window and the refund's.
+        let admitted = ledger.admit(&organisation, 1.0, at(9_000));
+        assert!(admitted.is_ok() && ledger.used("large") >= 1.0);
+    }
+}
+
 #[test]
 fn cost_counts_tokens_where_the_quota_does() {
     assert_eq!(quota::cost(Unit::Requests, Some(70)), 1.0);
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -66,10 +66,10 @@
     let clock = Clock::new();
     let scheduler = Arc::new(Scheduler::new(clock, &settings));
     let (publisher, followed) = follower::channels();
-    let following = Follower::new(&settings, publisher, shutdown.clone());
-    let duty = Duty::spawn_async("follower", following.run())?;
     let (introduced, introductions) = mpsc::channel(MAX_PEERS);
     let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
+    let following = Follower::new(settings_receiver.clone(), publisher, shutdown.clone());
+    let duty = Duty::spawn_async("follower", following.run())?;
     let context = Context {
         clock,
         boot: rand::rng().random(),
@@ -85,7 +85,7 @@
         leaving: CancellationToken::new(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
-    let watched = watch_settings(path, settings_sender, shutdown.closing.clone());
+    let watched = watch_settings(path, settings_sender, context.clone());
     let served = runtime.block_on(async {
         tokio::select! {
             served = serve(&settings, &shutdown, context, introductions) => served,
@@ -212,19 +212,21 @@
 async fn watch_settings(
     path: PathBuf,
     sender: watch::Sender<Arc<Settings>>,
-    closing: CancellationToken,
+    context: Context,
 ) -> io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
             () = sleep(SETTINGS_INTERVAL) => {}
-            () = closing.cancelled() => std::future::pending().await,
+            () = context.closing.cancelled() => std::future::pending().await,
         }
         match Settings::read(&path) {
             Ok(settings) if settings == **sender.borrow() => {}
             Ok(settings) => {
-                log::info!(path:? = path; "settings reloaded");
+                let needs_start = !settings.has_addresses_of(&sender.borrow());
+                log::info!(path:? = path, needs_start; "settings reloaded");
+                context.scheduler.adopt_settings(&settings);
                 sender.send_replace(Arc::new(settings));
             }
             Err(error) => log::warn!(path:? = path; "settings not reloaded: {error}"),
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -143,6 +143,7 @@
         route: permit.route,
         organisation: permit.organisation,
         cost,
+        admitted: context.clock.now(),
     })
 }
 
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -3,13 +3,19 @@
 use {
     super::{
         follower::{Followed, Snapshot},
-        peers::{Acquaintance, Publication},
+        peers::Publication,
         pool::Pool,
         scheduler::Scheduler,
     },
     crate::{metrics::Metrics, uptime::Clock},
     gotham::state::StateData,
-    std::{net::SocketAddr, panic::RefUnwindSafe, sync::Arc, time::Duration},
+    std::{
+        net::SocketAddr,
+        panic::RefUnwindSafe,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+    tamarackdale_core::acquaintance::Acquaintance,
     tamarackdale_platform::Settings,
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -33,7 +39,7 @@
     /// The stream of this gateway's summaries.
     pub publication: Arc<Publication>,
     /// The peers that are known.
-    pub acquaintance: Arc<Acquaintance>,
+    pub acquaintance: Arc<Mutex<Acquaintance>>,
     /// Takes the addresses of peers that introduce themselves.
     pub introduced: mpsc::Sender<SocketAddr>,
     /// Counters and histograms.
@@ -50,6 +56,12 @@
         self.followed.configuration.borrow().clone()
     }
 
+    /// The peers that are known, for a moment.
+    pub fn acquaintance(&self) -> MutexGuard<'_, Acquaintance> {
+        let known = self.acquaintance.lock();
+        known.unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Time that a caller's connection may stay idle.
     pub fn idle_timeout(&self) -> Duration {
         let limits = self.snapshot().map(|snapshot| snapshot.directory.limits());
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -12,13 +12,13 @@
 use {
     crate::{signal::Shutdown, uptime},
     std::{
-        net::SocketAddr,
         sync::Arc,
         time::{Duration, Instant},
     },
     tamarackdale_core::freshness::{BootTime, Freshness},
     tamarackdale_platform::{
         Settings, configuration,
+        settings::Bounds,
         store::{Check, Entry, Error, Store},
     },
     tokio::{sync::watch, time::sleep},
@@ -53,10 +53,7 @@
 /// The duty.
 pub struct Follower {
     store: Store,
-    address: SocketAddr,
-    freshness: Freshness,
-    proof_interval: Duration,
-    watch_pause: Duration,
+    settings: watch::Receiver<Arc<Settings>>,
     publisher: Publisher,
     shutdown: Shutdown,
     trouble: watch::Sender<Option<Instant>>,
@@ -64,24 +61,41 @@
 
 impl Follower {
     /// A follower that has not asked for anything.
-    pub fn new(settings: &Settings, publisher: Publisher, shutdown: Shutdown) -> Self {
-        let limit = settings
-            .bounds
-            .key_freshness
-            .saturating_sub(FRESHNESS_RESERVE);
+    pub fn new(
+        settings: watch::Receiver<Arc<Settings>>,
+        publisher: Publisher,
+        shutdown: Shutdown,
+    ) -> Self {
         let (trouble, _) = watch::channel(None);
+        let store = Store::new(&settings.borrow().store, WATCH_WAIT);
         Self {
-            store: Store::new(&settings.store, WATCH_WAIT),
-            address: settings.peers,
-            freshness: Freshness::new(limit),
-            proof_interval: settings.bounds.convergence.mul_f64(PROOF_PART),
-            watch_pause: settings.bounds.drain.mul_f64(WATCH_PAUSE_PART),
+            store,
+            settings,
             publisher,
             shutdown,
             trouble,
         }
     }
 
+    /// Bounds as they are now.
+    fn bounds(&self) -> Bounds {
+        self.settings.borrow().bounds
+    }
+
+    fn proof_interval(&self) -> Duration {
+        self.bounds().convergence.mul_f64(PROOF_PART)
+    }
+
+    fn watch_pause(&self) -> Duration {
+        self.bounds().drain.mul_f64(WATCH_PAUSE_PART)
+    }
+
+    /// How long a proof of the configuration counts.
+    fn proof_limit(&self) -> Duration {
+        let allowed = self.bounds().key_freshness;
+        allowed.saturating_sub(FRESHNESS_RESERVE)
+    }
+
     /// Follows until the process is cut.
     pub async fn run(self) {
         let follow = async {
@@ -125,7 +139,7 @@
             sleep(if is_lost {
                 RETRY_INTERVAL
             } else {
-                self.proof_interval
+                self.proof_interval()
             })
             .await;
         }
@@ -150,7 +164,7 @@
             organisations = directory.organisations().len();
             "configuration adopted"
         );
-        let mut freshness = self.freshness;
+        let mut freshness = Freshness::new(self.proof_limit());
         freshness.prove(sent);
         let snapshot = Snapshot {
             directory: Arc::new(directory),
@@ -163,7 +177,7 @@
     }
 
     fn prove(&self, known: &Snapshot, sent: BootTime) {
-        let mut freshness = known.freshness;
+        let mut freshness = known.freshness.with_limit(self.proof_limit());
         freshness.prove(sent);
         let snapshot = Snapshot {
             directory: Arc::clone(&known.directory),
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -29,6 +29,8 @@
     pub gateways: watch::Receiver<Arc<BTreeSet<SocketAddr>>>,
     /// Use of quotas before this start, once it is known.
     pub kept: watch::Receiver<Option<Kept>>,
+    /// Whether a known gateway is out of reach, so that the registrations are worth reading again.
+    pub misses_peers: watch::Sender<bool>,
     /// Use of quotas that this gateway must keep in the store; empty if another one does.
     pub to_keep: watch::Sender<Kept>,
 }
@@ -39,6 +41,7 @@
     pub(super) roster: watch::Sender<Arc<Roster>>,
     pub(super) gateways: watch::Sender<Arc<BTreeSet<SocketAddr>>>,
     pub(super) kept: watch::Sender<Option<Kept>>,
+    pub(super) misses_peers: watch::Receiver<bool>,
     pub(super) to_keep: watch::Receiver<Kept>,
 }
 
@@ -48,12 +51,14 @@
     let (roster, followed_roster) = watch::channel(Arc::new(Roster::new()));
     let (gateways, followed_gateways) = watch::channel(Arc::new(BTreeSet::new()));
     let (kept, followed_kept) = watch::channel(None);
+    let (misses_peers, published_misses_peers) = watch::channel(false);
     let (to_keep, published_to_keep) = watch::channel(Kept::default());
     let publisher = Publisher {
         configuration,
         roster,
         gateways,
         kept,
+        misses_peers: published_misses_peers,
         to_keep: published_to_keep,
     };
     let followed = Followed {
@@ -61,6 +66,7 @@
         roster: followed_roster,
         gateways: followed_gateways,
         kept: followed_kept,
+        misses_peers,
         to_keep,
     };
     (publisher, followed)
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -19,7 +19,7 @@
         let mut lease = None;
         loop {
             let held = match lease {
-                Some(held) => self.store.keep(held).await.map(|()| held),
+                Some(held) => self.renew(held).await.map(|()| held),
                 None => self.register_self().await,
             };
             lease = match held {
@@ -43,20 +43,37 @@
     /// Of two gateways that register at the same time at least one sees the other, as both read
     /// after they have written.
     async fn register_self(&self) -> Result<u64, Error> {
+        let own = self.settings.borrow().peers;
         let lease = self.store.lease(LEASE).await?;
-        let key = format!("{GATEWAYS}{}", self.address);
+        let key = format!("{GATEWAYS}{own}");
         self.store
-            .put(&key, self.address.to_string().as_bytes(), lease)
+            .put(&key, own.to_string().as_bytes(), lease)
             .await?;
+        self.read_gateways().await?;
+        Ok(lease)
+    }
+
+    /// Keeps the registration. Who else is there is read again only while a gateway is out of
+    /// reach, which may be gone, or cut off and registered; those that are new introduce themselves.
+    async fn renew(&self, lease: u64) -> Result<(), Error> {
+        self.store.keep(lease).await?;
+        if *self.publisher.misses_peers.borrow() {
+            self.read_gateways().await?;
+        }
+        Ok(())
+    }
+
+    async fn read_gateways(&self) -> Result<(), Error> {
+        let own = self.settings.borrow().peers;
         let range = self.store.range(GATEWAYS).await?;
         let addresses = range
             .entries
             .iter()
             .filter_map(|entry| address(&entry.key))
-            .filter(|address| *address != self.address)
+            .filter(|address| *address != own)
             .collect();
         self.publisher.gateways.send_replace(Arc::new(addresses));
-        Ok(lease)
+        Ok(())
     }
 }
 
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -62,7 +62,7 @@
             revision = changes.revision.max(revision);
             if !changes.changes.is_empty() {
                 self.apply(&changes.changes);
-                sleep(self.watch_pause).await;
+                sleep(self.watch_pause()).await;
             }
             let is_in_doubt = self.is_in_doubt();
             if must_read_again && !is_in_doubt {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -4,10 +4,6 @@
 //! streams of the peers it knows: those that are registered in the store, and those that have
 //! introduced themselves.
 
-mod acquaintance;
-
-pub use acquaintance::Acquaintance;
-
 use {
     super::context::Context,
     crate::http::body,
@@ -103,7 +99,7 @@
     loop {
         sleep(QUOTA_USE_INTERVAL).await;
         let used = match context.snapshot() {
-            Some(snapshot) if context.acquaintance.is_first(own) => {
+            Some(snapshot) if context.acquaintance().is_first(own) => {
                 context.scheduler.quota_use(&snapshot.directory)
             }
             _ => HashMap::new(),
@@ -132,7 +128,7 @@
     let mut told_at = Instant::now();
     let mut speeds_at = Instant::now();
     loop {
-        let (visible, _) = context.acquaintance.count();
+        let (visible, _) = context.acquaintance().count();
         sleep(summary_interval(visible)).await;
         context.scheduler.pump();
         let with_speeds = speeds_at.elapsed() >= SPEED_INTERVAL;
@@ -183,7 +179,7 @@
             .usages
             .iter()
             .find(|known| known.organisation == usage.organisation);
-        known.is_none_or(|known| known.total != usage.total)
+        known.is_none_or(|known| known != *usage)
     });
     Summary {
         entries: entries.collect(),
@@ -245,7 +241,7 @@
     loop {
         let registered = gateways.borrow_and_update().clone();
         for address in registered.iter().copied().chain(newcomer.take()) {
-            if address != own && context.acquaintance.meet(address) {
+            if address != own && context.acquaintance().meet(address, context.clock.now()) {
                 followers.spawn(follow(context.clone(), address));
             }
         }
@@ -271,9 +267,14 @@
             Ok(body) => read(&context, address, body).await,
             Err(error) => log::debug!(peer:% = address; "peer not reached: {error}"),
         }
-        context.acquaintance.lose(address);
+        let now = context.clock.now();
+        context.acquaintance().lose(address, now);
         update_share(&context);
-        if context.acquaintance.drop_stale(address) {
+        let is_registered = context.followed.gateways.borrow().contains(&address);
+        if context
+            .acquaintance()
+            .drop_stale(address, is_registered, now)
+        {
             log::info!(peer:% = address; "peer forgotten");
             update_share(&context);
             return;
@@ -283,7 +284,9 @@
 }
 
 fn update_share(context: &Context) {
-    let (visible, known) = context.acquaintance.count();
+    let (visible, known) = context.acquaintance().count();
+    let misses_any = context.acquaintance().misses_any();
+    context.followed.misses_peers.send_replace(misses_any);
     context.scheduler.set_peers(
         visible,
         known,
@@ -302,7 +305,7 @@
             match splitter.next_item::<Message>() {
                 Ok(Some(message)) => {
                     if boot.replace(message.boot).is_none() {
-                        context.acquaintance.hear(address);
+                        context.acquaintance().hear(address);
                         update_share(context);
                         log::info!(peer:% = address, boot = message.boot; "peer heard");
                     }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -64,6 +64,8 @@
     pub organisation: Option<Arc<Organisation>>,
     /// What it took from the organisation's quota.
     pub cost: f64,
+    /// When it was taken into the quota.
+    pub admitted: Timestamp,
 }
 
 /// A request on its way, with what was tried.
@@ -276,7 +278,7 @@
     fn refund(&self) {
         if let Some(organisation) = &self.request.organisation {
             let scheduler = &self.context.scheduler;
-            scheduler.refund(&organisation.name, self.request.cost);
+            scheduler.refund(&organisation.name, self.request.cost, self.request.admitted);
         }
     }
 
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -21,6 +21,7 @@
         patience,
         quota::{Excess, Kept},
         summary::{Entry, Summary},
+        time::Timestamp,
     },
     tamarackdale_platform::Settings,
     tokio::time::timeout,
@@ -52,6 +53,11 @@
         }
     }
 
+    /// Takes over changed settings.
+    pub fn adopt_settings(&self, settings: &Settings) {
+        self.lock().adopt_settings(settings);
+    }
+
     /// Takes over who is registered.
     pub fn adopt(&self, roster: &Roster) {
         self.lock().fleet.adopt(roster);
@@ -87,10 +93,9 @@
         self.lock().ledger.to_keep(organisations, now)
     }
 
-    /// Gives back the quota of a request that did not run.
-    pub fn refund(&self, organisation: &str, cost: f64) {
-        let now = self.clock.now();
-        self.lock().ledger.refund(organisation, cost, now);
+    /// Gives back the quota of a request that was admitted at `admitted` and did not run.
+    pub fn refund(&self, organisation: &str, cost: f64, admitted: Timestamp) {
+        self.lock().ledger.refund(organisation, cost, admitted);
     }
 
     /// Notes that a caller's request for a service was accepted.
@@ -201,11 +206,7 @@
         state.ledger.set_share(visible, known, lag);
         if state.peers != known {
             state.peers = known;
-            // Budgets begin again with the new share, empty.
-            let settings = state.retry_settings();
-            for budget in state.budgets.values_mut() {
-                budget.adopt(settings);
-            }
+            state.share_budgets();
         }
     }
 
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -58,6 +58,22 @@
         }
     }
 
+    pub(super) fn adopt_settings(&mut self, settings: &Settings) {
+        self.ledger.adopt(settings.bounds.quota);
+        self.data_centre = settings.data_centre.clone();
+        self.retry_ratio = settings.bounds.retry_ratio * RETRY_PART;
+        self.retry_extra = settings.bounds.retry_extra * RETRY_PART;
+        self.share_budgets();
+    }
+
+    /// Gives each budget this router's present share; what was saved is cut to it.
+    pub(super) fn share_budgets(&mut self) {
+        let settings = self.retry_settings();
+        for budget in self.budgets.values_mut() {
+            budget.adopt(settings);
+        }
+    }
+
     pub(super) fn floor(&mut self, service: &str) -> &mut Floor {
         if !self.floors.contains_key(service) {
             let floor = Floor::new(floor::Settings {
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -514,6 +514,33 @@
     assert!(bench.gateway.process.is_running());
 }
 
+#[tokio::test]
+async fn changed_bounds_are_in_force_after_a_reload() {
+    let limited = Configuration::default()
+        .with("/tenants/0/rate_per_s", json!(10))
+        .with("/tenants/0/burst", json!(10))
+        .with("/tenants/0/unit", json!("requests"));
+    let bench = start_with(&limited).await;
+    let mut served = 0;
+    for number in 0..120 {
+        let id = format!("b-{number}");
+        let answer = bench.gateway.call("/status/1", &id).await;
+        served += usize::from(answer.expect("answered").status() == 200);
+    }
+    let text = std::fs::read_to_string(&bench.gateway.settings).expect("readable");
+
+    let changed = text.replace("quota_slack = 1000", "quota_slack = 0");
+    std::fs::write(&bench.gateway.settings, changed).expect("writable");
+    let reloaded = bench.gateway.process.wait_for_log("reload", SOON, |line| {
+        line["message"] == "settings reloaded"
+    });
+    let after = bench.gateway.call("/status/1", "a-1").await;
+
+    assert!(reloaded.is_ok());
+    assert_eq!(served, 120);
+    assert_eq!(after.expect("answered").status(), 429);
+}
+
 #[tokio::test]
 async fn gateways_that_start_together_all_hear_each_other() {
     let site = Site::new(&Configuration::default()).expect("starts");
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -77,8 +77,8 @@
 pub struct Usage {
     /// Name of the organisation.
     pub organisation: String,
-    /// Units admitted since the sender's start.
-    pub total: f64,
+    /// Units admitted since the sender's start, and those of them whose requests did not run.
+    pub totals: (f64, f64),
     /// Units that the sender knows to be admitted within the window, by age; only at first.
     pub known: Option<Vec<f64>>,
 }
@@ -164,7 +164,7 @@
     fn from(usage: &quota::Usage) -> Self {
         Self {
             organisation: usage.organisation.clone(),
-            total: usage.total,
+            totals: (usage.admitted, usage.refunded),
             known: usage.known.as_ref().map(|known| known.0.clone()),
         }
     }
@@ -174,7 +174,8 @@
     fn from(usage: Usage) -> Self {
         Self {
             organisation: usage.organisation,
-            total: usage.total,
+            admitted: usage.totals.0,
+            refunded: usage.totals.1,
             known: usage.known.map(quota::Kept),
         }
     }
