Peers hear of changes at once, and one of them takes a freed slot

Cause: with 32 gateways summaries came every 62 ms, in which each engine gets more than one request; the load that a choice was made by was stale. Ruled out: slow gateways (plain requests pass in 3 ms beside the service's own time), the speeds learnt (medians fit). Change: a summary goes out at each change, at most every 5 ms or 0.5 ms a peer; room that a peer freed is offered at once to the gateway that ranks first for it, by rendezvous, instead of by chance in rounds.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -314,11 +314,14 @@
         }
     }
 
-    /// Takes in what the peer numbered `peer` does at `id`.
-    pub fn merge(&mut self, peer: u64, id: &str, load: Load) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.peers.insert(peer, load);
-        }
+    /// Takes in what the peer numbered `peer` does at `id`; returns whether that has become less,
+    /// so that there may be room.
+    pub fn merge(&mut self, peer: u64, id: &str, load: Load) -> bool {
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        let before = server.peers.insert(peer, load);
+        before.is_some_and(|before| load.requests < before.requests)
     }
 
     /// Takes in what a peer has learnt of the speed of `id`.
--- a/core/src/rendezvous.rs
+++ b/core/src/rendezvous.rs
@@ -30,6 +30,13 @@
     xxhash_rust::xxh3::xxh3_64(key.as_bytes())
 }
 
+/// Whether `own` ranks highest for `key` among itself and `others`.
+pub fn is_first(key: &str, own: u64, others: impl IntoIterator<Item = u64>) -> bool {
+    let score = |candidate: u64| (score(key, &candidate.to_string()), candidate);
+    let own = score(own);
+    others.into_iter().all(|other| score(other) <= own)
+}
+
 fn score(key: &str, name: &str) -> u64 {
     let mut hasher = Xxh3Default::new();
     hasher.update(key.as_bytes());
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -64,7 +64,8 @@
         .build()?;
     let shutdown = Shutdown::new();
     let clock = Clock::new();
-    let scheduler = Arc::new(Scheduler::new(clock, &settings));
+    let boot = rand::rng().random();
+    let scheduler = Arc::new(Scheduler::new(clock, boot, &settings));
     let (publisher, followed) = follower::channels();
     let (introduced, introductions) = mpsc::channel(MAX_PEERS);
     let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
@@ -72,7 +73,7 @@
     let duty = Duty::spawn_async("follower", following.run())?;
     let context = Context {
         clock,
-        boot: rand::rng().random(),
+        boot,
         settings: settings_receiver,
         followed,
         scheduler,
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -32,12 +32,15 @@
     },
 };
 
-/// Shortest pause between two summaries: about the time between two changes at a busy gateway.
-const MIN_INTERVAL: Duration = Duration::from_millis(20);
+/// Shortest pause between two summaries: changes that belong together travel together.
+const MIN_INTERVAL: Duration = Duration::from_millis(5);
 
-/// Pause between two summaries for each peer, so that the summaries that a gateway sends and
-/// receives stay below five hundred a second each, however many peers there are.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
+/// Shortest pause between two summaries for each peer, so that the summaries that a gateway sends
+/// and receives stay below two thousand a second each, however many peers there are.
+const INTERVAL_PER_PEER: Duration = Duration::from_micros(500);
+
+/// Pause between two rounds in which requests that wait are offered what is free.
+const PUMP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Pauses between summaries after which a peer's admissions are counted here: its own pause, and as
 /// much on a loaded machine to send and to read.
@@ -81,6 +84,7 @@
 pub async fn run(context: Context, introductions: mpsc::Receiver<SocketAddr>) {
     tokio::join!(
         publish_all(&context),
+        pump_all(&context),
         follow_all(&context, introductions),
         adopt_rosters(&context),
         keep_quota_use(&context),
@@ -123,6 +127,14 @@
     }
 }
 
+async fn pump_all(context: &Context) {
+    loop {
+        sleep(PUMP_INTERVAL).await;
+        context.scheduler.pump();
+    }
+}
+
+/// Publishes a summary at each change, with a pause between two of them.
 async fn publish_all(context: &Context) {
     let mut told = Summary::default();
     let mut told_at = Instant::now();
@@ -130,7 +142,8 @@
     loop {
         let (visible, _) = context.acquaintance().count();
         sleep(summary_interval(visible)).await;
-        context.scheduler.pump();
+        // If nothing has changed by then, peers hear that this gateway lives.
+        let _ = timeout(QUIET_INTERVAL, context.scheduler.changed()).await;
         let with_speeds = speeds_at.elapsed() >= SPEED_INTERVAL;
         let full = context.scheduler.summary(false);
         let changed = difference(&told, &full, with_speeds);
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -24,7 +24,7 @@
         time::Timestamp,
     },
     tamarackdale_platform::Settings,
-    tokio::time::timeout,
+    tokio::{sync::Notify, time::timeout},
 };
 
 /// Why a request is refused.
@@ -41,18 +41,26 @@
 /// Shared by all requests of a gateway. The lock is held for microseconds and never over a wait.
 pub struct Scheduler {
     clock: Clock,
+    /// Told when there is something that peers should hear.
+    changed: Notify,
     state: Mutex<State>,
 }
 
 impl Scheduler {
     /// A scheduler that knows of nobody.
-    pub fn new(clock: Clock, settings: &Settings) -> Self {
+    pub fn new(clock: Clock, boot: u64, settings: &Settings) -> Self {
         Self {
             clock,
-            state: Mutex::new(State::new(settings)),
+            changed: Notify::new(),
+            state: Mutex::new(State::new(boot, settings)),
         }
     }
 
+    /// Waits until there is something new that peers should hear.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
     /// Takes over changed settings.
     pub fn adopt_settings(&self, settings: &Settings) {
         self.lock().adopt_settings(settings);
@@ -129,9 +137,11 @@
             let until = patience::line_end(ask.accepted, ask.deadline);
             if until <= now || state.ahead(&ask) >= patience::MAX_LINE {
                 state.shed(&ask, now);
+                self.changed.notify_one();
                 return Err(Refusal::Overload);
             }
             let (number, reply) = state.join(ask.clone(), now);
+            self.changed.notify_one();
             (number, reply, until.since(now))
         };
         // The place is left when the caller goes away as well.
@@ -144,6 +154,7 @@
             _ => {
                 let now = self.clock.now();
                 self.lock().shed(&ask, now);
+                self.changed.notify_one();
                 Err(Refusal::Overload)
             }
         }
@@ -152,6 +163,7 @@
     /// Notes that a request is sent to a backend server.
     pub fn start(self: &Arc<Self>, id: &str, share: Share) -> Occupation {
         self.lock().fleet.start(id, share);
+        self.changed.notify_one();
         Occupation::new(self, id, share)
     }
 
@@ -172,8 +184,11 @@
     pub fn merge(&self, peer: u64, summary: &Summary) {
         let now = self.clock.now();
         let mut state = self.lock();
+        let mut freed = Vec::new();
         for entry in &summary.entries {
-            state.fleet.merge(peer, &entry.id, entry.load);
+            if state.fleet.merge(peer, &entry.id, entry.load) {
+                freed.push(entry);
+            }
             if let Some(speed) = &entry.speed {
                 state.fleet.merge_speed(&entry.id, speed);
             }
@@ -189,6 +204,9 @@
         for (service, rank) in &summary.floors {
             state.floor(service).raise(*rank, now);
         }
+        for entry in freed {
+            state.take_freed(peer, &entry.id, entry.load, now);
+        }
     }
 
     /// Forgets the work of a peer that is no longer heard.
@@ -238,14 +256,15 @@
         self.lock().random.random()
     }
 
-    /// Offers room that peers have freed to those who wait here; called in regular rounds.
+    /// Offers room to those who wait here that nobody took when it was freed; called in regular
+    /// rounds.
     pub fn pump(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
         if state.line.is_empty() {
             return;
         }
-        let chance = patience::take_chance(state.waiting_peers());
+        let chance = patience::take_chance(state.waiting_peers().count());
         if state.random.random::<f64>() < chance {
             state.pump(None, now);
         }
@@ -264,6 +283,8 @@
 
 impl Drop for Leave<'_> {
     fn drop(&mut self) {
-        self.scheduler.lock().line.remove(self.number);
+        if self.scheduler.lock().line.remove(self.number).is_some() {
+            self.scheduler.changed.notify_one();
+        }
     }
 }
--- a/daemon/src/gateway/scheduler/occupation.rs
+++ b/daemon/src/gateway/scheduler/occupation.rs
@@ -46,6 +46,7 @@
         let elapsed = now.since(self.started);
         let mut state = self.scheduler.lock();
         state.fleet.progress(&self.id, self.share, elapsed);
+        self.scheduler.changed.notify_one();
     }
 
     /// Time from the sending to the first event.
@@ -70,5 +71,6 @@
         state.fleet.end(&self.id, self.share, self.first.is_some());
         // Nobody else knows yet that there is room.
         state.pump(Some(&self.id), now);
+        self.scheduler.changed.notify_one();
     }
 }
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -5,11 +5,12 @@
     rand::{SeedableRng as _, rngs::SmallRng},
     std::collections::HashMap,
     tamarackdale_core::{
-        fleet::{Choice, Demand, Fleet, Shortage},
+        fleet::{Choice, Demand, Fleet, Load, Shortage},
         floor::{self, Floor},
         line::{Line, Place},
         patience,
         quota::Ledger,
+        rendezvous,
         retry::{self, Budget},
         tier::Rank,
         time::Timestamp,
@@ -35,6 +36,8 @@
     /// Most urgent rank that waits at each peer, by service.
     pub(super) peer_waits: HashMap<u64, Vec<(String, Rank)>>,
     pub(super) random: SmallRng,
+    /// Random number of this start.
+    boot: u64,
     pub(super) data_centre: String,
     pub(super) peers: usize,
     pub(super) retry_ratio: f64,
@@ -42,8 +45,9 @@
 }
 
 impl State {
-    pub(super) fn new(settings: &Settings) -> Self {
+    pub(super) fn new(boot: u64, settings: &Settings) -> Self {
         Self {
+            boot,
             fleet: Fleet::new(),
             ledger: Ledger::new(settings.bounds.quota),
             floors: HashMap::new(),
@@ -179,10 +183,25 @@
         }
     }
 
-    /// Peers at which requests wait that can be on time.
-    pub(super) fn waiting_peers(&self) -> usize {
-        let peers = self.peer_waits.values();
-        peers.filter(|waits| !waits.is_empty()).count()
+    /// Peers at which requests wait.
+    pub(super) fn waiting_peers(&self) -> impl Iterator<Item = u64> {
+        let peers = self.peer_waits.iter();
+        peers
+            .filter(|(_, waits)| !waits.is_empty())
+            .map(|(peer, _)| *peer)
+    }
+
+    /// Gives room that a peer has freed at `id` to those who wait here, unless it is another
+    /// router's turn. All routers hear the same of the peer and so agree whose turn it is.
+    pub(super) fn take_freed(&mut self, peer: u64, id: &str, load: Load, now: Timestamp) {
+        if self.line.is_empty() {
+            return;
+        }
+        let key = format!("{id} {peer} {} {}", load.requests, load.prompt);
+        let others = self.waiting_peers().filter(|other| *other != peer);
+        if rendezvous::is_first(&key, self.boot, others) {
+            self.pump(Some(id), now);
+        }
     }
 
     /// Gives what is free, at one backend server or at any, to those who wait, in their order. A
--- a/testbed/examples/gateway_cost.rs
+++ b/testbed/examples/gateway_cost.rs
@@ -49,13 +49,25 @@
     let count = load.gateways as f64;
     let seconds = load.length.as_secs_f64();
     let runs: usize = servers.iter().map(|server| server.runs().len()).sum();
-    println!("cores a gateway, no requests: {:.5}", idle / count / seconds);
-    println!("cores a gateway, with requests: {:.5}", busy / count / seconds);
+    println!(
+        "cores a gateway, no requests: {:.5}",
+        idle / count / seconds
+    );
+    println!(
+        "cores a gateway, with requests: {:.5}",
+        busy / count / seconds
+    );
     println!("streams: {answered} answered, {runs} run");
     let events = (answered as u64 * load.events).max(1);
     let micros = (busy - idle) * 1e6;
-    println!("microseconds a stream: {:.0}", micros / (answered as f64).max(1.0));
-    println!("microseconds an event, all in: {:.1}", micros / events as f64);
+    println!(
+        "microseconds a stream: {:.0}",
+        micros / (answered as f64).max(1.0)
+    );
+    println!(
+        "microseconds an event, all in: {:.1}",
+        micros / events as f64
+    );
     Ok(())
 }
 
@@ -123,7 +135,12 @@
 fn processor_time(gateways: &[Gateway]) -> miette::Result<f64> {
     let mut total = 0.0;
     for gateway in gateways {
-        total += gateway.process.usage().into_diagnostic()?.processor.as_secs_f64();
+        total += gateway
+            .process
+            .usage()
+            .into_diagnostic()?
+            .processor
+            .as_secs_f64();
     }
     Ok(total)
 }
