Overload: on-time requests first over all gateways, newest first; impatient callers are not returning ones

(1) A gateway with late requests only took slots while others had on-time ones; (2) the oldest on-time request was served first, at the end of its time; (3) callers that state less than 0.95 of the route's time counted as returning, thus late: two thirds of the first attempts, as these callers state 0.85 to 1 of it. Change: summaries tell the most urgent request that waits with its stage; a freed slot is for gateways with the most urgent one; newest first among those that can be on time; returning is what the asked pause leaves, 0.85 of the time.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -171,6 +171,12 @@
             .any(|server| !server.member.is_leaving)
     }
 
+    /// The service of a backend server that is known.
+    pub fn service_of(&self, id: &str) -> Option<&str> {
+        let server = self.servers.get(id)?;
+        Some(&server.member.service)
+    }
+
     /// Whether a backend server may still get new work.
     pub fn takes_work(&self, id: &str) -> bool {
         self.servers
--- a/core/src/line.rs
+++ b/core/src/line.rs
@@ -1,12 +1,13 @@
 //! Requests that wait at a router for a backend server to have room.
 //!
 //! The more urgent rank goes first. Within a rank, requests that can still be on time go before
-//! those that will be late, so that a wait that was too long does not make the next one too long
-//! as well; late ones get what is left.
+//! those that will be late, and the newest of them first: in a queue that is too long, serving the
+//! oldest would make each of them wait until it is just late. Late ones get what is left, in the
+//! order of their arrival.
 
 use {
     crate::{tier::Rank, time::Timestamp},
-    std::collections::BTreeMap,
+    std::{cmp::Reverse, collections::BTreeMap},
 };
 
 /// What decides a request's turn.
@@ -21,6 +22,26 @@
     pub on_time_until: Timestamp,
 }
 
+/// How a waiting request stands within its rank; the earlier stage is served first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// It can still be on time.
+    OnTime,
+    /// It is late, and its caller has come back after a refusal.
+    Returning,
+    /// It is late.
+    Late,
+}
+
+/// Whose turn comes first, also among requests that wait at different routers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Urgency {
+    /// Rank.
+    pub rank: Rank,
+    /// Stage within the rank.
+    pub stage: Stage,
+}
+
 /// Waiting requests by the number that each got when it came.
 #[derive(Debug)]
 pub struct Line<T> {
@@ -80,24 +101,32 @@
     }
 
     /// A waiting request.
-    pub fn get(&self, number: u64) -> Option<&T> {
-        self.waiting.get(&number).map(|(_, request)| request)
+    pub fn get(&self, number: u64) -> Option<(&Place, &T)> {
+        let (place, request) = self.waiting.get(&number)?;
+        Some((place, request))
     }
 }
 
 impl Place {
-    /// Whether the request will be late.
-    pub fn is_late(&self, now: Timestamp) -> bool {
-        self.is_returning || self.on_time_until <= now
+    /// How urgent the request is now.
+    pub fn urgency(&self, now: Timestamp) -> Urgency {
+        let stage = match (self.is_returning, self.on_time_until > now) {
+            (true, _) => Stage::Returning,
+            (false, true) => Stage::OnTime,
+            (false, false) => Stage::Late,
+        };
+        Urgency {
+            rank: self.rank,
+            stage,
+        }
     }
 
-    fn turn(&self, number: u64, now: Timestamp) -> (Rank, bool, bool, Timestamp, u64) {
-        let is_late = self.is_late(now);
-        let by = if is_late {
-            Timestamp::START
-        } else {
-            self.on_time_until
+    fn turn(&self, number: u64, now: Timestamp) -> (Urgency, Reverse<Timestamp>, u64) {
+        let urgency = self.urgency(now);
+        let latest_first = match urgency.stage {
+            Stage::OnTime => self.on_time_until,
+            Stage::Returning | Stage::Late => Timestamp::START,
         };
-        (self.rank, is_late, !self.is_returning, by, number)
+        (urgency, Reverse(latest_first), number)
     }
 }
--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -56,6 +56,13 @@
 /// follow up to a third.
 const LONGEST_RETURN_PART: f64 = 0.32;
 
+/// Whether a caller that states so much time on a route with this timeout comes back after a
+/// refusal: then it has waited for at least the shortest time that it is asked to. Callers may
+/// state less than the whole timeout when they first ask.
+pub fn is_returning(stated: Duration, timeout: Duration) -> bool {
+    stated <= timeout.mul_f64(1.0 - SHORTEST_RETURN_PART)
+}
+
 /// When a refused caller should come back; `random`, from zero up to one, spreads the returns.
 pub fn retry_after(time_left: Duration, random: f64) -> Duration {
     let part = SHORTEST_RETURN_PART + (LONGEST_RETURN_PART - SHORTEST_RETURN_PART) * random;
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     fleet::{Load, Speed},
+    line::Urgency,
     quota::Usage,
     tier::Rank,
 };
@@ -26,8 +27,8 @@
     pub usages: Vec<Usage>,
     /// Whether the counts of quotas cover the whole window.
     pub is_complete: bool,
-    /// Most urgent rank that waits at the router and can be on time, by service.
-    pub waits: Vec<(String, Rank)>,
+    /// Most urgent request that waits at the router, by service.
+    pub waits: Vec<(String, Urgency)>,
     /// Most urgent rank that the router shed of late, by service.
     pub floors: Vec<(String, Rank)>,
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -34,10 +34,6 @@
     tamarackdale_platform::request::Head,
 };
 
-/// Part of the route's time by which a caller's stated time may be shorter before it counts as one
-/// that comes back after a refusal.
-const RETURNING_PART: f64 = 0.95;
-
 /// Outcome of a request whose answer was passed on whole.
 const ANSWERED: &str = "answered";
 
@@ -176,23 +172,25 @@
             accepted: self.request.accepted,
             objective: route.objective,
             deadline: self.deadline,
-            is_returning: stated < route.timeout.mul_f64(RETURNING_PART),
+            is_returning: patience::is_returning(stated, route.timeout),
         };
         let asked = self.context.clock.now();
+        let is_returning = ask.is_returning;
         let choice = self.context.scheduler.place(ask).await?;
-        self.log_choice(&choice, asked);
+        self.log_choice(&choice, asked, is_returning);
         if self.time_left().is_zero() {
             return Err(Cause::TimeoutUnsent);
         }
         Ok(choice)
     }
 
-    fn log_choice(&self, choice: &Choice, asked: Timestamp) {
+    fn log_choice(&self, choice: &Choice, asked: Timestamp, is_returning: bool) {
         let waited = self.context.clock.now().since(asked);
         log::info!(
             request = self.request.head.id.as_str(),
             backend_server = choice.member.id.as_str(),
             waited_ms = waited.as_millis() as u64,
+            is_returning,
             requests_there = choice.load.requests,
             prompt_there = choice.load.prompt,
             predicted_wait_ms = choice.estimate.wait.as_millis() as u64,
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -124,7 +124,11 @@
             if !state.floor(&ask.service).serves(ask.rank, now) {
                 return Err(Refusal::Floor);
             }
-            if !state.is_behind(&ask, now) && !state.is_behind_peers(&ask) {
+            let place = state.place_of(&ask, now);
+            let urgency = place.urgency(now);
+            let is_behind = state.is_behind(&ask.service, urgency, now)
+                || state.is_behind_peers(&ask.service, urgency);
+            if !is_behind {
                 match state.choose(&ask, None, now) {
                     Ok(choice) => {
                         state.reserve(&choice, &ask, now);
@@ -140,7 +144,7 @@
                 self.changed.notify_one();
                 return Err(Refusal::Overload);
             }
-            let (number, reply) = state.join(ask.clone(), now);
+            let (number, reply) = state.join(place, ask.clone());
             self.changed.notify_one();
             (number, reply, until.since(now))
         };
@@ -246,7 +250,7 @@
             entries: entries.collect(),
             usages: state.ledger.usages(is_first, now).collect(),
             is_complete: state.ledger.is_complete(now),
-            waits: state.waits(),
+            waits: state.waits(now),
             floors: floors.collect(),
         }
     }
@@ -261,13 +265,7 @@
     pub fn pump(&self) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.line.is_empty() {
-            return;
-        }
-        let chance = patience::take_chance(state.waiting_peers().count());
-        if state.random.random::<f64>() < chance {
-            state.pump(None, now);
-        }
+        state.take_left(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -2,17 +2,16 @@
 
 use {
     super::Ask,
-    rand::{SeedableRng as _, rngs::SmallRng},
+    rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
     std::collections::HashMap,
     tamarackdale_core::{
         fleet::{Choice, Demand, Fleet, Load, Shortage},
         floor::{self, Floor},
-        line::{Line, Place},
+        line::{Line, Place, Urgency},
         patience,
         quota::Ledger,
         rendezvous,
         retry::{self, Budget},
-        tier::Rank,
         time::Timestamp,
     },
     tamarackdale_platform::Settings,
@@ -33,8 +32,8 @@
     pub(super) floors: HashMap<String, Floor>,
     pub(super) budgets: HashMap<String, Budget>,
     pub(super) line: Line<Waiter>,
-    /// Most urgent rank that waits at each peer, by service.
-    pub(super) peer_waits: HashMap<u64, Vec<(String, Rank)>>,
+    /// Most urgent request that waits at each peer, by service.
+    pub(super) peer_waits: HashMap<u64, Vec<(String, Urgency)>>,
     pub(super) random: SmallRng,
     /// Random number of this start.
     boot: u64,
@@ -133,44 +132,46 @@
     }
 
     /// Whether a request waits here whose turn comes before this new one.
-    pub(super) fn is_behind(&self, ask: &Ask, now: Timestamp) -> bool {
-        self.line.iter().any(|(place, waiter)| {
-            let is_same = waiter.ask.service == ask.service;
-            let is_before =
-                place.rank.is_above(ask.rank) || (place.rank == ask.rank && !place.is_late(now));
-            is_same && is_before
-        })
+    pub(super) fn is_behind(&self, service: &str, urgency: Urgency, now: Timestamp) -> bool {
+        self.line
+            .iter()
+            .any(|(place, waiter)| waiter.ask.service == service && place.urgency(now) <= urgency)
     }
 
     /// Whether a more urgent request waits at a peer: what becomes free is for that one.
-    pub(super) fn is_behind_peers(&self, ask: &Ask) -> bool {
+    pub(super) fn is_behind_peers(&self, service: &str, urgency: Urgency) -> bool {
         let waits = self.peer_waits.values().flatten();
         waits
-            .filter(|(service, _)| *service == ask.service)
-            .any(|(_, rank)| rank.is_above(ask.rank))
+            .filter(|(known, _)| known == service)
+            .any(|(_, waiting)| *waiting < urgency)
     }
 
-    /// Most urgent rank that waits here, by service.
-    pub(super) fn waits(&self) -> Vec<(String, Rank)> {
-        let mut waits: Vec<(String, Rank)> = Vec::new();
+    /// Most urgent request that waits here, by service.
+    pub(super) fn waits(&self, now: Timestamp) -> Vec<(String, Urgency)> {
+        let mut waits: Vec<(String, Urgency)> = Vec::new();
         for (place, waiter) in self.line.iter() {
             let service = &waiter.ask.service;
+            let urgency = place.urgency(now);
             match waits.iter_mut().find(|(known, _)| known == service) {
-                Some((_, rank)) => *rank = place.rank.min(*rank),
-                None => waits.push((service.clone(), place.rank)),
+                Some((_, most)) => *most = urgency.min(*most),
+                None => waits.push((service.clone(), urgency)),
             }
         }
         waits
     }
 
-    pub(super) fn join(&mut self, ask: Ask, now: Timestamp) -> (u64, oneshot::Receiver<Choice>) {
-        let demand = demand(&ask, None, &self.data_centre, now);
+    /// The place that a request would have in the line.
+    pub(super) fn place_of(&self, ask: &Ask, now: Timestamp) -> Place {
+        let demand = demand(ask, None, &self.data_centre, now);
         let first = self.fleet.soonest_first(&demand, now).unwrap_or_default();
-        let place = Place {
+        Place {
             rank: ask.rank,
             is_returning: ask.is_returning,
             on_time_until: patience::on_time_until(ask.accepted, ask.objective, first),
-        };
+        }
+    }
+
+    pub(super) fn join(&mut self, place: Place, ask: Ask) -> (u64, oneshot::Receiver<Choice>) {
         let (reply, answer) = oneshot::channel();
         let number = self.line.insert(place, Waiter { ask, reply });
         (number, answer)
@@ -183,23 +184,49 @@
         }
     }
 
-    /// Peers at which requests wait.
-    pub(super) fn waiting_peers(&self) -> impl Iterator<Item = u64> {
+    /// Peers at which requests of a service wait that are as urgent as those here.
+    fn rivals(&self, service: &str, urgency: Urgency) -> impl Iterator<Item = u64> {
         let peers = self.peer_waits.iter();
         peers
-            .filter(|(_, waits)| !waits.is_empty())
+            .filter(move |(_, waits)| {
+                let mut waits = waits.iter();
+                waits.any(|(known, waiting)| known == service && *waiting == urgency)
+            })
             .map(|(peer, _)| *peer)
     }
 
+    /// Offers room to those who wait here that nobody took when it was freed, with the chance that
+    /// lets one of all routers take it on average.
+    pub(super) fn take_left(&mut self, now: Timestamp) {
+        for (service, urgency) in self.waits(now) {
+            let chance = patience::take_chance(self.rivals(&service, urgency).count());
+            if self.random.random::<f64>() < chance {
+                self.pump(None, now);
+                return;
+            }
+        }
+    }
+
     /// Gives room that a peer has freed at `id` to those who wait here, unless it is another
     /// router's turn. All routers hear the same of the peer and so agree whose turn it is.
     pub(super) fn take_freed(&mut self, peer: u64, id: &str, load: Load, now: Timestamp) {
         if self.line.is_empty() {
             return;
         }
+        let Some(service) = self.fleet.service_of(id).map(str::to_owned) else {
+            return;
+        };
+        let mut waits = self.waits(now).into_iter();
+        let Some((_, urgency)) = waits.find(|(known, _)| *known == service) else {
+            return;
+        };
+        // The peer that freed the room has had its own turn.
+        let mut rivals = self
+            .rivals(&service, urgency)
+            .filter(|rival| *rival != peer);
         let key = format!("{id} {peer} {} {}", load.requests, load.prompt);
-        let others = self.waiting_peers().filter(|other| *other != peer);
-        if rendezvous::is_first(&key, self.boot, others) {
+        if rendezvous::is_first(&key, self.boot, &mut rivals) {
+            drop(rivals);
             self.pump(Some(id), now);
         }
     }
@@ -212,14 +239,15 @@
         }
         let mut full: Vec<String> = Vec::new();
         for number in self.line.order(now) {
-            let Some(waiter) = self.line.get(number) else {
+            let Some((place, waiter)) = self.line.get(number) else {
                 continue;
             };
+            let urgency = place.urgency(now);
             let ask = waiter.ask.clone();
             if full.contains(&ask.service) {
                 continue;
             }
-            let choice = match self.is_behind_peers(&ask) {
+            let choice = match self.is_behind_peers(&ask.service, urgency) {
                 true => None,
                 false => self.choose(&ask, only, now).ok(),
             };
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -5,6 +5,7 @@
     std::collections::HashMap,
     tamarackdale_core::{
         fleet::{Load, Speed},
+        line::{Stage, Urgency},
         quota, summary,
         tier::Rank,
     },
@@ -28,8 +29,8 @@
     pub usages: Vec<Usage>,
     /// Whether the counts of quotas cover the whole window.
     pub is_complete: bool,
-    /// Most urgent rank that waits, by service.
-    pub waits: Vec<(String, u8)>,
+    /// Rank and stage of the most urgent request that waits, by service.
+    pub waits: Vec<(String, u8, u8)>,
     /// Most urgent rank that was shed of late, by service.
     pub floors: Vec<(String, u8)>,
 }
@@ -86,41 +87,63 @@
 impl Frame {
     /// A summary of the process that started as `boot`.
     pub fn new(boot: u64, summary: &summary::Summary) -> Self {
-        let numbers = |ranks: &[(String, Rank)]| {
-            let ranks = ranks.iter();
-            ranks
-                .map(|(service, rank)| (service.clone(), rank.0))
-                .collect()
-        };
+        let waits = summary.waits.iter().map(|(service, urgency)| {
+            let stage = stage_number(urgency.stage);
+            (service.clone(), urgency.rank.0, stage)
+        });
+        let floors = summary.floors.iter();
         Self {
             boot,
             entries: summary.entries.iter().map(Entry::from).collect(),
             usages: summary.usages.iter().map(Usage::from).collect(),
             is_complete: summary.is_complete,
-            waits: numbers(&summary.waits),
-            floors: numbers(&summary.floors),
+            waits: waits.collect(),
+            floors: floors
+                .map(|(service, rank)| (service.clone(), rank.0))
+                .collect(),
         }
     }
 }
 
 impl From<Frame> for summary::Summary {
     fn from(frame: Frame) -> Self {
-        let ranks = |numbers: Vec<(String, u8)>| {
-            let numbers = numbers.into_iter();
-            numbers
-                .map(|(service, number)| (service, Rank(number)))
-                .collect()
-        };
+        let waits = frame.waits.into_iter().map(|(service, rank, stage)| {
+            let urgency = Urgency {
+                rank: Rank(rank),
+                stage: stage_of(stage),
+            };
+            (service, urgency)
+        });
+        let floors = frame.floors.into_iter();
         Self {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: frame.usages.into_iter().map(Into::into).collect(),
             is_complete: frame.is_complete,
-            waits: ranks(frame.waits),
-            floors: ranks(frame.floors),
+            waits: waits.collect(),
+            floors: floors
+                .map(|(service, number)| (service, Rank(number)))
+                .collect(),
         }
     }
 }
 
+fn stage_number(stage: Stage) -> u8 {
+    match stage {
+        Stage::OnTime => 0,
+        Stage::Returning => 1,
+        Stage::Late => 2,
+    }
+}
+
+/// The stage with this number; one that a newer router may send counts as the last.
+fn stage_of(number: u8) -> Stage {
+    match number {
+        0 => Stage::OnTime,
+        1 => Stage::Returning,
+        _ => Stage::Late,
+    }
+}
+
 impl From<&summary::Entry> for Entry {
     fn from(entry: &summary::Entry) -> Self {
         // Averages of noisy samples need no more precision.
