--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -63,6 +63,8 @@
     own: Load,
     reserved: Vec<(Share, Timestamp)>,
     peers: HashMap<u64, Load>,
+    /// What all peers have there together.
+    peers_total: Load,
     speed: Speed,
     health: Health,
     /// When this router last got a whole answer from it.
@@ -326,8 +328,9 @@
         let Some(server) = self.servers.get_mut(id) else {
             return false;
         };
-        let before = server.peers.insert(peer, load);
-        before.is_some_and(|before| load.requests < before.requests)
+        let before = server.peers.insert(peer, load).unwrap_or_default();
+        server.peers_total = server.peers_total.minus(before).plus(load);
+        load.requests < before.requests
     }
 
     /// Takes in what a peer has learnt of the speed of `id`.
@@ -340,7 +343,8 @@
     /// Forgets what a peer did.
     pub fn forget(&mut self, peer: u64) {
         for server in self.servers.values_mut() {
-            server.peers.remove(&peer);
+            let before = server.peers.remove(&peer).unwrap_or_default();
+            server.peers_total = server.peers_total.minus(before);
         }
     }
 
@@ -359,6 +363,7 @@
             own: Load::default(),
             reserved: Vec::new(),
             peers: HashMap::new(),
+            peers_total: Load::default(),
             speed: Speed::new(),
             health: Health::new(),
             answered: None,
@@ -366,8 +371,7 @@
     }
 
     fn load(&self, now: Timestamp) -> Load {
-        let peers = self.peers.values();
-        let mut total = peers.fold(self.own, |total, load| total.plus(*load));
+        let mut total = self.own.plus(self.peers_total);
         let reserved = self.reserved.iter().filter(|(_, end)| *end > now);
         for (share, _) in reserved {
             total.start(*share);
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -28,6 +28,14 @@
         }
     }
 
+    /// What is left without the other.
+    pub fn minus(self, other: Self) -> Self {
+        Self {
+            requests: self.requests.saturating_sub(other.requests),
+            prompt: self.prompt.saturating_sub(other.prompt),
+        }
+    }
+
     /// Notes that a request was sent.
     pub fn start(&mut self, share: Share) {
         self.requests += 1;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod floor;
 pub mod freshness;
 pub mod grant;
+pub mod holding;
 pub mod id;
 pub mod limit;
 pub mod line;
--- a/core/src/patience.rs
+++ b/core/src/patience.rs
@@ -25,7 +25,7 @@
 }
 
 /// Longest wait at the router; callers give up a stream that shows nothing for two seconds.
-const LONGEST_WAIT: Duration = Duration::from_millis(1_500);
+const LONGEST_WAIT: Duration = Duration::from_millis(800);
 
 /// Part of the time left that a request may wait at the router, so that a refusal leaves time to
 /// come back.
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -126,7 +126,7 @@
         return Err(Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETURN));
     }
     let permit = permit(context, &arrival.headers, &arrival.uri, &arrival.head)?;
-    let limit = permit.snapshot.directory.limits().body_bytes;
+    let limit = permit.snapshot.value.limits().body_bytes;
     let bytes = match timeout(BODY_READ_TIMEOUT, body::read(body, limit)).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(Unreadable::TooLarge)) => return Err(Refusal::new(Cause::BodyTooLarge)),
@@ -175,7 +175,7 @@
         .and_then(|host| host.to_str().ok())
         .or_else(|| uri.host())
         .unwrap_or_default();
-    let directory = &snapshot.directory;
+    let directory = &snapshot.value;
     let route = directory.route(host, uri.path()).map_err(deny)?;
     let organisation = directory
         .organisation(route, head.key.as_deref())
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -64,7 +64,7 @@
 
     /// Time that a caller's connection may stay idle.
     pub fn idle_timeout(&self) -> Duration {
-        let limits = self.snapshot().map(|snapshot| snapshot.directory.limits());
+        let limits = self.snapshot().map(|snapshot| snapshot.value.limits());
         limits.unwrap_or_default().idle_timeout
     }
 }
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -15,7 +15,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tamarackdale_core::freshness::{BootTime, Freshness},
+    tamarackdale_core::freshness::BootTime,
     tamarackdale_platform::{
         Settings, configuration,
         settings::Bounds,
@@ -146,7 +146,7 @@
     }
 
     fn adopt(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) {
-        if known.is_some_and(|known| known.revision >= entry.revision) {
+        if known.is_some_and(|known| !known.is_older_than(entry.revision)) {
             log::warn!(revision = entry.revision; "an older configuration was read and is ignored");
             return;
         }
@@ -164,29 +164,17 @@
             organisations = directory.organisations().len();
             "configuration adopted"
         );
-        let mut freshness = Freshness::new(self.proof_limit());
-        freshness.prove(sent);
-        let snapshot = Snapshot {
-            directory: Arc::new(directory),
-            revision: entry.revision,
-            freshness,
-        };
-        self.publisher
-            .configuration
-            .send_replace(Some(Arc::new(snapshot)));
+        let snapshot = Snapshot::new(directory, entry.revision, sent, self.proof_limit());
+        self.publish_snapshot(snapshot);
     }
 
     fn prove(&self, known: &Snapshot, sent: BootTime) {
-        let mut freshness = known.freshness.with_limit(self.proof_limit());
-        freshness.prove(sent);
-        let snapshot = Snapshot {
-            directory: Arc::clone(&known.directory),
-            revision: known.revision,
-            freshness,
-        };
-        self.publisher
-            .configuration
-            .send_replace(Some(Arc::new(snapshot)));
+        self.publish_snapshot(known.proved(known.revision, sent, self.proof_limit()));
+    }
+
+    fn publish_snapshot(&self, snapshot: Snapshot) {
+        let snapshot = Some(Arc::new(snapshot));
+        self.publisher.configuration.send_replace(snapshot);
     }
 
     fn lose(&self, what: &str, error: &Error) {
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -2,21 +2,13 @@
 
 use {
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
-    tamarackdale_core::{directory::Directory, fleet::Roster, freshness::Freshness},
+    tamarackdale_core::{directory::Directory, fleet::Roster, holding::Holding},
     tamarackdale_wire::summary::Kept,
     tokio::sync::watch,
 };
 
 /// A configuration with the proof of its being the newest.
-#[derive(Debug)]
-pub struct Snapshot {
-    /// The configuration.
-    pub directory: Arc<Directory>,
-    /// Revision of the store that it was read at.
-    pub revision: u64,
-    /// Age of the newest proof.
-    pub freshness: Freshness,
-}
+pub type Snapshot = Holding<Directory>;
 
 /// What the follower tells the rest of the process.
 #[derive(Clone)]
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -104,7 +104,7 @@
         sleep(QUOTA_USE_INTERVAL).await;
         let used = match context.snapshot() {
             Some(snapshot) if context.acquaintance().is_first(own) => {
-                context.scheduler.quota_use(&snapshot.directory)
+                context.scheduler.quota_use(&snapshot.value)
             }
             _ => HashMap::new(),
         };
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -267,7 +267,7 @@
         let snapshot = self.context.snapshot();
         let engine = snapshot
             .as_ref()
-            .and_then(|snapshot| snapshot.directory.service(&self.service)?.engine);
+            .and_then(|snapshot| snapshot.value.service(&self.service)?.engine);
         let per_event = engine.map_or(1, |engine| engine.tokens_per_event);
         self.events.saturating_sub(1).saturating_mul(per_event)
     }
