--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -69,7 +69,7 @@
     let (publisher, followed) = follower::channels();
     let (introduced, introductions) = mpsc::channel(MAX_PEERS);
     let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
-    let following = Follower::new(settings_receiver.clone(), publisher, shutdown.clone());
+    let following = Follower::new(settings_receiver.clone(), publisher, shutdown.clone(), boot);
     let duty = Duty::spawn_async("follower", following.run())?;
     let context = Context {
         clock,
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -15,7 +15,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tamarackdale_core::freshness::BootTime,
+    tamarackdale_core::{freshness::BootTime, retry::Backoff},
     tamarackdale_platform::{
         Settings, configuration,
         settings::Bounds,
@@ -29,8 +29,9 @@
 /// reading.
 const PROOF_PART: f64 = 0.7;
 
-/// Pause after a call that failed.
-const RETRY_INTERVAL: Duration = Duration::from_millis(250);
+/// Pauses after calls that failed in a row: short after a single answer that was lost, and no longer
+/// than half of the time in which registrations are back after the store's return.
+const RETRIES: Backoff = Backoff::new(Duration::from_millis(300), Duration::from_secs(1));
 
 /// Part of the time within which leaving backend servers must get no more requests that passes
 /// after a watch that told something: changes come in groups, and each call has its price.
@@ -56,6 +57,8 @@
     settings: watch::Receiver<Arc<Settings>>,
     publisher: Publisher,
     shutdown: Shutdown,
+    /// Random number of this start.
+    boot: u64,
     trouble: watch::Sender<Option<Instant>>,
 }
 
@@ -65,6 +68,7 @@
         settings: watch::Receiver<Arc<Settings>>,
         publisher: Publisher,
         shutdown: Shutdown,
+        boot: u64,
     ) -> Self {
         let (trouble, _) = watch::channel(None);
         let store = Store::new(&settings.borrow().store, WATCH_WAIT);
@@ -73,10 +77,17 @@
             settings,
             publisher,
             shutdown,
+            boot,
             trouble,
         }
     }
 
+    /// Pauses after so many calls in a row that failed, the last one included.
+    async fn pause_after(&self, failures: u32) {
+        let delay = RETRIES.delay(failures.saturating_sub(1), self.boot);
+        sleep(delay).await;
+    }
+
     /// Bounds as they are now.
     fn bounds(&self) -> Bounds {
         self.settings.borrow().bounds
@@ -114,6 +125,7 @@
 
     /// Proves the configuration again and again; a proof that fails brings the newer one.
     async fn follow_configuration(&self) {
+        let mut failures = 0;
         loop {
             let sent = uptime::boot_time();
             let known = self.publisher.configuration.borrow().clone();
@@ -133,15 +145,14 @@
                 (Ok(None), None) => {}
                 (Err(error), _) => self.lose("configuration", &error),
             }
-            if !is_lost {
-                self.regain();
+            if is_lost {
+                failures += 1;
+                self.pause_after(failures).await;
+                continue;
             }
-            sleep(if is_lost {
-                RETRY_INTERVAL
-            } else {
-                self.proof_interval()
-            })
-            .await;
+            failures = 0;
+            self.regain();
+            sleep(self.proof_interval()).await;
         }
     }
 
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -1,7 +1,7 @@
 //! Registers this gateway and reads who else is there.
 
 use {
-    super::{Follower, LEASE, RETRY_INTERVAL},
+    super::{Follower, LEASE},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_platform::store::Error,
     tokio::time::sleep,
@@ -17,6 +17,7 @@
     /// Registers this gateway and reads who else is there.
     pub(super) async fn follow_gateways(&self) {
         let mut lease = None;
+        let mut failures = 0;
         loop {
             let held = match lease {
                 Some(held) => self.renew(held).await.map(|()| held),
@@ -27,16 +28,16 @@
                 Err(Error::NoLease) => None,
                 Err(error) => {
                     self.lose("gateways", &error);
-                    sleep(RETRY_INTERVAL).await;
+                    failures += 1;
+                    self.pause_after(failures).await;
                     continue;
                 }
             };
-            sleep(if lease.is_some() {
-                RENEWAL_INTERVAL
-            } else {
-                RETRY_INTERVAL
-            })
-            .await;
+            failures = 0;
+            match lease {
+                Some(_) => sleep(RENEWAL_INTERVAL).await,
+                None => self.pause_after(1).await,
+            }
         }
     }
 
--- a/daemon/src/gateway/follower/quota_use.rs
+++ b/daemon/src/gateway/follower/quota_use.rs
@@ -1,7 +1,7 @@
 //! Keeps use of quotas in the store over a start of all gateways.
 
 use {
-    super::{Follower, LEASE, RETRY_INTERVAL},
+    super::{Follower, LEASE},
     std::time::Duration,
     tamarackdale_platform::store::{Entry, Error},
     tamarackdale_wire::{codec, summary::Kept},
@@ -18,13 +18,15 @@
     /// Reads the use of quotas that was kept before this start, then keeps that of this gateway
     /// whenever there is some. It hangs on a lease, since it is worth nothing after a window.
     pub(super) async fn keep_quota_use(&self) {
+        let mut failures = 0;
         let kept = loop {
             match self.store.get(QUOTA_USE).await {
                 Ok(entry) => break decode_kept(&entry),
                 Err(Error::NoKey) => break Kept::default(),
                 Err(error) => self.lose("use of quotas", &error),
             }
-            sleep(RETRY_INTERVAL).await;
+            failures += 1;
+            self.pause_after(failures).await;
         };
         self.publisher.kept.send_replace(Some(kept));
         let mut to_keep = self.publisher.to_keep.clone();
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -1,7 +1,7 @@
 //! Follows the registrations of backend servers.
 
 use {
-    super::{Follower, RETRY_INTERVAL, RETURN_GRACE, WATCH_WAIT},
+    super::{Follower, RETURN_GRACE, WATCH_WAIT},
     std::{sync::Arc, time::Duration},
     tamarackdale_core::fleet::{Member, Roster},
     tamarackdale_platform::{
@@ -14,12 +14,14 @@
 impl Follower {
     /// Reads the registrations and watches them; reads them again when the watch fails.
     pub(super) async fn follow_servers(&self) {
+        let mut failures = 0;
         loop {
             let range = match self.store.range(server::PREFIX).await {
                 Ok(range) => range,
                 Err(error) => {
                     self.lose("backend servers", &error);
-                    sleep(RETRY_INTERVAL).await;
+                    failures += 1;
+                    self.pause_after(failures).await;
                     continue;
                 }
             };
@@ -29,6 +31,7 @@
                 register(&mut roster, entry, &known);
             }
             self.replace(roster);
+            failures = 0;
             self.watch_servers(range.revision).await;
         }
     }
@@ -54,7 +57,7 @@
                 Err(error) => {
                     self.lose("backend servers", &error);
                     if !matches!(error, Error::HistoryGone) {
-                        sleep(RETRY_INTERVAL).await;
+                        self.pause_after(1).await;
                     }
                     return;
                 }
