Soak of gateways: faults overlap, links misbehave, callers keep connections

Up to three faults at once; new: links to backend servers and to the store that delay, fall silent one way, cut after some bytes or reset; a gateway that was told to end ends beside other faults instead of stopping the soak; callers that use a connection until it ends.

--- a/testbed/src/http.rs
+++ b/testbed/src/http.rs
@@ -1,4 +1,4 @@
-//! A small HTTP client for tests: one connection a call, no retries.
+//! A small HTTP client for tests: a connection for each call or one that is kept, no retries.
 
 use {
     bytes::Bytes,
@@ -62,13 +62,7 @@
 pub struct Reply {
     /// The answer.
     pub response: Response<Incoming>,
-    connection: JoinHandle<()>,
-}
-
-impl Drop for Reply {
-    fn drop(&mut self) {
-        self.connection.abort();
-    }
+    _connection: Connection,
 }
 
 impl Reply {
@@ -77,12 +71,8 @@
     /// # Errors
     ///
     /// Fails when the body is cut.
-    pub async fn collect(mut self) -> Result<Answer, Fault> {
-        let body = self.response.body_mut().collect().await?.to_bytes();
-        let mut head = Response::new(()).into_parts().0;
-        head.status = self.response.status();
-        head.headers = std::mem::take(self.response.headers_mut());
-        Ok(Answer { head, body })
+    pub async fn collect(self) -> Result<Answer, Fault> {
+        collect(self.response).await
     }
 
     /// The next bytes of the body, or `None` at its clean end.
@@ -100,26 +90,82 @@
     }
 }
 
+/// A connection that is kept for several calls; closed on drop.
+pub struct Connection {
+    sender: http1::SendRequest<Full<Bytes>>,
+    address: SocketAddr,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+impl Connection {
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails when nobody listens there.
+    pub async fn open(address: SocketAddr) -> Result<Self, Fault> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
+        let driver = tokio::spawn(async move {
+            // An error also reaches the request or the body.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            address,
+            driver,
+        })
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no whole answer within the limit; the connection is of no more use then.
+    pub async fn call(
+        &mut self,
+        request: Request<Bytes>,
+        limit: Duration,
+    ) -> Result<Answer, Fault> {
+        timeout(limit, async {
+            let response = self.send(request).await?;
+            collect(response).await
+        })
+        .await?
+    }
+
+    async fn send(&mut self, mut request: Request<Bytes>) -> Result<Response<Incoming>, Fault> {
+        let host = header::HeaderValue::from_str(&self.address.to_string());
+        let host = host.expect("an address is a valid header value");
+        request.headers_mut().entry(header::HOST).or_insert(host);
+        Ok(self.sender.send_request(request.map(Full::new)).await?)
+    }
+}
+
+async fn collect(response: Response<Incoming>) -> Result<Answer, Fault> {
+    let (head, body) = response.into_parts();
+    let body = body.collect().await?.to_bytes();
+    Ok(Answer { head, body })
+}
+
 /// Sends a request on a connection of its own; answers with the head.
 ///
 /// # Errors
 ///
 /// Fails when there is no answer.
-pub async fn send(address: SocketAddr, mut request: Request<Bytes>) -> Result<Reply, Fault> {
-    let stream = TcpStream::connect(address).await?;
-    stream.set_nodelay(true)?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
-    let connection = tokio::spawn(async move {
-        // An error also reaches the request or the body.
-        let _ = connection.await;
-    });
-    let host = header::HeaderValue::from_str(&address.to_string());
-    let host = host.expect("an address is a valid header value");
-    request.headers_mut().entry(header::HOST).or_insert(host);
-    let response = sender.send_request(request.map(Full::new)).await?;
+pub async fn send(address: SocketAddr, request: Request<Bytes>) -> Result<Reply, Fault> {
+    let mut connection = Connection::open(address).await?;
+    let response = connection.send(request).await?;
     Ok(Reply {
         response,
-        connection,
+        _connection: connection,
     })
 }
 
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -62,6 +62,8 @@
 pub struct Server {
     id: String,
     service: String,
+    /// Where others are told that it listens.
+    advertised: SocketAddr,
     state: Arc<State>,
     host: Host,
 }
@@ -98,11 +100,18 @@
         Ok(Self {
             id: id.to_owned(),
             service: service.to_owned(),
+            advertised: host.address(),
             state,
             host,
         })
     }
 
+    /// Tells others to reach it at another address, such as a proxy's.
+    pub fn with_advertised(mut self, address: SocketAddr) -> Self {
+        self.advertised = address;
+        self
+    }
+
     /// Its identifier.
     pub fn id(&self) -> &str {
         &self.id
@@ -147,7 +156,7 @@
     pub fn registration(&self, state: &str) -> (String, Vec<u8>) {
         let entry = value!({
             "service": self.service,
-            "address": self.address().to_string(),
+            "address": self.advertised.to_string(),
             "zone": "a",
             "version": "v1",
             "slots": 8,
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -91,6 +91,8 @@
 pub struct Site {
     /// Its store.
     pub store: Store,
+    /// Where gateways reach the store.
+    store_address: SocketAddr,
     folder: TempDir,
 }
 
@@ -110,14 +112,22 @@
     ///
     /// Fails when no port, thread or folder can be had.
     pub fn new(configuration: &Configuration) -> io::Result<Self> {
+        let store = Store::start()?;
         let site = Self {
-            store: Store::start()?,
+            store_address: store.address(),
+            store,
             folder: TempDir::new()?,
         };
         site.configure(configuration);
         Ok(site)
     }
 
+    /// Lets gateways that start from now on reach the store at another address, such as a proxy's.
+    pub fn with_store_address(mut self, address: SocketAddr) -> Self {
+        self.store_address = address;
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -152,7 +162,7 @@
     }
 
     fn settings(&self, name: &str, address: Ipv4Addr) -> String {
-        let store = self.store.address();
+        let store = self.store_address;
         format!(
             r#"node_name = "{name}"
 zone = "a"
--- a/testbed/src/platform/soak.rs
+++ b/testbed/src/platform/soak.rs
@@ -1,37 +1,28 @@
 //! Random faults on a site under load, and the promises checked from what callers and backend
-//! servers saw.
+//! servers saw. Faults come in series and overlap.
+
+mod load;
+mod world;
 
 use {
-    super::{Behaviour, Configuration, Gateway, Server, Site, request},
-    crate::{http, process, store::Outage},
+    self::{load::Call, world::World},
+    super::Server,
+    crate::{http, process},
     derive_more::{Display, Error, From},
-    rand::{Rng as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _},
+    rand::{Rng as _, SeedableRng as _, rngs::StdRng},
     std::{
         collections::HashMap,
         io,
-        net::SocketAddr,
         time::{Duration, Instant},
     },
-    tokio::{task::JoinSet, time::sleep},
+    tokio::time::sleep,
 };
 
-const GATEWAYS: usize = 3;
-const SERVERS_PER_SERVICE: usize = 3;
-
-/// Pause between two requests.
-const REQUEST_INTERVAL: Duration = Duration::from_millis(15);
-
-/// Longest and shortest pause between two faults, in milliseconds.
-const FAULT_PAUSE_MS: std::ops::Range<u64> = 150..700;
-
-/// Longest and shortest duration of a fault, in milliseconds.
-const FAULT_LENGTH_MS: std::ops::Range<u64> = 200..1_500;
-
-/// Longest time for an answer.
-const CALL_LIMIT: Duration = Duration::from_secs(6);
+/// Shortest and longest pause between two faults, in milliseconds.
+const FAULT_PAUSE_MS: std::ops::Range<u64> = 50..500;
 
-/// Time within which a process that was told to end does.
-const END_LIMIT: Duration = Duration::from_secs(7);
+/// How often the faults in force are looked at.
+const TICK: Duration = Duration::from_millis(20);
 
 /// Events of each stream.
 const EVENTS: u64 = 5;
@@ -58,16 +49,6 @@
     pub violations: Vec<String>,
 }
 
-/// One request and what became of it.
-struct Call {
-    id: String,
-    kind: &'static str,
-    answer: Result<http::Answer, http::Fault>,
-}
-
-/// Kinds of requests, by the prefix of their route.
-const KINDS: [&str; 4] = ["booking", "status", "stream", "resumable"];
-
 /// Runs a soak for `length` with the faults that `seed` draws.
 ///
 /// # Errors
@@ -75,29 +56,23 @@
 /// Fails when a process cannot be started or signalled.
 pub async fn run(seed: u64, length: Duration) -> Result<Report, Fault> {
     let mut random = StdRng::seed_from_u64(seed);
-    let site = Site::new(&Configuration::default())?;
-    let servers = servers()?;
-    servers.iter().for_each(|server| site.register(server));
-    let mut gateways = Vec::new();
-    for number in 0..GATEWAYS {
-        gateways.push(site.gateway(&format!("gateway-{number}"))?);
-    }
-    for gateway in &gateways {
-        gateway.wait_ready(true).await;
-    }
-    let callers: Vec<SocketAddr> = gateways.iter().map(Gateway::callers).collect();
-    let load = tokio::spawn(load(callers, seed, length));
+    let mut world = World::new().await?;
+    let load = tokio::spawn(load::run(world.callers(), seed, length));
     let mut report = Report::default();
     let start = Instant::now();
+    let mut next = start;
     while start.elapsed() < length {
-        let fault = disturb(&site, &servers, &mut gateways, &mut random).await?;
-        report.faults.push(fault);
-        sleep(millis(&mut random, FAULT_PAUSE_MS)).await;
+        world.end_due()?;
+        if Instant::now() >= next {
+            report.faults.extend(world.begin(&mut random)?);
+            next = Instant::now() + millis(&mut random, FAULT_PAUSE_MS);
+        }
+        sleep(TICK).await;
     }
-    heal(&site, &servers);
     let calls = load.await.unwrap_or_default();
-    check(&calls, &servers, &mut report);
-    for gateway in &gateways {
+    world.end_all()?;
+    check(&calls, world.servers(), &mut report);
+    for gateway in world.gateways() {
         if !gateway.wait_ready(true).await {
             report
                 .violations
@@ -107,121 +82,10 @@
     Ok(report)
 }
 
-fn servers() -> io::Result<Vec<Server>> {
-    let mut servers = Vec::new();
-    for service in ["engine", "plain"] {
-        for number in 0..SERVERS_PER_SERVICE {
-            let server = Server::new(&format!("{service}-{number}"), service)?;
-            server.set_events(EVENTS);
-            servers.push(server);
-        }
-    }
-    Ok(servers)
-}
-
 fn millis(random: &mut StdRng, range: std::ops::Range<u64>) -> Duration {
     Duration::from_millis(random.random_range(range))
 }
 
-/// Sends requests of all kinds to all gateways.
-async fn load(callers: Vec<SocketAddr>, seed: u64, length: Duration) -> Vec<Call> {
-    let mut random = StdRng::seed_from_u64(seed.wrapping_add(1));
-    let mut running = JoinSet::new();
-    let start = Instant::now();
-    let mut number = 0;
-    while start.elapsed() < length {
-        number += 1;
-        let id = format!("s-{number}");
-        let kind = KINDS.choose(&mut random).copied().unwrap_or(KINDS[0]);
-        let address = callers[random.random_range(0..callers.len())];
-        running.spawn(async move {
-            let message = request(&format!("/{kind}/1"), &id);
-            let answer = http::call(address, message, CALL_LIMIT).await;
-            Call { id, kind, answer }
-        });
-        sleep(REQUEST_INTERVAL).await;
-    }
-    running.join_all().await
-}
-
-/// Brings about one fault, and ends it where it does not end by itself.
-async fn disturb(
-    site: &Site,
-    servers: &[Server],
-    gateways: &mut [Gateway],
-    random: &mut StdRng,
-) -> Result<String, Fault> {
-    let length = millis(random, FAULT_LENGTH_MS);
-    let server = &servers[random.random_range(0..servers.len())];
-    let chosen = random.random_range(0..gateways.len());
-    let gateway = &mut gateways[chosen];
-    let name = match random.random_range(0..8) {
-        0 | 1 => {
-            let behaviours = [
-                Behaviour::Full,
-                Behaviour::LosesAnswers,
-                Behaviour::MixesAnswers,
-                Behaviour::Unsigned,
-                Behaviour::BreaksOff,
-                Behaviour::Fails,
-                Behaviour::Silent,
-            ];
-            let behaviour = *behaviours.choose(random).unwrap_or(&Behaviour::Full);
-            server.set_behaviour(behaviour);
-            sleep(length).await;
-            server.set_behaviour(Behaviour::Sound);
-            format!("{} {behaviour:?}", server.id())
-        }
-        2 => {
-            let outage = match random.random_bool(0.5) {
-                true => Outage::Refuse,
-                false => Outage::Hang,
-            };
-            site.store.stop(outage);
-            sleep(length).await;
-            site.store.resume();
-            format!("store {outage:?}")
-        }
-        3 => {
-            site.store.lose_answers(random.random_range(1..5));
-            "store loses answers".to_owned()
-        }
-        4 => {
-            site.set_state(server, "draining");
-            sleep(length).await;
-            site.register(server);
-            format!("{} drains", server.id())
-        }
-        5 => {
-            gateway.process.pause()?;
-            sleep(length).await;
-            gateway.process.resume_execution()?;
-            format!("{} paused", gateway.process.name())
-        }
-        6 => {
-            gateway.process.kill()?;
-            sleep(length / 4).await;
-            gateway.restart()?;
-            format!("{} killed", gateway.process.name())
-        }
-        _ => {
-            gateway.process.terminate()?;
-            gateway.process.wait(END_LIMIT)?;
-            gateway.restart()?;
-            format!("{} told to end", gateway.process.name())
-        }
-    };
-    Ok(format!("{name} ({} ms)", length.as_millis()))
-}
-
-fn heal(site: &Site, servers: &[Server]) {
-    site.store.resume();
-    for server in servers {
-        server.set_behaviour(Behaviour::Sound);
-        site.register(server);
-    }
-}
-
 fn check(calls: &[Call], servers: &[Server], report: &mut Report) {
     let mut runs: HashMap<String, Vec<&str>> = HashMap::new();
     for server in servers {
--- /dev/null
+++ b/testbed/src/platform/soak/world.rs
@@ -0,0 +1,265 @@
+//! The site of a soak and the faults in force there.
+
+use {
+    super::{EVENTS, Fault, millis},
+    crate::{
+        platform::{Behaviour, Configuration, Gateway, Server, Site},
+        proxy::{self, Direction, Proxy, Scope},
+        store::Outage,
+    },
+    rand::{Rng as _, rngs::StdRng, seq::IndexedRandom as _},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
+};
+
+const GATEWAYS: usize = 3;
+const SERVERS_PER_SERVICE: usize = 3;
+
+/// Faults that may be in force at once.
+const MOST_AT_ONCE: usize = 3;
+
+/// Shortest and longest duration of a fault, in milliseconds.
+const FAULT_LENGTH_MS: std::ops::Range<u64> = 200..1_500;
+
+/// What is disturbed; one fault at a time each.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Target {
+    /// A backend server or its registration.
+    Server(usize),
+    /// The way to a backend server.
+    Link(usize),
+    /// The store.
+    Store,
+    /// The way to the store.
+    StoreLink,
+    /// A gateway.
+    Gateway(usize),
+}
+
+/// A fault in force.
+struct Active {
+    target: Target,
+    end: Instant,
+}
+
+/// The site and what is wrong with it.
+pub struct World {
+    site: Site,
+    servers: Vec<Server>,
+    links: Vec<Proxy>,
+    store_link: Proxy,
+    gateways: Vec<Gateway>,
+    active: Vec<Active>,
+}
+
+impl World {
+    /// Starts a site whose gateways are ready.
+    pub async fn new() -> Result<Self, Fault> {
+        let site = Site::new(&Configuration::default())?;
+        let store_link = Proxy::new(site.store.address())?;
+        let site = site.with_store_address(store_link.address());
+        let (mut servers, mut links) = (Vec::new(), Vec::new());
+        for number in 0..SERVERS_PER_SERVICE * 2 {
+            let service = ["engine", "plain"][number % 2];
+            let server = Server::new(&format!("{service}-{number}"), service)?;
+            let link = Proxy::new(server.address())?;
+            let server = server.with_advertised(link.address());
+            server.set_events(EVENTS);
+            site.register(&server);
+            servers.push(server);
+            links.push(link);
+        }
+        let mut gateways = Vec::new();
+        for number in 0..GATEWAYS {
+            gateways.push(site.gateway(&format!("gateway-{number}"))?);
+        }
+        for gateway in &gateways {
+            gateway.wait_ready(true).await;
+        }
+        Ok(Self {
+            site,
+            servers,
+            links,
+            store_link,
+            gateways,
+            active: Vec::new(),
+        })
+    }
+
+    /// Where callers connect.
+    pub fn callers(&self) -> Vec<SocketAddr> {
+        self.gateways.iter().map(Gateway::callers).collect()
+    }
+
+    /// The backend servers.
+    pub fn servers(&self) -> &[Server] {
+        &self.servers
+    }
+
+    /// The gateways.
+    pub fn gateways(&self) -> &[Gateway] {
+        &self.gateways
+    }
+
+    /// Brings about one more fault; tells which, unless too much is wrong already.
+    pub fn begin(&mut self, random: &mut StdRng) -> Result<Option<String>, Fault> {
+        let target = match random.random_range(0..8) {
+            0 | 1 => Target::Server(random.random_range(0..self.servers.len())),
+            2 | 3 => Target::Link(random.random_range(0..self.links.len())),
+            4 => Target::Store,
+            5 => Target::StoreLink,
+            _ => Target::Gateway(random.random_range(0..self.gateways.len())),
+        };
+        let length = millis(random, FAULT_LENGTH_MS);
+        let is_busy = self.active.iter().any(|active| active.target == target);
+        if is_busy || self.active.len() >= MOST_AT_ONCE {
+            return Ok(None);
+        }
+        let what = self.disturb(target, random)?;
+        let end = Instant::now() + length;
+        self.active.push(Active { target, end });
+        let length = length.as_millis();
+        Ok(Some(format!("{target:?} {what} ({length} ms)")))
+    }
+
+    /// Ends the faults whose time has come.
+    pub fn end_due(&mut self) -> Result<(), Fault> {
+        self.end(|active| active.end <= Instant::now())
+    }
+
+    /// Ends all faults.
+    pub fn end_all(&mut self) -> Result<(), Fault> {
+        self.end(|_| true)
+    }
+
+    fn end(&mut self, is_over: impl Fn(&Active) -> bool) -> Result<(), Fault> {
+        let over: Vec<Active> = self
+            .active
+            .extract_if(.., |active| is_over(active))
+            .collect();
+        for active in over {
+            self.heal(active.target)?;
+        }
+        Ok(())
+    }
+
+    fn disturb(&mut self, target: Target, random: &mut StdRng) -> Result<String, Fault> {
+        match target {
+            Target::Server(number) => Ok(self.spoil(number, random)),
+            Target::Link(number) => Ok(disturb_link(&self.links[number], random)),
+            Target::StoreLink => Ok(disturb_link(&self.store_link, random)),
+            Target::Store => Ok(self.disturb_store(random)),
+            Target::Gateway(number) => disturb_gateway(&mut self.gateways[number], random),
+        }
+    }
+
+    fn spoil(&self, number: usize, random: &mut StdRng) -> String {
+        let server = &self.servers[number];
+        let behaviours = [
+            Behaviour::Full,
+            Behaviour::LosesAnswers,
+            Behaviour::MixesAnswers,
+            Behaviour::Unsigned,
+            Behaviour::BreaksOff,
+            Behaviour::Fails,
+            Behaviour::Silent,
+        ];
+        match behaviours.choose(random) {
+            Some(behaviour) if random.random_bool(0.75) => {
+                server.set_behaviour(*behaviour);
+                format!("{behaviour:?}")
+            }
+            _ => {
+                self.site.set_state(server, "draining");
+                "drains".to_owned()
+            }
+        }
+    }
+
+    fn disturb_store(&self, random: &mut StdRng) -> String {
+        let store = &self.site.store;
+        match random.random_range(0..3) {
+            0 => store.stop(Outage::Refuse),
+            1 => store.stop(Outage::Hang),
+            _ => {
+                store.lose_answers(random.random_range(1..5));
+                return "loses answers".to_owned();
+            }
+        }
+        "away".to_owned()
+    }
+
+    fn heal(&mut self, target: Target) -> Result<(), Fault> {
+        match target {
+            Target::Server(number) => {
+                let server = &self.servers[number];
+                server.set_behaviour(Behaviour::Sound);
+                self.site.register(server);
+            }
+            Target::Link(number) => self.links[number].heal(),
+            Target::StoreLink => self.store_link.heal(),
+            Target::Store => self.site.store.resume(),
+            Target::Gateway(number) => self.revive(number)?,
+        }
+        Ok(())
+    }
+
+    /// Lets a paused gateway go on, or starts one that has ended. One that is still ending gets a
+    /// little more time.
+    fn revive(&mut self, number: usize) -> Result<(), Fault> {
+        /// Time after which a gateway that is ending is looked at again.
+        const AGAIN: Duration = Duration::from_millis(300);
+        let gateway = &mut self.gateways[number];
+        if !gateway.process.is_running() {
+            gateway.restart()?;
+            return Ok(());
+        }
+        gateway.process.resume_execution()?;
+        let is_ending = gateway
+            .process
+            .logs()
+            .iter()
+            .any(|line| line["message"] == "closing");
+        if is_ending {
+            self.active.push(Active {
+                target: Target::Gateway(number),
+                end: Instant::now() + AGAIN,
+            });
+        }
+        Ok(())
+    }
+}
+
+fn disturb_link(link: &Proxy, random: &mut StdRng) -> String {
+    let directions = [Direction::ToTarget, Direction::FromTarget, Direction::Both];
+    let direction = *directions.choose(random).unwrap_or(&Direction::Both);
+    let fault = match random.random_range(0..4) {
+        0 => proxy::Fault::delay(millis(random, 5..200)),
+        1 => proxy::Fault::silence(),
+        2 => proxy::Fault::truncate(random.random_range(1..2_000)),
+        _ => {
+            link.cut();
+            return "cut".to_owned();
+        }
+    };
+    link.inject(Scope::All, direction, fault);
+    format!("{direction:?} {fault:?}")
+}
+
+fn disturb_gateway(gateway: &mut Gateway, random: &mut StdRng) -> Result<String, Fault> {
+    let process = &mut gateway.process;
+    match random.random_range(0..3) {
+        0 => process.pause()?,
+        1 => {
+            process.kill()?;
+            return Ok("killed".to_owned());
+        }
+        _ => {
+            process.terminate()?;
+            return Ok("told to end".to_owned());
+        }
+    }
+    Ok("paused".to_owned())
+}
