One place that builds routers with a shared context; small clean-ups

The quota's refunds use a new Timestamp::minus instead of going by way of the start. Dispatch::send no longer returns what nobody read; a wrapper of one call in peers is gone. Behaviour is unchanged; no test was touched.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -54,11 +54,9 @@
     }
 
     /// Notes that the request is being written to a backend server, which may run it from now on.
-    /// Returns whether this is a repetition, which the retry budget must allow.
-    pub fn send(&mut self) -> bool {
+    pub fn send(&mut self) {
         self.sent += 1;
         self.is_sending = true;
-        self.sent > 1
     }
 
     /// Times that the request was sent.
--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -244,9 +244,8 @@
         match (before, &usage.known) {
             (Some((admitted, refunded)), _) => {
                 account.hear(usage.admitted - admitted, now, window);
-                let age = now.since(Timestamp::START.plus(REFUND_AGE));
-                let oldest = Timestamp::START.plus(age);
-                account.take_back(usage.refunded - refunded, oldest, window);
+                let admitted = now.minus(REFUND_AGE);
+                account.take_back(usage.refunded - refunded, admitted, window);
             }
             (None, Some(known)) => account.import(known, now, window),
             (None, None) => {}
--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -33,6 +33,12 @@
         Self(self.0.saturating_add(micros))
     }
 
+    /// The timestamp `age` earlier, the start of the process at the earliest.
+    pub fn minus(self, age: Duration) -> Self {
+        let micros = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+
     /// The time from `earlier` to this timestamp, zero if `earlier` is not earlier.
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.0.saturating_sub(earlier.0))
--- a/daemon/src/admin.rs
+++ b/daemon/src/admin.rs
@@ -2,18 +2,16 @@
 
 use {
     crate::{
-        http::{Server, body},
+        http::{self, Server, body},
         metrics::Metrics,
         settings::Common,
     },
     gotham::{
         helpers::http::Body,
         hyper::{Response, StatusCode},
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
         router::{
             Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+            builder::{DefineSingleRoute as _, DrawRoutes as _},
         },
         state::{FromState as _, State, StateData},
     },
@@ -49,9 +47,7 @@
 
 /// The router of the admin listener: `/metrics`, `/live` and `/ready`.
 pub fn routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
+    http::router(context, |route| {
         route.get("/metrics").to(metrics);
         route.get("/live").to(live);
         route.get("/ready").to(ready);
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -18,18 +18,14 @@
     crate::{
         admin,
         duty::Duty,
-        http::Server,
+        http::{self, Server},
         metrics::Metrics,
         signal::Shutdown,
         uptime::{self, Clock},
     },
-    gotham::{
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
-        router::{
-            Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
-        },
+    gotham::router::{
+        Router,
+        builder::{DefineSingleRoute as _, DrawRoutes as _},
     },
     rand::Rng as _,
     std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
@@ -188,9 +184,7 @@
 
 /// The router of the peers' listener.
 fn peer_routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
+    http::router(context, |route| {
         route
             .post(tamarackdale_wire::path::SUMMARIES)
             .to_async(peers::publish);
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -21,12 +21,7 @@
             HeaderMap, Method, Response, Uri,
             header::{CONNECTION, HOST, HeaderValue},
         },
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
-        router::{
-            Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
-        },
+        router::Router,
         state::{FromState as _, State},
     },
     std::{sync::Arc, time::Duration},
@@ -50,12 +45,7 @@
 
 /// The router of the callers' listener: every method and path.
 pub fn routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
-        route.request(http::methods(), "/").to_async(serve);
-        route.request(http::methods(), "/*").to_async(serve);
-    })
+    http::every_path(context, serve)
 }
 
 async fn serve(mut state: State) -> HandlerResult {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -322,7 +322,7 @@
                         update_share(context);
                         log::info!(peer:% = address, boot = message.boot; "peer heard");
                     }
-                    take(context, message);
+                    context.scheduler.merge(message.boot, &message.into());
                 }
                 Ok(None) => break,
                 Err(error) => {
@@ -337,8 +337,3 @@
         log::info!(peer:% = address, boot; "peer lost");
     }
 }
-
-fn take(context: &Context, message: Message) {
-    let boot = message.boot;
-    context.scheduler.merge(boot, &message.into());
-}
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -22,13 +22,9 @@
         signal::Shutdown,
         uptime::Clock,
     },
-    gotham::{
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
-        router::{
-            Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
-        },
+    gotham::router::{
+        Router,
+        builder::{DefineSingleRoute as _, DrawRoutes as _},
     },
     rand::Rng as _,
     std::{io, sync::Arc},
@@ -163,9 +159,7 @@
 
 /// The router of the peer listener.
 fn peer_routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
+    http::router(context, |route| {
         configuration::handlers::draw::<Context, _, _>(route);
         route
             .get(&format!("{}/:request", path::DECISIONS))
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -15,12 +15,7 @@
         handler::HandlerResult,
         helpers::http::Body,
         hyper::{HeaderMap, Method, Response, StatusCode, Uri},
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
-        router::{
-            Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
-        },
+        router::Router,
         state::{FromState as _, State},
     },
     hyper::body::Body as _,
@@ -33,12 +28,7 @@
 
 /// The router of the callers' listener: every method and path.
 pub fn routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
-        route.request(http::methods(), "/").to_async(serve);
-        route.request(http::methods(), "/*").to_async(serve);
-    })
+    http::every_path(context, serve)
 }
 
 async fn serve(mut state: State) -> HandlerResult {
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -11,17 +11,18 @@
     },
     crate::{
         configuration,
-        http::body::{self, Unreadable},
+        http::{
+            self,
+            body::{self, Unreadable},
+        },
     },
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
         hyper::{Response, StatusCode},
-        middleware::state::StateMiddleware,
-        pipeline::{single_middleware, single_pipeline},
         router::{
             Router,
-            builder::{DefineSingleRoute as _, DrawRoutes as _, build_router},
+            builder::{DefineSingleRoute as _, DrawRoutes as _},
         },
         state::{FromState as _, State},
     },
@@ -39,9 +40,7 @@
 
 /// The router of the peer listener.
 pub fn routes(context: Context) -> Router {
-    let middleware = StateMiddleware::new(context);
-    let (chain, pipelines) = single_pipeline(single_middleware(middleware));
-    build_router(chain, pipelines, |route| {
+    http::router(context, |route| {
         route.post(path::ENQUEUE).to_async(enqueue);
         route.post(path::GRANT).to_async(grant);
         route.post(path::RESUME).to_async(resume);
