--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -156,6 +156,7 @@
         let status = sidecar
             .process
             .wait(RESTART_TIMEOUT)
+            .await
             .expect("the process exits");
         assert_eq!(status.code(), Some(0));
         sidecar
@@ -173,6 +174,7 @@
         let status = router
             .process
             .wait(RESTART_TIMEOUT)
+            .await
             .expect("the process exits");
         assert_eq!(status.code(), Some(0));
         router
--- a/testbed/examples/soak.rs
+++ b/testbed/examples/soak.rs
@@ -103,10 +103,13 @@
 
     let start = Instant::now();
     while start.elapsed() < settings.length {
-        injector.step(&mut deployment).into_diagnostic()?;
+        injector.step(&mut deployment).await.into_diagnostic()?;
         sleep(STEP).await;
     }
-    injector.repair_all(&mut deployment).into_diagnostic()?;
+    injector
+        .repair_all(&mut deployment)
+        .await
+        .into_diagnostic()?;
     let exchanges = offered.await.into_diagnostic()?;
 
     Ok(report(&settings, &deployment, &injector, &exchanges))
--- a/testbed/src/injection.rs
+++ b/testbed/src/injection.rs
@@ -60,9 +60,9 @@
     /// # Errors
     ///
     /// Fails when a process cannot be signalled or started anew.
-    pub fn step(&mut self, deployment: &mut Deployment) -> Result<(), process::Fault> {
+    pub async fn step(&mut self, deployment: &mut Deployment) -> Result<(), process::Fault> {
         let now = Instant::now();
-        self.repair_due(deployment, now)?;
+        self.repair_due(deployment, now).await?;
         if now < self.next || self.active.len() >= MAX_CONCURRENT {
             return Ok(());
         }
@@ -85,14 +85,14 @@
     /// # Errors
     ///
     /// Fails when a process cannot be signalled or started anew.
-    pub fn repair_all(&mut self, deployment: &mut Deployment) -> Result<(), process::Fault> {
+    pub async fn repair_all(&mut self, deployment: &mut Deployment) -> Result<(), process::Fault> {
         for (_, disturbance) in self.active.drain(..) {
-            disturbance.repair(deployment)?;
+            disturbance.repair(deployment).await?;
         }
         Ok(())
     }
 
-    fn repair_due(
+    async fn repair_due(
         &mut self,
         deployment: &mut Deployment,
         now: Instant,
@@ -102,7 +102,7 @@
             if until > now {
                 self.active.push((until, disturbance));
             } else {
-                disturbance.repair(deployment)?;
+                disturbance.repair(deployment).await?;
             }
         }
         Ok(())
--- a/testbed/src/injection/disturbance.rs
+++ b/testbed/src/injection/disturbance.rs
@@ -186,7 +186,7 @@
     /// # Errors
     ///
     /// Fails when a process cannot be signalled or started.
-    pub fn repair(&self, deployment: &mut Deployment) -> Result<(), process::Fault> {
+    pub async fn repair(&self, deployment: &mut Deployment) -> Result<(), process::Fault> {
         match (self.kind, self.target) {
             (Kind::PauseRouter, Target::Router(index)) => {
                 deployment.routers[index].process.resume_execution()
@@ -196,14 +196,14 @@
             }
             (_, Target::Router(index)) => {
                 let router = &mut deployment.routers[index];
-                if router.process.wait(SHUTDOWN_LIMIT).is_err() {
+                if router.process.wait(SHUTDOWN_LIMIT).await.is_err() {
                     router.kill()?;
                 }
                 router.restart(&deployment.list)
             }
             (_, Target::Sidecar(index)) => {
                 let sidecar = &mut deployment.sidecars[index];
-                if sidecar.process.wait(SHUTDOWN_LIMIT).is_err() {
+                if sidecar.process.wait(SHUTDOWN_LIMIT).await.is_err() {
                     sidecar.kill()?;
                 }
                 sidecar.restart(&deployment.list)
--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -259,12 +259,12 @@
         Ok(Usage::of(self.child.id())?)
     }
 
-    /// Waits until the process has ended by itself.
+    /// Waits until the process has ended by itself. Other tasks of the same thread go on meanwhile.
     ///
     /// # Errors
     ///
     /// Fails when it still runs after the limit.
-    pub fn wait(&mut self, limit: Duration) -> Result<ExitStatus, Fault> {
+    pub async fn wait(&mut self, limit: Duration) -> Result<ExitStatus, Fault> {
         let deadline = Instant::now() + limit;
         loop {
             if let Some(status) = self.child.try_wait()? {
@@ -273,7 +273,7 @@
             if Instant::now() >= deadline {
                 return Err(self.timeout("end of the process", limit));
             }
-            thread::sleep(POLL_INTERVAL);
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -261,6 +261,56 @@
     assert_eq!(bench.engines[1].runs()[0].resumed_after, Some(2));
 }
 
+/// A stalled engine that sends a byte now and then is no better than a silent one.
+#[rstest]
+#[case::stalled(Behaviour::Trickles)]
+#[case::event_without_end(Behaviour::Endless)]
+#[tokio::test]
+async fn resumable_stream_leaves_a_server_that_completes_no_event(#[case] behaviour: Behaviour) {
+    let bench = start().await;
+    bench.engines[0].set_behaviour(behaviour);
+
+    let calls = (0..6).map(|number| {
+        let id = format!("s-{number}");
+        let gateway = &bench.gateway;
+        async move { gateway.call("/resumable/1", &id).await }
+    });
+    let answers = futures_util::future::join_all(calls).await;
+
+    assert!(!bench.engines[0].runs().is_empty());
+    for answer in answers {
+        assert_eq!(event_ids(&answer.expect("whole").body), [1, 2, 3, 4, 5]);
+    }
+}
+
+/// Servers in trouble send bodies without end. The gateway keeps within its memory and serves what
+/// others answer.
+#[tokio::test]
+async fn bodies_without_end_fail_and_take_bounded_memory() {
+    const CALLS: usize = 60;
+    let bench = start().await;
+    bench.plains[0].set_behaviour(Behaviour::Endless);
+    bench.plains[1].set_behaviour(Behaviour::Endless);
+
+    let calls = (0..CALLS).map(|number| {
+        let id = format!("b-{number}");
+        let gateway = &bench.gateway;
+        async move { gateway.call("/booking/1", &id).await }
+    });
+    let answers = futures_util::future::join_all(calls).await;
+    let peak = bench.gateway.process.usage().expect("running");
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_behaviour(Behaviour::Sound));
+    let served = bench.gateway.call("/status/1", "s-1").await;
+
+    let statuses = answers.into_iter().flatten().map(|answer| answer.status());
+    assert!(statuses.into_iter().all(|status| status >= 500));
+    assert!(peak.peak_memory_bytes < 100 * 1024 * 1024, "{peak:?}");
+    assert_eq!(served.expect("answered").status(), 200);
+}
+
 #[tokio::test]
 async fn other_stream_that_breaks_is_never_ended_clean() {
     let bench = start().await;
@@ -410,6 +460,86 @@
     assert_eq!(answer.status(), 200);
 }
 
+/// Within this, the store has settled after a restoration and the gateway has looked at it again.
+const SETTLED: Duration = Duration::from_millis(3_500);
+
+#[tokio::test]
+async fn configuration_does_not_go_back_with_a_restored_store() {
+    let bench = start().await;
+    let copy = bench.site.store.copy();
+    let newer = Configuration::default().with("/routes/3/prefix", json!("/moved/"));
+    bench.site.configure(&newer);
+    sleep(IN_FORCE).await;
+
+    bench.site.store.restore(copy);
+    sleep(Duration::from_millis(1_200)).await;
+    let former = bench.gateway.call("/status/1", "m-1").await;
+    let moved = bench.gateway.call("/moved/1", "m-2").await;
+    bench.site.configure(&newer);
+    sleep(SETTLED).await;
+    let later = bench.gateway.call("/moved/1", "m-3").await;
+
+    let statuses = [former, moved, later].map(|answer| answer.expect("answered").status());
+    assert_eq!(statuses, [404, 200, 200]);
+}
+
+/// The store gives out the revision of the configuration in force again, for one that takes the key
+/// away: the number alone must not confirm the configuration.
+#[tokio::test]
+async fn revision_that_was_given_out_again_does_not_confirm_a_key() {
+    let bench = start().await;
+    let copy = bench.site.store.copy();
+    bench
+        .site
+        .configure(&Configuration::default().with("/version", json!(5)));
+    sleep(IN_FORCE).await;
+    let without = Configuration::default()
+        .with("/tenants/0/api_keys", json!(["another"]))
+        .with("/version", json!(9));
+
+    bench.site.store.restore(copy);
+    bench.site.configure(&without);
+    sleep(SETTLED).await;
+    let answer = bench.gateway.call("/status/1", "x").await;
+
+    assert_eq!(answer.expect("answered").status(), 401);
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
+#[tokio::test]
+async fn server_that_leaves_gets_nothing_after_the_store_has_forgotten_it() {
+    let bench = start().await;
+    let copy = bench.site.store.copy();
+    bench.site.set_state(&bench.plains[0], "draining");
+    sleep(IN_FORCE).await;
+
+    bench.site.store.restore(copy);
+    sleep(SETTLED).await;
+    for number in 0..20 {
+        let id = format!("x-{number}");
+        let answer = bench.gateway.call("/status/1", &id).await;
+        assert_eq!(answer.expect("answered").status(), 200);
+    }
+
+    assert_eq!(bench.plains[0].runs().len(), 0);
+    assert_eq!(bench.plains[1].runs().len(), 20);
+}
+
+#[tokio::test]
+async fn gateway_registers_again_after_the_store_has_forgotten_it() {
+    let site = Site::new(&Configuration::default()).expect("starts");
+    let copy = site.store.copy();
+    let gateway = site.gateway("one").expect("starts");
+    let key = format!("gateways/{}", gateway.peers());
+    let is_registered = || site.store.record(&key).is_some();
+    assert!(wait::until(IN_FORCE, is_registered).await);
+
+    site.store.restore(copy);
+
+    assert!(!is_registered());
+    assert!(wait::until(Duration::from_secs(8), is_registered).await);
+}
+
 #[tokio::test]
 async fn server_stops_working_soon_after_the_caller_has_left() {
     let bench = start().await;
@@ -487,6 +617,7 @@
         .gateway
         .process
         .wait(Duration::from_secs(7))
+        .await
         .expect("ends");
 
     assert!(unready && status.success());
--- a/testbed/tests/process.rs
+++ b/testbed/tests/process.rs
@@ -19,8 +19,8 @@
     );
 }
 
-#[test]
-fn output_of_a_process_that_ends_is_read() {
+#[tokio::test]
+async fn output_of_a_process_that_ends_is_read() {
     let arguments = ["router".to_owned(), "--no-such-flag".to_owned()];
     let mut process = Process::new("broken", "tamarackdaled", &arguments).expect("starts");
 
@@ -30,7 +30,7 @@
         panic!("a daemon with an unknown flag listens: {listening:?}");
     };
     assert!(output.contains("no-such-flag"), "{output}");
-    assert_eq!(process.wait(LIMIT).expect("ended").code(), Some(2));
+    assert_eq!(process.wait(LIMIT).await.expect("ended").code(), Some(2));
     assert!(!process.is_running());
 }
 
--- a/testbed/tests/shutdown.rs
+++ b/testbed/tests/shutdown.rs
@@ -77,8 +77,8 @@
     process.terminate().expect("running");
     let records: Vec<Record> = offered.await.expect("no panic");
     let status = match role {
-        Role::Router => deployment.routers[0].process.wait(LIMIT),
-        Role::Sidecar => deployment.sidecars[0].process.wait(LIMIT),
+        Role::Router => deployment.routers[0].process.wait(LIMIT).await,
+        Role::Sidecar => deployment.sidecars[0].process.wait(LIMIT).await,
     };
 
     let summary = Summary::of(&records);
@@ -105,6 +105,10 @@
 
     assert!(closed);
     assert!(records[0].whole, "{records:?}");
-    let status = deployment.routers[0].process.wait(LIMIT).expect("ends");
+    let status = deployment.routers[0]
+        .process
+        .wait(LIMIT)
+        .await
+        .expect("ends");
     assert_eq!(status.code(), Some(0));
 }
