Gateway: bytes without end from a backend server take bounded memory; stalled streams are left

The read buffer of a connection, and so a response head, is bounded to 64 KiB (hyper's default is 400 KiB).

--- a/core/src/sse.rs
+++ b/core/src/sse.rs
@@ -1,5 +1,15 @@
 //! Splitting of a stream of server-sent events (`text/event-stream`) into complete events.
 
+use derive_more::{Display, Error};
+
+/// Longest event that is buffered, in bytes. Events of engines are a few hundred bytes long.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
+
+/// Error of a stream with an event that is longer than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
 /// Buffers the bytes of an event stream and returns complete events only.
 ///
 /// An event ends with an empty line. The bytes are not changed; an incomplete event stays in the
@@ -7,6 +17,8 @@
 #[derive(Debug, Default)]
 pub struct Splitter {
     pending: Vec<u8>,
+    /// Number of leading bytes of `pending` in which no event ends.
+    scanned: usize,
 }
 
 /// Complete events, with their number and last identifier.
@@ -27,17 +39,26 @@
     }
 
     /// Appends bytes and returns the events that are now complete, if any.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Batch> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Batch>, EventTooLong> {
         self.pending.extend_from_slice(bytes);
-        let end = end_of_last_event(&self.pending)?;
-        let rest = self.pending.split_off(end);
+        let Some(end) = end_of_last_event(&self.pending[self.scanned..]) else {
+            // The end of an event may be split between two calls.
+            let max_partial_end = b"\r\n\r\n".len() - 1;
+            self.scanned = self.pending.len().saturating_sub(max_partial_end);
+            return match self.pending.len() > MAX_EVENT_BYTES {
+                true => Err(EventTooLong),
+                false => Ok(None),
+            };
+        };
+        let rest = self.pending.split_off(self.scanned + end);
+        self.scanned = 0;
         let bytes = std::mem::replace(&mut self.pending, rest);
         let (last_id, count) = scan(&bytes);
-        Some(Batch {
+        Ok(Some(Batch {
             bytes,
             last_id,
             count,
-        })
+        }))
     }
 
     /// Whether an incomplete event is buffered.
--- a/core/tests/sse.rs
+++ b/core/tests/sse.rs
@@ -1,6 +1,10 @@
 //! Splitting of an event stream that arrives in arbitrary chunks.
 
-use {proptest::prelude::*, rstest::rstest, tamarackdale_core::sse::Splitter};
+use {
+    proptest::prelude::*,
+    rstest::rstest,
+    tamarackdale_core::sse::{EventTooLong, MAX_EVENT_BYTES, Splitter},
+};
 
 #[test]
 fn incomplete_event_stays_in_the_buffer() {
@@ -8,6 +12,7 @@
 
     let batch = splitter
         .push(b"id: 1\ndata: a\n\nid: 2\nda")
+        .expect("the events are short")
         .expect("one event is complete");
 
     assert_eq!(batch.bytes, b"id: 1\ndata: a\n\n");
@@ -26,6 +31,7 @@
 ) {
     let batch = Splitter::new()
         .push(bytes)
+        .expect("the events are short")
         .expect("the events are complete");
 
     assert_eq!((batch.last_id, batch.count), (last_id, count));
@@ -46,7 +52,7 @@
         let mut rest = stream.as_slice();
         for size in chunk_sizes.iter().cycle() {
             let (chunk, tail) = rest.split_at((*size).min(rest.len()));
-            if let Some(batch) = splitter.push(chunk) {
+            if let Some(batch) = splitter.push(chunk).expect("the events are short") {
                 prop_assert!(batch.bytes.ends_with(b"\n\n"));
                 output.extend(batch.bytes);
                 count += batch.count;
@@ -62,3 +68,31 @@
         prop_assert!(!splitter.is_inside_event());
     }
 }
+
+/// A backend server in trouble sends bytes that are no event, without end.
+#[test]
+fn event_without_end_is_refused_at_the_limit() {
+    let mut splitter = Splitter::new();
+    let chunk = [b'x'; 4 * 1024];
+    let chunks = MAX_EVENT_BYTES / chunk.len();
+
+    let accepted = (0..chunks).all(|_| splitter.push(&chunk) == Ok(None));
+    let refused = splitter.push(&chunk);
+
+    assert!(accepted);
+    assert_eq!(refused, Err(EventTooLong));
+}
+
+#[rstest]
+#[case(b"data: a\n\n")]
+#[case(b"data: a\r\n\r\n")]
+fn event_that_arrives_byte_by_byte_is_complete_with_its_last_byte(#[case] event: &[u8]) {
+    let mut splitter = Splitter::new();
+    let (last, first) = event.split_last().expect("the event is not empty");
+
+    let early = first.iter().all(|byte| splitter.push(&[*byte]) == Ok(None));
+    let batch = splitter.push(&[*last]).expect("the event is short");
+
+    assert!(early);
+    assert_eq!(batch.map(|batch| batch.bytes).as_deref(), Some(event));
+}
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -41,6 +41,10 @@
 /// request is not sent on a connection that the backend server is closing.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Size of the read buffer of a connection, in bytes, and so of the longest response head. A backend
+/// server in trouble may send bytes without end that are no response.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Idle timeout of connections to backend servers that state none.
 pub const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
@@ -137,7 +141,9 @@
         .with_interval(KEEPALIVE_IDLE)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    let (sender, connection) = http1::handshake(TokioIo::new(stream))
+    let (sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -238,7 +238,7 @@
         if exchange.is_stream() {
             return stream::respond(self, exchange);
         }
-        match exchange.read_body().await {
+        match exchange.read_body(&self.context.response_buffers).await {
             Ok((parts, bytes, in_flight)) => {
                 self.finish(ANSWERED, Some(&in_flight));
                 Response::from_parts(parts, body::full(bytes))
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -5,6 +5,7 @@
     crate::{
         gateway::{
             pool::{Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT},
+            response_buffers::{BufferError, ResponseBuffers},
             scheduler::InFlightRequest,
         },
         http::body,
@@ -25,10 +26,6 @@
     tokio::time::timeout,
 };
 
-/// Maximum size of a buffered response in bytes. Responses that are not streams are buffered, so
-/// that a request whose response breaks off can be sent to another backend server.
-const MAX_BUFFERED_BYTES: usize = 8 * 1024 * 1024;
-
 /// An exchange whose response headers have been received.
 pub struct Exchange {
     /// Status and headers of the response as they are returned to the caller.
@@ -165,8 +162,11 @@
     }
 
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
-    pub async fn read_body(mut self) -> Result<(Parts, Bytes, InFlightRequest), ()> {
-        let reading = body::read(&mut self.body, MAX_BUFFERED_BYTES);
+    pub async fn read_body(
+        mut self,
+        buffers: &ResponseBuffers,
+    ) -> Result<(Parts, Bytes, InFlightRequest), ()> {
+        let reading = buffers.read(&mut self.body);
         match timeout(self.time_left, reading).await {
             Ok(Ok(bytes)) => {
                 let parts = self.parts.clone();
@@ -175,9 +175,12 @@
             Ok(Err(error)) => {
                 log::info!(
                     backend_server = self.in_flight.id();
-                    "cannot read the response body: {error:?}"
+                    "cannot read the response body: {error}"
                 );
-                self.record_failure();
+                // A full buffer may be due to other backend servers.
+                if !matches!(error, BufferError::Full) {
+                    self.record_failure();
+                }
                 Err(())
             }
             Err(_) => {
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -16,7 +16,7 @@
         routing_config::RepeatPolicy,
         sse::{Batch, Splitter},
     },
-    tokio::time::timeout,
+    tokio::time::{Instant, timeout},
 };
 
 /// Time without an event after which a resumable stream is resumed at another backend server. About
@@ -33,6 +33,7 @@
         job,
         exchange: Some(exchange),
         splitter: Splitter::new(),
+        waiting_since: Instant::now(),
     };
     let events = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
@@ -46,6 +47,8 @@
     /// `None` after the end of the stream.
     exchange: Option<Exchange>,
     splitter: Splitter,
+    /// When the last event was passed on, or when the backend server began to respond.
+    waiting_since: Instant,
 }
 
 /// Result of one read from the backend server's stream.
@@ -61,11 +64,15 @@
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             match self.read().await? {
-                ReadResult::Bytes(bytes) => {
-                    if let Some(batch) = self.splitter.push(&bytes) {
-                        return Some(Ok(self.forward(batch)));
+                ReadResult::Bytes(bytes) => match self.splitter.push(&bytes) {
+                    Ok(Some(batch)) => return Some(Ok(self.forward(batch))),
+                    Ok(None) => {}
+                    Err(error) => {
+                        if let Some(failed) = self.resume(&error.to_string()).await {
+                            return Some(failed);
+                        }
                     }
-                }
+                },
                 ReadResult::End if self.splitter.is_inside_event() => {
                     if let Some(failed) = self.resume("the last event is incomplete").await {
                         return Some(failed);
@@ -96,22 +103,23 @@
         Some(result)
     }
 
-    /// Timeout for the next read.
+    /// Timeout for the next read. It is counted from the last event and not from the last bytes: a
+    /// stalled backend server may send a byte of an event now and then.
     fn read_timeout(&self) -> Duration {
         let left = self.job.time_left();
         let route = &self.job.request.route;
-        match (route.repeat_policy, self.job.events) {
-            (RepeatPolicy::ResumableStream, 0) => {
-                left.min(FIRST_EVENT_TIMEOUT + route.objective * 2)
-            }
-            (RepeatPolicy::ResumableStream, _) => left.min(EVENT_TIMEOUT),
-            _ => left,
-        }
+        let max_wait = match (route.repeat_policy, self.job.events) {
+            (RepeatPolicy::ResumableStream, 0) => FIRST_EVENT_TIMEOUT + route.objective * 2,
+            (RepeatPolicy::ResumableStream, _) => EVENT_TIMEOUT,
+            _ => return left,
+        };
+        left.min(max_wait.saturating_sub(self.waiting_since.elapsed()))
     }
 
     fn forward(&mut self, batch: Batch) -> Bytes {
         self.job.last_event = batch.last_id.or(self.job.last_event);
         self.job.events += batch.count;
+        self.waiting_since = Instant::now();
         if let Some(exchange) = &mut self.exchange {
             let is_first = exchange.in_flight.time_to_first_event().is_none();
             exchange.in_flight.record_first_event();
@@ -147,6 +155,7 @@
         match self.job.send_until_response().await {
             Ok(exchange) if exchange.is_stream() => {
                 self.exchange = Some(exchange);
+                self.waiting_since = Instant::now();
                 None
             }
             Ok(_) | Err(_) => Some(self.abort()),
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -3,7 +3,7 @@
 use {
     crate::host::{Body, Host, json, whole},
     bytes::Bytes,
-    futures_util::stream,
+    futures_util::{Stream, stream},
     http_body_util::{BodyExt as _, StreamBody},
     hyper::{Request, Response, StatusCode, body::Frame, body::Incoming},
     serde_json::json as value,
@@ -19,6 +19,9 @@
     tokio::time::sleep,
 };
 
+/// Pause between two bytes of a server that trickles.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
+
 /// How the server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -39,6 +42,10 @@
     Fails,
     /// Takes them and never answers.
     Silent,
+    /// Runs them and answers with a body without end, or a stream with an event without end.
+    Endless,
+    /// Runs them and stalls in the second event of a stream, of which it sends a byte now and then.
+    Trickles,
 }
 
 /// A request that the server ran.
@@ -251,6 +258,16 @@
     }
 
     fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
+        let odd = match behaviour {
+            Behaviour::Endless => Some(StreamBody::new(endless_bytes()).boxed_unsync()),
+            Behaviour::Trickles => Some(StreamBody::new(trickle()).boxed_unsync()),
+            _ => None,
+        };
+        if let Some(body) = odd {
+            let mut response = Response::new(body);
+            put(&mut response, "content-type", "text/event-stream");
+            return response;
+        }
         let count = *lock(&self.events);
         let latency = *lock(&self.latency);
         let events = stream::unfold((after + 1, work), move |(id, work)| async move {
@@ -273,9 +290,29 @@
     }
 }
 
+/// Bytes of no meaning, until the caller closes.
+fn endless_bytes() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
+    stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
+}
+
+/// The beginning of a second event, a byte at a time.
+fn trickle() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
+    let head = Bytes::from_static(b"id: 1\ndata: token 1\n\nid: 2\ndata: ");
+    stream::unfold(Some(head), |head| async move {
+        if let Some(head) = head {
+            return Some((Ok(Frame::data(head)), None));
+        }
+        sleep(TRICKLE_PAUSE).await;
+        Some((Ok(Frame::data(Bytes::from_static(b"x"))), None))
+    })
+}
+
 /// The answer of the server `id` to a request with a body of `size` bytes.
 fn answer_whole(id: &str, size: usize, behaviour: Behaviour) -> Response<Body> {
     let text = format!("{id} got {size} bytes");
+    if behaviour == Behaviour::Endless {
+        return Response::new(StreamBody::new(endless_bytes()).boxed_unsync());
+    }
     if behaviour != Behaviour::BreaksOff {
         return whole(StatusCode::OK, text.into());
     }
--- a/testbed/src/process/usage.rs
+++ b/testbed/src/process/usage.rs
@@ -15,6 +15,8 @@
     pub processor: Duration,
     /// Memory resident now, in bytes.
     pub memory_bytes: u64,
+    /// Most memory that was ever resident, in bytes.
+    pub peak_memory_bytes: u64,
 }
 
 impl Usage {
@@ -28,7 +30,8 @@
         let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
         Ok(Self {
             processor: processor_time(&stat).ok_or(io::ErrorKind::InvalidData)?,
-            memory_bytes: memory_bytes(&status).ok_or(io::ErrorKind::InvalidData)?,
+            memory_bytes: bytes(&status, "VmRSS:").ok_or(io::ErrorKind::InvalidData)?,
+            peak_memory_bytes: bytes(&status, "VmHWM:").ok_or(io::ErrorKind::InvalidData)?,
         })
     }
 }
@@ -44,10 +47,9 @@
     ))
 }
 
-fn memory_bytes(status: &str) -> Option<u64> {
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmRSS:"))?;
+/// The amount of memory that `/proc/PID/status` tells under a name.
+fn bytes(status: &str, name: &str) -> Option<u64> {
+    let line = status.lines().find_map(|line| line.strip_prefix(name))?;
     let kibibytes: u64 = line.split_whitespace().next()?.parse().ok()?;
     Some(kibibytes * 1_024)
 }
