Store that comes back from an older copy: revisions are identified by era and number

Cause: proofs of freshness, watches and leases named a revision or identifier by its number alone, and numbers are given out again after a restoration (Store-Era).

Change: core::revision holds era and number and when a new era was first seen; a response of an ended era is dropped; a check, watch or lease of another era counts as lost, and everything is read again. The configuration's version does not go back; for 2.2 s after a restoration, in which operator and servers write again, checks prove nothing, and proofs from before it stay valid until they age out (a later write binds only from its own acknowledgement on). core::server_table ignores registrations that are older than a server's known departure, by their sequence numbers.

World::end_all of the soak waits for gateways that were told to end and starts them again: it healed once, and a gateway that was still ending, or had not yet logged that it would, was never started again. That was the cause of the known red "a gateway is not ready again".

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -11,10 +11,15 @@
 pub mod pool;
 pub mod refusal;
 pub mod relay;
+pub mod response_buffers;
 pub mod scheduler;
+pub mod summary_broadcast;
 
 use {
-    self::{context::Context, follower::Follower, pool::ConnectionPool, scheduler::Scheduler},
+    self::{
+        context::Context, follower::Follower, pool::ConnectionPool,
+        response_buffers::ResponseBuffers, scheduler::Scheduler,
+    },
     crate::{
         admin,
         clock::{self, Clock},
@@ -80,6 +85,7 @@
         store,
         scheduler,
         pool: Arc::new(ConnectionPool::new()),
+        response_buffers: ResponseBuffers::new(settings.max_memory_bytes),
         summary_broadcast: Arc::default(),
         known_peers: Arc::default(),
         introductions: introductions_sender,
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -3,9 +3,10 @@
 use {
     super::{
         follower::{Snapshot, StoreHandle},
-        peers::SummaryBroadcast,
         pool::ConnectionPool,
+        response_buffers::ResponseBuffers,
         scheduler::Scheduler,
+        summary_broadcast::SummaryBroadcast,
     },
     crate::{clock::Clock, metrics::Metrics},
     gotham::state::StateData,
@@ -15,7 +16,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tamarackdale_core::peer_table::PeerTable,
+    tamarackdale_core::{cell::Layout, peer_table::PeerTable},
     tamarackdale_platform::Settings,
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -36,6 +37,8 @@
     pub scheduler: Arc<Scheduler>,
     /// Connections to backend servers.
     pub pool: Arc<ConnectionPool>,
+    /// Memory for responses that are buffered until they are complete.
+    pub response_buffers: ResponseBuffers,
     /// Broadcasts this gateway's summaries to its peers.
     pub summary_broadcast: Arc<SummaryBroadcast>,
     /// Known peers and whether they are connected.
@@ -62,6 +65,12 @@
         known_peers.unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// How the connected gateways form cells.
+    pub fn layout(&self) -> Layout {
+        let settings = self.settings.borrow();
+        self.known_peers().layout(&settings.data_centre)
+    }
+
     /// Idle timeout of callers' connections.
     pub fn idle_timeout(&self) -> Duration {
         let limits = self.snapshot().map(|snapshot| snapshot.value.limits());
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -16,7 +16,11 @@
         sync::Arc,
         time::{Duration, Instant},
     },
-    tamarackdale_core::{freshness::BootTime, retry::Backoff},
+    tamarackdale_core::{
+        cached_config::{Outcome, Reading},
+        freshness::BootTime,
+        retry::Backoff,
+    },
     tamarackdale_platform::{
         Settings, configuration,
         settings::Bounds,
@@ -30,6 +34,10 @@
 /// decoding.
 const CHECK_INTERVAL_FRACTION: f64 = 0.7;
 
+/// Interval between two checks of the configuration soon after the store was restored from an older
+/// copy, when the operator writes again what was lost.
+const UNSETTLED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Backoff after consecutive failed calls. It starts short, for a single lost response, and is at
 /// most half of the time in which backend servers register again after an outage of the store.
 const RETRY_BACKOFF: Backoff = Backoff::new(Duration::from_millis(300), Duration::from_secs(1));
@@ -43,7 +51,7 @@
 /// checking a request's API key and its arrival at the backend server.
 const STALENESS_RESERVE: Duration = Duration::from_millis(400);
 
-/// Time after an outage of the store within which running backend servers whose registration lapsed
+/// Time after an outage or a restoration of the store within which running backend servers whose registration lapsed
 /// register again. The platform states about two seconds.
 const RECOVERY_TIME: Duration = Duration::from_millis(2_200);
 
@@ -75,7 +83,8 @@
         boot: u64,
     ) -> Self {
         let (last_store_error, _) = watch::channel(None);
-        let store = StoreClient::new(&settings.borrow().store, WATCH_WAIT);
+        let endpoint = settings.borrow().store.clone();
+        let store = StoreClient::new(&endpoint, WATCH_WAIT, clock::boottime_now);
         Self {
             store,
             settings,
@@ -134,19 +143,7 @@
         loop {
             let sent = clock::boottime_now();
             let known = self.channels.configuration.borrow().clone();
-            let result = match &known {
-                None => self.store.get(configuration::KEY).await.map(Some),
-                Some(known) => match self
-                    .store
-                    .check_revision(configuration::KEY, known.revision)
-                    .await
-                {
-                    Ok(RevisionCheck::Unchanged) => Ok(None),
-                    Ok(RevisionCheck::Changed(Some(entry))) => Ok(Some(entry)),
-                    Ok(RevisionCheck::Changed(None)) => Err(Error::NoKey),
-                    Err(error) => Err(error),
-                },
-            };
+            let result = self.read_configuration(known.as_deref()).await;
             let has_failed = result.is_err();
             match (result, known) {
                 (Ok(Some(entry)), known) => {
@@ -163,40 +160,83 @@
             }
             failures = 0;
             self.record_store_success();
-            sleep(self.check_interval()).await;
+            let interval = match self.store.eras().is_settled(sent) {
+                true => self.check_interval(),
+                false => UNSETTLED_CHECK_INTERVAL.min(self.check_interval()),
+            };
+            sleep(interval).await;
         }
     }
 
-    fn apply_configuration(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) {
-        if known.is_some_and(|known| !known.is_older_than(entry.revision)) {
-            log::warn!(revision = entry.revision; "ignoring an older configuration");
-            return;
+    /// Returns the configuration's entry if it is not at the known revision.
+    async fn read_configuration(&self, known: Option<&Snapshot>) -> Result<Option<Entry>, Error> {
+        let Some(known) = known else {
+            return self.store.get(configuration::KEY).await.map(Some);
+        };
+        let check = self
+            .store
+            .check_revision(configuration::KEY, known.revision);
+        match check.await {
+            Ok(RevisionCheck::Unchanged) => Ok(None),
+            Ok(RevisionCheck::Changed(Some(entry))) => Ok(Some(entry)),
+            Ok(RevisionCheck::Changed(None)) => Err(Error::NoKey),
+            Err(Error::Restored) => self.store.get(configuration::KEY).await.map(Some),
+            Err(error) => Err(error),
         }
+    }
+
+    fn apply_configuration(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) {
+        let revision = entry.revision;
         let routing_config = match configuration::decode(&entry.value) {
             Ok(routing_config) => routing_config,
             Err(error) => {
-                log::error!(revision = entry.revision; "configuration rejected: {error}");
+                log::error!(revision:% = revision; "configuration rejected: {error}");
                 return;
             }
         };
-        log::info!(
-            version = routing_config.version(),
-            revision = entry.revision,
-            routes = routing_config.route_count(),
-            organisations = routing_config.organisations().len();
-            "configuration applied"
-        );
-        let snapshot = Snapshot::new(
-            routing_config,
-            entry.revision,
+        let version = routing_config.version();
+        let routes = routing_config.route_count();
+        let organisations = routing_config.organisations().len();
+        let reading = Reading {
+            value: routing_config,
+            version,
+            revision,
             sent,
-            self.max_confirmation_age(),
-        );
+            is_settled: self.store.eras().is_settled(sent),
+        };
+        let max_age = self.max_confirmation_age();
+        let (snapshot, outcome) = match known {
+            Some(known) => known.updated(reading, max_age),
+            None => (Snapshot::new(reading, max_age), Outcome::Applied),
+        };
+        match outcome {
+            Outcome::Applied => log::info!(
+                version,
+                revision:% = revision,
+                routes,
+                organisations;
+                "configuration applied"
+            ),
+            Outcome::Kept => log::warn!(
+                version = snapshot.version,
+                version_in_store = version,
+                revision:% = revision;
+                "configuration kept: the store was restored and shows no newer one"
+            ),
+            Outcome::Outdated => {
+                log::warn!(version, revision:% = revision; "ignoring an older configuration");
+            }
+        }
         self.publish_snapshot(snapshot);
     }
 
+    /// Records that the known configuration was unchanged when the check was sent. Until the store
+    /// has settled after a restoration, this proves nothing.
     fn confirm_configuration(&self, known: &Snapshot, sent: BootTime) {
-        self.publish_snapshot(known.confirmed(known.revision, sent, self.max_confirmation_age()));
+        if self.store.eras().is_settled(sent) {
+            let max_age = self.max_confirmation_age();
+            self.publish_snapshot(known.confirmed(known.revision, sent, max_age));
+        }
     }
 
     fn publish_snapshot(&self, snapshot: Snapshot) {
@@ -205,7 +245,7 @@
     }
 
     fn record_store_error(&self, what: &str, error: &Error) {
-        if matches!(error, Error::Compacted | Error::NoKey) {
+        if matches!(error, Error::Compacted | Error::NoKey | Error::Restored) {
             log::info!(what; "{error}");
             return;
         }
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -3,7 +3,7 @@
 use {
     super::{Follower, LEASE},
     std::{net::SocketAddr, sync::Arc, time::Duration},
-    tamarackdale_platform::store::Error,
+    tamarackdale_platform::store::{Error, Lease},
     tokio::time::sleep,
 };
 
@@ -44,7 +44,7 @@
     /// Registers this gateway under a new lease, then reads the other registrations. As each
     /// gateway reads after it has written, at least one of two that register concurrently sees the
     /// other.
-    async fn register(&self) -> Result<u64, Error> {
+    async fn register(&self) -> Result<Lease, Error> {
         let own = self.settings.borrow().peers;
         let lease = self.store.grant_lease(LEASE).await?;
         let key = format!("{GATEWAYS}{own}");
@@ -58,7 +58,7 @@
     /// Renews the lease of the registration. The other registrations are read again only while a
     /// known gateway is unreachable, to tell whether it is still registered. New gateways introduce
     /// themselves.
-    async fn renew_registration(&self, lease: u64) -> Result<(), Error> {
+    async fn renew_registration(&self, lease: Lease) -> Result<(), Error> {
         self.store.renew_lease(lease).await?;
         if *self.channels.has_unreachable_peers.borrow() {
             self.read_gateways().await?;
--- a/daemon/src/gateway/follower/quota_use.rs
+++ b/daemon/src/gateway/follower/quota_use.rs
@@ -3,7 +3,7 @@
 use {
     super::{Follower, LEASE},
     std::time::Duration,
-    tamarackdale_platform::store::{Entry, Error},
+    tamarackdale_platform::store::{Entry, Error, Lease},
     tamarackdale_wire::{codec, summary::SavedQuotaUse},
     tokio::time::sleep,
 };
@@ -49,8 +49,8 @@
     async fn save_quota_use(
         &self,
         quota_use: &SavedQuotaUse,
-        lease: Option<u64>,
-    ) -> Result<u64, Error> {
+        lease: Option<Lease>,
+    ) -> Result<Lease, Error> {
         let lease = match lease {
             Some(lease) => {
                 self.store.renew_lease(lease).await?;
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -2,8 +2,17 @@
 
 use {
     super::{Follower, RECOVERY_TIME, WATCH_WAIT},
-    std::{sync::Arc, time::Duration},
-    tamarackdale_core::fleet::{Member, Members},
+    crate::clock::Clock,
+    std::{
+        collections::HashSet,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+    tamarackdale_core::{
+        fleet::Member,
+        revision::Revision,
+        server_table::{Outcome, ServerTable},
+    },
     tamarackdale_platform::{
         registration,
         store::{Change, Entry, Error},
@@ -14,6 +23,8 @@
 impl Follower {
     /// Reads the registrations and watches them. Reads them again when the watch fails.
     pub(super) async fn follow_servers(&self) {
+        let clock = Clock::new();
+        let mut table = ServerTable::new();
         let mut failures = 0;
         loop {
             let range = match self.store.range(registration::PREFIX).await {
@@ -25,31 +36,27 @@
                     continue;
                 }
             };
-            let mut members = Members::new();
-            let known = self.channels.members.borrow().clone();
+            let era = range.revision.era;
+            let ids = range.entries.iter();
+            let present: HashSet<&str> = ids
+                .filter_map(|entry| registration::id(&entry.key))
+                .collect();
+            // Soon after an outage or a restoration of the store, a missing backend server may have
+            // lost its registration only because of that. It is kept until it has had the time to
+            // register again.
+            for member in table.retain(&present, self.is_recovering(), era, clock.now()) {
+                log_removal(&member);
+            }
             for entry in &range.entries {
-                register(&mut members, entry, &known);
+                register(&mut table, entry, &clock);
             }
-            self.replace_members(members);
+            self.publish(&table);
             failures = 0;
-            self.watch_servers(range.revision).await;
+            self.watch_servers(&mut table, range.revision, &clock).await;
         }
     }
 
-    /// Replaces the known backend servers by those that were just read. Soon after an outage of the
-    /// store, missing backend servers may have lost their registration only because of the outage,
-    /// so they are kept until they have had the time to register again.
-    fn replace_members(&self, mut members: Members) {
-        if self.is_recovering() {
-            let known = self.channels.members.borrow().clone();
-            for (id, member) in known.iter().filter(|(_, member)| !member.is_leaving) {
-                members.entry(id.clone()).or_insert_with(|| member.clone());
-            }
-        }
-        self.publish(members);
-    }
-
-    async fn watch_servers(&self, mut revision: u64) {
+    async fn watch_servers(&self, table: &mut ServerTable, mut revision: Revision, clock: &Clock) {
         let mut must_read_again = self.is_recovering();
         loop {
             let wait = self.recovery_time_left().unwrap_or(WATCH_WAIT);
@@ -57,7 +64,9 @@
                 Ok(changes) => changes,
                 Err(error) => {
                     self.record_store_error("backend servers", &error);
-                    if !matches!(error, Error::Compacted) {
+                    if matches!(error, Error::Restored) {
+                        self.record_restoration();
+                    } else if !matches!(error, Error::Compacted) {
                         self.pause_after(1).await;
                     }
                     return;
@@ -65,7 +74,15 @@
             };
             revision = changes.revision.max(revision);
             if !changes.changes.is_empty() {
-                self.apply_changes(&changes.changes);
+                for change in &changes.changes {
+                    match change {
+                        Change::Put(entry) => register(table, entry, clock),
+                        Change::Removed { key, revision } => {
+                            self.remove(table, key, revision.era, clock);
+                        }
+                    }
+                }
+                self.publish(table);
                 sleep(self.watch_pause()).await;
             }
             let is_recovering = self.is_recovering();
@@ -76,8 +93,8 @@
         }
     }
 
-    /// Time left, after an outage of the store, in which a missing backend server may register
-    /// again. `None` if the last failed call is long enough ago.
+    /// Time left, after an outage or a restoration of the store, in which a missing backend server
+    /// may register again. `None` if the last failed call is long enough ago.
     fn recovery_time_left(&self) -> Option<Duration> {
         let since = self.last_store_error.borrow().map(|at| at.elapsed())?;
         let left = RECOVERY_TIME.saturating_sub(since);
@@ -88,25 +105,21 @@
         self.recovery_time_left().is_some()
     }
 
-    fn apply_changes(&self, changes: &[Change]) {
-        let known = self.channels.members.borrow().clone();
-        let mut members = Members::clone(&known);
-        for change in changes {
-            match change {
-                Change::Put(entry) => register(&mut members, entry, &known),
-                Change::Removed { key, .. } => self.remove(&mut members, key),
-            }
-        }
-        self.publish(members);
+    /// Treats a restoration of the store like an outage that ends now.
+    fn record_restoration(&self) {
+        self.last_store_error.send_replace(Some(Instant::now()));
     }
 
     /// Removes a backend server whose registration ended. Soon after an outage of the store, which
     /// may be the reason, it is kept until the registrations are read again, unless it was leaving.
-    fn remove(&self, members: &mut Members, key: &str) {
+    fn remove(&self, table: &mut ServerTable, key: &str, era: u64, clock: &Clock) {
         let Some(id) = registration::id(key) else {
             return;
         };
-        let is_leaving = members.get(id).is_some_and(|member| member.is_leaving);
+        let is_leaving = table
+            .members()
+            .get(id)
+            .is_some_and(|member| member.is_leaving);
         if self.is_recovering() && !is_leaving {
             log::info!(
                 backend_server = id;
@@ -114,40 +127,55 @@
             );
             return;
         }
-        if let Some(member) = members.remove(id) {
-            log::info!(
-                backend_server = id,
-                service = member.service.as_str();
-                "backend server removed"
-            );
+        if let Some(member) = table.remove(id, era, clock.now()) {
+            log_removal(&member);
         }
     }
 
-    fn publish(&self, members: Members) {
-        if *self.channels.members.borrow().as_ref() != members {
-            self.channels.members.send_replace(Arc::new(members));
+    fn publish(&self, table: &ServerTable) {
+        if *self.channels.members.borrow().as_ref() != *table.members() {
+            self.channels
+                .members
+                .send_replace(Arc::new(table.members().clone()));
         }
     }
 }
 
-fn register(members: &mut Members, entry: &Entry, known: &Members) {
-    match registration::decode(&entry.key, &entry.value) {
-        Ok(member) => {
-            log_registration(known.get(&member.id), &member);
-            members.insert(member.id.clone(), member);
-        }
+fn register(table: &mut ServerTable, entry: &Entry, clock: &Clock) {
+    let era = entry.revision.era;
+    let registration = match registration::decode(&entry.key, &entry.value) {
+        Ok(registration) => registration,
         Err(error) => {
             log::warn!(
                 key = entry.key.as_str();
                 "skipping an invalid backend server registration: {error}"
             );
             if let Some(id) = registration::id(&entry.key) {
-                members.remove(id);
+                table.remove(id, era, clock.now());
             }
+            return;
         }
+    };
+    let member = registration.member.clone();
+    let known = table.members().get(&member.id).cloned();
+    match table.register(registration, era, clock.now()) {
+        Outcome::Applied => log_registration(known.as_ref(), &member),
+        Outcome::Outdated => log::info!(
+            backend_server = member.id.as_str(),
+            era;
+            "registration ignored: it is older than the server's departure"
+        ),
     }
 }
 
+fn log_removal(member: &Member) {
+    log::info!(
+        backend_server = member.id.as_str(),
+        service = member.service.as_str();
+        "backend server removed"
+    );
+}
+
 fn log_registration(known: Option<&Member>, member: &Member) {
     let is_same = known.is_some_and(|known| {
         known.is_leaving == member.is_leaving && known.started_at_ms == member.started_at_ms
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -112,6 +112,22 @@
         .await
     }
 
+    /// Posts a body and reads the whole response, whatever its status.
+    pub async fn post_response(
+        &self,
+        path: &str,
+        body: impl Into<Bytes>,
+    ) -> Result<Response<Bytes>, Error> {
+        let request = self.post_request(path, body.into())?;
+        self.with_call_timeout(self.exchange(request)).await
+    }
+
+    /// Sends a `GET` to a path below the endpoint and reads the whole response, whatever its status.
+    pub async fn get_response(&self, path: &str) -> Result<Response<Bytes>, Error> {
+        let request = self.get_request(path)?;
+        self.with_call_timeout(self.exchange(request)).await
+    }
+
     /// Posts a body and returns the response body as a stream. The timeout covers the response head
     /// only.
     pub async fn open(&self, path: &str, body: impl Into<Bytes>) -> Result<Incoming, Error> {
@@ -129,9 +145,7 @@
 
     /// Sends a `GET` to a path below the endpoint.
     pub async fn fetch(&self, path: &str) -> Result<Bytes, Error> {
-        let request = Request::get(format!("{}{path}", self.endpoint))
-            .body(Full::default())
-            .map_err(|error| Error::Connect(error.to_string()))?;
+        let request = self.get_request(path)?;
         self.with_call_timeout(async { read_body(self.send(request).await?.into_body()).await })
             .await
     }
@@ -170,6 +184,12 @@
         .await
     }
 
+    fn get_request(&self, path: &str) -> Result<Request<Full<Bytes>>, Error> {
+        Request::get(format!("{}{path}", self.endpoint))
+            .body(Full::default())
+            .map_err(|error| Error::Connect(error.to_string()))
+    }
+
     fn post_request(&self, path: &str, body: Bytes) -> Result<Request<Full<Bytes>>, Error> {
         Request::post(format!("{}{path}", self.endpoint))
             .header(CONTENT_TYPE, self.content_type)
@@ -177,15 +197,24 @@
             .map_err(|error| Error::Connect(error.to_string()))
     }
 
-    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
+        let (parts, body) = self.request(request).await?.into_parts();
+        Ok(Response::from_parts(parts, read_body(body).await?))
+    }
+
+    async fn request(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let pool = self.lock_pool().clone();
-        let response = pool.request(request).await.map_err(|error| {
+        pool.request(request).await.map_err(|error| {
             let text = format_with_causes(&error);
             match error.is_connect() {
                 true => Error::Connect(text),
                 false => Error::Lost(text),
             }
-        })?;
+        })
+    }
+
+    async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
+        let response = self.request(request).await?;
         if response.status().is_success() {
             return Ok(response);
         }
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -235,6 +235,11 @@
         SocketAddr::new(self.address.into(), CALLERS_PORT)
     }
 
+    /// Where other gateways connect.
+    pub fn peers(&self) -> SocketAddr {
+        SocketAddr::new(self.address.into(), PEERS_PORT)
+    }
+
     /// Waits until the gateway says that it is ready, or that it is not.
     pub async fn wait_ready(&self, expected: bool) -> bool {
         let start = Instant::now();
--- a/testbed/src/platform/soak.rs
+++ b/testbed/src/platform/soak.rs
@@ -1,11 +1,12 @@
 //! Random faults on a site under load, and the promises checked from what callers and backend
 //! servers saw. Faults come in series and overlap.
 
+mod drill;
 mod load;
 mod world;
 
 use {
-    self::{load::Call, world::World},
+    self::{drill::Drill, load::Call, world::World},
     super::Server,
     crate::{http, process},
     derive_more::{Display, Error, From},
@@ -61,8 +62,10 @@
     let mut report = Report::default();
     let start = Instant::now();
     let mut next = start;
+    let mut drill = Drill::draw(seed, length);
     while start.elapsed() < length {
         world.end_due()?;
+        report.faults.extend(drill.step(&world, start.elapsed()));
         if Instant::now() >= next {
             report.faults.extend(world.begin(&mut random)?);
             next = Instant::now() + millis(&mut random, FAULT_PAUSE_MS);
@@ -70,7 +73,7 @@
         sleep(TICK).await;
     }
     let calls = load.await.unwrap_or_default();
-    world.end_all()?;
+    world.end_all().await?;
     check(&calls, world.servers(), &mut report);
     for gateway in world.gateways() {
         if !gateway.wait_ready(true).await {
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -16,6 +16,7 @@
 use {
     crate::host::Host,
     gateway::Gateway,
+    state::State,
     std::{io, net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -32,6 +33,9 @@
     Watch,
 }
 
+/// A copy of a store's state.
+pub struct Copy(State);
+
 /// A running store. It lives on threads of its own, which end with it, and can be used from
 /// blocking and asynchronous tests alike.
 pub struct Store {
@@ -87,6 +91,17 @@
         self.host.open();
     }
 
+    /// A copy of the present state.
+    pub fn copy(&self) -> Copy {
+        Copy(self.gateway.state().clone())
+    }
+
+    /// Comes back from an older copy: what was written since is gone, leases too, and revisions are
+    /// given out again. Watches that wait are not told.
+    pub fn restore(&self, copy: Copy) {
+        self.gateway.restore(copy.0);
+    }
+
     /// Delays every call by that much before it takes effect.
     pub fn set_delay(&self, delay: Duration) {
         self.gateway.faults().set_delay(delay);
--- a/testbed/src/store/gateway.rs
+++ b/testbed/src/store/gateway.rs
@@ -18,7 +18,7 @@
         collections::HashMap,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicU64, AtomicUsize, Ordering},
         },
         time::Instant,
     },
@@ -31,6 +31,8 @@
 #[derive(Default)]
 pub(super) struct Gateway {
     state: Mutex<State>,
+    /// Number of times that the state was replaced by an older copy.
+    era: AtomicU64,
     faults: Faults,
     counts: Mutex<HashMap<Call, u64>>,
     caps: Mutex<Option<(Bucket, Bucket)>>,
@@ -45,6 +47,20 @@
         state
     }
 
+    /// The present era of the store.
+    pub fn era(&self) -> u64 {
+        self.era.load(Ordering::SeqCst)
+    }
+
+    /// Replaces the state by an older copy and begins a new era.
+    pub fn restore(&self, copy: State) {
+        let mut state = lock(&self.state);
+        *state = copy;
+        self.era.fetch_add(1, Ordering::SeqCst);
+        drop(state);
+        self.notify();
+    }
+
     pub fn faults(&self) -> &Faults {
         &self.faults
     }
--- a/testbed/src/store/platform.rs
+++ b/testbed/src/store/platform.rs
@@ -10,7 +10,11 @@
     crate::host::{Body, json},
     base64::{Engine as _, engine::general_purpose::STANDARD},
     http_body_util::BodyExt as _,
-    hyper::{Request, Response, StatusCode, body::Incoming},
+    hyper::{
+        Request, Response, StatusCode,
+        body::Incoming,
+        header::{HeaderName, HeaderValue},
+    },
     percent_encoding::percent_decode_str,
     serde_json::{Value, json as value},
     std::{
@@ -21,6 +25,9 @@
     tokio::time::timeout,
 };
 
+/// Header that tells how many times the store came back from an older copy.
+const STORE_ERA: HeaderName = HeaderName::from_static("store-era");
+
 /// Whether a path belongs to this way of speaking.
 pub(super) fn speaks(path: &str) -> bool {
     path.starts_with("/kv-")
@@ -30,6 +37,17 @@
 pub(super) async fn answer(
     gateway: Arc<Gateway>,
     request: Request<Incoming>,
+) -> Option<Response<Body>> {
+    let mut answer = answer_in_era(Arc::clone(&gateway), request).await?;
+    answer
+        .headers_mut()
+        .insert(STORE_ERA, HeaderValue::from(gateway.era()));
+    Some(answer)
+}
+
+async fn answer_in_era(
+    gateway: Arc<Gateway>,
+    request: Request<Incoming>,
 ) -> Option<Response<Body>> {
     let path = request.uri().path().to_owned();
     let query = query(request.uri().query().unwrap_or_default());
@@ -103,6 +121,9 @@
     let deadline = Instant::now() + wait;
     loop {
         written.borrow_and_update();
+        if since > gateway.state().revision() {
+            return Some(json(StatusCode::GONE, &value!({})));
+        }
         let (events, at) = events(&gateway.state(), &prefix, since);
         let left = deadline.saturating_duration_since(Instant::now());
         let is_silent = gateway.faults().are_watches_silent();
--- a/testbed/src/store/state.rs
+++ b/testbed/src/store/state.rs
@@ -32,12 +32,14 @@
     pub at: Instant,
 }
 
+#[derive(Clone)]
 struct Lease {
     ttl: Duration,
     expires: Instant,
 }
 
 /// The store's content. Revisions begin at 1, which an empty store has.
+#[derive(Clone)]
 pub(super) struct State {
     revision: i64,
     records: BTreeMap<Vec<u8>, Record>,
