--- a/core/src/queue.rs
+++ b/core/src/queue.rs
@@ -125,7 +125,9 @@
             };
             evicted.push(victim);
         }
-        self.drain_rate.start(now);
+        if self.positions.is_empty() {
+            self.drain_rate.resume(now);
+        }
         self.insert(entry);
         Ok(evicted)
     }
--- a/core/src/queue/drain_rate.rs
+++ b/core/src/queue/drain_rate.rs
@@ -16,7 +16,7 @@
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(60);
 
 /// Exponentially weighted moving average of the tokens per second of the started entries. Time
-/// during which the queue is empty counts as well, except before the first entry.
+/// during which the queue is empty does not count.
 #[derive(Default)]
 pub(super) struct DrainRate {
     rate: Option<f64>,
@@ -25,9 +25,10 @@
 }
 
 impl DrainRate {
-    /// Starts the measurement when the first entry is added. Has no effect after that.
-    pub(super) fn start(&mut self, now: Timestamp) {
-        self.last.get_or_insert(now);
+    /// Starts the next sample when an entry is added to an empty queue.
+    pub(super) fn resume(&mut self, now: Timestamp) {
+        self.last = Some(now);
+        self.tokens = 0;
     }
 
     pub(super) fn record(&mut self, now: Timestamp, tokens: u64) {
--- a/core/tests/queue.rs
+++ b/core/tests/queue.rs
@@ -270,6 +270,36 @@
     );
 }
 
+/// A burst after a quiet time: the callers that it turns away must not be told to stay away for as
+/// long as the queue was idle.
+#[test]
+fn quiet_time_does_not_lengthen_the_retry_delay() {
+    let mut queue = queue(1_000);
+    let mut now = NOW;
+    for burst in 0..2 {
+        for sequence in 0..100 {
+            queue
+                .push(entry(burst * 100 + sequence, 1, "clerks"), now)
+                .expect("the queue has room");
+        }
+        for _ in 0..50 {
+            now = now.plus(Duration::from_millis(100));
+            queue.pop(now, rates());
+        }
+        if burst == 0 {
+            pop_all(&mut queue);
+            now = now.plus(Duration::from_secs(600));
+        }
+    }
+
+    let delay = queue.retry_after(Rank(1)).as_secs_f64();
+
+    assert!(
+        (4.0..=6.0).contains(&delay),
+        "50 entries at 10 per second: {delay} s"
+    );
+}
+
 #[test]
 fn raised_floor_sheds_and_refuses_less_urgent_ranks_until_lowered() {
     let mut queue = queue(10);
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -59,7 +59,8 @@
 /// noticed.
 const WATCH_WAIT: Duration = Duration::from_millis(3_000);
 
-/// Duration of the leases of this gateway's registration and of the saved quota use.
+/// Duration of the leases of this gateway's registration and of the saved quota use, unless the
+/// store grants only longer ones.
 const LEASE: Duration = Duration::from_secs(12);
 
 /// The task that follows the store.
@@ -106,6 +107,10 @@
         self.settings.borrow().bounds
     }
 
+    fn lease_duration(&self) -> Duration {
+        LEASE.max(self.settings.borrow().min_lease)
+    }
+
     fn check_interval(&self) -> Duration {
         self.bounds().convergence.mul_f64(CHECK_INTERVAL_FRACTION)
     }
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -1,7 +1,7 @@
 //! Registers this gateway in the store and reads the registrations of the other gateways.
 
 use {
-    super::{Follower, LEASE},
+    super::Follower,
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_platform::store::{Error, Lease},
     tokio::time::sleep,
@@ -46,7 +46,7 @@
     /// other.
     async fn register(&self) -> Result<Lease, Error> {
         let own = self.settings.borrow().peers;
-        let lease = self.store.grant_lease(LEASE).await?;
+        let lease = self.store.grant_lease(self.lease_duration()).await?;
         let key = format!("{GATEWAYS}{own}");
         self.store
             .put(&key, own.to_string().as_bytes(), lease)
--- a/daemon/src/gateway/follower/quota_use.rs
+++ b/daemon/src/gateway/follower/quota_use.rs
@@ -1,7 +1,7 @@
 //! Saves quota use in the store, so that it survives a restart of all gateways.
 
 use {
-    super::{Follower, LEASE},
+    super::Follower,
     std::time::Duration,
     tamarackdale_platform::store::{Entry, Error, Lease},
     tamarackdale_wire::{codec, summary::SavedQuotaUse},
@@ -56,7 +56,7 @@
                 self.store.renew_lease(lease).await?;
                 lease
             }
-            None => self.store.grant_lease(LEASE).await?,
+            None => self.store.grant_lease(self.lease_duration()).await?,
         };
         let bytes =
             codec::encode(quota_use).map_err(|error| Error::Malformed(error.to_string()))?;
--- a/store/src/kv/error.rs
+++ b/store/src/kv/error.rs
@@ -8,6 +8,10 @@
 /// HTTP status with which the store rejects calls over its rate limit before it executes them.
 const TOO_MANY_REQUESTS: u16 = 429;
 
+/// HTTP statuses with which the store, or a proxy before it, ends a call that timed out or was
+/// cancelled, and that it may have executed.
+const MAY_HAVE_EXECUTED: [u16; 2] = [408, 499];
+
 /// Why a call failed.
 #[derive(Clone, Debug, Display, StdError, PartialEq, Eq)]
 pub enum Error {
@@ -47,7 +51,9 @@
             http::Error::Status { status, body } if status == TOO_MANY_REQUESTS => {
                 Self::Unavailable(body)
             }
-            http::Error::Status { status, body } if (400..500).contains(&status) => {
+            http::Error::Status { status, body }
+                if (400..500).contains(&status) && !MAY_HAVE_EXECUTED.contains(&status) =>
+            {
                 Self::Rejected(body)
             }
             // The store may time out internally after it has proposed the write.
--- a/store/src/kv/message.rs
+++ b/store/src/kv/message.rs
@@ -253,6 +253,9 @@
 pub(super) struct WatchResponse {
     #[serde(default)]
     pub header: Header,
+    /// Whether this only confirms that the watch was opened.
+    #[serde(default)]
+    pub created: bool,
     #[serde(default)]
     pub canceled: bool,
     #[serde(default)]
--- a/store/src/kv/watch.rs
+++ b/store/src/kv/watch.rs
@@ -113,9 +113,13 @@
                 },
             });
         }
-        self.changes.push_back(Change::Progress {
-            revision: response.header.revision,
-        });
+        // The confirmation of a new watch has the store's current revision, but comes before the
+        // changes up to it.
+        if !response.created {
+            self.changes.push_back(Change::Progress {
+                revision: response.header.revision,
+            });
+        }
         Ok(())
     }
 }
--- a/store/tests/kv.rs
+++ b/store/tests/kv.rs
@@ -4,7 +4,10 @@
 use {
     rstest::rstest,
     std::time::{Duration, Instant},
-    tamarackdale_store::kv::{Change, Client, Creation, Error, Swap, Watch},
+    tamarackdale_store::{
+        http,
+        kv::{Change, Client, Creation, Error, Swap, Watch},
+    },
     tamarackdale_testbed::store::{Call, Outage, Store},
     tokio::time::timeout,
 };
@@ -249,6 +252,38 @@
     wait_for("the end of the watch", || store.open_watches() == 0).await;
 }
 
+#[tokio::test]
+async fn watch_from_a_past_revision_reports_no_progress_before_the_changes() {
+    let (_store, client) = store();
+    let first = create_key(&client, "documents/a", "1").await;
+    create_key(&client, "other", "2").await;
+
+    let mut watch = client
+        .watch("documents/", first)
+        .await
+        .expect("the watch opens");
+    let change = timeout(WAIT_LIMIT, watch.next())
+        .await
+        .expect("a change arrives within the limit")
+        .expect("the watch is open");
+
+    assert!(matches!(change, Change::Put(entry) if entry.revision == first));
+}
+
+#[rstest]
+#[case::bad_request(400, false)]
+#[case::timed_out(408, true)]
+#[case::rate_limit(429, false)]
+#[case::cancelled(499, true)]
+#[case::internal(500, true)]
+fn status_tells_whether_a_call_may_have_taken_effect(#[case] status: u16, #[case] expected: bool) {
+    let body = String::new();
+
+    let error = Error::from(http::Error::Status { status, body });
+
+    assert_eq!(error.may_have_taken_effect(), expected);
+}
+
 #[tokio::test]
 async fn stalled_watch_delivers_nothing_while_reads_succeed() {
     let (store, client) = store();
