Gateways of a large fleet form cells; requests with a shared prompt part meet

Cause of the bytes between data centres (87 MB/s, the largest price): each gateway sent the speeds of all backend servers to all peers every second, 17 KB to each.

A reservation is removed by the request that made it and not by the next one.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -12,8 +12,8 @@
 };
 
 use {
-    crate::time::Timestamp,
-    rand::{Rng, RngCore},
+    crate::{rendezvous, summary, time::Timestamp},
+    rand::{Rng, RngCore, seq::IteratorRandom as _},
     std::{
         collections::{BTreeMap, HashMap},
         net::SocketAddr,
@@ -70,10 +70,21 @@
     peers_total: Load,
     speed: Speed,
     health: Health,
+    /// Number of measurements of the speed by this router.
+    measurements: u64,
     /// When this router last received a complete response from it.
     last_response: Option<Timestamp>,
 }
 
+/// The part of a prompt that other requests share, and that an engine may have cached.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedPrefix {
+    /// Hash that identifies it.
+    pub hash: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
 /// Requirements of a request for which a backend server is chosen.
 #[derive(Clone, Copy, Debug)]
 pub struct Demand<'a> {
@@ -89,8 +100,14 @@
     pub max_wait: Duration,
     /// Time left until the response must be complete.
     pub time_left: Duration,
+    /// The part of the prompt that other requests share, if any.
+    pub prefix: Option<SharedPrefix>,
     /// Data centre of the router.
     pub data_centre: &'a str,
+    /// Maximum number of backend servers of other data centres that are considered, drawn at
+    /// random; `None` considers all. With a limit, they get only requests for which they have a
+    /// free slot: their load is known late, and many routers would otherwise choose the same ones.
+    pub max_remote: Option<usize>,
     /// The only backend server that may be chosen; `None` allows any.
     pub required_server: Option<&'a str>,
 }
@@ -177,10 +194,10 @@
             .any(|server| !server.member.is_leaving)
     }
 
-    /// The service of a registered backend server.
-    pub fn service_of(&self, id: &str) -> Option<&str> {
+    /// The registration of a backend server.
+    pub fn member(&self, id: &str) -> Option<&Member> {
         let server = self.servers.get(id)?;
-        Some(&server.member.service)
+        Some(&server.member)
     }
 
     /// Whether a backend server is registered and accepts new requests.
@@ -199,16 +216,24 @@
         random: &mut dyn RngCore,
     ) -> Result<Choice, Shortage> {
         let jitter = self.jitter(demand.service, now);
+        let considered = self.considered(demand, now, random);
+        let homes = homes(&considered, demand);
         let mut best: Option<((bool, f64), &Server, Estimate)> = None;
         let mut min_wait: Option<Duration> = None;
-        for server in self.candidates(demand, now) {
+        for server in considered {
             let estimate = server.estimate(demand, now);
             min_wait = Some(min_wait.map_or(estimate.wait, |known| known.min(estimate.wait)));
-            if estimate.wait > demand.max_wait {
+            let is_late_known = demand.max_remote.is_some() && server.is_remote(demand);
+            let max_wait = match is_late_known {
+                true => Duration::ZERO,
+                false => demand.max_wait,
+            };
+            if estimate.wait > max_wait {
                 continue;
             }
-            let cost =
-                server.cost(&estimate, demand, now) * (1.0 + jitter * random.random::<f64>());
+            let is_home = homes.contains(&server.member.id.as_str());
+            let cost = server.cost(&estimate, demand, is_home, now)
+                * (1.0 + jitter * random.random::<f64>());
             // A free slot is preferred to queueing at a faster engine, which adds no capacity.
             let rank = (!estimate.wait.is_zero(), cost);
             if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
@@ -232,6 +257,24 @@
         IDLE_JITTER + (FULL_JITTER - IDLE_JITTER) * utilisation.powi(4)
     }
 
+    /// The candidates of the router's own data centre, and as many of the others as the demand
+    /// allows.
+    fn considered(
+        &self,
+        demand: &Demand,
+        now: Timestamp,
+        random: &mut dyn RngCore,
+    ) -> Vec<&Server> {
+        let Some(max_remote) = demand.max_remote else {
+            return self.candidates(demand, now).collect();
+        };
+        let (remote, mut considered): (Vec<&Server>, Vec<&Server>) = self
+            .candidates(demand, now)
+            .partition(|server| server.is_remote(demand));
+        considered.extend(remote.into_iter().choose_multiple(random, max_remote));
+        considered
+    }
+
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
@@ -268,10 +311,13 @@
         (slots > 0).then(|| f64::from(used) / f64::from(slots))
     }
 
-    /// Records that this router sends a request to `id`, and removes one reservation.
+    /// Records that this router sends a request to `id`, and removes the request's reservation.
     pub fn record_start(&mut self, id: &str, request: RequestLoad) {
         if let Some(server) = self.servers.get_mut(id) {
-            server.reserved.pop();
+            let mut reserved = server.reserved.iter();
+            if let Some(index) = reserved.position(|(reserved, _)| *reserved == request) {
+                server.reserved.remove(index);
+            }
             server.own.add_request(request);
         }
     }
@@ -294,6 +340,7 @@
             {
                 let tokens = ahead.saturating_add(request.prompt_tokens);
                 server.speed.observe_first_token(tokens, elapsed);
+                server.measurements += 1;
             }
         }
     }
@@ -319,6 +366,7 @@
             server.last_response = Some(now);
             server.speed.observe_decode(tokens, decoding);
             server.speed.observe_occupancy(occupancy);
+            server.measurements += 1;
             server.health.record_success();
         }
     }
@@ -357,11 +405,14 @@
         }
     }
 
-    /// This router's own load at each backend server, and the measured speed.
-    pub fn own_state(&self) -> impl Iterator<Item = (&str, Load, &Speed)> {
-        self.servers
-            .iter()
-            .map(|(id, server)| (id.as_str(), server.own, &server.speed))
+    /// This router's own load at each backend server, and the measured speed. Sorted by identifier.
+    pub fn own_state(&self) -> impl Iterator<Item = summary::Entry> {
+        self.servers.iter().map(|(id, server)| summary::Entry {
+            id: id.clone(),
+            load: server.own,
+            speed: (server.measurements > 0).then_some(server.speed),
+            measurements: server.measurements,
+        })
     }
 }
 
@@ -375,10 +426,15 @@
             peers_total: Load::default(),
             speed: Speed::new(),
             health: Health::new(),
+            measurements: 0,
             last_response: None,
         }
     }
 
+    fn is_remote(&self, demand: &Demand) -> bool {
+        self.member.data_centre != demand.data_centre
+    }
+
     fn load(&self, now: Timestamp) -> Load {
         let mut total = self.own.plus(self.peers_total);
         let reserved = self.reserved.iter().filter(|(_, end)| *end > now);
@@ -417,14 +473,21 @@
 
     /// Predicted time in seconds, plus penalties for the risk of a lost or late request, for
     /// traffic between data centres and for a new connection.
-    fn cost(&self, estimate: &Estimate, demand: &Demand, now: Timestamp) -> f64 {
+    /// Less is better; `is_home` if the backend server is a home of the request's shared prefix.
+    fn cost(&self, estimate: &Estimate, demand: &Demand, is_home: bool, now: Timestamp) -> f64 {
         let risk = self.health.risk();
         let mut seconds = estimate.total.as_secs_f64() + risk * LOST_REQUEST_COST_S;
+        if let Some(prefix) = demand.prefix.filter(|_| !is_home) {
+            seconds += self.speed.prefill_time(prefix.tokens).as_secs_f64() * PREFILL_COST_FACTOR;
+        }
         let long = estimate.total.mul_f64(OUTPUT_LENGTH_FACTOR);
         let late = long.saturating_sub(demand.time_left);
         seconds += late.as_secs_f64() * LOST_REQUEST_COST_S;
-        if self.member.data_centre != demand.data_centre {
-            seconds += CROSS_DATA_CENTRE_COST_S;
+        if self.is_remote(demand) {
+            seconds += match demand.max_remote {
+                None => CROSS_DATA_CENTRE_COST_S,
+                Some(_) => CROSS_CELL_COST_S,
+            };
         }
         let has_connection = self
             .last_response
@@ -436,6 +499,34 @@
     }
 }
 
+/// Backend servers where requests with the same shared prefix are preferably run, so that it is
+/// cached there: the first ones in the order of rendezvous hashing, which all routers of a data
+/// centre compute alike.
+fn homes<'a>(considered: &[&'a Server], demand: &Demand) -> Vec<&'a str> {
+    let Some(prefix) = demand.prefix else {
+        return Vec::new();
+    };
+    let local = considered.iter().filter(|server| !server.is_remote(demand));
+    let ids = local.map(|server| server.member.id.as_str());
+    rendezvous::choose(
+        &prefix.hash.to_string(),
+        &ids.collect::<Vec<_>>(),
+        |id| id,
+        HOMES,
+    )
+    .into_iter()
+    .copied()
+    .collect()
+}
+
+/// Number of homes of a shared prefix. With a second one, requests still find the prefix cached
+/// while the first home is full or slow.
+const HOMES: usize = 2;
+
+/// Cost of prefilling a shared prefix away from its homes, in prefill times: the other requests of
+/// the engine wait for it too.
+const PREFILL_COST_FACTOR: f64 = 3.0;
+
 /// Factor by which a response may take longer than predicted: callers' estimates of the output
 /// length are often far off.
 const OUTPUT_LENGTH_FACTOR: f64 = 2.5;
@@ -450,3 +541,7 @@
 /// Cost of traffic between data centres, in seconds: a backend server in another data centre must
 /// be faster by this to be chosen.
 const CROSS_DATA_CENTRE_COST_S: f64 = 0.005;
+
+/// Cost of sending a request to the data centre of another cell, in seconds: in addition to the
+/// traffic, the predictions are less accurate, because the load there is known late.
+const CROSS_CELL_COST_S: f64 = 0.05;
--- a/core/src/fleet/speed.rs
+++ b/core/src/fleet/speed.rs
@@ -66,6 +66,11 @@
         millis(self.overhead() + self.prefill(tokens))
     }
 
+    /// Predicted time to prefill `tokens` prompt tokens.
+    pub fn prefill_time(&self, tokens: u32) -> Duration {
+        millis(self.prefill(tokens))
+    }
+
     fn overhead(&self) -> f64 {
         self.overhead_ms.unwrap_or(INITIAL_OVERHEAD_MS)
     }
--- a/core/src/peer_table.rs
+++ b/core/src/peer_table.rs
@@ -1,7 +1,7 @@
-//! Table of a router's peers and whether each of them is reachable.
+//! Table of a router's peers: their data centres, and whether each of them is reachable.
 
 use {
-    crate::time::Timestamp,
+    crate::{cell::Layout, time::Timestamp},
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
@@ -9,10 +9,18 @@
 /// window over which quotas are counted has passed since its last message.
 const UNREACHABLE_RETENTION: Duration = Duration::from_secs(10);
 
-/// Peers by address, each with the time since which it is unreachable, or `None` if reachable.
+#[derive(Debug)]
+struct Peer {
+    /// Since when it is unreachable, or `None` if it is reachable.
+    unreachable_since: Option<Timestamp>,
+    /// Its data centre, once it has been heard from.
+    data_centre: Option<String>,
+}
+
+/// Peers by address.
 #[derive(Debug, Default)]
 pub struct PeerTable {
-    peers: HashMap<SocketAddr, Option<Timestamp>>,
+    peers: HashMap<SocketAddr, Peer>,
 }
 
 impl PeerTable {
@@ -24,21 +32,29 @@
     /// Adds a peer, if it is not in the table, as unreachable; returns whether it was added.
     pub fn add(&mut self, address: SocketAddr, now: Timestamp) -> bool {
         let is_new = !self.peers.contains_key(&address);
-        self.peers.entry(address).or_insert(Some(now));
+        self.peers.entry(address).or_insert(Peer {
+            unreachable_since: Some(now),
+            data_centre: None,
+        });
         is_new
     }
 
     /// Records that messages arrive from a peer.
-    pub fn mark_reachable(&mut self, address: SocketAddr) {
-        self.peers.insert(address, None);
+    pub fn mark_reachable(&mut self, address: SocketAddr, data_centre: &str) {
+        let peer = Peer {
+            unreachable_since: None,
+            data_centre: Some(data_centre.to_owned()),
+        };
+        self.peers.insert(address, peer);
     }
 
     /// Records that messages no longer arrive from a peer.
     pub fn mark_unreachable(&mut self, address: SocketAddr, now: Timestamp) {
-        let unreachable_since = self.peers.entry(address).or_default();
-        if unreachable_since.is_none() {
-            *unreachable_since = Some(now);
-        }
+        let peer = self.peers.entry(address).or_insert(Peer {
+            unreachable_since: None,
+            data_centre: None,
+        });
+        peer.unreachable_since.get_or_insert(now);
     }
 
     /// Removes a peer that has been unreachable for too long and is not registered; returns whether
@@ -49,7 +65,8 @@
         is_registered: bool,
         now: Timestamp,
     ) -> bool {
-        let unreachable_since = self.peers.get(&address).copied().flatten();
+        let peer = self.peers.get(&address);
+        let unreachable_since = peer.and_then(|peer| peer.unreachable_since);
         let is_expired =
             unreachable_since.is_some_and(|since| now.since(since) > UNREACHABLE_RETENTION);
         if is_registered || !is_expired {
@@ -61,18 +78,33 @@
 
     /// Whether any peer in the table is unreachable.
     pub fn has_unreachable(&self) -> bool {
-        self.peers.values().any(Option::is_some)
+        let mut peers = self.peers.values();
+        peers.any(|peer| peer.unreachable_since.is_some())
     }
 
     /// Whether the address `own` of this router sorts before those of all reachable peers.
     pub fn is_lowest_address(&self, own: SocketAddr) -> bool {
-        let mut reachable = self.peers.iter().filter(|(_, since)| since.is_none());
-        reachable.all(|(address, _)| own < *address)
+        let mut peers = self.peers.iter();
+        peers.all(|(address, peer)| peer.unreachable_since.is_some() || own < *address)
     }
 
     /// Number of reachable routers and number of all routers in the table, both including this one.
     pub fn counts(&self) -> (usize, usize) {
-        let reachable = self.peers.values().filter(|since| since.is_none()).count();
-        (reachable + 1, self.peers.len() + 1)
+        (self.reachable().count() + 1, self.peers.len() + 1)
+    }
+
+    /// Reachable peers inside and outside the data centre of this router.
+    pub fn layout(&self, data_centre: &str) -> Layout {
+        let is_same = |peer: &&Peer| peer.data_centre.as_deref() == Some(data_centre);
+        let same_data_centre = self.reachable().filter(is_same).count();
+        Layout {
+            same_data_centre,
+            other_data_centres: self.reachable().count() - same_data_centre,
+        }
+    }
+
+    fn reachable(&self) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(|peer| peer.unreachable_since.is_none())
     }
 }
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -1,10 +1,13 @@
 //! State that routers exchange many times a second, if they send to backend servers directly.
 
-use crate::{
-    fleet::{Load, Speed},
-    quota::Usage,
-    tier::Rank,
-    wait_queue::Urgency,
+use {
+    crate::{
+        fleet::{Load, Speed},
+        quota::Usage,
+        tier::Rank,
+        wait_queue::Urgency,
+    },
+    std::collections::HashMap,
 };
 
 /// A router's work at one backend server.
@@ -16,12 +19,14 @@
     pub load: Load,
     /// Measured speed of the backend server, which is not part of every summary.
     pub speed: Option<Speed>,
+    /// Number of measurements that this router itself has made of the speed. Not sent to peers.
+    pub measurements: u64,
 }
 
 /// State of a router: all of it, or the changes since the last summary.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Summary {
-    /// Work at each backend server.
+    /// Work at each backend server, sorted by identifier.
     pub entries: Vec<Entry>,
     /// Usage of quotas.
     pub usages: Vec<Usage>,
@@ -32,3 +37,86 @@
     /// Most urgent rank that the router has shed recently, by service.
     pub floors: Vec<(String, Rank)>,
 }
+
+impl Summary {
+    fn entry(&self, id: &str) -> Option<&Entry> {
+        let index = self
+            .entries
+            .binary_search_by(|entry| entry.id.as_str().cmp(id));
+        self.entries.get(index.ok()?)
+    }
+
+    /// Whether there is nothing in it that a peer must hear of at once.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty() && self.usages.is_empty() && self.floors.is_empty()
+    }
+}
+
+/// Computes what has changed between the summaries sent to a group of peers.
+#[derive(Debug, Default)]
+pub struct ChangeTracker {
+    previous: Summary,
+    /// For each backend server, the number of measurements at which its speed was last sent.
+    sent_speeds: HashMap<String, u64>,
+}
+
+impl ChangeTracker {
+    /// Creates a tracker of a group that has received nothing.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Returns the changes since the last call, or `None` if there are none. With `with_speeds`,
+    /// they include the speeds of the backend servers that were measured since these were last
+    /// included.
+    pub fn changes(&mut self, current: Summary, with_speeds: bool) -> Option<Summary> {
+        let mut entries = Vec::new();
+        for entry in &current.entries {
+            let before = self.previous.entry(&entry.id);
+            let has_changed = before.is_none_or(|before| before.load != entry.load);
+            let sent = self.sent_speeds.get(&entry.id).copied().unwrap_or_default();
+            let speed = entry
+                .speed
+                .filter(|_| with_speeds && entry.measurements != sent);
+            if speed.is_some() {
+                self.sent_speeds
+                    .insert(entry.id.clone(), entry.measurements);
+            }
+            if has_changed || speed.is_some() {
+                entries.push(Entry {
+                    speed,
+                    ..entry.clone()
+                });
+            }
+        }
+        let before = |organisation: &str| {
+            let mut usages = self.previous.usages.iter();
+            usages.find(|usage| usage.organisation == organisation)
+        };
+        let usages = current.usages.iter();
+        let usages = usages.filter(|usage| before(&usage.organisation) != Some(*usage));
+        let changes = Summary {
+            entries,
+            usages: usages.cloned().collect(),
+            is_complete: current.is_complete,
+            waits: current.waits.clone(),
+            floors: current.floors.clone(),
+        };
+        let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
+        if with_speeds {
+            self.sent_speeds.retain(|id, _| current.entry(id).is_some());
+        }
+        self.previous = current;
+        (!is_unchanged).then_some(changes)
+    }
+
+    /// The current state without its parts: tells a peer only that this router is running.
+    pub fn heartbeat(&self) -> Summary {
+        Summary {
+            is_complete: self.previous.is_complete,
+            waits: self.previous.waits.clone(),
+            floors: self.previous.floors.clone(),
+            ..Summary::default()
+        }
+    }
+}
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -5,7 +5,8 @@
     std::{collections::HashMap, net::SocketAddr, time::Duration},
     tamarackdale_core::{
         fleet::{
-            Demand, Fleet, Load, Member, Members, RequestLoad, Shortage, Speed, health::Failure,
+            Demand, Fleet, Load, Member, Members, RequestLoad, SharedPrefix, Shortage, Speed,
+            health::Failure,
         },
         time::Timestamp,
     },
@@ -45,7 +46,9 @@
         excluded: &[],
         max_wait: Duration::from_millis(300),
         time_left: Duration::from_secs(15),
+        prefix: None,
         data_centre: "a",
+        max_remote: None,
         required_server: None,
     }
 }
@@ -274,3 +277,156 @@
 
     assert_eq!(chosen.get("used"), Some(&200));
 }
+
+/// A fleet of two data centres, `a` with the servers `a0` to `a3` and `b` with `b0` to `b39`.
+fn two_data_centres() -> Fleet {
+    let near = (0..4).map(|number| member(&format!("a{number}")));
+    let far = (0..40).map(|number| Member {
+        data_centre: "b".to_owned(),
+        ..member(&format!("b{number}"))
+    });
+    let members = near.chain(far);
+    let mut fleet = Fleet::new();
+    fleet.update_members(&members.map(|member| (member.id.clone(), member)).collect());
+    fleet
+}
+
+fn demand_with_cells<'a>() -> Demand<'a> {
+    Demand {
+        max_remote: Some(4),
+        ..demand(600, 50)
+    }
+}
+
+#[test]
+fn requests_stay_in_the_data_centre_while_it_has_free_slots() {
+    let mut fleet = two_data_centres();
+    (0..4).for_each(|number| {
+        fleet.merge_load(1, &format!("a{number}"), load(SLOTS / 2));
+    });
+
+    let chosen = choices(&fleet, &demand_with_cells());
+
+    assert!(chosen.keys().all(|id| id.starts_with('a')), "{chosen:?}");
+}
+
+/// Clients move to a data centre whose engines are full. Many routers know the same, old loads of
+/// the other data centres: they must not all choose the one server that had the least.
+#[test]
+fn requests_that_leave_a_full_data_centre_spread_over_the_others() {
+    let mut fleet = two_data_centres();
+    (0..4).for_each(|number| {
+        fleet.merge_load(1, &format!("a{number}"), load(SLOTS * 2));
+    });
+    (1..40).for_each(|number| {
+        fleet.merge_load(1, &format!("b{number}"), load(2));
+    });
+
+    let chosen = choices(&fleet, &demand_with_cells());
+
+    assert!(chosen.keys().all(|id| id.starts_with('b')), "{chosen:?}");
+    assert!(chosen.len() > 20, "{chosen:?}");
+    assert!(
+        chosen.get("b0").is_some_and(|count| *count < 50),
+        "{chosen:?}"
+    );
+}
+
+#[test]
+fn request_does_not_queue_at_a_full_server_of_another_data_centre() {
+    let mut fleet = two_data_centres();
+    (0..40).for_each(|number| {
+        fleet.merge_load(1, &format!("b{number}"), load(SLOTS));
+    });
+    (0..4).for_each(|number| {
+        fleet.merge_load(1, &format!("a{number}"), load(SLOTS));
+    });
+
+    let chosen = choices(&fleet, &demand_with_cells());
+
+    assert!(chosen.keys().all(|id| id.starts_with('a')), "{chosen:?}");
+}
+
+fn demand_with_prefix<'a>(hash: u64) -> Demand<'a> {
+    Demand {
+        prefix: Some(SharedPrefix {
+            hash,
+            tokens: 5_000,
+        }),
+        ..demand(6_000, 50)
+    }
+}
+
+/// A fleet of twenty servers.
+fn twenty_servers() -> Fleet {
+    let ids: Vec<String> = (0..20).map(|number| format!("s{number}")).collect();
+    fleet(&ids.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
+#[test]
+fn requests_of_a_session_meet_at_few_servers() {
+    let fleet = twenty_servers();
+
+    let sessions: Vec<_> = (0..50)
+        .map(|session| choices(&fleet, &demand_with_prefix(session)))
+        .collect();
+
+    assert!(
+        sessions.iter().all(|chosen| chosen.len() <= 2),
+        "{sessions:?}"
+    );
+    let servers: std::collections::HashSet<&String> =
+        sessions.iter().flat_map(HashMap::keys).collect();
+    assert!(servers.len() > 15, "{servers:?}");
+}
+
+/// One prompt gets much of the traffic (a hot key): its homes must not queue what others can run.
+#[test]
+fn hot_prefix_spreads_when_its_homes_are_full() {
+    let mut fleet = twenty_servers();
+    let homes = choices(&fleet, &demand_with_prefix(7));
+    for home in homes.keys() {
+        fleet.merge_load(1, home, load(SLOTS));
+    }
+
+    let chosen = choices(&fleet, &demand_with_prefix(7));
+
+    assert!(
+        homes.keys().all(|home| !chosen.contains_key(home)),
+        "{chosen:?}"
+    );
+}
+
+#[test]
+fn slow_home_is_left_for_a_fast_engine() {
+    let mut fleet = twenty_servers();
+    let homes = choices(&fleet, &demand_with_prefix(7));
+    for home in homes.keys() {
+        fleet.merge_speed(home, &speed(40.0, 4_000.0));
+    }
+
+    let chosen = choices(&fleet, &demand_with_prefix(7));
+
+    assert!(
+        homes.keys().all(|home| !chosen.contains_key(home)),
+        "{chosen:?}"
+    );
+}
+
+#[test]
+fn request_that_starts_uses_its_own_reservation() {
+    let mut fleet = fleet(&["one"]);
+    let request = |prompt_tokens| RequestLoad {
+        prompt_tokens,
+        prompt_tokens_ahead: None,
+    };
+    fleet.reserve("one", request(9_000), at(1_000));
+    fleet.reserve("one", request(10), at(1_000));
+
+    fleet.record_start("one", request(9_000));
+    let mut random = StdRng::seed_from_u64(3);
+    let choice = fleet.choose(&demand(600, 50), at(1_000), &mut random);
+
+    let load = choice.expect("there is a slot").load;
+    assert_eq!((load.requests, load.prompt_tokens), (2, 9_010));
+}
--- a/core/tests/peer_table.rs
+++ b/core/tests/peer_table.rs
@@ -17,7 +17,7 @@
 fn table_with_unreachable_peer() -> PeerTable {
     let mut table = PeerTable::new();
     table.add(peer(), at(0));
-    table.mark_reachable(peer());
+    table.mark_reachable(peer(), "a");
     table.mark_unreachable(peer(), at(1));
     table
 }
@@ -54,3 +54,18 @@
 
     assert!(is_removed);
 }
+
+#[test]
+fn layout_counts_reachable_peers_by_data_centre() {
+    let address = |number: u8| SocketAddr::from(([127, 0, 0, number], 1));
+    let mut table = PeerTable::new();
+    for (number, data_centre) in [(1, "a"), (2, "a"), (3, "b"), (4, "a")] {
+        table.mark_reachable(address(number), data_centre);
+    }
+    table.mark_unreachable(address(4), at(1));
+    table.add(address(5), at(1));
+
+    let layout = table.layout("a");
+
+    assert_eq!((layout.same_data_centre, layout.other_data_centres), (2, 1));
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -18,7 +18,10 @@
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
     std::{collections::HashMap, net::SocketAddr, time::Duration},
-    tamarackdale_core::summary::{Entry, Summary},
+    tamarackdale_core::{
+        cell::Scope,
+        summary::{ChangeTracker, Summary},
+    },
     tamarackdale_store::http,
     tamarackdale_wire::{
         codec::{self, Splitter},
@@ -32,13 +35,6 @@
     },
 };
 
-/// Minimum interval between two summaries. Batches changes that occur together.
-const MIN_SUMMARY_INTERVAL: Duration = Duration::from_millis(5);
-
-/// Minimum interval between two summaries, per peer. It grows with the number of peers, so that a
-/// gateway sends and receives fewer than two thousand summaries a second each.
-const SUMMARY_INTERVAL_PER_PEER: Duration = Duration::from_micros(500);
-
 /// Interval at which waiting requests are placed at slots that no gateway claimed.
 const UNUSED_CAPACITY_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -53,8 +49,12 @@
 /// Time after which a summary is sent even if nothing has changed, as a heartbeat to the peers.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Interval at which the measured speeds of backend servers are included in a summary.
-const SPEED_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which the measured speeds of backend servers are sent to peers of the same cell.
+const NEAR_SPEED_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Interval at which the measured speeds of backend servers are sent to peers of other cells, which
+/// send few requests to the same backend servers.
+const FAR_SPEED_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Time without a summary after which a peer counts as unreachable.
 const PEER_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -65,25 +65,11 @@
 /// Interval at which the quota use to save is updated.
 const QUOTA_USE_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Number of summaries that a slow reader may lag behind before it gets a full summary instead.
-const BROADCAST_CAPACITY: usize = 8;
-
-/// Broadcasts this gateway's summaries to the streams of its peers.
-pub struct SummaryBroadcast {
-    sender: broadcast::Sender<Bytes>,
-}
-
-impl Default for SummaryBroadcast {
-    fn default() -> Self {
-        let (sender, _) = broadcast::channel(BROADCAST_CAPACITY);
-        Self { sender }
-    }
-}
-
 /// Exchanges summaries with peers. Never returns.
 pub async fn run(context: Context, introductions: mpsc::Receiver<SocketAddr>) {
     tokio::join!(
-        broadcast_summaries(&context),
+        broadcast_to_cell(&context),
+        broadcast_to_other_cells(&context),
         claim_unused_capacity(&context),
         follow_peers(&context, introductions),
         apply_members(&context),
@@ -140,74 +126,77 @@
     }
 }
 
-/// Broadcasts a summary of the differences after each change, at limited frequency, and as a
-/// heartbeat.
-async fn broadcast_summaries(context: &Context) {
-    let mut previous = Summary::default();
-    let mut sent_at = Instant::now();
-    let mut speeds_sent_at = Instant::now();
+/// Broadcasts a summary to the peers of this gateway's cell after each change, at limited
+/// frequency, and as a heartbeat.
+async fn broadcast_to_cell(context: &Context) {
+    let mut publisher = Publisher::new(Scope::Near, NEAR_SPEED_INTERVAL);
     loop {
-        let (connected, _) = context.known_peers().counts();
-        sleep(summary_interval(connected)).await;
+        sleep(context.layout().interval(Scope::Near)).await;
         // On a timeout, a heartbeat is sent.
         let _ = timeout(HEARTBEAT_INTERVAL, context.scheduler.wait_for_change()).await;
-        let with_speeds = speeds_sent_at.elapsed() >= SPEED_INTERVAL;
-        let full = context.scheduler.summary(false);
-        let delta = delta(&previous, &full, with_speeds);
-        let is_unchanged = is_empty(&delta) && previous.waits == full.waits;
-        previous = full;
-        if is_unchanged && sent_at.elapsed() < HEARTBEAT_INTERVAL {
+        publisher.publish(context, context.scheduler.summary(false));
+    }
+}
+
+/// Broadcasts a summary to the peers of other cells at regular intervals.
+async fn broadcast_to_other_cells(context: &Context) {
+    let mut publisher = Publisher::new(Scope::Far, FAR_SPEED_INTERVAL);
+    loop {
+        sleep(context.layout().interval(Scope::Far)).await;
+        if !context.summary_broadcast.has_subscribers(Scope::Far) {
             continue;
         }
-        sent_at = Instant::now();
-        if with_speeds {
-            speeds_sent_at = sent_at;
-        }
-        match codec::encode_item(&Message::new(context.boot, &delta)) {
-            // Sending fails only while no peer is connected.
-            Ok(bytes) => drop(context.summary_broadcast.sender.send(bytes)),
-            Err(error) => log::error!("summary not published: {error}"),
-        }
+        publisher.publish(context, summary_for(context, Scope::Far, false));
     }
 }
 
-/// Interval between two summaries while `gateways` gateways are connected, including this one.
-fn summary_interval(gateways: usize) -> Duration {
-    let peers = u32::try_from(gateways.saturating_sub(1)).unwrap_or(u32::MAX);
-    MIN_SUMMARY_INTERVAL.max(SUMMARY_INTERVAL_PER_PEER.saturating_mul(peers))
+/// Current summary for a peer. Requests that wait here do not compete with those of other cells.
+fn summary_for(context: &Context, scope: Scope, is_first: bool) -> Summary {
+    let mut summary = context.scheduler.summary(is_first);
+    if scope == Scope::Far {
+        summary.waits.clear();
+    }
+    summary
 }
 
-fn is_empty(summary: &Summary) -> bool {
-    summary.entries.is_empty() && summary.usages.is_empty() && summary.floors.is_empty()
+/// Sends the changes of this gateway's summary to one group of peers.
+struct Publisher {
+    scope: Scope,
+    tracker: ChangeTracker,
+    speed_interval: Duration,
+    sent_at: Instant,
+    speeds_sent_at: Instant,
 }
 
-/// Returns the changes from `previous` to `full`. Includes the speeds of all backend servers if
-/// `with_speeds` is set.
-fn delta(previous: &Summary, full: &Summary, with_speeds: bool) -> Summary {
-    let entries = full.entries.iter().filter_map(|entry| {
-        let before = previous.entries.iter().find(|before| before.id == entry.id);
-        let has_changed = match before {
-            Some(before) => before.load != entry.load,
-            None => true,
+impl Publisher {
+    fn new(scope: Scope, speed_interval: Duration) -> Self {
+        let now = Instant::now();
+        Self {
+            scope,
+            tracker: ChangeTracker::new(),
+            speed_interval,
+            sent_at: now,
+            speeds_sent_at: now,
+        }
+    }
+
+    /// Sends the changes since the last call, or a heartbeat if one is due.
+    fn publish(&mut self, context: &Context, current: Summary) {
+        let with_speeds = self.speeds_sent_at.elapsed() >= self.speed_interval;
+        let changes = self.tracker.changes(current, with_speeds);
+        if with_speeds {
+            self.speeds_sent_at = Instant::now();
+        }
+        let summary = match changes {
+            Some(changes) => changes,
+            None if self.sent_at.elapsed() >= HEARTBEAT_INTERVAL => self.tracker.heartbeat(),
+            None => return,
         };
-        (with_speeds || has_changed).then(|| Entry {
-            speed: entry.speed.filter(|_| with_speeds || before.is_none()),
-            ..entry.clone()
-        })
-    });
-    let usages = full.usages.iter().filter(|usage| {
-        let before = previous
-            .usages
-            .iter()
-            .find(|before| before.organisation == usage.organisation);
-        before.is_none_or(|before| before != *usage)
-    });
-    Summary {
-        entries: entries.collect(),
-        usages: usages.cloned().collect(),
-        is_complete: full.is_complete,
-        waits: full.waits.clone(),
-        floors: full.floors.clone(),
+        self.sent_at = Instant::now();
+        match codec::encode_item(&Message::new(context.boot, &summary)) {
+            Ok(bytes) => context.summary_broadcast.send(self.scope, bytes),
+            Err(error) => log::error!("summary not published: {error}"),
+        }
     }
 }
 
@@ -215,38 +204,76 @@
 pub async fn stream_summaries(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let introduction = body::read(Body::take_from(&mut state), 1024).await;
-    let address = introduction
+    let introduction = introduction
         .ok()
-        .and_then(|bytes| codec::decode::<Introduction>(&bytes).ok())
+        .and_then(|bytes| codec::decode::<Introduction>(&bytes).ok());
+    let address = introduction
+        .as_ref()
         .and_then(|introduction| introduction.address.parse().ok());
-    let Some(address) = address else {
+    let (Some(introduction), Some(address)) = (introduction, address) else {
         log::warn!("a peer's introduction cannot be decoded");
         return Ok((state, body::status(StatusCode::BAD_REQUEST)));
     };
     if context.introductions.send(address).await.is_err() {
         log::debug!(peer:% = address; "introduction ignored, the exchange has ended");
     }
-    let receiver = context.summary_broadcast.sender.subscribe();
-    let first = full_summary(&context);
-    let frames = stream::unfold(
-        (Some(first), receiver, context),
-        |(first, mut receiver, context)| async move {
-            if let Some(first) = first {
-                return Some((Ok(Frame::data(first)), (None, receiver, context)));
-            }
-            let bytes = match receiver.recv().await {
-                Ok(bytes) => bytes,
-                Err(broadcast::error::RecvError::Lagged(_)) => full_summary(&context),
-                Err(broadcast::error::RecvError::Closed) => return None,
-            };
-            Some((Ok(Frame::data(bytes)), (None, receiver, context)))
-        },
-    );
+    let subscription = Subscription::new(context, introduction.data_centre);
+    let frames = stream::unfold(subscription, |mut subscription| async move {
+        let bytes = subscription.next().await?;
+        Some((Ok(Frame::data(bytes)), subscription))
+    });
     Ok((state, Response::new(body::stream(frames))))
 }
 
-fn full_summary(context: &Context) -> Bytes {
-    let message = Message::new(context.boot, &context.scheduler.summary(true));
+/// A peer's subscription to this gateway's summaries.
+struct Subscription {
+    context: Context,
+    /// Data centre of the peer.
+    data_centre: String,
+    scope: Scope,
+    /// The summaries for the peer's group, or `None` before the first, full summary.
+    receiver: Option<broadcast::Receiver<Bytes>>,
+}
+
+impl Subscription {
+    fn new(context: Context, data_centre: String) -> Self {
+        Self {
+            context,
+            data_centre,
+            scope: Scope::Near,
+            receiver: None,
+        }
+    }
+
+    /// The next summary for the peer. It is a full one if there was none before, if the peer was
+    /// too slow to read all of them, and if its group has changed with the size of the fleet.
+    async fn next(&mut self) -> Option<Bytes> {
+        let scope = self.current_scope();
+        let receiver = match &mut self.receiver {
+            Some(receiver) if scope == self.scope => receiver,
+            _ => {
+                self.scope = scope;
+                self.receiver = Some(self.context.summary_broadcast.subscribe(scope));
+                return Some(full_summary(&self.context, scope));
+            }
+        };
+        match receiver.recv().await {
+            Ok(bytes) => Some(bytes),
+            Err(broadcast::error::RecvError::Lagged(_)) => Some(full_summary(&self.context, scope)),
+            Err(broadcast::error::RecvError::Closed) => None,
+        }
+    }
+
+    fn current_scope(&self) -> Scope {
+        let is_same = self.context.settings.borrow().data_centre == self.data_centre;
+        self.context.layout().scope(is_same)
+    }
+}
+
+fn full_summary(context: &Context, scope: Scope) -> Bytes {
+    let summary = summary_for(context, scope, true);
+    let message = Message::new(context.boot, &summary)
+        .with_data_centre(&context.settings.borrow().data_centre);
     codec::encode_item(&message).unwrap_or_else(|error| {
         log::error!("summary not published: {error}");
         Bytes::new()
@@ -277,8 +304,12 @@
 /// Reads the summaries of one peer and reconnects, until the peer is dropped as stale.
 async fn follow_peer(context: Context, address: SocketAddr) {
     let client = http::Client::new(&format!("http://{address}"), PEER_TIMEOUT);
-    let introduction = Introduction {
-        address: context.settings.borrow().peers.to_string(),
+    let introduction = {
+        let settings = context.settings.borrow();
+        Introduction {
+            address: settings.peers.to_string(),
+            data_centre: settings.data_centre.clone(),
+        }
     };
     let Ok(introduction) = codec::encode(&introduction) else {
         return;
@@ -313,18 +344,18 @@
         .store
         .has_unreachable_peers
         .send_replace(has_unreachable);
-    context.scheduler.set_gateway_counts(
-        connected,
-        known,
-        summary_interval(connected) * LAG_INTERVALS + LAG_BASE,
-    );
+    let layout = context.layout();
+    let lag = layout.max_interval() * LAG_INTERVALS + LAG_BASE;
+    context
+        .scheduler
+        .set_gateways(connected, known, layout, lag);
 }
 
 /// Merges the summaries of one connection to a peer until it ends or times out.
 async fn read_summaries(context: &Context, address: SocketAddr, mut body: Incoming) {
     let mut splitter = Splitter::new();
     let mut boot = None;
-    while let Ok(Some(Ok(frame))) = timeout(PEER_TIMEOUT, body.frame()).await {
+    'connection: while let Ok(Some(Ok(frame))) = timeout(PEER_TIMEOUT, body.frame()).await {
         if let Some(bytes) = frame.data_ref() {
             splitter.push(bytes);
         }
@@ -332,7 +363,8 @@
             match splitter.next_item::<Message>() {
                 Ok(Some(message)) => {
                     if boot.replace(message.boot).is_none() {
-                        context.known_peers().mark_reachable(address);
+                        let data_centre = message.data_centre.as_deref().unwrap_or_default();
+                        context.known_peers().mark_reachable(address, data_centre);
                         update_gateway_counts(context);
                         log::info!(peer:% = address, boot = message.boot; "peer heard");
                     }
@@ -342,8 +374,8 @@
                 }
                 Ok(None) => break,
                 Err(error) => {
-                    log::warn!(peer:% = address; "malformed summary from peer: {error}");
-                    break;
+                    log::warn!(peer:% = address; "connection closed, malformed summary: {error}");
+                    break 'connection;
                 }
             }
         }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -172,6 +172,7 @@
             service: self.service.clone(),
             rank: route.rank.nested_in(outer),
             prompt: tokens.map_or(0, |tokens| tokens.prompt),
+            prefix: self.request.head.shared_prefix(),
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
             accepted: self.request.accepted,
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -17,10 +17,11 @@
         time::Duration,
     },
     tamarackdale_core::{
+        cell::Layout,
         fleet::{self, Choice, Members, RequestLoad, Shortage},
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
-        summary::{Entry, Summary},
+        summary::Summary,
         time::Timestamp,
         wait_policy,
     },
@@ -230,11 +231,12 @@
         state.peer_waiting.remove(&peer);
     }
 
-    /// Sets the number of connected and of known gateways, both including this one, and the time
-    /// `lag` after which a summary has reached all of them.
-    pub fn set_gateway_counts(&self, connected: usize, known: usize, lag: Duration) {
+    /// Sets the number of connected and of known gateways, both including this one, how the
+    /// connected ones form cells, and the time `lag` after which a summary has reached all of them.
+    pub fn set_gateways(&self, connected: usize, known: usize, layout: Layout, lag: Duration) {
         let mut state = self.lock();
         state.ledger.set_share(connected, known, lag);
+        state.layout = layout;
         if state.known_gateways != known {
             state.known_gateways = known;
             state.update_retry_budgets();
@@ -246,17 +248,12 @@
     pub fn summary(&self, is_first: bool) -> Summary {
         let now = self.clock.now();
         let state = self.lock();
-        let entries = state.fleet.own_state().map(|(id, load, speed)| Entry {
-            id: id.to_owned(),
-            load,
-            speed: Some(*speed),
-        });
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
             let rank = floor.own(now)?;
             Some((service.clone(), rank))
         });
         Summary {
-            entries: entries.collect(),
+            entries: state.fleet.own_state().collect(),
             usages: state.ledger.usages(is_first, now).collect(),
             is_complete: state.ledger.is_complete(now),
             waits: state.most_urgent_waiting(now),
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -2,7 +2,7 @@
 
 use {
     std::time::Duration,
-    tamarackdale_core::{tier::Rank, time::Timestamp},
+    tamarackdale_core::{fleet::SharedPrefix, tier::Rank, time::Timestamp},
 };
 
 /// A request that the scheduler is to place at a backend server.
@@ -14,6 +14,8 @@
     pub rank: Rank,
     /// Number of prompt tokens.
     pub prompt: u32,
+    /// The part of the prompt that other requests share, if any.
+    pub prefix: Option<SharedPrefix>,
     /// Expected number of output tokens.
     pub output: u32,
     /// Identifiers of the backend servers that the request was already sent to.
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -5,6 +5,7 @@
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
     std::collections::HashMap,
     tamarackdale_core::{
+        cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage},
         floor::{self, Floor},
         quota::Ledger,
@@ -37,12 +38,14 @@
     pub(super) retry_budgets: HashMap<String, Budget>,
     /// Requests that wait for a slot at a backend server.
     pub(super) queue: WaitQueue<Waiter>,
-    /// Urgency of the most urgent request that waits at each peer, by service.
+    /// Urgency of the most urgent request that waits at each peer of the same cell, by service.
     pub(super) peer_waiting: HashMap<u64, Vec<(String, Urgency)>>,
     pub(super) random: SmallRng,
     /// Random number that identifies this start of the process.
     boot: u64,
     pub(super) data_centre: String,
+    /// Connected gateways inside and outside this gateway's data centre.
+    pub(super) layout: Layout,
     /// Number of known gateways, including this one.
     pub(super) known_gateways: usize,
     pub(super) retry_ratio: f64,
@@ -61,6 +64,7 @@
             peer_waiting: HashMap::new(),
             random: SmallRng::from_os_rng(),
             data_centre: settings.data_centre.clone(),
+            layout: Layout::default(),
             known_gateways: 0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
@@ -119,7 +123,7 @@
         only: Option<&str>,
         now: Timestamp,
     ) -> Result<Choice, Shortage> {
-        let demand = demand(request, only, &self.data_centre, now);
+        let demand = demand(request, only, &self.data_centre, self.layout, now);
         self.fleet.choose(&demand, now, &mut self.random)
     }
 
@@ -179,7 +183,7 @@
         request: &PlacementRequest,
         now: Timestamp,
     ) -> SchedulingKey {
-        let demand = demand(request, None, &self.data_centre, now);
+        let demand = demand(request, None, &self.data_centre, self.layout, now);
         let first = self
             .fleet
             .min_first_token_time(&demand, now)
@@ -248,9 +252,14 @@
         if self.queue.is_empty() {
             return;
         }
-        let Some(service) = self.fleet.service_of(id).map(str::to_owned) else {
+        let Some(member) = self.fleet.member(id) else {
             return;
         };
+        // Each cell chooses its winner by itself, so only the cell of the backend server does.
+        if !self.layout.is_single_cell() && member.data_centre != self.data_centre {
+            return;
+        }
+        let service = member.service.clone();
         let mut most_urgent = self.most_urgent_waiting(now).into_iter();
         let Some((_, urgency)) = most_urgent.find(|(known, _)| *known == service) else {
             return;
@@ -302,6 +311,7 @@
     request: &'a PlacementRequest,
     only: Option<&'a str>,
     data_centre: &'a str,
+    layout: Layout,
     now: Timestamp,
 ) -> Demand<'a> {
     Demand {
@@ -311,7 +321,9 @@
         excluded: &request.excluded,
         max_wait: wait_policy::max_engine_wait(request.objective),
         time_left: request.deadline.since(now),
+        prefix: request.prefix,
         data_centre,
+        max_remote: layout.max_remote_candidates(),
         required_server: only,
     }
 }
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -16,6 +16,9 @@
 pub struct Introduction {
     /// IP address and port at which the subscriber serves its own summaries.
     pub address: String,
+    /// Data centre of the subscriber. Empty from a router that does not state it.
+    #[serde(default)]
+    pub data_centre: String,
 }
 
 /// Wire form of [`summary::Summary`].
@@ -33,6 +36,9 @@
     pub waits: Vec<(String, u8, u8)>,
     /// Service and its most urgent rank that was shed recently.
     pub floors: Vec<(String, u8)>,
+    /// Data centre of the sender; only in the first summary of a stream.
+    #[serde(default)]
+    pub data_centre: Option<String>,
 }
 
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
@@ -102,8 +108,15 @@
             floors: floors
                 .map(|(service, rank)| (service.clone(), rank.0))
                 .collect(),
+            data_centre: None,
         }
     }
+
+    /// States the data centre of the sender.
+    pub fn with_data_centre(mut self, data_centre: &str) -> Self {
+        self.data_centre = Some(data_centre.to_owned());
+        self
+    }
 }
 
 impl From<Frame> for summary::Summary {
@@ -183,6 +196,7 @@
                     overhead_ms: to_f64(overhead),
                     occupancy_ms: to_f64(occupancy),
                 }),
+            measurements: 0,
         }
     }
 }
