Gateways: requests yield to more urgent ones at peers only while slots are short

Every request waited as long as any gateway of the cell announced a more urgent waiting one; a gateway on a slowed machine announces its own for long, and slots that stay free were claimed only 20 times a second in a cell. What then timed out raised the shed floor everywhere.

Change: a request yields only while there are no more free slots than peers with more urgent ones (core::wait_policy::yields_to_peers); waiting requests are placed at once while slots are free for all competing gateways, and before a new one; a request at the end of its wait takes a slot that is free rather than being shed.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -311,6 +311,25 @@
         (slots > 0).then(|| f64::from(used) / f64::from(slots))
     }
 
+    /// Number of free slots of a service's backend servers, in one data centre or, with `None`, in
+    /// all. Those of ejected backend servers do not count.
+    pub fn free_slots(&self, service: &str, data_centre: Option<&str>, now: Timestamp) -> usize {
+        let servers = self.servers.values().filter(|server| {
+            server.member.service == service
+                && !server.member.is_leaving
+                && !server.health.is_ejected(now)
+                && data_centre.is_none_or(|only| only == server.member.data_centre)
+        });
+        servers
+            .map(|server| {
+                server
+                    .member
+                    .slots
+                    .saturating_sub(server.load(now).requests) as usize
+            })
+            .sum()
+    }
+
     /// Records that this router sends a request to `id`, and removes the request's reservation.
     pub fn record_start(&mut self, id: &str, request: RequestLoad) {
         if let Some(server) = self.servers.get_mut(id) {
--- a/core/src/wait_policy.rs
+++ b/core/src/wait_policy.rs
@@ -24,6 +24,13 @@
     1.0 / (1.0 + peers as f64)
 }
 
+/// Whether a request leaves the free slots to the more urgent requests that wait at
+/// `more_urgent_peers` other routers. While there are more free slots than such routers, it does
+/// not: each of them can take one, and one that is too slow to do so must not hold up all others.
+pub fn yields_to_peers(free_slots: usize, more_urgent_peers: usize) -> bool {
+    more_urgent_peers > 0 && free_slots <= more_urgent_peers
+}
+
 /// Longest wait at the router. Callers give up on a stream without events after two seconds.
 const MAX_ROUTER_WAIT: Duration = Duration::from_millis(800);
 
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -430,3 +430,19 @@
     let load = choice.expect("there is a slot").load;
     assert_eq!((load.requests, load.prompt_tokens), (2, 9_010));
 }
+
+#[test]
+fn free_slots_are_those_of_the_data_centre_that_can_be_used() {
+    let mut fleet = two_data_centres();
+    fleet.merge_load(1, "a0", load(SLOTS - 3));
+    fleet.merge_load(1, "a1", load(SLOTS + 5));
+    for _ in 0..2 {
+        fleet.record_failure("a2", Failure::Unreachable, at(1_000));
+    }
+
+    let local = fleet.free_slots("llm", Some("a"), at(1_000));
+    let all = fleet.free_slots("llm", None, at(1_000));
+
+    assert_eq!(local, 3 + SLOTS as usize);
+    assert_eq!(all, local + 40 * SLOTS as usize);
+}
--- a/core/tests/wait_policy.rs
+++ b/core/tests/wait_policy.rs
@@ -20,3 +20,23 @@
     assert!(!wait_policy::is_retry(stated, TIMEOUT));
     assert!(wait_policy::is_retry(later, TIMEOUT));
 }
+
+/// A zone of slow gateways: the requests that wait there are announced for long, and must not keep
+/// all others from slots that stay free.
+#[rstest]
+#[case::nobody_waits(0, 0, false)]
+#[case::full(0, 1, true)]
+#[case::a_slot_for_each(1, 1, true)]
+#[case::one_slow_router(2, 1, false)]
+#[case::a_zone_of_slow_routers(100, 20, false)]
+#[case::burst(5, 20, true)]
+fn request_yields_only_while_slots_are_short(
+    #[case] free_slots: usize,
+    #[case] more_urgent_peers: usize,
+    #[case] expected: bool,
+) {
+    assert_eq!(
+        wait_policy::yields_to_peers(free_slots, more_urgent_peers),
+        expected
+    );
+}
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -135,8 +135,10 @@
             }
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
+            // Requests that wait although a slot is free go before new ones.
+            state.place_waiting(None, now);
             let must_wait = state.is_behind_waiting(&request.service, urgency, now)
-                || state.is_behind_peers(&request.service, urgency);
+                || state.yields_to_peers(&request.service, urgency, now);
             if !must_wait {
                 match state.choose(&request, None, now) {
                     Ok(choice) => {
@@ -164,9 +166,23 @@
         };
         match timeout(wait, reply).await {
             Ok(Ok(choice)) => Ok(choice),
+            _ => self.place_last(&request),
+        }
+    }
+
+    /// Places a request whose wait has ended at a slot that is free nevertheless, or sheds it: it
+    /// may have waited for more urgent requests of peers that did not use the slot.
+    fn place_last(&self, request: &PlacementRequest) -> Result<Choice, PlacementError> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match state.choose(request, None, now) {
+            Ok(choice) if choice.estimate.wait.is_zero() => {
+                state.reserve(&choice, request, now);
+                Ok(choice)
+            }
             _ => {
-                let now = self.clock.now();
-                self.lock().record_shed(&request, now);
+                state.record_shed(request, now);
+                drop(state);
                 self.changed.notify_one();
                 Err(PlacementError::Overload)
             }
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -155,12 +155,22 @@
             .any(|(key, waiter)| waiter.request.service == service && key.urgency(now) <= urgency)
     }
 
-    /// Whether a more urgent request waits at a peer, which gets the next free slot.
-    pub(super) fn is_behind_peers(&self, service: &str, urgency: Urgency) -> bool {
+    /// Whether the free slots are left to more urgent requests that wait at peers.
+    pub(super) fn yields_to_peers(&self, service: &str, urgency: Urgency, now: Timestamp) -> bool {
         let waiting_at_peers = self.peer_waiting.values().flatten();
-        waiting_at_peers
-            .filter(|(known, _)| known == service)
-            .any(|(_, waiting)| *waiting < urgency)
+        let more_urgent = waiting_at_peers
+            .filter(|(known, waiting)| known == service && *waiting < urgency)
+            .count();
+        more_urgent > 0 && wait_policy::yields_to_peers(self.free_slots(service, now), more_urgent)
+    }
+
+    /// Number of free slots for which the gateways of this cell compete.
+    fn free_slots(&self, service: &str, now: Timestamp) -> usize {
+        let data_centre = match self.layout.is_single_cell() {
+            true => None,
+            false => Some(self.data_centre.as_str()),
+        };
+        self.fleet.free_slots(service, data_centre, now)
     }
 
     /// Urgency of the most urgent request that waits here, by service.
@@ -232,13 +242,15 @@
             .map(|(peer, _)| *peer)
     }
 
-    /// Places waiting requests at free slots that no gateway claimed when they were freed. Runs
-    /// with a probability at which, on average, one of the competing gateways claims a slot.
+    /// Places waiting requests at free slots that no gateway claimed when they were freed. If there
+    /// are not enough for all competing gateways, it does so with a probability at which, on
+    /// average, one of them claims a slot.
     pub(super) fn claim_unused_capacity(&mut self, now: Timestamp) {
         for (service, urgency) in self.most_urgent_waiting(now) {
             let competitors = self.competing_peers(&service, urgency).count();
+            let is_enough = self.free_slots(&service, now) > competitors;
             let probability = wait_policy::claim_probability(competitors);
-            if self.random.random::<f64>() < probability {
+            if is_enough || self.random.random::<f64>() < probability {
                 self.place_waiting(None, now);
                 return;
             }
@@ -291,7 +303,7 @@
             if full_services.contains(&request.service) {
                 continue;
             }
-            let choice = match self.is_behind_peers(&request.service, urgency) {
+            let choice = match self.yields_to_peers(&request.service, urgency, now) {
                 true => None,
                 false => self.choose(&request, only, now).ok(),
             };
