Gateways: a request that would be shed takes any free slot

Requests of a full data centre looked at four servers elsewhere and were shed if these were full. Before it is shed, a request now considers all backend servers with a free slot.

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -151,9 +151,8 @@
             }
             let wait_until = wait_policy::wait_deadline(request.accepted, request.deadline);
             if wait_until <= now || state.count_ahead(&request) >= wait_policy::MAX_WAITING {
-                state.record_shed(&request, now);
-                self.changed.notify_one();
-                return Err(PlacementError::Overload);
+                drop(state);
+                return self.place_last(&request);
             }
             let (number, reply) = state.enqueue(key, request.clone());
             self.changed.notify_one();
@@ -170,17 +169,18 @@
         }
     }
 
-    /// Places a request whose wait has ended at a slot that is free nevertheless, or sheds it: it
-    /// may have waited for more urgent requests of peers that did not use the slot.
+    /// Places a request that cannot wait any longer at a slot that is free nevertheless, or sheds
+    /// it: peers with more urgent requests may not have used the slot, or it is in a data centre
+    /// whose backend servers were not considered.
     fn place_last(&self, request: &PlacementRequest) -> Result<Choice, PlacementError> {
         let now = self.clock.now();
         let mut state = self.lock();
-        match state.choose(request, None, now) {
-            Ok(choice) if choice.estimate.wait.is_zero() => {
+        match state.choose_free(request, now) {
+            Some(choice) => {
                 state.reserve(&choice, request, now);
                 Ok(choice)
             }
-            _ => {
+            None => {
                 state.record_shed(request, now);
                 drop(state);
                 self.changed.notify_one();
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -3,7 +3,7 @@
 use {
     super::PlacementRequest,
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage},
@@ -127,6 +127,21 @@
         self.fleet.choose(&demand, now, &mut self.random)
     }
 
+    /// Chooses a backend server with a free slot, of any data centre, for a request that would
+    /// otherwise be shed.
+    pub(super) fn choose_free(
+        &mut self,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> Option<Choice> {
+        let demand = Demand {
+            max_wait: Duration::ZERO,
+            max_remote: None,
+            ..demand(request, None, &self.data_centre, self.layout, now)
+        };
+        self.fleet.choose(&demand, now, &mut self.random).ok()
+    }
+
     /// Reserves capacity for a request that is about to be sent, so that the next one does not get
     /// the same slot.
     pub(super) fn reserve(&mut self, choice: &Choice, request: &PlacementRequest, now: Timestamp) {
