--- a/core/src/floor.rs
+++ b/core/src/floor.rs
@@ -98,9 +98,18 @@
         self.raise(rank, now)
     }
 
-    /// The most urgent rank that this process itself has shed within the hold time.
-    pub fn own(&self, now: Timestamp) -> Option<Rank> {
-        self.own.filter(|(_, end)| *end > now).map(|(rank, _)| rank)
+    /// The most urgent rank that this process itself has shed within the hold time, with what is
+    /// left of it.
+    pub fn own_notice(&self, now: Timestamp) -> Option<Notice> {
+        let (rank, end) = self.own.filter(|(_, end)| *end > now)?;
+        Some(Notice {
+            rank,
+            remaining: end.since(now),
+        })
+    }
+
+    fn own(&self, now: Timestamp) -> Option<Rank> {
+        self.own_notice(now).map(|notice| notice.rank)
     }
 
     /// Merges the floor of another process. Returns whether the current floor has changed.
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -3,8 +3,8 @@
 use {
     crate::{
         fleet::{Load, Speed},
+        floor::Notice,
         quota::Usage,
-        tier::Rank,
         wait_queue::Urgency,
     },
     std::collections::HashMap,
@@ -35,7 +35,7 @@
     /// Urgency of the most urgent waiting request, by service.
     pub waits: Vec<(String, Urgency)>,
     /// Most urgent rank that the router has shed recently, by service.
-    pub floors: Vec<(String, Rank)>,
+    pub floors: Vec<(String, Notice)>,
 }
 
 impl Summary {
--- a/core/tests/floor.rs
+++ b/core/tests/floor.rs
@@ -115,3 +115,25 @@
         }
     }
 }
+
+/// One router of a large fleet sheds a rank once: summaries that repeat it for a while must not keep
+/// the less urgent ranks away for longer at the others.
+#[test]
+fn repeated_notice_of_one_shed_does_not_extend_its_hold_time() {
+    let settings = Settings {
+        hold: Duration::from_millis(120),
+        is_enabled: true,
+    };
+    let (mut shedding, mut other) = (Floor::new(settings), Floor::new(settings));
+    shedding.raise_own(Rank(1), at(1_000));
+
+    for now in [1_000, 1_060, 1_119] {
+        let notice = shedding
+            .own_notice(at(now))
+            .expect("the rank was just shed");
+        other.merge(notice, at(now));
+    }
+
+    assert!(!other.serves(Rank(2), at(1_119)));
+    assert!(other.serves(Rank(2), at(1_121)));
+}
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -230,8 +230,8 @@
             state.ledger.mark_complete();
         }
         state.peer_waiting.insert(peer, summary.waits.clone());
-        for (service, rank) in &summary.floors {
-            state.shed_floor(service).raise(*rank, now);
+        for (service, notice) in &summary.floors {
+            state.shed_floor(service).merge(*notice, now);
         }
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
@@ -265,8 +265,8 @@
         let now = self.clock.now();
         let state = self.lock();
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
-            let rank = floor.own(now)?;
-            Some((service.clone(), rank))
+            let notice = floor.own_notice(now)?;
+            Some((service.clone(), notice))
         });
         Summary {
             entries: state.fleet.own_state().collect(),
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -2,9 +2,10 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::collections::HashMap,
+    std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
         fleet::{Load, Speed},
+        floor::Notice,
         quota, summary,
         tier::Rank,
         wait_queue::{Stage, Urgency},
@@ -34,8 +35,9 @@
     pub is_complete: bool,
     /// Service, rank and stage of its most urgent waiting request.
     pub waits: Vec<(String, u8, u8)>,
-    /// Service and its most urgent rank that was shed recently.
-    pub floors: Vec<(String, u8)>,
+    /// Service, its most urgent rank that was shed recently, and the milliseconds for which less
+    /// urgent ranks are still refused.
+    pub floors: Vec<(String, u8, u16)>,
     /// Data centre of the sender; only in the first summary of a stream.
     #[serde(default)]
     pub data_centre: Option<String>,
@@ -98,16 +100,17 @@
             let stage = stage_number(urgency.stage);
             (service.clone(), urgency.rank.0, stage)
         });
-        let floors = summary.floors.iter();
+        let floors = summary.floors.iter().map(|(service, notice)| {
+            let remaining_ms = u16::try_from(notice.remaining.as_millis()).unwrap_or(u16::MAX);
+            (service.clone(), notice.rank.0, remaining_ms)
+        });
         Self {
             boot,
             entries: summary.entries.iter().map(Entry::from).collect(),
             usages: summary.usages.iter().map(Usage::from).collect(),
             is_complete: summary.is_complete,
             waits: waits.collect(),
-            floors: floors
-                .map(|(service, rank)| (service.clone(), rank.0))
-                .collect(),
+            floors: floors.collect(),
             data_centre: None,
         }
     }
@@ -129,14 +132,19 @@
             (service, urgency)
         });
         let floors = frame.floors.into_iter();
+        let floors = floors.map(|(service, number, remaining_ms)| {
+            let notice = Notice {
+                rank: Rank(number),
+                remaining: Duration::from_millis(remaining_ms.into()),
+            };
+            (service, notice)
+        });
         Self {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: frame.usages.into_iter().map(Into::into).collect(),
             is_complete: frame.is_complete,
             waits: waits.collect(),
-            floors: floors
-                .map(|(service, number)| (service, Rank(number)))
-                .collect(),
+            floors: floors.collect(),
         }
     }
 }
