--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -71,6 +71,7 @@
     service: String,
     /// Where others are told that it listens.
     advertised: SocketAddr,
+    data_centre: String,
     state: Arc<State>,
     host: Host,
 }
@@ -108,6 +109,7 @@
             id: id.to_owned(),
             service: service.to_owned(),
             advertised: host.address(),
+            data_centre: "a".to_owned(),
             state,
             host,
         })
@@ -119,6 +121,12 @@
         self
     }
 
+    /// Places it in another data centre than `a`.
+    pub fn with_data_centre(mut self, name: &str) -> Self {
+        self.data_centre = name.to_owned();
+        self
+    }
+
     /// Its identifier.
     pub fn id(&self) -> &str {
         &self.id
@@ -164,7 +172,7 @@
         let entry = value!({
             "service": self.service,
             "address": self.advertised.to_string(),
-            "zone": "a",
+            "zone": self.data_centre,
             "version": "v1",
             "slots": 8,
             "state": state,
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -145,15 +145,24 @@
         self.store.put(&key, &value);
     }
 
-    /// Starts a gateway, without waiting for it.
+    /// Starts a gateway in the data centre `a`, without waiting for it.
     ///
     /// # Errors
     ///
     /// Fails when the settings cannot be written or the binary is missing.
     pub fn gateway(&self, name: &str) -> Result<Gateway, process::Fault> {
+        self.gateway_in(name, "a")
+    }
+
+    /// Starts a gateway in a data centre, without waiting for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings cannot be written or the binary is missing.
+    pub fn gateway_in(&self, name: &str, data_centre: &str) -> Result<Gateway, process::Fault> {
         let address = own_address();
         let settings = self.folder.path().join(format!("{name}.toml"));
-        fs::write(&settings, self.settings(name, address))?;
+        fs::write(&settings, self.settings(name, data_centre, address))?;
         Ok(Gateway {
             process: start(name, &settings)?,
             settings,
@@ -161,11 +170,11 @@
         })
     }
 
-    fn settings(&self, name: &str, address: Ipv4Addr) -> String {
+    fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
         let store = self.store_address;
         format!(
             r#"node_name = "{name}"
-zone = "a"
+zone = "{data_centre}"
 ip = "{address}"
 port_range = [{PEERS_PORT}, {PEERS_PORT}]
 bootstrap = true
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -22,6 +22,9 @@
 /// Limit for what should happen at once.
 const SOON: Duration = Duration::from_secs(3);
 
+/// Limit for the start of some tens of gateways on a loaded machine.
+const FLEET_START: Duration = Duration::from_secs(20);
+
 /// Gateways that start at the same moment: enough for several introductions at one of them at once.
 const STARTED_TOGETHER: usize = 12;
 
@@ -690,6 +693,118 @@
     assert!(all_heard);
 }
 
+/// Gateways in each of two data centres: together more than a single cell.
+const IN_A_DATA_CENTRE: usize = 13;
+
+/// A site of two data centres, `a` and `b`, with one plain server in each and gateways that hear
+/// all others.
+async fn start_two_data_centres(
+    configuration: &Configuration,
+) -> (Site, Vec<Gateway>, [Server; 2]) {
+    let site = Site::new(configuration).expect("starts");
+    let servers = ["a", "b"].map(|data_centre| {
+        let server = Server::new(&format!("plain-{data_centre}"), "plain").expect("starts");
+        let server = server.with_data_centre(data_centre);
+        site.register(&server);
+        server
+    });
+    let gateways: Vec<Gateway> = (0..2 * IN_A_DATA_CENTRE)
+        .map(|number| {
+            let data_centre = ["a", "b"][number % 2];
+            let name = format!("{data_centre}-{number}");
+            site.gateway_in(&name, data_centre).expect("starts")
+        })
+        .collect();
+    let heard = |gateway: &Gateway| {
+        let logs = gateway.process.logs();
+        let heard = logs.iter().filter(|line| line["message"] == "peer heard");
+        heard
+            .map(|line| line["peer"].to_string())
+            .collect::<BTreeSet<_>>()
+            .len()
+    };
+    let all = 2 * IN_A_DATA_CENTRE - 1;
+    let hear_all = || gateways.iter().all(|gateway| heard(gateway) == all);
+    assert!(
+        wait::until(FLEET_START, hear_all).await,
+        "not all hear each other"
+    );
+    for gateway in &gateways {
+        assert!(gateway.wait_ready(true).await);
+    }
+    (site, gateways, servers)
+}
+
+#[tokio::test]
+async fn request_leaves_its_data_centre_only_while_no_slot_is_free_there() {
+    /// Slots of a server.
+    const SLOTS: usize = 8;
+    const LONG: Duration = Duration::from_millis(600);
+    let call_status = async |gateway: &Gateway, id: String| {
+        let answer = gateway.call("/status/1", &id).await;
+        answer.expect("answered").status()
+    };
+    let (_site, gateways, servers) = start_two_data_centres(&Configuration::default()).await;
+
+    for (number, gateway) in gateways.iter().enumerate() {
+        let answer = gateway.call("/status/1", &format!("s-{number}")).await;
+        assert_eq!(answer.expect("answered").status(), 200);
+    }
+    let local = servers.each_ref().map(|server| server.runs().len());
+    servers[0].set_latency(LONG);
+    let (occupying, others): (Vec<_>, Vec<_>) = gateways
+        .iter()
+        .step_by(2)
+        .enumerate()
+        .partition(|(number, _)| *number < SLOTS);
+    let call = |(number, gateway): (usize, _)| call_status(gateway, format!("l-{number}"));
+    let occupy = futures_util::future::join_all(occupying.into_iter().map(call));
+    let leave = async {
+        sleep(LONG / 3).await;
+        futures_util::future::join_all(others.into_iter().map(call)).await
+    };
+    let (occupied, left) = tokio::join!(occupy, leave);
+
+    assert_eq!(local, [IN_A_DATA_CENTRE; 2]);
+    assert_eq!(occupied, [200; SLOTS]);
+    assert_eq!(left, [200; IN_A_DATA_CENTRE - SLOTS]);
+    let runs = servers.each_ref().map(|server| server.runs().len());
+    assert_eq!(
+        runs,
+        [IN_A_DATA_CENTRE + SLOTS, 2 * IN_A_DATA_CENTRE - SLOTS]
+    );
+}
+
+#[tokio::test]
+async fn gateways_of_all_cells_keep_one_quota() {
+    const REQUESTS: usize = 2_600;
+    let limited = Configuration::default()
+        .with("/tenants/0/rate_per_s", json!(40))
+        .with("/tenants/0/burst", json!(40))
+        .with("/tenants/0/unit", json!("requests"));
+    let (_site, gateways, servers) = start_two_data_centres(&limited).await;
+    servers
+        .iter()
+        .for_each(|server| server.set_latency(Duration::ZERO));
+
+    let started = Instant::now();
+    for number in 0..REQUESTS {
+        let gateway = &gateways[number % gateways.len()];
+        let answer = gateway.call("/status/1", &format!("q-{number}")).await;
+        let status = answer.expect("answered").status();
+        assert!([200, 429, 503].contains(&status), "{status}");
+    }
+    let seconds = started.elapsed().as_secs_f64().max(8.0);
+
+    // The window's quota, a tenth more and the slack; what has left the window may be used again.
+    let allowed = (40.0 * seconds + 40.0) * 1.1 + 1_000.0;
+    let served = total_runs(&servers);
+    assert!(
+        served > 100 && (served as f64) <= allowed,
+        "{served} of {allowed}"
+    );
+}
+
 #[tokio::test]
 async fn two_gateways_keep_one_quota() {
     let limited = Configuration::default()
