Testbed: bookings run once while the settings change under load

The users saw a booking run twice after a settings file had changed. Not reproduced: 80 bookings beside eight reloads ran once each and were answered (the test passes on the code as it was).

--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -245,6 +245,15 @@
         self.signal(Signal::SIGTERM)
     }
 
+    /// Tells the process to read its settings again (SIGHUP).
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process is gone.
+    pub fn hang_up(&self) -> Result<(), Fault> {
+        self.signal(Signal::SIGHUP)
+    }
+
     /// Whether the process has not ended.
     pub fn is_running(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -675,6 +675,46 @@
     assert_eq!(after.expect("answered").status(), 429);
 }
 
+/// Bookings must neither be cut nor run twice when the settings file changes under load.
+#[tokio::test]
+async fn bookings_run_once_while_the_settings_change() {
+    const BOOKINGS: usize = 80;
+    const RELOADS: usize = 8;
+    const PAUSE: Duration = Duration::from_millis(30);
+    let bench = start().await;
+    let text = std::fs::read_to_string(&bench.gateway.settings).expect("readable");
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_latency(PAUSE * 5));
+
+    let bookings = (0..BOOKINGS).map(|number| {
+        let gateway = &bench.gateway;
+        async move {
+            sleep(PAUSE * number as u32).await;
+            gateway.call("/booking/1", &format!("b-{number}")).await
+        }
+    });
+    let reloads = async {
+        for number in 0..RELOADS {
+            sleep(PAUSE * (BOOKINGS / RELOADS) as u32).await;
+            let changed = text.replace("retry_extra = 100", &format!("retry_extra = {number}"));
+            std::fs::write(&bench.gateway.settings, changed).expect("writable");
+            bench.gateway.process.hang_up().expect("signalled");
+        }
+    };
+    let (answers, ()) = tokio::join!(futures_util::future::join_all(bookings), reloads);
+
+    let statuses = answers
+        .into_iter()
+        .map(|answer| answer.expect("whole").status());
+    assert!(statuses.into_iter().all(|status| status == 200));
+    let runs = bench.plains.iter().flat_map(Server::runs);
+    let ids: Vec<String> = runs.map(|run| run.id).collect();
+    assert_eq!(ids.len(), BOOKINGS);
+    assert_eq!(ids.iter().collect::<BTreeSet<_>>().len(), BOOKINGS);
+}
+
 #[tokio::test]
 async fn gateways_that_start_together_all_hear_each_other() {
     let site = Site::new(&Configuration::default()).expect("starts");
