--- a/testbed/src/capacity/relay.rs
+++ b/testbed/src/capacity/relay.rs
@@ -33,7 +33,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port is to be had.
+    /// Fails when no port is available.
     pub async fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
--- a/testbed/src/engine.rs
+++ b/testbed/src/engine.rs
@@ -73,7 +73,7 @@
     pub cache_event_lag: Duration,
     /// Every how many cache events one is lost; 0 for none.
     pub cache_event_gap: u64,
-    /// What it does with old fencing numbers.
+    /// What it does with old fencing tokens.
     pub fencing: Fencing,
     /// Time to load or unload a model.
     pub load_time: Duration,
@@ -101,7 +101,7 @@
         self
     }
 
-    /// Sets what the engine does with old fencing numbers.
+    /// Sets what the engine does with old fencing tokens.
     pub fn with_fencing(mut self, fencing: Fencing) -> Self {
         self.fencing = fencing;
         self
@@ -132,7 +132,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port or thread can be had.
+    /// Fails when no port or thread is available.
     pub fn new(model: Model) -> io::Result<Self> {
         let state = Arc::new(State::new(model));
         let shared = Arc::clone(&state);
--- a/testbed/src/engine/order.rs
+++ b/testbed/src/engine/order.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-/// What an engine does with an order whose fencing number is older than one it has seen.
+/// What an engine does with an order whose fencing token is older than one it has seen.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Fencing {
     /// Refuses it.
@@ -19,7 +19,7 @@
     pub model: String,
     /// Whether the model was to be loaded, or unloaded.
     pub load: bool,
-    /// Fencing number.
+    /// Fencing token.
     pub fence: u64,
     /// Whether the engine carried it out.
     pub accepted: bool,
@@ -58,7 +58,7 @@
         self.orders.clone()
     }
 
-    /// Judges an order by its fencing number and records it; whether it is to be carried out.
+    /// Judges an order by its fencing token and records it; whether it is to be carried out.
     pub(crate) fn receive(&mut self, model: &str, load: bool, fence: u64) -> bool {
         let stale = fence < self.highest_fence;
         let accepted = !stale || self.fencing == Fencing::Ignored;
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     ///
-    /// No port or thread is to be had.
+    /// No port or thread is available.
     pub fn new<H, F>(name: &str, handler: H) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
--- a/testbed/src/list.rs
+++ b/testbed/src/list.rs
@@ -63,7 +63,7 @@
     ///
     /// # Errors
     ///
-    /// No port or thread is to be had.
+    /// No port or thread is available.
     pub fn start() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let calls = Arc::new(AtomicU64::new(0));
--- a/testbed/src/operator.rs
+++ b/testbed/src/operator.rs
@@ -42,7 +42,7 @@
     ///
     /// # Errors
     ///
-    /// No port, thread or folder is to be had.
+    /// No port, thread or folder is available.
     pub fn new(binary: &str) -> io::Result<Self> {
         Ok(Self {
             store: Store::start()?,
@@ -79,7 +79,7 @@
     ///
     /// # Errors
     ///
-    /// No port or thread is to be had.
+    /// No port or thread is available.
     pub fn start_router(&self, name: &str) -> io::Result<Peer> {
         let peer = Peer::start(name)?;
         self.list_router(name, peer.address());
--- a/testbed/src/peer.rs
+++ b/testbed/src/peer.rs
@@ -32,7 +32,7 @@
     ///
     /// # Errors
     ///
-    /// No port or thread is to be had.
+    /// No port or thread is available.
     pub fn start(instance: &str) -> io::Result<Self> {
         let status = Status {
             instance: instance.to_owned(),
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -55,7 +55,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port or thread can be had.
+    /// Fails when no port or thread is available.
     pub fn new(name: &str) -> io::Result<Self> {
         let state = Arc::new(State {
             name: name.to_owned(),
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -90,7 +90,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port or thread can be had.
+    /// Fails when no port or thread is available.
     pub fn new(id: &str, service: &str) -> io::Result<Self> {
         let state = Arc::new(State {
             id: id.to_owned(),
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -110,7 +110,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port, thread or folder can be had.
+    /// Fails when no port, thread or folder is available.
     pub fn new(configuration: &Configuration) -> io::Result<Self> {
         let store = Store::start()?;
         let site = Self {
--- a/testbed/src/platform/soak.rs
+++ b/testbed/src/platform/soak.rs
@@ -1,5 +1,5 @@
-//! Random faults on a site under load, and the promises checked from what callers and backend
-//! servers saw. Faults come in series and overlap.
+//! Random, overlapping faults on a site under load. The invariants are checked on what callers and
+//! backend servers observed.
 
 mod drill;
 mod load;
@@ -19,10 +19,10 @@
     tokio::time::sleep,
 };
 
-/// Shortest and longest pause between two faults, in milliseconds.
+/// Range of the pause between two faults, in milliseconds.
 const FAULT_PAUSE_MS: std::ops::Range<u64> = 50..500;
 
-/// How often the faults in force are looked at.
+/// Interval at which the active faults are checked.
 const TICK: Duration = Duration::from_millis(20);
 
 /// Events of each stream.
@@ -37,16 +37,16 @@
     Process(process::Fault),
 }
 
-/// What a soak showed.
+/// Result of a soak.
 #[derive(Debug, Default)]
 pub struct Report {
     /// Requests sent.
     pub requests: usize,
     /// Requests answered with success and whole.
     pub served: usize,
-    /// Faults brought about, in order.
+    /// Faults that were injected, in order.
     pub faults: Vec<String>,
-    /// Broken promises.
+    /// Violated invariants.
     pub violations: Vec<String>,
 }
 
--- a/testbed/src/platform/soak/drill.rs
+++ b/testbed/src/platform/soak/drill.rs
@@ -1,4 +1,4 @@
-//! A drill during a soak: the store comes back from an older copy of itself.
+//! Restoration of the store from an older copy during a soak.
 
 use {
     super::{World, millis},
@@ -7,17 +7,16 @@
     std::time::Duration,
 };
 
-/// Distinguishes the draws of the drill from those of the other faults, which stay the same for a
-/// seed.
+/// Offset of the drill's seed, so that the draws of the other faults stay the same for a seed.
 const SEED_OFFSET: u64 = 1 << 32;
 
-/// Shortest and longest age of the copy, in milliseconds.
+/// Range of the copy's age, in milliseconds.
 const COPY_AGE_MS: std::ops::Range<u64> = 100..3_000;
 
-/// Shortest and longest time until what was lost is written again, in milliseconds.
+/// Range of the time until the lost entries are written again, in milliseconds.
 const REWRITE_MS: std::ops::Range<u64> = 0..1_800;
 
-/// One drill, at times drawn from a seed.
+/// One restoration, at times drawn from a seed.
 pub(super) struct Drill {
     copy_at: Duration,
     restore_at: Duration,
@@ -48,7 +47,8 @@
         }
     }
 
-    /// Does what is due `elapsed` after the start of the soak; tells when the drill begins.
+    /// Performs the steps that are due `elapsed` after the start of the soak. Describes the
+    /// restoration when it happens.
     pub(super) fn step(&mut self, world: &World, elapsed: Duration) -> Option<String> {
         match self.state {
             State::Waiting if elapsed >= self.copy_at => {
--- a/testbed/src/platform/soak/world.rs
+++ b/testbed/src/platform/soak/world.rs
@@ -1,4 +1,4 @@
-//! The site of a soak and the faults in force there.
+//! The site of a soak and its active faults.
 
 use {
     super::{EVENTS, Fault, millis},
@@ -19,22 +19,22 @@
 const GATEWAYS: usize = 3;
 const SERVERS_PER_SERVICE: usize = 3;
 
-/// Faults that may be in force at once.
+/// Maximum number of active faults.
 const MOST_AT_ONCE: usize = 3;
 
 /// Shortest and longest duration of a fault, in milliseconds.
 const FAULT_LENGTH_MS: std::ops::Range<u64> = 200..1_500;
 
-/// What is disturbed; one fault at a time each.
+/// Target of a fault; it has one fault at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Target {
     /// A backend server or its registration.
     Server(usize),
-    /// The way to a backend server.
+    /// The link to a backend server.
     Link(usize),
     /// The store.
     Store,
-    /// The way to the store.
+    /// The link to the store.
     StoreLink,
     /// A gateway.
     Gateway(usize),
@@ -43,20 +43,20 @@
 /// Time after which a gateway that is shutting down is looked at again.
 const SHUTDOWN_POLL: Duration = Duration::from_millis(300);
 
-/// A fault in force.
+/// An active fault.
 struct Active {
     target: Target,
     end: Instant,
 }
 
-/// The site and what is wrong with it.
+/// The site with its active faults.
 pub struct World {
     site: Site,
     servers: Vec<Server>,
     links: Vec<Proxy>,
     store_link: Proxy,
     gateways: Vec<Gateway>,
-    /// Numbers of the gateways that were told to end and have not been started again.
+    /// Numbers of the gateways that got SIGTERM and have not been started again.
     terminated: BTreeSet<usize>,
     active: Vec<Active>,
 }
@@ -128,7 +128,7 @@
         &self.gateways
     }
 
-    /// Brings about one more fault; tells which, unless too much is wrong already.
+    /// Starts one more fault and describes it, unless enough are active.
     pub fn begin(&mut self, random: &mut StdRng) -> Result<Option<String>, Fault> {
         let target = match random.random_range(0..8) {
             0 | 1 => Target::Server(random.random_range(0..self.servers.len())),
@@ -149,12 +149,12 @@
         Ok(Some(format!("{target:?} {what} ({length} ms)")))
     }
 
-    /// Ends the faults whose time has come.
+    /// Ends the faults whose duration has passed.
     pub fn end_due(&mut self) -> Result<(), Fault> {
         self.end(|active| active.end <= Instant::now())
     }
 
-    /// Ends all faults. Returns once each gateway that was told to end has ended and was started
+    /// Ends all faults. Returns once each gateway that got SIGTERM has ended and was started
     /// again.
     pub async fn end_all(&mut self) -> Result<(), Fault> {
         loop {
@@ -255,7 +255,7 @@
         Ok("paused".to_owned())
     }
 
-    /// Lets a paused gateway go on, or starts one that has ended. One that was told to end and still
+    /// Resumes a paused gateway, or restarts one that has ended. One that got SIGTERM and still
     /// runs is looked at again later.
     fn revive(&mut self, number: usize) -> Result<(), Fault> {
         let gateway = &mut self.gateways[number];
--- a/testbed/src/proxy.rs
+++ b/testbed/src/proxy.rs
@@ -135,7 +135,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port or thread can be had.
+    /// Fails when no port or thread is available.
     pub fn new(target: SocketAddr) -> io::Result<Self> {
         let proxy = Self::unconnected()?;
         proxy.set_target(target);
@@ -146,7 +146,7 @@
     ///
     /// # Errors
     ///
-    /// Fails when no port or thread can be had.
+    /// Fails when no port or thread is available.
     pub fn unconnected() -> io::Result<Self> {
         let state = Arc::new(Mutex::new(State::default()));
         let shared = Arc::clone(&state);
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -48,7 +48,7 @@
     ///
     /// # Errors
     ///
-    /// No port or thread is to be had.
+    /// No port or thread is available.
     pub fn start() -> io::Result<Self> {
         let gateway = Arc::new(Gateway::default());
         let handler = {
