Gateways: a full queue sheds newcomers; the layout of cells is computed when a peer comes or goes

A request that met a full queue could take a slot elsewhere ahead of those that wait (found by reading). The layout was counted anew for each summary and peer.

--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -16,7 +16,7 @@
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
-    tamarackdale_core::{cell::Layout, peer_table::PeerTable},
+    tamarackdale_core::peer_table::PeerTable,
     tamarackdale_platform::Settings,
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -65,12 +65,6 @@
         known_peers.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// How the connected gateways form cells.
-    pub fn layout(&self) -> Layout {
-        let settings = self.settings.borrow();
-        self.known_peers().layout(&settings.data_centre)
-    }
-
     /// Idle timeout of callers' connections.
     pub fn idle_timeout(&self) -> Duration {
         let limits = self.snapshot().map(|snapshot| snapshot.value.limits());
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -131,7 +131,7 @@
 async fn broadcast_to_cell(context: &Context) {
     let mut publisher = Publisher::new(Scope::Near, NEAR_SPEED_INTERVAL);
     loop {
-        sleep(context.layout().interval(Scope::Near)).await;
+        sleep(context.scheduler.layout().interval(Scope::Near)).await;
         // On a timeout, a heartbeat is sent.
         let _ = timeout(HEARTBEAT_INTERVAL, context.scheduler.wait_for_change()).await;
         publisher.publish(context, context.scheduler.summary(false));
@@ -142,7 +142,7 @@
 async fn broadcast_to_other_cells(context: &Context) {
     let mut publisher = Publisher::new(Scope::Far, FAR_SPEED_INTERVAL);
     loop {
-        sleep(context.layout().interval(Scope::Far)).await;
+        sleep(context.scheduler.layout().interval(Scope::Far)).await;
         if !context.summary_broadcast.has_subscribers(Scope::Far) {
             continue;
         }
@@ -266,7 +266,7 @@
 
     fn current_scope(&self) -> Scope {
         let is_same = self.context.settings.borrow().data_centre == self.data_centre;
-        self.context.layout().scope(is_same)
+        self.context.scheduler.layout().scope(is_same)
     }
 }
 
@@ -344,7 +344,10 @@
         .store
         .has_unreachable_peers
         .send_replace(has_unreachable);
-    let layout = context.layout();
+    let layout = {
+        let settings = context.settings.borrow();
+        context.known_peers().layout(&settings.data_centre)
+    };
     let lag = layout.max_interval() * LAG_INTERVALS + LAG_BASE;
     context
         .scheduler
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -149,8 +149,13 @@
                     Err(Shortage::Full(_)) => {}
                 }
             }
+            if state.count_ahead(&request) >= wait_policy::MAX_WAITING {
+                state.record_shed(&request, now);
+                self.changed.notify_one();
+                return Err(PlacementError::Overload);
+            }
             let wait_until = wait_policy::wait_deadline(request.accepted, request.deadline);
-            if wait_until <= now || state.count_ahead(&request) >= wait_policy::MAX_WAITING {
+            if wait_until <= now {
                 drop(state);
                 return self.place_last(&request);
             }
@@ -259,6 +264,11 @@
         }
     }
 
+    /// How the connected gateways form cells.
+    pub fn layout(&self) -> Layout {
+        self.lock().layout
+    }
+
     /// This gateway's load at each backend server, its quota use, its waiting requests and its shed
     /// floors. With `is_first`, also all that it knows of quota use, for a newly connected peer.
     pub fn summary(&self, is_first: bool) -> Summary {
