Response buffers reserve memory for bytes and not for chunks; names and comments

Also: place_last is place_or_shed, is_late_known is has_stale_load; causes of numbers in cell and revision; a line rewrapped. No other change of behaviour.

--- a/core/src/cell.rs
+++ b/core/src/cell.rs
@@ -7,7 +7,8 @@
 
 use std::time::Duration;
 
-/// Maximum number of routers that form a single cell regardless of their data centres.
+/// Maximum number of routers that form a single cell regardless of their data centres. Two summaries
+/// of a router are then at most 12 ms apart.
 const MAX_SINGLE_CELL: usize = 24;
 
 /// Minimum interval between two summaries. Batches changes that occur together.
@@ -17,7 +18,8 @@
 /// sends and receives at most two thousand of them a second.
 const INTERVAL_PER_NEAR_ROUTER: Duration = Duration::from_micros(500);
 
-/// Interval between two summaries to routers of other cells, per such router.
+/// Interval between two summaries to routers of other cells, per such router. A router thus sends and
+/// receives at most 1,334 of them a second.
 const INTERVAL_PER_FAR_ROUTER: Duration = Duration::from_micros(750);
 
 /// Maximum number of backend servers of other cells that are considered for one request. A few at
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -223,8 +223,8 @@
         for server in considered {
             let estimate = server.estimate(demand, now);
             min_wait = Some(min_wait.map_or(estimate.wait, |known| known.min(estimate.wait)));
-            let is_late_known = demand.max_remote.is_some() && server.is_remote(demand);
-            let max_wait = match is_late_known {
+            let has_stale_load = demand.max_remote.is_some() && server.is_remote(demand);
+            let max_wait = match has_stale_load {
                 true => Duration::ZERO,
                 false => demand.max_wait,
             };
--- a/core/src/revision.rs
+++ b/core/src/revision.rs
@@ -7,7 +7,7 @@
 use {crate::freshness::BootTime, derive_more::Display, std::time::Duration};
 
 /// Time after a restoration within which the operator and the backend servers write again what the
-/// store has lost.
+/// store has lost. The platform states about two seconds for backend servers.
 const SETTLING_TIME: Duration = Duration::from_millis(2_200);
 
 /// A revision of the store.
--- a/core/src/server_table.rs
+++ b/core/src/server_table.rs
@@ -44,6 +44,7 @@
     sequence: Option<u64>,
     /// Era of the store in which it was known to leave.
     era: u64,
+    /// When it was known to leave.
     at: Timestamp,
 }
 
@@ -125,7 +126,8 @@
 }
 
 impl Departure {
-    /// Whether a registration that was read in `era` is of a time before the departure.
+    /// Whether a registration that was read in `era` is of a time before the departure. Without
+    /// sequence numbers to compare, an entry of a restored store counts as such.
     fn contradicts(&self, member: &Member, sequence: Option<u64>, era: u64) -> bool {
         let is_not_newer = match (sequence, self.sequence) {
             (Some(sequence), Some(known)) => sequence <= known,
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -110,7 +110,7 @@
         (!is_unchanged).then_some(changes)
     }
 
-    /// The current state without its parts: tells a peer only that this router is running.
+    /// A summary without changes, which shows a peer that this router is running.
     pub fn heartbeat(&self) -> Summary {
         Summary {
             is_complete: self.previous.is_complete,
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -51,8 +51,8 @@
 /// checking a request's API key and its arrival at the backend server.
 const STALENESS_RESERVE: Duration = Duration::from_millis(400);
 
-/// Time after an outage or a restoration of the store within which running backend servers whose registration lapsed
-/// register again. The platform states about two seconds.
+/// Time after an outage or a restoration of the store within which running backend servers whose
+/// registration lapsed register again. The platform states about two seconds.
 const RECOVERY_TIME: Duration = Duration::from_millis(2_200);
 
 /// Maximum time that a watch waits for changes. Also bounds the time in which a dead connection is
--- a/daemon/src/gateway/response_buffers.rs
+++ b/daemon/src/gateway/response_buffers.rs
@@ -2,11 +2,11 @@
 
 use {
     bytes::{Bytes, BytesMut},
-    derive_more::{Display, Error},
+    derive_more::Error,
     http_body_util::BodyExt as _,
-    hyper::body::Incoming,
-    std::sync::Arc,
-    tokio::sync::Semaphore,
+    hyper::body::Body,
+    std::{fmt::Display, sync::Arc},
+    tokio::sync::{Semaphore, SemaphorePermit},
 };
 
 /// Maximum size of one buffered response, in bytes.
@@ -19,11 +19,11 @@
 const BLOCK_BYTES: usize = 1024;
 
 /// Why a response body could not be buffered.
-#[derive(Debug, Display, Error)]
+#[derive(Debug, derive_more::Display, Error)]
 pub enum BufferError {
     /// The connection was lost or the body is malformed.
     #[display("the body broke off: {_0}")]
-    Broken(hyper::Error),
+    Broken(#[error(not(source))] String),
     /// The body is longer than one response may be.
     #[display("the body is longer than {MAX_RESPONSE_BYTES} bytes")]
     TooLong,
@@ -51,21 +51,31 @@
     }
 
     /// Reads a whole body. The memory is released when the reading ends.
-    pub async fn read(&self, body: &mut Incoming) -> Result<Bytes, BufferError> {
+    pub async fn read<B>(&self, body: &mut B) -> Result<Bytes, BufferError>
+    where
+        B: Body<Data = Bytes> + Unpin,
+        B::Error: Display,
+    {
         let mut content = BytesMut::new();
-        let mut reserved = Vec::new();
+        let mut reserved: Option<SemaphorePermit> = None;
         while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(BufferError::Broken)?;
+            let frame = frame.map_err(|error| BufferError::Broken(error.to_string()))?;
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
             if content.len() + bytes.len() > MAX_RESPONSE_BYTES {
                 return Err(BufferError::TooLong);
             }
-            let blocks = u32::try_from(bytes.len().div_ceil(BLOCK_BYTES)).unwrap_or(u32::MAX);
-            let permit = self.blocks.try_acquire_many(blocks);
-            reserved.push(permit.map_err(|_| BufferError::Full)?);
             content.extend_from_slice(bytes);
+            let held = reserved.as_ref().map_or(0, SemaphorePermit::num_permits);
+            let missing = content.len().div_ceil(BLOCK_BYTES).saturating_sub(held);
+            let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+            let permit = self.blocks.try_acquire_many(missing);
+            let permit = permit.map_err(|_| BufferError::Full)?;
+            match &mut reserved {
+                Some(reserved) => reserved.merge(permit),
+                None => reserved = Some(permit),
+            }
         }
         Ok(content.freeze())
     }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -157,7 +157,7 @@
             let wait_until = wait_policy::wait_deadline(request.accepted, request.deadline);
             if wait_until <= now {
                 drop(state);
-                return self.place_last(&request);
+                return self.place_or_shed(&request);
             }
             let (number, reply) = state.enqueue(key, request.clone());
             self.changed.notify_one();
@@ -170,14 +170,14 @@
         };
         match timeout(wait, reply).await {
             Ok(Ok(choice)) => Ok(choice),
-            _ => self.place_last(&request),
+            _ => self.place_or_shed(&request),
         }
     }
 
     /// Places a request that cannot wait any longer at a slot that is free nevertheless, or sheds
     /// it: peers with more urgent requests may not have used the slot, or it is in a data centre
     /// whose backend servers were not considered.
-    fn place_last(&self, request: &PlacementRequest) -> Result<Choice, PlacementError> {
+    fn place_or_shed(&self, request: &PlacementRequest) -> Result<Choice, PlacementError> {
         let now = self.clock.now();
         let mut state = self.lock();
         match state.choose_free(request, now) {
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -266,12 +266,12 @@
     }
 
     fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
-        let odd = match behaviour {
+        let endless_body = match behaviour {
             Behaviour::Endless => Some(StreamBody::new(endless_bytes()).boxed_unsync()),
             Behaviour::Trickles => Some(StreamBody::new(trickle()).boxed_unsync()),
             _ => None,
         };
-        if let Some(body) = odd {
+        if let Some(body) = endless_body {
             let mut response = Response::new(body);
             put(&mut response, "content-type", "text/event-stream");
             return response;
@@ -298,7 +298,7 @@
     }
 }
 
-/// Bytes of no meaning, until the caller closes.
+/// Meaningless bytes, until the caller closes the connection.
 fn endless_bytes() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
 }
