Gateways: failed checks of the configuration and the version used for a request are logged

The logs could not tell a transfer that is given up from slow decoding, nor by which version a request was handled: a failed check was logged once per outage of the store, without its duration. Each failed check is now one line with the version in use, the age of its last confirmation and the time taken; 'configuration applied' tells size and times, and 'ended' the version.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -137,6 +137,7 @@
         headers: incoming.headers,
         body: bytes,
         accepted: incoming.accepted,
+        configuration_version: authorised.snapshot.version,
         route: authorised.route,
         organisation: authorised.organisation,
         cost,
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -156,10 +156,13 @@
                 }
                 (Ok(None), Some(known)) => self.confirm_configuration(&known, sent),
                 (Ok(None), None) => {}
-                (Err(error), _) => self.record_store_error("configuration", &error),
+                (Err(error), known) => {
+                    failures += 1;
+                    log_failed_check(known.as_deref(), sent, failures, &error);
+                    self.record_store_error("configuration", &error);
+                }
             }
             if has_failed {
-                failures += 1;
                 self.pause_after(failures).await;
                 continue;
             }
@@ -192,6 +195,7 @@
 
     fn apply_configuration(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) {
         let revision = entry.revision;
+        let read_ms = clock::boottime_now().since(sent).as_millis() as u64;
         let routing_config = match configuration::decode(&entry.value) {
             Ok(routing_config) => routing_config,
             Err(error) => {
@@ -219,7 +223,10 @@
                 version,
                 revision:% = revision,
                 routes,
-                organisations;
+                organisations,
+                bytes = entry.value.len(),
+                read_ms,
+                total_ms = clock::boottime_now().since(sent).as_millis() as u64;
                 "configuration applied"
             ),
             Outcome::Kept => log::warn!(
@@ -270,3 +277,17 @@
         }
     }
 }
+
+/// Logs a check of the configuration that failed, with the version that stays in use and the age of
+/// its last confirmation.
+fn log_failed_check(known: Option<&Snapshot>, sent: BootTime, failures: u32, error: &Error) {
+    let now = clock::boottime_now();
+    let age = known.and_then(|known| known.freshness.age(now));
+    log::warn!(
+        version = known.map(|known| known.version),
+        confirmed_ms_ago = age.map(|age| age.as_millis() as u64),
+        elapsed_ms = now.since(sent).as_millis() as u64,
+        failures;
+        "configuration not checked: {error}"
+    );
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -55,6 +55,8 @@
     pub body: Bytes,
     /// When the gateway accepted the request.
     pub accepted: Timestamp,
+    /// Version of the configuration that the request was authorised and routed by.
+    pub configuration_version: u64,
     /// Route of the request.
     pub route: Arc<Route>,
     /// Organisation of the caller, or `None` on an anonymous route.
@@ -307,6 +309,7 @@
             request = self.request.head.id.as_str(),
             route = self.request.route.name.as_str(),
             service = self.service.as_str(),
+            configuration_version = self.request.configuration_version,
             organisation = self.request.organisation.as_ref().map(|own| own.name.as_str()),
             quota_cost = self.request.cost,
             outcome,
