Test: large configurations over a slow link, known red

Both fail on this code: 503 where the new version should serve after 3 s (it is never read), and 200 from the former service 2 s after a change that must hold within 1 s.

--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -9,6 +9,7 @@
     tamarackdale_testbed::{
         http,
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
+        proxy::{Direction, Fault, Proxy, Scope},
         store::Outage,
         wait,
     },
@@ -41,7 +42,11 @@
 
 /// A site with two engines, two plain servers and one gateway that is ready.
 async fn start_with(configuration: &Configuration) -> Bench {
-    let site = Site::new(configuration).expect("starts");
+    start_at(Site::new(configuration).expect("starts")).await
+}
+
+/// Adds two engines, two plain servers and one gateway that is ready to a site.
+async fn start_at(site: Site) -> Bench {
     let servers = |service: &str| -> Vec<Server> {
         let server = |number| Server::new(&format!("{service}-{number}"), service);
         (1..=2)
@@ -403,6 +408,55 @@
     );
 }
 
+/// Pause of a proxy between two pieces of 16 KiB at most: a link of about 5 Mbit/s.
+const SLOW_LINK: Duration = Duration::from_millis(25);
+
+/// A configuration whose entry has `bytes` bytes or a little more.
+fn large_configuration(configuration: Configuration, bytes: usize) -> Configuration {
+    configuration.with("/notes", json!("x".repeat(bytes)))
+}
+
+/// A site whose gateways reach the store over a slow link, with an anonymous route `/status/`.
+async fn start_behind_slow_link() -> (Bench, Proxy, Configuration) {
+    let mut configuration = Configuration::default().with("/routes/3/anonymous", json!(true));
+    configuration.value["notes"] = json!("");
+    let site = Site::new(&configuration).expect("starts");
+    let link = Proxy::new(site.store.address()).expect("starts");
+    link.inject(Scope::All, Direction::FromTarget, Fault::delay(SLOW_LINK));
+    let bench = start_at(site.with_store_address(link.address())).await;
+    (bench, link, configuration)
+}
+
+/// Guards against a time limit on the whole of a transfer: a large configuration never reached
+/// gateways with a slow link, because each attempt began from the first byte.
+#[tokio::test]
+async fn large_configuration_arrives_over_a_slow_link() {
+    let (bench, _link, configuration) = start_behind_slow_link().await;
+    let moved = configuration.with("/routes/3/prefix", json!("/moved/"));
+
+    bench.site.configure(&large_configuration(moved, 700_000));
+    sleep(IN_FORCE).await;
+    let answer = bench.gateway.call("/moved/1", "m-1").await;
+
+    assert_eq!(answer.expect("answered").status(), 200);
+}
+
+/// Guards against serving by a version that is known to be superseded, for as long as reading the
+/// new one takes.
+#[tokio::test]
+async fn superseded_configuration_is_not_used_while_the_new_one_is_read() {
+    let (bench, _link, configuration) = start_behind_slow_link().await;
+    let moved = configuration.with("/routes/3/prefix", json!("/moved/"));
+
+    bench.site.configure(&large_configuration(moved, 4_000_000));
+    // The site's time for a change to take effect, twice; reading takes eight seconds.
+    sleep(Duration::from_secs(2)).await;
+    let answer = bench.gateway.call("/status/1", "s-1").await;
+
+    assert_eq!(answer.expect("answered").status(), 503);
+    assert_eq!(total_runs(&bench.plains), 0);
+}
+
 #[tokio::test]
 async fn key_that_was_taken_away_stops_working() {
     let bench = start().await;
