HTTP client: the timeout of a call covers its head and each wait for more of the body, not the whole transfer

Callers were refused for up to 13 s at gateways with a link of 10 Mbit/s after a configuration had grown by 1,400 routes (1.1 MB as JSON in base64), and by the users' record two were served by the former version 3.4 s after the acknowledgement. The check of the configuration returns the whole new entry, which takes 0.9 s on an idle link of that speed; the call was given up after 1 s, its bytes were discarded and the next check began from the first byte. The client serves all calls to the store, the instance list, documents of peers and the operators' client, so the same fault could occur for a range of registrations or a document; it is mended for all.

--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -1,7 +1,10 @@
 //! HTTP client with a timeout on each call.
+//!
+//! The timeout covers the response head and each wait for more of the body, not the whole transfer:
+//! a large body over a slow link takes longer than any timeout that detects a dead connection soon.
 
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     flate2::read::GzDecoder,
     http_body_util::{BodyExt as _, Full, Limited},
@@ -19,7 +22,7 @@
     std::{
         io::Read as _,
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::timeout,
 };
@@ -27,6 +30,11 @@
 /// Longest response body accepted, in bytes, also after decompression.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Least average rate, in bytes per second, at which a response body must arrive once the timeout
+/// has passed. Bounds the time that a server can hold a call by sending a byte now and then. A
+/// hundredth of the slowest link of the platform (10 Mbit/s) or a little more.
+const MIN_BODY_RATE: f64 = 16.0 * 1024.0;
+
 /// Content encoding that the client accepts from the server.
 const GZIP: &str = "gzip";
 
@@ -78,7 +86,8 @@
 }
 
 impl Client {
-    /// A client of the server at `endpoint`, such as `http://10.0.0.1:2379`.
+    /// A client of the server at `endpoint`, such as `http://10.0.0.1:2379`. `timeout` bounds the
+    /// time to the head of a response and each wait for more of its body.
     pub fn new(endpoint: &str, timeout: Duration) -> Self {
         Self {
             endpoint: endpoint.trim_end_matches('/').to_owned(),
@@ -105,11 +114,8 @@
 
     /// Posts a body and reads the whole response.
     pub async fn post(&self, path: &str, body: impl Into<Bytes>) -> Result<Bytes, Error> {
-        self.with_call_timeout(async {
-            let response = self.send(self.post_request(path, body.into())?).await?;
-            read_body(response.into_body()).await
-        })
-        .await
+        let response = self.send(self.post_request(path, body.into())?).await?;
+        self.read_body(response.into_body()).await
     }
 
     /// Posts a body and reads the whole response, whatever its status.
@@ -118,24 +124,19 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Result<Response<Bytes>, Error> {
-        let request = self.post_request(path, body.into())?;
-        self.with_call_timeout(self.exchange(request)).await
+        self.exchange(self.post_request(path, body.into())?).await
     }
 
     /// Sends a `GET` to a path below the endpoint and reads the whole response, whatever its status.
     pub async fn get_response(&self, path: &str) -> Result<Response<Bytes>, Error> {
-        let request = self.get_request(path)?;
-        self.with_call_timeout(self.exchange(request)).await
+        self.exchange(self.get_request(path)?).await
     }
 
     /// Posts a body and returns the response body as a stream. The timeout covers the response head
     /// only.
     pub async fn open(&self, path: &str, body: impl Into<Bytes>) -> Result<Incoming, Error> {
-        self.with_call_timeout(async {
-            let response = self.send(self.post_request(path, body.into())?).await?;
-            Ok(response.into_body())
-        })
-        .await
+        let response = self.send(self.post_request(path, body.into())?).await?;
+        Ok(response.into_body())
     }
 
     /// Sends a `GET` to the endpoint itself.
@@ -145,9 +146,8 @@
 
     /// Sends a `GET` to a path below the endpoint.
     pub async fn fetch(&self, path: &str) -> Result<Bytes, Error> {
-        let request = self.get_request(path)?;
-        self.with_call_timeout(async { read_body(self.send(request).await?.into_body()).await })
-            .await
+        let response = self.send(self.get_request(path)?).await?;
+        self.read_body(response.into_body()).await
     }
 
     /// Sends a `GET` to the endpoint itself, conditional on a change since the content with the
@@ -164,24 +164,21 @@
         }
         let gzip = HeaderValue::from_static(GZIP);
         request.headers_mut().insert(ACCEPT_ENCODING, gzip);
-        self.with_call_timeout(async {
-            let response = match self.send(request).await {
-                Ok(response) => response,
-                Err(Error::Status { status, .. }) if status == StatusCode::NOT_MODIFIED => {
-                    return Ok(ConditionalResponse::NotModified);
-                }
-                Err(error) => return Err(error),
-            };
-            let etag = response.headers().get(ETAG).cloned();
-            let is_gzip = response
-                .headers()
-                .get(CONTENT_ENCODING)
-                .is_some_and(|encoding| encoding == GZIP);
-            let body = read_body(response.into_body()).await?;
-            let body = if is_gzip { decompress(&body)? } else { body };
-            Ok(ConditionalResponse::Modified { body, etag })
-        })
-        .await
+        let response = match self.send(request).await {
+            Ok(response) => response,
+            Err(Error::Status { status, .. }) if status == StatusCode::NOT_MODIFIED => {
+                return Ok(ConditionalResponse::NotModified);
+            }
+            Err(error) => return Err(error),
+        };
+        let etag = response.headers().get(ETAG).cloned();
+        let is_gzip = response
+            .headers()
+            .get(CONTENT_ENCODING)
+            .is_some_and(|encoding| encoding == GZIP);
+        let body = self.read_body(response.into_body()).await?;
+        let body = if is_gzip { decompress(&body)? } else { body };
+        Ok(ConditionalResponse::Modified { body, etag })
     }
 
     fn get_request(&self, path: &str) -> Result<Request<Full<Bytes>>, Error> {
@@ -199,51 +196,73 @@
 
     async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
         let (parts, body) = self.request(request).await?.into_parts();
-        Ok(Response::from_parts(parts, read_body(body).await?))
+        Ok(Response::from_parts(parts, self.read_body(body).await?))
     }
 
+    /// Sends a request and returns the response as soon as its head has been received.
     async fn request(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let pool = self.lock_pool().clone();
-        pool.request(request).await.map_err(|error| {
-            let text = format_with_causes(&error);
-            match error.is_connect() {
-                true => Error::Connect(text),
-                false => Error::Lost(text),
+        match timeout(self.timeout, pool.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(Error::Connect(format_with_causes(&error))),
+            Ok(Err(error)) => Err(Error::Lost(format_with_causes(&error))),
+            Err(_) => {
+                self.replace_pool();
+                let limit = self.timeout;
+                Err(Error::Lost(format!("no response within {limit:?}")))
             }
-        })
+        }
     }
 
+    /// Sends a request, and reads the body into the error unless the status is a success.
     async fn send(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let response = self.request(request).await?;
         if response.status().is_success() {
             return Ok(response);
         }
         let status = response.status().as_u16();
-        let body = read_body(response.into_body()).await.unwrap_or_default();
+        let body = self.read_body(response.into_body()).await;
+        let body = body.unwrap_or_else(|error| error.to_string().into());
         Err(Error::Status {
             status,
             body: String::from_utf8_lossy(&body).into_owned(),
         })
     }
 
-    /// Applies the timeout to a call. When it expires, the connection pool is replaced: the other
-    /// pooled connections may be as unresponsive as the one that timed out.
-    async fn with_call_timeout<T>(
-        &self,
-        call: impl Future<Output = Result<T, Error>>,
-    ) -> Result<T, Error> {
-        match timeout(self.timeout, call).await {
-            Ok(result) => result,
-            Err(_) => {
-                *self.lock_pool() = new_pool(self.timeout);
-                Err(Error::Lost(format!(
-                    "no response within {:?}",
-                    self.timeout
-                )))
+    /// Reads a whole body for as long as it keeps arriving.
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, Error> {
+        let started = Instant::now();
+        let mut body = Limited::new(body, MAX_BODY_BYTES);
+        let mut bytes = BytesMut::new();
+        loop {
+            let allowed =
+                self.timeout + Duration::from_secs_f64(bytes.len() as f64 / MIN_BODY_RATE);
+            let left = allowed.saturating_sub(started.elapsed());
+            let frame = match timeout(left.min(self.timeout), body.frame()).await {
+                Ok(None) => return Ok(bytes.freeze()),
+                Ok(Some(Ok(frame))) => frame,
+                Ok(Some(Err(error))) => return Err(Error::Lost(error.to_string())),
+                Err(_) => {
+                    self.replace_pool();
+                    return Err(Error::Lost(format!(
+                        "the response body stalled: {} bytes within {:?}",
+                        bytes.len(),
+                        started.elapsed()
+                    )));
+                }
+            };
+            if let Some(data) = frame.data_ref() {
+                bytes.extend_from_slice(data);
             }
         }
     }
 
+    /// Replaces the connection pool after a timeout: the other pooled connections may be as
+    /// unresponsive as the one that timed out.
+    fn replace_pool(&self) {
+        *self.lock_pool() = new_pool(self.timeout);
+    }
+
     fn lock_pool(&self) -> std::sync::MutexGuard<'_, Pool<HttpConnector, Full<Bytes>>> {
         self.pool.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -262,14 +281,6 @@
         .build(connector)
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes, Error> {
-    Limited::new(body, MAX_BODY_BYTES)
-        .collect()
-        .await
-        .map(|collected| collected.to_bytes())
-        .map_err(|error| Error::Lost(error.to_string()))
-}
-
 /// Decompresses a gzip body of at most [`MAX_BODY_BYTES`] decompressed bytes.
 fn decompress(body: &[u8]) -> Result<Bytes, Error> {
     let mut content = Vec::new();
--- /dev/null
+++ b/store/tests/http.rs
@@ -0,0 +1,63 @@
+//! Timeouts of the HTTP client, against a server that sends its response body in pieces.
+
+use {
+    bytes::Bytes,
+    futures_util::stream,
+    http_body_util::{BodyExt as _, StreamBody},
+    hyper::{Response, body::Frame},
+    rstest::rstest,
+    std::{io, time::Duration},
+    tamarackdale_store::http::{Client, Error},
+    tamarackdale_testbed::host::Host,
+    tokio::time::{Instant, sleep},
+};
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// A server whose response bodies are `count` pieces of `bytes` bytes, each after a `pause`.
+fn server(count: usize, bytes: usize, pause: Duration) -> Host {
+    Host::new("pieces", move |_| async move {
+        let pieces = stream::unfold(0, move |sent| async move {
+            if sent == count {
+                return None;
+            }
+            sleep(pause).await;
+            let piece = Bytes::from(vec![b'x'; bytes]);
+            Some((Ok::<_, io::Error>(Frame::data(piece)), sent + 1))
+        });
+        Some(Response::new(StreamBody::new(pieces).boxed_unsync()))
+    })
+    .expect("starts")
+}
+
+fn client(server: &Host) -> Client {
+    Client::new(&format!("http://{}", server.address()), TIMEOUT)
+}
+
+/// Guards against a time limit on the whole transfer, which large bodies over slow links exceed.
+#[tokio::test]
+async fn body_that_keeps_arriving_may_take_longer_than_the_timeout() {
+    let server = server(20, 16 * 1024, TIMEOUT / 6);
+
+    let response = client(&server).get_response("/").await;
+
+    assert_eq!(response.expect("whole").body().len(), 20 * 16 * 1024);
+}
+
+#[rstest]
+#[case::stalled(2, 64 * 1024, TIMEOUT * 20)]
+#[case::trickling(100_000, 1, TIMEOUT / 10)]
+#[tokio::test]
+async fn body_that_stalls_or_trickles_is_given_up(
+    #[case] count: usize,
+    #[case] bytes: usize,
+    #[case] pause: Duration,
+) {
+    let server = server(count, bytes, pause);
+    let started = Instant::now();
+
+    let response = client(&server).get_response("/").await;
+
+    assert!(matches!(response, Err(Error::Lost(_))), "{response:?}");
+    assert!(started.elapsed() < TIMEOUT * 10, "{:?}", started.elapsed());
+}
