Gateways: a version that is known to be superseded is used only for as long as a change may take

The head of the answer to a check already tells that there is a newer version, some seconds before the whole entry has arrived over a slow link. From then on the version in use serves new requests only until the convergence time after its last confirmation has passed; later ones are told that they have not run and when to return, and the gateway is not ready. A version that is merely unconfirmed, as in an outage of the store, serves as before: nothing tells that it is old.

--- a/core/src/cached_config.rs
+++ b/core/src/cached_config.rs
@@ -24,6 +24,9 @@
     pub revision: Revision,
     /// Freshness of this version.
     pub freshness: Freshness,
+    /// Set once the store is known to have a newer entry, until that has been read: the age of the
+    /// last confirmation up to which this version may still be used.
+    pub max_superseded_age: Option<Duration>,
 }
 
 impl<T> Clone for CachedConfig<T> {
@@ -74,6 +77,35 @@
             version: reading.version,
             revision: reading.revision,
             freshness,
+            max_superseded_age: None,
+        }
+    }
+
+    /// Whether new requests may be handled by this version. One that is merely unconfirmed, as during
+    /// an outage of the store, may still be the newest; only API keys require more, see
+    /// [`Freshness::is_fresh`].
+    pub fn is_usable(&self, now: BootTime) -> bool {
+        let Some(max_age) = self.max_superseded_age else {
+            return true;
+        };
+        self.freshness.age(now).is_some_and(|age| age < max_age)
+    }
+
+    /// The same version, once the store is known to have a newer entry. It has been the newest up to
+    /// its last confirmation, so the time in which a change must take effect, `convergence`, counts
+    /// from there.
+    pub fn superseded(&self, convergence: Duration) -> Self {
+        Self {
+            max_superseded_age: Some(convergence),
+            ..self.clone()
+        }
+    }
+
+    /// The same version, after the newer entry turned out to be unusable.
+    pub fn retained(&self) -> Self {
+        Self {
+            max_superseded_age: None,
+            ..self.clone()
         }
     }
 
@@ -102,6 +134,7 @@
             version,
             revision: reading.revision,
             freshness,
+            max_superseded_age: None,
         };
         (updated, outcome)
     }
@@ -114,6 +147,7 @@
         confirmed.freshness = self.freshness.with_max_age(max_age);
         if revision == self.revision {
             confirmed.freshness.confirm(sent);
+            confirmed.max_superseded_age = None;
         }
         confirmed
     }
--- a/core/tests/cached_config.rs
+++ b/core/tests/cached_config.rs
@@ -13,6 +13,9 @@
 
 const MAX_AGE: Duration = Duration::from_millis(3_000);
 
+/// Time in which a change must take effect.
+const CONVERGENCE: Duration = Duration::from_millis(2_000);
+
 /// Longest time from a restoration until the operator has written again what was lost.
 const MAX_REWRITE_MS: u64 = 2_000;
 
@@ -26,6 +29,8 @@
     /// The response to the request `back` before the last one arrives, possibly again. It reflects
     /// the store at the time of the request.
     Response { back: usize },
+    /// Only the head of that response arrives, which tells whether the entry has changed.
+    Head { back: usize },
     /// The process restarts without a cached configuration.
     Restart,
     /// The store is restored from a copy that lacks the newest `lost` writes. The operator writes
@@ -143,6 +148,18 @@
             Some(cached) => Some(cached.updated(reading, MAX_AGE).0),
         };
     }
+
+    /// Handles the head of the response to a request as a gateway does.
+    fn receive_head(&mut self, request: Request) {
+        let Some(cached) = &self.cached else {
+            return;
+        };
+        let is_answered = request.cached == Some(cached.revision);
+        let is_same_era = request.revision.era == cached.revision.era;
+        if is_answered && is_same_era && request.revision != cached.revision {
+            self.cached = Some(cached.superseded(CONVERGENCE));
+        }
+    }
 }
 
 fn step() -> impl Strategy<Value = Step> {
@@ -150,6 +167,7 @@
         2 => Just(Step::Write),
         4 => Just(Step::Request),
         6 => (0_usize..4).prop_map(|back| Step::Response { back }),
+        3 => (0_usize..4).prop_map(|back| Step::Head { back }),
         1 => Just(Step::Restart),
         1 => (0_usize..4, 0..MAX_REWRITE_MS)
             .prop_map(|(lost, rewrite_ms)| Step::Restore { lost, rewrite_ms }),
@@ -195,6 +213,10 @@
                     let after = router.cached.as_ref().map(|cached| cached.version);
                     prop_assert!(before <= after, "{before:?} to {after:?}");
                 }
+                Step::Head { back } => {
+                    let Some(at) = requests.len().checked_sub(back + 1) else { continue };
+                    router.receive_head(requests[at]);
+                }
                 Step::Restart => {
                     router = Router::default();
                     requests.clear();
@@ -215,6 +237,13 @@
             {
                 prop_assert!(now.since(*superseded) < MAX_AGE);
             }
+            if cached.max_superseded_age.is_some()
+                && cached.is_usable(now)
+                && !router.started_incomplete
+                && let Some(superseded) = store.acknowledged.get(cached.version as usize + 1)
+            {
+                prop_assert!(now.since(*superseded) < CONVERGENCE);
+            }
         }
     }
 }
@@ -271,3 +300,25 @@
 
     assert_eq!((outcome, kept.version), (Outcome::Outdated, 3));
 }
+
+#[test]
+fn superseded_version_is_used_for_as_long_as_a_change_may_take() {
+    let cached = CachedConfig::new(reading(0, 7, 3, 1_000, true), MAX_AGE);
+
+    let superseded = cached.superseded(CONVERGENCE);
+
+    assert!(superseded.is_usable(BootTime(2_999)));
+    assert!(!superseded.is_usable(BootTime(3_000)));
+    assert!(cached.is_usable(BootTime(60_000)));
+    assert!(superseded.retained().is_usable(BootTime(60_000)));
+}
+
+#[test]
+fn version_that_was_read_is_not_superseded() {
+    let superseded = CachedConfig::new(reading(0, 7, 3, 1_000, true), MAX_AGE);
+    let superseded = superseded.superseded(CONVERGENCE);
+
+    let (updated, _) = superseded.updated(reading(0, 8, 4, 2_000, true), MAX_AGE);
+
+    assert!(updated.is_usable(BootTime(60_000)));
+}
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -209,10 +209,11 @@
 fn readiness(context: &Context) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let context = context.clone();
     Arc::new(move || {
-        let is_fresh = context
+        let now = clock::boottime_now();
+        let is_current = context
             .snapshot()
-            .is_some_and(|snapshot| snapshot.freshness.is_fresh(clock::boottime_now()));
-        !context.closing.is_cancelled() && is_fresh && context.scheduler.has_servers()
+            .is_some_and(|snapshot| snapshot.freshness.is_fresh(now) && snapshot.is_usable(now));
+        !context.closing.is_cancelled() && is_current && context.scheduler.has_servers()
     })
 }
 
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -153,7 +153,8 @@
 }
 
 /// Finds the request's route and checks its API key. Unless the configuration is confirmed to be
-/// current, no API key is accepted, and a request that it denies is refused as `NotProved`.
+/// current, no API key is accepted, and a request that it denies is refused as `NotProved`. One that
+/// has been superseded for too long serves nobody.
 fn authorise(
     context: &Context,
     headers: &HeaderMap,
@@ -162,7 +163,11 @@
 ) -> Result<Authorised, Refusal> {
     let not_proved = || Refusal::new(Cause::NotProved).with_retry_after(NOT_PROVED_RETRY_AFTER);
     let snapshot = context.snapshot().ok_or_else(not_proved)?;
-    let is_fresh = snapshot.freshness.is_fresh(clock::boottime_now());
+    let now = clock::boottime_now();
+    if !snapshot.is_usable(now) {
+        return Err(not_proved());
+    }
+    let is_fresh = snapshot.freshness.is_fresh(now);
     let deny = |denial: Denial| match (is_fresh, denial) {
         (false, _) => not_proved(),
         (true, Denial::NoRoute) => Refusal::new(Cause::NoRoute),
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -20,6 +20,7 @@
         cached_config::{Outcome, Reading},
         freshness::BootTime,
         retry::Backoff,
+        revision::Revision,
     },
     tamarackdale_platform::{
         Settings, configuration,
@@ -145,17 +146,22 @@
     /// newer one.
     async fn follow_configuration(&self) {
         let mut failures = 0;
+        // Revision of an entry that cannot be used. The configuration in force stays, unconfirmed.
+        let mut rejected = None;
         loop {
             let sent = clock::boottime_now();
             let known = self.channels.configuration.borrow().clone();
-            let result = self.read_configuration(known.as_deref()).await;
+            let result = self.read_configuration(known.as_deref(), rejected).await;
             let has_failed = result.is_err();
             match (result, known) {
                 (Ok(Some(entry)), known) => {
-                    self.apply_configuration(&entry, known.as_deref(), sent)
+                    let is_usable = self.apply_configuration(&entry, known.as_deref(), sent);
+                    rejected = (!is_usable).then_some(entry.revision);
                 }
-                (Ok(None), Some(known)) => self.confirm_configuration(&known, sent),
-                (Ok(None), None) => {}
+                (Ok(None), Some(known)) if rejected.is_none() => {
+                    self.confirm_configuration(&known, sent);
+                }
+                (Ok(None), _) => {}
                 (Err(error), known) => {
                     failures += 1;
                     log_failed_check(known.as_deref(), sent, failures, &error);
@@ -176,14 +182,24 @@
         }
     }
 
-    /// Returns the configuration's entry if it is not at the known revision.
-    async fn read_configuration(&self, known: Option<&Snapshot>) -> Result<Option<Entry>, Error> {
+    /// Returns the configuration's entry unless it is still at the known revision, or at the
+    /// revision that was rejected.
+    async fn read_configuration(
+        &self,
+        known: Option<&Snapshot>,
+        rejected: Option<Revision>,
+    ) -> Result<Option<Entry>, Error> {
         let Some(known) = known else {
             return self.store.get(configuration::KEY).await.map(Some);
         };
+        let on_changed = || {
+            let convergence = self.bounds().convergence;
+            self.publish_snapshot(known.superseded(convergence));
+        };
+        let revision = rejected.unwrap_or(known.revision);
         let check = self
             .store
-            .check_revision(configuration::KEY, known.revision);
+            .check_revision(configuration::KEY, revision, on_changed);
         match check.await {
             Ok(RevisionCheck::Unchanged) => Ok(None),
             Ok(RevisionCheck::Changed(Some(entry))) => Ok(Some(entry)),
@@ -193,14 +209,19 @@
         }
     }
 
-    fn apply_configuration(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) {
+    /// Applies an entry that was read. Returns whether it can be used; if not, the known
+    /// configuration stays in force.
+    fn apply_configuration(&self, entry: &Entry, known: Option<&Snapshot>, sent: BootTime) -> bool {
         let revision = entry.revision;
         let read_ms = clock::boottime_now().since(sent).as_millis() as u64;
         let routing_config = match configuration::decode(&entry.value) {
             Ok(routing_config) => routing_config,
             Err(error) => {
                 log::error!(revision:% = revision; "configuration rejected: {error}");
-                return;
+                if let Some(known) = known {
+                    self.publish_snapshot(known.retained());
+                }
+                return false;
             }
         };
         let version = routing_config.version();
@@ -240,6 +261,7 @@
             }
         }
         self.publish_snapshot(snapshot);
+        true
     }
 
     /// Records that the known configuration was unchanged when the check was sent. Until the store
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -14,6 +14,7 @@
         header::{
             ACCEPT_ENCODING, CONTENT_ENCODING, CONTENT_TYPE, ETAG, HeaderValue, IF_NONE_MATCH,
         },
+        http::response::Parts,
     },
     hyper_util::{
         client::legacy::{Client as Pool, connect::HttpConnector},
@@ -124,12 +125,27 @@
         path: &str,
         body: impl Into<Bytes>,
     ) -> Result<Response<Bytes>, Error> {
-        self.exchange(self.post_request(path, body.into())?).await
+        self.post_with_head(path, body, |_| {}).await
+    }
+
+    /// Posts a body and reads the whole response, whatever its status. `on_head` is called as soon as
+    /// the head of the response has been received.
+    pub async fn post_with_head(
+        &self,
+        path: &str,
+        body: impl Into<Bytes>,
+        on_head: impl FnOnce(&Parts),
+    ) -> Result<Response<Bytes>, Error> {
+        let response = self.request(self.post_request(path, body.into())?).await?;
+        let (parts, body) = response.into_parts();
+        on_head(&parts);
+        Ok(Response::from_parts(parts, self.read_body(body).await?))
     }
 
     /// Sends a `GET` to a path below the endpoint and reads the whole response, whatever its status.
     pub async fn get_response(&self, path: &str) -> Result<Response<Bytes>, Error> {
-        self.exchange(self.get_request(path)?).await
+        let (parts, body) = self.request(self.get_request(path)?).await?.into_parts();
+        Ok(Response::from_parts(parts, self.read_body(body).await?))
     }
 
     /// Posts a body and returns the response body as a stream. The timeout covers the response head
@@ -194,11 +210,6 @@
             .map_err(|error| Error::Connect(error.to_string()))
     }
 
-    async fn exchange(&self, request: Request<Full<Bytes>>) -> Result<Response<Bytes>, Error> {
-        let (parts, body) = self.request(request).await?.into_parts();
-        Ok(Response::from_parts(parts, self.read_body(body).await?))
-    }
-
     /// Sends a request and returns the response as soon as its head has been received.
     async fn request(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let pool = self.lock_pool().clone();
