--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -31,10 +31,14 @@
 };
 
 /// Interval between two checks of the configuration, as a fraction of the time in which a change
-/// must take effect. A check also fetches the change; the rest of the time is for the calls and for
-/// decoding.
+/// must take effect, from sending to sending. A check also fetches the change; the rest of the time
+/// is for the calls and for decoding.
 const CHECK_INTERVAL_FRACTION: f64 = 0.7;
 
+/// Least pause after a check of the configuration, however long it took: leaves the link to requests
+/// between two large versions.
+const MIN_CHECK_PAUSE: Duration = Duration::from_millis(300);
+
 /// Interval between two checks of the configuration soon after the store was restored from an older
 /// copy, when the operator writes again what was lost.
 const UNSETTLED_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -178,7 +182,9 @@
                 true => self.check_interval(),
                 false => UNSETTLED_CHECK_INTERVAL.min(self.check_interval()),
             };
-            sleep(interval).await;
+            // Counted from the sending of the check, which is the time that it confirms.
+            let elapsed = clock::boottime_now().since(sent);
+            sleep(interval.saturating_sub(elapsed).max(MIN_CHECK_PAUSE)).await;
         }
     }
 
