--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -168,7 +168,9 @@
                 (Ok(None), _) => {}
                 (Err(error), known) => {
                     failures += 1;
-                    log_failed_check(known.as_deref(), sent, failures, &error);
+                    if !matches!(error, Error::NoKey | Error::Restored) {
+                        log_failed_check(known.as_deref(), sent, failures, &error);
+                    }
                     self.record_store_error("configuration", &error);
                 }
             }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -151,7 +151,8 @@
                 request = self.request.head.id.as_str(),
                 backend_server = self.excluded.last().map(String::as_str).unwrap_or_default(),
                 setback:? = failure,
-                verdict:% = self.dispatch.verdict();
+                verdict:% = self.dispatch.verdict(),
+                prompt_parts = self.shared_parts();
                 "moved or given up"
             );
             match step {
@@ -224,6 +225,13 @@
         snapshot.is_some_and(|snapshot| snapshot.freshness.is_fresh(clock::boottime_now()))
     }
 
+    /// Identifiers of the shared parts of the prompt, in hexadecimal as callers send them, for logs.
+    fn shared_parts(&self) -> String {
+        let parts = self.request.head.shared_parts();
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -143,7 +143,8 @@
             request = self.job.request.head.id.as_str(),
             backend_server = broken.in_flight.id(),
             events = self.job.events,
-            last_event:? = self.job.last_event;
+            last_event:? = self.job.last_event,
+            prompt_parts = self.job.shared_parts();
             "stream broken: {reason}"
         );
         // Closes the connection before the request is sent again.
