--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -22,6 +22,9 @@
 /// Pause between two bytes of a server that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time from the head of a response to the crash of its server.
+const HEAD_PAUSE: Duration = Duration::from_millis(20);
+
 /// How the server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -61,6 +64,8 @@
     pub resumed_after: Option<u64>,
     /// Whether the caller's key came with it.
     pub has_key: bool,
+    /// Parts of its prompt as they were stated.
+    pub prompt_parts: String,
     /// Body as it came.
     pub body: Bytes,
 }
@@ -81,6 +86,8 @@
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
+    /// A prompt's part, as `ID:`, under which the server crashes when it begins to answer.
+    deadly_part: Mutex<Option<String>>,
     runs: Mutex<Vec<Run>>,
     working: AtomicUsize,
 }
@@ -97,6 +104,7 @@
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
+            deadly_part: Mutex::default(),
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
         });
@@ -152,6 +160,12 @@
         *lock(&self.state.events) = events;
     }
 
+    /// Lets the server crash when it begins to answer a request whose prompt has a part: it sends
+    /// the head of the response and cuts the connection.
+    pub fn set_deadly_part(&self, id: &str) {
+        *lock(&self.state.deadly_part) = Some(format!("{id}:"));
+    }
+
     /// The requests that it ran, oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state.runs).clone()
@@ -228,9 +242,13 @@
             organisation: text("tenant").to_owned(),
             resumed_after,
             has_key: parts.headers.contains_key("authorization"),
+            prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
         };
         let size = run.body.len();
+        let is_deadly = lock(&self.deadly_part)
+            .as_ref()
+            .is_some_and(|part| run.prompt_parts.contains(part));
         lock(&self.runs).push(run);
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
@@ -249,6 +267,9 @@
             }
             _ => {}
         }
+        if is_deadly {
+            return Some(signed(head_of_stream(), &id));
+        }
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
             _ => &id,
@@ -298,6 +319,18 @@
     }
 }
 
+/// A stream that breaks off before its first event.
+fn head_of_stream() -> Response<Body> {
+    let cut = stream::once(async {
+        // The head goes out before the connection is cut.
+        sleep(HEAD_PAUSE).await;
+        Err::<Frame<Bytes>, _>(io::Error::other("crashed"))
+    });
+    let mut response = Response::new(StreamBody::new(cut).boxed_unsync());
+    put(&mut response, "content-type", "text/event-stream");
+    response
+}
+
 /// Meaningless bytes, until the caller closes the connection.
 fn endless_bytes() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -907,6 +907,55 @@
     assert_eq!(total_runs(&servers), served.len());
 }
 
+/// A request to a stream whose prompt has these shared parts and one of its own.
+fn prompt_request(id: &str, shared: &[&str]) -> Request<Bytes> {
+    let parts: String = shared.iter().map(|part| format!("{part}:20,")).collect();
+    let mut request = request("/stream/1", id);
+    let parts = format!("{parts}{:x}:10", id.len() + 1_000);
+    let value = parts.parse().expect("a header value");
+    request.headers_mut().insert("prefix-hash", value);
+    request
+}
+
+/// Guards against requests of one kind that crash one backend server after the other: the rules
+/// allow three more once five servers have crashed and everybody has had the time to hear of it.
+#[tokio::test]
+async fn requests_whose_part_crashes_servers_stop_reaching_them() {
+    let bench = start().await;
+    let second = bench.site.gateway("two").expect("starts");
+    assert!(second.wait_ready(true).await, "not ready");
+    let gateways = [&bench.gateway, &second];
+    bench
+        .engines
+        .iter()
+        .for_each(|engine| engine.set_deadly_part("dead"));
+    let send = async |number: usize, shared: &[&str]| {
+        let id = format!("r-{number}");
+        let callers = gateways[number % 2].callers();
+        http::call(callers, prompt_request(&id, shared), SOON).await
+    };
+    let deadly_runs = || {
+        let runs = bench.engines.iter().flat_map(Server::runs);
+        runs.filter(|run| run.prompt_parts.contains("dead:"))
+            .count()
+    };
+
+    for number in 0..20 {
+        let _ = send(number, &["a", "dead"]).await;
+        let sound = send(number + 100, &["a", "b"]).await.expect("answered");
+        assert_eq!(sound.status(), 200, "first part shared with crashes");
+    }
+    let crashes = deadly_runs();
+    for number in 0..20 {
+        let _ = send(number + 200, &["c", "dead"]).await;
+    }
+    let sound = send(300, &["c", "b"]).await.expect("answered");
+
+    assert!(crashes <= 5 + 3, "{crashes} crashes");
+    assert_eq!(deadly_runs(), crashes);
+    assert_eq!(sound.status(), 200);
+}
+
 #[tokio::test]
 async fn two_gateways_keep_one_quota() {
     let limited = Configuration::default()
