Gateways: a part of prompts that crashes backend servers is quarantined

Requests that only run or wait at the crashed server have passed events or have no head yet. core::poison counts such breaks by the shared parts of the prompt. Of the parts, the one that was answered the longest ago is blamed, so that parts that sound requests share are not; a part with three crashes at no answer in between is quarantined for five minutes. Gateways tell each other crashes, and answers to requests with a blamed part, in their summaries. A request with a quarantined part is told that it has not run.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod id;
 pub mod limit;
 pub mod peer_table;
+pub mod poison;
 pub mod prefix_history;
 pub mod queue;
 pub mod quorum;
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -4,6 +4,7 @@
     crate::{
         fleet::{Load, Speed},
         floor::Notice,
+        poison,
         quota::Usage,
         wait_queue::Urgency,
     },
@@ -36,6 +37,8 @@
     pub waits: Vec<(String, Urgency)>,
     /// Most urgent rank that the router has shed recently, by service.
     pub floors: Vec<(String, Notice)>,
+    /// Crashes of backend servers and answers by parts of prompts, as this router observed them.
+    pub poison: Vec<poison::Notice>,
 }
 
 impl Summary {
@@ -48,7 +51,10 @@
 
     /// Whether there is nothing in it that a peer must hear of at once.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty() && self.usages.is_empty() && self.floors.is_empty()
+        self.entries.is_empty()
+            && self.usages.is_empty()
+            && self.floors.is_empty()
+            && self.poison.is_empty()
     }
 }
 
@@ -95,12 +101,15 @@
         };
         let usages = current.usages.iter();
         let usages = usages.filter(|usage| before(&usage.organisation) != Some(*usage));
+        let poison = current.poison.iter();
+        let poison = poison.filter(|notice| !self.previous.poison.contains(notice));
         let changes = Summary {
             entries,
             usages: usages.cloned().collect(),
             is_complete: current.is_complete,
             waits: current.waits.clone(),
             floors: current.floors.clone(),
+            poison: poison.cloned().collect(),
         };
         let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
         if with_speeds {
--- a/core/tests/summary.rs
+++ b/core/tests/summary.rs
@@ -2,8 +2,10 @@
 
 use tamarackdale_core::{
     fleet::{Load, Speed},
+    poison::{Notice, Outcome},
     quota::Usage,
     summary::{ChangeTracker, Entry, Summary},
+    time::Timestamp,
 };
 
 fn entry(id: &str, requests: u32, measurements: u64) -> Entry {
@@ -120,3 +122,24 @@
         Some(vec![usage(2.0)])
     );
 }
+
+#[test]
+fn observation_of_a_crash_is_sent_once() {
+    let crash = Notice {
+        parts: vec![7],
+        outcome: Outcome::Crash { server: 1 },
+        at: Timestamp::from_millis(5),
+    };
+    let with_crash = Summary {
+        poison: vec![crash.clone()],
+        ..summary(&[entry("a", 1, 0)])
+    };
+    let mut tracker = ChangeTracker::new();
+    tracker.changes(summary(&[entry("a", 1, 0)]), false);
+
+    let changes = tracker.changes(with_crash.clone(), false);
+    let again = tracker.changes(with_crash, false);
+
+    assert_eq!(changes.map(|changes| changes.poison), Some(vec![crash]));
+    assert_eq!(again, None);
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -193,7 +193,7 @@
             None => return,
         };
         self.sent_at = Instant::now();
-        match codec::encode_item(&Message::new(context.boot, &summary)) {
+        match codec::encode_item(&Message::new(context.boot, &summary, context.clock.now())) {
             Ok(bytes) => context.summary_broadcast.send(self.scope, bytes),
             Err(error) => log::error!("summary not published: {error}"),
         }
@@ -272,7 +272,7 @@
 
 fn full_summary(context: &Context, scope: Scope) -> Bytes {
     let summary = summary_for(context, scope, true);
-    let message = Message::new(context.boot, &summary)
+    let message = Message::new(context.boot, &summary, context.clock.now())
         .with_data_centre(&context.settings.borrow().data_centre);
     codec::encode_item(&message).unwrap_or_else(|error| {
         log::error!("summary not published: {error}");
@@ -371,9 +371,9 @@
                         update_gateway_counts(context);
                         log::info!(peer:% = address, boot = message.boot; "peer heard");
                     }
-                    context
-                        .scheduler
-                        .merge_summary(message.boot, &message.into());
+                    let peer = message.boot;
+                    let summary = message.into_summary(context.clock.now());
+                    context.scheduler.merge_summary(peer, &summary);
                 }
                 Ok(None) => break,
                 Err(error) => {
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -43,6 +43,8 @@
     Overload,
     /// The shed floor is raised: a more urgent rank was shed recently.
     Floor,
+    /// A part of the prompt is quarantined, because requests with it crash backend servers.
+    Quarantined,
     /// No attempt was executed, and no further attempt is allowed.
     NotExecuted,
     /// The deadline passed before the request was sent.
@@ -67,6 +69,7 @@
             | Self::NoBackendServer
             | Self::Overload
             | Self::Floor
+            | Self::Quarantined
             | Self::NotExecuted
             | Self::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -137,6 +137,10 @@
                 Ok(choice) => choice,
                 Err(cause) => return Err(self.give_up(cause)),
             };
+            // A part of the prompt may have been quarantined while the request waited.
+            if self.quarantine().is_some() {
+                return Err(self.give_up(Cause::Quarantined));
+            }
             if self.dispatch.sent() > 0 && !self.context.scheduler.take_retry(&self.service) {
                 return Err(self.give_up(Cause::NotExecuted));
             }
@@ -163,7 +167,17 @@
         }
     }
 
+    /// Time for which requests like this one are refused because they crash backend servers.
+    fn quarantine(&self) -> Option<Duration> {
+        let parts = self.request.head.shared_part_ids();
+        let (_, remaining) = self.context.scheduler.quarantine(&parts)?;
+        Some(remaining)
+    }
+
     async fn place(&self) -> Result<Choice, Cause> {
+        if self.quarantine().is_some() {
+            return Err(Cause::Quarantined);
+        }
         let route = &self.request.route;
         let tokens = self.request.head.tokens;
         let organisation = self.request.organisation.as_ref();
@@ -227,8 +241,8 @@
 
     /// Identifiers of the shared parts of the prompt, in hexadecimal as callers send them, for logs.
     fn shared_parts(&self) -> String {
-        let parts = self.request.head.shared_parts();
-        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        let ids = self.request.head.shared_part_ids();
+        let ids: Vec<String> = ids.iter().map(|id| format!("{id:x}")).collect();
         ids.join(",")
     }
 
@@ -251,6 +265,8 @@
         }
         match exchange.read_body(&self.context.response_buffers).await {
             Ok((parts, bytes, in_flight)) => {
+                let prompt_parts = self.request.head.shared_part_ids();
+                self.context.scheduler.record_answer(&prompt_parts);
                 self.finish(ANSWERED, Some(&in_flight));
                 Response::from_parts(parts, body::full(bytes))
             }
@@ -272,7 +288,11 @@
         if !may_have_run {
             self.refund();
             let random = self.context.scheduler.random();
-            refusal = refusal.with_retry_after(wait_policy::retry_after(self.time_left(), random));
+            let retry_after = match (cause, self.quarantine()) {
+                (Cause::Quarantined, Some(remaining)) => remaining,
+                _ => wait_policy::retry_after(self.time_left(), random),
+            };
+            refusal = refusal.with_retry_after(retry_after);
         }
         self.finish(&cause.to_string(), None);
         refusal.response(&self.request.head.id)
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -11,7 +11,11 @@
         http::body,
     },
     bytes::Bytes,
-    gotham::hyper::{Request, Response, http::response::Parts},
+    gotham::hyper::{
+        Request, Response,
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+        http::response::Parts,
+    },
     http_body_util::Full,
     hyper::body::Incoming,
     std::{sync::Arc, time::Duration},
@@ -32,6 +36,8 @@
     pub parts: Parts,
     /// Body of the response.
     pub body: Incoming,
+    /// Whether the end of the body is told apart from a closed connection, by a length or by chunks.
+    pub is_framed: bool,
     /// Counts the request at the backend server.
     pub in_flight: InFlightRequest,
     connection: Connection,
@@ -97,6 +103,9 @@
     }
     let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
     let (mut parts, body) = response.into_parts();
+    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+        .iter()
+        .any(|name| parts.headers.contains_key(name));
     if !body::is_event_stream(&parts.headers) {
         in_flight.record_first_event();
     }
@@ -104,6 +113,7 @@
     Ok(Exchange {
         parts,
         body,
+        is_framed,
         in_flight,
         connection,
         pool,
@@ -161,6 +171,11 @@
         self.parts.status.is_success() && body::is_event_stream(&self.parts.headers)
     }
 
+    /// Whether the first event has arrived.
+    pub fn has_begun(&self) -> bool {
+        self.in_flight.time_to_first_event().is_some()
+    }
+
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
     pub async fn read_body(
         mut self,
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -55,6 +55,9 @@
 enum ReadResult {
     Bytes(Bytes),
     End,
+    /// No event was completed in time.
+    Stalled,
+    /// The connection broke.
     Broken(String),
 }
 
@@ -78,11 +81,24 @@
                         return Some(failed);
                     }
                 }
+                ReadResult::End if self.ended_with_nothing() => {
+                    self.record_crash();
+                    let reason = "the connection was closed before the first event";
+                    if let Some(failed) = self.resume(reason).await {
+                        return Some(failed);
+                    }
+                }
                 ReadResult::End => {
                     self.finish();
                     return None;
                 }
+                ReadResult::Stalled => {
+                    if let Some(failed) = self.resume("timed out waiting for an event").await {
+                        return Some(failed);
+                    }
+                }
                 ReadResult::Broken(reason) => {
+                    self.record_crash();
                     if let Some(failed) = self.resume(&reason).await {
                         return Some(failed);
                     }
@@ -91,11 +107,30 @@
         }
     }
 
+    /// Whether a response that is only ended by its connection has ended without any event, as when
+    /// its backend server crashes.
+    fn ended_with_nothing(&self) -> bool {
+        let exchange = self.exchange.as_ref();
+        exchange.is_some_and(|exchange| !exchange.is_framed && !exchange.has_begun())
+    }
+
+    /// Records a crash of the backend server if its stream broke before the first event.
+    fn record_crash(&self) {
+        let Some(exchange) = self.exchange.as_ref() else {
+            return;
+        };
+        if !exchange.has_begun() {
+            let parts = self.job.request.head.shared_part_ids();
+            let scheduler = &self.job.context.scheduler;
+            scheduler.record_crash(&parts, exchange.in_flight.id());
+        }
+    }
+
     async fn read(&mut self) -> Option<ReadResult> {
         let limit = self.read_timeout();
         let exchange = self.exchange.as_mut()?;
         let result = match timeout(limit, exchange.body.frame()).await {
-            Err(_) => ReadResult::Broken("timed out waiting for an event".to_owned()),
+            Err(_) => ReadResult::Stalled,
             Ok(None) => ReadResult::End,
             Ok(Some(Err(error))) => ReadResult::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => ReadResult::Bytes(frame.into_data().unwrap_or_default()),
@@ -125,6 +160,8 @@
             exchange.in_flight.record_first_event();
             if is_first && let Some(elapsed) = exchange.in_flight.time_to_first_event() {
                 self.job.context.metrics.record_first_token(elapsed);
+                let prompt_parts = self.job.request.head.shared_part_ids();
+                self.job.context.scheduler.record_answer(&prompt_parts);
             }
         }
         batch.bytes.into()
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -19,6 +19,7 @@
     tamarackdale_core::{
         cell::Layout,
         fleet::{self, Choice, Members, RequestLoad, Shortage},
+        poison::Quarantine,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
@@ -69,9 +70,13 @@
         self.lock().update_settings(settings);
     }
 
-    /// Replaces the set of registered backend servers.
+    /// Replaces the set of registered backend servers. Called at least every second, which also
+    /// bounds how long outdated observations of prompts are kept.
     pub fn update_servers(&self, members: &Members) {
-        self.lock().fleet.update_members(members);
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.fleet.update_members(members);
+        state.poison.prune(now);
     }
 
     /// Whether any backend server accepts requests.
@@ -214,6 +219,29 @@
         }
     }
 
+    /// Records that the stream of a request with these parts of the prompt broke after its head and
+    /// before its first event, which is how a backend server looks that the request has crashed.
+    pub fn record_crash(&self, parts: &[u64], id: &str) {
+        let now = self.clock.now();
+        let quarantines = self.lock().poison.record_crash(parts, id, now);
+        quarantines.iter().for_each(log_quarantine);
+        self.changed.notify_one();
+    }
+
+    /// Records that the answer to a request with these parts of the prompt began.
+    pub fn record_answer(&self, parts: &[u64]) {
+        let now = self.clock.now();
+        self.lock().poison.record_answer(parts, now);
+    }
+
+    /// The first of these parts of a prompt whose requests are refused, with the time until they
+    /// are accepted again.
+    pub fn quarantine(&self, parts: &[u64]) -> Option<(Quarantine, Duration)> {
+        let now = self.clock.now();
+        let quarantine = self.lock().poison.quarantine(parts, now)?;
+        Some((quarantine, quarantine.until.since(now)))
+    }
+
     /// Merges a summary that a peer sent.
     pub fn merge_summary(&self, peer: u64, summary: &Summary) {
         let now = self.clock.now();
@@ -238,6 +266,10 @@
         for (service, notice) in &summary.floors {
             state.shed_floor(service).merge(*notice, now);
         }
+        for notice in &summary.poison {
+            let quarantines = state.poison.merge(notice, now);
+            quarantines.iter().for_each(log_quarantine);
+        }
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
         }
@@ -284,6 +316,7 @@
             is_complete: state.ledger.is_complete(now),
             waits: state.most_urgent_waiting(now),
             floors: floors.collect(),
+            poison: state.poison.own_notices(now).collect(),
         }
     }
 
@@ -305,6 +338,14 @@
     }
 }
 
+fn log_quarantine(quarantine: &Quarantine) {
+    log::warn!(
+        prompt_part = format!("{:x}", quarantine.part),
+        crashes = quarantine.crashes;
+        "prompt part quarantined: backend servers crash when they begin to answer its requests"
+    );
+}
+
 /// Removes a request from the queue when dropped.
 struct QueueGuard<'a> {
     scheduler: &'a Scheduler,
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -8,6 +8,7 @@
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage},
         floor::{self, Floor},
+        poison::Detector,
         quota::Ledger,
         rendezvous,
         retry::{self, Budget},
@@ -40,6 +41,8 @@
     pub(super) queue: WaitQueue<Waiter>,
     /// Urgency of the most urgent request that waits at each peer of the same cell, by service.
     pub(super) peer_waiting: HashMap<u64, Vec<(String, Urgency)>>,
+    /// Finds parts of prompts that crash backend servers.
+    pub(super) poison: Detector,
     pub(super) random: SmallRng,
     /// Random number that identifies this start of the process.
     boot: u64,
@@ -62,6 +65,7 @@
             retry_budgets: HashMap::new(),
             queue: WaitQueue::new(),
             peer_waiting: HashMap::new(),
+            poison: Detector::new(),
             random: SmallRng::from_os_rng(),
             data_centre: settings.data_centre.clone(),
             layout: Layout::default(),
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -917,6 +917,9 @@
     request
 }
 
+/// Time from a crash to the next request that may crash a server; a server needs as long to return.
+const CRASH_PAUSE: Duration = Duration::from_millis(1_100);
+
 /// Guards against requests of one kind that crash one backend server after the other: the rules
 /// allow three more once five servers have crashed and everybody has had the time to hear of it.
 #[tokio::test]
@@ -940,10 +943,11 @@
             .count()
     };
 
-    for number in 0..20 {
+    for number in 0..10 {
         let _ = send(number, &["a", "dead"]).await;
         let sound = send(number + 100, &["a", "b"]).await.expect("answered");
         assert_eq!(sound.status(), 200, "first part shared with crashes");
+        sleep(CRASH_PAUSE).await;
     }
     let crashes = deadly_runs();
     for number in 0..20 {
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -6,8 +6,10 @@
     tamarackdale_core::{
         fleet::{Load, Speed},
         floor::Notice,
+        poison::{self, Outcome},
         quota, summary,
         tier::Rank,
+        time::Timestamp,
         wait_queue::{Stage, Urgency},
     },
 };
@@ -38,11 +40,25 @@
     /// Service, its most urgent rank that was shed recently, and the milliseconds for which less
     /// urgent ranks are still refused.
     pub floors: Vec<(String, u8, u16)>,
+    /// Observations of prompts' parts that may crash backend servers.
+    #[serde(default)]
+    pub poison: Vec<Poison>,
     /// Data centre of the sender; only in the first summary of a stream.
     #[serde(default)]
     pub data_centre: Option<String>,
 }
 
+/// Observation of a request whose prompt has shared parts.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Poison {
+    /// Identifiers of the parts.
+    pub parts: Vec<u64>,
+    /// Hash of the identifier of the backend server that crashed, or `None` if an answer began.
+    pub crashed: Option<u64>,
+    /// Age in milliseconds when it was sent.
+    pub age_ms: u32,
+}
+
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SavedQuotaUse {
@@ -94,8 +110,9 @@
 }
 
 impl Frame {
-    /// Converts a summary of the process with the boot identifier `boot`.
-    pub fn new(boot: u64, summary: &summary::Summary) -> Self {
+    /// Converts a summary of the process with the boot identifier `boot`, at the time `now` of its
+    /// clock.
+    pub fn new(boot: u64, summary: &summary::Summary, now: Timestamp) -> Self {
         let waits = summary.waits.iter().map(|(service, urgency)| {
             let stage = stage_number(urgency.stage);
             (service.clone(), urgency.rank.0, stage)
@@ -111,6 +128,11 @@
             is_complete: summary.is_complete,
             waits: waits.collect(),
             floors: floors.collect(),
+            poison: summary
+                .poison
+                .iter()
+                .map(|notice| Poison::new(notice, now))
+                .collect(),
             data_centre: None,
         }
     }
@@ -122,8 +144,36 @@
     }
 }
 
-impl From<Frame> for summary::Summary {
-    fn from(frame: Frame) -> Self {
+impl Poison {
+    fn new(notice: &poison::Notice, now: Timestamp) -> Self {
+        let age_ms = now.since(notice.at).as_millis();
+        Self {
+            parts: notice.parts.clone(),
+            crashed: match notice.outcome {
+                Outcome::Crash { server } => Some(server),
+                Outcome::Answer => None,
+            },
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        }
+    }
+
+    /// The observation on the clock of the receiver, which received it at `now`.
+    fn into_notice(self, now: Timestamp) -> poison::Notice {
+        poison::Notice {
+            parts: self.parts,
+            outcome: match self.crashed {
+                Some(server) => Outcome::Crash { server },
+                None => Outcome::Answer,
+            },
+            at: now.minus(Duration::from_millis(self.age_ms.into())),
+        }
+    }
+}
+
+impl Frame {
+    /// The summary on the clock of the receiver, which received it at `now`.
+    pub fn into_summary(self, now: Timestamp) -> summary::Summary {
+        let frame = self;
         let waits = frame.waits.into_iter().map(|(service, rank, stage)| {
             let urgency = Urgency {
                 rank: Rank(rank),
@@ -139,12 +189,14 @@
             };
             (service, notice)
         });
-        Self {
+        let poison = frame.poison.into_iter();
+        summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: frame.usages.into_iter().map(Into::into).collect(),
             is_complete: frame.is_complete,
             waits: waits.collect(),
             floors: floors.collect(),
+            poison: poison.map(|observed| observed.into_notice(now)).collect(),
         }
     }
 }
