Poison: all gateways judge a crash by what any of them has answered

Gateways now tell the last answer to a part when a crash is told, and crashes are judged again with each answer that is heard of. Parts that came together in all crashes are refused only together: one of them may be sound, and the next crash tells which.

--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -4,8 +4,8 @@
 //! health of servers cannot tell: each of them is sound. A crash of this kind shows as a stream that
 //! breaks after its response head and before its first event. Of the parts of its prompt, the one
 //! whose requests were last answered the longest ago is blamed: sound requests share the others, and
-//! none with the deadly part is answered. A part is quarantined after a few such crashes without an
-//! answer in between.
+//! none with the deadly part is answered. After a few such crashes, requests with the part are
+//! refused.
 //!
 //! Routers tell each other what they observe, since the requests may arrive at any of them.
 
@@ -14,8 +14,8 @@
     std::{collections::HashMap, time::Duration},
 };
 
-/// Crashes without an answer in between after which a part is quarantined. Two may be a coincidence
-/// while several servers fail; the platform asks that its sixth crash is among the last.
+/// Crashes that a part is blamed for until it is quarantined. Two may be a coincidence while several
+/// servers fail; the platform allows few requests after the fifth crash.
 const QUARANTINE_THRESHOLD: usize = 3;
 
 /// Time from the last crash to the end of the quarantine, after which the part may crash as many
@@ -26,18 +26,20 @@
 /// not another. Less than a server needs to return.
 const SAME_CRASH: Duration = Duration::from_secs(1);
 
-/// Most parts of which crashes are remembered, and most of which answers are; bounds the memory.
-const MAX_PARTS: usize = 4_000;
+/// Most crashes that are remembered; bounds the memory and the time of a check.
+const MAX_CRASHES: usize = 64;
+
+/// Most parts of which the last answer is remembered; bounds the memory.
+const MAX_ANSWERS: usize = 4_000;
 
 /// Time for which the answer to a request with a part is remembered. Long enough for a part of which
-/// a single router gets a request every few seconds.
+/// there is a request every few seconds.
 const ANSWER_MEMORY: Duration = Duration::from_secs(60);
 
 /// What was observed of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// The stream broke between its response head and its first event. Holds the hash of the
-    /// backend server's identifier.
+    /// The stream broke between its response head and its first event.
     Crash {
         /// Hash of the backend server's identifier.
         server: u64,
@@ -49,7 +51,7 @@
 /// An observation, as routers tell it to each other.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Notice {
-    /// Identifiers of the shared parts of the prompt; of an answer, those that were blamed before.
+    /// Identifiers of shared parts of the prompt.
     pub parts: Vec<u64>,
     /// What was observed.
     pub outcome: Outcome,
@@ -57,12 +59,12 @@
     pub at: Timestamp,
 }
 
-/// A part whose requests are refused.
+/// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Quarantine {
-    /// Identifier of the part.
+    /// Identifier of the part that is blamed.
     pub part: u64,
-    /// Crashes without an answer in between.
+    /// Crashes that it is blamed for.
     pub crashes: usize,
     /// When requests with the part are accepted again, unless there are more crashes.
     pub until: Timestamp,
@@ -70,17 +72,34 @@
 
 #[derive(Debug)]
 struct Crash {
+    /// Shared parts of the prompt of the request.
+    parts: Vec<u64>,
     server: u64,
     at: Timestamp,
 }
 
+impl Crash {
+    /// Whether this is another break of a crash, or the same crash told again.
+    fn is_same(&self, server: u64, at: Timestamp) -> bool {
+        let apart = self.at.since(at).max(at.since(self.at));
+        self.server == server && apart < SAME_CRASH
+    }
+}
+
+/// The last answer to a request with a part.
+#[derive(Clone, Copy, Debug)]
+struct Answer {
+    at: Timestamp,
+    /// Whether the peers know of it.
+    is_told: bool,
+}
+
 /// Observations of one process and of its peers.
 #[derive(Debug, Default)]
 pub struct Detector {
-    /// Crashes of each part since its last answer, oldest first.
-    crashes: HashMap<u64, Vec<Crash>>,
-    /// When this process last saw the beginning of an answer to a request with each part.
-    answers: HashMap<u64, Timestamp>,
+    crashes: Vec<Crash>,
+    /// Last answer by part.
+    answers: HashMap<u64, Answer>,
     /// Observations of this process, for its peers.
     own: Vec<Notice>,
 }
@@ -92,8 +111,16 @@
     }
 
     /// Records that the stream of a request with these parts broke between its head and its first
-    /// event. Returns the parts that this quarantines.
-    pub fn record_crash(&mut self, parts: &[u64], server: &str, now: Timestamp) -> Vec<Quarantine> {
+    /// event. Returns the quarantine that this begins, if any.
+    pub fn record_crash(
+        &mut self,
+        parts: &[u64],
+        server: &str,
+        now: Timestamp,
+    ) -> Option<Quarantine> {
+        if parts.is_empty() {
+            return None;
+        }
         let notice = Notice {
             parts: parts.to_vec(),
             outcome: Outcome::Crash {
@@ -105,93 +132,69 @@
         self.merge(&notice, now)
     }
 
-    /// Records that the answer to a request with these parts began.
+    /// Records that the answer to a request with these parts began. The peers are told if it shows
+    /// that a part did not cause a crash.
     pub fn record_answer(&mut self, parts: &[u64], now: Timestamp) {
+        let is_suspect = |part: &u64| {
+            self.crashes
+                .iter()
+                .any(|crash| self.may_blame(crash, *part))
+        };
+        let suspects: Vec<u64> = parts.iter().copied().filter(is_suspect).collect();
         for part in parts {
-            make_room(&mut self.answers, part, |answered| *answered);
-            self.answers.insert(*part, now);
-        }
-        let blamed = parts.iter().copied();
-        let blamed: Vec<u64> = blamed
-            .filter(|part| self.crashes.contains_key(part))
-            .collect();
-        if blamed.is_empty() {
-            return;
+            let is_told = suspects.contains(part);
+            self.insert_answer(*part, Answer { at: now, is_told });
         }
-        let notice = Notice {
-            parts: blamed,
-            outcome: Outcome::Answer,
-            at: now,
-        };
-        self.merge(&notice, now);
-        self.own.push(notice);
+        self.tell_answer(suspects, now);
     }
 
-    /// Merges an observation, which may be a repeated one. Returns the parts that this quarantines.
-    pub fn merge(&mut self, notice: &Notice, now: Timestamp) -> Vec<Quarantine> {
-        if now.since(notice.at) >= QUARANTINE {
-            return Vec::new();
-        }
-        let Outcome::Crash { server } = notice.outcome else {
-            for part in &notice.parts {
-                self.clear(*part, notice.at);
+    /// Merges an observation, which may be a repeated one. Returns the quarantine that this begins,
+    /// if any.
+    pub fn merge(&mut self, notice: &Notice, now: Timestamp) -> Option<Quarantine> {
+        match notice.outcome {
+            Outcome::Answer => {
+                for part in &notice.parts {
+                    self.merge_answer(*part, notice.at);
+                }
+                None
+            }
+            Outcome::Crash { server } => {
+                let before = self.quarantine(&notice.parts, now);
+                self.add_crash(&notice.parts, server, notice.at, now);
+                let after = self.quarantine(&notice.parts, now);
+                after.filter(|_| before.is_none())
             }
-            return Vec::new();
-        };
-        let blamed = self.blame(&notice.parts, now);
-        let blamed = blamed.into_iter();
-        blamed
-            .filter_map(|part| self.add_crash(part, server, notice.at, now))
-            .collect()
-    }
-
-    /// The parts of a crashed request that are to blame: one that is quarantined already, or those
-    /// that were last answered the longest ago.
-    fn blame(&self, parts: &[u64], now: Timestamp) -> Vec<u64> {
-        if let Some(quarantine) = self.quarantine(parts, now) {
-            return vec![quarantine.part];
-        }
-        let answered = |part: &u64| self.answers.get(part).copied();
-        let oldest = parts.iter().map(answered).min().flatten();
-        let blamed = parts.iter().filter(|part| answered(part) == oldest);
-        blamed.copied().collect()
-    }
-
-    /// Adds a crash of a part. Returns the part if this quarantines it.
-    fn add_crash(
-        &mut self,
-        part: u64,
-        server: u64,
-        at: Timestamp,
-        now: Timestamp,
-    ) -> Option<Quarantine> {
-        let was_quarantined = self.quarantine(&[part], now).is_some();
-        make_room(&mut self.crashes, &part, |crashes| {
-            crashes.last().map_or(Timestamp::START, |crash| crash.at)
-        });
-        let crashes = self.crashes.entry(part).or_default();
-        let is_known = |crash: &Crash| {
-            let apart = crash.at.since(at).max(at.since(crash.at));
-            crash.server == server && apart < SAME_CRASH
-        };
-        if crashes.iter().any(is_known) {
-            return None;
         }
-        crashes.push(Crash { server, at });
-        crashes.sort_by_key(|crash| crash.at);
-        self.quarantine(&[part], now).filter(|_| !was_quarantined)
     }
 
-    /// The first of these parts that is quarantined, if any.
+    /// Returns why a request with these parts is refused, or `None` if it is not. Parts that were
+    /// together in all crashes are refused only together, since one of them may be sound.
     pub fn quarantine(&self, parts: &[u64], now: Timestamp) -> Option<Quarantine> {
         parts.iter().find_map(|part| {
-            let crashes = self.crashes.get(part)?;
-            let is_recent = |crash: &&Crash| now.since(crash.at) < QUARANTINE;
-            let count = crashes.iter().filter(is_recent).count();
-            let last = crashes.last()?;
-            (count >= QUARANTINE_THRESHOLD).then_some(Quarantine {
+            let mut counted: Vec<&Crash> = Vec::new();
+            let mut always_blamed: Option<Vec<u64>> = None;
+            for crash in &self.crashes {
+                let blamed = self.blame(crash);
+                if now.since(crash.at) >= QUARANTINE || !blamed.contains(part) {
+                    continue;
+                }
+                always_blamed = Some(match always_blamed {
+                    Some(mut always) => {
+                        always.retain(|part| blamed.contains(part));
+                        always
+                    }
+                    None => blamed,
+                });
+                let is_same = |other: &&Crash| other.is_same(crash.server, crash.at);
+                if !counted.iter().any(is_same) {
+                    counted.push(crash);
+                }
+            }
+            let last = counted.last()?;
+            let is_meant = always_blamed?.iter().all(|blamed| parts.contains(blamed));
+            (is_meant && counted.len() >= QUARANTINE_THRESHOLD).then_some(Quarantine {
                 part: *part,
-                crashes: count,
+                crashes: counted.len(),
                 until: last.at.plus(QUARANTINE),
             })
         })
@@ -205,35 +208,86 @@
 
     /// Forgets what is too old to matter. Called now and then.
     pub fn prune(&mut self, now: Timestamp) {
-        let is_recent = |at: Timestamp| now.since(at) < QUARANTINE;
-        self.own.retain(|notice| is_recent(notice.at));
+        self.own.retain(|notice| now.since(notice.at) < QUARANTINE);
+        self.crashes
+            .retain(|crash| now.since(crash.at) < QUARANTINE);
         self.answers
-            .retain(|_, answered| now.since(*answered) < ANSWER_MEMORY);
-        self.crashes.retain(|_, crashes| {
-            crashes.retain(|crash| is_recent(crash.at));
-            !crashes.is_empty()
-        });
+            .retain(|_, answer| now.since(answer.at) < ANSWER_MEMORY);
     }
 
-    /// Forgets the crashes of a part up to an answer.
-    fn clear(&mut self, part: u64, answered: Timestamp) {
-        let Some(crashes) = self.crashes.get_mut(&part) else {
-            return;
+    /// The parts to blame for a crash: of those that were not answered since, the ones that were
+    /// last answered the longest ago, or never.
+    fn blame(&self, crash: &Crash) -> Vec<u64> {
+        let answered = |part: &u64| self.answers.get(part).map(|answer| answer.at);
+        let suspects = crash.parts.iter();
+        let suspects = suspects.filter(|part| self.may_blame(crash, **part));
+        let Some(oldest) = suspects.clone().map(answered).min() else {
+            return Vec::new();
         };
-        crashes.retain(|crash| crash.at > answered);
-        if crashes.is_empty() {
-            self.crashes.remove(&part);
+        suspects
+            .filter(|part| answered(part) == oldest)
+            .copied()
+            .collect()
+    }
+
+    /// Whether a part was in the prompt of a crash and was not answered since.
+    fn may_blame(&self, crash: &Crash, part: u64) -> bool {
+        let answer = self.answers.get(&part);
+        crash.parts.contains(&part) && answer.is_none_or(|answer| answer.at <= crash.at)
+    }
+
+    fn add_crash(&mut self, parts: &[u64], server: u64, at: Timestamp, now: Timestamp) {
+        let is_known = |crash: &Crash| crash.is_same(server, at) && crash.parts == parts;
+        if now.since(at) >= QUARANTINE || self.crashes.iter().any(is_known) {
+            return;
+        }
+        if self.crashes.len() >= MAX_CRASHES {
+            self.crashes.remove(0);
+        }
+        self.crashes.push(Crash {
+            parts: parts.to_vec(),
+            server,
+            at,
+        });
+        self.crashes.sort_by_key(|crash| crash.at);
+        // Peers that have had no answer to a part lately would blame it.
+        for part in parts {
+            if let Some(answer) = self.answers.get_mut(part)
+                && !answer.is_told
+            {
+                answer.is_told = true;
+                let at = answer.at;
+                self.tell_answer(vec![*part], at);
+            }
+        }
+    }
+
+    fn merge_answer(&mut self, part: u64, at: Timestamp) {
+        let known = self.answers.get(&part);
+        if known.is_none_or(|known| known.at < at) {
+            self.insert_answer(part, Answer { at, is_told: true });
         }
     }
-}
 
-/// Removes the part with the oldest `time` if there is no room for another one.
-fn make_room<T>(parts: &mut HashMap<u64, T>, part: &u64, time: impl Fn(&T) -> Timestamp) {
-    if parts.len() < MAX_PARTS || parts.contains_key(part) {
-        return;
+    /// Inserts the last answer to a part, in place of the oldest one if there are too many.
+    fn insert_answer(&mut self, part: u64, answer: Answer) {
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&part) {
+            let oldest = self.answers.iter().min_by_key(|(_, answer)| answer.at);
+            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+                self.answers.remove(&oldest);
+            }
+        }
+        self.answers.insert(part, answer);
     }
-    let oldest = parts.iter().min_by_key(|(_, value)| time(value));
-    if let Some(oldest) = oldest.map(|(part, _)| *part) {
-        parts.remove(&oldest);
+
+    fn tell_answer(&mut self, parts: Vec<u64>, at: Timestamp) {
+        if parts.is_empty() {
+            return;
+        }
+        self.own.push(Notice {
+            parts,
+            outcome: Outcome::Answer,
+            at,
+        });
     }
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -223,8 +223,8 @@
     /// before its first event, which is how a backend server looks that the request has crashed.
     pub fn record_crash(&self, parts: &[u64], id: &str) {
         let now = self.clock.now();
-        let quarantines = self.lock().poison.record_crash(parts, id, now);
-        quarantines.iter().for_each(log_quarantine);
+        let quarantine = self.lock().poison.record_crash(parts, id, now);
+        quarantine.iter().for_each(log_quarantine);
         self.changed.notify_one();
     }
 
@@ -232,6 +232,7 @@
     pub fn record_answer(&self, parts: &[u64]) {
         let now = self.clock.now();
         self.lock().poison.record_answer(parts, now);
+        self.changed.notify_one();
     }
 
     /// The first of these parts of a prompt whose requests are refused, with the time until they
@@ -267,8 +268,8 @@
             state.shed_floor(service).merge(*notice, now);
         }
         for notice in &summary.poison {
-            let quarantines = state.poison.merge(notice, now);
-            quarantines.iter().for_each(log_quarantine);
+            let quarantine = state.poison.merge(notice, now);
+            quarantine.iter().for_each(log_quarantine);
         }
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
