Gateways: a backend server whose responses say that it leaves gets no new requests

Server-Leaving: 1 counts from the head of whatever response carries it, for the process that sent it (identifier and start time), and is kept for ten minutes after its registration is gone, so that neither a lagging or lapsed registration nor a restored store brings the server back. A 421 does not count: another server sent it. Requests that wait, hold a reservation or are sent again go elsewhere by the check before each sending; what runs there goes on.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -34,6 +34,11 @@
 /// Time that a lost request costs its caller. It is weighted with the probability of the loss.
 const LOST_REQUEST_COST_S: f64 = 3.0;
 
+/// Time for which it is remembered that a backend server without a registration has said that it
+/// leaves. Registrations that lapse in an outage of the store return within seconds of its end, and
+/// a server that leaves ends within seconds; an outage of minutes is covered.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(600);
+
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -61,6 +66,8 @@
 #[derive(Debug)]
 struct Server {
     member: Member,
+    /// Whether it has said in a response that it is leaving, whatever its registration says.
+    has_said_leaving: bool,
     /// Load from this router.
     own: Load,
     /// Requests that have been assigned and not sent yet, each with the end of its reservation.
@@ -149,6 +156,17 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<String, Server>,
+    /// Backend servers that have said in a response that they are leaving, by identifier.
+    departures: HashMap<String, Departure>,
+}
+
+/// Statement of a backend server that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct Departure {
+    /// Start time of the process that said so; a later one with the same identifier is new.
+    started_at_ms: u64,
+    /// When this router last knew the backend server.
+    known_at: Timestamp,
 }
 
 impl Choice {
@@ -170,7 +188,7 @@
 
     /// Replaces the set of registered backend servers. The state of those that are still registered
     /// with the same start time is kept.
-    pub fn update_members(&mut self, members: &Members) {
+    pub fn update_members(&mut self, members: &Members, now: Timestamp) {
         self.servers.retain(|id, server| {
             members
                 .get(id)
@@ -185,13 +203,43 @@
                 }
             }
         }
+        self.update_departures(now);
+    }
+
+    /// Applies the statements of backend servers to those that are registered, and forgets the
+    /// others in time.
+    fn update_departures(&mut self, now: Timestamp) {
+        self.departures.retain(|id, departure| {
+            let server = self.servers.get_mut(id);
+            let Some(server) = server else {
+                return now.since(departure.known_at) < DEPARTURE_MEMORY;
+            };
+            departure.known_at = now;
+            server.has_said_leaving = server.member.started_at_ms == departure.started_at_ms;
+            server.has_said_leaving
+        });
+    }
+
+    /// Records that a backend server has said in a response that it is leaving. The process that
+    /// started at `started_at_ms` gets no new requests any more, whatever registrations say later.
+    /// Returns whether this was not known.
+    pub fn record_leaving(&mut self, id: &str, started_at_ms: u64, now: Timestamp) -> bool {
+        let known = self.departures.get(id);
+        if known.is_some_and(|known| known.started_at_ms >= started_at_ms) {
+            return false;
+        }
+        let departure = Departure {
+            started_at_ms,
+            known_at: now,
+        };
+        self.departures.insert(id.to_owned(), departure);
+        self.update_departures(now);
+        true
     }
 
     /// Whether any backend server accepts new requests.
     pub fn has_servers(&self) -> bool {
-        self.servers
-            .values()
-            .any(|server| !server.member.is_leaving)
+        self.servers.values().any(|server| !server.is_leaving())
     }
 
     /// The registration of a backend server.
@@ -204,7 +252,7 @@
     pub fn accepts_requests(&self, id: &str) -> bool {
         self.servers
             .get(id)
-            .is_some_and(|server| !server.member.is_leaving)
+            .is_some_and(|server| !server.is_leaving())
     }
 
     /// Chooses the backend server with the earliest predicted completion among those where the wait
@@ -278,7 +326,7 @@
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
-                && !server.member.is_leaving
+                && !server.is_leaving()
                 && !server.health.is_ejected(now)
                 && !demand.excluded.contains(&server.member.id)
                 && demand
@@ -303,7 +351,7 @@
         let mut used = 0;
         let mut slots = 0;
         for server in self.servers.values() {
-            if server.member.service == service && !server.member.is_leaving {
+            if server.member.service == service && !server.is_leaving() {
                 used += server.load(now).requests.min(server.member.slots);
                 slots += server.member.slots;
             }
@@ -316,7 +364,7 @@
     pub fn free_slots(&self, service: &str, data_centre: Option<&str>, now: Timestamp) -> usize {
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
-                && !server.member.is_leaving
+                && !server.is_leaving()
                 && !server.health.is_ejected(now)
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
@@ -439,6 +487,7 @@
     fn new(member: Member) -> Self {
         Self {
             member,
+            has_said_leaving: false,
             own: Load::default(),
             reserved: Vec::new(),
             peers: HashMap::new(),
@@ -450,6 +499,11 @@
         }
     }
 
+    /// Whether it gets no new requests because it is leaving, by its registration or its responses.
+    fn is_leaving(&self) -> bool {
+        self.member.is_leaving || self.has_said_leaving
+    }
+
     fn is_remote(&self, demand: &Demand) -> bool {
         self.member.data_centre != demand.data_centre
     }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -34,7 +34,7 @@
 
 fn fleet(ids: &[&str]) -> Fleet {
     let mut fleet = Fleet::new();
-    fleet.update_members(&members(ids));
+    fleet.update_members(&members(ids), Timestamp::START);
     fleet
 }
 
@@ -179,7 +179,7 @@
         leaves.is_leaving = true;
     }
 
-    fleet.update_members(&members);
+    fleet.update_members(&members, Timestamp::START);
 
     assert_eq!(choices(&fleet, &demand(10, 10)).get("leaves"), None);
     assert!(!fleet.accepts_requests("leaves"));
@@ -194,7 +194,7 @@
         member.started_at_ms = 2;
     }
 
-    fleet.update_members(&members);
+    fleet.update_members(&members, Timestamp::START);
 
     assert_eq!(fleet.utilisation("llm", at(0)), Some(0.0));
 }
@@ -287,7 +287,8 @@
     });
     let members = near.chain(far);
     let mut fleet = Fleet::new();
-    fleet.update_members(&members.map(|member| (member.id.clone(), member)).collect());
+    let members = members.map(|member| (member.id.clone(), member)).collect();
+    fleet.update_members(&members, Timestamp::START);
     fleet
 }
 
@@ -446,3 +447,54 @@
     assert_eq!(local, 3 + SLOTS as usize);
     assert_eq!(all, local + 40 * SLOTS as usize);
 }
+
+/// A restored store, or one that lost a registration for a while, shows a server as ready again.
+#[test]
+fn server_that_said_it_leaves_stays_left_whatever_registrations_say() {
+    let mut fleet = fleet(&["a", "b"]);
+    let now = Timestamp::from_millis;
+
+    let is_news = fleet.record_leaving("a", 1, now(0));
+    let is_news_again = fleet.record_leaving("a", 1, now(10));
+    fleet.update_members(&members(&["b"]), now(1_000));
+    fleet.update_members(&members(&["a", "b"]), now(60_000));
+
+    assert_eq!((is_news, is_news_again), (true, false));
+    assert!(!fleet.accepts_requests("a"));
+    assert!(fleet.accepts_requests("b"));
+}
+
+#[test]
+fn server_that_starts_again_under_the_same_identifier_is_new() {
+    let mut fleet = fleet(&["a"]);
+    fleet.record_leaving("a", 1, Timestamp::START);
+    let restarted = Member {
+        started_at_ms: 2,
+        ..member("a")
+    };
+
+    fleet.update_members(
+        &Members::from([("a".to_owned(), restarted)]),
+        Timestamp::START,
+    );
+    // A late response of the former process.
+    fleet.record_leaving("a", 1, Timestamp::START);
+    let accepted_first = fleet.accepts_requests("a");
+    fleet.record_leaving("a", 2, Timestamp::START);
+    fleet.record_leaving("a", 1, Timestamp::START);
+
+    assert!(accepted_first);
+    assert!(!fleet.accepts_requests("a"));
+}
+
+#[test]
+fn fleet_whose_last_server_leaves_has_no_server() {
+    let mut fleet = fleet(&["a"]);
+    let mut random = StdRng::seed_from_u64(1);
+
+    fleet.record_leaving("a", 1, Timestamp::START);
+
+    let choice = fleet.choose(&demand(100, 10), Timestamp::START, &mut random);
+    assert_eq!(choice, Err(Shortage::NoServer));
+    assert!(!fleet.has_servers());
+}
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -98,6 +98,9 @@
             return Err(ExchangeError::SendFailure(failure));
         }
     };
+    if response::is_leaving(response.status(), response.headers()) {
+        scheduler.record_leaving(member);
+    }
     if let Some(failure) = check_response(job, &response, &member.id) {
         return Err(ExchangeError::SendFailure(failure));
     }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -18,7 +18,7 @@
     },
     tamarackdale_core::{
         cell::Layout,
-        fleet::{self, Choice, Members, RequestLoad, Shortage},
+        fleet::{self, Choice, Member, Members, RequestLoad, Shortage},
         poison::Quarantine,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
@@ -75,7 +75,7 @@
     pub fn update_servers(&self, members: &Members) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.fleet.update_members(members);
+        state.fleet.update_members(members, now);
         state.poison.prune(now);
     }
 
@@ -211,6 +211,22 @@
         self.lock().fleet.accepts_requests(id)
     }
 
+    /// Records that a backend server has said in a response that it is leaving.
+    pub fn record_leaving(&self, member: &Member) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state
+            .fleet
+            .record_leaving(&member.id, member.started_at_ms, now)
+        {
+            log::info!(
+                backend_server = member.id.as_str(),
+                service = member.service.as_str();
+                "backend server says that it is leaving"
+            );
+        }
+    }
+
     /// Records a failure of a backend server.
     pub fn record_failure(&self, id: &str, failure: fleet::health::Failure) {
         let now = self.clock.now();
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -12,7 +12,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -88,6 +88,8 @@
     events: Mutex<u64>,
     /// A prompt's part, as `ID:`, under which the server crashes when it begins to answer.
     deadly_part: Mutex<Option<String>>,
+    /// Whether all responses say that the server is leaving.
+    is_leaving: AtomicBool,
     runs: Mutex<Vec<Run>>,
     working: AtomicUsize,
 }
@@ -105,13 +107,20 @@
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
             deadly_part: Mutex::default(),
+            is_leaving: AtomicBool::new(false),
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let host = Host::new(id, move |request| {
             let shared = Arc::clone(&shared);
-            async move { shared.answer(request).await }
+            async move {
+                let mut response = Arc::clone(&shared).answer(request).await?;
+                if shared.is_leaving.load(Ordering::SeqCst) {
+                    put(&mut response, "server-leaving", "1");
+                }
+                Some(response)
+            }
         })?;
         Ok(Self {
             id: id.to_owned(),
@@ -166,6 +175,11 @@
         *lock(&self.state.deadly_part) = Some(format!("{id}:"));
     }
 
+    /// Lets all responses say that the server is leaving, while its registration says otherwise.
+    pub fn say_leaving(&self) {
+        self.state.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// The requests that it ran, oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state.runs).clone()
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -377,6 +377,41 @@
     assert_eq!(leaving.runs().len(), before);
 }
 
+/// Guards against a belief in registrations only: the server's own statement counts, from the head
+/// of its response on, also while the store is away or shows an older registration.
+#[rstest]
+#[case::store_available(false)]
+#[case::store_down(true)]
+#[tokio::test]
+async fn server_whose_responses_say_that_it_leaves_gets_no_new_requests(#[case] is_down: bool) {
+    let bench = start().await;
+    bench.plains[0].say_leaving();
+    if is_down {
+        bench.site.store.stop(Outage::Refuse);
+    }
+
+    bench.plains[1].set_behaviour(Behaviour::Full);
+    let answer = bench.gateway.call("/status/1", "s-1").await;
+    bench.plains[1].set_behaviour(Behaviour::Sound);
+    assert_eq!(answer.expect("answered").status(), 200);
+    bench.site.register(&bench.plains[0]);
+    for number in 0..20 {
+        let _ = bench
+            .gateway
+            .call("/status/1", &format!("t-{number}"))
+            .await;
+    }
+
+    assert_eq!(bench.plains[0].runs().len(), 1);
+    let log = bench
+        .gateway
+        .process
+        .wait_for_log("the statement", SOON, |line| {
+            line["message"] == "backend server says that it is leaving"
+        });
+    assert_eq!(log.expect("logged")["backend_server"], "plain-1");
+}
+
 #[tokio::test]
 async fn configuration_is_in_force_soon_and_a_broken_one_changes_nothing() {
     let bench = start().await;
