Gateways: a backend server that asks for a pause gets none of this gateway's requests until it ends

Retry-After of a 503, in seconds with fractions or as a date, begins a pause of the server at this gateway: it is not a candidate and the check before each sending holds it too. A second one lengthens and never shortens it; 300 s bound it; what is no time is logged and ignored. After the end one request goes first, the rest after its answer. The health judgement is untouched.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -3,11 +3,13 @@
 
 pub mod health;
 pub mod load;
+pub mod pause;
 pub mod speed;
 
 pub use {
     health::Health,
     load::{Load, RequestLoad},
+    pause::Pause,
     speed::Speed,
 };
 
@@ -77,6 +79,7 @@
     peers_total: Load,
     speed: Speed,
     health: Health,
+    pause: Pause,
     /// Number of measurements of the speed by this router.
     measurements: u64,
     /// When this router last received a complete response from it.
@@ -248,11 +251,30 @@
         Some(&server.member)
     }
 
-    /// Whether a backend server is registered and accepts new requests.
-    pub fn accepts_requests(&self, id: &str) -> bool {
+    /// Whether a backend server is registered and accepts new requests now.
+    pub fn accepts_requests(&self, id: &str, now: Timestamp) -> bool {
         self.servers
             .get(id)
-            .is_some_and(|server| !server.is_leaving())
+            .is_some_and(|server| !server.is_leaving() && !server.pause.is_pausing(now))
+    }
+
+    /// Records that a backend server wants no requests of this router for `delay`.
+    pub fn record_pause(&mut self, id: &str, delay: Duration, now: Timestamp) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.pause.begin(delay, now);
+        }
+    }
+
+    /// Time until the first backend server of a service ends its pause, if all that are healthy and
+    /// not leaving pause.
+    pub fn min_pause(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let servers = self.servers.values().filter(|server| {
+            server.member.service == service
+                && !server.is_leaving()
+                && (server.pause.is_pausing(now) || !server.health.is_ejected(now))
+        });
+        let remaining = servers.map(|server| server.pause.remaining(now)).min();
+        remaining.filter(|remaining| !remaining.is_zero())
     }
 
     /// Chooses the backend server with the earliest predicted completion among those where the wait
@@ -296,6 +318,10 @@
                 speed: server.speed,
             }),
             (None, Some(wait)) => Err(Shortage::Full(wait)),
+            (None, None) if self.has_paused_candidate(demand, now) => {
+                let pause = self.min_pause(demand.service, now);
+                Err(Shortage::Full(pause.unwrap_or_default()))
+            }
             (None, None) => Err(Shortage::NoServer),
         }
     }
@@ -324,6 +350,21 @@
     }
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
+        self.candidates_with_paused(demand, now)
+            .filter(move |server| server.pause.admits(server.own.requests, now))
+    }
+
+    /// Whether a backend server lacks nothing but the end of its pause.
+    fn has_paused_candidate(&self, demand: &Demand, now: Timestamp) -> bool {
+        self.candidates_with_paused(demand, now)
+            .any(|server| !server.pause.admits(server.own.requests, now))
+    }
+
+    fn candidates_with_paused(
+        &self,
+        demand: &Demand,
+        now: Timestamp,
+    ) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
                 && !server.is_leaving()
@@ -366,6 +407,7 @@
             server.member.service == service
                 && !server.is_leaving()
                 && !server.health.is_ejected(now)
+                && server.pause.admits(server.own.requests, now)
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
         servers
@@ -435,6 +477,7 @@
             server.speed.observe_occupancy(occupancy);
             server.measurements += 1;
             server.health.record_success();
+            server.pause.record_answer(now);
         }
     }
 
@@ -494,6 +537,7 @@
             peers_total: Load::default(),
             speed: Speed::new(),
             health: Health::new(),
+            pause: Pause::new(),
             measurements: 0,
             last_response: None,
         }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -6,7 +6,7 @@
     tamarackdale_core::{
         fleet::{
             Demand, Fleet, Load, Member, Members, RequestLoad, SharedPrefix, Shortage, Speed,
-            health::Failure,
+            health::Failure, pause::MAX_PAUSE,
         },
         time::Timestamp,
     },
@@ -182,7 +182,7 @@
     fleet.update_members(&members, Timestamp::START);
 
     assert_eq!(choices(&fleet, &demand(10, 10)).get("leaves"), None);
-    assert!(!fleet.accepts_requests("leaves"));
+    assert!(!fleet.accepts_requests("leaves", at(0)));
 }
 
 #[test]
@@ -460,8 +460,8 @@
     fleet.update_members(&members(&["a", "b"]), now(60_000));
 
     assert_eq!((is_news, is_news_again), (true, false));
-    assert!(!fleet.accepts_requests("a"));
-    assert!(fleet.accepts_requests("b"));
+    assert!(!fleet.accepts_requests("a", at(0)));
+    assert!(fleet.accepts_requests("b", at(0)));
 }
 
 #[test]
@@ -479,12 +479,12 @@
     );
     // A late response of the former process.
     fleet.record_leaving("a", 1, Timestamp::START);
-    let accepted_first = fleet.accepts_requests("a");
+    let accepted_first = fleet.accepts_requests("a", at(0));
     fleet.record_leaving("a", 2, Timestamp::START);
     fleet.record_leaving("a", 1, Timestamp::START);
 
     assert!(accepted_first);
-    assert!(!fleet.accepts_requests("a"));
+    assert!(!fleet.accepts_requests("a", at(0)));
 }
 
 #[test]
@@ -498,3 +498,72 @@
     assert_eq!(choice, Err(Shortage::NoServer));
     assert!(!fleet.has_servers());
 }
+
+/// A server that sheds its load for some seconds.
+#[test]
+fn paused_server_gets_nothing_until_its_pause_ends_and_then_one_request_first() {
+    let mut fleet = fleet(&["a", "b"]);
+    fleet.record_pause("a", Duration::from_secs(2), at(0));
+
+    let during = choices(&fleet, &demand(10, 10)).get("a").copied();
+    let accepted_during = fleet.accepts_requests("a", at(1_999));
+    let free_during = fleet.free_slots("llm", None, at(1_999));
+    let mut random = StdRng::seed_from_u64(1);
+    let required = Demand {
+        required_server: Some("a"),
+        ..demand(10, 10)
+    };
+    let request = RequestLoad {
+        prompt_tokens: 10,
+        prompt_tokens_ahead: None,
+    };
+    let first = fleet.choose(&required, at(2_000), &mut random);
+    fleet.record_start("a", request);
+    let second = fleet.choose(&required, at(2_001), &mut random);
+    let zero = Duration::ZERO;
+    fleet.record_answer("a", 1, zero, zero, at(2_500));
+    let after_answer = fleet.choose(&required, at(2_500), &mut random);
+
+    assert_eq!((during, accepted_during), (None, false));
+    assert_eq!(free_during, SLOTS as usize);
+    assert!(first.is_ok() && after_answer.is_ok());
+    assert_eq!(second, Err(Shortage::Full(Duration::ZERO)));
+}
+
+#[test]
+fn further_pause_lengthens_and_never_shortens() {
+    let mut fleet = fleet(&["a"]);
+
+    fleet.record_pause("a", Duration::from_secs(5), at(0));
+    fleet.record_pause("a", Duration::from_secs(1), at(1_000));
+
+    assert_eq!(
+        fleet.min_pause("llm", at(1_000)),
+        Some(Duration::from_secs(4))
+    );
+}
+
+#[test]
+fn pause_has_an_end_whatever_the_server_asks_for() {
+    let mut fleet = fleet(&["a"]);
+
+    fleet.record_pause("a", Duration::MAX, at(0));
+
+    assert!(fleet.accepts_requests("a", at(0).plus(MAX_PAUSE)));
+}
+
+/// Requests wait for the first server to return and are told when that is.
+#[test]
+fn fleet_that_pauses_as_a_whole_is_full_until_the_first_pause_ends() {
+    let mut fleet = fleet(&["a", "b"]);
+    let mut random = StdRng::seed_from_u64(1);
+    fleet.record_pause("a", Duration::from_secs(5), at(0));
+    let one = fleet.min_pause("llm", at(0));
+
+    fleet.record_pause("b", Duration::from_secs(2), at(0));
+
+    let until = Duration::from_secs(2);
+    assert_eq!((one, fleet.min_pause("llm", at(0))), (None, Some(until)));
+    let choice = fleet.choose(&demand(10, 10), at(0), &mut random);
+    assert_eq!(choice, Err(Shortage::Full(until)));
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -290,7 +290,11 @@
             let random = self.context.scheduler.random();
             let retry_after = match (cause, self.quarantine()) {
                 (Cause::Quarantined, Some(remaining)) => remaining,
-                _ => wait_policy::retry_after(self.time_left(), random),
+                _ => {
+                    let pause = self.context.scheduler.min_pause(&self.service);
+                    let delay = wait_policy::retry_after(self.time_left(), random);
+                    delay.max(pause.unwrap_or_default())
+                }
             };
             refusal = refusal.with_retry_after(retry_after);
         }
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -18,7 +18,10 @@
     },
     http_body_util::Full,
     hyper::body::Incoming,
-    std::{sync::Arc, time::Duration},
+    std::{
+        sync::Arc,
+        time::{Duration, SystemTime},
+    },
     tamarackdale_core::{
         dispatch::SendFailure,
         fleet::{Choice, health::Failure},
@@ -101,6 +104,10 @@
     if response::is_leaving(response.status(), response.headers()) {
         scheduler.record_leaving(member);
     }
+    let pause = response::wanted_pause(response.status(), response.headers(), SystemTime::now());
+    if let Some(pause) = pause {
+        scheduler.record_pause(member, pause);
+    }
     if let Some(failure) = check_response(job, &response, &member.id) {
         return Err(ExchangeError::SendFailure(failure));
     }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -208,7 +208,26 @@
 
     /// Whether a backend server still accepts requests.
     pub fn accepts_requests(&self, id: &str) -> bool {
-        self.lock().fleet.accepts_requests(id)
+        let now = self.clock.now();
+        self.lock().fleet.accepts_requests(id, now)
+    }
+
+    /// Records that a backend server wants no requests of this gateway for `delay`.
+    pub fn record_pause(&self, member: &Member, delay: Duration) {
+        let now = self.clock.now();
+        self.lock().fleet.record_pause(&member.id, delay, now);
+        log::info!(
+            backend_server = member.id.as_str(),
+            service = member.service.as_str(),
+            pause_ms = delay.as_millis() as u64;
+            "backend server wants a pause"
+        );
+    }
+
+    /// Time until the first backend server of a service ends its pause, if all of them pause.
+    pub fn min_pause(&self, service: &str) -> Option<Duration> {
+        let now = self.clock.now();
+        self.lock().fleet.min_pause(service, now)
     }
 
     /// Records that a backend server has said in a response that it is leaving.
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -88,10 +88,14 @@
     events: Mutex<u64>,
     /// A prompt's part, as `ID:`, under which the server crashes when it begins to answer.
     deadly_part: Mutex<Option<String>>,
+    /// `Retry-After` of the refusals of a full server, in seconds.
+    retry_after: Mutex<Option<String>>,
     /// Whether all responses say that the server is leaving.
     is_leaving: AtomicBool,
     runs: Mutex<Vec<Run>>,
     working: AtomicUsize,
+    /// Requests that it did not run.
+    refusals: AtomicUsize,
 }
 
 impl Server {
@@ -107,9 +111,11 @@
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
             deadly_part: Mutex::default(),
+            retry_after: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
+            refusals: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let host = Host::new(id, move |request| {
@@ -175,6 +181,16 @@
         *lock(&self.state.deadly_part) = Some(format!("{id}:"));
     }
 
+    /// Sets the `Retry-After` of a full server's refusals, in seconds.
+    pub fn set_retry_after(&self, seconds: &str) {
+        *lock(&self.state.retry_after) = Some(seconds.to_owned());
+    }
+
+    /// Requests that it did not run.
+    pub fn refusals(&self) -> usize {
+        self.state.refusals.load(Ordering::SeqCst)
+    }
+
     /// Lets all responses say that the server is leaving, while its registration says otherwise.
     pub fn say_leaving(&self) {
         self.state.is_leaving.store(true, Ordering::SeqCst);
@@ -246,6 +262,10 @@
             };
             let mut response = json(status, &value!({}));
             put(&mut response, "not-executed", "1");
+            self.refusals.fetch_add(1, Ordering::SeqCst);
+            if let Some(value) = lock(&self.retry_after).as_deref() {
+                put(&mut response, "retry-after", value);
+            }
             return Some(response);
         }
         let id = text("attempt-id").to_owned();
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -377,6 +377,37 @@
     assert_eq!(leaving.runs().len(), before);
 }
 
+/// Guards against requests at a server that has asked for a pause; two are allowed.
+#[tokio::test]
+async fn server_that_wants_a_pause_gets_none_until_it_ends() {
+    let bench = start().await;
+    for server in &bench.plains {
+        server.set_retry_after("4");
+        server.set_behaviour(Behaviour::Full);
+    }
+
+    let started = Instant::now();
+    let first = bench.gateway.call("/status/1", "s-1").await;
+    let first = first.expect("answered");
+    let answered = started.elapsed();
+    let before = bench.plains[0].refusals() + bench.plains[1].refusals();
+    while started.elapsed() < Duration::from_secs(3) {
+        let _ = bench.gateway.call("/status/1", "s-2").await;
+    }
+    let during = bench.plains[0].refusals() + bench.plains[1].refusals();
+    for server in &bench.plains {
+        server.set_behaviour(Behaviour::Sound);
+    }
+    sleep(Duration::from_millis(4_200).saturating_sub(started.elapsed())).await;
+    let after = bench.gateway.call("/status/1", "s-3").await;
+
+    assert_eq!((first.status(), before, during), (503, 2, 2));
+    let retry_after: f64 = first.header("retry-after").parse().expect("seconds");
+    let end = answered.as_secs_f64() + retry_after;
+    assert!((3.9..=4.3).contains(&end), "{end}");
+    assert_eq!(after.expect("answered").status(), 200);
+}
+
 /// Guards against a belief in registrations only: the server's own statement counts, from the head
 /// of its response on, also while the store is away or shows an older registration.
 #[rstest]
