--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -351,13 +351,13 @@
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.candidates_with_paused(demand, now)
-            .filter(move |server| server.pause.admits(server.own.requests, now))
+            .filter(move |server| server.pause.admits(now))
     }
 
     /// Whether a backend server lacks nothing but the end of its pause.
     fn has_paused_candidate(&self, demand: &Demand, now: Timestamp) -> bool {
         self.candidates_with_paused(demand, now)
-            .any(|server| !server.pause.admits(server.own.requests, now))
+            .any(|server| !server.pause.admits(now))
     }
 
     fn candidates_with_paused(
@@ -407,7 +407,7 @@
             server.member.service == service
                 && !server.is_leaving()
                 && !server.health.is_ejected(now)
-                && server.pause.admits(server.own.requests, now)
+                && server.pause.admits(now)
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
         servers
@@ -436,6 +436,7 @@
         if let Some(server) = self.servers.get_mut(id) {
             server.reserved.retain(|(_, end)| *end > now);
             server.reserved.push((request, now.plus(RESERVATION_TTL)));
+            server.pause.record_request(now);
         }
     }
 
--- a/core/src/fleet/pause.rs
+++ b/core/src/fleet/pause.rs
@@ -5,9 +5,9 @@
 /// Longest pause, whatever a backend server asks for. It is asked again after that.
 pub const MAX_PAUSE: Duration = Duration::from_secs(300);
 
-/// Requests of this router that run at a backend server at once after a pause, until one of them is
-/// answered, so that all that wait do not return to it together.
-const RETURNING_REQUESTS: u32 = 1;
+/// Interval between two requests to a backend server after a pause, until one of them is answered, so
+/// that all that wait do not return to it together. A server at rest answers within this time.
+const RETURN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Pause state of a backend server. It says nothing about its health.
 #[derive(Clone, Copy, Debug, Default)]
@@ -15,6 +15,8 @@
     until: Timestamp,
     /// Whether no request has been answered since the pause.
     is_returning: bool,
+    /// When the next request may follow the last one after the pause.
+    next_request: Timestamp,
 }
 
 impl Pause {
@@ -29,6 +31,11 @@
         self.is_returning = true;
     }
 
+    /// Records that a request is about to be sent.
+    pub fn record_request(&mut self, now: Timestamp) {
+        self.next_request = now.plus(RETURN_INTERVAL);
+    }
+
     /// Records an answered request.
     pub fn record_answer(&mut self, now: Timestamp) {
         self.is_returning &= self.is_pausing(now);
@@ -44,9 +51,8 @@
         self.until.since(now)
     }
 
-    /// Whether the backend server may get another request while it has `own` requests of this
-    /// router.
-    pub fn admits(&self, own: u32, now: Timestamp) -> bool {
-        !self.is_pausing(now) && (!self.is_returning || own < RETURNING_REQUESTS)
+    /// Whether the backend server may get another request now.
+    pub fn admits(&self, now: Timestamp) -> bool {
+        !self.is_pausing(now) && (!self.is_returning || now >= self.next_request)
     }
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -170,8 +170,7 @@
     /// Time for which requests like this one are refused because they crash backend servers.
     fn quarantine(&self) -> Option<Duration> {
         let parts = self.request.head.shared_part_ids();
-        let (_, remaining) = self.context.scheduler.quarantine(&parts)?;
-        Some(remaining)
+        self.context.scheduler.quarantine(&parts)
     }
 
     async fn place(&self) -> Result<Choice, Cause> {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -255,7 +255,7 @@
     }
 
     /// Records that the stream of a request with these parts of the prompt broke after its head and
-    /// before its first event, which is how a backend server looks that the request has crashed.
+    /// before its first event, as it does when the request crashes the backend server `id`.
     pub fn record_crash(&self, parts: &[u64], id: &str) {
         let now = self.clock.now();
         let quarantine = self.lock().poison.record_crash(parts, id, now);
@@ -270,12 +270,12 @@
         self.changed.notify_one();
     }
 
-    /// The first of these parts of a prompt whose requests are refused, with the time until they
-    /// are accepted again.
-    pub fn quarantine(&self, parts: &[u64]) -> Option<(Quarantine, Duration)> {
+    /// Time for which requests with these parts of the prompt are refused, because they crash
+    /// backend servers.
+    pub fn quarantine(&self, parts: &[u64]) -> Option<Duration> {
         let now = self.clock.now();
         let quarantine = self.lock().poison.quarantine(parts, now)?;
-        Some((quarantine, quarantine.until.since(now)))
+        Some(quarantine.until.since(now))
     }
 
     /// Merges a summary that a peer sent.
