Soak: servers that ask for a pause and servers that say that they leave

Full servers ask for 0.3 s; of the servers that leave, two of six say so in their responses only and return as another start.

--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -12,7 +12,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -92,6 +92,8 @@
     retry_after: Mutex<Option<String>>,
     /// Whether all responses say that the server is leaving.
     is_leaving: AtomicBool,
+    /// Start of the process, as its registration states it.
+    started_at_ms: AtomicU64,
     runs: Mutex<Vec<Run>>,
     working: AtomicUsize,
     /// Requests that it did not run.
@@ -113,6 +115,7 @@
             deadly_part: Mutex::default(),
             retry_after: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            started_at_ms: AtomicU64::new(1),
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
@@ -196,6 +199,12 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
+    /// Becomes another start of the server, which is not leaving. Tells so once it is registered.
+    pub fn start_again(&self) {
+        self.state.started_at_ms.fetch_add(1, Ordering::SeqCst);
+        self.state.is_leaving.store(false, Ordering::SeqCst);
+    }
+
     /// The requests that it ran, oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state.runs).clone()
@@ -222,7 +231,7 @@
             "state": state,
             "cold_remaining_ms": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.state.started_at_ms.load(Ordering::SeqCst),
         });
         (format!("servers/{}", self.id), entry.to_string().into())
     }
--- a/testbed/src/platform/soak/world.rs
+++ b/testbed/src/platform/soak/world.rs
@@ -25,6 +25,9 @@
 /// Shortest and longest duration of a fault, in milliseconds.
 const FAULT_LENGTH_MS: std::ops::Range<u64> = 200..1_500;
 
+/// Pause that full servers ask for, in seconds: shorter than most faults.
+const PAUSE_S: &str = "0.3";
+
 /// Target of a fault; it has one fault at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Target {
@@ -74,6 +77,7 @@
             let link = Proxy::new(server.address())?;
             let server = server.with_advertised(link.address());
             server.set_events(EVENTS);
+            server.set_retry_after(PAUSE_S);
             site.register(&server);
             servers.push(server);
             links.push(link);
@@ -203,6 +207,10 @@
                 server.set_behaviour(*behaviour);
                 format!("{behaviour:?}")
             }
+            _ if says_it_leaves(number) => {
+                server.say_leaving();
+                "says that it leaves".to_owned()
+            }
             _ => {
                 self.site.set_state(server, "draining");
                 "drains".to_owned()
@@ -228,6 +236,9 @@
             Target::Server(number) => {
                 let server = &self.servers[number];
                 server.set_behaviour(Behaviour::Sound);
+                if says_it_leaves(number) {
+                    server.start_again();
+                }
                 self.site.register(server);
             }
             Target::Link(number) => self.links[number].heal(),
@@ -275,6 +286,12 @@
     }
 }
 
+/// Whether a server that leaves says so in its responses and not by its registration: one of each
+/// service.
+fn says_it_leaves(number: usize) -> bool {
+    (2..4).contains(&number)
+}
+
 fn disturb_link(link: &Proxy, random: &mut StdRng) -> String {
     let directions = [Direction::ToTarget, Direction::FromTarget, Direction::Both];
     let direction = *directions.choose(random).unwrap_or(&Direction::Both);
