Poison: a bounded number of own observations is kept for peers

Found by reading the change: each stream that broke after its head added a notice for five minutes, and each summary copies all of them, so a service that cuts every stream would have taken the gateways' processor time. The newest 128 stay. peers_are_told_a_bounded_number_of_observations fails without the bound (10,000).

--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -29,6 +29,10 @@
 /// Most crashes that are remembered; bounds the memory and the time of a check.
 const MAX_CRASHES: usize = 64;
 
+/// Most own observations that are kept for peers: each summary copies them. Servers that cut every
+/// stream after its head would otherwise add one for each request.
+const MAX_OWN_NOTICES: usize = 2 * MAX_CRASHES;
+
 /// Most parts of which the last answer is remembered; bounds the memory.
 const MAX_ANSWERS: usize = 4_000;
 
@@ -128,7 +132,7 @@
             },
             at: now,
         };
-        self.own.push(notice.clone());
+        self.push_own(notice.clone());
         self.merge(&notice, now)
     }
 
@@ -284,10 +288,18 @@
         if parts.is_empty() {
             return;
         }
-        self.own.push(Notice {
+        self.push_own(Notice {
             parts,
             outcome: Outcome::Answer,
             at,
         });
     }
+
+    /// Adds an observation for peers, in place of the oldest one if there are too many.
+    fn push_own(&mut self, notice: Notice) {
+        if self.own.len() >= MAX_OWN_NOTICES {
+            self.own.remove(0);
+        }
+        self.own.push(notice);
+    }
 }
--- a/core/tests/poison.rs
+++ b/core/tests/poison.rs
@@ -196,6 +196,18 @@
     assert_eq!(detector.quarantine(&[DEADLY], until), None);
 }
 
+/// Servers that cut each stream after its head, whatever the prompt.
+#[test]
+fn peers_are_told_a_bounded_number_of_observations() {
+    let mut detector = Detector::new();
+
+    for part in 0..10_000 {
+        detector.record_crash(&[part], "server", at(0));
+    }
+
+    assert!(detector.own_notices(at(0)).count() <= 128);
+}
+
 #[test]
 fn memory_is_bounded() {
     let mut detector = Detector::new();
