Gateways: what a backend server says of itself is kept in one place; a limit that it names is logged

Leaving, pauses and limits are one family: decoded together in the adapter, kept by process and start time, also while the registration has lapsed. A pause was forgotten with a lapsed registration before. The limit (Server-Limit) is decoded, kept and logged, and shown in `placed`; it has no effect on the choice yet.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -2,15 +2,19 @@
 //! from all routers, and the choice of one for the next request.
 
 pub mod health;
+pub mod limit;
 pub mod load;
 pub mod pause;
 pub mod speed;
+pub mod statement;
 
 pub use {
     health::Health,
+    limit::Limit,
     load::{Load, RequestLoad},
     pause::Pause,
     speed::Speed,
+    statement::Statements,
 };
 
 use {
@@ -36,11 +40,6 @@
 /// Time that a lost request costs its caller. It is weighted with the probability of the loss.
 const LOST_REQUEST_COST_S: f64 = 3.0;
 
-/// Time for which it is remembered that a backend server without a registration has said that it
-/// leaves. Registrations that lapse in an outage of the store return within seconds of its end, and
-/// a server that leaves ends within seconds; an outage of minutes is covered.
-const DEPARTURE_MEMORY: Duration = Duration::from_secs(600);
-
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -68,8 +67,8 @@
 #[derive(Debug)]
 struct Server {
     member: Member,
-    /// Whether it has said in a response that it is leaving, whatever its registration says.
-    has_said_leaving: bool,
+    /// What it has said of itself in its responses.
+    statements: Statements,
     /// Load from this router.
     own: Load,
     /// Requests that have been assigned and not sent yet, each with the end of its reservation.
@@ -79,7 +78,6 @@
     peers_total: Load,
     speed: Speed,
     health: Health,
-    pause: Pause,
     /// Number of measurements of the speed by this router.
     measurements: u64,
     /// When this router last received a complete response from it.
@@ -144,6 +142,8 @@
     pub load: Load,
     /// Measured speed.
     pub speed: Speed,
+    /// Limit that it has named.
+    pub limit: Option<Limit>,
 }
 
 /// Why no backend server can accept a request now.
@@ -159,17 +159,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<String, Server>,
-    /// Backend servers that have said in a response that they are leaving, by identifier.
-    departures: HashMap<String, Departure>,
-}
-
-/// Statement of a backend server that it is leaving.
-#[derive(Clone, Copy, Debug)]
-struct Departure {
-    /// Start time of the process that said so; a later one with the same identifier is new.
-    started_at_ms: u64,
-    /// When this router last knew the backend server.
-    known_at: Timestamp,
+    /// What backend servers without a registration have said of themselves.
+    unregistered: statement::Unregistered,
 }
 
 impl Choice {
@@ -192,57 +183,65 @@
     /// Replaces the set of registered backend servers. The state of those that are still registered
     /// with the same start time is kept.
     pub fn update_members(&mut self, members: &Members, now: Timestamp) {
-        self.servers.retain(|id, server| {
+        self.unregistered.prune(now);
+        let ended = self.servers.extract_if(.., |id, server| {
             members
                 .get(id)
-                .is_some_and(|member| member.started_at_ms == server.member.started_at_ms)
+                .is_none_or(|member| member.started_at_ms != server.member.started_at_ms)
         });
+        for (id, server) in ended {
+            let started_at_ms = server.member.started_at_ms;
+            self.unregistered
+                .insert(id, started_at_ms, server.statements, now);
+        }
         for member in members.values() {
             match self.servers.get_mut(&member.id) {
                 Some(server) => server.member = member.clone(),
                 None => {
-                    self.servers
-                        .insert(member.id.clone(), Server::new(member.clone()));
+                    let statements = self.unregistered.take(&member.id, member.started_at_ms);
+                    let server = Server::new(member.clone(), statements);
+                    self.servers.insert(member.id.clone(), server);
                 }
             }
         }
-        self.update_departures(now);
     }
 
-    /// Applies the statements of backend servers to those that are registered, and forgets the
-    /// others in time.
-    fn update_departures(&mut self, now: Timestamp) {
-        self.departures.retain(|id, departure| {
-            let server = self.servers.get_mut(id);
-            let Some(server) = server else {
-                return now.since(departure.known_at) < DEPARTURE_MEMORY;
-            };
-            departure.known_at = now;
-            server.has_said_leaving = server.member.started_at_ms == departure.started_at_ms;
-            server.has_said_leaving
-        });
+    /// Records what a response says of the process of a backend server that started at
+    /// `started_at_ms`, whatever registrations say later. The request was sent at `sent`. Returns
+    /// what is news.
+    pub fn record_notice(
+        &mut self,
+        id: &str,
+        started_at_ms: u64,
+        notice: &statement::Notice,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> statement::News {
+        match self.statements_mut(id, started_at_ms, now) {
+            Some(statements) => statements.record(notice, sent, now),
+            None => statement::News::default(),
+        }
     }
 
-    /// Records that a backend server has said in a response that it is leaving. The process that
-    /// started at `started_at_ms` gets no new requests any more, whatever registrations say later.
-    /// Returns whether this was not known.
-    pub fn record_leaving(&mut self, id: &str, started_at_ms: u64, now: Timestamp) -> bool {
-        let known = self.departures.get(id);
-        if known.is_some_and(|known| known.started_at_ms >= started_at_ms) {
-            return false;
+    /// What a process has said, or `None` if a later one of the same server is known.
+    fn statements_mut(
+        &mut self,
+        id: &str,
+        started_at_ms: u64,
+        now: Timestamp,
+    ) -> Option<&mut Statements> {
+        match self.servers.get_mut(id) {
+            Some(server) if server.member.started_at_ms == started_at_ms => {
+                Some(&mut server.statements)
+            }
+            Some(server) if server.member.started_at_ms > started_at_ms => None,
+            _ => self.unregistered.get_mut(id, started_at_ms, now),
         }
-        let departure = Departure {
-            started_at_ms,
-            known_at: now,
-        };
-        self.departures.insert(id.to_owned(), departure);
-        self.update_departures(now);
-        true
     }
 
     /// Whether any backend server accepts new requests.
-    pub fn has_servers(&self) -> bool {
-        self.servers.values().any(|server| !server.is_leaving())
+    pub fn has_servers(&self, now: Timestamp) -> bool {
+        self.servers.values().any(|server| !server.is_leaving(now))
     }
 
     /// The registration of a backend server.
@@ -253,16 +252,14 @@
 
     /// Whether a backend server is registered and accepts new requests now.
     pub fn accepts_requests(&self, id: &str, now: Timestamp) -> bool {
-        self.servers
-            .get(id)
-            .is_some_and(|server| !server.is_leaving() && !server.pause.is_pausing(now))
+        self.servers.get(id).is_some_and(|server| {
+            !server.is_leaving(now) && !server.statements.pause.is_pausing(now)
+        })
     }
 
-    /// Records that a backend server wants no requests of this router for `delay`.
-    pub fn record_pause(&mut self, id: &str, delay: Duration, now: Timestamp) {
-        if let Some(server) = self.servers.get_mut(id) {
-            server.pause.begin(delay, now);
-        }
+    /// Limit of a registered backend server.
+    pub fn limit(&self, id: &str, now: Timestamp) -> Option<Limit> {
+        self.servers.get(id)?.statements.limit.limit(now)
     }
 
     /// Time until the first backend server of a service ends its pause, if all that are healthy and
@@ -270,10 +267,12 @@
     pub fn min_pause(&self, service: &str, now: Timestamp) -> Option<Duration> {
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
-                && !server.is_leaving()
-                && (server.pause.is_pausing(now) || !server.health.is_ejected(now))
+                && !server.is_leaving(now)
+                && (server.statements.pause.is_pausing(now) || !server.health.is_ejected(now))
         });
-        let remaining = servers.map(|server| server.pause.remaining(now)).min();
+        let remaining = servers
+            .map(|server| server.statements.pause.remaining(now))
+            .min();
         remaining.filter(|remaining| !remaining.is_zero())
     }
 
@@ -316,6 +315,7 @@
                 estimate,
                 load: server.load(now),
                 speed: server.speed,
+                limit: server.statements.limit.limit(now),
             }),
             (None, Some(wait)) => Err(Shortage::Full(wait)),
             (None, None) if self.has_paused_candidate(demand, now) => {
@@ -351,13 +351,13 @@
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.candidates_with_paused(demand, now)
-            .filter(move |server| server.pause.admits(now))
+            .filter(move |server| server.statements.pause.admits(now))
     }
 
     /// Whether a backend server lacks nothing but the end of its pause.
     fn has_paused_candidate(&self, demand: &Demand, now: Timestamp) -> bool {
         self.candidates_with_paused(demand, now)
-            .any(|server| !server.pause.admits(now))
+            .any(|server| !server.statements.pause.admits(now))
     }
 
     fn candidates_with_paused(
@@ -367,7 +367,7 @@
     ) -> impl Iterator<Item = &Server> {
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
-                && !server.is_leaving()
+                && !server.is_leaving(now)
                 && !server.health.is_ejected(now)
                 && !demand.excluded.contains(&server.member.id)
                 && demand
@@ -392,7 +392,7 @@
         let mut used = 0;
         let mut slots = 0;
         for server in self.servers.values() {
-            if server.member.service == service && !server.is_leaving() {
+            if server.member.service == service && !server.is_leaving(now) {
                 used += server.load(now).requests.min(server.member.slots);
                 slots += server.member.slots;
             }
@@ -405,9 +405,9 @@
     pub fn free_slots(&self, service: &str, data_centre: Option<&str>, now: Timestamp) -> usize {
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
-                && !server.is_leaving()
+                && !server.is_leaving(now)
                 && !server.health.is_ejected(now)
-                && server.pause.admits(now)
+                && server.statements.pause.admits(now)
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
         servers
@@ -436,7 +436,7 @@
         if let Some(server) = self.servers.get_mut(id) {
             server.reserved.retain(|(_, end)| *end > now);
             server.reserved.push((request, now.plus(RESERVATION_TTL)));
-            server.pause.record_request(now);
+            server.statements.pause.record_request(now);
         }
     }
 
@@ -478,7 +478,7 @@
             server.speed.observe_occupancy(occupancy);
             server.measurements += 1;
             server.health.record_success();
-            server.pause.record_answer(now);
+            server.statements.pause.record_answer(now);
         }
     }
 
@@ -528,25 +528,24 @@
 }
 
 impl Server {
-    fn new(member: Member) -> Self {
+    fn new(member: Member, statements: Statements) -> Self {
         Self {
             member,
-            has_said_leaving: false,
+            statements,
             own: Load::default(),
             reserved: Vec::new(),
             peers: HashMap::new(),
             peers_total: Load::default(),
             speed: Speed::new(),
             health: Health::new(),
-            pause: Pause::new(),
             measurements: 0,
             last_response: None,
         }
     }
 
     /// Whether it gets no new requests because it is leaving, by its registration or its responses.
-    fn is_leaving(&self) -> bool {
-        self.member.is_leaving || self.has_said_leaving
+    fn is_leaving(&self, now: Timestamp) -> bool {
+        self.member.is_leaving || self.statements.is_leaving(now)
     }
 
     fn is_remote(&self, demand: &Demand) -> bool {
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -6,7 +6,7 @@
     tamarackdale_core::{
         fleet::{
             Demand, Fleet, Load, Member, Members, RequestLoad, SharedPrefix, Shortage, Speed,
-            health::Failure, pause::MAX_PAUSE,
+            health::Failure, pause::MAX_PAUSE, statement::Notice,
         },
         time::Timestamp,
     },
@@ -448,14 +448,33 @@
     assert_eq!(all, local + 40 * SLOTS as usize);
 }
 
+/// Records a response that says that its server is leaving. Returns whether this is news.
+fn record_leaving(fleet: &mut Fleet, id: &str, started_at_ms: u64, now: Timestamp) -> bool {
+    let notice = Notice {
+        is_leaving: true,
+        ..Notice::default()
+    };
+    let news = fleet.record_notice(id, started_at_ms, &notice, now, now);
+    news.is_leaving
+}
+
+/// Records a response that asks for a pause.
+fn record_pause(fleet: &mut Fleet, id: &str, delay: Duration, now: Timestamp) {
+    let notice = Notice {
+        pause: Some(delay),
+        ..Notice::default()
+    };
+    fleet.record_notice(id, 1, &notice, now, now);
+}
+
 /// A restored store, or one that lost a registration for a while, shows a server as ready again.
 #[test]
 fn server_that_said_it_leaves_stays_left_whatever_registrations_say() {
     let mut fleet = fleet(&["a", "b"]);
     let now = Timestamp::from_millis;
 
-    let is_news = fleet.record_leaving("a", 1, now(0));
-    let is_news_again = fleet.record_leaving("a", 1, now(10));
+    let is_news = record_leaving(&mut fleet, "a", 1, now(0));
+    let is_news_again = record_leaving(&mut fleet, "a", 1, now(10));
     fleet.update_members(&members(&["b"]), now(1_000));
     fleet.update_members(&members(&["a", "b"]), now(60_000));
 
@@ -467,7 +486,7 @@
 #[test]
 fn server_that_starts_again_under_the_same_identifier_is_new() {
     let mut fleet = fleet(&["a"]);
-    fleet.record_leaving("a", 1, Timestamp::START);
+    record_leaving(&mut fleet, "a", 1, Timestamp::START);
     let restarted = Member {
         started_at_ms: 2,
         ..member("a")
@@ -478,10 +497,10 @@
         Timestamp::START,
     );
     // A late response of the former process.
-    fleet.record_leaving("a", 1, Timestamp::START);
+    record_leaving(&mut fleet, "a", 1, Timestamp::START);
     let accepted_first = fleet.accepts_requests("a", at(0));
-    fleet.record_leaving("a", 2, Timestamp::START);
-    fleet.record_leaving("a", 1, Timestamp::START);
+    record_leaving(&mut fleet, "a", 2, Timestamp::START);
+    record_leaving(&mut fleet, "a", 1, Timestamp::START);
 
     assert!(accepted_first);
     assert!(!fleet.accepts_requests("a", at(0)));
@@ -492,18 +511,31 @@
     let mut fleet = fleet(&["a"]);
     let mut random = StdRng::seed_from_u64(1);
 
-    fleet.record_leaving("a", 1, Timestamp::START);
+    record_leaving(&mut fleet, "a", 1, Timestamp::START);
 
     let choice = fleet.choose(&demand(100, 10), Timestamp::START, &mut random);
     assert_eq!(choice, Err(Shortage::NoServer));
-    assert!(!fleet.has_servers());
+    assert!(!fleet.has_servers(Timestamp::START));
+}
+
+/// A registration may lapse while the server pauses, as in an outage of the store.
+#[test]
+fn pause_outlasts_a_lapse_of_the_registration() {
+    let mut fleet = fleet(&["a"]);
+    record_pause(&mut fleet, "a", Duration::from_secs(5), at(0));
+
+    fleet.update_members(&Members::new(), at(1_000));
+    fleet.update_members(&members(&["a"]), at(2_000));
+
+    assert!(!fleet.accepts_requests("a", at(4_999)));
+    assert!(fleet.accepts_requests("a", at(5_000)));
 }
 
 /// A server that sheds its load for some seconds.
 #[test]
 fn paused_server_gets_nothing_until_its_pause_ends_and_then_one_request_first() {
     let mut fleet = fleet(&["a", "b"]);
-    fleet.record_pause("a", Duration::from_secs(2), at(0));
+    record_pause(&mut fleet, "a", Duration::from_secs(2), at(0));
 
     let during = choices(&fleet, &demand(10, 10)).get("a").copied();
     let accepted_during = fleet.accepts_requests("a", at(1_999));
@@ -535,7 +567,7 @@
 fn server_after_its_pause_is_tried_again_without_an_answer() {
     let mut fleet = fleet(&["a"]);
     let mut random = StdRng::seed_from_u64(1);
-    fleet.record_pause("a", Duration::from_secs(2), at(0));
+    record_pause(&mut fleet, "a", Duration::from_secs(2), at(0));
     let request = RequestLoad {
         prompt_tokens: 10,
         prompt_tokens_ahead: None,
@@ -551,8 +583,8 @@
 fn further_pause_lengthens_and_never_shortens() {
     let mut fleet = fleet(&["a"]);
 
-    fleet.record_pause("a", Duration::from_secs(5), at(0));
-    fleet.record_pause("a", Duration::from_secs(1), at(1_000));
+    record_pause(&mut fleet, "a", Duration::from_secs(5), at(0));
+    record_pause(&mut fleet, "a", Duration::from_secs(1), at(1_000));
 
     assert_eq!(
         fleet.min_pause("llm", at(1_000)),
@@ -564,7 +596,7 @@
 fn pause_has_an_end_whatever_the_server_asks_for() {
     let mut fleet = fleet(&["a"]);
 
-    fleet.record_pause("a", Duration::MAX, at(0));
+    record_pause(&mut fleet, "a", Duration::MAX, at(0));
 
     assert!(fleet.accepts_requests("a", at(0).plus(MAX_PAUSE)));
 }
@@ -574,10 +606,10 @@
 fn fleet_that_pauses_as_a_whole_is_full_until_the_first_pause_ends() {
     let mut fleet = fleet(&["a", "b"]);
     let mut random = StdRng::seed_from_u64(1);
-    fleet.record_pause("a", Duration::from_secs(5), at(0));
+    record_pause(&mut fleet, "a", Duration::from_secs(5), at(0));
     let one = fleet.min_pause("llm", at(0));
 
-    fleet.record_pause("b", Duration::from_secs(2), at(0));
+    record_pause(&mut fleet, "b", Duration::from_secs(2), at(0));
 
     let until = Duration::from_secs(2);
     assert_eq!((one, fleet.min_pause("llm", at(0))), (None, Some(until)));
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -25,7 +25,7 @@
     },
     tamarackdale_core::{
         dispatch::{Dispatch, SendFailure, Step},
-        fleet::Choice,
+        fleet::{Choice, Limit},
         rendezvous,
         routing_config::{Organisation, Route},
         time::Timestamp,
@@ -220,7 +220,8 @@
             predicted_total_ms = choice.estimate.total.as_millis() as u64,
             decode_ms = choice.speed.decode_ms.unwrap_or_default(),
             prefill_ms = choice.speed.prefill_ms.unwrap_or_default(),
-            stay_ms = choice.speed.occupancy_ms.unwrap_or_default();
+            stay_ms = choice.speed.occupancy_ms.unwrap_or_default(),
+            limit_per_s = choice.limit.map(Limit::per_second);
             "placed"
         );
     }
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     gotham::hyper::{
-        Request, Response,
+        Request,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
@@ -86,6 +86,7 @@
     }
     let request = build_request(job, &member.id, time_left);
     job.dispatch.send();
+    let sent = job.context.clock.now();
     let sending = connection.sender.try_send_request(request);
     let response = match timeout(time_left, sending).await {
         Err(_) => return Err(ExchangeError::GivenUp(Cause::Timeout)),
@@ -101,14 +102,11 @@
             return Err(ExchangeError::SendFailure(failure));
         }
     };
-    if response::is_leaving(response.status(), response.headers()) {
-        scheduler.record_leaving(member);
-    }
-    let pause = response::wanted_pause(response.status(), response.headers(), SystemTime::now());
-    if let Some(pause) = pause {
-        scheduler.record_pause(member, pause);
-    }
-    if let Some(failure) = check_response(job, &response, &member.id) {
+    let (status, headers) = (response.status(), response.headers());
+    let class = response::classify(status, headers, &job.request.head.id);
+    let notice = response::notice(status, headers, class, SystemTime::now());
+    scheduler.record_notice(member, &notice, sent);
+    if let Some(failure) = check_response(job, class, &member.id) {
         return Err(ExchangeError::SendFailure(failure));
     }
     let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
@@ -134,9 +132,8 @@
 
 /// Returns the failure if a response cannot be passed on to the caller. A 5xx response is passed on
 /// if the request cannot be sent again.
-fn check_response(job: &Job, response: &Response<Incoming>, id: &str) -> Option<SendFailure> {
+fn check_response(job: &Job, class: ResponseClass, id: &str) -> Option<SendFailure> {
     let scheduler = &job.context.scheduler;
-    let class = response::classify(response.status(), response.headers(), &job.request.head.id);
     match class {
         ResponseClass::Valid => None,
         ResponseClass::NotExecuted => {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -18,7 +18,9 @@
     },
     tamarackdale_core::{
         cell::Layout,
-        fleet::{self, Choice, Member, Members, RequestLoad, Shortage},
+        fleet::{
+            self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit, statement::Notice,
+        },
         poison::Quarantine,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
@@ -81,7 +83,8 @@
 
     /// Whether any backend server accepts requests.
     pub fn has_servers(&self) -> bool {
-        self.lock().fleet.has_servers()
+        let now = self.clock.now();
+        self.lock().fleet.has_servers(now)
     }
 
     /// Fraction of a service's slots that are in use by all gateways, or `None` if no backend
@@ -212,16 +215,33 @@
         self.lock().fleet.accepts_requests(id, now)
     }
 
-    /// Records that a backend server wants no requests of this gateway for `delay`.
-    pub fn record_pause(&self, member: &Member, delay: Duration) {
+    /// Records what the response to a request that was sent at `sent` says of its backend server.
+    pub fn record_notice(&self, member: &Member, notice: &Notice, sent: Timestamp) {
         let now = self.clock.now();
-        self.lock().fleet.record_pause(&member.id, delay, now);
-        log::info!(
-            backend_server = member.id.as_str(),
-            service = member.service.as_str(),
-            pause_ms = delay.as_millis() as u64;
-            "backend server wants a pause"
-        );
+        let mut state = self.lock();
+        let news = state
+            .fleet
+            .record_notice(&member.id, member.started_at_ms, notice, sent, now);
+        let limit = state.fleet.limit(&member.id, now);
+        drop(state);
+        let (backend_server, service) = (member.id.as_str(), member.service.as_str());
+        if let Some(pause) = notice.pause {
+            let pause_ms = pause.as_millis() as u64;
+            log::info!(backend_server, service, pause_ms; "backend server wants a pause");
+        }
+        if news.is_leaving {
+            log::info!(backend_server, service; "backend server says that it is leaving");
+            self.changed.notify_one();
+        }
+        if news.has_other_limit {
+            match notice.limit {
+                limit::Notice::Limited(_) => {
+                    let per_second = limit.map(Limit::per_second);
+                    log::info!(backend_server, service, per_second; "backend server names a limit");
+                }
+                _ => log::info!(backend_server, service; "backend server names no limit any more"),
+            }
+        }
     }
 
     /// Time until the first backend server of a service ends its pause, if all of them pause.
@@ -230,22 +250,6 @@
         self.lock().fleet.min_pause(service, now)
     }
 
-    /// Records that a backend server has said in a response that it is leaving.
-    pub fn record_leaving(&self, member: &Member) {
-        let now = self.clock.now();
-        let mut state = self.lock();
-        if state
-            .fleet
-            .record_leaving(&member.id, member.started_at_ms, now)
-        {
-            log::info!(
-                backend_server = member.id.as_str(),
-                service = member.service.as_str();
-                "backend server says that it is leaving"
-            );
-        }
-    }
-
     /// Records a failure of a backend server.
     pub fn record_failure(&self, id: &str, failure: fleet::health::Failure) {
         let now = self.clock.now();
