--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -14,7 +14,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
     tokio::time::sleep,
 };
@@ -92,6 +92,10 @@
     retry_after: Mutex<Option<String>>,
     /// Whether all responses say that the server is leaving.
     is_leaving: AtomicBool,
+    /// Value of the `Server-Limit` that all responses name.
+    limit: Mutex<Option<String>>,
+    /// When each request arrived, including those that it did not run.
+    arrivals: Mutex<Vec<Instant>>,
     /// Start of the process, as its registration states it.
     started_at_ms: AtomicU64,
     runs: Mutex<Vec<Run>>,
@@ -115,6 +119,8 @@
             deadly_part: Mutex::default(),
             retry_after: Mutex::default(),
             is_leaving: AtomicBool::new(false),
+            limit: Mutex::default(),
+            arrivals: Mutex::default(),
             started_at_ms: AtomicU64::new(1),
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
@@ -124,7 +130,11 @@
         let host = Host::new(id, move |request| {
             let shared = Arc::clone(&shared);
             async move {
+                lock(&shared.arrivals).push(Instant::now());
                 let mut response = Arc::clone(&shared).answer(request).await?;
+                if let Some(limit) = lock(&shared.limit).as_deref() {
+                    put(&mut response, "server-limit", limit);
+                }
                 if shared.is_leaving.load(Ordering::SeqCst) {
                     put(&mut response, "server-leaving", "1");
                 }
@@ -199,10 +209,35 @@
         self.state.is_leaving.store(true, Ordering::SeqCst);
     }
 
-    /// Becomes another start of the server, which is not leaving. Tells so once it is registered.
+    /// Names a limit in all responses, in requests per second, or none any more.
+    pub fn set_limit(&self, per_second: Option<&str>) {
+        *lock(&self.state.limit) = per_second.map(str::to_owned);
+    }
+
+    /// When each request arrived, including those that it did not run, oldest first.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        lock(&self.state.arrivals).clone()
+    }
+
+    /// Most requests that arrived within `window` from any moment after `from`.
+    pub fn most_arrivals(&self, window: Duration, from: Instant) -> usize {
+        let arrivals = self.arrivals();
+        let after = arrivals.iter().filter(|arrival| **arrival >= from);
+        let within = |start: &Instant| {
+            let end = *start + window;
+            arrivals
+                .iter()
+                .filter(|at| (*start..end).contains(*at))
+                .count()
+        };
+        after.map(within).max().unwrap_or_default()
+    }
+
+    /// Becomes another start of the server, which is not leaving and names no limit. Tells so once it is registered.
     pub fn start_again(&self) {
         self.state.started_at_ms.fetch_add(1, Ordering::SeqCst);
         self.state.is_leaving.store(false, Ordering::SeqCst);
+        self.set_limit(None);
     }
 
     /// The requests that it ran, oldest first.
