Gateways: a backend server's limit is kept by all of them together

Callers saw nothing directly; a server in need got four to nine times what it had said that it takes, which is how it fails next. A share for each gateway would not be enough: with a burst of one each, 41 gateways start 41 requests where a limit of 4 a second allows 29 within 4 s.

For each limited server one gateway, the keeper, chosen by rendezvous among those connected, hands out starts evenly spaced; a gateway asks it before it sends, one question at a time, and goes elsewhere or waits in its queue when refused. A new keeper begins with no credit. A limited server gets a request a second from each gateway, within its limit, so that it can say that it has recovered. That a server leaves is told to peers too.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -18,7 +18,10 @@
 };
 
 use {
-    crate::{rendezvous, summary, time::Timestamp},
+    crate::{
+        rendezvous, summary,
+        time::{self, Timestamp},
+    },
     rand::{Rng, RngCore, seq::IteratorRandom as _},
     std::{
         collections::{BTreeMap, HashMap},
@@ -40,6 +43,10 @@
 /// Time that a lost request costs its caller. It is weighted with the probability of the loss.
 const LOST_REQUEST_COST_S: f64 = 3.0;
 
+/// Time after which a start at a backend server that the keeper does not know is asked for again. Its
+/// registration reaches all routers within about as long.
+const UNKNOWN_SERVER_DELAY: Duration = Duration::from_millis(200);
+
 /// Registration of a backend server.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
@@ -78,6 +85,10 @@
     peers_total: Load,
     speed: Speed,
     health: Health,
+    /// When this router may ask for a start, if the server is limited.
+    turn: limit::Turn,
+    /// Starts that this router hands out as the keeper, if the server is limited.
+    pacer: Option<limit::Pacer>,
     /// Number of measurements of the speed by this router.
     measurements: u64,
     /// When this router last received a complete response from it.
@@ -257,9 +268,98 @@
         })
     }
 
+    /// Merges what a backend server has said to a peer.
+    pub fn merge_report(&mut self, report: &statement::Report, now: Timestamp) {
+        if let Some(statements) = self.statements_mut(&report.id, report.started_at_ms, now) {
+            statements.merge(report);
+        }
+    }
+
+    /// What registered backend servers have said to this router, for its peers.
+    pub fn own_reports(&self) -> impl Iterator<Item = statement::Report> {
+        self.servers.iter().filter_map(|(id, server)| {
+            let started_at_ms = server.member.started_at_ms;
+            server.statements.report(id, started_at_ms)
+        })
+    }
+
     /// Limit of a registered backend server.
     pub fn limit(&self, id: &str, now: Timestamp) -> Option<Limit> {
-        self.servers.get(id)?.statements.limit.limit(now)
+        self.servers.get(id)?.limit(now)
+    }
+
+    /// What is known about the limit of a backend server, if there is one, as a start at it is asked
+    /// for.
+    pub fn limit_report(&self, id: &str, now: Timestamp) -> Option<statement::Report> {
+        let server = self.servers.get(id)?;
+        server.limit(now)?;
+        Some(statement::Report {
+            id: id.to_owned(),
+            started_at_ms: server.member.started_at_ms,
+            leaving_since: None,
+            limit: server.statements.limit.last,
+        })
+    }
+
+    /// Takes one start at a backend server, as its keeper, for this router or for a peer. The
+    /// fraction `share` of the limit is available. Fails with the time until the next start.
+    pub fn take_start(
+        &mut self,
+        id: &str,
+        started_at_ms: u64,
+        share: f64,
+        now: Timestamp,
+    ) -> Result<(), Duration> {
+        let server = self.servers.get_mut(id);
+        let Some(server) = server.filter(|server| server.member.started_at_ms == started_at_ms)
+        else {
+            return Err(UNKNOWN_SERVER_DELAY);
+        };
+        let Some(limit) = server.limit(now) else {
+            server.pacer = None;
+            return Ok(());
+        };
+        let pacer = server
+            .pacer
+            .get_or_insert_with(|| limit::Pacer::new(limit, share, now));
+        pacer.take(limit, share, now)
+    }
+
+    /// Records that this router got a start at a limited backend server.
+    pub fn record_start_granted(&mut self, id: &str, now: Timestamp) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.turn.record_grant(now);
+        }
+    }
+
+    /// Records that this router got no start at a limited backend server. Requests go elsewhere for
+    /// `delay`.
+    pub fn record_start_refused(
+        &mut self,
+        id: &str,
+        request: RequestLoad,
+        delay: Duration,
+        now: Timestamp,
+    ) {
+        if let Some(server) = self.servers.get_mut(id) {
+            server.remove_reservation(request);
+            server.turn.record_refusal(delay, now);
+        }
+    }
+
+    /// Mean time between two starts at a service from all routers, if all its backend servers that
+    /// are healthy and not leaving are limited.
+    pub fn start_interval(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let servers = self.servers.values().filter(|server| {
+            server.member.service == service
+                && !server.is_leaving(now)
+                && !server.health.is_ejected(now)
+        });
+        let limits: Option<Vec<f64>> = servers
+            .map(|server| server.limit(now).map(Limit::per_second))
+            .collect();
+        let per_second: f64 = limits?.iter().sum();
+        (per_second > 0.0).then(|| time::seconds(1.0 / per_second))
     }
 
     /// Time until the first backend server of a service ends its pause, if all that are healthy and
@@ -287,7 +387,7 @@
         let jitter = self.jitter(demand.service, now);
         let considered = self.considered(demand, now, random);
         let homes = homes(&considered, demand);
-        let mut best: Option<((bool, f64), &Server, Estimate)> = None;
+        let mut best: Option<((bool, bool, f64), &Server, Estimate)> = None;
         let mut min_wait: Option<Duration> = None;
         for server in considered {
             let estimate = server.estimate(demand, now);
@@ -304,7 +404,8 @@
             let cost = server.cost(&estimate, demand, is_home, now)
                 * (1.0 + jitter * random.random::<f64>());
             // A free slot is preferred to queueing at a faster engine, which adds no capacity.
-            let rank = (!estimate.wait.is_zero(), cost);
+            let is_overdue = server.limit(now).is_some() && server.turn.is_overdue(now);
+            let rank = (!estimate.wait.is_zero(), !is_overdue, cost);
             if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
                 best = Some((rank, server, estimate));
             }
@@ -315,10 +416,10 @@
                 estimate,
                 load: server.load(now),
                 speed: server.speed,
-                limit: server.statements.limit.limit(now),
+                limit: server.limit(now),
             }),
             (None, Some(wait)) => Err(Shortage::Full(wait)),
-            (None, None) if self.has_paused_candidate(demand, now) => {
+            (None, None) if self.has_candidate_later(demand, now) => {
                 let pause = self.min_pause(demand.service, now);
                 Err(Shortage::Full(pause.unwrap_or_default()))
             }
@@ -350,17 +451,17 @@
     }
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
-        self.candidates_with_paused(demand, now)
-            .filter(move |server| server.statements.pause.admits(now))
+        self.candidates_with_held_back(demand, now)
+            .filter(move |server| server.admits(now))
     }
 
-    /// Whether a backend server lacks nothing but the end of its pause.
-    fn has_paused_candidate(&self, demand: &Demand, now: Timestamp) -> bool {
-        self.candidates_with_paused(demand, now)
-            .any(|server| !server.statements.pause.admits(now))
+    /// Whether a backend server lacks nothing but the end of its pause, or a start within its limit.
+    fn has_candidate_later(&self, demand: &Demand, now: Timestamp) -> bool {
+        self.candidates_with_held_back(demand, now)
+            .any(|server| !server.admits(now))
     }
 
-    fn candidates_with_paused(
+    fn candidates_with_held_back(
         &self,
         demand: &Demand,
         now: Timestamp,
@@ -407,15 +508,20 @@
             server.member.service == service
                 && !server.is_leaving(now)
                 && !server.health.is_ejected(now)
-                && server.statements.pause.admits(now)
+                && server.admits(now)
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
         servers
             .map(|server| {
-                server
+                let free = server
                     .member
                     .slots
-                    .saturating_sub(server.load(now).requests) as usize
+                    .saturating_sub(server.load(now).requests);
+                match server.limit(now) {
+                    // The next start is the only one that can be had now.
+                    Some(_) => free.min(1) as usize,
+                    None => free as usize,
+                }
             })
             .sum()
     }
@@ -423,10 +529,7 @@
     /// Records that this router sends a request to `id`, and removes the request's reservation.
     pub fn record_start(&mut self, id: &str, request: RequestLoad) {
         if let Some(server) = self.servers.get_mut(id) {
-            let mut reserved = server.reserved.iter();
-            if let Some(index) = reserved.position(|(reserved, _)| *reserved == request) {
-                server.reserved.remove(index);
-            }
+            server.remove_reservation(request);
             server.own.add_request(request);
         }
     }
@@ -437,6 +540,9 @@
             server.reserved.retain(|(_, end)| *end > now);
             server.reserved.push((request, now.plus(RESERVATION_TTL)));
             server.statements.pause.record_request(now);
+            if server.limit(now).is_some() {
+                server.turn.begin(now);
+            }
         }
     }
 
@@ -538,6 +644,8 @@
             peers_total: Load::default(),
             speed: Speed::new(),
             health: Health::new(),
+            turn: limit::Turn::default(),
+            pacer: None,
             measurements: 0,
             last_response: None,
         }
@@ -548,6 +656,24 @@
         self.member.is_leaving || self.statements.is_leaving(now)
     }
 
+    fn remove_reservation(&mut self, request: RequestLoad) {
+        let mut reserved = self.reserved.iter();
+        if let Some(index) = reserved.position(|(reserved, _)| *reserved == request) {
+            self.reserved.remove(index);
+        }
+    }
+
+    /// Limit that it has named.
+    fn limit(&self, now: Timestamp) -> Option<Limit> {
+        self.statements.limit.limit(now)
+    }
+
+    /// Whether it may get another request now: it does not pause, and a start may be asked for if it
+    /// is limited.
+    fn admits(&self, now: Timestamp) -> bool {
+        self.statements.pause.admits(now) && (self.turn.is_due(now) || self.limit(now).is_none())
+    }
+
     fn is_remote(&self, demand: &Demand) -> bool {
         self.member.data_centre != demand.data_centre
     }
--- a/core/src/fleet/limit.rs
+++ b/core/src/fleet/limit.rs
@@ -30,6 +30,11 @@
 /// however many there are.
 const ASKS_PER_SECOND: f64 = 100.0;
 
+/// Time without a request to a limited server after which a router prefers it for one: only an answer
+/// can say that the limit is over, and the server takes that many. Shorter than connections are kept
+/// open, so that the next request does not need a new one.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Longest time for an answer of the keeper. Two peers are tens of milliseconds apart at most; a
 /// longer silence means that the keeper is gone.
 pub const ASK_TIMEOUT: Duration = Duration::from_millis(300);
@@ -171,6 +176,8 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Turn {
     next: Timestamp,
+    /// When the last start was granted.
+    last_grant: Timestamp,
 }
 
 impl Turn {
@@ -182,6 +189,7 @@
     /// Records that the start was granted.
     pub fn record_grant(&mut self, now: Timestamp) {
         self.next = now;
+        self.last_grant = now;
     }
 
     /// Records that the start was refused, and that the next is in `delay`.
@@ -189,6 +197,11 @@
         self.next = now.plus(delay.max(MIN_ASK_INTERVAL));
     }
 
+    /// Whether the server should get a request so that it can say whether it still has a limit.
+    pub fn is_overdue(&self, now: Timestamp) -> bool {
+        now.since(self.last_grant) >= PROBE_INTERVAL
+    }
+
     /// Whether a start may be asked for now.
     pub fn is_due(&self, now: Timestamp) -> bool {
         now >= self.next
--- a/core/src/peer_table.rs
+++ b/core/src/peer_table.rs
@@ -1,7 +1,7 @@
 //! Table of a router's peers: their data centres, and whether each of them is reachable.
 
 use {
-    crate::{cell::Layout, time::Timestamp},
+    crate::{cell::Layout, rendezvous, time::Timestamp},
     std::{collections::HashMap, net::SocketAddr, time::Duration},
 };
 
@@ -39,6 +39,11 @@
         is_new
     }
 
+    /// Whether a peer is in the table.
+    pub fn contains(&self, address: SocketAddr) -> bool {
+        self.peers.contains_key(&address)
+    }
+
     /// Records that messages arrive from a peer.
     pub fn mark_reachable(&mut self, address: SocketAddr, data_centre: &str) {
         let peer = Peer {
@@ -88,6 +93,19 @@
         peers.all(|(address, peer)| peer.unreachable_since.is_some() || own < *address)
     }
 
+    /// The router among the reachable ones, of which `own` is this one, that all of them choose for
+    /// `key`.
+    pub fn keeper(&self, key: &str, own: SocketAddr) -> SocketAddr {
+        let peers = self.peers.iter();
+        let reachable = peers.filter(|(_, peer)| peer.unreachable_since.is_none());
+        let addresses = reachable.map(|(address, _)| *address).chain([own]);
+        let named: Vec<_> = addresses
+            .map(|address| (address.to_string(), address))
+            .collect();
+        let chosen = rendezvous::choose(key, &named, |(name, _)| name.as_str(), 1);
+        chosen.first().map_or(own, |(_, address)| *address)
+    }
+
     /// Number of reachable routers and number of all routers in the table, both including this one.
     pub fn counts(&self) -> (usize, usize) {
         (self.reachable().count() + 1, self.peers.len() + 1)
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        fleet::{Load, Speed},
+        fleet::{Load, Speed, statement},
         floor::Notice,
         poison,
         quota::Usage,
@@ -39,6 +39,8 @@
     pub floors: Vec<(String, Notice)>,
     /// Crashes of backend servers and answers by parts of prompts, as this router observed them.
     pub poison: Vec<poison::Notice>,
+    /// What backend servers have said of themselves to this router.
+    pub statements: Vec<statement::Report>,
 }
 
 impl Summary {
@@ -55,6 +57,7 @@
             && self.usages.is_empty()
             && self.floors.is_empty()
             && self.poison.is_empty()
+            && self.statements.is_empty()
     }
 }
 
@@ -103,6 +106,8 @@
         let usages = usages.filter(|usage| before(&usage.organisation) != Some(*usage));
         let poison = current.poison.iter();
         let poison = poison.filter(|notice| !self.previous.poison.contains(notice));
+        let statements = current.statements.iter();
+        let statements = statements.filter(|report| !self.previous.statements.contains(report));
         let changes = Summary {
             entries,
             usages: usages.cloned().collect(),
@@ -110,6 +115,7 @@
             waits: current.waits.clone(),
             floors: current.floors.clone(),
             poison: poison.cloned().collect(),
+            statements: statements.cloned().collect(),
         };
         let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
         if with_speeds {
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -6,7 +6,9 @@
     tamarackdale_core::{
         fleet::{
             Demand, Fleet, Load, Member, Members, RequestLoad, SharedPrefix, Shortage, Speed,
-            health::Failure, pause::MAX_PAUSE, statement::Notice,
+            health::Failure,
+            pause::MAX_PAUSE,
+            statement::{Notice, Report},
         },
         time::Timestamp,
     },
@@ -483,6 +485,24 @@
     assert!(fleet.accepts_requests("b", at(0)));
 }
 
+/// A peer may be wrong, and a server without requests could never show that.
+#[test]
+fn server_that_a_peer_heard_leave_is_tried_again_after_a_while() {
+    let mut fleet = fleet(&["a"]);
+    let heard = Report {
+        id: "a".to_owned(),
+        started_at_ms: 1,
+        leaving_since: Some(at(1_000)),
+        limit: None,
+    };
+
+    fleet.merge_report(&heard, at(1_050));
+
+    assert!(!fleet.accepts_requests("a", at(30_999)));
+    assert!(fleet.accepts_requests("a", at(31_000)));
+    assert_eq!(fleet.own_reports().count(), 0);
+}
+
 #[test]
 fn server_that_starts_again_under_the_same_identifier_is_new() {
     let mut fleet = fleet(&["a"]);
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod relay;
 pub mod response_buffers;
 pub mod scheduler;
+pub mod starts;
 pub mod summary_broadcast;
 
 use {
@@ -89,6 +90,7 @@
         summary_broadcast: Arc::default(),
         known_peers: Arc::default(),
         introductions: introductions_sender,
+        keepers: Arc::default(),
         metrics: Metrics::new().map_err(io::Error::other)?,
         closing: shutdown.closing.clone(),
         leaving: CancellationToken::new(),
@@ -201,6 +203,9 @@
         route
             .post(tamarackdale_wire::path::SUMMARIES)
             .to_async(peers::stream_summaries);
+        route
+            .post(tamarackdale_wire::path::STARTS)
+            .to_async(starts::answer);
     })
 }
 
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -6,6 +6,7 @@
         pool::ConnectionPool,
         response_buffers::ResponseBuffers,
         scheduler::Scheduler,
+        starts::Keepers,
         summary_broadcast::SummaryBroadcast,
     },
     crate::{clock::Clock, metrics::Metrics},
@@ -45,6 +46,8 @@
     pub known_peers: Arc<Mutex<PeerTable>>,
     /// Sends the addresses of peers that introduced themselves to the task that connects to peers.
     pub introductions: mpsc::Sender<SocketAddr>,
+    /// Clients of the peers that hand out starts at limited backend servers.
+    pub keepers: Arc<Keepers>,
     /// Counters and histograms.
     pub metrics: Metrics,
     /// Cancelled when the shutdown begins. New requests are still served.
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -9,6 +9,7 @@
         context::Context,
         refusal::{Cause, Refusal},
         scheduler::{InFlightRequest, PlacementRequest},
+        starts,
     },
     crate::{clock, http::body, metrics::Labels},
     bytes::Bytes,
@@ -141,6 +142,11 @@
             if self.quarantine().is_some() {
                 return Err(self.give_up(Cause::Quarantined));
             }
+            let load = choice.request_load(self.prompt_tokens());
+            let request = self.request.head.id.as_str();
+            if !starts::obtain(&self.context, &choice.member, load, request).await {
+                continue;
+            }
             if self.dispatch.sent() > 0 && !self.context.scheduler.take_retry(&self.service) {
                 return Err(self.give_up(Cause::NotExecuted));
             }
@@ -187,7 +193,7 @@
         let placement = PlacementRequest {
             service: self.service.clone(),
             rank: route.rank.nested_in(outer),
-            prompt: tokens.map_or(0, |tokens| tokens.prompt),
+            prompt: self.prompt_tokens(),
             prefix: self.request.head.shared_prefix(),
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
@@ -246,6 +252,11 @@
         ids.join(",")
     }
 
+    /// Number of prompt tokens; zero for a plain service.
+    fn prompt_tokens(&self) -> u32 {
+        self.request.head.tokens.map_or(0, |tokens| tokens.prompt)
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
@@ -291,9 +302,9 @@
             let retry_after = match (cause, self.quarantine()) {
                 (Cause::Quarantined, Some(remaining)) => remaining,
                 _ => {
-                    let pause = self.context.scheduler.min_pause(&self.service);
+                    let earliest = self.context.scheduler.return_delay(&self.service);
                     let delay = wait_policy::retry_after(self.time_left(), random);
-                    delay.max(pause.unwrap_or_default())
+                    delay.max(earliest.unwrap_or_default())
                 }
             };
             refusal = refusal.with_retry_after(retry_after);
@@ -352,7 +363,7 @@
             first_ms = in_flight
                 .and_then(InFlightRequest::time_to_first_event)
                 .map_or(0, |first| first.as_millis() as u64),
-            prompt = self.request.head.tokens.map_or(0, |tokens| tokens.prompt),
+            prompt = self.prompt_tokens(),
             expected_output = self.request.head.tokens.map_or(0, |tokens| tokens.expected_output()),
             events = self.events,
             elapsed_ms = elapsed.as_millis() as u64;
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -62,8 +62,7 @@
 pub async fn run(job: &mut Job, choice: &Choice) -> Result<Exchange, ExchangeError> {
     let member = &choice.member;
     let scheduler = Arc::clone(&job.context.scheduler);
-    let tokens = job.request.head.tokens;
-    let load = choice.request_load(tokens.map_or(0, |tokens| tokens.prompt));
+    let load = choice.request_load(job.prompt_tokens());
     let mut in_flight = scheduler.start_request(&member.id, load);
     let pool = Arc::clone(&job.context.pool);
     let mut connection = match pool.connect(member).await {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -19,7 +19,8 @@
     tamarackdale_core::{
         cell::Layout,
         fleet::{
-            self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit, statement::Notice,
+            self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
+            statement::{Notice, Report},
         },
         poison::Quarantine,
         quota::{QuotaExceeded, UsageHistory},
@@ -234,6 +235,7 @@
             self.changed.notify_one();
         }
         if news.has_other_limit {
+            self.changed.notify_one();
             match notice.limit {
                 limit::Notice::Limited(_) => {
                     let per_second = limit.map(Limit::per_second);
@@ -244,10 +246,53 @@
         }
     }
 
-    /// Time until the first backend server of a service ends its pause, if all of them pause.
-    pub fn min_pause(&self, service: &str) -> Option<Duration> {
+    /// Time after which another request to a service has a chance, if all its backend servers pause or
+    /// are limited.
+    pub fn return_delay(&self, service: &str) -> Option<Duration> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let pause = state.fleet.min_pause(service, now);
+        let interval = state.fleet.start_interval(service, now);
+        // Each gateway gets about the same part of the starts, and those that wait here go first.
+        let line = state.waiting_for(service) + 1;
+        let ahead = u32::try_from(line * state.known_gateways.max(1)).unwrap_or(u32::MAX);
+        let turn = interval.map(|interval| interval.saturating_mul(ahead));
+        pause.into_iter().chain(turn).max()
+    }
+
+    /// What is known about the limit of a backend server, if there is one.
+    pub fn limit_report(&self, id: &str) -> Option<Report> {
+        let now = self.clock.now();
+        self.lock().fleet.limit_report(id, now)
+    }
+
+    /// Takes one start at a backend server whose starts this gateway hands out. `report` is what is
+    /// known about its limit where the start is needed. Fails with the time until the next one.
+    pub fn take_start(&self, report: &Report) -> Result<(), Duration> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.fleet.merge_report(report, now);
+        let share = state.visible_fraction;
+        state
+            .fleet
+            .take_start(&report.id, report.started_at_ms, share, now)
+    }
+
+    /// Records that this gateway got a start at a limited backend server.
+    pub fn record_start_granted(&self, id: &str) {
         let now = self.clock.now();
-        self.lock().fleet.min_pause(service, now)
+        self.lock().fleet.record_start_granted(id, now);
+    }
+
+    /// Records that this gateway got no start at a limited backend server, where the next one is in
+    /// `next`. Returns the time after which it asks again.
+    pub fn record_start_refused(&self, id: &str, load: RequestLoad, next: Duration) -> Duration {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let random = state.random.random();
+        let delay = limit::ask_delay(next, state.known_gateways, random);
+        state.fleet.record_start_refused(id, load, delay, now);
+        delay
     }
 
     /// Records a failure of a backend server.
@@ -306,6 +351,9 @@
         for (service, notice) in &summary.floors {
             state.shed_floor(service).merge(*notice, now);
         }
+        for report in &summary.statements {
+            state.fleet.merge_report(report, now);
+        }
         for notice in &summary.poison {
             let quarantine = state.poison.merge(notice, now);
             quarantine.iter().for_each(log_quarantine);
@@ -329,6 +377,7 @@
     pub fn set_gateways(&self, connected: usize, known: usize, layout: Layout, lag: Duration) {
         let mut state = self.lock();
         state.ledger.set_share(connected, known, lag);
+        state.visible_fraction = connected as f64 / known.max(connected).max(1) as f64;
         state.layout = layout;
         if state.known_gateways != known {
             state.known_gateways = known;
@@ -357,6 +406,7 @@
             waits: state.most_urgent_waiting(now),
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
+            statements: state.fleet.own_reports().collect(),
         }
     }
 
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -51,6 +51,8 @@
     pub(super) layout: Layout,
     /// Number of known gateways, including this one.
     pub(super) known_gateways: usize,
+    /// Fraction of the known gateways that are connected, including this one.
+    pub(super) visible_fraction: f64,
     pub(super) retry_ratio: f64,
     pub(super) retry_extra: f64,
 }
@@ -70,6 +72,7 @@
             data_centre: settings.data_centre.clone(),
             layout: Layout::default(),
             known_gateways: 0,
+            visible_fraction: 1.0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
         }
@@ -162,6 +165,14 @@
         ahead.count()
     }
 
+    /// Number of requests of the service that wait here.
+    pub(super) fn waiting_for(&self, service: &str) -> usize {
+        let waiting = self.queue.iter();
+        waiting
+            .filter(|(_, waiter)| waiter.request.service == service)
+            .count()
+    }
+
     /// Whether a request of the service waits here that is at least as urgent as a new one.
     pub(super) fn is_behind_waiting(
         &self,
--- a/testbed/tests/server_limit.rs
+++ b/testbed/tests/server_limit.rs
@@ -158,6 +158,11 @@
     let [limited, other] = &bench.servers[..] else {
         unreachable!("two servers")
     };
+    // One of them cannot carry the load, which needs twelve slots.
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_latency(Duration::from_millis(150)));
     limited.set_limit(Some(&LIMIT.to_string()));
     load(&bench, "/status/1", BINDS_AFTER).await;
 
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -13,6 +13,8 @@
 pub mod message;
 pub mod path;
 pub mod report;
+pub mod start;
+pub mod statement;
 pub mod status;
 pub mod summary;
 
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -41,3 +41,6 @@
 /// `POST` [`crate::summary::Introduction`]; responds with an endless stream of
 /// [`crate::summary::Frame`]s: the first is complete, the others hold what has changed.
 pub const SUMMARIES: &str = "/v1/summaries";
+
+/// `POST` [`crate::start::Ask`]; responds with [`crate::start::Answer`].
+pub const STARTS: &str = "/v1/starts";
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,6 +1,7 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
+    crate::statement::{Statement, age_ms, time_of},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
@@ -46,6 +47,9 @@
     /// Data centre of the sender; only in the first summary of a stream.
     #[serde(default)]
     pub data_centre: Option<String>,
+    /// What backend servers have said of themselves to the sender.
+    #[serde(default)]
+    pub statements: Vec<Statement>,
 }
 
 /// Observation of a request whose prompt has shared parts.
@@ -134,6 +138,11 @@
                 .map(|notice| Poison::new(notice, now))
                 .collect(),
             data_centre: None,
+            statements: summary
+                .statements
+                .iter()
+                .map(|report| Statement::new(report, now))
+                .collect(),
         }
     }
 
@@ -146,14 +155,13 @@
 
 impl Poison {
     fn new(notice: &poison::Notice, now: Timestamp) -> Self {
-        let age_ms = now.since(notice.at).as_millis();
         Self {
             parts: notice.parts.clone(),
             crashed: match notice.outcome {
                 Outcome::Crash { server } => Some(server),
                 Outcome::Answer => None,
             },
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            age_ms: age_ms(notice.at, now),
         }
     }
 
@@ -165,7 +173,7 @@
                 Some(server) => Outcome::Crash { server },
                 None => Outcome::Answer,
             },
-            at: now.minus(Duration::from_millis(self.age_ms.into())),
+            at: time_of(self.age_ms, now),
         }
     }
 }
@@ -190,6 +198,7 @@
             (service, notice)
         });
         let poison = frame.poison.into_iter();
+        let statements = frame.statements.into_iter();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: frame.usages.into_iter().map(Into::into).collect(),
@@ -197,6 +206,9 @@
             waits: waits.collect(),
             floors: floors.collect(),
             poison: poison.map(|observed| observed.into_notice(now)).collect(),
+            statements: statements
+                .map(|statement| statement.into_report(now))
+                .collect(),
         }
     }
 }
