Gateways: logs of lost and failed requests have a digest of the request

It is the same when a request comes again with the same caller, path and body, at any gateway, so that logs can show whether crashes have a request in common. Computed only where it is logged.

--- a/core/src/digest.rs
+++ b/core/src/digest.rs
@@ -1,6 +1,9 @@
-//! Length and checksum of a response body.
+//! Checksums of response bodies, and digests of requests.
 
-use xxhash_rust::xxh3::Xxh3Default;
+use {
+    sha2::{Digest as _, Sha256},
+    xxhash_rust::xxh3::Xxh3Default,
+};
 
 /// Running length and xxh3 checksum of a response body.
 #[derive(Clone, Default)]
@@ -36,3 +39,18 @@
 pub fn fingerprint(bytes: &[u8]) -> u64 {
     xxhash_rust::xxh3::xxh3_64(bytes)
 }
+
+/// Digest of what is the same when a request comes again: its caller, method, path with query, and
+/// body. It is cryptographic, and has the caller in it, so that nobody can make a request that is taken
+/// for another caller's.
+pub fn request(caller: &str, method: &str, target: &str, body: &[u8]) -> u64 {
+    let mut hasher = Sha256::new();
+    for part in [caller, method, target] {
+        // The length separates the parts.
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(body);
+    let [a, b, c, d, e, f, g, h, ..]: [u8; 32] = hasher.finalize().into();
+    u64::from_le_bytes([a, b, c, d, e, f, g, h])
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -19,12 +19,13 @@
     },
     std::{
         sync::{
-            Arc,
+            Arc, OnceLock,
             atomic::{AtomicBool, Ordering},
         },
         time::Duration,
     },
     tamarackdale_core::{
+        digest,
         dispatch::{Dispatch, SendFailure, Step},
         fleet::{Choice, Limit},
         rendezvous,
@@ -81,6 +82,8 @@
     last_event: Option<u64>,
     /// Number of events that were passed on.
     events: u32,
+    /// Digest of the request, once it was needed.
+    digest: OnceLock<u64>,
     /// Whether the outcome was logged and counted.
     has_ended: AtomicBool,
 }
@@ -117,6 +120,7 @@
         service,
         request,
         events: 0,
+        digest: OnceLock::new(),
         has_ended: AtomicBool::new(false),
     };
     job.run().await
@@ -162,6 +166,7 @@
                 backend_server = self.excluded.last().map(String::as_str).unwrap_or_default(),
                 setback:? = failure,
                 verdict:% = self.dispatch.verdict(),
+                request_digest = format!("{:x}", self.request_digest()),
                 prompt_parts = self.shared_parts();
                 "moved or given up"
             );
@@ -245,6 +250,21 @@
         snapshot.is_some_and(|snapshot| snapshot.freshness.is_fresh(clock::boottime_now()))
     }
 
+    /// Digest of what is the same when the caller sends the request again.
+    fn request_digest(&self) -> u64 {
+        let request = &self.request;
+        let target = request.uri.path_and_query();
+        let caller = request.organisation.as_ref();
+        *self.digest.get_or_init(|| {
+            digest::request(
+                caller.map_or("", |caller| caller.name.as_str()),
+                request.method.as_str(),
+                target.map_or("/", |target| target.as_str()),
+                &request.body,
+            )
+        })
+    }
+
     /// Identifiers of the shared parts of the prompt, in hexadecimal as callers send them, for logs.
     fn shared_parts(&self) -> String {
         let ids = self.request.head.shared_part_ids();
@@ -347,6 +367,7 @@
             _ => (log::Level::Warn, self.dispatch.verdict()),
         };
         let utilisation = self.context.scheduler.utilisation(&self.service);
+        let has_failed = outcome != ANSWERED && outcome != CALLER_GONE;
         log::log!(
             level,
             request = self.request.head.id.as_str(),
@@ -366,6 +387,7 @@
             prompt = self.prompt_tokens(),
             expected_output = self.request.head.tokens.map_or(0, |tokens| tokens.expected_output()),
             events = self.events,
+            request_digest = has_failed.then(|| format!("{:x}", self.request_digest())),
             elapsed_ms = elapsed.as_millis() as u64;
             "ended"
         );
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -181,6 +181,7 @@
             backend_server = broken.in_flight.id(),
             events = self.job.events,
             last_event:? = self.job.last_event,
+            request_digest = format!("{:x}", self.job.request_digest()),
             prompt_parts = self.job.shared_parts();
             "stream broken: {reason}"
         );
