--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -32,6 +32,9 @@
     Limit::new(per_second).expect("a limit")
 }
 
+/// Answer of a keeper: a start, or the time until the next one.
+type Answer = Result<(), Duration>;
+
 /// Starts in milliseconds, and questions to the keepers, of a simulation.
 #[derive(Default)]
 struct Outcome {
@@ -49,7 +52,7 @@
         Pacer::new(limit, 1.0, at(change)),
     ];
     let mut turns = vec![Turn::default(); routers];
-    let mut answers: BTreeMap<u64, Vec<(usize, Result<(), Duration>)>> = BTreeMap::new();
+    let mut answers: BTreeMap<u64, Vec<(usize, Answer)>> = BTreeMap::new();
     let mut outcome = Outcome::default();
     for now in 0..length_ms {
         for (router, answer) in answers.remove(&now).unwrap_or_default() {
