--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -12,16 +12,27 @@
     std::{
         io,
         net::SocketAddr,
-        sync::mpsc::{SyncSender, sync_channel},
+        sync::{
+            Arc,
+            mpsc::{SyncSender, sync_channel},
+        },
         thread,
+        time::Duration,
     },
     tokio::{
         net::TcpListener,
-        sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        sync::{
+            Notify,
+            mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+        },
         task::JoinSet,
+        time::{Instant, sleep_until},
     },
 };
 
+/// Time from a crash until connections are accepted again.
+pub const CRASH_LENGTH: Duration = Duration::from_millis(700);
+
 /// Body of an answer.
 pub type Body = UnsyncBoxBody<Bytes, io::Error>;
 
@@ -50,6 +61,20 @@
     ///
     /// No port or thread is available.
     pub fn new<H, F>(name: &str, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+        F: Future<Output = Option<Response<Body>>> + Send + 'static,
+    {
+        Self::with_crash(name, handler, Arc::default())
+    }
+
+    /// Like [`Self::new`], and crashes when `crash` is notified: it cuts all connections, refuses new
+    /// ones for [`CRASH_LENGTH`] and is then back.
+    ///
+    /// # Errors
+    ///
+    /// No port or thread is available.
+    pub fn with_crash<H, F>(name: &str, handler: H, crash: Arc<Notify>) -> io::Result<Self>
     where
         H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
         F: Future<Output = Option<Response<Body>>> + Send + 'static,
@@ -67,7 +92,7 @@
         };
         let (orders, receiver) = unbounded_channel();
         let thread = thread::Builder::new().name(name.into()).spawn(move || {
-            runtime.block_on(run(port, listener, receiver, handler));
+            runtime.block_on(run(port, listener, receiver, crash, handler));
             runtime.shutdown_background();
         })?;
         Ok(Self {
@@ -136,6 +161,7 @@
     port: Port,
     listener: TcpListener,
     mut orders: UnboundedReceiver<Order>,
+    crash: Arc<Notify>,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
@@ -143,7 +169,14 @@
 {
     let mut listener = Some(listener);
     let mut connections = JoinSet::new();
+    let mut returns_at = None;
     loop {
+        let restart = async {
+            match returns_at {
+                Some(time) => sleep_until(time).await,
+                None => std::future::pending().await,
+            }
+        };
         let accepted = async {
             match &listener {
                 Some(listener) => listener.accept().await,
@@ -163,6 +196,15 @@
                     let _ = done.send(());
                 }
             },
+            () = crash.notified() => {
+                listener = None;
+                connections.shutdown().await;
+                returns_at = Some(Instant::now() + CRASH_LENGTH);
+            }
+            () = restart => {
+                returns_at = None;
+                listener = listener.or_else(|| port.listen().ok());
+            }
             Ok((stream, _)) = accepted => {
                 let handler = handler.clone();
                 connections.spawn(async move {
--- a/testbed/src/platform.rs
+++ b/testbed/src/platform.rs
@@ -6,6 +6,6 @@
 pub mod soak;
 
 pub use {
-    server::{Behaviour, Run, Server},
+    server::{Behaviour, CrashPoint, Run, Server},
     site::{Configuration, Gateway, Site, request},
 };
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -3,7 +3,7 @@
 use {
     crate::host::{Body, Host, json, whole},
     bytes::Bytes,
-    futures_util::{Stream, stream},
+    futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
     hyper::{Request, Response, StatusCode, body::Frame, body::Incoming},
     serde_json::json as value,
@@ -16,7 +16,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::time::sleep,
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Pause between two bytes of a server that trickles.
@@ -51,6 +51,32 @@
     Trickles,
 }
 
+/// When a server crashes at a request that is deadly to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashPoint {
+    /// Before the head of the response.
+    BeforeHead,
+    /// Between the head and the first event, or the body.
+    AfterHead,
+    /// After the first event of a stream.
+    AfterFirstEvent,
+}
+
+/// Requests that are deadly to a server.
+#[derive(Clone, Debug)]
+struct Deadly {
+    /// Text in the parts of the prompt or in the body.
+    text: String,
+    point: CrashPoint,
+}
+
+impl Deadly {
+    fn is(&self, run: &Run) -> bool {
+        let mut body = run.body.windows(self.text.len().max(1));
+        run.prompt_parts.contains(&self.text) || body.any(|part| part == self.text.as_bytes())
+    }
+}
+
 /// A request that the server ran.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Run {
@@ -68,6 +94,8 @@
     pub prompt_parts: String,
     /// Body as it came.
     pub body: Bytes,
+    /// When it came.
+    pub at: Instant,
 }
 
 /// A running server; stopped and joined on drop.
@@ -86,8 +114,11 @@
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
-    /// A prompt's part, as `ID:`, under which the server crashes when it begins to answer.
-    deadly_part: Mutex<Option<String>>,
+    deadly: Mutex<Option<Deadly>>,
+    /// Tells the host to crash.
+    crash: Arc<Notify>,
+    /// When it crashed.
+    crashes: Mutex<Vec<Instant>>,
     /// `Retry-After` of the refusals of a full server, in seconds.
     retry_after: Mutex<Option<String>>,
     /// Whether all responses say that the server is leaving.
@@ -116,7 +147,9 @@
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
-            deadly_part: Mutex::default(),
+            deadly: Mutex::default(),
+            crash: Arc::default(),
+            crashes: Mutex::default(),
             retry_after: Mutex::default(),
             is_leaving: AtomicBool::new(false),
             limit: Mutex::default(),
@@ -127,7 +160,8 @@
             refusals: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
-        let host = Host::new(id, move |request| {
+        let crash = Arc::clone(&state.crash);
+        let handler = move |request| {
             let shared = Arc::clone(&shared);
             async move {
                 lock(&shared.arrivals).push(Instant::now());
@@ -140,7 +174,8 @@
                 }
                 Some(response)
             }
-        })?;
+        };
+        let host = Host::with_crash(id, handler, crash)?;
         Ok(Self {
             id: id.to_owned(),
             service: service.to_owned(),
@@ -188,10 +223,18 @@
         *lock(&self.state.events) = events;
     }
 
-    /// Lets the server crash when it begins to answer a request whose prompt has a part: it sends
-    /// the head of the response and cuts the connection.
-    pub fn set_deadly_part(&self, id: &str) {
-        *lock(&self.state.deadly_part) = Some(format!("{id}:"));
+    /// Lets the server crash when it runs a request with `text` in the parts of its prompt or in its
+    /// body. It is back after [`crate::host::CRASH_LENGTH`].
+    pub fn set_deadly(&self, text: &str, point: CrashPoint) {
+        *lock(&self.state.deadly) = Some(Deadly {
+            text: text.to_owned(),
+            point,
+        });
+    }
+
+    /// When it crashed, oldest first.
+    pub fn crashes(&self) -> Vec<Instant> {
+        lock(&self.state.crashes).clone()
     }
 
     /// Sets the `Retry-After` of a full server's refusals, in seconds.
@@ -322,11 +365,12 @@
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
+            at: Instant::now(),
         };
         let size = run.body.len();
-        let is_deadly = lock(&self.deadly_part)
-            .as_ref()
-            .is_some_and(|part| run.prompt_parts.contains(part));
+        let deadly = lock(&self.deadly).clone();
+        let crash_point = deadly.filter(|deadly| deadly.is(&run));
+        let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
@@ -345,8 +389,10 @@
             }
             _ => {}
         }
-        if is_deadly {
-            return Some(signed(head_of_stream(), &id));
+        match crash_point {
+            None => {}
+            Some(CrashPoint::BeforeHead) => return self.crash().await,
+            Some(point) => return Some(signed(self.crashing_answer(point, is_stream), &id)),
         }
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
@@ -364,6 +410,32 @@
         Some(signed(response, echo))
     }
 
+    /// Crashes: the host cuts this connection with all others.
+    async fn crash<T>(&self) -> T {
+        lock(&self.crashes).push(Instant::now());
+        self.crash.notify_one();
+        std::future::pending().await
+    }
+
+    /// An answer in whose course the server crashes.
+    fn crashing_answer(self: &Arc<Self>, point: CrashPoint, is_stream: bool) -> Response<Body> {
+        let has_event = point == CrashPoint::AfterFirstEvent;
+        let state = Arc::clone(self);
+        let event = Bytes::from_static(b"id: 1\ndata: token 1\n\n");
+        let first = has_event.then_some(Ok(Frame::data(event)));
+        let crash = stream::once(async move {
+            // What was sent before goes out first.
+            sleep(HEAD_PAUSE).await;
+            state.crash::<io::Result<Frame<Bytes>>>().await
+        });
+        let body = stream::iter(first).chain(crash);
+        let mut response = Response::new(StreamBody::new(body).boxed_unsync());
+        if is_stream {
+            put(&mut response, "content-type", "text/event-stream");
+        }
+        response
+    }
+
     fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
         let endless_body = match behaviour {
             Behaviour::Endless => Some(StreamBody::new(endless_bytes()).boxed_unsync()),
@@ -397,18 +469,6 @@
     }
 }
 
-/// A stream that breaks off before its first event.
-fn head_of_stream() -> Response<Body> {
-    let cut = stream::once(async {
-        // The head goes out before the connection is cut.
-        sleep(HEAD_PAUSE).await;
-        Err::<Frame<Bytes>, _>(io::Error::other("crashed"))
-    });
-    let mut response = Response::new(StreamBody::new(cut).boxed_unsync());
-    put(&mut response, "content-type", "text/event-stream");
-    response
-}
-
 /// Meaningless bytes, until the caller closes the connection.
 fn endless_bytes() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
--- /dev/null
+++ b/testbed/tests/deadly_requests.rs
@@ -0,0 +1,136 @@
+//! Requests that crash backend servers and come again, against gateways as real processes.
+
+use {
+    bytes::Bytes,
+    rstest::rstest,
+    std::time::{Duration, Instant},
+    tamarackdale_testbed::{
+        http,
+        platform::{Configuration, CrashPoint, Gateway, Server, Site, request},
+    },
+    tokio::{task::JoinSet, time::sleep},
+};
+
+/// Gateways of the site.
+const GATEWAYS: usize = 3;
+
+/// Backend servers of the service.
+const SERVERS: usize = 3;
+
+/// Pause between two requests of the load.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
+
+/// Number of sound requests to each deadly one.
+const SOUND_TO_DEADLY: usize = 12;
+
+/// Length of the load: several times what a server needs to return.
+const LENGTH: Duration = Duration::from_secs(10);
+
+/// Longest time for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(6);
+
+/// Time from the third crash until all gateways must know: `stable_ms` of the platform.
+const KNOWN_AFTER: Duration = Duration::from_secs(3);
+
+/// Most times that a request may reach a server after that.
+const ALLOWED: usize = 3;
+
+/// Body that is deadly to the servers.
+const DEADLY: &str = "deadly";
+
+struct Bench {
+    _site: Site,
+    gateways: Vec<Gateway>,
+    servers: Vec<Server>,
+}
+
+async fn start(service: &str, point: CrashPoint) -> Bench {
+    let site = Site::new(&Configuration::default()).expect("starts");
+    let servers: Vec<Server> = (1..=SERVERS)
+        .map(|number| Server::new(&format!("{service}-{number}"), service).expect("starts"))
+        .collect();
+    for server in &servers {
+        server.set_deadly(DEADLY, point);
+        site.register(server);
+    }
+    let gateways: Vec<Gateway> = (0..GATEWAYS)
+        .map(|number| site.gateway(&format!("gateway-{number}")).expect("starts"))
+        .collect();
+    for gateway in &gateways {
+        assert!(gateway.wait_ready(true).await, "not ready");
+    }
+    Bench {
+        _site: site,
+        gateways,
+        servers,
+    }
+}
+
+/// A sound request and what became of it.
+struct Sound {
+    sent: Instant,
+    answer: Result<http::Answer, http::Fault>,
+}
+
+/// Sends sound requests, each with a body of its own, and the same deadly one again and again, to all
+/// gateways in turn. Returns what became of the sound ones.
+async fn load(bench: &Bench, path: &'static str) -> Vec<Sound> {
+    let end = Instant::now() + LENGTH;
+    let mut running = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        let callers = bench.gateways[number % GATEWAYS].callers();
+        let is_deadly = number % (SOUND_TO_DEADLY + 1) == 0;
+        let body = match is_deadly {
+            true => Bytes::from_static(DEADLY.as_bytes()),
+            false => Bytes::from(format!("sound {number}")),
+        };
+        let message = request(path, &format!("r-{number}")).map(|_| body);
+        let sent = Instant::now();
+        running.spawn(async move {
+            let answer = http::call(callers, message, CALL_LIMIT).await;
+            (!is_deadly).then_some(Sound { sent, answer })
+        });
+        number += 1;
+        sleep(REQUEST_INTERVAL).await;
+    }
+    running.join_all().await.into_iter().flatten().collect()
+}
+
+/// Guards against a request that crashes one server after the other each time that it comes again.
+#[rstest]
+#[case::status_before_the_head("plain", "/status/1", CrashPoint::BeforeHead)]
+#[case::status_in_the_body("plain", "/status/1", CrashPoint::AfterHead)]
+#[case::booking("plain", "/booking/1", CrashPoint::BeforeHead)]
+#[case::stream_before_the_head("engine", "/stream/1", CrashPoint::BeforeHead)]
+#[case::stream_after_an_event("engine", "/stream/1", CrashPoint::AfterFirstEvent)]
+#[case::resumable_stream("engine", "/resumable/1", CrashPoint::AfterHead)]
+#[tokio::test]
+async fn request_that_crashes_servers_is_soon_sent_to_none(
+    #[case] service: &str,
+    #[case] path: &'static str,
+    #[case] point: CrashPoint,
+) {
+    let bench = start(service, point).await;
+
+    let sound = load(&bench, path).await;
+
+    let mut crashes: Vec<Instant> = bench.servers.iter().flat_map(Server::crashes).collect();
+    crashes.sort();
+    let third = *crashes.get(2).expect("three crashes");
+    let known = third + KNOWN_AFTER;
+    let runs = bench.servers.iter().flat_map(Server::runs);
+    let later = runs.filter(|run| run.body == DEADLY && run.at > known);
+    let later = later.count();
+    assert!(later <= ALLOWED, "{later} runs, {} crashes", crashes.len());
+    let refused = sound.iter().filter(|sound| {
+        let answer = sound.answer.as_ref();
+        sound.sent > known && answer.map_or(true, |answer| answer.status() != 200)
+    });
+    assert_eq!(refused.count(), 0, "sound requests after that are served");
+    let quarantined = sound.iter().filter(|sound| {
+        let answer = sound.answer.as_ref();
+        answer.is_ok_and(|answer| answer.text().contains("quarantined"))
+    });
+    assert_eq!(quarantined.count(), 0, "no sound request is quarantined");
+}
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -8,7 +8,7 @@
     std::{collections::BTreeSet, time::Duration},
     tamarackdale_testbed::{
         http,
-        platform::{Behaviour, Configuration, Gateway, Server, Site, request},
+        platform::{Behaviour, Configuration, CrashPoint, Gateway, Server, Site, request},
         proxy::{Direction, Fault, Proxy, Scope},
         store::Outage,
         wait,
@@ -973,10 +973,10 @@
     assert_eq!(total_runs(&servers), served.len());
 }
 
-/// A request to a stream whose prompt has these shared parts and one of its own.
+/// A request to a stream whose prompt has these shared parts and one of its own, as its body has.
 fn prompt_request(id: &str, shared: &[&str]) -> Request<Bytes> {
     let parts: String = shared.iter().map(|part| format!("{part}:20,")).collect();
-    let mut request = request("/stream/1", id);
+    let mut request = request("/stream/1", id).map(|_| Bytes::from(format!("prompt of {id}")));
     let parts = format!("{parts}{:x}:10", id.len() + 1_000);
     let value = parts.parse().expect("a header value");
     request.headers_mut().insert("prefix-hash", value);
@@ -988,8 +988,12 @@
 
 /// Guards against requests of one kind that crash one backend server after the other: the rules
 /// allow three more once five servers have crashed and everybody has had the time to hear of it.
+#[rstest]
+#[case::after_the_head(CrashPoint::AfterHead)]
+#[case::before_the_head(CrashPoint::BeforeHead)]
+#[case::after_an_event(CrashPoint::AfterFirstEvent)]
 #[tokio::test]
-async fn requests_whose_part_crashes_servers_stop_reaching_them() {
+async fn requests_whose_part_crashes_servers_stop_reaching_them(#[case] point: CrashPoint) {
     let bench = start().await;
     let second = bench.site.gateway("two").expect("starts");
     assert!(second.wait_ready(true).await, "not ready");
@@ -997,7 +1001,7 @@
     bench
         .engines
         .iter()
-        .for_each(|engine| engine.set_deadly_part("dead"));
+        .for_each(|engine| engine.set_deadly("dead:", point));
     let send = async |number: usize, shared: &[&str]| {
         let id = format!("r-{number}");
         let callers = gateways[number % 2].callers();
