Gateways: a request that crashes backend servers and comes again is refused

Callers of a plain service saw 502 and 503 for all their requests: one request, which came again every few seconds, took each of three servers down as soon as it was back. Cause: only shared parts of a prompt were compared, and only a stream that broke between its head and its first event counted as a crash.

A crash is a connection that breaks, at any point, to a server that then accepts no new connection; a cut stream alone is none any more. A request that was lost at three crashes and answered since none of them is quarantined, unless another request explains the same crashes; where two come into question, the judgement waits until all losses are known. Parts are blamed if requests that differ share them, and answers count from their end, so that crashes after the first event are recognised too. Quarantines are told to peers, also to those that connect later; each one after the first follows a single crash and is twice as long, up to an hour. A gateway does not send a request again by itself that was lost at two crashes.

After the end of a quarantine one crash is enough for the next, where three were needed before.

--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -1,96 +1,88 @@
-//! Detects parts of prompts that crash backend servers.
+//! Detects requests, and parts of prompts, that crash backend servers.
 //!
-//! Requests with such a part crash one server after the other, with all that runs there, and the
-//! health of servers cannot tell: each of them is sound. A crash of this kind shows as a stream that
-//! breaks after its response head and before its first event. Of the parts of its prompt, the one
-//! whose requests were last answered the longest ago is blamed: sound requests share the others, and
-//! none with the deadly part is answered. After a few such crashes, requests with the part are
-//! refused.
+//! They crash one server after the other, with all that runs there, and the health of servers cannot
+//! tell: each of them is sound. What is observed of a crash are the requests whose connections broke
+//! with it. A request that was lost at several crashes, and that was answered since none of them, is
+//! blamed if no other request explains the same crashes. Of the parts of prompts, the one whose
+//! requests were last answered the longest ago is blamed: sound requests share the others, and none
+//! with the deadly part is answered. After a few such crashes, the request, or requests with the
+//! part, are refused.
 //!
-//! Routers tell each other what they observe, since the requests may arrive at any of them.
+//! Routers tell each other what they observe, since the requests may arrive at any of them, and whom
+//! they blame.
+
+mod crash_log;
+mod quarantine;
+
+pub use quarantine::{Cause, NoCause, Quarantine};
 
 use {
+    self::{crash_log::CrashLog, quarantine::Register},
     crate::{rendezvous, time::Timestamp},
-    std::{collections::HashMap, time::Duration},
+    std::{collections::HashMap, sync::Arc, time::Duration},
 };
 
-/// Crashes that a part is blamed for until it is quarantined. Two may be a coincidence while several
-/// servers fail; the platform allows few requests after the fifth crash.
-const QUARANTINE_THRESHOLD: usize = 3;
-
-/// Time from the last crash to the end of the quarantine, after which the part may crash as many
-/// servers again. A server needs some seconds to return.
-const QUARANTINE: Duration = Duration::from_secs(300);
-
-/// Breaks at the same server within this time are one crash, and a repeated notice of a crash is
-/// not another. Less than a server needs to return.
-const SAME_CRASH: Duration = Duration::from_secs(1);
-
-/// Most crashes that are remembered; bounds the memory and the time of a check.
-const MAX_CRASHES: usize = 64;
-
 /// Most own observations that are kept for peers: each summary copies them. Servers that cut every
 /// stream after its head would otherwise add one for each request.
-const MAX_OWN_NOTICES: usize = 2 * MAX_CRASHES;
+const MAX_OWN_NOTICES: usize = 256;
 
-/// Most parts of which the last answer is remembered; bounds the memory.
+/// Time for which peers are told of an own observation. A peer that connects later is told of the
+/// quarantines that followed.
+const NOTICE_MEMORY: Duration = Duration::from_secs(30);
+
+/// Most requests and parts of which the last answer is remembered; bounds the memory.
 const MAX_ANSWERS: usize = 4_000;
 
 /// Time for which the answer to a request with a part is remembered. Long enough for a part of which
 /// there is a request every few seconds.
 const ANSWER_MEMORY: Duration = Duration::from_secs(60);
 
-/// What was observed of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// The stream broke between its response head and its first event.
-    Crash {
-        /// Hash of the backend server's identifier.
-        server: u64,
-    },
-    /// The answer began.
-    Answer,
-}
+/// Shortest time between two judgements. When many servers crash at once, each of them is observed by
+/// the loss of many requests.
+const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(20);
 
-/// An observation, as routers tell it to each other.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Notice {
-    /// Identifiers of shared parts of the prompt.
+/// What distinguishes a request from others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Fingerprint {
+    /// Digest of what is the same when the request comes again: its caller, path and body. `None` if
+    /// it was not computed.
+    pub request: Option<u64>,
+    /// Identifiers of the parts of its prompt that other requests share.
     pub parts: Vec<u64>,
-    /// What was observed.
-    pub outcome: Outcome,
-    /// When it was observed, on the clock of the process that holds the notice.
-    pub at: Timestamp,
 }
 
-/// Why a request is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Quarantine {
-    /// Identifier of the part that is blamed.
-    pub part: u64,
-    /// Crashes that it is blamed for.
-    pub crashes: usize,
-    /// When requests with the part are accepted again, unless there are more crashes.
-    pub until: Timestamp,
-}
-
-#[derive(Debug)]
-struct Crash {
-    /// Shared parts of the prompt of the request.
-    parts: Vec<u64>,
-    server: u64,
-    at: Timestamp,
+/// An observation or a judgement, as routers tell it to each other. Times are on the clock of the
+/// process that holds the notice.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Notice {
+    /// A request was lost when its backend server crashed.
+    Crash {
+        /// The request. Without parts if its answer had begun.
+        fingerprint: Fingerprint,
+        /// Hash of the backend server's identifier.
+        server: u64,
+        /// When it was observed.
+        at: Timestamp,
+    },
+    /// A request was answered.
+    Answer {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// When it was observed.
+        at: Timestamp,
+    },
+    /// A router has blamed a request or a part.
+    Quarantine(Quarantine),
 }
 
-impl Crash {
-    /// Whether this is another break of a crash, or the same crash told again.
-    fn is_same(&self, server: u64, at: Timestamp) -> bool {
-        let apart = self.at.since(at).max(at.since(self.at));
-        self.server == server && apart < SAME_CRASH
-    }
+/// What a request is recognised by.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Feature {
+    Request(u64),
+    Part(u64),
 }
 
-/// The last answer to a request with a part.
+/// The last answer to a request, or to any request with a part.
 #[derive(Clone, Copy, Debug)]
 struct Answer {
     at: Timestamp,
@@ -98,14 +90,29 @@
     is_told: bool,
 }
 
-/// Observations of one process and of its peers.
+/// Last answers by request and part.
+type Answers = HashMap<Feature, Answer>;
+
+/// Observations and judgements of one process and of its peers.
 #[derive(Debug, Default)]
 pub struct Detector {
-    crashes: Vec<Crash>,
-    /// Last answer by part.
-    answers: HashMap<u64, Answer>,
-    /// Observations of this process, for its peers.
-    own: Vec<Notice>,
+    log: CrashLog,
+    answers: Answers,
+    register: Register,
+    /// Observations of this process, for its peers, with the time at which they were made.
+    own: Vec<(Timestamp, Arc<Notice>)>,
+    /// When the crashes were last judged.
+    judged: Timestamp,
+    /// Whether there are observations since then, or some were too recent to be judged.
+    is_due: bool,
+}
+
+impl Fingerprint {
+    fn features(&self) -> impl Iterator<Item = Feature> {
+        let request = self.request.map(Feature::Request);
+        let parts = self.parts.iter().copied().map(Feature::Part);
+        request.into_iter().chain(parts)
+    }
 }
 
 impl Detector {
@@ -114,192 +121,186 @@
         Self::default()
     }
 
-    /// Records that the stream of a request with these parts broke between its head and its first
-    /// event. Returns the quarantine that this begins, if any.
-    pub fn record_crash(
-        &mut self,
-        parts: &[u64],
-        server: &str,
-        now: Timestamp,
-    ) -> Option<Quarantine> {
-        if parts.is_empty() {
-            return None;
+    /// Whether any crash or quarantine is remembered. Otherwise the digests of requests need not be
+    /// computed.
+    pub fn is_alert(&self) -> bool {
+        !self.log.is_empty() || !self.register.is_empty()
+    }
+
+    /// Number of crashes, quarantines and answers that are remembered.
+    pub fn remembered(&self) -> usize {
+        self.log.len() + self.register.len() + self.answers.len()
+    }
+
+    /// Number of crashes at which a request was lost that were not followed by an answer to it.
+    pub fn crashes(&self, request: u64) -> usize {
+        self.log.crashes_of(request, &self.answers)
+    }
+
+    /// Records that a request was lost when the backend server `server` crashed. Its parts are
+    /// suspected only if the answer had not begun.
+    pub fn record_crash(&mut self, fingerprint: &Fingerprint, server: &str, now: Timestamp) {
+        if *fingerprint == Fingerprint::default() {
+            return;
         }
-        let notice = Notice {
-            parts: parts.to_vec(),
-            outcome: Outcome::Crash {
-                server: rendezvous::hash(server),
-            },
+        let notice = Notice::Crash {
+            fingerprint: fingerprint.clone(),
+            server: rendezvous::hash(server),
             at: now,
         };
-        self.push_own(notice.clone());
-        self.merge(&notice, now)
+        self.merge(&notice, now);
+        self.push_own(notice, now);
     }
 
-    /// Records that the answer to a request with these parts began. The peers are told if it shows
-    /// that a part did not cause a crash.
-    pub fn record_answer(&mut self, parts: &[u64], now: Timestamp) {
-        let is_suspect = |part: &u64| {
-            self.crashes
-                .iter()
-                .any(|crash| self.may_blame(crash, *part))
+    /// Records that a request was answered. The peers are told if it shows that the request or one of
+    /// its parts did not cause a crash.
+    pub fn record_answer(&mut self, fingerprint: &Fingerprint, now: Timestamp) {
+        let is_suspect = |feature: &Feature| {
+            self.register.blames(*feature) || self.log.suspects(*feature, &self.answers)
         };
-        let suspects: Vec<u64> = parts.iter().copied().filter(is_suspect).collect();
-        for part in parts {
-            let is_told = suspects.contains(part);
-            self.insert_answer(*part, Answer { at: now, is_told });
+        let suspects: Vec<Feature> = fingerprint.features().filter(is_suspect).collect();
+        for feature in fingerprint.features() {
+            let is_told = suspects.contains(&feature);
+            self.insert_answer(feature, Answer { at: now, is_told });
         }
-        self.tell_answer(suspects, now);
+        self.tell_answer(&suspects, now, now);
     }
 
-    /// Merges an observation, which may be a repeated one. Returns the quarantine that this begins,
-    /// if any.
-    pub fn merge(&mut self, notice: &Notice, now: Timestamp) -> Option<Quarantine> {
-        match notice.outcome {
-            Outcome::Answer => {
-                for part in &notice.parts {
-                    self.merge_answer(*part, notice.at);
+    /// Merges what a peer has told, which may be repeated.
+    pub fn merge(&mut self, notice: &Notice, now: Timestamp) {
+        match notice {
+            Notice::Crash {
+                fingerprint,
+                server,
+                at,
+            } => self.add_crash(fingerprint, *server, *at, now),
+            Notice::Answer { fingerprint, at } => {
+                self.is_due |= !self.log.is_empty();
+                for feature in fingerprint.features() {
+                    let known = self.answers.get(&feature);
+                    if known.is_none_or(|known| known.at < *at) {
+                        let answer = Answer {
+                            at: *at,
+                            is_told: true,
+                        };
+                        self.insert_answer(feature, answer);
+                    }
                 }
-                None
-            }
-            Outcome::Crash { server } => {
-                let before = self.quarantine(&notice.parts, now);
-                self.add_crash(&notice.parts, server, notice.at, now);
-                let after = self.quarantine(&notice.parts, now);
-                after.filter(|_| before.is_none())
             }
+            Notice::Quarantine(quarantine) => self.register.merge(quarantine),
         }
     }
 
-    /// Returns why a request with these parts is refused, or `None` if it is not. Parts that were
-    /// together in all crashes are refused only together, since one of them may be sound.
-    pub fn quarantine(&self, parts: &[u64], now: Timestamp) -> Option<Quarantine> {
-        parts.iter().find_map(|part| {
-            let mut counted: Vec<&Crash> = Vec::new();
-            let mut always_blamed: Option<Vec<u64>> = None;
-            for crash in &self.crashes {
-                let blamed = self.blame(crash);
-                if now.since(crash.at) >= QUARANTINE || !blamed.contains(part) {
-                    continue;
-                }
-                always_blamed = Some(match always_blamed {
-                    Some(mut always) => {
-                        always.retain(|part| blamed.contains(part));
-                        always
-                    }
-                    None => blamed,
-                });
-                let is_same = |other: &&Crash| other.is_same(crash.server, crash.at);
-                if !counted.iter().any(is_same) {
-                    counted.push(crash);
+    /// Judges the crashes that were observed. Returns the quarantines that this begins. Called several
+    /// times a second, and before a request is checked.
+    pub fn judge(&mut self, now: Timestamp) -> Vec<Quarantine> {
+        if !self.is_due || now.since(self.judged) < JUDGEMENT_INTERVAL {
+            return Vec::new();
+        }
+        self.judged = now;
+        let mut begun = Vec::new();
+        loop {
+            let verdict = self.log.verdict(&self.answers, &self.register, now);
+            self.is_due = verdict.is_pending;
+            if verdict.blamed.is_empty() {
+                break;
+            }
+            for blame in verdict.blamed {
+                self.log.explain(&blame.cause, &self.answers);
+                if let Some(quarantine) = self.register.begin(blame) {
+                    self.push_own(Notice::Quarantine(quarantine.clone()), now);
+                    begun.push(quarantine);
                 }
             }
-            let last = counted.last()?;
-            let is_meant = always_blamed?.iter().all(|blamed| parts.contains(blamed));
-            (is_meant && counted.len() >= QUARANTINE_THRESHOLD).then_some(Quarantine {
-                part: *part,
-                crashes: counted.len(),
-                until: last.at.plus(QUARANTINE),
-            })
-        })
+        }
+        begun
     }
 
-    /// Observations of this process that still matter to peers, oldest first.
-    pub fn own_notices(&self, now: Timestamp) -> impl Iterator<Item = Notice> {
-        let own = self.own.iter().cloned();
-        own.filter(move |notice| now.since(notice.at) < QUARANTINE)
+    /// Returns why a request is refused, or `None` if it is not. Parts that were together in all
+    /// crashes are refused only together, since one of them may be sound.
+    pub fn quarantine(&self, fingerprint: &Fingerprint, now: Timestamp) -> Option<&Quarantine> {
+        self.register.find(fingerprint, now)
+    }
+
+    /// Observations of this process that still matter to peers, oldest first, and the quarantines that
+    /// are in force.
+    pub fn own_notices(&self, now: Timestamp) -> impl Iterator<Item = Arc<Notice>> {
+        let own = self.own.iter();
+        own.filter(move |(at, notice)| match &**notice {
+            Notice::Quarantine(quarantine) => quarantine.until > now,
+            Notice::Crash { .. } | Notice::Answer { .. } => now.since(*at) < NOTICE_MEMORY,
+        })
+        .map(|(_, notice)| Arc::clone(notice))
     }
 
     /// Forgets what is too old to matter. Called now and then.
     pub fn prune(&mut self, now: Timestamp) {
-        self.own.retain(|notice| now.since(notice.at) < QUARANTINE);
-        self.crashes
-            .retain(|crash| now.since(crash.at) < QUARANTINE);
+        self.own.retain(|(at, notice)| match &**notice {
+            Notice::Quarantine(quarantine) => quarantine.until > now,
+            Notice::Crash { .. } | Notice::Answer { .. } => now.since(*at) < NOTICE_MEMORY,
+        });
+        self.log.prune(now);
+        self.register.prune(now);
         self.answers
             .retain(|_, answer| now.since(answer.at) < ANSWER_MEMORY);
     }
 
-    /// The parts to blame for a crash: of those that were not answered since, the ones that were
-    /// last answered the longest ago, or never.
-    fn blame(&self, crash: &Crash) -> Vec<u64> {
-        let answered = |part: &u64| self.answers.get(part).map(|answer| answer.at);
-        let suspects = crash.parts.iter();
-        let suspects = suspects.filter(|part| self.may_blame(crash, **part));
-        let Some(oldest) = suspects.clone().map(answered).min() else {
-            return Vec::new();
-        };
-        suspects
-            .filter(|part| answered(part) == oldest)
-            .copied()
-            .collect()
-    }
-
-    /// Whether a part was in the prompt of a crash and was not answered since.
-    fn may_blame(&self, crash: &Crash, part: u64) -> bool {
-        let answer = self.answers.get(&part);
-        crash.parts.contains(&part) && answer.is_none_or(|answer| answer.at <= crash.at)
-    }
-
-    fn add_crash(&mut self, parts: &[u64], server: u64, at: Timestamp, now: Timestamp) {
-        let is_known = |crash: &Crash| crash.is_same(server, at) && crash.parts == parts;
-        if now.since(at) >= QUARANTINE || self.crashes.iter().any(is_known) {
+    fn add_crash(&mut self, fingerprint: &Fingerprint, server: u64, at: Timestamp, now: Timestamp) {
+        if !self.log.push(fingerprint, server, at, now) {
             return;
         }
-        if self.crashes.len() >= MAX_CRASHES {
-            self.crashes.remove(0);
+        self.is_due = true;
+        // A crash after the end of a quarantine is enough for the next one.
+        let repeated = self.register.repeat(fingerprint, at);
+        if let Some(quarantine) = repeated {
+            self.push_own(Notice::Quarantine(quarantine), now);
         }
-        self.crashes.push(Crash {
-            parts: parts.to_vec(),
-            server,
-            at,
-        });
-        self.crashes.sort_by_key(|crash| crash.at);
         // Peers that have had no answer to a part lately would blame it.
-        for part in parts {
-            if let Some(answer) = self.answers.get_mut(part)
+        for feature in fingerprint.features() {
+            if let Some(answer) = self.answers.get_mut(&feature)
                 && !answer.is_told
             {
                 answer.is_told = true;
-                let at = answer.at;
-                self.tell_answer(vec![*part], at);
+                let answered = answer.at;
+                self.tell_answer(&[feature], answered, now);
             }
         }
     }
 
-    fn merge_answer(&mut self, part: u64, at: Timestamp) {
-        let known = self.answers.get(&part);
-        if known.is_none_or(|known| known.at < at) {
-            self.insert_answer(part, Answer { at, is_told: true });
-        }
-    }
-
-    /// Inserts the last answer to a part, in place of the oldest one if there are too many.
-    fn insert_answer(&mut self, part: u64, answer: Answer) {
-        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&part) {
+    /// Inserts the last answer, in place of the oldest one if there are too many.
+    fn insert_answer(&mut self, feature: Feature, answer: Answer) {
+        if self.answers.len() >= MAX_ANSWERS && !self.answers.contains_key(&feature) {
             let oldest = self.answers.iter().min_by_key(|(_, answer)| answer.at);
-            if let Some(oldest) = oldest.map(|(part, _)| *part) {
+            if let Some(oldest) = oldest.map(|(feature, _)| *feature) {
                 self.answers.remove(&oldest);
             }
         }
-        self.answers.insert(part, answer);
+        self.answers.insert(feature, answer);
+        self.register.lift(feature, answer.at);
     }
 
-    fn tell_answer(&mut self, parts: Vec<u64>, at: Timestamp) {
-        if parts.is_empty() {
+    fn tell_answer(&mut self, features: &[Feature], at: Timestamp, now: Timestamp) {
+        if features.is_empty() {
             return;
         }
-        self.push_own(Notice {
-            parts,
-            outcome: Outcome::Answer,
-            at,
-        });
+        let mut fingerprint = Fingerprint::default();
+        for feature in features {
+            match feature {
+                Feature::Request(request) => fingerprint.request = Some(*request),
+                Feature::Part(part) => fingerprint.parts.push(*part),
+            }
+        }
+        self.push_own(Notice::Answer { fingerprint, at }, now);
     }
 
     /// Adds an observation for peers, in place of the oldest one if there are too many.
-    fn push_own(&mut self, notice: Notice) {
+    fn push_own(&mut self, notice: Notice, now: Timestamp) {
         if self.own.len() >= MAX_OWN_NOTICES {
-            self.own.remove(0);
+            let is_observation =
+                |(_, notice): &(Timestamp, Arc<Notice>)| !matches!(**notice, Notice::Quarantine(_));
+            let index = self.own.iter().position(is_observation).unwrap_or(0);
+            self.own.remove(index);
         }
-        self.own.push(notice);
+        self.own.push((now, Arc::new(notice)));
     }
 }
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -8,7 +8,7 @@
         quota::Usage,
         wait_queue::Urgency,
     },
-    std::collections::HashMap,
+    std::{collections::HashMap, sync::Arc},
 };
 
 /// A router's work at one backend server.
@@ -37,8 +37,9 @@
     pub waits: Vec<(String, Urgency)>,
     /// Most urgent rank that the router has shed recently, by service.
     pub floors: Vec<(String, Notice)>,
-    /// Crashes of backend servers and answers by parts of prompts, as this router observed them.
-    pub poison: Vec<poison::Notice>,
+    /// What this router observed of requests that may crash backend servers, and whom it blames, oldest
+    /// first.
+    pub poison: Vec<Arc<poison::Notice>>,
     /// What backend servers have said of themselves to this router.
     pub statements: Vec<statement::Report>,
 }
@@ -104,8 +105,7 @@
         };
         let usages = current.usages.iter();
         let usages = usages.filter(|usage| before(&usage.organisation) != Some(*usage));
-        let poison = current.poison.iter();
-        let poison = poison.filter(|notice| !self.previous.poison.contains(notice));
+        let poison = new_notices(&self.previous.poison, &current.poison).to_vec();
         let statements = current.statements.iter();
         let statements = statements.filter(|report| !self.previous.statements.contains(report));
         let changes = Summary {
@@ -114,7 +114,7 @@
             is_complete: current.is_complete,
             waits: current.waits.clone(),
             floors: current.floors.clone(),
-            poison: poison.cloned().collect(),
+            poison,
             statements: statements.cloned().collect(),
         };
         let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
@@ -135,3 +135,17 @@
         }
     }
 }
+
+/// The notices of `current` after those that were sent before, which have the same addresses.
+fn new_notices<'a>(
+    previous: &[Arc<poison::Notice>],
+    current: &'a [Arc<poison::Notice>],
+) -> &'a [Arc<poison::Notice>] {
+    let is_known = |notice: &Arc<poison::Notice>| {
+        let mut known = previous.iter().rev();
+        known.any(|known| Arc::ptr_eq(known, notice))
+    };
+    // Older notices are removed from anywhere in the list, new ones are added at its end.
+    let last_known = current.iter().rposition(is_known);
+    &current[last_known.map_or(0, |index| index + 1)..]
+}
--- a/core/tests/summary.rs
+++ b/core/tests/summary.rs
@@ -1,11 +1,14 @@
 //! Changes between the summaries that a router sends to its peers.
 
-use tamarackdale_core::{
-    fleet::{Load, Speed},
-    poison::{Notice, Outcome},
-    quota::Usage,
-    summary::{ChangeTracker, Entry, Summary},
-    time::Timestamp,
+use {
+    std::sync::Arc,
+    tamarackdale_core::{
+        fleet::{Load, Speed},
+        poison::{Fingerprint, Notice},
+        quota::Usage,
+        summary::{ChangeTracker, Entry, Summary},
+        time::Timestamp,
+    },
 };
 
 fn entry(id: &str, requests: u32, measurements: u64) -> Entry {
@@ -125,11 +128,14 @@
 
 #[test]
 fn observation_of_a_crash_is_sent_once() {
-    let crash = Notice {
-        parts: vec![7],
-        outcome: Outcome::Crash { server: 1 },
+    let crash = Arc::new(Notice::Crash {
+        fingerprint: Fingerprint {
+            request: Some(9),
+            parts: vec![7],
+        },
+        server: 1,
         at: Timestamp::from_millis(5),
-    };
+    });
     let with_crash = Summary {
         poison: vec![crash.clone()],
         ..summary(&[entry("a", 1, 0)])
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -35,8 +35,9 @@
     },
 };
 
-/// Interval at which waiting requests are placed at slots that no gateway claimed.
-const UNUSED_CAPACITY_INTERVAL: Duration = Duration::from_millis(50);
+/// Interval at which waiting requests are placed at slots that no gateway claimed, and crashes of
+/// backend servers are judged.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time after which a peer's admissions are counted here, in summary intervals: the peer's own
 /// interval, and as much again for sending and for reading on a loaded machine.
@@ -70,7 +71,7 @@
     tokio::join!(
         broadcast_to_cell(&context),
         broadcast_to_other_cells(&context),
-        claim_unused_capacity(&context),
+        keep_up(&context),
         follow_peers(&context, introductions),
         apply_members(&context),
         update_quota_use_to_save(&context),
@@ -119,10 +120,11 @@
     }
 }
 
-async fn claim_unused_capacity(context: &Context) {
+async fn keep_up(context: &Context) {
     loop {
-        sleep(UNUSED_CAPACITY_INTERVAL).await;
+        sleep(UPKEEP_INTERVAL).await;
         context.scheduler.claim_unused_capacity();
+        context.scheduler.judge_crashes();
     }
 }
 
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -10,7 +10,7 @@
         collections::HashMap,
         io,
         net::SocketAddr,
-        sync::{Mutex, PoisonError},
+        sync::{Arc, Mutex, PoisonError},
         time::Duration,
     },
     tamarackdale_core::fleet::{Member, Members},
@@ -34,6 +34,10 @@
 /// Unanswered keep-alive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// Time for which the result of a probe holds for other connections that broke at the same moment. A
+/// server that has crashed needs longer to return.
+const PROBE_VALIDITY: Duration = Duration::from_millis(100);
+
 /// Maximum number of idle connections per backend server.
 const MAX_IDLE: usize = 32;
 
@@ -70,8 +74,14 @@
 #[derive(Default)]
 pub struct ConnectionPool {
     idle: Mutex<HashMap<String, Vec<IdleConnection>>>,
+    /// When backend servers to which connections broke were last probed, and whether they were
+    /// reachable.
+    probes: Mutex<HashMap<String, Arc<Probe>>>,
 }
 
+/// Time and result of the last probe. Locked while one is in progress.
+type Probe = tokio::sync::Mutex<Option<(Instant, bool)>>;
+
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new() -> Self {
@@ -88,6 +98,34 @@
         }
     }
 
+    /// Whether a backend server to which a connection broke accepts new ones, and so has not crashed.
+    /// The new connection is kept in the pool. When many connections break at once, one of those who
+    /// ask opens a new one, and the others get the same result.
+    pub async fn is_reachable(&self, member: &Member) -> bool {
+        let probe = {
+            let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+            probes.retain(|id, probe| *id == member.id || Arc::strong_count(probe) > 1);
+            Arc::clone(probes.entry(member.id.clone()).or_default())
+        };
+        let mut last = probe.lock().await;
+        if let Some((at, result)) = *last
+            && at.elapsed() < PROBE_VALIDITY
+        {
+            return result;
+        }
+        let opened = open(member.address).await;
+        let is_reachable = opened.is_ok();
+        match opened {
+            Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
+            Err(error) => log::info!(
+                backend_server = member.id.as_str();
+                "backend server has crashed: connections broke and no new one is accepted: {error}"
+            ),
+        }
+        *last = Some((Instant::now(), is_reachable));
+        is_reachable
+    }
+
     /// Returns a connection to the pool after a complete response. The backend server keeps it open
     /// for `idle_timeout`.
     pub fn put(&self, id: &str, connection: Connection, idle_timeout: Duration) {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -4,7 +4,7 @@
 mod stream;
 
 use {
-    self::exchange::{Exchange, ExchangeError},
+    self::exchange::{BodyError, Exchange, ExchangeError},
     super::{
         context::Context,
         refusal::{Cause, Refusal},
@@ -27,7 +27,8 @@
     tamarackdale_core::{
         digest,
         dispatch::{Dispatch, SendFailure, Step},
-        fleet::{Choice, Limit},
+        fleet::{Choice, Limit, Member, health::Failure},
+        poison::Fingerprint,
         rendezvous,
         routing_config::{Organisation, Route},
         time::Timestamp,
@@ -43,6 +44,10 @@
 /// Outcome of a request whose caller disconnected before its end.
 const CALLER_GONE: &str = "caller-gone";
 
+/// Crashes at which a request was lost after which it is not sent to another backend server by itself.
+/// A request that only happened to be there is rarely lost at two in a row.
+const MAX_CRASHES_OF_RESENT: usize = 2;
+
 /// A caller's request that was authorised and charged to its quota.
 pub struct Request {
     /// Decoded headers.
@@ -159,7 +164,10 @@
                 Err(ExchangeError::GivenUp(cause)) => return Err(cause),
                 Err(ExchangeError::SendFailure(failure)) => failure,
             };
-            let step = self.dispatch.fail(failure);
+            let mut step = self.dispatch.fail(failure);
+            if failure == SendFailure::Lost && !self.may_resend_after_break(&choice.member).await {
+                step = Step::Fail;
+            }
             self.excluded.push(choice.member.id);
             log::warn!(
                 request = self.request.head.id.as_str(),
@@ -178,10 +186,56 @@
         }
     }
 
-    /// Time for which requests like this one are refused because they crash backend servers.
+    /// Time for which this request is refused because requests like it crash backend servers.
     fn quarantine(&self) -> Option<Duration> {
-        let parts = self.request.head.shared_part_ids();
-        self.context.scheduler.quarantine(&parts)
+        let scheduler = &self.context.scheduler;
+        if !scheduler.is_alert() {
+            return None;
+        }
+        scheduler.quarantine(&self.fingerprint())
+    }
+
+    /// Finds out whether the backend server to which the connection broke has crashed, and records
+    /// that. Returns whether the request may be sent to another one: one that was lost at several
+    /// crashes is probably their cause.
+    async fn may_resend_after_break(&self, member: &Member) -> bool {
+        if self.context.pool.is_reachable(member).await {
+            return true;
+        }
+        let scheduler = &self.context.scheduler;
+        scheduler.record_failure(&member.id, Failure::Unreachable);
+        let crashes = scheduler.record_crash(&self.fingerprint(), member);
+        log::info!(
+            request = self.request.head.id.as_str(),
+            backend_server = member.id.as_str(),
+            request_digest = format!("{:x}", self.request_digest()),
+            crashes;
+            "request lost at a crash"
+        );
+        crashes < MAX_CRASHES_OF_RESENT
+    }
+
+    /// Records that the request was answered completely.
+    fn record_answer(&self) {
+        let scheduler = &self.context.scheduler;
+        let fingerprint = match scheduler.is_alert() {
+            true => self.fingerprint(),
+            // Only the parts may have to be compared with those of later crashes.
+            false => Fingerprint {
+                request: None,
+                parts: self.request.head.shared_part_ids(),
+            },
+        };
+        if fingerprint != Fingerprint::default() {
+            scheduler.record_answer(&fingerprint);
+        }
+    }
+
+    fn fingerprint(&self) -> Fingerprint {
+        Fingerprint {
+            request: Some(self.request_digest()),
+            parts: self.request.head.shared_part_ids(),
+        }
     }
 
     async fn place(&self) -> Result<Choice, Cause> {
@@ -296,18 +350,23 @@
         }
         match exchange.read_body(&self.context.response_buffers).await {
             Ok((parts, bytes, in_flight)) => {
-                let prompt_parts = self.request.head.shared_part_ids();
-                self.context.scheduler.record_answer(&prompt_parts);
+                self.record_answer();
                 self.finish(ANSWERED, Some(&in_flight));
                 Response::from_parts(parts, body::full(bytes))
             }
-            Err(()) => self.retry_or_fail().await,
+            Err(error) => self.retry_or_fail(error).await,
         }
     }
 
     /// Handles a response that broke off before any of it was passed on.
-    async fn retry_or_fail(mut self) -> Response<Body> {
-        match self.dispatch.fail(SendFailure::Lost) {
+    async fn retry_or_fail(mut self, error: BodyError) -> Response<Body> {
+        let mut step = self.dispatch.fail(SendFailure::Lost);
+        if let BodyError::Broken(member) = &error
+            && !self.may_resend_after_break(member).await
+        {
+            step = Step::Fail;
+        }
+        match step {
             Step::Resend => Box::pin(self.run()).await,
             Step::Refuse | Step::Fail => self.refuse(Cause::BackendServer),
         }
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -24,7 +24,7 @@
     },
     tamarackdale_core::{
         dispatch::SendFailure,
-        fleet::{Choice, health::Failure},
+        fleet::{Choice, Member, health::Failure},
     },
     tamarackdale_platform::{
         request::{self, AddedHeaders},
@@ -41,6 +41,8 @@
     pub body: Incoming,
     /// Whether the end of the body is told apart from a closed connection, by a length or by chunks.
     pub is_framed: bool,
+    /// The backend server.
+    pub member: Member,
     /// Counts the request at the backend server.
     pub in_flight: InFlightRequest,
     connection: Connection,
@@ -58,6 +60,14 @@
     GivenUp(Cause),
 }
 
+/// Why a body could not be read.
+pub enum BodyError {
+    /// The connection to this backend server broke.
+    Broken(Member),
+    /// It is too large, or was not complete in time.
+    Other,
+}
+
 /// Sends the request and waits for the response headers.
 pub async fn run(job: &mut Job, choice: &Choice) -> Result<Exchange, ExchangeError> {
     let member = &choice.member;
@@ -121,6 +131,7 @@
         parts,
         body,
         is_framed,
+        member: member.clone(),
         in_flight,
         connection,
         pool,
@@ -186,7 +197,7 @@
     pub async fn read_body(
         mut self,
         buffers: &ResponseBuffers,
-    ) -> Result<(Parts, Bytes, InFlightRequest), ()> {
+    ) -> Result<(Parts, Bytes, InFlightRequest), BodyError> {
         let reading = buffers.read(&mut self.body);
         match timeout(self.time_left, reading).await {
             Ok(Ok(bytes)) => {
@@ -202,14 +213,17 @@
                 if !matches!(error, BufferError::Full) {
                     self.record_failure();
                 }
-                Err(())
+                Err(match error {
+                    BufferError::Broken(_) => BodyError::Broken(self.member),
+                    BufferError::TooLong | BufferError::Full => BodyError::Other,
+                })
             }
             Err(_) => {
                 log::info!(
                     backend_server = self.in_flight.id();
                     "response body not complete before the deadline"
                 );
-                Err(())
+                Err(BodyError::Other)
             }
         }
     }
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -71,20 +71,20 @@
                     Ok(Some(batch)) => return Some(Ok(self.forward(batch))),
                     Ok(None) => {}
                     Err(error) => {
-                        if let Some(failed) = self.resume(&error.to_string()).await {
+                        if let Some(failed) = self.resume(&error.to_string(), true).await {
                             return Some(failed);
                         }
                     }
                 },
                 ReadResult::End if self.splitter.is_inside_event() => {
-                    if let Some(failed) = self.resume("the last event is incomplete").await {
+                    let reason = "the last event is incomplete";
+                    if let Some(failed) = self.resume_after_break(reason).await {
                         return Some(failed);
                     }
                 }
                 ReadResult::End if self.ended_with_nothing() => {
-                    self.record_crash();
                     let reason = "the connection was closed before the first event";
-                    if let Some(failed) = self.resume(reason).await {
+                    if let Some(failed) = self.resume_after_break(reason).await {
                         return Some(failed);
                     }
                 }
@@ -93,13 +93,13 @@
                     return None;
                 }
                 ReadResult::Stalled => {
-                    if let Some(failed) = self.resume("timed out waiting for an event").await {
+                    if let Some(failed) = self.resume("timed out waiting for an event", true).await
+                    {
                         return Some(failed);
                     }
                 }
                 ReadResult::Broken(reason) => {
-                    self.record_crash();
-                    if let Some(failed) = self.resume(&reason).await {
+                    if let Some(failed) = self.resume_after_break(&reason).await {
                         return Some(failed);
                     }
                 }
@@ -114,18 +114,6 @@
         exchange.is_some_and(|exchange| !exchange.is_framed && !exchange.has_begun())
     }
 
-    /// Records a crash of the backend server if its stream broke before the first event.
-    fn record_crash(&self) {
-        let Some(exchange) = self.exchange.as_ref() else {
-            return;
-        };
-        if !exchange.has_begun() {
-            let parts = self.job.request.head.shared_part_ids();
-            let scheduler = &self.job.context.scheduler;
-            scheduler.record_crash(&parts, exchange.in_flight.id());
-        }
-    }
-
     async fn read(&mut self) -> Option<ReadResult> {
         let limit = self.read_timeout();
         let exchange = self.exchange.as_mut()?;
@@ -160,16 +148,23 @@
             exchange.in_flight.record_first_event();
             if is_first && let Some(elapsed) = exchange.in_flight.time_to_first_event() {
                 self.job.context.metrics.record_first_token(elapsed);
-                let prompt_parts = self.job.request.head.shared_part_ids();
-                self.job.context.scheduler.record_answer(&prompt_parts);
             }
         }
         batch.bytes.into()
     }
 
+    /// Resumes the stream after its connection broke, unless the request is suspected to crash backend
+    /// servers.
+    async fn resume_after_break(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+        let member = self.exchange.as_ref()?.member.clone();
+        let may_resend = self.job.may_resend_after_break(&member).await;
+        self.resume(reason, may_resend).await
+    }
+
     /// Resumes the stream at another backend server after the last event that was passed on.
-    /// Returns the error that closes the caller's connection if that is not possible.
-    async fn resume(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+    /// Returns the error that closes the caller's connection if that is not possible, or if the request
+    /// may not be sent again.
+    async fn resume(&mut self, reason: &str, may_resend: bool) -> Option<io::Result<Bytes>> {
         let broken = self.exchange.take()?;
         let is_late = self.job.time_left().is_zero();
         if !is_late {
@@ -188,7 +183,8 @@
         // Closes the connection before the request is sent again.
         drop(broken);
         self.splitter = Splitter::new();
-        if is_late || self.job.dispatch.fail(SendFailure::Lost) != Step::Resend {
+        let step = self.job.dispatch.fail(SendFailure::Lost);
+        if is_late || !may_resend || step != Step::Resend {
             return Some(self.abort());
         }
         match self.job.send_until_response().await {
@@ -207,6 +203,7 @@
     }
 
     fn finish(&mut self) {
+        self.job.record_answer();
         let tokens = self.job.output_tokens();
         let in_flight = self.exchange.take().map(|exchange| exchange.finish(tokens));
         self.job.finish(super::ANSWERED, in_flight.as_ref());
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -22,7 +22,7 @@
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
-        poison::Quarantine,
+        poison::{Cause, Fingerprint, Quarantine},
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
@@ -303,30 +303,55 @@
         }
     }
 
-    /// Records that the stream of a request with these parts of the prompt broke after its head and
-    /// before its first event, as it does when the request crashes the backend server `id`.
-    pub fn record_crash(&self, parts: &[u64], id: &str) {
+    /// Whether the digests of requests are needed, because servers have crashed lately.
+    pub fn is_alert(&self) -> bool {
+        self.lock().poison.is_alert()
+    }
+
+    /// Records that a request was lost when a backend server crashed. Returns the number of crashes at
+    /// which this request was lost without an answer since.
+    pub fn record_crash(&self, fingerprint: &Fingerprint, member: &Member) -> usize {
         let now = self.clock.now();
-        let quarantine = self.lock().poison.record_crash(parts, id, now);
-        quarantine.iter().for_each(log_quarantine);
+        let server = format!("{} {}", member.id, member.started_at_ms);
+        let mut state = self.lock();
+        state.poison.record_crash(fingerprint, &server, now);
+        let crashes = fingerprint
+            .request
+            .map_or(0, |request| state.poison.crashes(request));
+        drop(state);
         self.changed.notify_one();
+        crashes
     }
 
-    /// Records that the answer to a request with these parts of the prompt began.
-    pub fn record_answer(&self, parts: &[u64]) {
+    /// Records that a request was answered.
+    pub fn record_answer(&self, fingerprint: &Fingerprint) {
         let now = self.clock.now();
-        self.lock().poison.record_answer(parts, now);
+        self.lock().poison.record_answer(fingerprint, now);
         self.changed.notify_one();
     }
 
-    /// Time for which requests with these parts of the prompt are refused, because they crash
-    /// backend servers.
-    pub fn quarantine(&self, parts: &[u64]) -> Option<Duration> {
+    /// Time for which a request is refused, because it or a part of its prompt crashes backend
+    /// servers.
+    pub fn quarantine(&self, fingerprint: &Fingerprint) -> Option<Duration> {
+        self.judge_crashes();
         let now = self.clock.now();
-        let quarantine = self.lock().poison.quarantine(parts, now)?;
+        let state = self.lock();
+        let quarantine = state.poison.quarantine(fingerprint, now)?;
         Some(quarantine.until.since(now))
     }
 
+    /// Judges which requests and parts of prompts crash backend servers. Called periodically, since
+    /// the losses at a crash become known one after the other.
+    pub fn judge_crashes(&self) {
+        let now = self.clock.now();
+        let begun = self.lock().poison.judge(now);
+        if begun.is_empty() {
+            return;
+        }
+        begun.iter().for_each(log_quarantine);
+        self.changed.notify_one();
+    }
+
     /// Merges a summary that a peer sent.
     pub fn merge_summary(&self, peer: u64, summary: &Summary) {
         let now = self.clock.now();
@@ -355,8 +380,7 @@
             state.fleet.merge_report(report, now);
         }
         for notice in &summary.poison {
-            let quarantine = state.poison.merge(notice, now);
-            quarantine.iter().for_each(log_quarantine);
+            state.poison.merge(notice, now);
         }
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
@@ -429,11 +453,21 @@
 }
 
 fn log_quarantine(quarantine: &Quarantine) {
-    log::warn!(
-        prompt_part = format!("{:x}", quarantine.part),
-        crashes = quarantine.crashes;
-        "prompt part quarantined: backend servers crash when they begin to answer its requests"
-    );
+    let crashes = quarantine.crashes;
+    let length_s = quarantine.until.since(quarantine.last_crash).as_secs();
+    match &quarantine.cause {
+        Cause::Request(digest) => log::warn!(
+            request_digest = format!("{digest:x}"), crashes, length_s;
+            "request quarantined: backend servers crash when they run it"
+        ),
+        Cause::Parts(parts) => {
+            let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
+            log::warn!(
+                prompt_parts = parts.join(","), crashes, length_s;
+                "prompt parts quarantined: backend servers crash when they run requests with them"
+            );
+        }
+    }
 }
 
 /// Removes a request from the queue when dropped.
--- a/wire/src/statement.rs
+++ b/wire/src/statement.rs
@@ -39,11 +39,11 @@
         Self {
             id: report.id.clone(),
             started_at_ms: report.started_at_ms,
-            leaving_age_ms: report.leaving_since.map(|since| age_ms(since, now)),
+            leaving_age_ms: report.leaving_since.map(|since| millis_between(since, now)),
             limit: report.limit.map(|statement| LimitStatement {
                 per_second: statement.limit.per_second(),
                 is_over: statement.is_over,
-                age_ms: age_ms(statement.at, now),
+                age_ms: millis_between(statement.at, now),
             }),
         }
     }
@@ -71,9 +71,9 @@
     }
 }
 
-/// Age of something that happened at `at`, in milliseconds.
-pub(crate) fn age_ms(at: Timestamp, now: Timestamp) -> u32 {
-    u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+/// Milliseconds from `earlier` to `later`.
+pub(crate) fn millis_between(earlier: Timestamp, later: Timestamp) -> u32 {
+    u32::try_from(later.since(earlier).as_millis()).unwrap_or(u32::MAX)
 }
 
 /// Time on the own clock of something that was `age_ms` old at `now`.
