Poison: a request that was answered before is blamed only after five crashes

It is in flight at every crash of its service; where a gateway was killed with the observation of who had caused one of three crashes, and no server was left to answer, it had three crashes and the deadly one two. Gateways now remember which requests were answered, as they do for parts, and tell it with a crash; the digest of each answered request is computed.

A server counts as crashed also if a new connection is closed at once, as behind a proxy that outlives it.

Test: request_that_was_answered_before_is_not_blamed_before_a_deadly_one.

--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -121,8 +121,7 @@
         Self::default()
     }
 
-    /// Whether any crash or quarantine is remembered. Otherwise the digests of requests need not be
-    /// computed.
+    /// Whether any crash or quarantine is remembered. Otherwise requests need not be checked.
     pub fn is_alert(&self) -> bool {
         !self.log.is_empty() || !self.register.is_empty()
     }
--- a/core/src/poison/crash_log.rs
+++ b/core/src/poison/crash_log.rs
@@ -17,8 +17,10 @@
 /// while several servers fail; the platform allows three more requests after the third crash.
 const THRESHOLD: usize = 3;
 
-/// Crashes after which two requests that were lost at exactly the same ones are both blamed.
-const TIED_THRESHOLD: usize = 5;
+/// Crashes that a request is blamed for if it was answered before them, or if another one was lost at
+/// exactly the same ones. A request that is asked all the time is at each crash of its service, and the
+/// observations of who caused one may be lost with the router that made them.
+const DOUBTFUL_THRESHOLD: usize = 5;
 
 /// Time after a crash until all losses at it are known here, if several requests come into question:
 /// the longest interval between two summaries of a peer, and the time to read them.
@@ -53,6 +55,27 @@
     }
 }
 
+/// A request that was lost at crashes which nothing else explains.
+struct Suspect<'a> {
+    request: u64,
+    /// One loss for each crash.
+    crashes: Vec<&'a Loss>,
+    /// Whether it was answered before.
+    was_answered: bool,
+}
+
+impl Suspect<'_> {
+    /// Most crashes that it shares with another suspect. Those that were answered before are not
+    /// considered beside one that was not.
+    fn most_shared(&self, suspects: &[Self]) -> usize {
+        let rivals = suspects.iter().filter(|rival| {
+            rival.request != self.request && (self.was_answered || !rival.was_answered)
+        });
+        let shared = rivals.map(|rival| count_shared(&self.crashes, &rival.crashes));
+        shared.max().unwrap_or_default()
+    }
+}
+
 /// Result of a judgement.
 #[derive(Debug, Default)]
 pub(super) struct Verdict {
@@ -172,38 +195,38 @@
                 by_request.entry(request).or_default().push(loss);
             }
         }
-        let mut suspects: Vec<(u64, Vec<&Loss>)> = by_request
+        let mut suspects: Vec<Suspect> = by_request
             .into_iter()
-            .map(|(request, losses)| (request, distinct(losses.into_iter())))
             .filter(|(request, _)| !register.contains(&Cause::Request(*request)))
+            .map(|(request, losses)| Suspect {
+                request,
+                crashes: distinct(losses.into_iter()),
+                was_answered: answers.contains_key(&Feature::Request(request)),
+            })
             .collect();
-        suspects.sort_by_key(|(request, crashes)| (usize::MAX - crashes.len(), *request));
+        suspects.sort_by_key(|suspect| (usize::MAX - suspect.crashes.len(), suspect.request));
         let mut verdict = Verdict::default();
-        for (request, crashes) in &suspects {
-            let Some(last) = crashes.last().filter(|_| crashes.len() >= THRESHOLD) else {
+        for suspect in &suspects {
+            let count = suspect.crashes.len();
+            let Some(last) = suspect.crashes.last().filter(|_| count >= THRESHOLD) else {
                 break;
             };
-            let rivals = suspects.iter().filter(|(rival, _)| rival != request);
-            let shared = rivals.map(|(_, other)| count_shared(crashes, other));
-            let most_shared = shared.max().unwrap_or_default();
+            let most_shared = suspect.most_shared(&suspects);
             // A rival with fewer shared crashes cannot turn out to have been at all of them.
-            let is_settled = now.since(last.at) >= SETTLING || most_shared + 1 < crashes.len();
-            let is_tied = most_shared >= crashes.len() && crashes.len() < TIED_THRESHOLD;
-            if !is_settled || is_tied {
+            let is_settled = now.since(last.at) >= SETTLING || most_shared + 1 < count;
+            let is_tied = most_shared >= count;
+            let is_doubtful = is_tied || suspect.was_answered;
+            if !is_settled || (is_doubtful && count < DOUBTFUL_THRESHOLD) {
                 verdict.is_pending |= !is_settled;
                 continue;
             }
-            // Requests with as many crashes are blamed with it, all others only for what it does not
+            // Requests that are tied are blamed together, all others only for what the first does not
             // explain.
-            let is_first = verdict.blamed.is_empty();
-            let is_equal = verdict
-                .blamed
-                .iter()
-                .any(|blame| blame.crashes == crashes.len());
-            if is_first || (is_equal && most_shared >= crashes.len()) {
+            let is_equal = |blame: &Blame| blame.crashes == count && is_tied;
+            if verdict.blamed.iter().all(is_equal) {
                 verdict.blamed.push(Blame {
-                    cause: Cause::Request(*request),
-                    crashes: crashes.len(),
+                    cause: Cause::Request(suspect.request),
+                    crashes: count,
                     last_crash: last.at,
                 });
             }
--- a/core/tests/poison.rs
+++ b/core/tests/poison.rs
@@ -351,6 +351,45 @@
     }
 }
 
+/// A request that is asked all the time is at each crash of its service. The observation of who caused
+/// one is lost with the router that made it, and no server is left to answer.
+#[test]
+fn request_that_was_answered_before_is_not_blamed_before_a_deadly_one() {
+    let (mut knowing, mut other) = (Detector::new(), Detector::new());
+    knowing.record_answer(&plain(OTHER), at(0));
+    for number in 0..3 {
+        let server = format!("server-{number}");
+        let now = at(1).plus(Duration::from_millis(number * 50));
+        other.record_crash(&plain(OTHER), &server, now);
+        if number < 2 {
+            other.record_crash(&plain(DEADLY), &server, now);
+        }
+    }
+    tell(&[&other], &mut knowing, at(1));
+    tell(&[&knowing], &mut other, at(1));
+
+    let at_first = quarantine(&mut other, &plain(OTHER), at(2));
+    other.record_crash(&plain(DEADLY), "server-9", at(3));
+    other.record_crash(&plain(OTHER), "server-9", at(3));
+
+    assert_eq!(at_first, None);
+    assert!(quarantine(&mut other, &plain(DEADLY), at(4)).is_some());
+    assert_eq!(quarantine(&mut other, &plain(OTHER), at(4)), None);
+}
+
+/// A request that servers cannot bear any more, such as those of a new release.
+#[test]
+fn request_that_was_answered_once_is_blamed_in_the_end() {
+    let mut detector = Detector::new();
+    detector.record_answer(&plain(DEADLY), at(0));
+
+    for number in 0..5 {
+        detector.record_crash(&plain(DEADLY), &format!("server-{number}"), at(number + 1));
+    }
+
+    assert!(quarantine(&mut detector, &plain(DEADLY), at(7)).is_some());
+}
+
 /// A request that is often asked, such as a poll, is at many crashes and answered between them.
 #[test]
 fn request_that_is_answered_between_crashes_is_not_blamed() {
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -17,7 +17,7 @@
     tokio::{
         net::TcpStream,
         task::AbortHandle,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -38,6 +38,10 @@
 /// server that has crashed needs longer to return.
 const PROBE_VALIDITY: Duration = Duration::from_millis(100);
 
+/// Time for which a new connection must last to show that a server has not crashed: a proxy or load
+/// balancer before it accepts connections also without it, and then resets them.
+const PROBE_DURATION: Duration = Duration::from_millis(10);
+
 /// Maximum number of idle connections per backend server.
 const MAX_IDLE: usize = 32;
 
@@ -113,7 +117,7 @@
         {
             return result;
         }
-        let opened = open(member.address).await;
+        let opened = open_lasting(member.address).await;
         let is_reachable = opened.is_ok();
         match opened {
             Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
@@ -169,6 +173,16 @@
     }
 }
 
+/// Opens a connection that the other side does not close at once.
+async fn open_lasting(address: SocketAddr) -> io::Result<Connection> {
+    let connection = open(address).await?;
+    sleep(PROBE_DURATION).await;
+    match connection.sender.is_closed() {
+        true => Err(io::ErrorKind::ConnectionReset.into()),
+        false => Ok(connection),
+    }
+}
+
 async fn open(address: SocketAddr) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -218,17 +218,7 @@
     /// Records that the request was answered completely.
     fn record_answer(&self) {
         let scheduler = &self.context.scheduler;
-        let fingerprint = match scheduler.is_alert() {
-            true => self.fingerprint(),
-            // Only the parts may have to be compared with those of later crashes.
-            false => Fingerprint {
-                request: None,
-                parts: self.request.head.shared_part_ids(),
-            },
-        };
-        if fingerprint != Fingerprint::default() {
-            scheduler.record_answer(&fingerprint);
-        }
+        scheduler.record_answer(&self.fingerprint());
     }
 
     fn fingerprint(&self) -> Fingerprint {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -303,7 +303,7 @@
         }
     }
 
-    /// Whether the digests of requests are needed, because servers have crashed lately.
+    /// Whether requests must be checked, because servers have crashed lately.
     pub fn is_alert(&self) -> bool {
         self.lock().poison.is_alert()
     }
