Soak: servers that name limits, and requests that crash servers

Two servers name a limit from early in each run on, and one of fifty requests crashes what runs it. Checked: starts at the limited servers, runs of the deadly requests after the third crash, and that no other request is quarantined. A gateway that starts or wakes excuses five requests, or one run, in the window.

--- a/testbed/src/platform/soak.rs
+++ b/testbed/src/platform/soak.rs
@@ -1,12 +1,13 @@
 //! Random, overlapping faults on a site under load. The invariants are checked on what callers and
 //! backend servers observed.
 
+mod demands;
 mod drill;
 mod load;
 mod world;
 
 use {
-    self::{drill::Drill, load::Call, world::World},
+    self::{demands::Demands, drill::Drill, load::Call, world::World},
     super::Server,
     crate::{http, process},
     derive_more::{Display, Error, From},
@@ -58,6 +59,8 @@
 pub async fn run(seed: u64, length: Duration) -> Result<Report, Fault> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut world = World::new().await?;
+    Demands::arm(world.servers());
+    let mut demands = Demands::draw(seed, length);
     let load = tokio::spawn(load::run(world.callers(), seed, length));
     let mut report = Report::default();
     let start = Instant::now();
@@ -66,6 +69,9 @@
     while start.elapsed() < length {
         world.end_due()?;
         report.faults.extend(drill.step(&world, start.elapsed()));
+        report
+            .faults
+            .extend(demands.step(world.servers(), start.elapsed()));
         if Instant::now() >= next {
             report.faults.extend(world.begin(&mut random)?);
             next = Instant::now() + millis(&mut random, FAULT_PAUSE_MS);
@@ -75,6 +81,8 @@
     let calls = load.await.unwrap_or_default();
     world.end_all().await?;
     check(&calls, world.servers(), &mut report);
+    let violations = demands.check(world.servers(), world.disturbed_gateways());
+    report.violations.extend(violations);
     for gateway in world.gateways() {
         if !gateway.wait_ready(true).await {
             report
@@ -107,6 +115,10 @@
         let Ok(answer) = &call.answer else {
             continue;
         };
+        if !call.is_deadly && answer.text().contains("quarantined") {
+            let text = format!("{} was quarantined and is sound", call.id);
+            report.violations.push(text);
+        }
         if [408, 421, 429, 503].contains(&answer.status()) && !ran.is_empty() {
             let text = format!("{} was refused and ran at {ran:?}", call.id);
             report.violations.push(text);
--- a/testbed/src/platform/soak/load.rs
+++ b/testbed/src/platform/soak/load.rs
@@ -28,12 +28,28 @@
 /// Kinds of requests, by the prefix of their route.
 const KINDS: [&str; 4] = ["booking", "status", "stream", "resumable"];
 
+/// Number of requests on connections of their own for each deadly one.
+const REQUESTS_TO_DEADLY: usize = 50;
+
+/// Text in the bodies of requests that crash the servers that run them.
+pub(super) const DEADLY: &str = "deadly";
+
+/// Kinds of the deadly requests.
+pub(super) const DEADLY_KINDS: [&str; 2] = ["status", "stream"];
+
+/// Body of the deadly request of a kind, which is the same each time.
+pub(super) fn deadly_body(kind: &str) -> String {
+    format!("{DEADLY} {kind}")
+}
+
 /// One request and what became of it.
 pub struct Call {
     /// Identifier.
     pub id: String,
     /// Kind.
     pub kind: &'static str,
+    /// Whether it crashes servers.
+    pub is_deadly: bool,
     /// What came back.
     pub answer: Result<http::Answer, http::Fault>,
 }
@@ -61,12 +77,25 @@
     while Instant::now() < end {
         number += 1;
         let id = format!("s-{number}");
-        let kind = kind(&mut random);
+        let is_deadly = number % REQUESTS_TO_DEADLY == 0;
+        let kind = match is_deadly {
+            true => DEADLY_KINDS[number / REQUESTS_TO_DEADLY % DEADLY_KINDS.len()],
+            false => kind(&mut random),
+        };
         let address = callers[random.random_range(0..callers.len())];
         running.spawn(async move {
             let message = request(&format!("/{kind}/1"), &id);
+            let message = message.map(|body| match is_deadly {
+                true => deadly_body(kind).into(),
+                false => body,
+            });
             let answer = http::call(address, message, CALL_LIMIT).await;
-            Call { id, kind, answer }
+            Call {
+                id,
+                kind,
+                is_deadly,
+                answer,
+            }
         });
         sleep(REQUEST_INTERVAL).await;
     }
@@ -96,7 +125,12 @@
             .as_ref()
             .is_ok_and(|answer| answer.header("connection") != "close");
         connection = is_kept.then_some(open);
-        calls.push(Call { id, kind, answer });
+        calls.push(Call {
+            id,
+            kind,
+            is_deadly: false,
+            answer,
+        });
     }
     calls
 }
--- a/testbed/src/platform/soak/world.rs
+++ b/testbed/src/platform/soak/world.rs
@@ -62,6 +62,8 @@
     /// Numbers of the gateways that got SIGTERM and have not been started again.
     terminated: BTreeSet<usize>,
     active: Vec<Active>,
+    /// When a fault of a gateway began or ended.
+    disturbed_gateways: Vec<Instant>,
 }
 
 impl World {
@@ -97,6 +99,7 @@
             gateways,
             terminated: BTreeSet::new(),
             active: Vec::new(),
+            disturbed_gateways: Vec::new(),
         })
     }
 
@@ -132,6 +135,11 @@
         &self.gateways
     }
 
+    /// When a fault of a gateway began or ended.
+    pub fn disturbed_gateways(&self) -> &[Instant] {
+        &self.disturbed_gateways
+    }
+
     /// Starts one more fault and describes it, unless enough are active.
     pub fn begin(&mut self, random: &mut StdRng) -> Result<Option<String>, Fault> {
         let target = match random.random_range(0..8) {
@@ -250,6 +258,7 @@
     }
 
     fn disturb_gateway(&mut self, number: usize, random: &mut StdRng) -> Result<String, Fault> {
+        self.disturbed_gateways.push(Instant::now());
         let process = &mut self.gateways[number].process;
         match random.random_range(0..3) {
             0 => process.pause()?,
@@ -269,6 +278,7 @@
     /// Resumes a paused gateway, or restarts one that has ended. One that got SIGTERM and still
     /// runs is looked at again later.
     fn revive(&mut self, number: usize) -> Result<(), Fault> {
+        self.disturbed_gateways.push(Instant::now());
         let gateway = &mut self.gateways[number];
         if !gateway.process.is_running() {
             gateway.restart()?;
