Poison: an answer ends a quarantine at all gateways; late copies of a refused request explain their crashes

Found by reading: a quarantine that a peer tells after its request was answered was taken over, and was told to gateways that connect later although it had ended; requests lost beside late copies of a refused one could add up to three crashes. Only a broken connection is probed, not a response of another request. Two gauges for operators: quarantines in force and limited backend servers.

Tests: answer_ends_a_quarantine_at_all_routers_..., request_beside_late_copies_of_a_quarantined_one_is_not_blamed; both written with the change.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -268,6 +268,12 @@
         })
     }
 
+    /// Number of registered backend servers with a limit.
+    pub fn limited_servers(&self, now: Timestamp) -> usize {
+        let servers = self.servers.values();
+        servers.filter(|server| server.limit(now).is_some()).count()
+    }
+
     /// Merges what a backend server has said to a peer.
     pub fn merge_report(&mut self, report: &statement::Report, now: Timestamp) {
         if let Some(statements) = self.statements_mut(&report.id, report.started_at_ms, now) {
--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -126,6 +126,11 @@
         !self.log.is_empty() || !self.register.is_empty()
     }
 
+    /// Number of quarantines in force.
+    pub fn quarantines(&self, now: Timestamp) -> usize {
+        self.register.in_force(now)
+    }
+
     /// Number of crashes, quarantines and answers that are remembered.
     pub fn remembered(&self) -> usize {
         self.log.len() + self.register.len() + self.answers.len()
@@ -186,7 +191,11 @@
                     }
                 }
             }
-            Notice::Quarantine(quarantine) => self.register.merge(quarantine),
+            Notice::Quarantine(quarantine) => {
+                if !self.is_refuted(quarantine) {
+                    self.register.merge(quarantine);
+                }
+            }
         }
     }
 
@@ -225,25 +234,40 @@
     /// are in force.
     pub fn own_notices(&self, now: Timestamp) -> impl Iterator<Item = Arc<Notice>> {
         let own = self.own.iter();
-        own.filter(move |(at, notice)| match &**notice {
-            Notice::Quarantine(quarantine) => quarantine.until > now,
-            Notice::Crash { .. } | Notice::Answer { .. } => now.since(*at) < NOTICE_MEMORY,
-        })
-        .map(|(_, notice)| Arc::clone(notice))
+        own.filter(move |(at, notice)| self.is_current(*at, notice, now))
+            .map(|(_, notice)| Arc::clone(notice))
     }
 
     /// Forgets what is too old to matter. Called now and then.
     pub fn prune(&mut self, now: Timestamp) {
-        self.own.retain(|(at, notice)| match &**notice {
-            Notice::Quarantine(quarantine) => quarantine.until > now,
-            Notice::Crash { .. } | Notice::Answer { .. } => now.since(*at) < NOTICE_MEMORY,
-        });
+        let mut own = std::mem::take(&mut self.own);
+        own.retain(|(at, notice)| self.is_current(*at, notice, now));
+        self.own = own;
         self.log.prune(now);
         self.register.prune(now);
         self.answers
             .retain(|_, answer| now.since(answer.at) < ANSWER_MEMORY);
     }
 
+    /// Whether what is blamed was answered after the last crash.
+    fn is_refuted(&self, quarantine: &Quarantine) -> bool {
+        let blamed = Fingerprint::from(quarantine.cause.clone());
+        let mut answers = blamed
+            .features()
+            .filter_map(|feature| self.answers.get(&feature));
+        answers.any(|answer| answer.at > quarantine.last_crash)
+    }
+
+    /// Whether an own notice, made at `at`, still matters to peers.
+    fn is_current(&self, at: Timestamp, notice: &Notice, now: Timestamp) -> bool {
+        match notice {
+            Notice::Quarantine(quarantine) => {
+                quarantine.until > now && self.register.contains(&quarantine.cause)
+            }
+            Notice::Crash { .. } | Notice::Answer { .. } => now.since(at) < NOTICE_MEMORY,
+        }
+    }
+
     fn add_crash(&mut self, fingerprint: &Fingerprint, server: u64, at: Timestamp, now: Timestamp) {
         if !self.log.push(fingerprint, server, at, now) {
             return;
@@ -254,6 +278,10 @@
         if let Some(quarantine) = repeated {
             self.push_own(Notice::Quarantine(quarantine), now);
         }
+        // Others that were lost with a request that is refused already are not suspected for that.
+        if let Some(known) = self.register.find(fingerprint, at) {
+            self.log.explain(&known.cause.clone(), &self.answers);
+        }
         // Peers that have had no answer to a part lately would blame it.
         for feature in fingerprint.features() {
             if let Some(answer) = self.answers.get_mut(&feature)
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -121,6 +121,10 @@
         self.0.len()
     }
 
+    pub(super) fn in_force(&self, now: Timestamp) -> usize {
+        self.0.iter().filter(|known| known.until > now).count()
+    }
+
     /// The most precise quarantine that is in force for a request.
     pub(super) fn find(&self, fingerprint: &Fingerprint, now: Timestamp) -> Option<&Quarantine> {
         let matching = self.0.iter();
--- a/core/tests/poison.rs
+++ b/core/tests/poison.rs
@@ -437,6 +437,41 @@
     assert!(quarantine(&mut new, &plain(DEADLY), much_later).is_some());
 }
 
+/// A request that was sent before its quarantine may be answered after it.
+#[test]
+fn answer_ends_a_quarantine_at_all_routers_whatever_order_they_hear_it_in() {
+    let (mut first, mut second, mut new) = (Detector::new(), Detector::new(), Detector::new());
+    crash_of(&mut first, &plain(DEADLY), 3);
+    first.judge(at(3));
+    let told: Vec<Arc<Notice>> = first.own_notices(at(3)).collect();
+    tell(&[&first], &mut second, at(3));
+
+    second.record_answer(&plain(DEADLY), at(4));
+    tell(&[&second], &mut first, at(4));
+    told.iter().for_each(|notice| second.merge(notice, at(5)));
+    tell(&[&first, &second], &mut new, at(5));
+
+    for router in [&mut first, &mut second, &mut new] {
+        assert_eq!(quarantine(router, &plain(DEADLY), at(5)), None);
+    }
+}
+
+/// Copies of a request that were sent before its quarantine crash servers after it.
+#[test]
+fn request_beside_late_copies_of_a_quarantined_one_is_not_blamed() {
+    let mut detector = Detector::new();
+    crash_of(&mut detector, &plain(DEADLY), 3);
+    detector.judge(at(3));
+
+    for number in 4..8 {
+        let server = format!("server-{number}");
+        detector.record_crash(&plain(OTHER), &server, at(number));
+        detector.record_crash(&plain(DEADLY), &server, at(number));
+    }
+
+    assert_eq!(quarantine(&mut detector, &plain(OTHER), at(9)), None);
+}
+
 /// Losses are known at different routers at different times, up to what a message takes.
 #[test]
 fn routers_agree_on_the_request_to_blame() {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -111,6 +111,8 @@
         let current = members.borrow_and_update().clone();
         context.scheduler.update_servers(&current);
         context.pool.prune(&current);
+        let (quarantines, limited_servers) = context.scheduler.protection();
+        context.metrics.set_protection(quarantines, limited_servers);
         if timeout(Duration::from_secs(1), members.changed())
             .await
             .is_ok_and(|changed| changed.is_err())
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -27,7 +27,7 @@
     tamarackdale_core::{
         digest,
         dispatch::{Dispatch, SendFailure, Step},
-        fleet::{Choice, Limit, Member, health::Failure},
+        fleet::{Choice, Limit, Member},
         poison::Fingerprint,
         rendezvous,
         routing_config::{Organisation, Route},
@@ -159,13 +159,14 @@
             if self.dispatch.sent() > 0 && !self.context.scheduler.take_retry(&self.service) {
                 return Err(self.give_up(Cause::NotExecuted));
             }
-            let failure = match self.exchange(&choice).await {
+            let (failure, is_break) = match self.exchange(&choice).await {
                 Ok(exchange) => return Ok(exchange),
                 Err(ExchangeError::GivenUp(cause)) => return Err(cause),
-                Err(ExchangeError::SendFailure(failure)) => failure,
+                Err(ExchangeError::SendFailure(failure)) => (failure, false),
+                Err(ExchangeError::ConnectionBroken) => (SendFailure::Lost, true),
             };
             let mut step = self.dispatch.fail(failure);
-            if failure == SendFailure::Lost && !self.may_resend_after_break(&choice.member).await {
+            if is_break && !self.may_resend_after_break(&choice.member).await {
                 step = Step::Fail;
             }
             self.excluded.push(choice.member.id);
@@ -203,7 +204,6 @@
             return true;
         }
         let scheduler = &self.context.scheduler;
-        scheduler.record_failure(&member.id, Failure::Unreachable);
         let crashes = scheduler.record_crash(&self.fingerprint(), member);
         log::info!(
             request = self.request.head.id.as_str(),
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -56,6 +56,8 @@
 pub enum ExchangeError {
     /// The attempt failed. The request is sent again if its dispatch allows it.
     SendFailure(SendFailure),
+    /// The connection broke after the request was written, before the head of a response.
+    ConnectionBroken,
     /// The request is not sent again.
     GivenUp(Cause),
 }
@@ -101,14 +103,11 @@
         Err(_) => return Err(ExchangeError::GivenUp(Cause::Timeout)),
         Ok(Ok(response)) => response,
         Ok(Err(error)) => {
-            let failure = match error.message() {
-                Some(_) => SendFailure::NotSent,
-                None => SendFailure::Lost,
-            };
-            if failure == SendFailure::Lost {
-                scheduler.record_failure(&member.id, Failure::Broken);
+            if error.message().is_some() {
+                return Err(ExchangeError::SendFailure(SendFailure::NotSent));
             }
-            return Err(ExchangeError::SendFailure(failure));
+            scheduler.record_failure(&member.id, Failure::Broken);
+            return Err(ExchangeError::ConnectionBroken);
         }
     };
     let (status, headers) = (response.status(), response.headers());
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -82,6 +82,16 @@
         state.poison.prune(now);
     }
 
+    /// Numbers of quarantines in force and of limited backend servers.
+    pub fn protection(&self) -> (usize, usize) {
+        let now = self.clock.now();
+        let state = self.lock();
+        (
+            state.poison.quarantines(now),
+            state.fleet.limited_servers(now),
+        )
+    }
+
     /// Whether any backend server accepts requests.
     pub fn has_servers(&self) -> bool {
         let now = self.clock.now();
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -39,6 +39,8 @@
     running: Gauge<u64>,
     limit: Gauge<u64>,
     waiting: Gauge<u64>,
+    quarantines: Gauge<u64>,
+    limited_servers: Gauge<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -116,6 +118,14 @@
             running: gauge("tamarackdale_running", "Requests at the backend server"),
             limit: gauge("tamarackdale_limit", "Requests that may run at once"),
             waiting: gauge("tamarackdale_waiting", "Waiting requests by rank"),
+            quarantines: gauge(
+                "tamarackdale_quarantines",
+                "Requests and prompt parts that are refused because they crash backend servers",
+            ),
+            limited_servers: gauge(
+                "tamarackdale_limited_servers",
+                "Backend servers that have named a limit",
+            ),
             registry,
             _provider: provider,
         })
@@ -180,6 +190,12 @@
         }
     }
 
+    /// Sets the gauges of what a gateway protects backend servers from.
+    pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
+        self.quarantines.record(quarantines as u64, &[]);
+        self.limited_servers.record(limited_servers as u64, &[]);
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
