--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -71,7 +71,7 @@
     tokio::join!(
         broadcast_to_cell(&context),
         broadcast_to_other_cells(&context),
-        keep_up(&context),
+        run_upkeep(&context),
         follow_peers(&context, introductions),
         apply_members(&context),
         update_quota_use_to_save(&context),
@@ -122,7 +122,7 @@
     }
 }
 
-async fn keep_up(context: &Context) {
+async fn run_upkeep(context: &Context) {
     loop {
         sleep(UPKEEP_INTERVAL).await;
         context.scheduler.claim_unused_capacity();
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -6,6 +6,7 @@
 use {
     super::context::Context,
     crate::http::body,
+    derive_more::{Display, From},
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
@@ -55,6 +56,13 @@
     }
 }
 
+/// Why a question for a start was not answered.
+#[derive(Debug, Display, From)]
+enum CallError {
+    Codec(codec::Error),
+    Http(http::Error),
+}
+
 /// Obtains a start for the request with identifier `request` at a backend server, if the server is
 /// limited. Returns `false` if there is none now: the request must be placed again. `load` is what was
 /// reserved for the request there.
@@ -67,14 +75,7 @@
     let keeper = context.known_peers().keeper(&member.id, own);
     let taken = match keeper == own {
         true => scheduler.take_start(&report),
-        false => ask(context, keeper, &report).await.unwrap_or_else(|error| {
-            log::info!(
-                backend_server = member.id.as_str(),
-                peer:% = keeper;
-                "no answer to a question for a start: {error}"
-            );
-            Err(NO_ANSWER_DELAY)
-        }),
+        false => ask(context, keeper, &report).await,
     };
     let Err(next) = taken else {
         scheduler.record_start_granted(&member.id);
@@ -92,27 +93,31 @@
     false
 }
 
-/// Asks a peer for a start. The result of the question itself is a start, or the time until the next
-/// one.
-async fn ask(
-    context: &Context,
-    keeper: SocketAddr,
-    report: &Report,
-) -> Result<Result<(), Duration>, String> {
-    let question = Ask {
+/// Asks a peer for a start. Fails with the time until the next one.
+async fn ask(context: &Context, keeper: SocketAddr, report: &Report) -> Result<(), Duration> {
+    match call(context, keeper, report).await {
+        Ok(answer) if answer.is_granted => Ok(()),
+        Ok(answer) => Err(Duration::from_millis(answer.next_ms.into())),
+        Err(error) => {
+            log::info!(
+                backend_server = report.id.as_str(),
+                peer:% = keeper;
+                "no answer to a question for a start: {error}"
+            );
+            Err(NO_ANSWER_DELAY)
+        }
+    }
+}
+
+/// Sends the question for a start to a peer and reads its answer.
+async fn call(context: &Context, keeper: SocketAddr, report: &Report) -> Result<Answer, CallError> {
+    let question = codec::encode(&Ask {
         server: Statement::new(report, context.clock.now()),
-    };
-    let question = codec::encode(&question).map_err(|error| error.to_string())?;
+    })?;
     let client = context
         .keepers
         .client(keeper, |address| context.known_peers().contains(address));
-    let answer = client.post(path::STARTS, question).await;
-    let answer = answer.map_err(|error| error.to_string())?;
-    let answer: Answer = codec::decode(&answer).map_err(|error| error.to_string())?;
-    match answer.is_granted {
-        true => Ok(Ok(())),
-        false => Ok(Err(Duration::from_millis(answer.next_ms.into()))),
-    }
+    Ok(codec::decode(&client.post(path::STARTS, question).await?)?)
 }
 
 /// Handles a peer's question for a start at a backend server whose limit this gateway keeps.
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -170,6 +170,24 @@
         })
     }
 
+    /// Starts gateways in the data centre `a` and waits until they are ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when one cannot be started or does not become ready.
+    pub async fn ready_gateways(&self, count: usize) -> Result<Vec<Gateway>, process::Fault> {
+        let gateways: Vec<Gateway> = (0..count)
+            .map(|number| self.gateway(&format!("gateway-{number}")))
+            .collect::<Result<_, _>>()?;
+        for gateway in &gateways {
+            if !gateway.wait_ready(true).await {
+                let error = io::Error::other("a gateway does not become ready");
+                return Err(error.into());
+            }
+        }
+        Ok(gateways)
+    }
+
     fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
         let store = self.store_address;
         format!(
--- a/testbed/tests/deadly_requests.rs
+++ b/testbed/tests/deadly_requests.rs
@@ -56,12 +56,7 @@
         server.set_deadly(DEADLY, point);
         site.register(server);
     }
-    let gateways: Vec<Gateway> = (0..GATEWAYS)
-        .map(|number| site.gateway(&format!("gateway-{number}")).expect("starts"))
-        .collect();
-    for gateway in &gateways {
-        assert!(gateway.wait_ready(true).await, "not ready");
-    }
+    let gateways = site.ready_gateways(GATEWAYS).await.expect("ready");
     Bench {
         _site: site,
         gateways,
