Test: servers that all leave, known red

Left of what was asked with Server-Leaving: while all servers of a service leave, gateways refuse at once (16 of 18 requests within a second), though each of them serves for the drain time.

--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -443,6 +443,25 @@
     assert_eq!(log.expect("logged")["backend_server"], "plain-1");
 }
 
+/// Guards against refusals while servers that leave still serve: they do for the drain time of the
+/// site's settings, two seconds, after they have said so, and no other is there.
+#[tokio::test]
+async fn servers_that_all_leave_serve_to_the_end_of_the_drain_time() {
+    let bench = start().await;
+    bench.plains.iter().for_each(Server::say_leaving);
+
+    let started = Instant::now();
+    let mut statuses = Vec::new();
+    while started.elapsed() < Duration::from_millis(1_000) {
+        let id = format!("s-{}", statuses.len());
+        let answer = bench.gateway.call("/status/1", &id).await;
+        statuses.push(answer.expect("answered").status());
+        sleep(Duration::from_millis(50)).await;
+    }
+
+    assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
+}
+
 #[tokio::test]
 async fn configuration_is_in_force_soon_and_a_broken_one_changes_nothing() {
     let bench = start().await;
