--- a/testbed/tests/server_limit.rs
+++ b/testbed/tests/server_limit.rs
@@ -38,13 +38,26 @@
     servers: Vec<Server>,
 }
 
-async fn start(service: &str) -> Bench {
+/// Starts the site with gateways in each data centre, among which the two servers are divided.
+async fn start_with(service: &str, data_centres: &[&str], in_each: usize) -> Bench {
     let site = Site::new(&Configuration::default()).expect("starts");
-    let servers: Vec<Server> = (1..=2)
-        .map(|number| Server::new(&format!("{service}-{number}"), service).expect("starts"))
+    let servers: Vec<Server> = (0..2)
+        .map(|number| {
+            let server = Server::new(&format!("{service}-{number}"), service).expect("starts");
+            server.with_data_centre(data_centres[number % data_centres.len()])
+        })
         .collect();
     servers.iter().for_each(|server| site.register(server));
-    let gateways = site.ready_gateways(GATEWAYS).await.expect("ready");
+    let gateways: Vec<Gateway> = (0..in_each * data_centres.len())
+        .map(|number| {
+            let data_centre = data_centres[number % data_centres.len()];
+            let name = format!("gateway-{number}");
+            site.gateway_in(&name, data_centre).expect("starts")
+        })
+        .collect();
+    for gateway in &gateways {
+        assert!(gateway.wait_ready(true).await, "not ready");
+    }
     Bench {
         _site: site,
         gateways,
@@ -52,13 +65,17 @@
     }
 }
 
+async fn start(service: &str) -> Bench {
+    start_with(service, &["a"], GATEWAYS).await
+}
+
 /// Sends requests to all gateways in turn for `length`. Returns the answers.
 async fn load(bench: &Bench, path: &'static str, length: Duration) -> Vec<http::Answer> {
     let end = Instant::now() + length;
     let mut running = JoinSet::new();
     let mut number = 0;
     while Instant::now() < end {
-        let callers = bench.gateways[number % GATEWAYS].callers();
+        let callers = bench.gateways[number % bench.gateways.len()].callers();
         let message = request(path, &format!("l-{number}"));
         running.spawn(async move { http::call(callers, message, CALL_LIMIT).await });
         number += 1;
@@ -111,10 +128,17 @@
     assert!(taken as f64 > offered / 2.0, "{taken} of {offered}");
 }
 
-/// Guards against a limit that is exceeded, or left unused, while no other server can take the load.
+/// Guards against a limit that is exceeded, or left unused, while no other server can take the load;
+/// also by gateways that form several cells, which hear of each other's requests late.
+#[rstest]
+#[case::one_cell(&["a"], GATEWAYS)]
+#[case::two_cells(&["a", "b"], 13)]
 #[tokio::test]
-async fn limits_of_a_whole_service_are_used_and_the_rest_is_refused_with_the_time_to_return() {
-    let bench = start("plain").await;
+async fn limits_of_a_whole_service_are_used_and_the_rest_is_refused_with_the_time_to_return(
+    #[case] data_centres: &[&str],
+    #[case] gateways_in_each: usize,
+) {
+    let bench = start_with("plain", data_centres, gateways_in_each).await;
     let limit = LIMIT.to_string();
     bench
         .servers
