Gateways: starts at limited servers go to the most urgent request that waits at any gateway of the cell

Found by a test of the promise that no more urgent request is shed while a less urgent one is served: with all servers of a service limited, 8 of 35 urgent requests were refused beside 44 others. A limited server counted as a free slot for which nobody need yield, a request at the end of its wait took a start although more urgent ones waited, and a refused gateway asked half of the time before the next start was due.

Nothing changes for servers without a limit.

Test: more_urgent_requests_of_any_gateway_get_the_starts_first, red before in two of two runs.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -508,26 +508,21 @@
     }
 
     /// Number of free slots of a service's backend servers, in one data centre or, with `None`, in
-    /// all. Those of ejected backend servers do not count.
+    /// all. Those of ejected backend servers do not count, nor those of limited ones: the next start
+    /// there is for the most urgent request that waits at any router.
     pub fn free_slots(&self, service: &str, data_centre: Option<&str>, now: Timestamp) -> usize {
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
                 && !server.is_leaving(now)
                 && !server.health.is_ejected(now)
-                && server.admits(now)
+                && server.statements.pause.admits(now)
+                && server.limit(now).is_none()
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
         });
         servers
             .map(|server| {
-                let free = server
-                    .member
-                    .slots
-                    .saturating_sub(server.load(now).requests);
-                match server.limit(now) {
-                    // The next start is the only one that can be had now.
-                    Some(_) => free.min(1) as usize,
-                    None => free as usize,
-                }
+                let slots = server.member.slots;
+                slots.saturating_sub(server.load(now).requests) as usize
             })
             .sum()
     }
--- a/core/src/fleet/limit.rs
+++ b/core/src/fleet/limit.rs
@@ -212,5 +212,5 @@
 /// `random`, from 0 up to but not including 1, spreads the questions, which are more than the starts.
 pub fn ask_delay(next: Duration, routers: usize, random: f64) -> Duration {
     let spread = time::seconds(routers as f64 / ASKS_PER_SECOND);
-    next.max(spread).mul_f64(0.5 + random)
+    next + spread.mul_f64(random)
 }
--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -6,7 +6,7 @@
     std::{collections::BTreeMap, net::SocketAddr, time::Duration},
     tamarackdale_core::{
         fleet::{
-            Fleet, Limit, Member, Members,
+            Demand, Fleet, Limit, Member, Members,
             limit::{self, Pacer, Turn},
             statement::{Notice, Report},
         },
@@ -128,6 +128,21 @@
     }
 }
 
+fn demand() -> Demand<'static> {
+    Demand {
+        service: "s",
+        prompt_tokens: 0,
+        output_tokens: 0,
+        excluded: &[],
+        max_wait: Duration::ZERO,
+        time_left: Duration::from_secs(1),
+        prefix: None,
+        data_centre: "d",
+        max_remote: None,
+        required_server: None,
+    }
+}
+
 fn fleet(ids: &[&str]) -> Fleet {
     let mut fleet = Fleet::new();
     let members = ids.iter().map(|id| ((*id).to_owned(), member(id, 1)));
@@ -245,20 +260,25 @@
     assert_eq!(limit_of(&fleet, "a", 3_100), None);
 }
 
+/// A router asks for one start at a time, and none of them has a free slot that others need not leave to
+/// more urgent requests.
 #[test]
-fn limited_server_has_one_free_slot_for_each_start() {
+fn limited_server_is_chosen_once_for_each_question_and_has_no_free_slot() {
     let mut fleet = fleet(&["a"]);
+    let mut random = StdRng::seed_from_u64(1);
     answer(&mut fleet, "a", limit::Notice::Limited(limit(4.0)), 0, 0);
     let request = tamarackdale_core::fleet::RequestLoad::default();
+    let mut is_chosen =
+        |fleet: &Fleet, now_ms: u64| fleet.choose(&demand(), at(now_ms), &mut random).is_ok();
 
-    let before = fleet.free_slots("s", None, at(10));
+    let before = is_chosen(&fleet, 10);
     fleet.reserve("a", request, at(10));
-    let asking = fleet.free_slots("s", None, at(10));
+    let asking = is_chosen(&fleet, 10);
     fleet.record_start_refused("a", request, Duration::from_millis(100), at(20));
-    let refused = fleet.free_slots("s", None, at(100));
-    let due = fleet.free_slots("s", None, at(120));
+    let (refused, due) = (is_chosen(&fleet, 100), is_chosen(&fleet, 120));
 
-    assert_eq!((before, asking, refused, due), (1, 0, 0, 1));
+    assert_eq!((before, asking, refused, due), (true, false, false, true));
+    assert_eq!(fleet.free_slots("s", None, at(120)), 0);
 }
 
 #[test]
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -135,18 +135,31 @@
     }
 
     /// Chooses a backend server with a free slot, of any data centre, for a request that would
-    /// otherwise be shed.
+    /// otherwise be shed. The starts at limited servers are left to more urgent requests that wait:
+    /// these wait for nothing else.
     pub(super) fn choose_free(
         &mut self,
         request: &PlacementRequest,
         now: Timestamp,
     ) -> Option<Choice> {
+        let urgency = self.scheduling_key(request, now).urgency(now);
+        let is_first = !self.has_more_urgent(&request.service, urgency, now);
         let demand = Demand {
             max_wait: Duration::ZERO,
             max_remote: None,
             ..demand(request, None, &self.data_centre, self.layout, now)
         };
-        self.fleet.choose(&demand, now, &mut self.random).ok()
+        let choice = self.fleet.choose(&demand, now, &mut self.random).ok();
+        choice.filter(|choice| is_first || choice.limit.is_none())
+    }
+
+    /// Whether a more urgent request of the service waits here or at a peer.
+    fn has_more_urgent(&self, service: &str, urgency: Urgency, now: Timestamp) -> bool {
+        let mut waiting_here = self.queue.iter();
+        let mut waiting_at_peers = self.peer_waiting.values().flatten();
+        waiting_here
+            .any(|(key, waiter)| waiter.request.service == service && key.urgency(now) < urgency)
+            || waiting_at_peers.any(|(known, waiting)| known == service && *waiting < urgency)
     }
 
     /// Reserves capacity for a request that is about to be sent, so that the next one does not get
--- a/testbed/tests/server_limit.rs
+++ b/testbed/tests/server_limit.rs
@@ -2,6 +2,7 @@
 
 use {
     rstest::rstest,
+    serde_json::json,
     std::time::{Duration, Instant},
     tamarackdale_testbed::{
         http,
@@ -40,7 +41,16 @@
 
 /// Starts the site with gateways in each data centre, among which the two servers are divided.
 async fn start_with(service: &str, data_centres: &[&str], in_each: usize) -> Bench {
-    let site = Site::new(&Configuration::default()).expect("starts");
+    start_configured(service, data_centres, in_each, &Configuration::default()).await
+}
+
+async fn start_configured(
+    service: &str,
+    data_centres: &[&str],
+    in_each: usize,
+    configuration: &Configuration,
+) -> Bench {
+    let site = Site::new(configuration).expect("starts");
     let servers: Vec<Server> = (0..2)
         .map(|number| {
             let server = Server::new(&format!("{service}-{number}"), service).expect("starts");
@@ -195,3 +205,58 @@
     let all = after[0] + after[1] - before[0] - before[1];
     assert!(taken * 4 > all, "{taken} of {all}");
 }
+
+/// Guards against starts that go to less urgent requests of one gateway while more urgent ones of another
+/// are refused.
+#[tokio::test]
+async fn more_urgent_requests_of_any_gateway_get_the_starts_first() {
+    /// One of so many requests is urgent: 5 a second, where servers take 8.
+    const REQUESTS_TO_URGENT: usize = 16;
+    let configuration = Configuration::default()
+        .with("/routes/2/priority", json!(0))
+        .with("/routes/3/priority", json!(3));
+    let bench = start_configured("plain", &["a"], GATEWAYS, &configuration).await;
+    let limit = LIMIT.to_string();
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_limit(Some(&limit)));
+    load(&bench, "/status/1", BINDS_AFTER).await;
+
+    let end = Instant::now() + WINDOW * 2;
+    let mut running = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        let is_urgent = number % REQUESTS_TO_URGENT == 0;
+        let path = if is_urgent { "/booking/1" } else { "/status/1" };
+        // Urgent requests come to one gateway after the other.
+        let gateway = (number / REQUESTS_TO_URGENT + number) % GATEWAYS;
+        let callers = bench.gateways[gateway].callers();
+        let message = request(path, &format!("u-{number}"));
+        running.spawn(async move {
+            let answer = http::call(callers, message, CALL_LIMIT).await;
+            (is_urgent, answer.expect("answered").status())
+        });
+        number += 1;
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let answers = running.join_all().await;
+
+    let served = |urgent: bool| {
+        let mut of_kind = answers.iter().filter(|(is_urgent, _)| *is_urgent == urgent);
+        let all = of_kind.clone().count();
+        (
+            of_kind
+                .by_ref()
+                .filter(|(_, status)| *status == 200)
+                .count(),
+            all,
+        )
+    };
+    let (urgent, all_urgent) = served(true);
+    let (others, _) = served(false);
+    assert_eq!(
+        urgent, all_urgent,
+        "urgent requests served, beside {others} others"
+    );
+}
