--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -135,8 +135,8 @@
     }
 
     /// Chooses a backend server with a free slot, of any data centre, for a request that would
-    /// otherwise be shed. The starts at limited servers are left to more urgent requests that wait:
-    /// these wait for nothing else.
+    /// otherwise be shed. The starts at limited servers are left to more urgent requests that wait,
+    /// here or at a peer.
     pub(super) fn choose_free(
         &mut self,
         request: &PlacementRequest,
--- a/daemon/src/gateway/starts.rs
+++ b/daemon/src/gateway/starts.rs
@@ -31,8 +31,8 @@
 /// Longest question that is read, in bytes: an identifier and a few numbers.
 const MAX_ASK_BYTES: usize = 4 * 1024;
 
-/// Time after which a start is asked for again when the keeper has not answered. It is replaced when
-/// the connection to it has timed out.
+/// Time after which a start is asked for again when the keeper has not answered. Another gateway becomes
+/// the keeper once this one counts as unreachable.
 const NO_ANSWER_DELAY: Duration = Duration::from_millis(250);
 
 /// Clients of the peers that keep the limits of backend servers.
