Known red: resumable streams break at a silence before the first event, without budget, with the store down

The same fault as where no other server takes the request, by three more ways: the server is silent between the head of its response and its first event; the service's budget for repeats is used up; the store is down and the configuration is not confirmed any more, so that a request with a key is not sent again. In the last two a second server is sound, and nothing is lost if the gateway stays with the first one.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -4,11 +4,12 @@
     bytes::Bytes,
     hyper::{Request, header::HeaderValue},
     rstest::rstest,
-    serde_json::json,
-    std::time::Duration,
+    serde_json::{Value, json},
+    std::{fs, time::Duration},
     tamarackdale_testbed::{
         http,
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
+        store::Outage,
     },
 };
 
@@ -24,8 +25,11 @@
 /// A silence that callers bear: they give up after two seconds without an event.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Longest time for a gateway to apply its settings.
+const RELOAD_LIMIT: Duration = Duration::from_secs(3);
+
 struct Bench {
-    _site: Site,
+    site: Site,
     gateway: Gateway,
     servers: Vec<Server>,
 }
@@ -52,7 +56,7 @@
     let gateway = site.gateway("one").expect("starts");
     assert!(gateway.wait_ready(true).await, "not ready");
     Bench {
-        _site: site,
+        site,
         gateway,
         servers,
     }
@@ -110,3 +114,63 @@
     assert_eq!(event_ids(&first), [1]);
     assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
 }
+
+/// Guards against a resumable stream that is broken off at the silence of a sound server between the
+/// head of its response and the first event.
+#[tokio::test]
+async fn resumable_stream_of_a_server_silent_before_its_first_event_is_whole() {
+    let configuration = configuration().with("/routes/1/target_latency_ms", json!(100));
+    let bench = start(&configuration, "engine", 1).await;
+    let reply = http::send(bench.gateway.callers(), patient("/resumable/1", "r-1")).await;
+
+    bench.servers[0].fall_silent(SILENCE);
+    let answer = reply.expect("a head").collect().await.expect("whole");
+
+    assert_eq!(event_ids(&answer.body), [1, 2, 3, 4, 5]);
+}
+
+/// Guards against a resumable stream that is broken off at the silence of a sound server because the
+/// service's budget for repeats is used up.
+#[tokio::test]
+async fn resumable_stream_at_a_silent_server_is_whole_without_budget_for_repeats() {
+    let bench = start(&configuration(), "engine", 2).await;
+    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
+    let settings = settings
+        .replace("retry_budget = 0.2", "retry_budget = 0.0")
+        .replace("retry_extra = 100", "retry_extra = 0");
+    fs::write(&bench.gateway.settings, settings).expect("written");
+    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
+    let process = &bench.gateway.process;
+    process
+        .wait_for_log("new settings", RELOAD_LIMIT, is_reloaded)
+        .expect("applied");
+    let reply = http::send(bench.gateway.callers(), patient("/resumable/1", "r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    split(&bench.servers).0.fall_silent(SILENCE);
+    let rest = reply.collect().await.expect("whole");
+
+    assert_eq!(event_ids(&first), [1]);
+    assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
+}
+
+/// Guards against a resumable stream that is broken off at the silence of a sound server because the
+/// store is down and the configuration is not confirmed any more.
+#[tokio::test]
+async fn resumable_stream_at_a_silent_server_is_whole_while_the_store_is_down() {
+    /// Events of a stream that lasts longer than the last confirmation holds.
+    const MANY: u64 = 70;
+    let bench = start(&configuration(), "engine", 2).await;
+    let set_events = |server: &Server| server.set_events(MANY);
+    bench.servers.iter().for_each(set_events);
+    let reply = http::send(bench.gateway.callers(), patient("/resumable/1", "r-1")).await;
+    let reply = reply.expect("a head");
+    bench.site.store.stop(Outage::Hang);
+    assert!(bench.gateway.wait_ready(false).await, "still confirmed");
+
+    split(&bench.servers).0.fall_silent(SILENCE);
+    let answer = reply.collect().await.expect("whole");
+
+    assert_eq!(event_ids(&answer.body), Vec::from_iter(1..=MANY));
+}
