Gateways: a silent server keeps its stream until another one has responded

Callers saw resumable streams break off, head and some events received, although the server that ran them was sound: silent for 1.0 to 1.5 s, it would have gone on.

Cause: after a second without an event the gateway closed the connection to the server first and asked afterwards whether the request may be sent again. Without an attempt, a retry of the budget, a slot, a fresh confirmation of the configuration or a second server it could only break the caller's connection.

The gateway now goes on reading from the silent server while it seeks another one, waits for a slot there, takes a retry, connects and sends. Whichever speaks first keeps the stream: events of the silent server close the connection to the other one, the head of the other one's stream closes that to the silent server. Where the request may not be sent again, the gateway waits to the caller's or the route's time. A request that may stay where it is sheds nothing when it finds no slot. A stream whose server breaks off waits for a slot from the break on, no longer from its acceptance, so that it has a place in the line.

The end of a stream before its last event is logged with its reason (time, attempts, suspicion, placement); a silence and what keeps the stream there are logged once each.

--- a/core/src/dispatch.rs
+++ b/core/src/dispatch.rs
@@ -88,6 +88,17 @@
         self.give_up()
     }
 
+    /// Whether the request may be sent to another backend server while it runs at one.
+    pub fn may_send_again(&self) -> bool {
+        self.repeat_policy.may_rerun() && self.sent < self.max_attempts
+    }
+
+    /// Records that the request runs at a backend server and is to be sent to another one too.
+    pub fn begin_move(&mut self) {
+        self.is_sending = false;
+        self.may_have_run = true;
+    }
+
     /// What to do with a request that is not sent again.
     pub fn give_up(&self) -> Step {
         match self.verdict() {
--- a/core/src/wait_policy.rs
+++ b/core/src/wait_policy.rs
@@ -49,10 +49,10 @@
     accepted.plus(objective.mul_f64(ON_TIME_FRACTION).saturating_sub(first))
 }
 
-/// Time until which a request may wait at the router.
-pub fn wait_deadline(accepted: Timestamp, deadline: Timestamp) -> Timestamp {
-    let time_left = deadline.since(accepted);
-    accepted.plus(MAX_ROUTER_WAIT.min(time_left.mul_f64(MAX_WAIT_FRACTION)))
+/// Time until which a request that waits since `waiting_since` may wait at the router.
+pub fn wait_deadline(waiting_since: Timestamp, deadline: Timestamp) -> Timestamp {
+    let time_left = deadline.since(waiting_since);
+    waiting_since.plus(MAX_ROUTER_WAIT.min(time_left.mul_f64(MAX_WAIT_FRACTION)))
 }
 
 /// Smallest fraction of a caller's remaining time that is given as its retry delay: an overload
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -2,6 +2,7 @@
 
 mod exchange;
 mod stream;
+mod takeover;
 
 use {
     self::exchange::{BodyError, Exchange, ExchangeError},
@@ -83,6 +84,8 @@
     /// Backend servers that are not tried again.
     excluded: Vec<String>,
     deadline: Timestamp,
+    /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
+    waiting_since: Timestamp,
     /// Identifier of the last event that the caller has received.
     last_event: Option<u64>,
     /// Number of events that were passed on.
@@ -121,6 +124,7 @@
         dispatch: Dispatch::new(route.repeat_policy, route.attempts),
         excluded: Vec::new(),
         deadline: request.accepted.plus(time_left),
+        waiting_since: request.accepted,
         last_event: request.head.last_event,
         service,
         request,
@@ -232,6 +236,18 @@
         if self.quarantine().is_some() {
             return Err(Cause::Quarantined);
         }
+        let placement = self.placement_request();
+        let requested = self.context.clock.now();
+        let is_retry = placement.is_retry;
+        let choice = self.context.scheduler.place(placement).await?;
+        self.log_placement(&choice, requested, is_retry);
+        if self.time_left().is_zero() {
+            return Err(Cause::TimeoutUnsent);
+        }
+        Ok(choice)
+    }
+
+    fn placement_request(&self) -> PlacementRequest {
         let route = &self.request.route;
         let tokens = self.request.head.tokens;
         let organisation = self.request.organisation.as_ref();
@@ -239,7 +255,7 @@
         // it.
         let outer = organisation.and_then(|own| own.rank).unwrap_or(route.rank);
         let time_budget = self.request.head.time_budget.unwrap_or(route.timeout);
-        let placement = PlacementRequest {
+        PlacementRequest {
             service: self.service.clone(),
             rank: route.rank.nested_in(outer),
             prompt: self.prompt_tokens(),
@@ -247,18 +263,12 @@
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
             accepted: self.request.accepted,
+            waiting_since: self.waiting_since,
             objective: route.objective,
             deadline: self.deadline,
             is_retry: wait_policy::is_retry(time_budget, route.timeout),
-        };
-        let requested = self.context.clock.now();
-        let is_retry = placement.is_retry;
-        let choice = self.context.scheduler.place(placement).await?;
-        self.log_placement(&choice, requested, is_retry);
-        if self.time_left().is_zero() {
-            return Err(Cause::TimeoutUnsent);
+            is_optional: false,
         }
-        Ok(choice)
     }
 
     fn log_placement(&self, choice: &Choice, requested: Timestamp, is_retry: bool) {
@@ -283,15 +293,18 @@
 
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, ExchangeError> {
         // The configuration may have become stale while the request waited in the queue.
-        if self.request.organisation.is_some() && !self.is_fresh() {
+        if !self.is_key_proved() {
             return Err(ExchangeError::GivenUp(self.give_up(Cause::NotProved)));
         }
         exchange::run(self, choice).await
     }
 
-    fn is_fresh(&self) -> bool {
+    /// Whether the request needs no API key, or the configuration that has its key is confirmed to be
+    /// current.
+    fn is_key_proved(&self) -> bool {
         let snapshot = self.context.snapshot();
-        snapshot.is_some_and(|snapshot| snapshot.freshness.is_fresh(clock::boottime_now()))
+        self.request.organisation.is_none()
+            || snapshot.is_some_and(|snapshot| snapshot.freshness.is_fresh(clock::boottime_now()))
     }
 
     /// Digest of what is the same when the caller sends the request again.
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -1,30 +1,31 @@
 //! Relays an event stream to the caller, and resumes it at another backend server when it breaks.
 
 use {
-    super::{Job, exchange::Exchange},
+    super::{Cause, Job, exchange::Exchange, takeover},
     crate::http::body,
     bytes::Bytes,
+    derive_more::Display,
     futures_util::stream,
     gotham::{
         helpers::http::Body,
         hyper::{Response, body::Frame},
     },
     http_body_util::BodyExt as _,
+    hyper::body::Incoming,
     std::{io, time::Duration},
     tamarackdale_core::{
         dispatch::{SendFailure, Step},
-        routing_config::RepeatPolicy,
         sse::{Batch, Splitter},
     },
     tokio::time::{Instant, timeout},
 };
 
-/// Time without an event after which a resumable stream is resumed at another backend server. About
+/// Time without an event after which another backend server is sought for a resumable stream. About
 /// half of the time after which callers give up.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
+const EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 
-/// Timeout for the first event of a resumable stream, in addition to twice the route's objective.
-const FIRST_EVENT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// The same before the first event, in addition to twice the route's objective.
+const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 
 /// Returns a response that passes on the events as they arrive.
 pub fn respond(job: Job, exchange: Exchange) -> Response<Body> {
@@ -51,14 +52,35 @@
     waiting_since: Instant,
 }
 
-/// Result of one read from the backend server's stream.
+/// What was read from the backend server's stream.
 enum ReadResult {
-    Bytes(Bytes),
+    /// Complete events.
+    Events(Batch),
+    /// The end of the body.
     End,
-    /// No event was completed in time.
-    Stalled,
+    /// An event that cannot be passed on.
+    Invalid(String),
     /// The connection broke.
     Broken(String),
+    /// No event was completed for so long that another backend server is sought.
+    Silent,
+    /// The time that the caller or the route allows is over.
+    TimedOut,
+}
+
+/// Why a stream ends before its last event.
+#[derive(Clone, Copy, Debug, Display)]
+enum EndReason {
+    #[display("its time is over")]
+    TimedOut,
+    #[display("the request may not be sent again")]
+    NoAttemptLeft,
+    #[display("the request is suspected to crash backend servers")]
+    Suspected,
+    #[display("no backend server could take it: {_0}")]
+    NotPlaced(Cause),
+    #[display("the other backend server did not respond with a stream")]
+    NoStream,
 }
 
 impl StreamRelay {
@@ -66,43 +88,32 @@
     /// broke and cannot be resumed.
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
-            match self.read().await? {
-                ReadResult::Bytes(bytes) => match self.splitter.push(&bytes) {
-                    Ok(Some(batch)) => return Some(Ok(self.forward(batch))),
-                    Ok(None) => {}
-                    Err(error) => {
-                        if let Some(failed) = self.resume(&error.to_string(), true).await {
-                            return Some(failed);
-                        }
-                    }
-                },
+            let result = match self.read().await? {
+                ReadResult::Silent => self.read_or_move().await?,
+                result => result,
+            };
+            let failed = match result {
+                ReadResult::Events(batch) => return Some(Ok(self.forward(batch))),
                 ReadResult::End if self.splitter.is_inside_event() => {
                     let reason = "the last event is incomplete";
-                    if let Some(failed) = self.resume_after_break(reason).await {
-                        return Some(failed);
-                    }
+                    self.resume_after_break(reason).await
                 }
                 ReadResult::End if self.ended_with_nothing() => {
                     let reason = "the connection was closed before the first event";
-                    if let Some(failed) = self.resume_after_break(reason).await {
-                        return Some(failed);
-                    }
+                    self.resume_after_break(reason).await
                 }
                 ReadResult::End => {
                     self.finish();
                     return None;
                 }
-                ReadResult::Stalled => {
-                    if let Some(failed) = self.resume("timed out waiting for an event", true).await
-                    {
-                        return Some(failed);
-                    }
-                }
-                ReadResult::Broken(reason) => {
-                    if let Some(failed) = self.resume_after_break(&reason).await {
-                        return Some(failed);
-                    }
-                }
+                ReadResult::Invalid(reason) => self.resume(&reason, true).await,
+                ReadResult::Broken(reason) => self.resume_after_break(&reason).await,
+                ReadResult::TimedOut => Some(self.abort(EndReason::TimedOut)),
+                // The stream has moved.
+                ReadResult::Silent => None,
+            };
+            if failed.is_some() {
+                return failed;
             }
         }
     }
@@ -115,28 +126,57 @@
     }
 
     async fn read(&mut self) -> Option<ReadResult> {
-        let limit = self.read_timeout();
-        let exchange = self.exchange.as_mut()?;
-        let result = match timeout(limit, exchange.body.frame()).await {
-            Err(_) => ReadResult::Stalled,
-            Ok(None) => ReadResult::End,
-            Ok(Some(Err(error))) => ReadResult::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => ReadResult::Bytes(frame.into_data().unwrap_or_default()),
+        let time_left = self.job.time_left();
+        let patience = self.patience().filter(|patience| *patience < time_left);
+        let body = &mut self.exchange.as_mut()?.body;
+        let reading = read_events(body, &mut self.splitter, time_left);
+        let result = match patience {
+            Some(patience) => timeout(patience, reading).await,
+            None => Ok(reading.await),
         };
-        Some(result)
+        Some(result.unwrap_or(ReadResult::Silent))
     }
 
-    /// Timeout for the next read. It is counted from the last event and not from the last bytes: a
+    /// Time for which the backend server may stay silent before another one is sought, or `None` if the
+    /// stream cannot go on elsewhere. It is counted from the last event and not from the last bytes: a
     /// stalled backend server may send a byte of an event now and then.
-    fn read_timeout(&self) -> Duration {
-        let left = self.job.time_left();
-        let route = &self.job.request.route;
-        let max_wait = match (route.repeat_policy, self.job.events) {
-            (RepeatPolicy::ResumableStream, 0) => FIRST_EVENT_TIMEOUT + route.objective * 2,
-            (RepeatPolicy::ResumableStream, _) => EVENT_TIMEOUT,
-            _ => return left,
+    fn patience(&self) -> Option<Duration> {
+        if !self.job.dispatch.may_send_again() {
+            return None;
+        }
+        let max_wait = match self.job.events {
+            0 => FIRST_EVENT_PATIENCE + self.job.request.route.objective * 2,
+            _ => EVENT_PATIENCE,
         };
-        left.min(max_wait.saturating_sub(self.waiting_since.elapsed()))
+        Some(max_wait.saturating_sub(self.waiting_since.elapsed()))
+    }
+
+    /// Seeks another backend server for the stream while the silent one may still go on. Returns what
+    /// the silent one sent, or `Silent` if the stream has moved.
+    async fn read_or_move(&mut self) -> Option<ReadResult> {
+        let time_left = self.job.time_left();
+        let silent = self.exchange.as_mut()?;
+        let member = silent.member.clone();
+        log::info!(
+            request = self.job.request.head.id.as_str(),
+            backend_server = member.id.as_str(),
+            events = self.job.events,
+            last_event:? = self.job.last_event,
+            silent_ms = self.waiting_since.elapsed().as_millis() as u64;
+            "stream silent, seeking another backend server"
+        );
+        let next = tokio::select! {
+            biased;
+            result = read_events(&mut silent.body, &mut self.splitter, time_left) => return Some(result),
+            next = takeover::run(&mut self.job, &member) => next,
+        };
+        silent.record_failure();
+        // Drops the silent exchange, and so closes its connection.
+        self.exchange = Some(next);
+        self.job.excluded.push(member.id);
+        self.splitter = Splitter::new();
+        self.waiting_since = Instant::now();
+        Some(ReadResult::Silent)
     }
 
     fn forward(&mut self, batch: Batch) -> Bytes {
@@ -183,9 +223,16 @@
         // Closes the connection before the request is sent again.
         drop(broken);
         self.splitter = Splitter::new();
+        self.job.waiting_since = self.job.context.clock.now();
         let step = self.job.dispatch.fail(SendFailure::Lost);
-        if is_late || !may_resend || step != Step::Resend {
-            return Some(self.abort());
+        let end_reason = match (is_late, may_resend, step) {
+            (true, _, _) => Some(EndReason::TimedOut),
+            (_, false, _) => Some(EndReason::Suspected),
+            (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
+            (_, _, Step::Resend) => None,
+        };
+        if let Some(end_reason) = end_reason {
+            return Some(self.abort(end_reason));
         }
         match self.job.send_until_response().await {
             Ok(exchange) if exchange.is_stream() => {
@@ -193,11 +240,22 @@
                 self.waiting_since = Instant::now();
                 None
             }
-            Ok(_) | Err(_) => Some(self.abort()),
+            Ok(_) => Some(self.abort(EndReason::NoStream)),
+            Err(cause) => Some(self.abort(EndReason::NotPlaced(cause))),
         }
     }
 
-    fn abort(&mut self) -> io::Result<Bytes> {
+    /// Ends the stream, and with it the caller's connection, before the last event.
+    fn abort(&mut self, reason: EndReason) -> io::Result<Bytes> {
+        log::warn!(
+            request = self.job.request.head.id.as_str(),
+            events = self.job.events,
+            last_event:? = self.job.last_event,
+            sent = self.job.dispatch.sent(),
+            time_left_ms = self.job.time_left().as_millis() as u64;
+            "stream ended before its last event: {reason}"
+        );
+        self.exchange = None;
         self.job.finish("broken", None);
         Err(io::Error::other("the stream from the backend server broke"))
     }
@@ -209,3 +267,29 @@
         self.job.finish(super::ANSWERED, in_flight.as_ref());
     }
 }
+
+/// Reads the next complete events of a backend server's stream, for at most `time_left`. Dropping the
+/// future loses nothing.
+async fn read_events(
+    body: &mut Incoming,
+    splitter: &mut Splitter,
+    time_left: Duration,
+) -> ReadResult {
+    let reading = async {
+        loop {
+            let bytes = match body.frame().await {
+                None => return ReadResult::End,
+                Some(Err(error)) => return ReadResult::Broken(error.to_string()),
+                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
+            };
+            match splitter.push(&bytes) {
+                Ok(None) => {}
+                Ok(Some(batch)) => return ReadResult::Events(batch),
+                Err(error) => return ReadResult::Invalid(error.to_string()),
+            }
+        }
+    };
+    timeout(time_left, reading)
+        .await
+        .unwrap_or(ReadResult::TimedOut)
+}
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -176,7 +176,7 @@
                 self.changed.notify_one();
                 return Err(PlacementError::Overload);
             }
-            let wait_until = wait_policy::wait_deadline(request.accepted, request.deadline);
+            let wait_until = wait_policy::wait_deadline(request.waiting_since, request.deadline);
             if wait_until <= now {
                 drop(state);
                 return self.place_or_shed(&request);
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -22,10 +22,14 @@
     pub excluded: Vec<String>,
     /// When the gateway accepted the request.
     pub accepted: Timestamp,
+    /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
+    pub waiting_since: Timestamp,
     /// Target time from acceptance to the start of the response.
     pub objective: Duration,
     /// When the response must be complete.
     pub deadline: Timestamp,
     /// Whether this is probably a caller's retry after a refusal.
     pub is_retry: bool,
+    /// Whether the request may stay where it is: it is not shed if there is no slot for it.
+    pub is_optional: bool,
 }
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -262,6 +262,9 @@
     /// Raises the shed floor to the rank of a request that is shed: for a while, less urgent
     /// requests are refused.
     pub(super) fn record_shed(&mut self, request: &PlacementRequest, now: Timestamp) {
+        if request.is_optional {
+            return;
+        }
         if self
             .shed_floor(&request.service)
             .raise_own(request.rank, now)
