Known red: streams of one silent server break while the others are full

Callers whose server fell silent for 1.5 s lost their stream, since both other servers took nothing more.

How the broken ones were spread over the servers was not looked at.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -253,3 +253,17 @@
 
     assert_eq!(whole, STREAMS, "whole streams");
 }
+
+/// Guards against streams that are broken off when their server falls silent while the others take
+/// nothing.
+#[tokio::test]
+async fn streams_of_one_silent_server_are_whole_while_the_others_are_full() {
+    let (bench, streams) = start_load("/resumable/1", 100).await;
+
+    let (silent, others) = split(&bench.servers);
+    others.for_each(|server| server.set_behaviour(Behaviour::Full));
+    silent.fall_silent(SILENCE);
+    let whole = count_whole(streams).await;
+
+    assert_eq!(whole, STREAMS, "whole streams");
+}
