Plain requests at a server that falls silent get their whole answers

Guards against requests that fail, or run again, because their sound server is silent for 1.5 s before it answers.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -26,6 +26,9 @@
 /// A silence that callers bear: they give up after two seconds without an event.
 const SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Longest time for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(22);
+
 /// Longest time for a gateway to apply its settings.
 const RELOAD_LIMIT: Duration = Duration::from_secs(3);
 
@@ -267,3 +270,29 @@
 
     assert_eq!(whole, STREAMS, "whole streams");
 }
+
+/// Guards against requests that fail, or run again, because their sound server is silent before it
+/// answers.
+#[rstest]
+#[case::idempotent("/status/1")]
+#[case::not_idempotent("/booking/1")]
+#[tokio::test]
+async fn plain_request_at_a_silent_server_gets_its_whole_answer(#[case] path: &str) {
+    const REQUESTS: usize = 6;
+    let bench = start(&configuration(), "plain", 1).await;
+    let callers = bench.gateway.callers();
+
+    bench.servers[0].fall_silent(SILENCE);
+    let mut calls = JoinSet::new();
+    for number in 0..REQUESTS {
+        let message = patient(path, &format!("p-{number}"));
+        calls.spawn(http::call(callers, message, CALL_LIMIT));
+    }
+    let answers = calls.join_all().await;
+
+    for answer in answers {
+        let answer = answer.expect("answered");
+        assert_eq!(answer.text(), "plain-0 got 16 bytes");
+    }
+    assert_eq!(bench.servers[0].runs().len(), REQUESTS);
+}
