Known red: connections closed under callers that keep to the limits

Two faults of the callers' listener, which has one timeout for the idle time and the head together, read when a connection is opened. After a configuration that raises the idle timeout, connections opened before are closed at the former one, so callers that keep to the new one find them closed. And a caller that begins a request late within the idle timeout and takes its time within the timeout for heads has its connection closed in the middle of the head, without an answer.

--- /dev/null
+++ b/testbed/tests/kept_connections.rs
@@ -0,0 +1,143 @@
+//! Callers' kept connections within the limits of the configuration, against a gateway as a real
+//! process.
+
+use {
+    rstest::rstest,
+    serde_json::json,
+    std::time::Duration,
+    tamarackdale_testbed::{
+        http,
+        platform::{Configuration, Gateway, Server, Site, request},
+    },
+    tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
+        net::TcpStream,
+        task::JoinSet,
+        time::sleep,
+    },
+};
+
+/// Longest time for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+
+/// Time within which a configuration is in force: the convergence of the site's settings, and a half.
+const IN_FORCE: Duration = Duration::from_millis(1_500);
+
+/// Idle timeout of the first configuration; the timeout for a head is three seconds.
+const IDLE_TIMEOUT_MS: u64 = 2_000;
+
+/// Time for which callers leave connections idle under [`IDLE_TIMEOUT_MS`]: four fifths of it.
+const LONGEST_IDLE: Duration = Duration::from_millis(1_600);
+
+struct Bench {
+    site: Site,
+    gateway: Gateway,
+    server: Server,
+}
+
+fn configuration() -> Configuration {
+    Configuration::default().with("/limits/idle_timeout_ms", json!(IDLE_TIMEOUT_MS))
+}
+
+/// A site with a plain server and a gateway that is ready.
+async fn start() -> Bench {
+    let site = Site::new(&configuration()).expect("starts");
+    let server = Server::new("plain-0", "plain").expect("starts");
+    site.register(&server);
+    let gateway = site.gateway("one").expect("starts");
+    assert!(gateway.wait_ready(true).await, "not ready");
+    Bench {
+        site,
+        gateway,
+        server,
+    }
+}
+
+async fn call(connection: &mut http::Connection, id: &str) -> Result<u16, http::Fault> {
+    let answer = connection.call(request("/status/1", id), CALL_LIMIT).await;
+    answer.map(|answer| answer.status())
+}
+
+/// Guards against a connection that is closed at the idle timeout of a configuration that is not in force
+/// any more, under the request of a caller who keeps to the new one.
+#[tokio::test]
+async fn kept_connection_stays_open_for_a_raised_idle_timeout() {
+    /// Less than four fifths of the new timeout.
+    const IDLE: Duration = Duration::from_secs(4);
+    let bench = start().await;
+    let opened = http::Connection::open(bench.gateway.callers()).await;
+    let mut connection = opened.expect("accepted");
+    assert_eq!(call(&mut connection, "k-1").await.ok(), Some(200));
+
+    let raised = configuration().with("/limits/idle_timeout_ms", json!(10_000));
+    bench.site.configure(&raised);
+    sleep(IN_FORCE).await;
+    assert_eq!(call(&mut connection, "k-2").await.ok(), Some(200));
+    sleep(IDLE).await;
+    let last = call(&mut connection, "k-3").await;
+
+    assert_eq!(last.expect("answered"), 200);
+}
+
+/// Guards against a connection that is closed under a request whose caller kept to the idle timeout and
+/// to the timeout for heads, because the time before the head counts as part of it.
+#[rstest]
+#[case::head_in_pieces("POST /status/1 HTTP/1.1\r\nHost: site.", "example\r\n")]
+#[case::body_in_pieces("POST /status/1 HTTP/1.1\r\nHost: site.example\r\n", "")]
+#[tokio::test]
+async fn request_that_begins_late_and_comes_slowly_is_answered(
+    #[case] first: &str,
+    #[case] second: &str,
+) {
+    /// Less than the timeout for a head, and past the idle timeout.
+    const PAUSE: Duration = Duration::from_secs(1);
+    let headers = "Attempt-Id: s-1\r\nTime-Budget: 3000\r\nAuthorization: Bearer key\r\n\
+                   Content-Length: 4\r\nConnection: close\r\n\r\n";
+    let (first, second) = match second.is_empty() {
+        true => (format!("{first}{headers}bo"), "dy".to_owned()),
+        false => (first.to_owned(), format!("{second}{headers}body")),
+    };
+    let bench = start().await;
+    let mut stream = TcpStream::connect(bench.gateway.callers())
+        .await
+        .expect("accepted");
+
+    sleep(LONGEST_IDLE).await;
+    stream.write_all(first.as_bytes()).await.expect("sent");
+    sleep(PAUSE).await;
+    stream.write_all(second.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("answered");
+
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+}
+
+/// Guards against a request that is passed on and not answered because it came just as its connection had
+/// been idle for too long.
+#[tokio::test]
+async fn request_at_the_moment_of_the_idle_timeout_is_answered_or_not_run() {
+    const CONNECTIONS: u32 = 80;
+    const STEP: Duration = Duration::from_micros(250);
+    let bench = start().await;
+    let mut calls = JoinSet::new();
+    for number in 0..CONNECTIONS {
+        let opened = http::Connection::open(bench.gateway.callers()).await;
+        let mut connection = opened.expect("accepted");
+        let first = call(&mut connection, &format!("first-{number}")).await;
+        assert_eq!(first.ok(), Some(200));
+        calls.spawn(async move {
+            let idle = Duration::from_millis(IDLE_TIMEOUT_MS) - STEP * (CONNECTIONS / 2);
+            sleep(idle + STEP * number).await;
+            let id = format!("last-{number}");
+            let answer = call(&mut connection, &id).await;
+            (id, answer.ok())
+        });
+    }
+    let answers = calls.join_all().await;
+
+    let runs = bench.server.runs();
+    let has_run = |id: &str| runs.iter().any(|run| run.id == id);
+    for (id, answer) in answers {
+        assert!(answer.is_some() || !has_run(&id), "{id} ran");
+    }
+}
