Streams beside a change of the configuration are whole or refused

Guards against streams that are broken off because the configuration changes while their server falls silent, and against requests that wait for a server while it changes. The changes: the route moved to another service, the route removed, the service removed, the key moved to another organisation, the key removed, the timeout lowered to a second, one attempt allowed.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -10,6 +10,7 @@
         http,
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
         store::Outage,
+        wait,
     },
     tokio::{task::JoinSet, time::sleep},
 };
@@ -29,6 +30,9 @@
 /// Longest time for an answer.
 const CALL_LIMIT: Duration = Duration::from_secs(22);
 
+/// Longest time for a gateway to apply a configuration.
+const IN_FORCE_LIMIT: Duration = Duration::from_secs(3);
+
 /// Longest time for a gateway to apply its settings.
 const RELOAD_LIMIT: Duration = Duration::from_secs(3);
 
@@ -296,3 +300,126 @@
     }
     assert_eq!(bench.servers[0].runs().len(), REQUESTS);
 }
+
+/// A later version of the configuration, in which route 1 or what it needs has changed.
+#[derive(Clone, Copy, Debug)]
+enum Change {
+    None,
+    RouteMoved,
+    RouteRemoved,
+    ServiceRemoved,
+    OrganisationChanged,
+    KeyRemoved,
+    TimeoutLowered,
+    AttemptsLowered,
+}
+
+impl Change {
+    fn apply(self, configuration: Configuration) -> Configuration {
+        let organisation = |name: &str, key: &str| {
+            json!([{"name": name, "api_keys": [key], "priority": 1, "unit": "tokens",
+                    "uncached_tokens": 1, "rate_per_s": 100_000, "burst": 100_000}])
+        };
+        let mut next = configuration.with("/routes/1/priority", json!(0));
+        let value = &mut next.value;
+        match self {
+            Self::None => {}
+            Self::RouteMoved => value["routes"][1]["service"] = json!("plain"),
+            Self::RouteRemoved => {
+                let routes = value["routes"].as_array_mut().expect("routes");
+                routes.remove(1);
+            }
+            Self::ServiceRemoved => {
+                value["routes"][0]["service"] = json!("plain");
+                value["routes"][1]["service"] = json!("plain");
+                let services = value["services"].as_array_mut().expect("services");
+                services.retain(|service| service["name"] != "engine");
+            }
+            Self::OrganisationChanged => value["tenants"] = organisation("p", "key"),
+            Self::KeyRemoved => value["tenants"] = organisation("o", "another"),
+            Self::TimeoutLowered => value["routes"][1]["timeout_ms"] = json!(1_000),
+            Self::AttemptsLowered => value["routes"][1]["attempts"] = json!(1),
+        }
+        next
+    }
+}
+
+/// Puts a configuration and waits until the gateway has applied it.
+async fn configure(bench: &Bench, next: &Configuration) {
+    bench.site.configure(next);
+    let is_applied = |log: &Value| {
+        log["message"] == "configuration applied" && log["version"] == next.value["version"]
+    };
+    let is_in_force = || bench.gateway.process.logs().iter().any(is_applied);
+    assert!(
+        wait::until(IN_FORCE_LIMIT, is_in_force).await,
+        "not applied"
+    );
+}
+
+/// Guards against a stream that is broken off because the configuration changes and its server falls
+/// silent.
+#[rstest]
+#[case::nothing(Change::None)]
+#[case::route_moved(Change::RouteMoved)]
+#[case::route_removed(Change::RouteRemoved)]
+#[case::service_removed(Change::ServiceRemoved)]
+#[case::organisation_changed(Change::OrganisationChanged)]
+#[case::key_removed(Change::KeyRemoved)]
+#[case::timeout_lowered(Change::TimeoutLowered)]
+#[case::attempts_lowered(Change::AttemptsLowered)]
+#[tokio::test]
+async fn stream_beside_a_change_is_whole_although_its_server_falls_silent(
+    #[case] change: Change,
+    #[values(Duration::ZERO, Duration::from_millis(1_200))] silence: Duration,
+) {
+    let bench = start(&configuration(), "engine", 2).await;
+    for server in &bench.servers {
+        server.set_events(MANY);
+    }
+    let reply = http::send(bench.gateway.callers(), patient("/resumable/1", "r-1")).await;
+    let reply = reply.expect("a head");
+
+    configure(&bench, &change.apply(configuration())).await;
+    split(&bench.servers).0.fall_silent(silence);
+    let answer = reply.collect().await.expect("whole");
+
+    assert_eq!(event_ids(&answer.body), Vec::from_iter(1..=MANY));
+}
+
+/// Guards against requests that wait for a server and get neither an answer nor a refusal because the
+/// configuration changes.
+#[rstest]
+#[case::route_moved(Change::RouteMoved)]
+#[case::route_removed(Change::RouteRemoved)]
+#[case::service_removed(Change::ServiceRemoved)]
+#[case::organisation_changed(Change::OrganisationChanged)]
+#[case::key_removed(Change::KeyRemoved)]
+#[case::timeout_lowered(Change::TimeoutLowered)]
+#[case::attempts_lowered(Change::AttemptsLowered)]
+#[tokio::test]
+async fn streams_that_wait_beside_a_change_are_whole_or_refused(#[case] change: Change) {
+    /// More than the server takes at once.
+    const CALLS: usize = 24;
+    // Callers may wait for as long as the requests before theirs take.
+    let patient_route = configuration().with("/routes/1/target_latency_ms", json!(8_000));
+    let bench = start(&patient_route, "engine", 1).await;
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        let message = patient("/resumable/1", &format!("w-{number}"));
+        calls.spawn(http::call(bench.gateway.callers(), message, CALL_LIMIT));
+    }
+
+    sleep(EVENT_INTERVAL * 2).await;
+    configure(&bench, &change.apply(patient_route)).await;
+    let begun = bench.servers[0].runs().len();
+    let answers = calls.join_all().await;
+
+    assert!(begun < CALLS, "no request waited");
+    let all: Vec<u64> = (1..=EVENTS).collect();
+    for answer in answers {
+        let answer = answer.expect("answered");
+        let is_whole = answer.status() == 200 && event_ids(&answer.body) == all;
+        assert!(is_whole || answer.status() >= 429, "{answer:?}");
+    }
+}
