Gateways: callers' connections keep the timeouts of the configuration in force

Callers that kept to the limits found their connection closed under a request, without an answer: after a configuration that raised the idle timeout, on connections opened before it; and when they began a request late within the idle timeout and took their time within the timeout for heads.

Cause: the listener had one timeout for the idle time and the head together, which was read when the connection was opened and kept for its life.

http::activity follows the requests and bytes of a connection. Between requests the idle timeout counts, from the first byte of a head the timeout for heads; both are read again before the connection is closed, and the longer value counts, so that neither a raised nor a lowered limit closes a connection that its caller may still use. A connection that fails while a request is in progress is logged with the number of requests.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -126,7 +126,7 @@
         .max_descriptors
         .saturating_sub(RESERVED_DESCRIPTORS)
         .max(64);
-    let header_context = context.clone();
+    let timeouts_context = context.clone();
     let callers = Server::bind(
         "callers",
         settings.callers,
@@ -134,7 +134,7 @@
         callers::routes(context.clone()),
     )
     .await?
-    .with_header_timeout(move || header_context.idle_timeout());
+    .with_timeouts(move || timeouts_context.connection_timeouts());
     let readiness = bind_admin("readiness", settings.readiness, &admin_context).await?;
     let metrics = bind_admin(
         "metrics",
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -9,13 +9,12 @@
         starts::Keepers,
         summary_broadcast::SummaryBroadcast,
     },
-    crate::{clock::Clock, metrics::Metrics},
+    crate::{clock::Clock, http::activity::Timeouts, metrics::Metrics},
     gotham::state::StateData,
     std::{
         net::SocketAddr,
         panic::RefUnwindSafe,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
     },
     tamarackdale_core::peer_table::PeerTable,
     tamarackdale_platform::Settings,
@@ -68,10 +67,14 @@
         known_peers.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Idle timeout of callers' connections.
-    pub fn idle_timeout(&self) -> Duration {
+    /// Timeouts of callers' connections.
+    pub fn connection_timeouts(&self) -> Timeouts {
         let limits = self.snapshot().map(|snapshot| snapshot.value.limits());
-        limits.unwrap_or_default().idle_timeout
+        let limits = limits.unwrap_or_default();
+        Timeouts {
+            idle: limits.idle_timeout,
+            head: limits.header_timeout,
+        }
     }
 }
 
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -1,5 +1,6 @@
 //! HTTP servers with graceful shutdown, clients and bodies.
 
+pub mod activity;
 pub mod body;
 pub mod client;
 pub mod server;
--- /dev/null
+++ b/daemon/src/http/activity.rs
@@ -0,0 +1,137 @@
+//! What happens on a caller's connection, and when it has been idle for too long.
+
+use {
+    bytes::Bytes,
+    http_body_util::BodyExt as _,
+    hyper::body::Body,
+    std::{sync::Arc, time::Duration},
+    tokio::{
+        sync::watch,
+        time::{Instant, sleep_until},
+    },
+};
+
+/// Timeouts of a connection on which no request is in progress.
+#[derive(Clone, Copy, Debug)]
+pub struct Timeouts {
+    /// Time between two requests, or before the first one.
+    pub idle: Duration,
+    /// Time from the first byte of a request's head to its last.
+    pub head: Duration,
+}
+
+/// What happens on one connection. Clones share it.
+#[derive(Clone)]
+pub struct Activity {
+    state: Arc<watch::Sender<State>>,
+}
+
+#[derive(Clone, Copy, Default)]
+struct State {
+    /// Requests in progress.
+    requests: usize,
+    /// When the first byte of a head arrived that is not complete.
+    head_since: Option<Instant>,
+}
+
+/// A request that is in progress until this is dropped.
+pub struct InProgress {
+    state: Arc<watch::Sender<State>>,
+}
+
+impl Activity {
+    /// Creates the activity of a connection that has just been opened.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that bytes were read.
+    pub fn record_bytes(&self) {
+        self.state.send_if_modified(|state| {
+            let is_new_head = state.requests == 0 && state.head_since.is_none();
+            if is_new_head {
+                state.head_since = Some(Instant::now());
+            }
+            is_new_head
+        });
+    }
+
+    /// Records that the head of a request is complete.
+    pub fn begin_request(&self) -> InProgress {
+        self.state.send_modify(|state| {
+            state.requests += 1;
+            state.head_since = None;
+        });
+        InProgress {
+            state: Arc::clone(&self.state),
+        }
+    }
+
+    /// Number of requests in progress.
+    pub fn requests(&self) -> usize {
+        self.state.borrow().requests
+    }
+
+    /// Waits until a head takes too long, or the connection has been idle for too long. The timeouts
+    /// are read at the beginning and at the end of that time, and the longer one counts.
+    pub async fn timed_out(&self, timeouts: &(dyn Fn() -> Timeouts + Send + Sync)) {
+        let mut changes = self.state.subscribe();
+        loop {
+            let state = *changes.borrow_and_update();
+            if state.requests > 0 {
+                // The sender lives as long as `self`.
+                let _ = changes.changed().await;
+                continue;
+            }
+            let since = state.head_since.unwrap_or_else(Instant::now);
+            let limit = || match state.head_since {
+                Some(_) => timeouts().head,
+                None => timeouts().idle,
+            };
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = elapsed(since, limit) => return,
+            }
+        }
+    }
+}
+
+/// Waits until `limit` has passed since `since`, where a longer limit at the end counts.
+async fn elapsed(since: Instant, limit: impl Fn() -> Duration) {
+    let mut longest = limit();
+    loop {
+        sleep_until(since + longest).await;
+        let current = limit();
+        if current <= longest {
+            return;
+        }
+        longest = current;
+    }
+}
+
+impl InProgress {
+    /// Keeps the request in progress until `body`, its response, is written or dropped.
+    pub fn until_end_of<B>(self, body: B) -> impl Body<Data = Bytes, Error = B::Error>
+    where
+        B: Body<Data = Bytes>,
+    {
+        body.map_err(move |error| {
+            let _ = &self;
+            error
+        })
+    }
+}
+
+impl Default for Activity {
+    fn default() -> Self {
+        Self {
+            state: Arc::new(watch::Sender::default()),
+        }
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.state.send_modify(|state| state.requests -= 1);
+    }
+}
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -4,22 +4,25 @@
 //! accept loop.
 
 use {
+    super::activity::{Activity, Timeouts},
     crate::signal::Shutdown,
-    gotham::{handler::NewHandler, service::call_handler, state::State},
+    gotham::{handler::NewHandler, helpers::http::Body, service::call_handler, state::State},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
-    hyper_util::{
-        rt::{TokioIo, TokioTimer},
-        server::graceful::{GracefulConnection, GracefulShutdown},
-    },
-    std::{io, net::SocketAddr, panic::AssertUnwindSafe, sync::Arc, time::Duration},
+    hyper_util::rt::TokioIo,
+    std::{io, net::SocketAddr, panic::AssertUnwindSafe, pin::pin, sync::Arc, time::Duration},
     tokio::{
         net::{TcpListener, TcpStream},
         sync::Semaphore,
     },
-    tokio_util::task::TaskTracker,
+    tokio_util::{io::InspectReader, task::TaskTracker},
+};
+
+/// Timeouts of listeners that have none of their own.
+const TIMEOUTS: Timeouts = Timeouts {
+    idle: Duration::from_secs(10),
+    head: Duration::from_secs(10),
 };
 
-const HEADER_READ_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_HEADER_BUFFER_BYTES: usize = 64 * 1024;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
@@ -29,7 +32,7 @@
     listener: TcpListener,
     handler: Arc<H>,
     connections: Arc<Semaphore>,
-    header_timeout: Arc<dyn Fn() -> Duration + Send + Sync>,
+    timeouts: Arc<dyn Fn() -> Timeouts + Send + Sync>,
 }
 
 impl<H> Server<H>
@@ -53,24 +56,23 @@
             listener,
             handler: Arc::new(handler),
             connections: Arc::new(Semaphore::new(max_connections)),
-            header_timeout: Arc::new(|| HEADER_READ_TIMEOUT),
+            timeouts: Arc::new(|| TIMEOUTS),
         })
     }
 
-    /// Sets the timeout for reading a request's head, including the idle time before it. It is
-    /// evaluated for each new connection.
-    pub fn with_header_timeout(
+    /// Sets the timeouts of connections. They are read again before a connection is closed, so that
+    /// longer ones hold at once.
+    pub fn with_timeouts(
         mut self,
-        timeout: impl Fn() -> Duration + Send + Sync + 'static,
+        timeouts: impl Fn() -> Timeouts + Send + Sync + 'static,
     ) -> Self {
-        self.header_timeout = Arc::new(timeout);
+        self.timeouts = Arc::new(timeouts);
         self
     }
 
     /// Serves until `shutdown` is closing, then ends each connection after its current request.
     /// Drops all connections when `shutdown` is aborting.
     pub async fn serve(self, shutdown: &Shutdown) {
-        let graceful = GracefulShutdown::new();
         let tracker = TaskTracker::new();
         loop {
             let accepted = tokio::select! {
@@ -83,26 +85,14 @@
             let Ok(peer) = stream.peer_addr() else {
                 continue;
             };
-            let connection = graceful.watch(self.serve_connection(stream, peer));
-            let aborting = shutdown.aborting.clone();
-            let name = self.name;
+            let connection = self.serve_connection(stream, peer, shutdown.clone());
             tracker.spawn(async move {
-                tokio::select! {
-                    result = connection => log_connection_error(name, result),
-                    () = aborting.cancelled() => {
-                        log::warn!(
-                            listener = name,
-                            peer:% = peer;
-                            "connection aborted at shutdown"
-                        );
-                    }
-                }
+                connection.await;
                 drop(permit);
             });
         }
         drop(self.listener);
         tracker.close();
-        graceful.shutdown().await;
         tracker.wait().await;
     }
 
@@ -123,21 +113,57 @@
         }
     }
 
+    /// Serves one connection until it ends, is idle for too long or is ended by the shutdown.
     fn serve_connection(
         &self,
         stream: TcpStream,
         peer: SocketAddr,
-    ) -> impl GracefulConnection<Error = hyper::Error> + use<H> {
+        shutdown: Shutdown,
+    ) -> impl Future<Output = ()> + use<H> {
+        let name = self.name;
         let handler = Arc::clone(&self.handler);
+        let timeouts = Arc::clone(&self.timeouts);
+        let activity = Activity::new();
+        let requests = activity.clone();
         let service = service_fn(move |request: Request<Incoming>| {
             let state = State::from_request(remove_invalid_request_id(request), peer);
-            call_handler(Arc::clone(&handler), AssertUnwindSafe(state))
+            let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
+            let in_progress = requests.begin_request();
+            async move {
+                let response = response.await;
+                response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
+            }
         });
-        http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout((self.header_timeout)())
+        let received = activity.clone();
+        let stream = InspectReader::new(stream, move |_: &[u8]| received.record_bytes());
+        let connection = http1::Builder::new()
+            // `Activity` has the timeouts.
+            .header_read_timeout(None)
             .max_buf_size(MAX_HEADER_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(stream), service);
+        async move {
+            let mut connection = pin!(connection);
+            let mut is_closing = false;
+            loop {
+                tokio::select! {
+                    // A request that has arrived goes before the timeout.
+                    biased;
+                    result = connection.as_mut() => {
+                        log_connection_error(name, peer, &activity, result);
+                        return;
+                    }
+                    () = shutdown.aborting.cancelled() => {
+                        log::warn!(listener = name, peer:% = peer; "connection aborted at shutdown");
+                        return;
+                    }
+                    () = shutdown.closing.cancelled(), if !is_closing => {
+                        is_closing = true;
+                        connection.as_mut().graceful_shutdown();
+                    }
+                    () = activity.timed_out(&*timeouts) => return,
+                }
+            }
+        }
     }
 }
 
@@ -154,8 +180,23 @@
     request
 }
 
-fn log_connection_error(name: &'static str, result: Result<(), hyper::Error>) {
-    if let Err(error) = result {
-        log::debug!(listener = name; "connection failed: {error}");
+/// Logs why a connection failed, at a level that is written if callers did not get an answer by that.
+fn log_connection_error(
+    name: &'static str,
+    peer: SocketAddr,
+    activity: &Activity,
+    result: Result<(), hyper::Error>,
+) {
+    let Err(error) = result else {
+        return;
+    };
+    match activity.requests() {
+        0 => log::debug!(listener = name; "connection failed: {error}"),
+        requests => log::info!(
+            listener = name,
+            peer:% = peer,
+            requests;
+            "connection ended before its response was complete: {error}"
+        ),
     }
 }
