--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -25,6 +25,9 @@
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Version of a server's software unless it is another one.
+const DEFAULT_VERSION: &str = "v1";
+
 /// How the server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -88,6 +91,10 @@
     pub organisation: String,
     /// Event after which it was to go on.
     pub resumed_after: Option<u64>,
+    /// Attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
+    /// Version of the server's software.
+    pub version: String,
     /// Whether the caller's key came with it.
     pub has_key: bool,
     /// Parts of its prompt as they were stated.
@@ -111,6 +118,8 @@
 
 struct State {
     id: String,
+    /// Version of its software.
+    version: Mutex<String>,
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
@@ -144,6 +153,7 @@
     pub fn new(id: &str, service: &str) -> io::Result<Self> {
         let state = Arc::new(State {
             id: id.to_owned(),
+            version: Mutex::new(DEFAULT_VERSION.to_owned()),
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
@@ -198,6 +208,17 @@
         self
     }
 
+    /// Runs another version of the software than `v1`.
+    pub fn with_version(self, version: &str) -> Self {
+        version.clone_into(&mut lock(&self.state.version));
+        self
+    }
+
+    /// Version of its software, which each event of its streams names.
+    pub fn version(&self) -> String {
+        self.state.version()
+    }
+
     /// Its identifier.
     pub fn id(&self) -> &str {
         &self.id
@@ -304,7 +325,7 @@
             "service": self.service,
             "address": self.advertised.to_string(),
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.version(),
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
@@ -332,6 +353,15 @@
 }
 
 impl State {
+    fn version(&self) -> String {
+        lock(&self.version).clone()
+    }
+
+    /// An event of a stream.
+    fn event(&self, id: u64) -> Bytes {
+        format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let text = |name: &str| {
@@ -362,6 +392,8 @@
             time_left_ms: text("time-budget").parse().unwrap_or_default(),
             organisation: text("tenant").to_owned(),
             resumed_after,
+            resumes: Some(text("resumes").to_owned()).filter(|attempt| !attempt.is_empty()),
+            version: self.version(),
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
@@ -421,8 +453,7 @@
     fn crashing_answer(self: &Arc<Self>, point: CrashPoint, is_stream: bool) -> Response<Body> {
         let has_event = point == CrashPoint::AfterFirstEvent;
         let state = Arc::clone(self);
-        let event = Bytes::from_static(b"id: 1\ndata: token 1\n\n");
-        let first = has_event.then_some(Ok(Frame::data(event)));
+        let first = has_event.then(|| Ok(Frame::data(self.event(1))));
         let crash = stream::once(async move {
             // What was sent before goes out first.
             sleep(HEAD_PAUSE).await;
@@ -439,7 +470,7 @@
     fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
         let endless_body = match behaviour {
             Behaviour::Endless => Some(StreamBody::new(endless_bytes()).boxed_unsync()),
-            Behaviour::Trickles => Some(StreamBody::new(trickle()).boxed_unsync()),
+            Behaviour::Trickles => Some(StreamBody::new(trickle(&self.event(1))).boxed_unsync()),
             _ => None,
         };
         if let Some(body) = endless_body {
@@ -454,12 +485,12 @@
                 return None;
             }
             sleep(latency).await;
-            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let event = work.0.event(id);
             let breaks = behaviour == Behaviour::BreaksOff;
             let item = match (breaks, id) {
                 (true, 3) => Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))),
                 (true, 4..) => Err(io::Error::other("broken off")),
-                _ => Ok(Frame::data(event.into())),
+                _ => Ok(Frame::data(event)),
             };
             Some((item, (id + 1, work)))
         });
@@ -474,9 +505,9 @@
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
 }
 
-/// The beginning of a second event, a byte at a time.
-fn trickle() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
-    let head = Bytes::from_static(b"id: 1\ndata: token 1\n\nid: 2\ndata: ");
+/// The first event and the beginning of a second one, a byte at a time.
+fn trickle(first: &[u8]) -> impl Stream<Item = io::Result<Frame<Bytes>>> + use<> {
+    let head = Bytes::from([first, b"id: 2\ndata: "].concat());
     stream::unfold(Some(head), |head| async move {
         if let Some(head) = head {
             return Some((Ok(Frame::data(head)), None));
