Tests: streams go on only at the software version that began them, known red

Callers see text of two versions joined in one stream, without any sign: in one answer when a server breaks off and the gateway goes on at another version, and over their tries when they take a stream up, at the same gateway, at another one, and after all gateways have ended at once. Gateways neither look at the version of a server nor keep that of a stream.

--- /dev/null
+++ b/testbed/tests/server_versions.rs
@@ -0,0 +1,509 @@
+//! Backend servers of two software versions in one service, against gateways as real processes: a
+//! stream goes on only at the version that began it.
+
+use {
+    futures_util::future::join_all,
+    rstest::rstest,
+    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    tamarackdale_testbed::{
+        platform::{Behaviour, Caller, Configuration, CrashPoint, Gateway, Server, Site},
+        store::Outage,
+        wait,
+    },
+    tokio::time::sleep,
+};
+
+/// A route whose streams may be resumed.
+const PATH: &str = "/resumable/1";
+
+/// Events of a stream.
+const EVENTS: u64 = 12;
+
+/// Pause between two events of a stream that is to last for a while.
+const SLOW: Duration = Duration::from_millis(400);
+
+/// Pause between two events of a stream that is to end soon.
+const QUICK: Duration = Duration::from_millis(20);
+
+/// Time until a change among the servers must be known to all gateways: the convergence of the site's
+/// settings, with something for a loaded machine.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+/// Callers whose streams break at the same time: as many as the platform's rules count from.
+const CALLERS: usize = 12;
+
+/// Times that a caller takes its stream up before it gives up.
+const TAKE_UPS: usize = 4;
+
+/// Pause of a caller before it comes back after a refusal.
+const PAUSE: Duration = Duration::from_millis(400);
+
+struct Bench {
+    site: Site,
+    gateways: Vec<Gateway>,
+    old: Vec<Server>,
+    new: Vec<Server>,
+}
+
+impl Bench {
+    /// A site with gateways and servers of two versions, of which only the first one of `v1` is in
+    /// service.
+    async fn start(gateways: usize, old: usize, new: usize) -> Self {
+        let configuration = Configuration::default().with("/routes/1/timeout_ms", 10_000.into());
+        let site = Site::new(&configuration).expect("starts");
+        let (old, new) = (servers("v1", old), servers("v2", new));
+        site.register(&old[0]);
+        let gateways = site.ready_gateways(gateways).await.expect("starts");
+        Self {
+            site,
+            gateways,
+            old,
+            new,
+        }
+    }
+
+    /// Like [`Self::start`], with servers of both versions in service.
+    async fn start_in_service(gateways: usize, of_each: usize) -> Self {
+        let bench = Self::start(gateways, of_each, of_each).await;
+        bench.register(bench.servers());
+        sleep(IN_FORCE).await;
+        bench
+    }
+
+    fn register<'a>(&self, servers: impl IntoIterator<Item = &'a Server>) {
+        for server in servers {
+            self.site.register(server);
+        }
+    }
+
+    fn kill_gateways(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.process.kill().expect("ends");
+        }
+    }
+
+    fn servers(&self) -> impl Iterator<Item = &Server> {
+        self.old.iter().chain(&self.new)
+    }
+
+    fn set_latency(&self, latency: Duration) {
+        self.servers()
+            .for_each(|server| server.set_latency(latency));
+    }
+
+    fn callers_address(&self, number: usize) -> SocketAddr {
+        self.gateways[number % self.gateways.len()].callers()
+    }
+
+    /// Callers whose streams have each brought `events` events and are still open.
+    async fn begin(&self, count: usize, events: usize) -> Vec<Caller> {
+        let callers = (0..count).map(|number| async move {
+            let mut caller = Caller::new(PATH, &format!("c{number}"));
+            caller.begin(self.callers_address(number), events).await;
+            caller
+        });
+        join_all(callers).await
+    }
+
+    /// Ends all gateways at once, without notice, and starts them again.
+    async fn kill_all_gateways(&mut self) {
+        self.kill_gateways();
+        self.start_gateways_again().await;
+    }
+
+    async fn start_gateways_again(&mut self) {
+        for gateway in &mut self.gateways {
+            gateway.restart().expect("starts");
+        }
+        for gateway in &self.gateways {
+            assert!(gateway.wait_ready(true).await, "not ready");
+        }
+    }
+
+    /// Lets each caller take its stream up, at gateways `shift` away from its first one, until it is
+    /// served or gives up.
+    async fn take_up(&self, callers: &mut [Caller], shift: usize) {
+        let calls = callers
+            .iter_mut()
+            .enumerate()
+            .map(|(number, caller)| async move {
+                for attempt in 0..TAKE_UPS {
+                    let gateway = self.callers_address(number + shift + attempt);
+                    if caller.call(gateway).await {
+                        return;
+                    }
+                    sleep(PAUSE).await;
+                }
+            });
+        join_all(calls).await;
+    }
+}
+
+fn servers(version: &str, count: usize) -> Vec<Server> {
+    let server = |number| {
+        let id = format!("{version}-{number}");
+        let server = Server::new(&id, "engine").expect("starts");
+        let server = server.with_version(version);
+        server.set_events(EVENTS);
+        server.set_latency(SLOW);
+        server
+    };
+    (0..count).map(server).collect()
+}
+
+fn assert_not_joined(callers: &[Caller]) {
+    let joined = callers.iter().filter(|caller| caller.versions().len() > 1);
+    let joined: Vec<_> = joined.map(Caller::tries).collect();
+    assert!(
+        joined.is_empty(),
+        "{} of {} streams are joined from two versions, such as {:?}",
+        joined.len(),
+        callers.len(),
+        joined[0]
+    );
+}
+
+fn whole(callers: &[Caller]) -> usize {
+    let whole = |caller: &&Caller| caller.has_whole_stream(EVENTS);
+    callers.iter().filter(whole).count()
+}
+
+/// Streams of which at least one event has arrived.
+fn begun(callers: &[Caller]) -> usize {
+    let begun = |caller: &&Caller| caller.origin().is_some();
+    callers.iter().filter(begun).count()
+}
+
+/// Runs that went on with a stream, at servers of one version.
+fn resumed_runs(servers: &[Server]) -> usize {
+    let runs = servers.iter().flat_map(Server::runs);
+    runs.filter(|run| run.resumed_after.is_some()).count()
+}
+
+/// Guards against an answer that the gateway joins from two versions after a server has broken off.
+#[tokio::test]
+async fn stream_goes_on_only_at_the_version_that_began_it() {
+    let bench = Bench::start(1, 2, 4).await;
+    bench.set_latency(QUICK);
+    bench.old[0].set_behaviour(Behaviour::BreaksOff);
+    bench.old[0].set_latency(SLOW);
+    let mut callers = bench.begin(8, 1).await;
+
+    bench.register(bench.servers().skip(1));
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.new), 0, "runs at the other version");
+    assert_eq!(whole(&callers), callers.len());
+}
+
+/// Guards against a stream that goes on at another version, or looks complete, when no server of its
+/// own version is left.
+#[tokio::test]
+async fn stream_breaks_visibly_when_no_server_of_its_version_is_left() {
+    let bench = Bench::start(1, 1, 4).await;
+    bench.set_latency(QUICK);
+    bench.old[0].set_behaviour(Behaviour::BreaksOff);
+    bench.old[0].set_latency(SLOW);
+    let mut callers = bench.begin(8, 1).await;
+
+    bench.register(&bench.new);
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.new), 0, "runs at the other version");
+    for caller in &callers {
+        let tried = &caller.tries()[0];
+        assert_eq!((tried.status, tried.is_whole), (Some(200), false));
+    }
+}
+
+/// Guards against requests that are bound to a version before a server of it has written anything.
+#[rstest]
+#[case::loses_answers(Behaviour::LosesAnswers, None)]
+#[case::crashes_before_the_first_event(Behaviour::Sound, Some(CrashPoint::AfterHead))]
+#[tokio::test]
+async fn request_without_an_event_yet_moves_to_any_version(
+    #[case] behaviour: Behaviour,
+    #[case] crash: Option<CrashPoint>,
+) {
+    let bench = Bench::start(1, 1, 2).await;
+    let old = &bench.old[0];
+    old.set_behaviour(behaviour);
+    old.set_latency(SLOW * 3);
+    if let Some(point) = crash {
+        old.set_deadly("a request's body", point);
+    }
+    let mut caller = Caller::new(PATH, "c");
+    let register = async {
+        assert!(
+            wait::until(IN_FORCE, || old.working() > 0).await,
+            "asked nothing"
+        );
+        bench.register(&bench.new);
+    };
+
+    tokio::join!(caller.call(bench.callers_address(0)), register);
+
+    assert!(caller.has_whole_stream(EVENTS), "{:?}", caller.tries());
+    assert_eq!(caller.versions(), BTreeSet::from(["v2"]));
+}
+
+/// Guards against a take-up that is served by another version, beside no fault at all.
+#[rstest]
+#[case::same_gateway(0)]
+#[case::another_gateway(1)]
+#[tokio::test]
+async fn stream_that_its_caller_takes_up_goes_on_at_its_version(#[case] shift: usize) {
+    let bench = Bench::start_in_service(2, 2).await;
+    let mut callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, shift).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(whole(&callers), CALLERS);
+}
+
+/// Guards against texts of two versions joined after all gateways have ended at once, and against
+/// gateways that then refuse the streams that they could go on with.
+#[tokio::test]
+async fn streams_go_on_at_their_version_after_all_gateways_were_killed() {
+    let mut bench = Bench::start_in_service(3, 2).await;
+    let mut callers = bench.begin(CALLERS, 3).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    bench.kill_all_gateways().await;
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
+}
+
+/// How the old version's servers leave.
+#[derive(Clone, Copy, Debug)]
+enum Departure {
+    Removed,
+    Draining,
+}
+
+/// Guards against take-ups that run at the new version because the old one has left.
+#[rstest]
+#[case::gateways_live(false, Departure::Removed)]
+#[case::gateways_killed(true, Departure::Removed)]
+#[case::gateways_killed_while_it_drains(true, Departure::Draining)]
+#[tokio::test]
+async fn take_up_is_refused_when_its_version_has_left(
+    #[case] kills: bool,
+    #[case] departure: Departure,
+) {
+    let mut bench = Bench::start(2, 2, 2).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    let mut callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+    bench.register(&bench.new);
+    sleep(IN_FORCE / 2).await;
+
+    if kills {
+        bench.kill_gateways();
+    }
+    for server in &bench.old {
+        match departure {
+            Departure::Removed => bench.site.store.remove(&format!("servers/{}", server.id())),
+            Departure::Draining => bench.site.set_state(server, "draining"),
+        }
+    }
+    if kills {
+        bench.start_gateways_again().await;
+    }
+    sleep(IN_FORCE).await;
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    let served_before = resumed_runs(&bench.old);
+    bench.take_up(&mut callers, 0).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.new), 0, "runs at the new version");
+    assert_eq!(
+        resumed_runs(&bench.old),
+        served_before,
+        "runs at servers that left"
+    );
+    for later in callers.iter().flat_map(|caller| &caller.tries()[1..]) {
+        let is_success = later
+            .status
+            .is_some_and(|status| (200..300).contains(&status));
+        assert!(!is_success, "{later:?}");
+    }
+}
+
+/// Guards against a version that is forgotten after the first take-up: each one names the attempt that
+/// brought the first event, whoever served the ones between.
+#[tokio::test]
+async fn stream_taken_up_several_times_stays_at_its_version() {
+    let bench = Bench::start_in_service(3, 2).await;
+    let mut callers = bench.begin(CALLERS, 2).await;
+
+    for shift in 1..=3 {
+        let calls = callers.iter_mut().enumerate().map(|(number, caller)| {
+            let gateway = bench.callers_address(number + shift);
+            caller.begin(gateway, 2)
+        });
+        join_all(calls).await;
+    }
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 0).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(whole(&callers), CALLERS);
+    let origins = callers.iter().filter_map(Caller::origin);
+    let resumed = bench.servers().flat_map(Server::runs);
+    let resumed = resumed.filter_map(|run| run.resumes);
+    let named: Vec<String> = resumed.collect();
+    assert!(
+        origins
+            .into_iter()
+            .all(|origin| named.iter().any(|id| id == origin))
+    );
+}
+
+/// Guards against the version of a server that wrote no event of a stream, but was the first to be
+/// asked: another version began the stream.
+#[tokio::test]
+async fn stream_that_moved_before_its_first_event_is_taken_up_where_it_began() {
+    let bench = Bench::start(2, 1, 3).await;
+    bench.old[0].set_behaviour(Behaviour::LosesAnswers);
+    bench.old[0].set_latency(SLOW * 3);
+    let mut callers: Vec<Caller> = (0..CALLERS)
+        .map(|number| Caller::new(PATH, &format!("c{number}")))
+        .collect();
+    let calls = callers.iter_mut().enumerate().map(|(number, caller)| {
+        let gateway = bench.callers_address(number);
+        caller.begin(gateway, 2)
+    });
+    let register = async {
+        let old = &bench.old[0];
+        assert!(
+            wait::until(IN_FORCE, || old.working() > 0).await,
+            "asked nothing"
+        );
+        bench.register(&bench.new);
+    };
+    tokio::join!(join_all(calls), register);
+
+    callers.iter_mut().for_each(Caller::leave);
+    bench.old[0].set_behaviour(Behaviour::Sound);
+    bench.set_latency(QUICK);
+    sleep(IN_FORCE).await;
+    bench.take_up(&mut callers, 1).await;
+
+    assert_eq!(begun(&callers), CALLERS);
+    assert_not_joined(&callers);
+    assert_eq!(whole(&callers), CALLERS);
+}
+
+/// Guards against a stream that its gateway had moved to another server, and that its caller then takes
+/// up at another version.
+#[rstest]
+#[case::gateways_live(false)]
+#[case::gateways_killed(true)]
+#[tokio::test]
+async fn stream_that_had_moved_is_taken_up_at_its_version(#[case] kills: bool) {
+    let mut bench = Bench::start(2, 3, 3).await;
+    bench.old[0].set_behaviour(Behaviour::BreaksOff);
+    let mut callers = bench.begin(CALLERS, 1).await;
+    bench.register(&bench.old[1..]);
+    let moved = wait::until(IN_FORCE * 2, || resumed_runs(&bench.old) >= CALLERS).await;
+    assert!(moved, "{} of {CALLERS} moved", resumed_runs(&bench.old));
+    bench.register(&bench.new);
+    sleep(IN_FORCE / 3).await;
+
+    if kills {
+        bench.kill_all_gateways().await;
+    }
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
+}
+
+/// Guards against gateways that end before the version of a stream has been kept anywhere else.
+#[rstest]
+#[case::at_once(0)]
+#[case::soon(30)]
+#[case::later(100)]
+#[tokio::test]
+async fn gateways_that_end_just_after_the_first_event_leave_its_version_known(
+    #[case] pause_ms: u64,
+) {
+    let mut bench = Bench::start_in_service(3, 2).await;
+    let mut callers = bench.begin(CALLERS, 1).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    sleep(Duration::from_millis(pause_ms)).await;
+    bench.kill_all_gateways().await;
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
+}
+
+/// How the store is in trouble.
+#[derive(Clone, Copy, Debug)]
+enum Trouble {
+    Slow(Duration),
+    Away(Outage),
+}
+
+/// Guards against streams whose version nobody knows because the store was in trouble when they began,
+/// and against streams that do not begin for that reason.
+#[rstest]
+#[case::slow(Trouble::Slow(Duration::from_millis(400)))]
+#[case::refuses(Trouble::Away(Outage::Refuse))]
+#[case::hangs(Trouble::Away(Outage::Hang))]
+#[tokio::test]
+async fn many_streams_that_begin_beside_a_store_in_trouble_go_on_at_their_version(
+    #[case] trouble: Trouble,
+) {
+    const STREAMS: usize = 40;
+    const TROUBLE: Duration = Duration::from_millis(700);
+    let mut bench = Bench::start_in_service(3, 4).await;
+    let store = &bench.site.store;
+    match trouble {
+        Trouble::Slow(delay) => store.set_delay(delay),
+        Trouble::Away(outage) => store.stop(outage),
+    }
+    let over = async {
+        sleep(TROUBLE).await;
+        if let Trouble::Away(_) = trouble {
+            store.resume();
+        }
+    };
+
+    let (mut callers, ()) = tokio::join!(bench.begin(STREAMS, 1), over);
+    sleep(TROUBLE).await;
+    bench.kill_gateways();
+    bench.site.store.set_delay(Duration::ZERO);
+    bench.start_gateways_again().await;
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+    let begun = begun(&callers);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    assert!(begun * 2 >= STREAMS, "{begun} of {STREAMS} begin");
+    let whole = whole(&callers);
+    assert!(whole * 2 >= begun, "{whole} of {begun} go on");
+}
