Stand-in of a caller: kept connections, other bodies, when each try was sent and ended

The soak is to send all its requests through the caller that takes streams up, on kept connections too, and to judge each try by when and where it was sent. A try keeps the head and the body as they came; events are read from the body.

--- a/testbed/src/http.rs
+++ b/testbed/src/http.rs
@@ -58,14 +58,23 @@
     }
 }
 
-/// An answer whose body is still to be read; the connection closes on drop.
+/// An answer whose body is still to be read; a connection of its own closes on drop.
 pub struct Reply {
     /// The answer.
     pub response: Response<Incoming>,
-    _connection: Connection,
+    _connection: Option<Connection>,
 }
 
 impl Reply {
+    /// A copy of its status and headers.
+    pub fn head(&self) -> hyper::http::response::Parts {
+        let mut head = Response::new(()).into_parts().0;
+        head.status = self.response.status();
+        head.version = self.response.version();
+        head.headers = self.response.headers().clone();
+        head
+    }
+
     /// Reads the body to its end.
     ///
     /// # Errors
@@ -141,6 +150,23 @@
         .await?
     }
 
+    /// Sends a request; answers with the head. The body is to be read before the next request.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is no answer; the connection is of no more use then.
+    pub async fn reply(&mut self, request: Request<Bytes>) -> Result<Reply, Fault> {
+        Ok(Reply {
+            response: self.send(request).await?,
+            _connection: None,
+        })
+    }
+
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     async fn send(&mut self, mut request: Request<Bytes>) -> Result<Response<Incoming>, Fault> {
         let host = header::HeaderValue::from_str(&self.address.to_string());
         let host = host.expect("an address is a valid header value");
@@ -165,7 +191,7 @@
     let response = connection.send(request).await?;
     Ok(Reply {
         response,
-        _connection: connection,
+        _connection: Some(connection),
     })
 }
 
--- a/testbed/src/platform/caller.rs
+++ b/testbed/src/platform/caller.rs
@@ -1,19 +1,20 @@
-//! A caller that reads one stream, over several tries if it must.
+//! A caller that sends one request, and takes its stream up again if it breaks.
 
 use {
     super::request,
-    crate::http::{self, Reply},
+    crate::http::{Connection, Fault, Reply},
     bytes::Bytes,
-    hyper::{Request, header::HeaderValue},
-    std::{collections::BTreeSet, net::SocketAddr, time::Duration},
+    hyper::{Request, header::HeaderValue, http::response::Parts},
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tokio::time::timeout,
 };
 
-/// Time that the caller is willing to wait for an answer, in milliseconds.
-const TIME_BUDGET_MS: u64 = 10_000;
-
-/// Longest time without any bytes of an answer.
-const READ_LIMIT: Duration = Duration::from_secs(10);
+/// Longest time without any bytes of an answer: twice the time that requests have.
+const READ_LIMIT: Duration = Duration::from_secs(6);
 
 /// An event that a caller received.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -25,29 +26,63 @@
 }
 
 /// One attempt of a caller.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Try {
     /// Its identifier.
     pub id: String,
-    /// Status of the answer, if there was one.
-    pub status: Option<u16>,
-    /// The complete events that it brought.
-    pub events: Vec<Event>,
+    /// The gateway that it was sent to.
+    pub gateway: SocketAddr,
+    /// When it was sent.
+    pub sent_at: Instant,
+    /// When its answer ended, whole or not.
+    pub ended_at: Option<Instant>,
+    /// Status and headers of the answer, if there was one.
+    pub head: Option<Parts>,
+    /// What came of the body.
+    pub body: Vec<u8>,
     /// Whether the answer came to a clean end.
     pub is_whole: bool,
-    /// Bytes that are no complete event yet.
-    rest: Vec<u8>,
 }
 
 impl Try {
-    fn push(&mut self, bytes: &[u8]) {
-        self.rest.extend_from_slice(bytes);
-        while let Some(end) = self.rest.windows(2).position(|pair| pair == b"\n\n") {
-            let event: Vec<u8> = self.rest.drain(..end + 2).collect();
-            self.events
-                .extend(parse_event(&String::from_utf8_lossy(&event)));
+    fn new(id: String, gateway: SocketAddr) -> Self {
+        Self {
+            id,
+            gateway,
+            sent_at: Instant::now(),
+            ended_at: None,
+            head: None,
+            body: Vec::new(),
+            is_whole: false,
         }
     }
+
+    /// Status code, if there was an answer.
+    pub fn status(&self) -> Option<u16> {
+        self.head.as_ref().map(|head| head.status.as_u16())
+    }
+
+    /// A header's value, empty if it is missing or not text.
+    pub fn header(&self, name: &str) -> &str {
+        let value = self.head.as_ref().and_then(|head| head.headers.get(name));
+        value
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+    }
+
+    /// The body as text, empty if it is not UTF-8.
+    pub fn text(&self) -> &str {
+        std::str::from_utf8(&self.body).unwrap_or_default()
+    }
+
+    /// The complete events that it brought.
+    pub fn events(&self) -> Vec<Event> {
+        let text = String::from_utf8_lossy(&self.body);
+        let complete = text
+            .rsplit_once("\n\n")
+            .map_or("", |(complete, _)| complete);
+        complete.split("\n\n").filter_map(parse_event).collect()
+    }
 }
 
 fn parse_event(text: &str) -> Option<Event> {
@@ -60,70 +95,101 @@
     })
 }
 
-/// A caller of one stream. Its later tries take the stream up after the last event that it has.
+/// A caller of one request. Later tries take its stream up after the last event that it has.
 pub struct Caller {
     path: String,
     name: String,
+    time_budget_ms: Option<u64>,
+    body: Option<Bytes>,
     tries: Vec<Try>,
     open: Option<Reply>,
 }
 
 impl Caller {
-    /// A caller that names its attempts after `name`.
+    /// A caller whose attempts are named after `name`.
     pub fn new(path: &str, name: &str) -> Self {
         Self {
             path: path.to_owned(),
             name: name.to_owned(),
+            time_budget_ms: None,
+            body: None,
             tries: Vec::new(),
             open: None,
         }
     }
 
+    /// Lets each try have another time than the usual one.
+    pub fn with_time_budget(mut self, budget: Duration) -> Self {
+        self.time_budget_ms = u64::try_from(budget.as_millis()).ok();
+        self
+    }
+
+    /// Sends another body than the usual one.
+    pub fn with_body(mut self, body: Bytes) -> Self {
+        self.body = Some(body);
+        self
+    }
+
     /// Its tries, oldest first.
     pub fn tries(&self) -> &[Try] {
         &self.tries
     }
 
+    /// Its tries, once nothing more is to be sent.
+    pub fn into_tries(self) -> Vec<Try> {
+        self.tries
+    }
+
     /// All events that it has, in the order in which they came.
-    pub fn events(&self) -> impl Iterator<Item = &Event> {
-        self.tries.iter().flat_map(|attempt| &attempt.events)
+    pub fn events(&self) -> Vec<Event> {
+        self.tries.iter().flat_map(Try::events).collect()
     }
 
     /// Versions of the servers that wrote its events.
-    pub fn versions(&self) -> BTreeSet<&str> {
-        self.events().map(|event| event.version.as_str()).collect()
+    pub fn versions(&self) -> BTreeSet<String> {
+        let events = self.events().into_iter();
+        events.map(|event| event.version).collect()
     }
 
     /// Whether its tries brought the events 1 to `count`, each once and in order, and the last one its
     /// clean end.
     pub fn has_whole_stream(&self, count: u64) -> bool {
-        let ids = self.events().map(|event| event.id);
+        let events = self.events();
+        let ids = events.iter().map(|event| event.id);
         ids.eq(1..=count) && self.tries.last().is_some_and(|last| last.is_whole)
     }
 
     /// Identifier of the attempt that brought the first event.
     pub fn origin(&self) -> Option<&str> {
-        let first = self.tries.iter().find(|attempt| !attempt.events.is_empty());
+        let mut tries = self.tries.iter();
+        let first = tries.find(|attempt| !attempt.events().is_empty());
         first.map(|attempt| attempt.id.as_str())
     }
 
     /// Sends the next try to a gateway and reads its answer up to `events` more events. The answer stays
     /// open until [`Self::finish`], [`Self::leave`] or the next try.
     pub async fn begin(&mut self, gateway: SocketAddr, events: usize) {
-        self.leave();
-        let request = self.next_request();
-        let id = format!("{}-{}", self.name, self.tries.len());
-        self.tries.push(Try {
-            id,
-            ..Try::default()
-        });
-        if let Ok(Ok(reply)) = timeout(READ_LIMIT, http::send(gateway, request)).await {
-            self.last().status = Some(reply.response.status().as_u16());
-            self.open = Some(reply);
-        }
-        while self.open.is_some() && self.last().events.len() < events {
-            self.read().await;
-        }
+        let request = self.prepare(gateway);
+        let reply = timeout(READ_LIMIT, crate::http::send(gateway, request)).await;
+        self.accept(reply.ok(), events).await;
+    }
+
+    /// Sends the next try to a gateway and reads its whole answer. Returns whether it was a success.
+    pub async fn call(&mut self, gateway: SocketAddr) -> bool {
+        self.begin(gateway, 0).await;
+        self.finish().await;
+        self.last().status() == Some(200)
+    }
+
+    /// Sends the next try on an open connection and reads its whole answer. Returns whether the
+    /// connection is of further use.
+    pub async fn call_on(&mut self, connection: &mut Connection) -> bool {
+        let request = self.prepare(connection.address());
+        let reply = timeout(READ_LIMIT, connection.reply(request)).await;
+        self.accept(reply.ok(), 0).await;
+        self.finish().await;
+        let last = self.last();
+        last.is_whole && last.header("connection") != "close"
     }
 
     /// Reads the answer of the last try to its end.
@@ -135,14 +201,46 @@
 
     /// Closes the connection of the last try.
     pub fn leave(&mut self) {
-        self.open = None;
+        if self.open.take().is_some() {
+            self.last().ended_at = Some(Instant::now());
+        }
     }
 
-    /// Sends the next try to a gateway and reads its whole answer. Returns whether it was a stream.
-    pub async fn call(&mut self, gateway: SocketAddr) -> bool {
-        self.begin(gateway, 0).await;
-        self.finish().await;
-        self.last().status == Some(200)
+    fn prepare(&mut self, gateway: SocketAddr) -> Request<Bytes> {
+        self.leave();
+        let id = match self.tries.len() {
+            0 => self.name.clone(),
+            number => format!("{}-again-{number}", self.name),
+        };
+        let request = self.request(&id);
+        self.tries.push(Try::new(id, gateway));
+        request
+    }
+
+    fn request(&self, id: &str) -> Request<Bytes> {
+        let mut message = match (self.origin(), self.events().last()) {
+            (Some(origin), Some(last)) => take_up(&self.path, id, last.id, origin),
+            _ => request(&self.path, id),
+        };
+        if let Some(budget) = self.time_budget_ms {
+            let budget = HeaderValue::from(budget);
+            message.headers_mut().insert("time-budget", budget);
+        }
+        message.map(|body| self.body.clone().unwrap_or(body))
+    }
+
+    async fn accept(&mut self, reply: Option<Result<Reply, Fault>>, events: usize) {
+        match reply {
+            Some(Ok(reply)) => {
+                self.last().head = Some(reply.head());
+                self.open = Some(reply);
+            }
+            // No answer: the try has none.
+            Some(Err(_)) | None => self.last().ended_at = Some(Instant::now()),
+        }
+        while self.open.is_some() && self.last().events().len() < events {
+            self.read().await;
+        }
     }
 
     fn last(&mut self) -> &mut Try {
@@ -154,26 +252,15 @@
             return;
         };
         match timeout(READ_LIMIT, reply.chunk()).await {
-            Ok(Ok(Some(bytes))) => self.last().push(&bytes),
+            Ok(Ok(Some(bytes))) => self.last().body.extend_from_slice(&bytes),
             Ok(Ok(None)) => {
                 self.last().is_whole = true;
-                self.open = None;
+                self.leave();
             }
             // Cut or silent: what came before is all that this try brought.
-            Ok(Err(_)) | Err(_) => self.open = None,
+            Ok(Err(_)) | Err(_) => self.leave(),
         }
     }
-
-    fn next_request(&self) -> Request<Bytes> {
-        let id = format!("{}-{}", self.name, self.tries.len());
-        let mut message = match (self.origin(), self.events().last()) {
-            (Some(origin), Some(last)) => take_up(&self.path, &id, last.id, origin),
-            _ => request(&self.path, &id),
-        };
-        let budget = HeaderValue::from(TIME_BUDGET_MS);
-        message.headers_mut().insert("time-budget", budget);
-        message
-    }
 }
 
 /// A caller's request that takes a stream up after the event `after`; `origin` is the attempt that
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -4,6 +4,7 @@
 use {
     futures_util::future::join_all,
     rstest::rstest,
+    serde_json::json,
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     tamarackdale_testbed::{
         platform::{Behaviour, Caller, Configuration, CrashPoint, Gateway, Server, Site},
@@ -16,6 +17,9 @@
 /// A route whose streams may be resumed.
 const PATH: &str = "/resumable/1";
 
+/// Longest time of a request on that route.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Events of a stream.
 const EVENTS: u64 = 12;
 
@@ -49,7 +53,8 @@
     /// A site with gateways and servers of two versions, of which only the first one of `v1` is in
     /// service.
     async fn start(gateways: usize, old: usize, new: usize) -> Self {
-        let configuration = Configuration::default().with("/routes/1/timeout_ms", 10_000.into());
+        let configuration = Configuration::default()
+            .with("/routes/1/timeout_ms", json!(TIMEOUT.as_millis() as u64));
         let site = Site::new(&configuration).expect("starts");
         let (old, new) = (servers("v1", old), servers("v2", new));
         site.register(&old[0]);
@@ -98,7 +103,7 @@
     /// Callers whose streams have each brought `events` events and are still open.
     async fn begin(&self, count: usize, events: usize) -> Vec<Caller> {
         let callers = (0..count).map(|number| async move {
-            let mut caller = Caller::new(PATH, &format!("c{number}"));
+            let mut caller = caller(number);
             caller.begin(self.callers_address(number), events).await;
             caller
         });
@@ -151,9 +156,14 @@
     (0..count).map(server).collect()
 }
 
+/// A caller with as much time as the route.
+fn caller(number: usize) -> Caller {
+    Caller::new(PATH, &format!("c{number}")).with_time_budget(TIMEOUT)
+}
+
 fn assert_not_joined(callers: &[Caller]) {
     let joined = callers.iter().filter(|caller| caller.versions().len() > 1);
-    let joined: Vec<_> = joined.map(Caller::tries).collect();
+    let joined: Vec<_> = joined.map(Caller::events).collect();
     assert!(
         joined.is_empty(),
         "{} of {} streams are joined from two versions, such as {:?}",
@@ -214,7 +224,7 @@
     assert_eq!(resumed_runs(&bench.new), 0, "runs at the other version");
     for caller in &callers {
         let tried = &caller.tries()[0];
-        assert_eq!((tried.status, tried.is_whole), (Some(200), false));
+        assert_eq!((tried.status(), tried.is_whole), (Some(200), false));
     }
 }
 
@@ -234,7 +244,7 @@
     if let Some(point) = crash {
         old.set_deadly("a request's body", point);
     }
-    let mut caller = Caller::new(PATH, "c");
+    let mut caller = caller(0);
     let register = async {
         assert!(
             wait::until(IN_FORCE, || old.working() > 0).await,
@@ -246,7 +256,7 @@
     tokio::join!(caller.call(bench.callers_address(0)), register);
 
     assert!(caller.has_whole_stream(EVENTS), "{:?}", caller.tries());
-    assert_eq!(caller.versions(), BTreeSet::from(["v2"]));
+    assert_eq!(caller.versions(), BTreeSet::from(["v2".to_owned()]));
 }
 
 /// Guards against a take-up that is served by another version, beside no fault at all.
@@ -337,7 +347,7 @@
     );
     for later in callers.iter().flat_map(|caller| &caller.tries()[1..]) {
         let is_success = later
-            .status
+            .status()
             .is_some_and(|status| (200..300).contains(&status));
         assert!(!is_success, "{later:?}");
     }
@@ -380,9 +390,7 @@
     let bench = Bench::start(2, 1, 3).await;
     bench.old[0].set_behaviour(Behaviour::LosesAnswers);
     bench.old[0].set_latency(SLOW * 3);
-    let mut callers: Vec<Caller> = (0..CALLERS)
-        .map(|number| Caller::new(PATH, &format!("c{number}")))
-        .collect();
+    let mut callers: Vec<Caller> = (0..CALLERS).map(caller).collect();
     let calls = callers.iter_mut().enumerate().map(|(number, caller)| {
         let gateway = bench.callers_address(number);
         caller.begin(gateway, 2)
