Test: odd entries among the registrations, known red

Another writer may leave entries among the registrations that name no server: deeply nested, with numbers that are too large, with ports out of range.

Seen: with two servers of a service that state slots, of which one answers, the gateway answers nothing any more (attempt to add with overflow, here in a debug build; a release build goes on with a wrong sum).

--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -636,3 +636,42 @@
     let choice = fleet.choose(&demand(10, 10), at(0), &mut random);
     assert_eq!(choice, Err(Shortage::Full(until)));
 }
+
+/// Guards against sums that overflow: a registration may state any number of slots.
+#[test]
+fn absurd_numbers_of_slots_can_be_added_up() {
+    let mut members = members(&["a", "b"]);
+    members
+        .values_mut()
+        .for_each(|member| member.slots = u32::MAX);
+    let mut fleet = Fleet::new();
+    fleet.update_members(&members, Timestamp::START);
+    fleet.merge_load(1, "a", load(u32::MAX));
+
+    let utilisation = fleet.utilisation("llm", at(0));
+
+    assert_eq!(utilisation, Some(0.5));
+    assert_eq!(
+        fleet.free_slots("llm", None, at(0)),
+        u32::MAX as usize,
+        "one server is full"
+    );
+}
+
+/// Guards against sums that overflow: a peer may report any load.
+#[test]
+fn absurd_loads_of_peers_make_a_server_full() {
+    let mut fleet = fleet(&["a"]);
+    let absurd = Load {
+        requests: u32::MAX,
+        prompt_tokens: u32::MAX,
+    };
+    fleet.merge_load(1, "a", absurd);
+    fleet.merge_load(2, "a", absurd);
+    fleet.record_start("a", RequestLoad::default());
+    fleet.reserve("a", RequestLoad::default(), at(0));
+
+    let choice = fleet.choose(&demand(10, 10), at(0), &mut StdRng::seed_from_u64(1));
+
+    assert!(matches!(choice, Err(Shortage::Full(_))), "{choice:?}");
+}
