Gateways: absurd numbers of slots and loads break no sums

Callers got no answers at all, for as long as two servers of a service were registered of which one stated slots: the slots of a service were added up in 32 bits (attempt to add with overflow; without overflow checks the sum starts again at zero). The load that two peers report for one server could do the same.

Slots are added up in 64 bits, loads saturate. With peers that report the largest load a server counts as full.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -500,11 +500,11 @@
         let mut slots = 0;
         for server in self.servers.values() {
             if server.member.service == service && !server.is_leaving(now) {
-                used += server.load(now).requests.min(server.member.slots);
-                slots += server.member.slots;
+                used += u64::from(server.load(now).requests.min(server.member.slots));
+                slots += u64::from(server.member.slots);
             }
         }
-        (slots > 0).then(|| f64::from(used) / f64::from(slots))
+        (slots > 0).then(|| used as f64 / slots as f64)
     }
 
     /// Number of free slots of a service's backend servers, in one data centre or, with `None`, in
@@ -691,7 +691,7 @@
     fn estimate(&self, demand: &Demand, now: Timestamp) -> Estimate {
         let load = self.load(now);
         let slots = self.member.slots.max(1);
-        let wait = match (load.requests + 1).checked_sub(slots) {
+        let wait = match load.requests.saturating_add(1).checked_sub(slots) {
             None | Some(0) => Duration::ZERO,
             Some(ahead) => self
                 .speed
--- a/core/src/fleet/load.rs
+++ b/core/src/fleet/load.rs
@@ -39,7 +39,7 @@
 
     /// Adds a request that was sent.
     pub fn add_request(&mut self, request: RequestLoad) {
-        self.requests += 1;
+        self.requests = self.requests.saturating_add(1);
         self.prompt_tokens = self.prompt_tokens.saturating_add(request.prompt_tokens);
     }
 
