Gateways: an item of the store that cannot be read hides no others

One item that was not of the expected structure (another type, a number out of range, a lone surrogate or other bytes in its key) failed the whole page of registrations, each time that it was read, so that a gateway followed no change any more. In a watch it failed the whole response. Cause: the items were decoded as one list.

Items are decoded one by one. Those that cannot be read are told apart with their key, if that can be read, so that a server whose entry was overwritten is not used any more.

--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -69,6 +69,10 @@
     async fn read_gateways(&self) -> Result<(), Error> {
         let own = self.settings.borrow().peers;
         let range = self.store.range(GATEWAYS).await?;
+        for item in &range.unreadable {
+            let key = item.key.as_deref().unwrap_or_default();
+            log::warn!(key; "skipping a gateway's registration: {item}");
+        }
         let addresses = range
             .entries
             .iter()
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -15,7 +15,7 @@
     },
     tamarackdale_platform::{
         registration,
-        store::{Change, Entry, Error},
+        store::{Change, Entry, Error, Unreadable},
     },
     tokio::time::sleep,
 };
@@ -50,6 +50,9 @@
             for entry in &range.entries {
                 register(&mut table, entry, &clock);
             }
+            for item in &range.unreadable {
+                reject(&mut table, item, era, &clock);
+            }
             self.publish(&table);
             failures = 0;
             self.watch_servers(&mut table, range.revision, &clock).await;
@@ -77,6 +80,9 @@
                 for change in &changes.changes {
                     match change {
                         Change::Put(entry) => register(table, entry, clock),
+                        Change::Unreadable(item) => {
+                            reject(table, item, changes.revision.era, clock);
+                        }
                         Change::Removed { key, revision } => {
                             self.remove(table, key, revision.era, clock);
                         }
@@ -168,6 +174,15 @@
     }
 }
 
+/// Removes the backend server whose entry cannot be read any more.
+fn reject(table: &mut ServerTable, item: &Unreadable, era: u64, clock: &Clock) {
+    let key = item.key.as_deref().unwrap_or_default();
+    log::warn!(key; "skipping a backend server registration: {item}");
+    if let Some(id) = registration::id(key) {
+        table.remove(id, era, clock.now());
+    }
+}
+
 fn log_removal(member: &Member) {
     log::info!(
         backend_server = member.id.as_str(),
