Log: texts have a longest length

Errors quote what they were given: an entry of 1 MB with an unknown state, or a response of the store, was logged whole. Each text of a line has 4 KiB at most, and its full length after that.

--- a/daemon/src/logging.rs
+++ b/daemon/src/logging.rs
@@ -17,6 +17,10 @@
     },
 };
 
+/// Longest text in a field of a line, in bytes. Errors quote what they were given, which may be as
+/// large as the largest body; the beginning tells what it is.
+const MAX_TEXT_BYTES: usize = 4 * 1024;
+
 /// Handle of the running logger; [`Self::finish`] writes the lines that are still queued.
 pub struct Log {
     writer: Writer,
@@ -64,13 +68,23 @@
     fields.insert("role".into(), role.into());
     fields.insert("instance".into(), instance.into());
     fields.insert("target".into(), record.target().into());
-    fields.insert("message".into(), message.to_string().into());
+    fields.insert("message".into(), shortened(message.to_string()).into());
     let mut visitor = JsonVisitor(&mut fields);
     // The visitor accepts every pair, so the visit cannot fail.
     let _ = record.key_values().visit(&mut visitor);
     fields.into()
 }
 
+/// The text, or its beginning and its length if it is too long.
+fn shortened(mut text: String) -> String {
+    let length = text.len();
+    if length > MAX_TEXT_BYTES {
+        text.truncate(text.floor_char_boundary(MAX_TEXT_BYTES));
+        text.push_str(&format!("... ({length} bytes)"));
+    }
+    text
+}
+
 fn unix_millis() -> u64 {
     let elapsed = SystemTime::now()
         .duration_since(UNIX_EPOCH)
@@ -92,7 +106,7 @@
         } else if let Some(flag) = value.to_bool() {
             flag.into()
         } else {
-            value.to_string().into()
+            shortened(value.to_string()).into()
         };
         self.0.insert(key.to_string(), json);
         Ok(())
