Gateways: an odd entry is logged once a minute

An entry that cannot be used was logged each time that it was written or read, 13 lines in 3 s for one that another program writes ten times a second. It is logged once a minute for each key, and for 1,000 keys at most. A server that is removed because its entry was overwritten is logged as removed.

--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -6,6 +6,7 @@
 mod channel;
 mod gateways;
 mod quota_use;
+mod rejections;
 mod servers;
 
 pub use channel::{FollowerChannels, Snapshot, StoreHandle, channels};
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -1,7 +1,7 @@
 //! Registers this gateway in the store and reads the registrations of the other gateways.
 
 use {
-    super::Follower,
+    super::{Follower, rejections::Rejections},
     std::{net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_platform::store::{Error, Lease},
     tokio::time::sleep,
@@ -13,15 +13,22 @@
 /// Key prefix of the gateways' registrations; the gateway's address for peers follows.
 const GATEWAYS: &str = "gateways/";
 
+/// What the log calls an entry under the prefix.
+const WHAT: &str = "gateway registration";
+
 impl Follower {
     /// Keeps this gateway registered and reads the registrations of the other gateways.
     pub(super) async fn follow_gateways(&self) {
         let mut lease = None;
         let mut failures = 0;
+        let mut rejections = Rejections::new();
         loop {
             let held = match lease {
-                Some(held) => self.renew_registration(held).await.map(|()| held),
-                None => self.register().await,
+                Some(held) => {
+                    let renewed = self.renew_registration(held, &mut rejections).await;
+                    renewed.map(|()| held)
+                }
+                None => self.register(&mut rejections).await,
             };
             lease = match held {
                 Ok(held) => Some(held),
@@ -44,39 +51,42 @@
     /// Registers this gateway under a new lease, then reads the other registrations. As each
     /// gateway reads after it has written, at least one of two that register concurrently sees the
     /// other.
-    async fn register(&self) -> Result<Lease, Error> {
+    async fn register(&self, rejections: &mut Rejections) -> Result<Lease, Error> {
         let own = self.settings.borrow().peers;
         let lease = self.store.grant_lease(self.lease_duration()).await?;
         let key = format!("{GATEWAYS}{own}");
         self.store
             .put(&key, own.to_string().as_bytes(), lease)
             .await?;
-        self.read_gateways().await?;
+        self.read_gateways(rejections).await?;
         Ok(lease)
     }
 
     /// Renews the lease of the registration. The other registrations are read again only while a
     /// known gateway is unreachable, to tell whether it is still registered. New gateways introduce
     /// themselves.
-    async fn renew_registration(&self, lease: Lease) -> Result<(), Error> {
+    async fn renew_registration(
+        &self,
+        lease: Lease,
+        rejections: &mut Rejections,
+    ) -> Result<(), Error> {
         self.store.renew_lease(lease).await?;
         if *self.channels.has_unreachable_peers.borrow() {
-            self.read_gateways().await?;
+            self.read_gateways(rejections).await?;
         }
         Ok(())
     }
 
-    async fn read_gateways(&self) -> Result<(), Error> {
+    async fn read_gateways(&self, rejections: &mut Rejections) -> Result<(), Error> {
         let own = self.settings.borrow().peers;
         let range = self.store.range(GATEWAYS).await?;
         for item in &range.unreadable {
-            let key = item.key.as_deref().unwrap_or_default();
-            log::warn!(key; "skipping a gateway's registration: {item}");
+            rejections.log_unreadable(WHAT, item);
         }
         let addresses = range
             .entries
             .iter()
-            .filter_map(|entry| parse_address(&entry.key))
+            .filter_map(|entry| parse_address(&entry.key, rejections))
             .filter(|address| *address != own)
             .collect();
         self.channels.gateways.send_replace(Arc::new(addresses));
@@ -86,12 +96,12 @@
 
 /// Parses the address for peers from a registration's key. Keys that other programs wrote under the
 /// prefix are skipped.
-fn parse_address(key: &str) -> Option<SocketAddr> {
+fn parse_address(key: &str, rejections: &mut Rejections) -> Option<SocketAddr> {
     let text = key.strip_prefix(GATEWAYS)?;
     match text.parse() {
         Ok(address) => Some(address),
         Err(error) => {
-            log::warn!(key; "skipping a gateway's registration with an invalid address: {error}");
+            rejections.log(WHAT, key, error);
             None
         }
     }
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -1,7 +1,7 @@
 //! Reads and watches the registrations of backend servers.
 
 use {
-    super::{Follower, RECOVERY_TIME, WATCH_WAIT},
+    super::{Follower, RECOVERY_TIME, WATCH_WAIT, rejections::Rejections},
     crate::clock::Clock,
     std::{
         collections::HashSet,
@@ -20,11 +20,15 @@
     tokio::time::sleep,
 };
 
+/// What the log calls an entry.
+const WHAT: &str = "backend server registration";
+
 impl Follower {
     /// Reads the registrations and watches them. Reads them again when the watch fails.
     pub(super) async fn follow_servers(&self) {
         let clock = Clock::new();
         let mut table = ServerTable::new();
+        let mut rejections = Rejections::new();
         let mut failures = 0;
         loop {
             let range = match self.store.range(registration::PREFIX).await {
@@ -48,18 +52,25 @@
                 log_removal(&member);
             }
             for entry in &range.entries {
-                register(&mut table, entry, &clock);
+                register(&mut table, entry, &mut rejections, &clock);
             }
             for item in &range.unreadable {
-                reject(&mut table, item, era, &clock);
+                reject(&mut table, item, era, &mut rejections, &clock);
             }
             self.publish(&table);
             failures = 0;
-            self.watch_servers(&mut table, range.revision, &clock).await;
+            self.watch_servers(&mut table, range.revision, &mut rejections, &clock)
+                .await;
         }
     }
 
-    async fn watch_servers(&self, table: &mut ServerTable, mut revision: Revision, clock: &Clock) {
+    async fn watch_servers(
+        &self,
+        table: &mut ServerTable,
+        mut revision: Revision,
+        rejections: &mut Rejections,
+        clock: &Clock,
+    ) {
         let mut must_read_again = self.is_recovering();
         loop {
             let wait = self.recovery_time_left().unwrap_or(WATCH_WAIT);
@@ -79,9 +90,9 @@
             if !changes.changes.is_empty() {
                 for change in &changes.changes {
                     match change {
-                        Change::Put(entry) => register(table, entry, clock),
+                        Change::Put(entry) => register(table, entry, rejections, clock),
                         Change::Unreadable(item) => {
-                            reject(table, item, changes.revision.era, clock);
+                            reject(table, item, changes.revision.era, rejections, clock);
                         }
                         Change::Removed { key, revision } => {
                             self.remove(table, key, revision.era, clock);
@@ -133,9 +144,7 @@
             );
             return;
         }
-        if let Some(member) = table.remove(id, era, clock.now()) {
-            log_removal(&member);
-        }
+        discard(table, id, era, clock);
     }
 
     fn publish(&self, table: &ServerTable) {
@@ -147,17 +156,14 @@
     }
 }
 
-fn register(table: &mut ServerTable, entry: &Entry, clock: &Clock) {
+fn register(table: &mut ServerTable, entry: &Entry, rejections: &mut Rejections, clock: &Clock) {
     let era = entry.revision.era;
     let registration = match registration::decode(&entry.key, &entry.value) {
         Ok(registration) => registration,
         Err(error) => {
-            log::warn!(
-                key = entry.key.as_str();
-                "skipping an invalid backend server registration: {error}"
-            );
+            rejections.log(WHAT, &entry.key, error);
             if let Some(id) = registration::id(&entry.key) {
-                table.remove(id, era, clock.now());
+                discard(table, id, era, clock);
             }
             return;
         }
@@ -175,11 +181,23 @@
 }
 
 /// Removes the backend server whose entry cannot be read any more.
-fn reject(table: &mut ServerTable, item: &Unreadable, era: u64, clock: &Clock) {
-    let key = item.key.as_deref().unwrap_or_default();
-    log::warn!(key; "skipping a backend server registration: {item}");
-    if let Some(id) = registration::id(key) {
-        table.remove(id, era, clock.now());
+fn reject(
+    table: &mut ServerTable,
+    item: &Unreadable,
+    era: u64,
+    rejections: &mut Rejections,
+    clock: &Clock,
+) {
+    rejections.log_unreadable(WHAT, item);
+    if let Some(id) = item.key.as_deref().and_then(registration::id) {
+        discard(table, id, era, clock);
+    }
+}
+
+/// Removes a backend server, if it is in the table.
+fn discard(table: &mut ServerTable, id: &str, era: u64, clock: &Clock) {
+    if let Some(member) = table.remove(id, era, clock.now()) {
+        log_removal(&member);
     }
 }
 
