--- a/core/tests/quota.rs
+++ b/core/tests/quota.rs
@@ -324,3 +324,71 @@
         known.used("large")
     );
 }
+
+/// Numbers that are no units: a peer, or a program that writes to the store, may send them.
+fn odd_numbers() -> [f64; 5] {
+    [
+        f64::NAN,
+        f64::INFINITY,
+        f64::NEG_INFINITY,
+        f64::MAX,
+        f64::MIN,
+    ]
+}
+
+/// Units that a ledger admits within one window.
+fn admitted_in_window(ledger: &mut Ledger, now: Timestamp) -> f64 {
+    let organisation = organisation();
+    let admits = |_: &i32| ledger.admit(&organisation, 100.0, now).is_ok();
+    (0..1_000).filter(admits).count() as f64 * 100.0
+}
+
+/// Guards against a quota that is not kept any more after one odd number of a peer, and against an
+/// organisation that is refused for as long as it asks.
+#[test]
+fn odd_numbers_of_a_peer_leave_the_quota_in_force() {
+    let stated = RATE * WINDOW_S as f64 + RATE;
+    for number in odd_numbers() {
+        for is_history in [false, true] {
+            let mut ledger = Ledger::new(settings(true));
+            let usage = |admitted: f64, history| quota::Usage {
+                organisation: "large".to_owned(),
+                admitted,
+                refunded: 0.0,
+                history,
+            };
+            let history = is_history.then(|| quota::UsageHistory(vec![number, 1.0]));
+            ledger.merge(1, &usage(0.0, history), at(0));
+            if !is_history {
+                ledger.merge(1, &usage(number, None), at(10));
+                ledger.merge(1, &usage(5.0, None), at(20));
+            }
+
+            let admitted = admitted_in_window(&mut ledger, at(30));
+
+            assert!(
+                (stated * 0.9..=stated * 1.2).contains(&admitted),
+                "{number} (history: {is_history}): {admitted} of {stated} units admitted"
+            );
+        }
+    }
+}
+
+/// Guards against the same numbers in what was saved.
+#[test]
+fn odd_numbers_in_saved_use_leave_the_quota_in_force() {
+    let stated = RATE * WINDOW_S as f64 + RATE;
+    for number in odd_numbers() {
+        let mut ledger = Ledger::new(settings(true));
+        let history = quota::UsageHistory(vec![number, 1.0]);
+        let saved = HashMap::from([("large".to_owned(), history)]);
+        ledger.restore(saved, at(0));
+
+        let admitted = admitted_in_window(&mut ledger, at(30));
+
+        assert!(
+            (stated * 0.9..=stated * 1.2).contains(&admitted),
+            "{number}: {admitted} of {stated} units admitted"
+        );
+    }
+}
