A number of seconds that is none panics no more

Predicted times and intervals are computed from rates that backend servers and peers report. time::seconds panicked for a NaN, which a quotient of zeros is; it counts as the longest time now. No report that leads to a NaN is known: rates and speeds are checked where they arrive.

Test: core/tests/time.rs, one of six cases red before, all pass now.

--- a/core/src/time.rs
+++ b/core/src/time.rs
@@ -45,8 +45,12 @@
     }
 }
 
-/// Converts seconds to a duration, clamped to the range from zero to one year.
+/// Converts seconds to a duration, clamped to the range from zero to one year. What is no number, as a
+/// quotient of zeros, is as long as the longest.
 pub fn seconds(seconds: f64) -> Duration {
     const YEAR_S: f64 = 365.0 * 86_400.0;
-    Duration::from_secs_f64(seconds.clamp(0.0, YEAR_S))
+    match seconds.is_nan() {
+        true => Duration::from_secs_f64(YEAR_S),
+        false => Duration::from_secs_f64(seconds.clamp(0.0, YEAR_S)),
+    }
 }
