Quotas: numbers that are no units are left out

One NaN, infinity or number beyond 2^53 among the quota use that a peer reports, or that was saved in the store, ended the quota of its organisation: every later sum was no number, and no comparison with the quota held. 100,000 of 9,000 units were admitted in the test.

A report or a history with such a number is not merged; the summary's and the store's decoder log it. The use of an organisation whose saved history is left out counts as unknown.

--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -46,6 +46,10 @@
 /// one that had used up its window.
 const UNKNOWN_USE_FRACTION: f64 = 0.7;
 
+/// Most units that are counted exactly. More, or what is no number, are an error of the sender; added
+/// up, they would make all later sums worthless.
+const MAX_UNITS: f64 = 9_007_199_254_740_992.0;
+
 /// Settings that apply to all quotas.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Settings {
@@ -80,6 +84,27 @@
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct UsageHistory(pub Vec<f64>);
 
+impl Usage {
+    /// Whether all numbers are units. Only then may the report be merged.
+    pub fn is_valid(&self) -> bool {
+        let totals = [self.admitted, self.refunded];
+        let history = self.history.as_ref();
+        totals.into_iter().all(is_count) && history.is_none_or(UsageHistory::is_valid)
+    }
+}
+
+impl UsageHistory {
+    /// Whether all numbers are units. Only then may the history be merged. A bucket may be a little
+    /// below zero: refunds are subtracted from it.
+    pub fn is_valid(&self) -> bool {
+        self.0.iter().all(|units| is_count(units.abs()))
+    }
+}
+
+fn is_count(units: f64) -> bool {
+    (0.0..=MAX_UNITS).contains(&units)
+}
+
 /// Error of a request that exceeds a quota. Use and limit are in units per window.
 #[derive(Clone, Debug, PartialEq)]
 pub struct QuotaExceeded {
@@ -147,8 +172,10 @@
         };
     }
 
-    /// Restores the use that was persisted before all routers restarted.
-    pub fn restore(&mut self, restored: HashMap<String, UsageHistory>, now: Timestamp) {
+    /// Restores the use that was persisted before all routers restarted. A history that is not valid is
+    /// left out, and its organisation's use is unknown.
+    pub fn restore(&mut self, mut restored: HashMap<String, UsageHistory>, now: Timestamp) {
+        restored.retain(|_, history| history.is_valid());
         for (organisation, history) in &restored {
             let window = self.settings.window;
             let unrecorded = history.0.iter().take(UNRECORDED_BUCKETS).sum();
@@ -240,8 +267,11 @@
         }
     }
 
-    /// Merges the reported use of the peer `peer`.
+    /// Merges the reported use of the peer `peer`, unless it is not valid.
     pub fn merge(&mut self, peer: u64, usage: &Usage, now: Timestamp) {
+        if !usage.is_valid() {
+            return;
+        }
         let window = self.settings.window;
         let account = self.account(&usage.organisation, now);
         let totals = (usage.admitted, usage.refunded);
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -96,6 +96,16 @@
     fn from(saved: SavedQuotaUse) -> Self {
         let used = saved.used.into_iter();
         used.map(|(name, parts)| (name, quota::UsageHistory(parts)))
+            .filter(|(organisation, history)| {
+                let is_valid = history.is_valid();
+                if !is_valid {
+                    log::warn!(
+                        organisation = organisation.as_str();
+                        "ignoring saved quota use that is no number of units"
+                    );
+                }
+                is_valid
+            })
             .collect()
     }
 }
@@ -242,11 +252,12 @@
             };
             (service, notice)
         });
+        let usages = frame.usages.into_iter().map(quota::Usage::from);
         let poison = frame.poison.into_iter();
         let statements = frame.statements.into_iter();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
-            usages: frame.usages.into_iter().map(Into::into).collect(),
+            usages: usages.filter(is_valid).collect(),
             is_complete: frame.is_complete,
             waits: waits.collect(),
             floors: floors.collect(),
@@ -261,6 +272,16 @@
     }
 }
 
+/// Whether a peer's use is one; if not, it is left out.
+fn is_valid(usage: &quota::Usage) -> bool {
+    let is_valid = usage.is_valid();
+    if !is_valid {
+        let organisation = usage.organisation.as_str();
+        log::warn!(organisation; "ignoring a peer's quota use that is no number of units");
+    }
+    is_valid
+}
+
 fn stage_number(stage: Stage) -> u8 {
     match stage {
         Stage::OnTime => 0,
