Test: odd instances and keys of the own interface, known red

One group of the instance list that cannot be read fails the whole list each time that it is read (14 kinds of groups), and routers follow it no more. One key that is not UTF-8 below the prefix of the documents fails each list and ends each watch, so that no change of a document is followed.

--- a/store/tests/kv.rs
+++ b/store/tests/kv.rs
@@ -6,7 +6,7 @@
     std::time::{Duration, Instant},
     tamarackdale_store::{
         http,
-        kv::{Change, Client, Creation, Error, Swap, Watch},
+        kv::{Change, Client, Creation, Entry, Error, Swap, Watch},
     },
     tamarackdale_testbed::store::{Call, Outage, Store},
     tokio::time::timeout,
@@ -412,3 +412,31 @@
     assert!(matches!(result, Err(Error::Unavailable(_))), "{result:?}");
     assert!(store.record("b").is_none());
 }
+
+/// Guards against the loss of all documents to one key that another program wrote: the list was never
+/// read again, and each watch ended at it.
+#[tokio::test]
+async fn key_that_is_not_utf8_hides_no_others() {
+    let (store, client) = store();
+    store.put("documents/a", b"1");
+    store.put(b"documents/\xff", b"odd");
+    let last = store.put("documents/z", b"2");
+
+    let listed = client.list("documents/").await;
+    let newer = client.list_newer("documents/", 1).await;
+    let mut watch = client.watch("documents/", 1).await.expect("a watch");
+    let mut watched = Vec::new();
+    while watched.last() != Some(&last) {
+        let Change::Put(entry) = next_change(&mut watch).await else {
+            panic!("no key was deleted");
+        };
+        watched.push(entry.revision);
+    }
+
+    let revisions =
+        |entries: Vec<Entry>| -> Vec<i64> { entries.iter().map(|entry| entry.revision).collect() };
+    let all = vec![last - 2, last - 1, last];
+    assert_eq!(revisions(listed.expect("a list").0), all);
+    assert_eq!(revisions(newer.expect("a list")), all);
+    assert_eq!(watched, all);
+}
--- a/store/tests/list.rs
+++ b/store/tests/list.rs
@@ -1,9 +1,14 @@
 //! Tests of the instance list's client against the simulated list.
 
 use {
+    bytes::Bytes,
+    rstest::rstest,
     std::time::{Duration, Instant},
     tamarackdale_store::list::{Client, Error, Member, Role},
-    tamarackdale_testbed::list::{Instance, List},
+    tamarackdale_testbed::{
+        host::{self, Host},
+        list::{Instance, List},
+    },
 };
 
 fn sidecar(name: &str) -> Instance {
@@ -109,3 +114,51 @@
 
     assert!(matches!(error, Err(Error::Unavailable(_))));
 }
+
+const SOUND: &str = r#"{"targets":["127.0.0.1:4000"],"labels":{"instance":"one","service":"s",
+"role":"sidecar","data_centre":"a","state":"live"}}"#;
+
+/// Levels of nesting that overflow the stack of a reader that recurses.
+const LEVELS: usize = 100_000;
+
+/// Guards against the loss of the whole list to one group that another program wrote.
+#[rstest]
+#[case::null(b"null")]
+#[case::number(b"7")]
+#[case::empty(b"{}")]
+#[case::no_target(br#"{"targets":[],"labels":{"role":"sidecar","instance":"odd"}}"#)]
+#[case::two_targets(
+    br#"{"targets":["127.0.0.1:1","127.0.0.1:2"],"labels":{"role":"sidecar","instance":"odd"}}"#
+)]
+#[case::no_name(br#"{"targets":["127.0.0.1:1"],"labels":{"role":"sidecar"}}"#)]
+#[case::port_over_u16(
+    br#"{"targets":["127.0.0.1:70000"],"labels":{"role":"sidecar","instance":"odd"}}"#
+)]
+#[case::port_zero(br#"{"targets":["127.0.0.1:0"],"labels":{"role":"sidecar","instance":"odd"}}"#)]
+#[case::no_host(br#"{"targets":["0.0.0.0:1"],"labels":{"role":"router","instance":"odd"}}"#)]
+#[case::target_number(br#"{"targets":[1e999],"labels":{"role":"sidecar","instance":"odd"}}"#)]
+#[case::label_number(br#"{"targets":["127.0.0.1:1"],"labels":{"role":"sidecar","instance":1}}"#)]
+#[case::surrogate(
+    br#"{"targets":["127.0.0.1:1"],"labels":{"role":"sidecar","instance":"\ud800"}}"#
+)]
+#[case::not_utf8(b"{\"targets\":[],\"labels\":{\"role\":\"sidecar\",\"instance\":\"\xff\"}}")]
+#[case::nested(&[[b'['; LEVELS], [b']'; LEVELS]].concat())]
+#[tokio::test]
+async fn odd_group_hides_no_others(#[case] odd: &[u8]) {
+    let body: Bytes = [b"[", odd, b",", SOUND.as_bytes(), b"]"].concat().into();
+    let list = Host::new("list", move |_| {
+        let body = body.clone();
+        async move { Some(host::bytes(body)) }
+    });
+    let list = list.expect("starts");
+    let client = Client::new(&format!("http://{}/", list.address()));
+
+    let members = client.fetch().await;
+
+    let members = members.expect("the list is read");
+    let names: Vec<_> = members
+        .iter()
+        .map(|member| member.instance.as_str())
+        .collect();
+    assert_eq!(names, ["one"]);
+}
--- a/testbed/src/deployment.rs
+++ b/testbed/src/deployment.rs
@@ -112,7 +112,7 @@
     /// Writes a service's document; returns the store's revision.
     pub fn apply(&self, service: &str, document: &str) -> i64 {
         self.store
-            .put(&format!("{DOCUMENTS}{service}"), document.as_bytes())
+            .put(format!("{DOCUMENTS}{service}"), document.as_bytes())
     }
 
     /// Callers' addresses of the routers.
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -153,8 +153,8 @@
     }
 
     /// Writes a key directly, without a call; returns the revision.
-    pub fn put(&self, key: &str, value: &[u8]) -> i64 {
-        let revision = self.gateway.state().put(key.as_bytes(), value);
+    pub fn put(&self, key: impl AsRef<[u8]>, value: &[u8]) -> i64 {
+        let revision = self.gateway.state().put(key.as_ref(), value);
         self.gateway.notify();
         revision
     }
