Stores: a key that is not UTF-8 hides no documents

One key that another program wrote below the prefix of the documents, and that is not UTF-8, failed every list and ended every watch at it, so that no process followed a change of a document until the key was gone. The bytes are replaced; the key then names no service that is asked for.

The test compares revisions without their order: the list is in the order of the keys, which its first version overlooked.

--- a/store/src/kv.rs
+++ b/store/src/kv.rs
@@ -58,7 +58,7 @@
     pub async fn get(&self, key: &str) -> Result<Option<Entry>, Error> {
         let request = RangeRequest::key(key);
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
-        Ok(response.into_entries()?.pop())
+        Ok(response.into_entries().pop())
     }
 
     /// Reads one key as it was at a past revision of the store.
@@ -69,7 +69,7 @@
     pub async fn get_at(&self, key: &str, revision: i64) -> Result<Option<Entry>, Error> {
         let request = RangeRequest::key(key).with_revision(revision);
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
-        Ok(response.into_entries()?.pop())
+        Ok(response.into_entries().pop())
     }
 
     /// Reads all keys that begin with `prefix`, and the revision of the store at that time.
@@ -77,14 +77,14 @@
         let request = RangeRequest::prefix(prefix);
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
         let revision = response.header.revision;
-        Ok((response.into_entries()?, revision))
+        Ok((response.into_entries(), revision))
     }
 
     /// Reads the keys that begin with `prefix` and were written after `revision`.
     pub async fn list_newer(&self, prefix: &str, revision: i64) -> Result<Vec<Entry>, Error> {
         let request = RangeRequest::prefix(prefix).with_min_mod_revision(revision + 1);
         let response: RangeResponse = self.call("/v3/kv/range", &request).await?;
-        response.into_entries()
+        Ok(response.into_entries())
     }
 
     /// Writes a key if it does not exist.
--- a/store/src/kv/message.rs
+++ b/store/src/kv/message.rs
@@ -61,8 +61,8 @@
 }
 
 impl RangeResponse {
-    pub fn into_entries(self) -> Result<Vec<Entry>, Error> {
-        self.kvs.into_iter().map(Entry::try_from).collect()
+    pub fn into_entries(self) -> Vec<Entry> {
+        self.kvs.into_iter().map(Entry::from).collect()
     }
 }
 
@@ -75,15 +75,15 @@
     mod_revision: i64,
 }
 
-impl TryFrom<KeyValue> for Entry {
-    type Error = Error;
-
-    fn try_from(pair: KeyValue) -> Result<Self, Error> {
-        Ok(Self {
-            key: String::from_utf8(pair.key.0).map_err(Error::malformed)?,
+/// Keys are any bytes. Those that are not UTF-8, which another program wrote, are replaced: the key then
+/// names nothing, and the entry hides no others.
+impl From<KeyValue> for Entry {
+    fn from(pair: KeyValue) -> Self {
+        Self {
+            key: String::from_utf8_lossy(&pair.key.0).into_owned(),
             value: pair.value.0,
             revision: pair.mod_revision,
-        })
+        }
     }
 }
 
@@ -175,7 +175,7 @@
             .pop()
             .and_then(|operation| operation.response_range)
             .ok_or_else(|| Error::malformed("failed compare without the present entry"))?;
-        Ok(Swap::Conflict(range.into_entries()?.pop()))
+        Ok(Swap::Conflict(range.into_entries().pop()))
     }
 }
 
@@ -279,7 +279,7 @@
 
 impl Event {
     /// The entry, and whether it was deleted rather than written.
-    pub fn into_entry(self) -> Result<(Entry, bool), Error> {
-        Ok((self.kv.try_into()?, self.kind == EventKind::Delete))
+    pub fn into_entry(self) -> (Entry, bool) {
+        (self.kv.into(), self.kind == EventKind::Delete)
     }
 }
--- a/store/src/kv/watch.rs
+++ b/store/src/kv/watch.rs
@@ -104,7 +104,7 @@
             ));
         }
         for event in response.events {
-            let (entry, is_deleted) = event.into_entry()?;
+            let (entry, is_deleted) = event.into_entry();
             self.changes.push_back(match is_deleted {
                 false => Change::Put(entry),
                 true => Change::Delete {
--- a/store/tests/kv.rs
+++ b/store/tests/kv.rs
@@ -3,7 +3,10 @@
 
 use {
     rstest::rstest,
-    std::time::{Duration, Instant},
+    std::{
+        collections::BTreeSet,
+        time::{Duration, Instant},
+    },
     tamarackdale_store::{
         http,
         kv::{Change, Client, Creation, Entry, Error, Swap, Watch},
@@ -433,10 +436,11 @@
         watched.push(entry.revision);
     }
 
-    let revisions =
-        |entries: Vec<Entry>| -> Vec<i64> { entries.iter().map(|entry| entry.revision).collect() };
-    let all = vec![last - 2, last - 1, last];
+    let revisions = |entries: Vec<Entry>| -> BTreeSet<i64> {
+        entries.iter().map(|entry| entry.revision).collect()
+    };
+    let all = BTreeSet::from([last - 2, last - 1, last]);
     assert_eq!(revisions(listed.expect("a list").0), all);
     assert_eq!(revisions(newer.expect("a list")), all);
-    assert_eq!(watched, all);
+    assert_eq!(watched, Vec::from_iter(all));
 }
