Gateways: a stream goes on only at the software version that began it

Cause: no source read the version in a server's registration nor the header `Resumes`, and nothing of a stream outlived its gateway. Class: a position in a stream (`Last-Event-Id`) was used without what it belongs to, as an offset without the epoch that wrote it.

- The version is part of a server's registration, and so of its start.
`core::origin` keeps for each stream that callers may take up the service and version that began it, under the digest of the attempt that brought its first event, until nobody can take it up any more.
- After the first event only servers of that version are candidates.
Before it any version is.
- While a service has several versions, each gateway saves its table in the store, under a lease and under a key of its own for each start, when it has changed and at most every 500 ms, less often if a fifth of the store's writes would be exceeded.
No event waits for the store.
- A take-up asks the own table, then the tables of all gateways; reads that come together are joined.
An unknown stream goes on only if its service has had one version since before it can have begun; else it is refused as `origin-unknown`, 503, not run, with the time after which a living gateway has saved it.
A stream that is taken up is recorded again under its first attempt, and goes to the service at which it began, also on a split route.
- A request that goes on with a stream waits before others of its rank: fewer servers may serve it.
- Log: version of servers, placements and ended requests, take-ups with `resumes` and `last_event`.
Metric: `tamarackdale_streams` by version, whether taken up and whether begun.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -19,6 +19,7 @@
 
 use {
     crate::{
+        origin::Origin,
         rendezvous, summary,
         time::{self, Timestamp},
     },
@@ -61,12 +62,24 @@
     pub service: String,
     /// Data centre in which it runs.
     pub data_centre: String,
+    /// Version of its software; empty if it states none.
+    pub version: String,
     /// Maximum number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
     pub is_leaving: bool,
 }
 
+impl Member {
+    /// Where streams begin that this backend server runs.
+    pub fn origin(&self) -> Origin {
+        Origin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+        }
+    }
+}
+
 /// All registered backend servers by identifier.
 pub type Members = BTreeMap<String, Member>;
 
@@ -115,6 +128,8 @@
     pub output_tokens: u32,
     /// Identifiers of backend servers that must not be chosen again.
     pub excluded: &'a [String],
+    /// The only version of the software that may be chosen; `None` allows any.
+    pub required_version: Option<&'a str>,
     /// Longest acceptable wait for a slot.
     pub max_wait: Duration,
     /// Time left until the response must be complete.
@@ -477,6 +492,9 @@
                 && !server.is_leaving(now)
                 && !server.health.is_ejected(now)
                 && !demand.excluded.contains(&server.member.id)
+                && demand
+                    .required_version
+                    .is_none_or(|only| only == server.member.version)
                 && demand
                     .required_server
                     .is_none_or(|only| only == server.member.id)
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod grant;
 pub mod id;
 pub mod limit;
+pub mod origin;
 pub mod peer_table;
 pub mod poison;
 pub mod prefix_history;
--- /dev/null
+++ b/core/src/origin.rs
@@ -0,0 +1,147 @@
+//! Where streams began: at which service, and at which version of its software.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that began
+//! it: within one response, and when its caller takes it up with another request.
+
+use {
+    crate::{fleet::Members, rendezvous, time::Timestamp},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+        time::Duration,
+    },
+};
+
+/// Time for which a version counts after the last backend server of it was seen, and for which the
+/// saved origins of a process are kept after its end. Longer than any stream, its repeats included.
+pub const RETENTION: Duration = Duration::from_secs(60);
+
+/// Where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Origin {
+    /// Service.
+    pub service: String,
+    /// Version of its software.
+    pub version: String,
+}
+
+/// Digest that stands for a stream: of the identifier of the attempt that brought its first event.
+pub fn stream(attempt: &str) -> u64 {
+    rendezvous::hash(attempt)
+}
+
+/// Origins of the streams that a router has begun or gone on with, by the stream's digest.
+#[derive(Debug, Default)]
+pub struct Table {
+    records: HashMap<u64, Record>,
+    has_changed: bool,
+}
+
+#[derive(Debug)]
+struct Record {
+    origin: Arc<Origin>,
+    /// When nobody can take the stream up any more.
+    until: Timestamp,
+}
+
+impl Table {
+    /// Creates an empty table.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records where a stream began, or goes on, which callers may take up until `until`.
+    pub fn record(&mut self, stream: u64, origin: Arc<Origin>, until: Timestamp) {
+        let record = Record { origin, until };
+        match self.records.get_mut(&stream) {
+            Some(known) if known.origin == record.origin => known.until = known.until.max(until),
+            _ => {
+                self.records.insert(stream, record);
+                self.has_changed = true;
+            }
+        }
+    }
+
+    /// Removes a stream that nobody takes up.
+    pub fn remove(&mut self, stream: u64) {
+        self.has_changed |= self.records.remove(&stream).is_some();
+    }
+
+    /// Where a stream began.
+    pub fn get(&self, stream: u64) -> Option<&Arc<Origin>> {
+        self.records.get(&stream).map(|record| &record.origin)
+    }
+
+    /// Removes the streams that nobody can take up any more.
+    pub fn prune(&mut self, now: Timestamp) {
+        let before = self.records.len();
+        self.records.retain(|_, record| record.until > now);
+        self.has_changed |= self.records.len() != before;
+    }
+
+    /// Whether there were changes since the last call.
+    pub fn take_changes(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
+    /// Streams by origin, at most `limit` of them: those that may be taken up for the longest time.
+    pub fn by_origin(&self, limit: usize) -> BTreeMap<Arc<Origin>, Vec<u64>> {
+        let mut records: Vec<(&u64, &Record)> = self.records.iter().collect();
+        if records.len() > limit {
+            records.sort_unstable_by_key(|(_, record)| std::cmp::Reverse(record.until));
+            records.truncate(limit);
+        }
+        let mut streams: BTreeMap<Arc<Origin>, Vec<u64>> = BTreeMap::new();
+        for (stream, record) in records {
+            let origin = Arc::clone(&record.origin);
+            streams.entry(origin).or_default().push(*stream);
+        }
+        streams
+    }
+}
+
+/// Versions of each service that serve, or of which streams may still be taken up.
+#[derive(Debug, Default)]
+pub struct Versions {
+    seen: HashMap<Origin, Timestamp>,
+}
+
+impl Versions {
+    /// Creates a set without versions.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records that a version of a service serves or has begun a stream.
+    pub fn observe(&mut self, origin: &Origin, now: Timestamp) {
+        match self.seen.get_mut(origin) {
+            Some(seen) => *seen = now,
+            None => {
+                self.seen.insert(origin.clone(), now);
+            }
+        }
+    }
+
+    /// Records the versions of the registered backend servers, and drops those not seen for
+    /// [`RETENTION`].
+    pub fn observe_servers(&mut self, members: &Members, now: Timestamp) {
+        for member in members.values() {
+            self.observe(&member.origin(), now);
+        }
+        self.seen.retain(|_, seen| now.since(*seen) < RETENTION);
+    }
+
+    /// The only version of a service, if there is no other one.
+    pub fn only(&self, service: &str) -> Option<&Origin> {
+        let mut versions = self.seen.keys().filter(|seen| seen.service == service);
+        let only = versions.next()?;
+        versions.next().is_none().then_some(only)
+    }
+
+    /// Whether there are several versions of any service.
+    pub fn is_mixed(&self) -> bool {
+        self.seen
+            .keys()
+            .any(|seen| self.only(&seen.service).is_none())
+    }
+}
--- a/core/src/routing_config/route.rs
+++ b/core/src/routing_config/route.rs
@@ -60,6 +60,11 @@
 }
 
 impl Route {
+    /// Whether the route sends requests to a service.
+    pub fn leads_to(&self, service: &str) -> bool {
+        self.targets.iter().any(|target| target.service == service)
+    }
+
     /// The service for a request whose identifier hashes to `hash`. The same request is always sent
     /// to the same service, and the services share the requests by weight.
     pub fn target(&self, hash: u64) -> Option<&str> {
--- a/core/src/wait_queue.rs
+++ b/core/src/wait_queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait at a router for a free slot at a backend server.
 //!
-//! More urgent ranks are served first. Within a rank, requests that can still be on time are served
-//! before late ones, and those with the most time left first: under overload, serving the oldest
+//! More urgent ranks are served first. Within a rank, requests that go on with a stream are served first,
+//! then requests that can still be on time before late ones, and those with the most time left first: under overload, serving the oldest
 //! first would make every request wait until it is just late. Late requests get the remaining
 //! capacity in order of arrival.
 
@@ -15,6 +15,9 @@
 pub struct SchedulingKey {
     /// Rank of the request.
     pub rank: Rank,
+    /// Whether it goes on with a stream of which its caller has events. Few backend servers may serve
+    /// it, and what was generated is lost without it.
+    pub is_resumed: bool,
     /// Whether this is a retry after a refusal. Retries are always late, and are served before
     /// other late requests of their rank.
     pub is_retry: bool,
@@ -25,6 +28,8 @@
 /// Stage of a waiting request within its rank; earlier stages are served first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Stage {
+    /// It goes on with a stream.
+    Resumed,
     /// It can still be on time.
     OnTime,
     /// It is a retry after a refusal.
@@ -108,10 +113,11 @@
 impl SchedulingKey {
     /// Urgency of the request at `now`.
     pub fn urgency(&self, now: Timestamp) -> Urgency {
-        let stage = match (self.is_retry, self.on_time_until > now) {
-            (true, _) => Stage::Retry,
-            (false, true) => Stage::OnTime,
-            (false, false) => Stage::Late,
+        let stage = match (self.is_resumed, self.is_retry, self.on_time_until > now) {
+            (true, _, _) => Stage::Resumed,
+            (_, true, _) => Stage::Retry,
+            (_, false, true) => Stage::OnTime,
+            (_, false, false) => Stage::Late,
         };
         Urgency {
             rank: self.rank,
@@ -123,7 +129,7 @@
         let urgency = self.urgency(now);
         let latest_first = match urgency.stage {
             Stage::OnTime => self.on_time_until,
-            Stage::Retry | Stage::Late => Timestamp::START,
+            Stage::Resumed | Stage::Retry | Stage::Late => Timestamp::START,
         };
         (urgency, Reverse(latest_first), number)
     }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -23,6 +23,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         service: "llm".to_owned(),
         data_centre: "a".to_owned(),
+        version: "v1".to_owned(),
         slots: SLOTS,
         is_leaving: false,
     }
@@ -50,6 +51,7 @@
         time_left: Duration::from_secs(15),
         prefix: None,
         data_centre: "a",
+        required_version: None,
         max_remote: None,
         required_server: None,
     }
--- /dev/null
+++ b/core/tests/origin.rs
@@ -0,0 +1,119 @@
+//! Origins of streams, and the versions of services.
+
+use {
+    rstest::rstest,
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{
+        origin::{self, Origin, RETENTION, Table, Versions},
+        time::Timestamp,
+    },
+};
+
+fn origin(version: &str) -> Origin {
+    Origin {
+        service: "engine".to_owned(),
+        version: version.to_owned(),
+    }
+}
+
+fn at(seconds: u64) -> Timestamp {
+    Timestamp::START.plus(Duration::from_secs(seconds))
+}
+
+/// Guards against a stream that is taken for one of the version that its request was first sent to,
+/// although another one brought its first event.
+#[test]
+fn stream_that_moves_has_the_origin_of_its_last_run() {
+    let mut table = Table::new();
+    let stream = origin::stream("a-1");
+
+    table.record(stream, Arc::new(origin("v1")), at(10));
+    table.record(stream, Arc::new(origin("v2")), at(10));
+
+    assert_eq!(table.get(stream).map(AsRef::as_ref), Some(&origin("v2")));
+}
+
+#[test]
+fn stream_is_forgotten_when_nobody_can_take_it_up_any_more() {
+    let mut table = Table::new();
+    table.record(1, Arc::new(origin("v1")), at(10));
+    table.record(2, Arc::new(origin("v1")), at(5));
+    table.record(2, Arc::new(origin("v1")), at(20));
+
+    table.prune(at(10));
+
+    assert_eq!(table.get(1), None);
+    assert!(table.get(2).is_some());
+}
+
+/// Guards against saves that nothing requires: each of them is a call to the store.
+#[test]
+fn only_what_other_processes_must_know_counts_as_a_change() {
+    let mut table = Table::new();
+    table.record(1, Arc::new(origin("v1")), at(10));
+
+    let has_begun = table.take_changes();
+    table.record(1, Arc::new(origin("v1")), at(20));
+    let has_longer = table.take_changes();
+    table.remove(1);
+    let has_ended = table.take_changes();
+
+    assert_eq!((has_begun, has_longer, has_ended), (true, false, true));
+}
+
+#[test]
+fn streams_that_last_longest_are_saved_if_there_are_too_many() {
+    let mut table = Table::new();
+    for stream in 0..10 {
+        let version = if stream % 2 == 0 { "v1" } else { "v2" };
+        table.record(stream, Arc::new(origin(version)), at(stream));
+    }
+
+    let saved = table.by_origin(4);
+
+    let mut streams: Vec<u64> = saved.into_values().flatten().collect();
+    streams.sort_unstable();
+    assert_eq!(streams, [6, 7, 8, 9]);
+}
+
+/// Guards against a stream that goes on at the only version in service although another one, which has
+/// just left, may have begun it.
+#[rstest]
+#[case::first_version_only(&[("v1", 0)], Some("v1"))]
+#[case::both(&[("v1", 0), ("v2", 0)], None)]
+#[case::other_service_has_two(&[("v1", 0)], Some("v1"))]
+#[case::none(&[], None)]
+fn version_is_the_only_one_if_no_other_was_seen(
+    #[case] seen: &[(&str, u64)],
+    #[case] expected: Option<&str>,
+) {
+    let mut versions = Versions::new();
+    for (version, seconds) in seen {
+        versions.observe(&origin(version), at(*seconds));
+    }
+    for version in ["v1", "v2"] {
+        let service = "other".to_owned();
+        let version = version.to_owned();
+        versions.observe(&Origin { service, version }, at(0));
+    }
+
+    let only = versions.only("engine").map(|only| only.version.as_str());
+
+    assert_eq!(only, expected);
+}
+
+#[test]
+fn version_that_has_left_counts_for_as_long_as_its_streams_may_be_taken_up() {
+    let mut versions = Versions::new();
+    let nobody = std::collections::BTreeMap::new();
+    versions.observe(&origin("v1"), at(0));
+    versions.observe(&origin("v2"), at(30));
+
+    versions.observe_servers(&nobody, at(0).plus(RETENTION - Duration::from_secs(1)));
+    let is_mixed_before = versions.is_mixed();
+    versions.observe_servers(&nobody, at(0).plus(RETENTION));
+
+    assert!(is_mixed_before);
+    assert!(!versions.is_mixed());
+    assert_eq!(versions.only("engine"), Some(&origin("v2")));
+}
--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -123,6 +123,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         service: "s".to_owned(),
         data_centre: "d".to_owned(),
+        version: "v1".to_owned(),
         slots: 4,
         is_leaving: false,
     }
@@ -138,6 +139,7 @@
         time_left: Duration::from_secs(1),
         prefix: None,
         data_centre: "d",
+        required_version: None,
         max_remote: None,
         required_server: None,
     }
--- a/core/tests/server_table.rs
+++ b/core/tests/server_table.rs
@@ -19,6 +19,7 @@
             address: SocketAddr::from(([127, 0, 0, 1], 1)),
             service: "llm".to_owned(),
             data_centre: "a".to_owned(),
+            version: "v1".to_owned(),
             slots: 4,
             is_leaving,
         },
--- a/core/tests/wait_queue.rs
+++ b/core/tests/wait_queue.rs
@@ -12,6 +12,7 @@
 
 fn key(rank: u8, is_retry: bool, on_time_until_ms: u64) -> SchedulingKey {
     SchedulingKey {
+        is_resumed: false,
         rank: Rank(rank),
         is_retry,
         on_time_until: at(on_time_until_ms),
@@ -50,6 +51,30 @@
     assert_eq!(order, ["on time", "retry", "late"]);
 }
 
+/// Guards against take-ups that wait behind new streams, which any server may serve.
+#[test]
+fn request_that_goes_on_with_a_stream_goes_first_within_its_rank() {
+    let resumed = |rank| SchedulingKey {
+        is_resumed: true,
+        ..key(rank, true, 100)
+    };
+    let mut queue = WaitQueue::new();
+    queue.insert(key(0, false, 900), "more urgent");
+    queue.insert(key(1, false, 900), "on time");
+    queue.insert(resumed(1), "goes on, first");
+    queue.insert(resumed(1), "goes on, second");
+
+    let order = names(&queue, at(200));
+
+    let expected = [
+        "more urgent",
+        "goes on, first",
+        "goes on, second",
+        "on time",
+    ];
+    assert_eq!(order, expected);
+}
+
 #[test]
 fn late_requests_do_not_delay_one_that_can_be_on_time() {
     let mut queue = WaitQueue::new();
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -7,6 +7,7 @@
 pub mod callers;
 pub mod context;
 pub mod follower;
+pub mod origins;
 pub mod peers;
 pub mod pool;
 pub mod refusal;
@@ -18,7 +19,7 @@
 
 use {
     self::{
-        context::Context, follower::Follower, pool::ConnectionPool,
+        context::Context, follower::Follower, origins::Origins, pool::ConnectionPool,
         response_buffers::ResponseBuffers, scheduler::Scheduler,
     },
     crate::{
@@ -86,6 +87,7 @@
         store,
         scheduler,
         pool: Arc::new(ConnectionPool::new()),
+        origins: Arc::new(Origins::new(clock)),
         response_buffers: ResponseBuffers::new(settings.max_memory_bytes),
         summary_broadcast: Arc::default(),
         known_peers: Arc::default(),
@@ -174,10 +176,15 @@
         finished.cancel();
     };
     let limit = settings.bounds.grace_period.saturating_sub(EXIT_RESERVE);
-    let exchange = peers::run(context.clone(), introductions);
+    let exchange = async {
+        tokio::join!(
+            peers::run(context.clone(), introductions),
+            origins::save(&context),
+        )
+    };
     let (watched, ()) = tokio::select! {
         ended = async { tokio::join!(shutdown.watch(limit, finished.clone()), serving) } => ended,
-        () = exchange => unreachable!("the exchange with peers does not end"),
+        _ = exchange => unreachable!("the exchange with peers does not end"),
     };
     watched
 }
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         follower::{Snapshot, StoreHandle},
+        origins::Origins,
         pool::ConnectionPool,
         response_buffers::ResponseBuffers,
         scheduler::Scheduler,
@@ -37,6 +38,8 @@
     pub scheduler: Arc<Scheduler>,
     /// Connections to backend servers.
     pub pool: Arc<ConnectionPool>,
+    /// Origins of the streams that callers may take up.
+    pub origins: Arc<Origins>,
     /// Memory for responses that are buffered until they are complete.
     pub response_buffers: ResponseBuffers,
     /// Broadcasts this gateway's summaries to its peers.
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -5,11 +5,15 @@
 
 mod channel;
 mod gateways;
+mod origins;
 mod quota_use;
 mod rejections;
 mod servers;
 
-pub use channel::{FollowerChannels, Snapshot, StoreHandle, channels};
+pub use {
+    channel::{FollowerChannels, Snapshot, StoreHandle, channels},
+    origins::SavedOrigins,
+};
 
 use {
     crate::{clock, signal::Shutdown},
@@ -139,6 +143,7 @@
                 self.follow_servers(),
                 self.follow_gateways(),
                 self.follow_quota_use(),
+                self.follow_origins(),
             )
         };
         tokio::select! {
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -1,11 +1,12 @@
 //! Channels between the follower and the rest of the process.
 
 use {
+    super::SavedOrigins,
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
     tamarackdale_core::{
         cached_config::CachedConfig, fleet::Members, routing_config::RoutingConfig,
     },
-    tamarackdale_wire::summary::SavedQuotaUse,
+    tamarackdale_wire::{origin, summary::SavedQuotaUse},
     tokio::sync::watch,
 };
 
@@ -28,6 +29,26 @@
     pub has_unreachable_peers: watch::Sender<bool>,
     /// Quota use that this gateway must save in the store. Empty if another gateway does so.
     pub quota_use_to_save: watch::Sender<SavedQuotaUse>,
+    /// Origins of this gateway's streams, to be saved in the store.
+    pub origins_to_save: watch::Sender<origin::Saved>,
+    /// Number of reads of the saved origins that were requested.
+    origin_reads: watch::Sender<u64>,
+    /// Number of the last read of the saved origins that has ended, and what was read.
+    origins: watch::Receiver<(u64, Option<Arc<SavedOrigins>>)>,
+}
+
+impl StoreHandle {
+    /// Reads the origins of streams that all gateways have saved. `None` if the store does not respond.
+    pub async fn read_origins(&self) -> Option<Arc<SavedOrigins>> {
+        let mut number = 0;
+        self.origin_reads.send_modify(|requested| {
+            *requested += 1;
+            number = *requested;
+        });
+        let mut origins = self.origins.clone();
+        let read = origins.wait_for(|(ended, _)| *ended >= number).await.ok()?;
+        read.1.clone()
+    }
 }
 
 /// The follower's ends of the channels.
@@ -38,6 +59,9 @@
     pub(super) saved_quota_use: watch::Sender<Option<SavedQuotaUse>>,
     pub(super) has_unreachable_peers: watch::Receiver<bool>,
     pub(super) quota_use_to_save: watch::Receiver<SavedQuotaUse>,
+    pub(super) origins_to_save: watch::Receiver<origin::Saved>,
+    pub(super) origin_reads: watch::Receiver<u64>,
+    pub(super) origins: watch::Sender<(u64, Option<Arc<SavedOrigins>>)>,
 }
 
 /// Creates both ends of the channels.
@@ -48,6 +72,9 @@
     let (saved_quota_use, saved_quota_use_receiver) = watch::channel(None);
     let (has_unreachable_peers, has_unreachable_peers_receiver) = watch::channel(false);
     let (quota_use_to_save, quota_use_to_save_receiver) = watch::channel(SavedQuotaUse::default());
+    let (origins_to_save, origins_to_save_receiver) = watch::channel(origin::Saved::default());
+    let (origin_reads, origin_reads_receiver) = watch::channel(0);
+    let (origins, origins_receiver) = watch::channel((0, None));
     let channels = FollowerChannels {
         configuration,
         members,
@@ -55,6 +82,9 @@
         saved_quota_use,
         has_unreachable_peers: has_unreachable_peers_receiver,
         quota_use_to_save: quota_use_to_save_receiver,
+        origins_to_save: origins_to_save_receiver,
+        origin_reads: origin_reads_receiver,
+        origins,
     };
     let handle = StoreHandle {
         configuration: configuration_receiver,
@@ -63,6 +93,9 @@
         saved_quota_use: saved_quota_use_receiver,
         has_unreachable_peers,
         quota_use_to_save,
+        origins_to_save,
+        origin_reads,
+        origins: origins_receiver,
     };
     (channels, handle)
 }
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -211,12 +211,15 @@
 
 fn log_registration(known: Option<&Member>, member: &Member) {
     let is_same = known.is_some_and(|known| {
-        known.is_leaving == member.is_leaving && known.started_at_ms == member.started_at_ms
+        known.is_leaving == member.is_leaving
+            && known.started_at_ms == member.started_at_ms
+            && known.version == member.version
     });
     if !is_same {
         log::info!(
             backend_server = member.id.as_str(),
             service = member.service.as_str(),
+            software_version = member.version.as_str(),
             leaving = member.is_leaving;
             "backend server registered"
         );
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -110,6 +110,7 @@
     loop {
         let current = members.borrow_and_update().clone();
         context.scheduler.update_servers(&current);
+        context.origins.observe_servers(&current);
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -45,6 +45,8 @@
     Floor,
     /// A part of the prompt is quarantined, because requests with it crash backend servers.
     Quarantined,
+    /// The caller takes a stream up of which nobody knows which version of the software began it.
+    OriginUnknown,
     /// No attempt was executed, and no further attempt is allowed.
     NotExecuted,
     /// The deadline passed before the request was sent.
@@ -70,6 +72,7 @@
             | Self::Overload
             | Self::Floor
             | Self::Quarantined
+            | Self::OriginUnknown
             | Self::NotExecuted
             | Self::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -8,6 +8,7 @@
     self::exchange::{BodyError, Exchange, ExchangeError},
     super::{
         context::Context,
+        origins,
         refusal::{Cause, Refusal},
         scheduler::{InFlightRequest, PlacementRequest},
         starts,
@@ -29,9 +30,10 @@
         digest,
         dispatch::{Dispatch, SendFailure, Step},
         fleet::{Choice, Limit, Member},
+        origin,
         poison::Fingerprint,
         rendezvous,
-        routing_config::{Organisation, Route},
+        routing_config::{Organisation, RepeatPolicy, Route},
         time::Timestamp,
         verdict::Verdict,
         wait_policy,
@@ -49,6 +51,13 @@
 /// A request that only happened to be there is rarely lost at two in a row.
 const MAX_CRASHES_OF_RESENT: usize = 2;
 
+/// `Retry-After` of a request whose stream nobody knows. The gateway at which it began saves its origin
+/// within this time, if it lives.
+const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+/// Time after the deadline of a request for which its caller may still take its stream up.
+const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
+
 /// A caller's request that was authorised and charged to its quota.
 pub struct Request {
     /// Decoded headers.
@@ -86,6 +95,10 @@
     deadline: Timestamp,
     /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
     waiting_since: Timestamp,
+    /// Digest under which the origin of the stream is recorded, if its caller may take it up.
+    stream: Option<u64>,
+    /// Version of the service's software that began the stream, once the caller has an event of it.
+    version: Option<String>,
     /// Identifier of the last event that the caller has received.
     last_event: Option<u64>,
     /// Number of events that were passed on.
@@ -112,7 +125,13 @@
 /// Relays the request and returns the response to the caller.
 pub async fn run(context: &Context, request: Request) -> Response<Body> {
     let route = &request.route;
-    let hash = rendezvous::hash(&request.head.id);
+    let is_resumable = route.repeat_policy == RepeatPolicy::ResumableStream;
+    // A stream that is taken up goes on at the service at which it began.
+    let first_attempt = match &request.head.resumes {
+        Some(resumes) if request.head.last_event.is_some() => resumes,
+        _ => &request.head.id,
+    };
+    let hash = rendezvous::hash(first_attempt);
     let service = route.target(hash).unwrap_or_default().to_owned();
     context.scheduler.count_request(&service);
     let time_left = request
@@ -125,6 +144,8 @@
         excluded: Vec::new(),
         deadline: request.accepted.plus(time_left),
         waiting_since: request.accepted,
+        stream: is_resumable.then(|| origin::stream(first_attempt)),
+        version: None,
         last_event: request.head.last_event,
         service,
         request,
@@ -137,12 +158,50 @@
 
 impl Job {
     async fn run(mut self) -> Response<Body> {
+        if let Err(cause) = self.find_origin().await {
+            return self.refuse(cause);
+        }
         match self.send_until_response().await {
             Ok(exchange) => self.respond(exchange).await,
             Err(cause) => self.refuse(cause),
         }
     }
 
+    /// Finds out which version began the stream that the caller takes up, if it does.
+    async fn find_origin(&mut self) -> Result<(), Cause> {
+        let head = &self.request.head;
+        let (Some(stream), Some(last_event), None) = (self.stream, head.last_event, &self.version)
+        else {
+            return Ok(());
+        };
+        let resumes = head.resumes.as_deref();
+        let known = resumes.is_some().then_some(stream);
+        let found = origins::find(&self.context, known, &self.service).await;
+        let id = head.id.as_str();
+        match found {
+            Ok(origin) => {
+                log::info!(
+                    request = id,
+                    resumes,
+                    last_event,
+                    service = origin.service.as_str(),
+                    software_version = origin.version.as_str();
+                    "stream taken up"
+                );
+                if !self.request.route.leads_to(&origin.service) {
+                    return Err(Cause::NoBackendServer);
+                }
+                self.service.clone_from(&origin.service);
+                self.version = Some(origin.version.clone());
+                Ok(())
+            }
+            Err(unknown) => {
+                log::warn!(request = id, resumes, last_event; "stream not taken up: {unknown}");
+                Err(Cause::OriginUnknown)
+            }
+        }
+    }
+
     /// Sends the request to one backend server after another until one responds or no further
     /// attempt is allowed.
     async fn send_until_response(&mut self) -> Result<Exchange, Cause> {
@@ -262,6 +321,7 @@
             prefix: self.request.head.shared_prefix(),
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
+            version: self.version.clone(),
             accepted: self.request.accepted,
             waiting_since: self.waiting_since,
             objective: route.objective,
@@ -276,6 +336,7 @@
         log::info!(
             request = self.request.head.id.as_str(),
             backend_server = choice.member.id.as_str(),
+            software_version = choice.member.version.as_str(),
             waited_ms = waited.as_millis() as u64,
             is_returning = is_retry,
             requests_there = choice.load.requests,
@@ -291,6 +352,14 @@
         );
     }
 
+    /// Records that the stream, if it is one that callers may take up, runs at a backend server.
+    fn record_origin(&self, member: &Member) {
+        if let Some(stream) = self.stream {
+            let until = self.deadline.plus(TAKE_UP_MARGIN);
+            self.context.origins.record(stream, member, until);
+        }
+    }
+
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, ExchangeError> {
         // The configuration may have become stale while the request waited in the queue.
         if !self.is_key_proved() {
@@ -383,6 +452,7 @@
             let random = self.context.scheduler.random();
             let retry_after = match (cause, self.quarantine()) {
                 (Cause::Quarantined, Some(remaining)) => remaining,
+                (Cause::OriginUnknown, _) => ORIGIN_RETRY_AFTER,
                 _ => {
                     let earliest = self.context.scheduler.return_delay(&self.service);
                     let delay = wait_policy::retry_after(self.time_left(), random);
@@ -417,6 +487,15 @@
     /// Logs the outcome of the request and counts it in the metrics.
     fn finish(&self, outcome: &str, in_flight: Option<&InFlightRequest>) {
         self.has_ended.store(true, Ordering::Relaxed);
+        let is_take_up = self.request.head.last_event.is_some();
+        if let Some(stream) = self.stream {
+            let version = self.version.as_deref().unwrap_or_default();
+            let metrics = &self.context.metrics;
+            metrics.count_stream(&self.service, version, is_take_up, self.events > 0);
+            if self.events == 0 && !is_take_up {
+                self.context.origins.remove(stream);
+            }
+        }
         let elapsed = self.context.clock.now().since(self.request.accepted);
         let rank = self.request.route.rank.to_string();
         let labels = Labels {
@@ -443,6 +522,7 @@
             sent = self.dispatch.sent(),
             utilisation = utilisation.unwrap_or_default(),
             backend_server = in_flight.map_or("", InFlightRequest::id),
+            software_version = self.version.as_deref(),
             first_ms = in_flight
                 .and_then(InFlightRequest::time_to_first_event)
                 .map_or(0, |first| first.as_millis() as u64),
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -96,6 +96,7 @@
         return Err(ExchangeError::GivenUp(job.give_up(Cause::TimeoutUnsent)));
     }
     let request = build_request(job, &member.id, time_left);
+    job.record_origin(member);
     job.dispatch.send();
     let sent = job.context.clock.now();
     let sending = connection.sender.try_send_request(request);
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -184,6 +184,8 @@
         self.job.events += batch.count;
         self.waiting_since = Instant::now();
         if let Some(exchange) = &mut self.exchange {
+            let version = &exchange.member.version;
+            self.job.version.get_or_insert_with(|| version.clone());
             let is_first = exchange.in_flight.time_to_first_event().is_none();
             exchange.in_flight.record_first_event();
             if is_first && let Some(elapsed) = exchange.in_flight.time_to_first_event() {
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -20,6 +20,8 @@
     pub output: u32,
     /// Identifiers of the backend servers that the request was already sent to.
     pub excluded: Vec<String>,
+    /// The only version of the service's software that may serve it, if it goes on with a stream.
+    pub version: Option<String>,
     /// When the gateway accepted the request.
     pub accepted: Timestamp,
     /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -243,6 +243,7 @@
             .unwrap_or_default();
         SchedulingKey {
             rank: request.rank,
+            is_resumed: request.version.is_some(),
             is_retry: request.is_retry,
             on_time_until: wait_policy::on_time_until(request.accepted, request.objective, first),
         }
@@ -377,6 +378,7 @@
         prompt_tokens: request.prompt,
         output_tokens: request.output,
         excluded: &request.excluded,
+        required_version: request.version.as_deref(),
         max_wait: wait_policy::max_engine_wait(request.objective),
         time_left: request.deadline.since(now),
         prefix: request.prefix,
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -41,6 +41,7 @@
     waiting: Gauge<u64>,
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    streams: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -126,6 +127,10 @@
                 "tamarackdale_limited_servers",
                 "Backend servers that have named a limit",
             ),
+            streams: count(
+                "tamarackdale_streams",
+                "Streams that callers may take up, by version, whether they were taken up and whether an event came",
+            ),
             registry,
             _provider: provider,
         })
@@ -190,6 +195,17 @@
         }
     }
 
+    /// Counts a stream that its caller may take up, or has. `has_begun` is whether it brought an event.
+    pub fn count_stream(&self, service: &str, version: &str, is_take_up: bool, has_begun: bool) {
+        let attributes = [
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("software_version", version.to_owned()),
+            KeyValue::new("taken_up", is_take_up),
+            KeyValue::new("begun", has_begun),
+        ];
+        self.streams.add(1, &attributes);
+    }
+
     /// Sets the gauges of what a gateway protects backend servers from.
     pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
         self.quarantines.record(quarantines as u64, &[]);
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod frame;
 pub mod id;
 pub mod message;
+pub mod origin;
 pub mod path;
 pub mod report;
 pub mod start;
--- /dev/null
+++ b/wire/src/origin.rs
@@ -0,0 +1,55 @@
+//! Origins of streams as they are saved in the store, so that they survive a restart of all routers.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{
+        collections::{BTreeMap, HashMap},
+        sync::Arc,
+    },
+    tamarackdale_core::origin,
+};
+
+/// Origins that one router has saved.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Saved {
+    /// Each origin with its streams.
+    pub origins: Vec<Origin>,
+}
+
+/// Streams that began at one version of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Origin {
+    /// Name of the service.
+    pub service: String,
+    /// Version of its software.
+    pub version: String,
+    /// Digests of the streams.
+    pub streams: Vec<u64>,
+}
+
+impl From<BTreeMap<Arc<origin::Origin>, Vec<u64>>> for Saved {
+    fn from(streams: BTreeMap<Arc<origin::Origin>, Vec<u64>>) -> Self {
+        let origins = streams.into_iter().map(|(origin, streams)| Origin {
+            service: origin.service.clone(),
+            version: origin.version.clone(),
+            streams,
+        });
+        Self {
+            origins: origins.collect(),
+        }
+    }
+}
+
+impl From<Saved> for HashMap<u64, Arc<origin::Origin>> {
+    fn from(saved: Saved) -> Self {
+        let by_stream = saved.origins.into_iter().flat_map(|saved| {
+            let origin = Arc::new(origin::Origin {
+                service: saved.service,
+                version: saved.version,
+            });
+            let streams = saved.streams.into_iter();
+            streams.map(move |stream| (stream, Arc::clone(&origin)))
+        });
+        by_stream.collect()
+    }
+}
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -287,6 +287,7 @@
         Stage::OnTime => 0,
         Stage::Retry => 1,
         Stage::Late => 2,
+        Stage::Resumed => 3,
     }
 }
 
@@ -296,6 +297,7 @@
     match number {
         0 => Stage::OnTime,
         1 => Stage::Retry,
+        3 => Stage::Resumed,
         _ => Stage::Late,
     }
 }
