Soak of gateways: releases, silent servers, repeated refusals, odd entries, series of planned changes, take-ups

The soak could not bring about what users reported: two versions in service and all gateways killed. In each run now a release brings engines of v2 and takes most or all of v1 away in its middle; servers fall silent for about a second and go on, or write an earlier refusal once more; the registry holds entries that are nested deeply, too large, no JSON or have no possible port; reloads, configurations and restarts come in series that overlap with the faults; once all gateways are killed together. Callers take broken resumable streams up with Resumes, on other connections and at other gateways. Streams last a quarter of a second, so that this meets them. The draws of the earlier faults come from the same generators as before.

New checks: no stream is joined from two versions, over all tries of a caller; no request that runs at servers that are at most silent is cut, beside planned changes or not; of 12 or more take-ups, while two servers of the version serve, at least half as large a share goes on as of new streams; no gateway ends by itself.

--- a/testbed/src/platform/soak/load.rs
+++ b/testbed/src/platform/soak/load.rs
@@ -1,9 +1,10 @@
 //! Requests of all kinds to all gateways, on connections of their own and on kept ones.
 
 use {
+    super::millis,
     crate::{
-        http::{self, Connection},
-        platform::request,
+        http::Connection,
+        platform::{Caller, Try},
     },
     rand::{Rng as _, SeedableRng as _, rngs::StdRng, seq::IndexedRandom as _},
     std::{
@@ -22,12 +23,18 @@
 /// Kept connections to each gateway.
 const KEPT: usize = 2;
 
-/// Longest time for an answer.
-const CALL_LIMIT: Duration = Duration::from_secs(6);
-
 /// Kinds of requests, by the prefix of their route.
 const KINDS: [&str; 4] = ["booking", "status", "stream", "resumable"];
 
+/// The kind of request whose broken streams callers take up.
+pub(super) const RESUMABLE: &str = "resumable";
+
+/// Times that a caller takes its stream up before it gives up.
+const TAKE_UPS: usize = 3;
+
+/// Range of the pause of a caller before it takes its stream up, in milliseconds.
+const TAKE_UP_PAUSE_MS: std::ops::Range<u64> = 50..700;
+
 /// Number of requests on connections of their own for each deadly one.
 const REQUESTS_TO_DEADLY: usize = 50;
 
@@ -44,26 +51,28 @@
 
 /// One request and what became of it.
 pub struct Call {
-    /// Identifier.
-    pub id: String,
     /// Kind.
     pub kind: &'static str,
     /// Whether it crashes servers.
     pub is_deadly: bool,
-    /// What came back.
-    pub answer: Result<http::Answer, http::Fault>,
+    /// The caller's tries; all but the first take the stream up.
+    pub tries: Vec<Try>,
 }
 
 /// Sends requests for `length`.
 pub async fn run(callers: Vec<SocketAddr>, seed: u64, length: Duration) -> Vec<Call> {
     let end = Instant::now() + length;
     let mut kept = JoinSet::new();
-    for (number, address) in callers.iter().copied().enumerate() {
-        for connection in 0..KEPT {
-            let name = format!("k-{number}-{connection}");
-            let seed = seed.wrapping_add((number * KEPT + connection) as u64);
-            kept.spawn(keep_calling(address, name, seed, end));
-        }
+    for number in 0..callers.len() * KEPT {
+        let name = format!("k-{}-{}", number / KEPT, number % KEPT);
+        let seed = seed.wrapping_add(number as u64);
+        kept.spawn(keep_calling(
+            callers.clone(),
+            number / KEPT,
+            name,
+            seed,
+            end,
+        ));
     }
     let mut calls = call_anew(&callers, seed.wrapping_add(1), end).await;
     calls.extend(kept.join_all().await.into_iter().flatten());
@@ -76,25 +85,26 @@
     let mut number = 0;
     while Instant::now() < end {
         number += 1;
-        let id = format!("s-{number}");
         let is_deadly = number % REQUESTS_TO_DEADLY == 0;
         let kind = match is_deadly {
             true => DEADLY_KINDS[number / REQUESTS_TO_DEADLY % DEADLY_KINDS.len()],
             false => kind(&mut random),
         };
         let address = callers[random.random_range(0..callers.len())];
+        let caller = Caller::new(&format!("/{kind}/1"), &format!("s-{number}"));
+        let mut caller = match is_deadly {
+            true => caller.with_body(deadly_body(kind).into()),
+            false => caller,
+        };
+        let mut draws = StdRng::seed_from_u64(seed.wrapping_add(number as u64));
+        let callers = callers.to_vec();
         running.spawn(async move {
-            let message = request(&format!("/{kind}/1"), &id);
-            let message = message.map(|body| match is_deadly {
-                true => deadly_body(kind).into(),
-                false => body,
-            });
-            let answer = http::call(address, message, CALL_LIMIT).await;
+            caller.call(address).await;
+            take_up(&mut caller, kind, &callers, &mut draws).await;
             Call {
-                id,
                 kind,
                 is_deadly,
-                answer,
+                tries: caller.into_tries(),
             }
         });
         sleep(REQUEST_INTERVAL).await;
@@ -103,38 +113,60 @@
 }
 
 /// Uses one connection until it ends, and then another one.
-async fn keep_calling(address: SocketAddr, name: String, seed: u64, end: Instant) -> Vec<Call> {
+async fn keep_calling(
+    callers: Vec<SocketAddr>,
+    gateway: usize,
+    name: String,
+    seed: u64,
+    end: Instant,
+) -> Vec<Call> {
     let mut random = StdRng::seed_from_u64(seed);
+    let mut draws = StdRng::seed_from_u64(seed);
     let mut calls = Vec::new();
     let mut connection = None;
     while Instant::now() < end {
         sleep(KEPT_INTERVAL).await;
         let mut open = match connection.take() {
             Some(open) => open,
-            None => match Connection::open(address).await {
+            None => match Connection::open(callers[gateway]).await {
                 Ok(open) => open,
                 Err(_) => continue,
             },
         };
-        let id = format!("{name}-{}", calls.len());
         let kind = kind(&mut random);
-        let answer = open
-            .call(request(&format!("/{kind}/1"), &id), CALL_LIMIT)
-            .await;
-        let is_kept = answer
-            .as_ref()
-            .is_ok_and(|answer| answer.header("connection") != "close");
+        let id = format!("{name}-{}", calls.len());
+        let mut caller = Caller::new(&format!("/{kind}/1"), &id);
+        let is_kept = caller.call_on(&mut open).await;
         connection = is_kept.then_some(open);
+        take_up(&mut caller, kind, &callers, &mut draws).await;
         calls.push(Call {
-            id,
             kind,
             is_deadly: false,
-            answer,
+            tries: caller.into_tries(),
         });
     }
     calls
 }
 
+/// Takes a stream that broke up again, at any gateway.
+async fn take_up(
+    caller: &mut Caller,
+    kind: &'static str,
+    callers: &[SocketAddr],
+    random: &mut StdRng,
+) {
+    for _ in 0..TAKE_UPS {
+        let last = caller.tries().last();
+        let is_over = last.is_some_and(|last| last.is_whole && last.status() == Some(200));
+        if kind != RESUMABLE || is_over || caller.origin().is_none() {
+            return;
+        }
+        sleep(millis(random, TAKE_UP_PAUSE_MS)).await;
+        let gateway = callers[random.random_range(0..callers.len())];
+        caller.call(gateway).await;
+    }
+}
+
 fn kind(random: &mut StdRng) -> &'static str {
     KINDS.choose(random).copied().unwrap_or(KINDS[0])
 }
--- a/testbed/src/platform/soak/world.rs
+++ b/testbed/src/platform/soak/world.rs
@@ -19,6 +19,16 @@
 const GATEWAYS: usize = 3;
 const SERVERS_PER_SERVICE: usize = 3;
 
+/// Servers that are there from the start. Engines and plain servers take turns.
+const OLDER: usize = SERVERS_PER_SERVICE * 2;
+
+/// Engines of another version that a release brings.
+const NEWER: usize = SERVERS_PER_SERVICE;
+
+/// Time between two events of a stream: streams are under way for a quarter of a second, so that faults
+/// and changes meet them.
+const EVENT_PAUSE: Duration = Duration::from_millis(30);
+
 /// Maximum number of active faults.
 const MOST_AT_ONCE: usize = 3;
 
@@ -30,7 +40,7 @@
 
 /// Target of a fault; it has one fault at a time.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Target {
+pub enum Target {
     /// A backend server or its registration.
     Server(usize),
     /// The link to a backend server.
@@ -52,6 +62,24 @@
     end: Instant,
 }
 
+/// How a server stands in the registry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Presence {
+    /// Not there yet, or gone. It serves whoever asks it all the same.
+    Absent,
+    /// It takes work.
+    Ready,
+    /// It is about to leave.
+    Draining,
+}
+
+/// A time in which something could not be relied on.
+struct Harm {
+    target: Target,
+    start: Instant,
+    end: Option<Instant>,
+}
+
 /// The site with its active faults.
 pub struct World {
     site: Site,
@@ -64,6 +92,12 @@
     active: Vec<Active>,
     /// When a fault of a gateway began or ended.
     disturbed_gateways: Vec<Instant>,
+    configuration: Configuration,
+    /// Each change of a server's presence.
+    presence: Vec<(Instant, usize, Presence)>,
+    harms: Vec<Harm>,
+    /// Gateways that ended though nobody had ended them, and how.
+    ended: Vec<String>,
 }
 
 impl World {
@@ -73,14 +107,23 @@
         let store_link = Proxy::new(site.store.address())?;
         let site = site.with_store_address(store_link.address());
         let (mut servers, mut links) = (Vec::new(), Vec::new());
-        for number in 0..SERVERS_PER_SERVICE * 2 {
-            let service = ["engine", "plain"][number % 2];
+        for number in 0..OLDER + NEWER {
+            let (service, version) = match number {
+                OLDER.. => ("engine", "v2"),
+                _ => (["engine", "plain"][number % 2], "v1"),
+            };
             let server = Server::new(&format!("{service}-{number}"), service)?;
+            let server = server.with_version(version);
             let link = Proxy::new(server.address())?;
             let server = server.with_advertised(link.address());
             server.set_events(EVENTS);
+            if service == "engine" {
+                server.set_latency(EVENT_PAUSE);
+            }
             server.set_retry_after(PAUSE_S);
-            site.register(&server);
+            if number < OLDER {
+                site.register(&server);
+            }
             servers.push(server);
             links.push(link);
         }
@@ -91,7 +134,13 @@
         for gateway in &gateways {
             gateway.wait_ready(true).await;
         }
+        let now = Instant::now();
+        let ready = (0..OLDER).map(|number| (now, number, Presence::Ready));
         Ok(Self {
+            presence: ready.collect(),
+            configuration: Configuration::default(),
+            harms: Vec::new(),
+            ended: Vec::new(),
             site,
             servers,
             links,
@@ -116,15 +165,169 @@
     /// Writes the operator's configuration and the backend servers' registrations again, as they do
     /// after the store came back from an older copy.
     pub fn write_again(&self) {
-        self.site.configure(&Configuration::default());
-        for (number, server) in self.servers.iter().enumerate() {
-            let is_disturbed = |active: &Active| active.target == Target::Server(number);
-            if !self.active.iter().any(is_disturbed) {
-                self.site.register(server);
+        self.site.configure(&self.configuration);
+        for number in 0..self.servers.len() {
+            if !self.is_busy(Target::Server(number)) {
+                self.write_registration(number);
             }
         }
     }
 
+    fn write_registration(&self, number: usize) {
+        let server = &self.servers[number];
+        match self.presence(number) {
+            Presence::Ready => self.site.register(server),
+            Presence::Draining => self.site.set_state(server, "draining"),
+            Presence::Absent => self.site.store.remove(&format!("servers/{}", server.id())),
+        }
+    }
+
+    /// How a server stands in the registry.
+    pub fn presence(&self, number: usize) -> Presence {
+        self.presence_at(number, Instant::now())
+    }
+
+    fn presence_at(&self, number: usize, at: Instant) -> Presence {
+        let mut changes = self.presence.iter().rev();
+        let last = changes.find(|(since, server, _)| *server == number && *since <= at);
+        last.map_or(Presence::Absent, |(_, _, presence)| *presence)
+    }
+
+    /// Lets a server come, leave or be gone.
+    pub fn set_presence(&mut self, number: usize, presence: Presence) {
+        self.presence.push((Instant::now(), number, presence));
+        self.write_registration(number);
+    }
+
+    /// Numbers of the servers that a release brings.
+    pub fn newer(&self) -> std::ops::Range<usize> {
+        OLDER..OLDER + NEWER
+    }
+
+    /// Numbers of the engines that are there from the start.
+    pub fn older_engines(&self) -> impl Iterator<Item = usize> + use<> {
+        (0..OLDER).step_by(2)
+    }
+
+    /// Engines of a version that took work from `from` to `to`, with nothing wrong at them.
+    pub fn sound_engines(&self, version: &str, from: Instant, to: Instant) -> usize {
+        let is_sound = |number: &usize| {
+            let is_ready = |at| self.presence_at(*number, at) == Presence::Ready;
+            self.servers[*number].version() == version
+                && is_ready(from)
+                && is_ready(to)
+                && !self.is_server_harmed(*number, from, to)
+        };
+        let engines = self.older_engines().chain(self.newer());
+        engines.filter(is_sound).count()
+    }
+
+    /// Whether a server, or the link to it, could not be relied on between `from` and `to`.
+    pub fn is_server_harmed(&self, number: usize, from: Instant, to: Instant) -> bool {
+        let crashes = self.servers[number].crashes();
+        crashes.iter().any(|at| (from..=to).contains(at))
+            || self.is_harmed(Target::Server(number), from, to)
+            || self.is_harmed(Target::Link(number), from, to)
+    }
+
+    /// Whether a target could not be relied on at some time between `from` and `to`.
+    pub fn is_harmed(&self, target: Target, from: Instant, to: Instant) -> bool {
+        self.harms.iter().any(|harm| {
+            harm.target == target && harm.start <= to && harm.end.is_none_or(|end| end >= from)
+        })
+    }
+
+    /// Gateways that ended though nobody had ended them, and how.
+    pub fn ended(&self) -> &[String] {
+        &self.ended
+    }
+
+    /// Puts a new configuration.
+    pub fn configure(&mut self, target_ms: u64) -> bool {
+        let next = self.configuration.clone();
+        self.configuration = next.with("/routes/1/target_latency_ms", target_ms.into());
+        self.site.configure(&self.configuration);
+        true
+    }
+
+    /// Tells a gateway that has started to read its settings again. Returns whether it has.
+    pub fn reload(&mut self, number: usize) -> Result<bool, Fault> {
+        let process = &mut self.gateways[number].process;
+        // Before that, nothing of the gateway's own can have taken care of signals.
+        let has_started = process
+            .logs()
+            .iter()
+            .any(|line| line["message"] == "started");
+        let is_told = process.is_running() && has_started;
+        if is_told {
+            process.hang_up()?;
+        }
+        Ok(is_told)
+    }
+
+    /// Tells a gateway to end, unless it has a fault or no other gateway would be left. It is started
+    /// again once it has ended.
+    pub fn terminate(&mut self, number: usize) -> Result<bool, Fault> {
+        let target = Target::Gateway(number);
+        let others = (0..self.gateways.len()).filter(|other| *other != number);
+        let others = others.filter(|other| !self.is_busy(Target::Gateway(*other)));
+        if self.is_busy(target) || others.count() == 0 {
+            return Ok(false);
+        }
+        self.disturbed_gateways.push(Instant::now());
+        self.gateways[number].process.terminate()?;
+        self.terminated.insert(number);
+        let end = Instant::now() + SHUTDOWN_POLL;
+        self.active.push(Active { target, end });
+        Ok(true)
+    }
+
+    /// Ends all gateways at once, but for those that have a fault, and starts them again soon.
+    pub fn kill_all_gateways(&mut self) -> Result<bool, Fault> {
+        for number in 0..self.gateways.len() {
+            let target = Target::Gateway(number);
+            if self.is_busy(target) {
+                continue;
+            }
+            self.disturbed_gateways.push(Instant::now());
+            self.harm(target);
+            self.gateways[number].process.kill()?;
+            let end = Instant::now() + SHUTDOWN_POLL;
+            self.active.push(Active { target, end });
+        }
+        Ok(true)
+    }
+
+    /// Lets a server misbehave for `length` and describes it, unless it has a fault.
+    pub fn spoil(
+        &mut self,
+        number: usize,
+        behaviour: Behaviour,
+        length: Duration,
+    ) -> Option<String> {
+        let target = Target::Server(number);
+        if self.is_busy(target) {
+            return None;
+        }
+        self.harm(target);
+        self.servers[number].set_behaviour(behaviour);
+        let end = Instant::now() + length;
+        self.active.push(Active { target, end });
+        Some(format!("{target:?} {behaviour:?} ({length:?})"))
+    }
+
+    fn is_busy(&self, target: Target) -> bool {
+        self.active.iter().any(|active| active.target == target)
+    }
+
+    fn harm(&mut self, target: Target) {
+        self.harms.push(Harm {
+            target,
+            start: Instant::now(),
+            end: None,
+        });
+    }
+
     /// The backend servers.
     pub fn servers(&self) -> &[Server] {
         &self.servers
@@ -143,15 +346,14 @@
     /// Starts one more fault and describes it, unless enough are active.
     pub fn begin(&mut self, random: &mut StdRng) -> Result<Option<String>, Fault> {
         let target = match random.random_range(0..8) {
-            0 | 1 => Target::Server(random.random_range(0..self.servers.len())),
-            2 | 3 => Target::Link(random.random_range(0..self.links.len())),
+            0 | 1 => Target::Server(random.random_range(0..OLDER)),
+            2 | 3 => Target::Link(random.random_range(0..OLDER)),
             4 => Target::Store,
             5 => Target::StoreLink,
             _ => Target::Gateway(random.random_range(0..self.gateways.len())),
         };
         let length = millis(random, FAULT_LENGTH_MS);
-        let is_busy = self.active.iter().any(|active| active.target == target);
-        if is_busy || self.active.len() >= MOST_AT_ONCE {
+        if self.is_busy(target) || self.active.len() >= MOST_AT_ONCE {
             return Ok(None);
         }
         let what = self.disturb(target, random)?;
@@ -163,6 +365,7 @@
 
     /// Ends the faults whose duration has passed.
     pub fn end_due(&mut self) -> Result<(), Fault> {
+        self.start_ended_gateways()?;
         self.end(|active| active.end <= Instant::now())
     }
 
@@ -189,9 +392,28 @@
         Ok(())
     }
 
+    /// Notes gateways that have ended by themselves, and starts them again.
+    fn start_ended_gateways(&mut self) -> Result<(), Fault> {
+        for number in 0..self.gateways.len() {
+            if self.is_busy(Target::Gateway(number)) {
+                continue;
+            }
+            let gateway = &mut self.gateways[number];
+            if let Some(status) = gateway.process.end() {
+                let name = gateway.process.name();
+                self.ended.push(format!("{name} ended by itself, {status}"));
+                gateway.restart()?;
+            }
+        }
+        Ok(())
+    }
+
     fn disturb(&mut self, target: Target, random: &mut StdRng) -> Result<String, Fault> {
+        if matches!(target, Target::Link(_) | Target::StoreLink | Target::Store) {
+            self.harm(target);
+        }
         match target {
-            Target::Server(number) => Ok(self.spoil(number, random)),
+            Target::Server(number) => Ok(self.disturb_server(number, random)),
             Target::Link(number) => Ok(disturb_link(&self.links[number], random)),
             Target::StoreLink => Ok(disturb_link(&self.store_link, random)),
             Target::Store => Ok(self.disturb_store(random)),
@@ -199,8 +421,7 @@
         }
     }
 
-    fn spoil(&self, number: usize, random: &mut StdRng) -> String {
-        let server = &self.servers[number];
+    fn disturb_server(&mut self, number: usize, random: &mut StdRng) -> String {
         let behaviours = [
             Behaviour::Full,
             Behaviour::LosesAnswers,
@@ -212,14 +433,17 @@
         ];
         match behaviours.choose(random) {
             Some(behaviour) if random.random_bool(0.75) => {
-                server.set_behaviour(*behaviour);
+                self.harm(Target::Server(number));
+                self.servers[number].set_behaviour(*behaviour);
                 format!("{behaviour:?}")
             }
             _ if says_it_leaves(number) => {
-                server.say_leaving();
+                self.servers[number].say_leaving();
                 "says that it leaves".to_owned()
             }
+            _ if self.presence(number) == Presence::Absent => "has left".to_owned(),
             _ => {
+                let server = &self.servers[number];
                 self.site.set_state(server, "draining");
                 "drains".to_owned()
             }
@@ -240,6 +464,10 @@
     }
 
     fn heal(&mut self, target: Target) -> Result<(), Fault> {
+        let harms = self.harms.iter_mut();
+        for harm in harms.filter(|harm| harm.target == target && harm.end.is_none()) {
+            harm.end = Some(Instant::now());
+        }
         match target {
             Target::Server(number) => {
                 let server = &self.servers[number];
@@ -247,7 +475,7 @@
                 if says_it_leaves(number) {
                     server.start_again();
                 }
-                self.site.register(server);
+                self.write_registration(number);
             }
             Target::Link(number) => self.links[number].heal(),
             Target::StoreLink => self.store_link.heal(),
@@ -259,8 +487,12 @@
 
     fn disturb_gateway(&mut self, number: usize, random: &mut StdRng) -> Result<String, Fault> {
         self.disturbed_gateways.push(Instant::now());
+        let draw = random.random_range(0..3);
+        if draw < 2 {
+            self.harm(Target::Gateway(number));
+        }
         let process = &mut self.gateways[number].process;
-        match random.random_range(0..3) {
+        match draw {
             0 => process.pause()?,
             1 => {
                 process.kill()?;
--- a/testbed/src/process.rs
+++ b/testbed/src/process.rs
@@ -259,6 +259,11 @@
         matches!(self.child.try_wait(), Ok(None))
     }
 
+    /// How the process ended, if it has.
+    pub fn end(&mut self) -> Option<ExitStatus> {
+        self.child.try_wait().ok().flatten()
+    }
+
     /// Processor time and memory that the process has used.
     ///
     /// # Errors
