Test: refusals that a server writes once more are believed of requests that run

Callers get 503, which promises that the request has not run, for bookings that a server runs, and others run at two servers. It happens when a server writes an earlier refusal once more on a kept connection, without the identifier of the request that it was for: where the next answer is due, or so late that the next request is being written.

The stand-in server now writes such refusals, and its own refusals name their request, as sound servers' do.

--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -10,17 +10,18 @@
     },
     hyper_util::rt::TokioIo,
     std::{
-        io,
-        net::SocketAddr,
+        io::{self, Write as _},
+        net::{self, SocketAddr},
         sync::{
             Arc,
+            atomic::{AtomicUsize, Ordering},
             mpsc::{SyncSender, sync_channel},
         },
         thread,
         time::Duration,
     },
     tokio::{
-        net::TcpListener,
+        net::{TcpListener, TcpStream},
         sync::{
             Notify,
             mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
@@ -46,6 +47,22 @@
     Close(SyncSender<()>),
 }
 
+/// The connection of a request, in the request's extensions, for bytes that are no answer to it.
+#[derive(Clone)]
+pub struct Connection {
+    socket: Arc<net::TcpStream>,
+    /// Whether the connection has carried an earlier request.
+    pub is_kept: bool,
+}
+
+impl Connection {
+    /// Writes bytes at once.
+    pub fn write(&self, bytes: &[u8]) {
+        // A broken connection is the peer's affair.
+        let _ = (&*self.socket).write_all(bytes);
+    }
+}
+
 /// A running host. Its thread ends with it.
 pub struct Host {
     address: SocketAddr,
@@ -206,21 +223,35 @@
                 listener = listener.or_else(|| port.listen().ok());
             }
             Ok((stream, _)) = accepted => {
-                let handler = handler.clone();
-                connections.spawn(async move {
-                    let service = service_fn(move |request| {
-                        let answer = handler(request);
-                        async move { answer.await.ok_or(Cut) }
-                    });
-                    let _ = stream.set_nodelay(true);
-                    // A broken connection is the peer's affair.
-                    let _ = http1::Builder::new()
-                        .serve_connection(TokioIo::new(stream), service)
-                        .await;
-                });
+                connections.spawn(serve(stream, handler.clone()));
             }
             Some(_) = connections.join_next() => {}
         }
     }
     connections.shutdown().await;
 }
+
+async fn serve<H, F>(stream: TcpStream, handler: H) -> io::Result<()>
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + 'static,
+    F: Future<Output = Option<Response<Body>>> + Send + 'static,
+{
+    stream.set_nodelay(true)?;
+    let stream = stream.into_std()?;
+    let socket = Arc::new(stream.try_clone()?);
+    let stream = TcpStream::from_std(stream)?;
+    let requests = AtomicUsize::new(0);
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(Connection {
+            socket: Arc::clone(&socket),
+            is_kept: requests.fetch_add(1, Ordering::SeqCst) > 0,
+        });
+        let answer = handler(request);
+        async move { answer.await.ok_or(Cut) }
+    });
+    // A broken connection is the peer's affair.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    Ok(())
+}
--- a/testbed/src/platform.rs
+++ b/testbed/src/platform.rs
@@ -6,6 +6,6 @@
 pub mod soak;
 
 pub use {
-    server::{Behaviour, CrashPoint, Run, Server},
+    server::{Behaviour, CrashPoint, Repeat, RepeatPoint, Run, Server},
     site::{Configuration, Gateway, Site, request},
 };
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a backend server of the users' platform.
 
 use {
-    crate::host::{Body, Host, json, whole},
+    crate::host::{Body, Connection, Host, json, whole},
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
@@ -22,6 +22,9 @@
 /// Pause between two bytes of a server that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time from an answer to bytes that follow it on the idle connection.
+const IDLE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 
@@ -49,6 +52,28 @@
     Endless,
     /// Runs them and stalls in the second event of a stream, of which it sends a byte now and then.
     Trickles,
+    /// Writes a refusal that it has sent before once more.
+    RepeatsRefusal(Repeat),
+}
+
+/// A refusal that is written once more on a kept connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Repeat {
+    /// When it is written.
+    pub point: RepeatPoint,
+    /// Whether it names the request that was refused.
+    pub is_named: bool,
+}
+
+/// When a refusal is written once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatPoint {
+    /// Right after it was written: the server refuses all requests.
+    AfterRefusal,
+    /// On the idle connection, after the answer to a later request that the server ran.
+    WhileIdle,
+    /// Where the answer to a later request is due, which the server runs.
+    BeforeAnswer,
 }
 
 /// When a server crashes at a request that is deadly to it.
@@ -133,6 +158,8 @@
     working: AtomicUsize,
     /// Requests that it did not run.
     refusals: AtomicUsize,
+    /// Identifier of the last of them.
+    last_refused: Mutex<Option<String>>,
 }
 
 impl Server {
@@ -158,6 +185,7 @@
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
+            last_refused: Mutex::default(),
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
@@ -341,8 +369,15 @@
                 .unwrap_or_default()
         };
         let behaviour = *lock(&self.behaviour);
+        let id = text("attempt-id").to_owned();
+        let connection = parts.extensions.get::<Connection>().cloned();
+        let repeat = match behaviour {
+            Behaviour::RepeatsRefusal(repeat) => Some(repeat),
+            _ => None,
+        };
+        let is_refused_twice = repeat.is_some_and(|it| it.point == RepeatPoint::AfterRefusal);
         let is_meant = text("expect-instance") == self.id;
-        if !is_meant || behaviour == Behaviour::Full {
+        if !is_meant || behaviour == Behaviour::Full || is_refused_twice {
             let status = match is_meant {
                 true => StatusCode::SERVICE_UNAVAILABLE,
                 false => StatusCode::MISDIRECTED_REQUEST,
@@ -350,12 +385,18 @@
             let mut response = json(status, &value!({}));
             put(&mut response, "not-executed", "1");
             self.refusals.fetch_add(1, Ordering::SeqCst);
+            *lock(&self.last_refused) = Some(id.clone());
             if let Some(value) = lock(&self.retry_after).as_deref() {
                 put(&mut response, "retry-after", value);
             }
+            if let (Some(connection), true) = (&connection, is_refused_twice) {
+                connection.write(refusal(Some(&id)).as_bytes());
+            }
+            if repeat.is_none_or(|repeat| repeat.is_named) {
+                put(&mut response, "attempt-id", &id);
+            }
             return Some(response);
         }
-        let id = text("attempt-id").to_owned();
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
@@ -372,6 +413,7 @@
         let crash_point = deadly.filter(|deadly| deadly.is(&run));
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
+        self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -394,6 +436,7 @@
             Some(CrashPoint::BeforeHead) => return self.crash().await,
             Some(point) => return Some(signed(self.crashing_answer(point, is_stream), &id)),
         }
+        self.repeat_refusal(RepeatPoint::WhileIdle, connection.as_ref());
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
             _ => &id,
@@ -410,6 +453,26 @@
         Some(signed(response, echo))
     }
 
+    /// Writes the last refusal once more on a kept connection, if the server does so at this point.
+    fn repeat_refusal(&self, point: RepeatPoint, connection: Option<&Connection>) {
+        let refused = lock(&self.last_refused).clone();
+        let kept = connection.filter(|connection| connection.is_kept).cloned();
+        let Behaviour::RepeatsRefusal(repeat) = *lock(&self.behaviour) else {
+            return;
+        };
+        let (Some(refused), Some(kept), true) = (refused, kept, repeat.point == point) else {
+            return;
+        };
+        let bytes = refusal(repeat.is_named.then_some(&refused));
+        if point == RepeatPoint::BeforeAnswer {
+            return kept.write(bytes.as_bytes());
+        }
+        tokio::spawn(async move {
+            sleep(IDLE_PAUSE).await;
+            kept.write(bytes.as_bytes());
+        });
+    }
+
     /// Crashes: the host cuts this connection with all others.
     async fn crash<T>(&self) -> T {
         lock(&self.crashes).push(Instant::now());
@@ -502,6 +565,15 @@
     Response::new(StreamBody::new(pieces).boxed_unsync())
 }
 
+/// The bytes of a refusal, which may name the request that was refused.
+fn refusal(id: Option<&str>) -> String {
+    let name = id.map(|id| format!("attempt-id: {id}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 2\r\n\r\n{{}}",
+        name.unwrap_or_default()
+    )
+}
+
 fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
     put(&mut response, "attempt-id", id);
     put(&mut response, "response-seal", "signature");
