Test: callers are refused by servers that do not say that they have not run the request

A server answers a booking that it has run with 408, 429 or 503, without Not-Executed. The gateway passes the answer on, and its status promises the caller that the booking has not run and may be sent again. A request that may be repeated gets 408 and 429 in the same way in place of another server's answer.

--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -46,6 +46,9 @@
     BreaksOff,
     /// Runs them and answers with an error.
     Fails,
+    /// Runs them and answers with a status that callers take for a refusal, but does not say that it
+    /// has not run them.
+    SeemsToRefuse(StatusCode),
     /// Takes them and never answers.
     Silent,
     /// Runs them and answers with a body without end, or a stream with an event without end.
@@ -429,6 +432,9 @@
                     &id,
                 ));
             }
+            Behaviour::SeemsToRefuse(status) => {
+                return Some(signed(json(status, &value!({})), &id));
+            }
             _ => {}
         }
         match crash_point {
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -2,7 +2,7 @@
 
 use {
     bytes::Bytes,
-    hyper::Request,
+    hyper::{Request, StatusCode},
     rstest::rstest,
     serde_json::json,
     std::{collections::BTreeSet, time::Duration},
@@ -206,6 +206,9 @@
 #[case(Behaviour::MixesAnswers)]
 #[case(Behaviour::Unsigned)]
 #[case(Behaviour::BreaksOff)]
+#[case(Behaviour::SeemsToRefuse(StatusCode::REQUEST_TIMEOUT))]
+#[case(Behaviour::SeemsToRefuse(StatusCode::TOO_MANY_REQUESTS))]
+#[case(Behaviour::SeemsToRefuse(StatusCode::SERVICE_UNAVAILABLE))]
 #[tokio::test]
 async fn booking_whose_answer_is_spoilt_runs_once_and_fails(#[case] behaviour: Behaviour) {
     let bench = start().await;
@@ -230,6 +233,9 @@
 #[case(Behaviour::Unsigned)]
 #[case(Behaviour::BreaksOff)]
 #[case(Behaviour::Fails)]
+#[case(Behaviour::SeemsToRefuse(StatusCode::REQUEST_TIMEOUT))]
+#[case(Behaviour::SeemsToRefuse(StatusCode::TOO_MANY_REQUESTS))]
+#[case(Behaviour::SeemsToRefuse(StatusCode::SERVICE_UNAVAILABLE))]
 #[tokio::test]
 async fn status_whose_answer_is_spoilt_is_asked_again(#[case] behaviour: Behaviour) {
     let bench = start().await;
