A server's refusal without proof is not passed on as a promise

Callers got 408, 429 or 503 for bookings that a server had run: the server answered with such a status but without Not-Executed. These statuses promise that the request has not run, so that the caller sends it again, and it runs twice. Requests that may be repeated got a server's 408 or 429 and were not sent to another one.

Cause: the gateway took a 503 without Not-Executed for the failure of a run, and 408 and 429 for an answer, and passed them on unchanged where the request could not be repeated.

They have a class of their own now: the request may have run, so it is sent again only if its route allows that, and otherwise its caller gets the gateway's own 502, which promises nothing. A refusal that says Not-Executed is handled as before, and so is 421, by which a server says that a request was meant for another.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -140,7 +140,7 @@
 }
 
 /// Returns the failure if a response cannot be passed on to the caller. A 5xx response is passed on
-/// if the request cannot be sent again.
+/// if the request cannot be sent again, unless its status makes a promise that nothing proves.
 fn check_response(job: &Job, class: ResponseClass, id: &str) -> Option<SendFailure> {
     let scheduler = &job.context.scheduler;
     match class {
@@ -149,6 +149,10 @@
             scheduler.record_failure(id, Failure::Rejected);
             Some(SendFailure::NotExecuted)
         }
+        ResponseClass::Unproved => {
+            scheduler.record_failure(id, Failure::Broken);
+            Some(SendFailure::Failed)
+        }
         ResponseClass::Failed => {
             scheduler.record_failure(id, Failure::Broken);
             let can_repeat = job.request.route.repeat_policy.may_rerun()
