--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -26,7 +26,7 @@
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time from an answer to bytes that follow it on the idle connection.
-const IDLE_PAUSE: Duration = Duration::from_millis(2);
+const IDLE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
@@ -52,6 +52,9 @@
     BreaksOff,
     /// Runs them and answers with an error.
     Fails,
+    /// Runs them and answers with a status that callers take for a refusal, but does not say that it
+    /// has not run them.
+    SeemsToRefuse(StatusCode),
     /// Takes them and never answers.
     Silent,
     /// Runs them and answers with a body without end, or a stream with an event without end.
@@ -432,7 +435,7 @@
             if let Some(value) = lock(&self.retry_after).as_deref() {
                 put(&mut response, "retry-after", value);
             }
-            if let (Some(connection), true) = (connection, is_refused_twice) {
+            if let (Some(connection), true) = (&connection, is_refused_twice) {
                 connection.write(refusal(Some(&id)).as_bytes());
             }
             if repeat.is_none_or(|repeat| repeat.is_named) {
@@ -458,9 +461,7 @@
         let crash_point = deadly.filter(|deadly| deadly.is(&run));
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
-        if let (Some(repeat), Some(connection)) = (repeat, connection) {
-            self.repeat_refusal(repeat, connection);
-        }
+        self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -476,6 +477,9 @@
                     &id,
                 ));
             }
+            Behaviour::SeemsToRefuse(status) => {
+                return Some(signed(json(status, &value!({})), &id));
+            }
             _ => {}
         }
         match crash_point {
@@ -483,6 +487,7 @@
             Some(CrashPoint::BeforeHead) => return self.crash().await,
             Some(point) => return Some(signed(self.crashing_answer(point, is_stream), &id)),
         }
+        self.repeat_refusal(RepeatPoint::WhileIdle, connection.as_ref());
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
             _ => &id,
@@ -509,22 +514,23 @@
         }
     }
 
-    /// Writes the last refusal once more on a kept connection, now or after the answer.
-    fn repeat_refusal(&self, repeat: Repeat, connection: Connection) {
-        let Some(refused) = lock(&self.last_refused).clone() else {
+    /// Writes the last refusal once more on a kept connection, if the server does so at this point.
+    fn repeat_refusal(&self, point: RepeatPoint, connection: Option<&Connection>) {
+        let refused = lock(&self.last_refused).clone();
+        let kept = connection.filter(|connection| connection.is_kept).cloned();
+        let Behaviour::RepeatsRefusal(repeat) = *lock(&self.behaviour) else {
             return;
         };
-        if !connection.is_kept {
+        let (Some(refused), Some(kept), true) = (refused, kept, repeat.point == point) else {
             return;
-        }
+        };
         let bytes = refusal(repeat.is_named.then_some(&refused));
-        if repeat.point == RepeatPoint::BeforeAnswer {
-            return connection.write(bytes.as_bytes());
+        if point == RepeatPoint::BeforeAnswer {
+            return kept.write(bytes.as_bytes());
         }
-        let delay = *lock(&self.latency) + IDLE_PAUSE;
         tokio::spawn(async move {
-            sleep(delay).await;
-            connection.write(bytes.as_bytes());
+            sleep(IDLE_PAUSE).await;
+            kept.write(bytes.as_bytes());
         });
     }
 
