Known red: a request with a long body fails at a server that reads nothing for a while

Callers of a route that may not be repeated got 502 although the connection to their server was sound and whatever arrived there was acknowledged: the server did not read the rest of the body for 1.8 s. A full receive window counts as unacknowledged data for TCP_USER_TIMEOUT, which the gateway sets to 1.5 s. This concerns bodies that do not fit in the buffers of a connection.

Not shown: a host that acknowledges nothing. A proxy's host acknowledges in the kernel, whatever the proxy holds back.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -9,6 +9,7 @@
     tamarackdale_testbed::{
         http,
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
+        proxy::{Direction, Fault, Proxy, Scope},
         store::Outage,
         wait,
     },
@@ -423,3 +424,35 @@
         assert!(is_whole || answer.status() >= 429, "{answer:?}");
     }
 }
+
+/// Guards against a request that is given up, although its connection is sound and all that arrives is
+/// acknowledged, because its server does not read the rest of a long body for a while.
+#[rstest]
+#[case::a_second(Duration::from_secs(1))]
+#[case::longer(Duration::from_millis(1_800))]
+#[tokio::test]
+async fn long_body_at_a_server_that_does_not_read_for_a_while_is_answered(#[case] pause: Duration) {
+    /// More than the buffers of a connection hold.
+    const BODY_BYTES: usize = 4 * 1024 * 1024;
+    let limits = configuration().with("/limits/max_body_bytes", json!(BODY_BYTES));
+    let site = Site::new(&limits).expect("starts");
+    let server = Server::new("plain-0", "plain").expect("starts");
+    let proxy = Proxy::new(server.address()).expect("starts");
+    let server = server.with_advertised(proxy.address());
+    site.register(&server);
+    let gateway = site.gateway("one").expect("starts");
+    assert!(gateway.wait_ready(true).await, "not ready");
+    let message = patient("/booking/1", "l-1").map(|_| Bytes::from(vec![b'x'; BODY_BYTES]));
+
+    proxy.inject(Scope::All, Direction::ToTarget, Fault::silence());
+    let call = tokio::spawn(http::call(gateway.callers(), message, CALL_LIMIT));
+    assert!(
+        wait::until(CALL_LIMIT, || proxy.open() > 0).await,
+        "not sent"
+    );
+    sleep(pause).await;
+    proxy.heal();
+    let answer = call.await.expect("ends").expect("answered");
+
+    assert_eq!(answer.text(), format!("plain-0 got {BODY_BYTES} bytes"));
+}
