Stand-ins of engines and plain services fall silent too

The own interface's engine and plain service get the same way to write nothing for a while. The silence is a type of its own, which holds back the head of a response, each piece of its body and its end; the platform's server uses it as well.

--- a/testbed/src/engine.rs
+++ b/testbed/src/engine.rs
@@ -36,7 +36,7 @@
 };
 
 use {
-    crate::host::Host,
+    crate::{host::Host, silence::Silence},
     batch::Batch,
     order::Registry,
     serde_json::{Value, json},
@@ -139,7 +139,11 @@
         let host = Host::new("engine", move |request| {
             let shared = Arc::clone(&shared);
             shared.spawn_tasks();
-            async move { Some(api::handle(shared, request).await) }
+            async move {
+                let silence = shared.silence.clone();
+                let response = api::handle(shared, request).await;
+                Some(silence.hold(response).await)
+            }
         })?;
         Ok(Self { state, host })
     }
@@ -156,6 +160,12 @@
             .store(factor.to_bits(), Ordering::Relaxed);
     }
 
+    /// Lets the engine write nothing for that long: no response, no event. It works all the while, and
+    /// nothing is lost.
+    pub fn fall_silent(&self, length: Duration) {
+        self.state.silence.begin(length);
+    }
+
     /// Records of all runs, in the order in which they were received.
     pub fn runs(&self) -> Vec<Run> {
         self.state.batch().records()
@@ -171,6 +181,7 @@
 pub(crate) struct State {
     model: Model,
     slow_factor: AtomicU64,
+    silence: Silence,
     batch: Mutex<Batch>,
     registry: Mutex<Registry>,
     loads: Mutex<VecDeque<(Instant, Value)>>,
@@ -182,6 +193,7 @@
     fn new(model: Model) -> Self {
         Self {
             slow_factor: AtomicU64::new(1_f64.to_bits()),
+            silence: Silence::default(),
             batch: Mutex::new(Batch::new(model.hardware)),
             registry: Mutex::new(Registry::new(model.fencing, &model.models)),
             loads: Mutex::new(VecDeque::new()),
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod process;
 pub mod proxy;
 pub mod sample;
+mod silence;
 pub mod sse;
 pub mod store;
 pub mod traffic;
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -5,7 +5,10 @@
 //! query `padding=N` adds N bytes to it.
 
 use {
-    crate::host::{Body, Host, json as answer_json},
+    crate::{
+        host::{Body, Host, json as answer_json},
+        silence::Silence,
+    },
     http_body_util::BodyExt as _,
     hyper::{Request, Response, StatusCode, body::Incoming},
     serde_json::{Value, json},
@@ -47,6 +50,7 @@
     name: String,
     start: Instant,
     latency: Mutex<Duration>,
+    silence: Silence,
     calls: Mutex<Vec<Call>>,
     completed: AtomicUsize,
     /// Path at which it crashes.
@@ -66,6 +70,7 @@
             name: name.to_owned(),
             start: Instant::now(),
             latency: Mutex::new(Duration::ZERO),
+            silence: Silence::default(),
             calls: Mutex::new(Vec::new()),
             completed: AtomicUsize::new(0),
             deadly_path: Mutex::default(),
@@ -74,7 +79,11 @@
         let shared = Arc::clone(&state);
         let handler = move |request| {
             let shared = Arc::clone(&shared);
-            async move { handle(shared, request).await }
+            async move {
+                let silence = shared.silence.clone();
+                let response = handle(shared, request).await?;
+                Some(silence.hold(response).await)
+            }
         };
         let host = Host::with_crash(name, handler, Arc::clone(&state.crash))?;
         Ok(Self { state, host })
@@ -90,6 +99,12 @@
         *lock(&self.state.latency) = latency;
     }
 
+    /// Lets it write nothing for that long. It takes calls and works on them all the while, and nothing
+    /// is lost.
+    pub fn fall_silent(&self, length: Duration) {
+        self.state.silence.begin(length);
+    }
+
     /// Lets it crash at each call to a path. It is back after [`crate::host::CRASH_LENGTH`].
     pub fn set_deadly_path(&self, path: &str) {
         *lock(&self.state.deadly_path) = Some(path.to_owned());
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -1,7 +1,10 @@
 //! Stand-in for a backend server of the users' platform.
 
 use {
-    crate::host::{Body, Host, json, whole},
+    crate::{
+        host::{Body, Host, json, whole},
+        silence::Silence,
+    },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
@@ -16,10 +19,7 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{
-        sync::Notify,
-        time::{sleep, sleep_until},
-    },
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Pause between two bytes of a server that trickles.
@@ -117,8 +117,7 @@
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
-    /// Until when it writes nothing.
-    silent_until: Mutex<Option<Instant>>,
+    silence: Silence,
     deadly: Mutex<Option<Deadly>>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
@@ -152,7 +151,7 @@
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
-            silent_until: Mutex::default(),
+            silence: Silence::default(),
             deadly: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
@@ -171,8 +170,8 @@
             let shared = Arc::clone(&shared);
             async move {
                 lock(&shared.arrivals).push(Instant::now());
-                let mut response = Arc::clone(&shared).answer(request).await?;
-                shared.wait_for_end_of_silence().await;
+                let response = Arc::clone(&shared).answer(request).await?;
+                let mut response = shared.silence.hold(response).await;
                 if let Some(limit) = lock(&shared.limit).as_deref() {
                     put(&mut response, "server-limit", limit);
                 }
@@ -233,7 +232,7 @@
     /// Lets the server write nothing for that long: no response, no event. It accepts connections and
     /// reads requests all the while, then goes on where it was; nothing is lost.
     pub fn fall_silent(&self, length: Duration) {
-        *lock(&self.state.silent_until) = Some(Instant::now() + length);
+        self.state.silence.begin(length);
     }
 
     /// Lets the server crash when it runs a request with `text` in the parts of its prompt or in its
@@ -423,16 +422,6 @@
         Some(signed(response, echo))
     }
 
-    async fn wait_for_end_of_silence(&self) {
-        loop {
-            let end = *lock(&self.silent_until);
-            match end {
-                Some(end) if end > Instant::now() => sleep_until(end.into()).await,
-                _ => return,
-            }
-        }
-    }
-
     /// Crashes: the host cuts this connection with all others.
     async fn crash<T>(&self) -> T {
         lock(&self.crashes).push(Instant::now());
@@ -472,15 +461,11 @@
         }
         let count = *lock(&self.events);
         let latency = *lock(&self.latency);
-        let state = Arc::clone(self);
-        let start = (after + 1, work, state);
-        let events = stream::unfold(start, move |(id, work, state)| async move {
-            state.wait_for_end_of_silence().await;
+        let events = stream::unfold((after + 1, work), move |(id, work)| async move {
             if id > count {
                 return None;
             }
             sleep(latency).await;
-            state.wait_for_end_of_silence().await;
             let event = format!("id: {id}\ndata: token {id}\n\n");
             let breaks = behaviour == Behaviour::BreaksOff;
             let item = match (breaks, id) {
@@ -488,7 +473,7 @@
                 (true, 4..) => Err(io::Error::other("broken off")),
                 _ => Ok(Frame::data(event.into())),
             };
-            Some((item, (id + 1, work, state)))
+            Some((item, (id + 1, work)))
         });
         let mut response = Response::new(StreamBody::new(events).boxed_unsync());
         put(&mut response, "content-type", "text/event-stream");
