Silences of engines, plain services, sidecars and routers lose no answer of the own interface

Guards against exchanges that a sidecar or router gives up because the other side is silent for 1.5 s: an engine in the midst of its answers and before its first token, a plain service, a sidecar or router that stands still in the midst of answers, and a sidecar that stands still before it takes requests.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -1,19 +1,27 @@
-//! Sound servers that fall silent for a second or so and go on, against gateways as real processes.
+//! Sound servers that fall silent for a second or so and go on, against gateways, routers and
+//! sidecars as real processes.
 
 use {
     bytes::Bytes,
-    hyper::{Request, header::HeaderValue},
+    hyper::{Method, Request, header::HeaderValue},
     rstest::rstest,
     serde_json::{Value, json},
     std::{fs, time::Duration},
+    tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
+        deployment::{Deployment, Layout, Service},
+        engine::Hardware,
         http,
+        load::{Generator, Record, Schedule, Shot},
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
         proxy::{Direction, Fault, Proxy, Scope},
         store::Outage,
         wait,
     },
-    tokio::{task::JoinSet, time::sleep},
+    tokio::{
+        task::{JoinHandle, JoinSet},
+        time::sleep,
+    },
 };
 
 /// Timeout of all routes, and time that callers have.
@@ -456,3 +464,153 @@
 
     assert_eq!(answer.text(), format!("plain-0 got {BODY_BYTES} bytes"));
 }
+
+/// Requests offered to a router of the own interface.
+const OFFERED: usize = 8;
+
+/// One engine behind a sidecar and two routers.
+async fn start_engine() -> Deployment {
+    let hardware = Hardware::newer().with_speedup(4.0);
+    let layout = Layout::new(vec![Service::slibe_llm(&[hardware])]);
+    Deployment::start(&layout).await.expect("starts")
+}
+
+/// A request to the engine whose answer takes a second or so.
+fn advice(index: usize) -> Shot {
+    const TOKENS: u32 = 400;
+    let input = format!("bevel angle {index}");
+    Shot::model(
+        "slibe-llm",
+        "slibe-example-key",
+        "sharpening",
+        &input,
+        TOKENS,
+    )
+    .with_tier("workshop")
+    .with_key(&format!("key-{index}"))
+}
+
+/// A request to the plain service that may not be repeated.
+fn order(index: usize) -> Shot {
+    Shot::plain(
+        "ordre-app",
+        "joiner-example-key",
+        Method::POST,
+        "/pickups",
+        "{}",
+    )
+    .with_tier("order")
+    .with_key(&format!("key-{index}"))
+}
+
+/// Offers [`OFFERED`] requests at once.
+fn offer(deployment: &Deployment, shot: fn(usize) -> Shot) -> JoinHandle<Vec<Record>> {
+    let generator = Generator::new(&deployment.entries()).with_limit(CALL_LIMIT);
+    let schedule = Schedule::burst(Duration::ZERO, OFFERED);
+    tokio::spawn(async move { generator.run(&schedule, shot).await })
+}
+
+/// Waits until all requests have tokens.
+async fn wait_for_tokens(deployment: &Deployment) {
+    let engine = deployment.sidecars[0].engine();
+    let have_begun = || {
+        let runs = engine.runs();
+        runs.len() == OFFERED && runs.iter().all(|run| run.decoded_tokens > 10)
+    };
+    assert!(wait::until(CALL_LIMIT, have_begun).await, "not begun");
+}
+
+fn assert_whole(records: &[Record]) {
+    assert_eq!(records.len(), OFFERED);
+    let lost: Vec<_> = records.iter().filter(|record| !record.whole).collect();
+    assert!(lost.is_empty(), "{} lost: {lost:?}", lost.len());
+}
+
+/// Guards against answers that a sidecar or router gives up because a sound engine is silent in their
+/// midst.
+#[tokio::test]
+async fn answers_of_an_engine_that_falls_silent_midway_are_whole() {
+    let deployment = start_engine().await;
+    let offered = offer(&deployment, advice);
+    wait_for_tokens(&deployment).await;
+
+    deployment.sidecars[0].engine().fall_silent(SILENCE);
+    let records = offered.await.expect("no panic");
+
+    assert_whole(&records);
+}
+
+/// Guards against requests that a sidecar or router gives up because a sound engine is silent before it
+/// begins to answer.
+#[tokio::test]
+async fn answers_of_an_engine_that_is_silent_before_its_first_token_are_whole() {
+    let deployment = start_engine().await;
+
+    deployment.sidecars[0].engine().fall_silent(SILENCE);
+    let records = offer(&deployment, advice).await.expect("no panic");
+
+    assert_whole(&records);
+}
+
+/// Guards against requests that a sidecar or router gives up because a sound plain service is silent.
+#[tokio::test]
+async fn answers_of_a_plain_service_that_is_silent_are_whole() {
+    let layout = Layout::new(vec![Service::ordre_app(1)]);
+    let deployment = Deployment::start(&layout).await.expect("starts");
+
+    deployment.sidecars[0].plain().fall_silent(SILENCE);
+    let records = offer(&deployment, order).await.expect("no panic");
+
+    assert_whole(&records);
+    assert_eq!(deployment.sidecars[0].plain().calls().len(), OFFERED);
+}
+
+/// Guards against answers that are given up because a sidecar or a router stands still for as long as a
+/// sound server may.
+#[rstest]
+#[case::sidecar(true)]
+#[case::router(false)]
+#[tokio::test]
+async fn answers_are_whole_although_a_process_on_their_way_stands_still(#[case] is_sidecar: bool) {
+    let deployment = start_engine().await;
+    let offered = offer(&deployment, advice);
+    wait_for_tokens(&deployment).await;
+    let process = match is_sidecar {
+        true => &deployment.sidecars[0].process,
+        false => &deployment.routers[0].process,
+    };
+
+    process.pause().expect("running");
+    sleep(SILENCE).await;
+    process.resume_execution().expect("paused");
+    let records = offered.await.expect("no panic");
+
+    assert_whole(&records);
+}
+
+/// Guards against requests that end without an answer, or run after they were refused, because their
+/// sidecar stands still before it takes them.
+#[tokio::test]
+async fn requests_at_a_sidecar_that_stands_still_are_answered_or_refused_and_not_run() {
+    let layout = Layout::new(vec![Service::ordre_app(1)]);
+    let deployment = Deployment::start(&layout).await.expect("starts");
+    let sidecar = &deployment.sidecars[0];
+
+    sidecar.process.pause().expect("running");
+    let offered = offer(&deployment, order);
+    sleep(SILENCE).await;
+    sidecar.process.resume_execution().expect("paused");
+    let records = offered.await.expect("no panic");
+    // A request that the sidecar took late would run by now.
+    sleep(SILENCE).await;
+
+    let calls = sidecar.plain().calls();
+    assert_eq!(records.len(), OFFERED);
+    for record in &records {
+        let runs = calls.iter().filter(|call| call.marker == record.key);
+        let expected = usize::from(record.whole);
+        let is_refused = record.verdict == Some(Verdict::NotRun);
+        assert!(record.whole || is_refused, "{record:?}");
+        assert_eq!(runs.count(), expected, "{record:?}");
+    }
+}
