Requests on kept connections are answered beside many changes of the configuration

Guards against requests that get neither an answer nor a refusal because the configuration changes: 24 callers on kept connections, four kinds of routes, 24 versions in six seconds that move, split and remove routes, remove a service, change slots, connections, keys, organisation, limit and attempts.

--- a/testbed/tests/kept_connections.rs
+++ b/testbed/tests/kept_connections.rs
@@ -4,7 +4,13 @@
 use {
     rstest::rstest,
     serde_json::json,
-    std::time::Duration,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tamarackdale_testbed::{
         http,
         platform::{Configuration, Gateway, Server, Site, request},
@@ -141,3 +147,85 @@
         assert!(answer.is_some() || !has_run(&id), "{id} ran");
     }
 }
+
+/// A version of the configuration in which something else has changed from number to number.
+fn changed(number: u64) -> Configuration {
+    let mut next = configuration();
+    let value = &mut next.value;
+    value["version"] = json!(10 + number);
+    match number % 12 {
+        0 => value["routes"][2]["service"] = json!("engine"),
+        1 => value["routes"] = json!([value["routes"][1], value["routes"][3]]),
+        2 => {
+            let backends =
+                json!([{"service": "engine", "weight": 1}, {"service": "plain", "weight": 1}]);
+            value["routes"][3]["service"] = json!(null);
+            value["routes"][3]["backends"] = backends;
+        }
+        3 => value["services"][0]["engine"] = json!(null),
+        4 => value["services"][0]["engine"]["slots"] = json!(1),
+        5 => value["services"][1]["max_conns"] = json!(1),
+        6 => value["services"] = json!([value["services"][1]]),
+        7 => value["tenants"][0]["name"] = json!("p"),
+        8 => value["tenants"][0]["api_keys"] = json!(["another"]),
+        9 => value["tenants"][0]["rate_per_s"] = json!(10),
+        10 => value["routes"][1]["attempts"] = json!(1),
+        _ => {}
+    }
+    next
+}
+
+/// Guards against requests on kept connections that get neither an answer nor a refusal because the
+/// configuration changes.
+#[tokio::test]
+async fn requests_on_kept_connections_are_answered_beside_many_changes() {
+    const CALLERS: usize = 24;
+    const CHANGES: u64 = 24;
+    const CHANGE_INTERVAL: Duration = Duration::from_millis(250);
+    let bench = start().await;
+    let engine = Server::new("engine-0", "engine").expect("starts");
+    bench.site.register(&engine);
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut callers = JoinSet::new();
+    for caller in 0..CALLERS {
+        let path = ["/status/1", "/booking/1", "/resumable/1", "/stream/1"][caller % 4];
+        let address = bench.gateway.callers();
+        let is_over = Arc::clone(&is_over);
+        callers.spawn(async move {
+            let mut statuses = Vec::new();
+            let opened = http::Connection::open(address).await;
+            let mut connection = opened.expect("accepted");
+            while !is_over.load(Ordering::SeqCst) {
+                let id = format!("c-{caller}-{}", statuses.len());
+                let answer = connection.call(request(path, &id), CALL_LIMIT).await;
+                statuses.push(answer.map(|answer| answer.status()));
+                if statuses.last().is_some_and(Result::is_err) {
+                    break;
+                }
+                sleep(Duration::from_millis(20)).await;
+            }
+            statuses
+                .into_iter()
+                .map(|status| status.map_err(|fault| fault.to_string()))
+                .collect::<Vec<_>>()
+        });
+    }
+
+    for number in 0..CHANGES {
+        bench.site.configure(&changed(number));
+        sleep(CHANGE_INTERVAL).await;
+    }
+    is_over.store(true, Ordering::SeqCst);
+    let answers = callers.join_all().await.concat();
+
+    let lost: Vec<_> = answers
+        .iter()
+        .filter_map(|answer| answer.as_ref().err())
+        .collect();
+    assert!(
+        lost.is_empty(),
+        "{} of {} lost: {lost:?}",
+        lost.len(),
+        answers.len()
+    );
+}
