--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -1,7 +1,10 @@
 //! Stand-in for a backend server of the users' platform.
 
 use {
-    crate::host::{Body, Connection, Host, json, whole},
+    crate::{
+        host::{Body, Connection, Host, json, whole},
+        silence::Silence,
+    },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
@@ -16,17 +19,14 @@
         },
         time::{Duration, Instant},
     },
-    tokio::{
-        sync::Notify,
-        time::{sleep, sleep_until},
-    },
+    tokio::{sync::Notify, time::sleep},
 };
 
 /// Pause between two bytes of a server that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
 /// Time from an answer to bytes that follow it on the idle connection.
-const IDLE_PAUSE: Duration = Duration::from_millis(2);
+const IDLE_PAUSE: Duration = Duration::from_millis(5);
 
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
@@ -52,6 +52,9 @@
     BreaksOff,
     /// Runs them and answers with an error.
     Fails,
+    /// Runs them and answers with a status that callers take for a refusal, but does not say that it
+    /// has not run them.
+    SeemsToRefuse(StatusCode),
     /// Takes them and never answers.
     Silent,
     /// Runs them and answers with a body without end, or a stream with an event without end.
@@ -151,8 +154,7 @@
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
-    /// Until when it writes nothing.
-    silent_until: Mutex<Option<Instant>>,
+    silence: Silence,
     deadly: Mutex<Option<Deadly>>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
@@ -189,7 +191,7 @@
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
-            silent_until: Mutex::default(),
+            silence: Silence::default(),
             deadly: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
@@ -209,8 +211,8 @@
             let shared = Arc::clone(&shared);
             async move {
                 lock(&shared.arrivals).push(Instant::now());
-                let mut response = Arc::clone(&shared).answer(request).await?;
-                shared.wait_for_end_of_silence().await;
+                let response = Arc::clone(&shared).answer(request).await?;
+                let mut response = shared.silence.hold(response).await;
                 if let Some(limit) = lock(&shared.limit).as_deref() {
                     put(&mut response, "server-limit", limit);
                 }
@@ -282,7 +284,7 @@
     /// Lets the server write nothing for that long: no response, no event. It accepts connections and
     /// reads requests all the while, then goes on where it was; nothing is lost.
     pub fn fall_silent(&self, length: Duration) {
-        *lock(&self.state.silent_until) = Some(Instant::now() + length);
+        self.state.silence.begin(length);
     }
 
     /// Lets the server crash when it runs a request with `text` in the parts of its prompt or in its
@@ -432,7 +434,7 @@
             if let Some(value) = lock(&self.retry_after).as_deref() {
                 put(&mut response, "retry-after", value);
             }
-            if let (Some(connection), true) = (connection, is_refused_twice) {
+            if let (Some(connection), true) = (&connection, is_refused_twice) {
                 connection.write(refusal(Some(&id)).as_bytes());
             }
             if repeat.is_none_or(|repeat| repeat.is_named) {
@@ -458,9 +460,7 @@
         let crash_point = deadly.filter(|deadly| deadly.is(&run));
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
-        if let (Some(repeat), Some(connection)) = (repeat, connection) {
-            self.repeat_refusal(repeat, connection);
-        }
+        self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -476,6 +476,9 @@
                     &id,
                 ));
             }
+            Behaviour::SeemsToRefuse(status) => {
+                return Some(signed(json(status, &value!({})), &id));
+            }
             _ => {}
         }
         match crash_point {
@@ -483,6 +486,7 @@
             Some(CrashPoint::BeforeHead) => return self.crash().await,
             Some(point) => return Some(signed(self.crashing_answer(point, is_stream), &id)),
         }
+        self.repeat_refusal(RepeatPoint::WhileIdle, connection.as_ref());
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
             _ => &id,
@@ -499,32 +503,23 @@
         Some(signed(response, echo))
     }
 
-    async fn wait_for_end_of_silence(&self) {
-        loop {
-            let end = *lock(&self.silent_until);
-            match end {
-                Some(end) if end > Instant::now() => sleep_until(end.into()).await,
-                _ => return,
-            }
-        }
-    }
-
-    /// Writes the last refusal once more on a kept connection, now or after the answer.
-    fn repeat_refusal(&self, repeat: Repeat, connection: Connection) {
-        let Some(refused) = lock(&self.last_refused).clone() else {
+    /// Writes the last refusal once more on a kept connection, if the server does so at this point.
+    fn repeat_refusal(&self, point: RepeatPoint, connection: Option<&Connection>) {
+        let refused = lock(&self.last_refused).clone();
+        let kept = connection.filter(|connection| connection.is_kept).cloned();
+        let Behaviour::RepeatsRefusal(repeat) = *lock(&self.behaviour) else {
             return;
         };
-        if !connection.is_kept {
+        let (Some(refused), Some(kept), true) = (refused, kept, repeat.point == point) else {
             return;
-        }
+        };
         let bytes = refusal(repeat.is_named.then_some(&refused));
-        if repeat.point == RepeatPoint::BeforeAnswer {
-            return connection.write(bytes.as_bytes());
+        if point == RepeatPoint::BeforeAnswer {
+            return kept.write(bytes.as_bytes());
         }
-        let delay = *lock(&self.latency) + IDLE_PAUSE;
         tokio::spawn(async move {
-            sleep(delay).await;
-            connection.write(bytes.as_bytes());
+            sleep(IDLE_PAUSE).await;
+            kept.write(bytes.as_bytes());
         });
     }
 
@@ -566,23 +561,19 @@
         }
         let count = *lock(&self.events);
         let latency = *lock(&self.latency);
-        let state = Arc::clone(self);
-        let start = (after + 1, work, state);
-        let events = stream::unfold(start, move |(id, work, state)| async move {
-            state.wait_for_end_of_silence().await;
+        let events = stream::unfold((after + 1, work), move |(id, work)| async move {
             if id > count {
                 return None;
             }
             sleep(latency).await;
-            state.wait_for_end_of_silence().await;
-            let event = state.event(id);
+            let event = work.0.event(id);
             let breaks = behaviour == Behaviour::BreaksOff;
             let item = match (breaks, id) {
                 (true, 3) => Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))),
                 (true, 4..) => Err(io::Error::other("broken off")),
                 _ => Ok(Frame::data(event)),
             };
-            Some((item, (id + 1, work, state)))
+            Some((item, (id + 1, work)))
         });
         let mut response = Response::new(StreamBody::new(events).boxed_unsync());
         put(&mut response, "content-type", "text/event-stream");
