Gateways: a connection to a server that reads nothing for a while is kept for 2.5 s

Callers of requests with long bodies got 502 when their server, which was sound, read nothing for 1.8 s: a full receive window counts as unacknowledged data, and the connection was closed after 1.5 s. A sound server may be silent for a second or so.

The timeout is longer than such a silence, and about as long as the callers of streams wait.

A host that acknowledges nothing could not be tried.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -25,8 +25,9 @@
 /// milliseconds. A lost SYN is retransmitted after a second, which is too late to wait for.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`).
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`). A sound
+/// server may read nothing for a second or two; callers of streams give up a little later.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
 
 /// Idle time before the first TCP keep-alive probe, and the interval between probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
