--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -1,7 +1,10 @@
 //! Stand-in for a backend server of the users' platform.
 
 use {
-    crate::host::{Body, Host, json, whole},
+    crate::{
+        host::{Body, Connection, Host, json, whole},
+        silence::Silence,
+    },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
@@ -22,9 +25,15 @@
 /// Pause between two bytes of a server that trickles.
 const TRICKLE_PAUSE: Duration = Duration::from_millis(200);
 
+/// Time from an answer to bytes that follow it on the idle connection.
+const IDLE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Version of a server's software unless it is another one.
+const DEFAULT_VERSION: &str = "v1";
+
 /// How the server treats requests.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Behaviour {
@@ -43,12 +52,37 @@
     BreaksOff,
     /// Runs them and answers with an error.
     Fails,
+    /// Runs them and answers with a status that callers take for a refusal, but does not say that it
+    /// has not run them.
+    SeemsToRefuse(StatusCode),
     /// Takes them and never answers.
     Silent,
     /// Runs them and answers with a body without end, or a stream with an event without end.
     Endless,
     /// Runs them and stalls in the second event of a stream, of which it sends a byte now and then.
     Trickles,
+    /// Writes a refusal that it has sent before once more.
+    RepeatsRefusal(Repeat),
+}
+
+/// A refusal that is written once more on a kept connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Repeat {
+    /// When it is written.
+    pub point: RepeatPoint,
+    /// Whether it names the request that was refused.
+    pub is_named: bool,
+}
+
+/// When a refusal is written once more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatPoint {
+    /// Right after it was written: the server refuses all requests.
+    AfterRefusal,
+    /// On the idle connection, after the answer to a later request that the server ran.
+    WhileIdle,
+    /// Where the answer to a later request is due, which the server runs.
+    BeforeAnswer,
 }
 
 /// When a server crashes at a request that is deadly to it.
@@ -88,6 +122,10 @@
     pub organisation: String,
     /// Event after which it was to go on.
     pub resumed_after: Option<u64>,
+    /// Attempt that brought the first event of the stream that it takes up.
+    pub resumes: Option<String>,
+    /// Version of the server's software.
+    pub version: String,
     /// Whether the caller's key came with it.
     pub has_key: bool,
     /// Parts of its prompt as they were stated.
@@ -111,9 +149,12 @@
 
 struct State {
     id: String,
+    /// Version of its software.
+    version: Mutex<String>,
     behaviour: Mutex<Behaviour>,
     latency: Mutex<Duration>,
     events: Mutex<u64>,
+    silence: Silence,
     deadly: Mutex<Option<Deadly>>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
@@ -133,6 +174,8 @@
     working: AtomicUsize,
     /// Requests that it did not run.
     refusals: AtomicUsize,
+    /// Identifier of the last of them.
+    last_refused: Mutex<Option<String>>,
 }
 
 impl Server {
@@ -144,9 +187,11 @@
     pub fn new(id: &str, service: &str) -> io::Result<Self> {
         let state = Arc::new(State {
             id: id.to_owned(),
+            version: Mutex::new(DEFAULT_VERSION.to_owned()),
             behaviour: Mutex::default(),
             latency: Mutex::new(Duration::from_millis(10)),
             events: Mutex::new(5),
+            silence: Silence::default(),
             deadly: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
@@ -158,6 +203,7 @@
             runs: Mutex::default(),
             working: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
+            last_refused: Mutex::default(),
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
@@ -165,7 +211,8 @@
             let shared = Arc::clone(&shared);
             async move {
                 lock(&shared.arrivals).push(Instant::now());
-                let mut response = Arc::clone(&shared).answer(request).await?;
+                let response = Arc::clone(&shared).answer(request).await?;
+                let mut response = shared.silence.hold(response).await;
                 if let Some(limit) = lock(&shared.limit).as_deref() {
                     put(&mut response, "server-limit", limit);
                 }
@@ -198,6 +245,17 @@
         self
     }
 
+    /// Runs another version of the software than `v1`.
+    pub fn with_version(self, version: &str) -> Self {
+        version.clone_into(&mut lock(&self.state.version));
+        self
+    }
+
+    /// Version of its software, which each event of its streams names.
+    pub fn version(&self) -> String {
+        self.state.version()
+    }
+
     /// Its identifier.
     pub fn id(&self) -> &str {
         &self.id
@@ -223,6 +281,12 @@
         *lock(&self.state.events) = events;
     }
 
+    /// Lets the server write nothing for that long: no response, no event. It accepts connections and
+    /// reads requests all the while, then goes on where it was; nothing is lost.
+    pub fn fall_silent(&self, length: Duration) {
+        self.state.silence.begin(length);
+    }
+
     /// Lets the server crash when it runs a request with `text` in the parts of its prompt or in its
     /// body. It is back after [`crate::host::CRASH_LENGTH`].
     pub fn set_deadly(&self, text: &str, point: CrashPoint) {
@@ -304,7 +368,7 @@
             "service": self.service,
             "address": self.advertised.to_string(),
             "zone": self.data_centre,
-            "version": "v1",
+            "version": self.version(),
             "slots": 8,
             "state": state,
             "cold_remaining_ms": 0,
@@ -332,6 +396,15 @@
 }
 
 impl State {
+    fn version(&self) -> String {
+        lock(&self.version).clone()
+    }
+
+    /// An event of a stream.
+    fn event(&self, id: u64) -> Bytes {
+        format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let text = |name: &str| {
@@ -341,8 +414,15 @@
                 .unwrap_or_default()
         };
         let behaviour = *lock(&self.behaviour);
+        let id = text("attempt-id").to_owned();
+        let connection = parts.extensions.get::<Connection>().cloned();
+        let repeat = match behaviour {
+            Behaviour::RepeatsRefusal(repeat) => Some(repeat),
+            _ => None,
+        };
+        let is_refused_twice = repeat.is_some_and(|it| it.point == RepeatPoint::AfterRefusal);
         let is_meant = text("expect-instance") == self.id;
-        if !is_meant || behaviour == Behaviour::Full {
+        if !is_meant || behaviour == Behaviour::Full || is_refused_twice {
             let status = match is_meant {
                 true => StatusCode::SERVICE_UNAVAILABLE,
                 false => StatusCode::MISDIRECTED_REQUEST,
@@ -350,18 +430,26 @@
             let mut response = json(status, &value!({}));
             put(&mut response, "not-executed", "1");
             self.refusals.fetch_add(1, Ordering::SeqCst);
+            *lock(&self.last_refused) = Some(id.clone());
             if let Some(value) = lock(&self.retry_after).as_deref() {
                 put(&mut response, "retry-after", value);
             }
+            if let (Some(connection), true) = (&connection, is_refused_twice) {
+                connection.write(refusal(Some(&id)).as_bytes());
+            }
+            if repeat.is_none_or(|repeat| repeat.is_named) {
+                put(&mut response, "attempt-id", &id);
+            }
             return Some(response);
         }
-        let id = text("attempt-id").to_owned();
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
             time_left_ms: text("time-budget").parse().unwrap_or_default(),
             organisation: text("tenant").to_owned(),
             resumed_after,
+            resumes: Some(text("resumes").to_owned()).filter(|attempt| !attempt.is_empty()),
+            version: self.version(),
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
@@ -372,6 +460,7 @@
         let crash_point = deadly.filter(|deadly| deadly.is(&run));
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
+        self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -387,6 +476,9 @@
                     &id,
                 ));
             }
+            Behaviour::SeemsToRefuse(status) => {
+                return Some(signed(json(status, &value!({})), &id));
+            }
             _ => {}
         }
         match crash_point {
@@ -394,6 +486,7 @@
             Some(CrashPoint::BeforeHead) => return self.crash().await,
             Some(point) => return Some(signed(self.crashing_answer(point, is_stream), &id)),
         }
+        self.repeat_refusal(RepeatPoint::WhileIdle, connection.as_ref());
         let echo = match behaviour {
             Behaviour::MixesAnswers => "another-request",
             _ => &id,
@@ -410,6 +503,26 @@
         Some(signed(response, echo))
     }
 
+    /// Writes the last refusal once more on a kept connection, if the server does so at this point.
+    fn repeat_refusal(&self, point: RepeatPoint, connection: Option<&Connection>) {
+        let refused = lock(&self.last_refused).clone();
+        let kept = connection.filter(|connection| connection.is_kept).cloned();
+        let Behaviour::RepeatsRefusal(repeat) = *lock(&self.behaviour) else {
+            return;
+        };
+        let (Some(refused), Some(kept), true) = (refused, kept, repeat.point == point) else {
+            return;
+        };
+        let bytes = refusal(repeat.is_named.then_some(&refused));
+        if point == RepeatPoint::BeforeAnswer {
+            return kept.write(bytes.as_bytes());
+        }
+        tokio::spawn(async move {
+            sleep(IDLE_PAUSE).await;
+            kept.write(bytes.as_bytes());
+        });
+    }
+
     /// Crashes: the host cuts this connection with all others.
     async fn crash<T>(&self) -> T {
         lock(&self.crashes).push(Instant::now());
@@ -421,8 +534,7 @@
     fn crashing_answer(self: &Arc<Self>, point: CrashPoint, is_stream: bool) -> Response<Body> {
         let has_event = point == CrashPoint::AfterFirstEvent;
         let state = Arc::clone(self);
-        let event = Bytes::from_static(b"id: 1\ndata: token 1\n\n");
-        let first = has_event.then_some(Ok(Frame::data(event)));
+        let first = has_event.then(|| Ok(Frame::data(self.event(1))));
         let crash = stream::once(async move {
             // What was sent before goes out first.
             sleep(HEAD_PAUSE).await;
@@ -439,7 +551,7 @@
     fn stream(self: &Arc<Self>, after: u64, work: Work, behaviour: Behaviour) -> Response<Body> {
         let endless_body = match behaviour {
             Behaviour::Endless => Some(StreamBody::new(endless_bytes()).boxed_unsync()),
-            Behaviour::Trickles => Some(StreamBody::new(trickle()).boxed_unsync()),
+            Behaviour::Trickles => Some(StreamBody::new(trickle(&self.event(1))).boxed_unsync()),
             _ => None,
         };
         if let Some(body) = endless_body {
@@ -454,12 +566,12 @@
                 return None;
             }
             sleep(latency).await;
-            let event = format!("id: {id}\ndata: token {id}\n\n");
+            let event = work.0.event(id);
             let breaks = behaviour == Behaviour::BreaksOff;
             let item = match (breaks, id) {
                 (true, 3) => Ok(Frame::data(Bytes::from_static(b"id: 3\nda"))),
                 (true, 4..) => Err(io::Error::other("broken off")),
-                _ => Ok(Frame::data(event.into())),
+                _ => Ok(Frame::data(event)),
             };
             Some((item, (id + 1, work)))
         });
@@ -474,9 +586,9 @@
     stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 16 * 1024]))))
 }
 
-/// The beginning of a second event, a byte at a time.
-fn trickle() -> impl Stream<Item = io::Result<Frame<Bytes>>> {
-    let head = Bytes::from_static(b"id: 1\ndata: token 1\n\nid: 2\ndata: ");
+/// The first event and the beginning of a second one, a byte at a time.
+fn trickle(first: &[u8]) -> impl Stream<Item = io::Result<Frame<Bytes>>> + use<> {
+    let head = Bytes::from([first, b"id: 2\ndata: "].concat());
     stream::unfold(Some(head), |head| async move {
         if let Some(head) = head {
             return Some((Ok(Frame::data(head)), None));
@@ -502,6 +614,15 @@
     Response::new(StreamBody::new(pieces).boxed_unsync())
 }
 
+/// The bytes of a refusal, which may name the request that was refused.
+fn refusal(id: Option<&str>) -> String {
+    let name = id.map(|id| format!("attempt-id: {id}\r\n"));
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\nnot-executed: 1\r\n{}content-length: 2\r\n\r\n{{}}",
+        name.unwrap_or_default()
+    )
+}
+
 fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
     put(&mut response, "attempt-id", id);
     put(&mut response, "response-seal", "signature");
