--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -159,7 +159,7 @@
                 && job.dispatch.sent() < job.request.route.attempts;
             can_repeat.then_some(SendFailure::Failed)
         }
-        ResponseClass::Mismatched => {
+        ResponseClass::Mismatched | ResponseClass::Unsigned => {
             scheduler.record_failure(id, Failure::Broken);
             Some(SendFailure::Lost)
         }
