The refusal of a grant counts only if it names its attempt

A router took a refusal of an earlier grant, written once more on a kept connection, for the answer to a grant that the sidecar had dispatched. It then offered the request elsewhere, or told its caller that it had not run.

Cause: grants share pooled connections, and their answers named no attempt. A refusal now names the attempt, which is never used for a second grant. The router takes one that names another attempt, or none, for no answer: it then asks the sidecar on a new connection, as after a lost answer, which either voids the attempt or brings the response. A router and a sidecar of different versions cannot decode each other's refusals of grants and take the same way, which costs a connection for each. What a sidecar and its engine say to each other needs no change: each request has a connection of its own, and no answer of an engine counts as not run.

--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -85,6 +85,9 @@
     }
 
     /// Grants an attempt. The message is sent once and not retried by lower layers.
+    ///
+    /// A refusal counts only if it names the attempt: one of an earlier grant may arrive where this one's
+    /// response is expected.
     pub async fn grant(
         &self,
         peer: &Peer,
@@ -102,8 +105,18 @@
         };
         match codec::decode::<GrantResponse>(&bytes) {
             Ok(GrantResponse::Dispatched) => Ok(Ok(())),
-            Ok(GrantResponse::Refused(failure)) => Ok(Err(failure_from_wire(failure))),
-            Err(_) => Err(CallError::NoResponse),
+            Ok(GrantResponse::Refused {
+                attempt: refused,
+                failure,
+            }) if id::Attempt::from(refused) == attempt => Ok(Err(failure_from_wire(failure))),
+            Ok(GrantResponse::Refused { .. }) | Err(_) => {
+                log::warn!(
+                    attempt:% = attempt,
+                    sidecar:% = peer;
+                    "response to a grant names another attempt or cannot be decoded"
+                );
+                Err(CallError::NoResponse)
+            }
         }
     }
 
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -102,9 +102,11 @@
         .await;
     match granted {
         Ok(Ok(())) => GrantResponse::Dispatched,
-        Ok(Err(failure)) => GrantResponse::Refused(failure.into()),
-        // The dispatch worker did not reply, but the router may send the grant again.
-        Err(failure) => GrantResponse::Refused(failure.into()),
+        // An outer failure: the dispatch worker did not reply, but the router may send the grant again.
+        Ok(Err(failure)) | Err(failure) => GrantResponse::Refused {
+            attempt: grant.attempt,
+            failure: failure.into(),
+        },
     }
 }
 
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -74,8 +74,13 @@
 pub enum GrantResponse {
     /// The attempt was dispatched.
     Dispatched,
-    /// The grant had no effect. The failure's verdict tells whether the request may have run.
-    Refused(Failure),
+    /// The grant had no effect.
+    Refused {
+        /// The attempt, which tells the response from one to an earlier grant.
+        attempt: Attempt,
+        /// Its verdict tells whether the request may have run.
+        failure: Failure,
+    },
 }
 
 /// Requests the rest of an attempt's response. An attempt that still waits is voided.
