--- /dev/null
+++ b/testbed/tests/takeovers.rs
@@ -0,0 +1,250 @@
+//! Streams that another server is to take over from a silent one, against gateways as real processes.
+
+use {
+    bytes::Bytes,
+    hyper::{Request, header::HeaderValue},
+    rstest::rstest,
+    serde_json::{Value, json},
+    std::{fs, time::Duration},
+    tamarackdale_testbed::{
+        http,
+        platform::{Caller, Configuration, Gateway, Server, Site, request},
+        wait,
+    },
+    tokio::{
+        task::JoinSet,
+        time::{sleep, timeout},
+    },
+};
+
+/// A route whose streams may be resumed.
+const PATH: &str = "/resumable/1";
+
+/// Timeout of that route, and time that callers have.
+const TIMEOUT_MS: u64 = 20_000;
+
+/// Time between two events of a stream.
+const EVENT_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Events of a stream.
+const EVENTS: u64 = 5;
+
+/// Longest time for a gateway to learn of a change.
+const IN_FORCE: Duration = Duration::from_secs(3);
+
+struct Bench {
+    site: Site,
+    gateway: Gateway,
+    servers: Vec<Server>,
+}
+
+/// A site with a gateway that is ready and some servers, of which the first `registered` are in service.
+async fn start(configuration: &Configuration, servers: Vec<Server>, registered: usize) -> Bench {
+    let pointer = "/routes/1/timeout_ms";
+    let configuration = configuration.clone().with(pointer, json!(TIMEOUT_MS));
+    let site = Site::new(&configuration).expect("starts");
+    for (number, server) in servers.iter().enumerate() {
+        server.set_latency(EVENT_INTERVAL);
+        server.set_events(EVENTS);
+        if number < registered {
+            site.register(server);
+        }
+    }
+    let gateway = site.gateway("one").expect("starts");
+    assert!(gateway.wait_ready(true).await, "not ready");
+    Bench {
+        site,
+        gateway,
+        servers,
+    }
+}
+
+fn engines(count: usize) -> Vec<Server> {
+    let server = |number| Server::new(&format!("engine-{number}"), "engine").expect("starts");
+    (0..count).map(server).collect()
+}
+
+fn patient(id: &str) -> Request<Bytes> {
+    let mut message = request(PATH, id);
+    let time_left = HeaderValue::from(TIMEOUT_MS);
+    message.headers_mut().insert("time-budget", time_left);
+    message
+}
+
+fn event_ids(body: &Bytes) -> Vec<u64> {
+    let text = String::from_utf8_lossy(body).into_owned();
+    text.lines()
+        .filter_map(|line| line.strip_prefix("id: ")?.parse().ok())
+        .collect()
+}
+
+/// The server that runs something, and the first of the others.
+fn split(servers: &[Server]) -> (&Server, &Server) {
+    let is_running = |server: &&Server| !server.runs().is_empty();
+    let running = servers.iter().find(is_running);
+    let other = servers.iter().find(|server| server.runs().is_empty());
+    (running.expect("runs"), other.expect("idle"))
+}
+
+/// Guards against a stream that is broken off, although another server has taken it over, because the
+/// silent server breaks before the other one has responded.
+#[rstest]
+#[case::last_attempt(2)]
+#[case::attempt_left(3)]
+#[tokio::test]
+async fn stream_goes_on_at_its_next_server_when_the_silent_one_breaks(#[case] attempts: u32) {
+    /// From the first event, after which another server is sought within about a second.
+    const HEAD_OF_NEXT: Duration = Duration::from_secs(2);
+    const BREAK: Duration = Duration::from_millis(1_500);
+    let configuration = Configuration::default().with("/routes/1/attempts", json!(attempts));
+    let bench = start(&configuration, engines(2), 2).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    let (silent, next) = split(&bench.servers);
+    silent.fall_silent(Duration::from_secs(10));
+    next.fall_silent(HEAD_OF_NEXT);
+    sleep(BREAK).await;
+    assert_eq!(next.runs().len(), 1, "not sent to the other server");
+    silent.close();
+    let rest = reply.collect().await.expect("whole");
+
+    assert_eq!(event_ids(&first), [1]);
+    assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
+}
+
+/// Guards against a stream that goes on at two servers at a time: the rules allow 400 ms.
+#[tokio::test]
+async fn stream_runs_at_one_server_at_a_time_when_both_are_silent() {
+    const LONGEST_OVERLAP: Duration = Duration::from_millis(400);
+    let bench = start(&Configuration::default(), engines(2), 2).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    reply.chunk().await.expect("an event");
+
+    let (silent, next) = split(&bench.servers);
+    silent.fall_silent(Duration::from_millis(2_500));
+    next.fall_silent(Duration::from_millis(2_500));
+    let is_sent = || !next.runs().is_empty();
+    assert!(wait::until(Duration::from_secs(2), is_sent).await);
+    sleep(LONGEST_OVERLAP).await;
+    let working = [silent.working(), next.working()];
+
+    assert_ne!(working, [1, 1], "requests at work");
+}
+
+/// Guards against a stream that its caller takes up at another version than the one that began it,
+/// because a server of that version was about to take it over.
+#[tokio::test]
+async fn stream_that_stayed_at_its_server_is_taken_up_at_the_same_version() {
+    /// From the call: between the head and the first event.
+    const SILENCE_BEGINS: Duration = Duration::from_millis(900);
+    const SILENCE: Duration = Duration::from_millis(1_900);
+    let configuration = Configuration::default().with("/routes/1/target_latency_ms", json!(100));
+    let servers = vec![
+        Server::new("engine-0", "engine").expect("starts"),
+        Server::new("engine-1", "engine")
+            .expect("starts")
+            .with_version("v2"),
+    ];
+    let bench = start(&configuration, servers, 2).await;
+    sleep(IN_FORCE).await;
+    for server in &bench.servers {
+        server.set_latency(Duration::from_millis(600));
+    }
+    let time_budget = Duration::from_millis(TIMEOUT_MS);
+    let mut caller = Caller::new(PATH, "r").with_time_budget(time_budget);
+
+    let fall_silent = async {
+        sleep(SILENCE_BEGINS).await;
+        let (silent, next) = split(&bench.servers);
+        next.set_latency(Duration::from_secs(4));
+        silent.fall_silent(SILENCE);
+        next
+    };
+    let address = bench.gateway.callers();
+    let (next, ()) = tokio::join!(fall_silent, caller.begin(address, 1));
+    let was_sent_to_both = !next.runs().is_empty();
+    caller.leave();
+    for server in &bench.servers {
+        server.set_latency(EVENT_INTERVAL);
+    }
+    caller.call(address).await;
+
+    assert!(was_sent_to_both, "no other server was sought");
+    assert_eq!(caller.versions().len(), 1, "{:?}", caller.events());
+}
+
+/// Guards against streams of a silent server that hold the slots of the others without using them.
+#[rstest]
+#[case::none_silent(Duration::ZERO)]
+#[case::silent(Duration::from_secs(12))]
+#[tokio::test]
+async fn requests_begin_at_once_beside_silent_streams_without_budget_for_repeats(
+    #[case] silence: Duration,
+) {
+    /// Events of streams that last longer than the test.
+    const MANY: u64 = 150;
+    const STREAMS: usize = 8;
+    const SOON: Duration = Duration::from_millis(600);
+    let bench = start(&Configuration::default(), engines(2), 1).await;
+    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
+    let settings = settings
+        .replace("retry_budget = 0.2", "retry_budget = 0.0")
+        .replace("retry_extra = 100", "retry_extra = 0");
+    fs::write(&bench.gateway.settings, settings).expect("written");
+    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
+    let process = &bench.gateway.process;
+    process
+        .wait_for_log("new settings", IN_FORCE, is_reloaded)
+        .expect("applied");
+    bench.servers[0].set_events(MANY);
+    let mut open = Vec::new();
+    for number in 0..STREAMS {
+        let reply = http::send(bench.gateway.callers(), patient(&format!("s-{number}"))).await;
+        open.push(reply.expect("a head"));
+    }
+    bench.servers[0].fall_silent(silence);
+    bench.site.register(&bench.servers[1]);
+    sleep(IN_FORCE).await;
+    let mut calls = JoinSet::new();
+    for number in 0..STREAMS {
+        let address = bench.gateway.callers();
+        calls.spawn(async move {
+            let call = http::send(address, patient(&format!("n-{number}")));
+            let reply = timeout(SOON, call).await;
+            reply.is_ok_and(|reply| reply.is_ok_and(|reply| reply.head().status == 200))
+        });
+    }
+    let begun = calls.join_all().await;
+
+    let begun = begun.iter().filter(|has_begun| **has_begun).count();
+    assert_eq!(begun, STREAMS, "begun within {SOON:?} at an idle server");
+}
+
+/// Guards against a stream that waits for the answer of a second silent server while a third one could
+/// take it over.
+#[tokio::test]
+async fn stream_goes_on_at_a_third_server_when_the_second_one_is_silent_too() {
+    const SILENCE: Duration = Duration::from_secs(10);
+    /// Twice the patience with a server, and something for a loaded machine.
+    const WHOLE_WITHIN: Duration = Duration::from_secs(5);
+    let bench = start(&Configuration::default(), engines(3), 3).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    reply.chunk().await.expect("an event");
+
+    let fall_silent = |server: &Server| server.fall_silent(SILENCE);
+    bench.servers.iter().for_each(fall_silent);
+    let count_begun = || {
+        let begun = bench.servers.iter();
+        begun.filter(|server| !server.runs().is_empty()).count()
+    };
+    assert!(wait::until(Duration::from_secs(2), || count_begun() == 2).await);
+    split(&bench.servers).1.fall_silent(Duration::ZERO);
+    let rest = timeout(WHOLE_WITHIN, reply.collect()).await;
+
+    let rest = rest.expect("in time").expect("whole");
+    assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
+}
