Callers' connections do not count as idle while a response waits to be written

Callers that read slowly lost the rest of a large answer when the idle timeout had passed.

The connection's reads and writes are observed where they are made: while the peer does not take what is to be written, no timeout runs.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -4,8 +4,15 @@
     bytes::Bytes,
     http_body_util::BodyExt as _,
     hyper::body::Body,
-    std::{sync::Arc, time::Duration},
+    std::{
+        io,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+        time::Duration,
+    },
     tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
         sync::watch,
         time::{Instant, sleep_until},
     },
@@ -32,6 +39,8 @@
     requests: usize,
     /// When the first byte of a head arrived that is not complete.
     head_since: Option<Instant>,
+    /// Whether bytes wait until the peer takes them.
+    is_write_blocked: bool,
 }
 
 /// A request that is in progress until this is dropped.
@@ -45,8 +54,16 @@
         Self::default()
     }
 
+    /// Reports what is read from and written to `stream`, the connection's.
+    pub fn observe<T>(&self, stream: T) -> Observed<T> {
+        Observed {
+            stream,
+            activity: self.clone(),
+        }
+    }
+
     /// Records that bytes were read.
-    pub fn record_bytes(&self) {
+    fn record_read(&self) {
         self.state.send_if_modified(|state| {
             let is_new_head = state.requests == 0 && state.head_since.is_none();
             if is_new_head {
@@ -56,6 +73,15 @@
         });
     }
 
+    /// Records whether bytes that were to be written wait until the peer takes them.
+    fn record_write(&self, is_blocked: bool) {
+        self.state.send_if_modified(|state| {
+            let has_changed = state.is_write_blocked != is_blocked;
+            state.is_write_blocked = is_blocked;
+            has_changed
+        });
+    }
+
     /// Records that the head of a request is complete.
     pub fn begin_request(&self) -> InProgress {
         self.state.send_modify(|state| {
@@ -78,7 +104,7 @@
         let mut changes = self.state.subscribe();
         loop {
             let state = *changes.borrow_and_update();
-            if state.requests > 0 {
+            if state.requests > 0 || state.is_write_blocked {
                 // The sender lives as long as `self`.
                 let _ = changes.changed().await;
                 continue;
@@ -110,7 +136,7 @@
 }
 
 impl InProgress {
-    /// Keeps the request in progress until `body`, its response, is written or dropped.
+    /// Keeps the request in progress until all of `body`, its response, is taken for writing.
     pub fn until_end_of<B>(self, body: B) -> impl Body<Data = Bytes, Error = B::Error>
     where
         B: Body<Data = Bytes>,
@@ -122,6 +148,61 @@
     }
 }
 
+/// A stream of bytes whose reads and writes its connection's activity follows.
+pub struct Observed<T> {
+    stream: T,
+    activity: Activity,
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for Observed<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        if buffer.filled().len() > before {
+            self.activity.record_read();
+        }
+        polled
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for Observed<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.activity.record_write(polled.is_pending());
+        polled
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.activity.record_write(polled.is_pending());
+        polled
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 impl Default for Activity {
     fn default() -> Self {
         Self {
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -14,7 +14,7 @@
         net::{TcpListener, TcpStream},
         sync::Semaphore,
     },
-    tokio_util::{io::InspectReader, task::TaskTracker},
+    tokio_util::task::TaskTracker,
 };
 
 /// Timeouts of listeners that have none of their own.
@@ -134,8 +134,7 @@
                 response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
             }
         });
-        let received = activity.clone();
-        let stream = InspectReader::new(stream, move |_: &[u8]| received.record_bytes());
+        let stream = activity.observe(stream);
         let connection = http1::Builder::new()
             // `Activity` has the timeouts.
             .header_read_timeout(None)
