Gateways: a stream that moves from a silent server goes on whatever becomes of that server

Callers saw a stream break because the silent server broke while the next one, the last attempt, was about to respond; a take-up at the version of a server that had lost the race; two servers at work on one stream for longer than the 400 ms that the platform allows; new requests that waited beside an idle server, since streams without a retry left held its slots.

The takeover is now two steps. It is sought with a retry that returns to the budget unless it is used, so that no slot and no start is taken without one. Once the request is sent, a silent server that breaks leaves the next one its time, a silent server that does not break is left after 250 ms, and the origin of the stream is recorded where it is known: with the first event, and when another server has taken the stream over. A request that was lost at two crashes no longer moves.

--- a/core/src/retry.rs
+++ b/core/src/retry.rs
@@ -55,6 +55,11 @@
         true
     }
 
+    /// Returns a retry that was taken and not used.
+    pub fn return_retry(&mut self) {
+        self.available = (self.available + 1.0).min(self.settings.burst);
+    }
+
     /// Takes what is left of a budget whose burst is less than one, and returns whether that was one
     /// retry: with the probability of the fraction, so that all routers together have as many as their
     /// fractions add up to. `random` is from 0 up to but not including 1.
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -12,19 +12,21 @@
     },
     bytes::Bytes,
     gotham::hyper::{
-        Request,
+        Request, Response,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
     http_body_util::Full,
-    hyper::body::Incoming,
+    hyper::{body::Incoming, client::conn::TrySendError},
     std::{
+        pin::Pin,
         sync::Arc,
         time::{Duration, SystemTime},
     },
     tamarackdale_core::{
         dispatch::SendFailure,
         fleet::{Choice, Member, health::Failure},
+        time::Timestamp,
     },
     tamarackdale_platform::{
         request::{self, AddedHeaders},
@@ -72,12 +74,28 @@
 
 /// Sends the request and waits for the response headers.
 pub async fn run(job: &mut Job, choice: &Choice) -> Result<Exchange, ExchangeError> {
+    let connected = connect(job, choice).await?;
+    job.record_origin(&choice.member);
+    let mut sent = connected.send(job)?;
+    let response = timeout(job.time_left(), sent.response()).await;
+    let response = response.map_err(|_| ExchangeError::GivenUp(Cause::Timeout))?;
+    sent.into_exchange(job, response)
+}
+
+/// A connection to the backend server that is to get the request, which already counts there.
+pub struct Connected {
+    member: Member,
+    in_flight: InFlightRequest,
+    connection: Connection,
+}
+
+/// Connects to the backend server.
+pub async fn connect(job: &Job, choice: &Choice) -> Result<Connected, ExchangeError> {
     let member = &choice.member;
-    let scheduler = Arc::clone(&job.context.scheduler);
+    let scheduler = &job.context.scheduler;
     let load = choice.request_load(job.prompt_tokens());
-    let mut in_flight = scheduler.start_request(&member.id, load);
-    let pool = Arc::clone(&job.context.pool);
-    let mut connection = match pool.connect(member).await {
+    let in_flight = scheduler.start_request(&member.id, load);
+    let connection = match job.context.pool.connect(member).await {
         Ok(connection) => connection,
         Err(error) => {
             log::info!(
@@ -91,55 +109,101 @@
     if !scheduler.accepts_requests(&member.id) {
         return Err(ExchangeError::SendFailure(SendFailure::NotSent));
     }
-    let time_left = job.time_left();
-    if time_left.is_zero() {
-        return Err(ExchangeError::GivenUp(job.give_up(Cause::TimeoutUnsent)));
-    }
-    let request = build_request(job, &member.id, time_left);
-    job.record_origin(member);
-    job.dispatch.send();
-    let sent = job.context.clock.now();
-    let sending = connection.sender.try_send_request(request);
-    let response = match timeout(time_left, sending).await {
-        Err(_) => return Err(ExchangeError::GivenUp(Cause::Timeout)),
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
-            if error.message().is_some() {
-                return Err(ExchangeError::SendFailure(SendFailure::NotSent));
-            }
-            scheduler.record_failure(&member.id, Failure::Broken);
-            return Err(ExchangeError::ConnectionBroken);
-        }
-    };
-    let (status, headers) = (response.status(), response.headers());
-    let class = response::classify(status, headers, &job.request.head.id);
-    let notice = response::notice(status, headers, class, SystemTime::now());
-    scheduler.record_notice(member, &notice, sent);
-    if let Some(failure) = check_response(job, class, &member.id) {
-        return Err(ExchangeError::SendFailure(failure));
-    }
-    let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
-    let (mut parts, body) = response.into_parts();
-    let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
-        .iter()
-        .any(|name| parts.headers.contains_key(name));
-    if !body::is_event_stream(&parts.headers) {
-        in_flight.record_first_event();
-    }
-    parts.headers = response::returned_headers(&parts.headers);
-    Ok(Exchange {
-        parts,
-        body,
-        is_framed,
+    Ok(Connected {
         member: member.clone(),
         in_flight,
         connection,
-        pool,
-        idle_timeout,
-        time_left: job.time_left(),
     })
 }
 
+impl Connected {
+    /// The backend server.
+    pub fn member(&self) -> &Member {
+        &self.member
+    }
+
+    /// Sends the request.
+    pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
+        let time_left = job.time_left();
+        if time_left.is_zero() {
+            return Err(ExchangeError::GivenUp(job.give_up(Cause::TimeoutUnsent)));
+        }
+        let request = build_request(job, &self.member.id, time_left);
+        job.dispatch.send();
+        let sent = job.context.clock.now();
+        let response = Box::pin(self.connection.sender.try_send_request(request));
+        Ok(Sent {
+            connected: self,
+            sent,
+            response,
+        })
+    }
+}
+
+/// Response headers, or why there are none; the request is returned if it was not written.
+type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
+/// A request that was sent and has no response yet. Dropping it closes the connection.
+pub struct Sent {
+    connected: Connected,
+    sent: Timestamp,
+    response: Pin<Box<dyn Future<Output = SendResult> + Send>>,
+}
+
+impl Sent {
+    /// Waits for the response headers. Dropping the future loses nothing.
+    pub async fn response(&mut self) -> SendResult {
+        self.response.as_mut().await
+    }
+
+    /// Checks the response headers.
+    pub fn into_exchange(self, job: &Job, response: SendResult) -> Result<Exchange, ExchangeError> {
+        let Connected {
+            member,
+            mut in_flight,
+            connection,
+        } = self.connected;
+        let scheduler = &job.context.scheduler;
+        let response = match response {
+            Ok(response) => response,
+            Err(error) => {
+                if error.message().is_some() {
+                    return Err(ExchangeError::SendFailure(SendFailure::NotSent));
+                }
+                scheduler.record_failure(&member.id, Failure::Broken);
+                return Err(ExchangeError::ConnectionBroken);
+            }
+        };
+        let (status, headers) = (response.status(), response.headers());
+        let class = response::classify(status, headers, &job.request.head.id);
+        let notice = response::notice(status, headers, class, SystemTime::now());
+        scheduler.record_notice(&member, &notice, self.sent);
+        if let Some(failure) = check_response(job, class, &member.id) {
+            return Err(ExchangeError::SendFailure(failure));
+        }
+        let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
+        let (mut parts, body) = response.into_parts();
+        let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
+            .iter()
+            .any(|name| parts.headers.contains_key(name));
+        if !body::is_event_stream(&parts.headers) {
+            in_flight.record_first_event();
+        }
+        parts.headers = response::returned_headers(&parts.headers);
+        Ok(Exchange {
+            parts,
+            body,
+            is_framed,
+            member,
+            in_flight,
+            connection,
+            pool: Arc::clone(&job.context.pool),
+            idle_timeout,
+            time_left: job.time_left(),
+        })
+    }
+}
+
 /// Returns the failure if a response cannot be passed on to the caller. A 5xx response is passed on
 /// if the request cannot be sent again, unless its status makes a promise that nothing proves.
 fn check_response(job: &Job, class: ResponseClass, id: &str) -> Option<SendFailure> {
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -1,7 +1,11 @@
 //! Relays an event stream to the caller, and resumes it at another backend server when it breaks.
 
 use {
-    super::{Cause, Job, exchange::Exchange, takeover},
+    super::{
+        Cause, Job,
+        exchange::{Exchange, ExchangeError},
+        takeover,
+    },
     crate::http::body,
     bytes::Bytes,
     derive_more::Display,
@@ -15,9 +19,10 @@
     std::{io, time::Duration},
     tamarackdale_core::{
         dispatch::{SendFailure, Step},
+        fleet::Member,
         sse::{Batch, Splitter},
     },
-    tokio::time::{Instant, timeout},
+    tokio::time::{Instant, sleep, timeout},
 };
 
 /// Time without an event after which another backend server is sought for a resumable stream. About
@@ -27,6 +32,10 @@
 /// The same before the first event, in addition to twice the route's objective.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// Time after which a silent backend server is left although the next one has not responded: the platform
+/// allows two to run a stream for 400 ms.
+const MAX_OVERLAP: Duration = Duration::from_millis(250);
+
 /// Returns a response that passes on the events as they arrive.
 pub fn respond(job: Job, exchange: Exchange) -> Response<Body> {
     let parts = exchange.parts.clone();
@@ -35,6 +44,7 @@
         exchange: Some(exchange),
         splitter: Splitter::new(),
         waiting_since: Instant::now(),
+        may_move: true,
     };
     let events = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
@@ -50,6 +60,8 @@
     splitter: Splitter,
     /// When the last event was passed on, or when the backend server began to respond.
     waiting_since: Instant,
+    /// Whether the stream may move to another backend server while its own is silent.
+    may_move: bool,
 }
 
 /// What was read from the backend server's stream.
@@ -64,6 +76,10 @@
     Broken(String),
     /// No event was completed for so long that another backend server is sought.
     Silent,
+    /// Another backend server has taken the stream over.
+    Moved,
+    /// This backend server was to take the stream over and has failed.
+    NotTaken(Member, SendFailure),
     /// The time that the caller or the route allows is over.
     TimedOut,
 }
@@ -109,8 +125,8 @@
                 ReadResult::Invalid(reason) => self.resume(&reason, true).await,
                 ReadResult::Broken(reason) => self.resume_after_break(&reason).await,
                 ReadResult::TimedOut => Some(self.abort(EndReason::TimedOut)),
-                // The stream has moved.
-                ReadResult::Silent => None,
+                ReadResult::NotTaken(next, failure) => self.recover(next, failure).await,
+                ReadResult::Moved | ReadResult::Silent => None,
             };
             if failed.is_some() {
                 return failed;
@@ -141,7 +157,7 @@
     /// stream cannot go on elsewhere. It is counted from the last event and not from the last bytes: a
     /// stalled backend server may send a byte of an event now and then.
     fn patience(&self) -> Option<Duration> {
-        if !self.job.dispatch.may_send_again() {
+        if !self.may_move || !self.job.dispatch.may_send_again() {
             return None;
         }
         let max_wait = match self.job.events {
@@ -151,8 +167,8 @@
         Some(max_wait.saturating_sub(self.waiting_since.elapsed()))
     }
 
-    /// Seeks another backend server for the stream while the silent one may still go on. Returns what
-    /// the silent one sent, or `Silent` if the stream has moved.
+    /// Seeks another backend server for the stream while the silent one may still go on, and gives that
+    /// up only when the other one responds, or has not responded for so long that both might run.
     async fn read_or_move(&mut self) -> Option<ReadResult> {
         let time_left = self.job.time_left();
         let silent = self.exchange.as_mut()?;
@@ -165,18 +181,83 @@
             silent_ms = self.waiting_since.elapsed().as_millis() as u64;
             "stream silent, seeking another backend server"
         );
-        let next = tokio::select! {
+        let connected = tokio::select! {
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => return Some(result),
-            next = takeover::run(&mut self.job, &member) => next,
+            connected = takeover::find(&self.job, &member) => connected,
+        };
+        let next = connected.member().clone();
+        self.job.dispatch.begin_move();
+        let mut sent = match connected.send(&mut self.job) {
+            Ok(sent) => sent,
+            Err(_) => return Some(ReadResult::TimedOut),
+        };
+        let response = tokio::select! {
+            biased;
+            result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
+                ReadResult::Invalid(_) | ReadResult::Broken(_) => None,
+                ReadResult::End if self.splitter.is_inside_event() => None,
+                result => return Some(result),
+            },
+            response = sent.response() => Some(response),
+            () = sleep(MAX_OVERLAP) => None,
+        };
+        let response = match response {
+            Some(response) => response,
+            None => {
+                // Drops the silent exchange, and so closes its connection.
+                self.leave_silent();
+                match timeout(self.job.time_left(), sent.response()).await {
+                    Ok(response) => response,
+                    Err(_) => return Some(ReadResult::TimedOut),
+                }
+            }
+        };
+        let failure = match sent.into_exchange(&self.job, response) {
+            Ok(exchange) if exchange.is_stream() => {
+                self.leave_silent();
+                self.exchange = Some(exchange);
+                self.job.record_origin(&next);
+                self.splitter = Splitter::new();
+                self.waiting_since = Instant::now();
+                return Some(ReadResult::Moved);
+            }
+            Ok(_) | Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
+            Err(ExchangeError::SendFailure(failure)) => failure,
+            Err(ExchangeError::ConnectionBroken) => SendFailure::Lost,
+        };
+        log::info!(
+            request = self.job.request.head.id.as_str(),
+            backend_server = next.id.as_str(),
+            setback:? = failure;
+            "stream not taken over"
+        );
+        Some(ReadResult::NotTaken(next, failure))
+    }
+
+    /// Closes the connection to a silent backend server.
+    fn leave_silent(&mut self) {
+        if let Some(silent) = self.exchange.take() {
+            silent.record_failure();
+            self.job.excluded.push(silent.member.id.clone());
+        }
+    }
+
+    /// Handles the failure of a backend server that was to take the stream over. The stream stays at the
+    /// silent one, or is sent to others if that was left.
+    async fn recover(&mut self, next: Member, failure: SendFailure) -> Option<io::Result<Bytes>> {
+        let may_resend = match failure {
+            SendFailure::Lost => self.job.may_resend_after_break(&next).await,
+            _ => true,
         };
-        silent.record_failure();
-        // Drops the silent exchange, and so closes its connection.
-        self.exchange = Some(next);
-        self.job.excluded.push(member.id);
+        self.job.excluded.push(next.id);
+        let step = self.job.dispatch.fail(failure);
+        if self.exchange.is_some() {
+            self.may_move &= may_resend;
+            return None;
+        }
         self.splitter = Splitter::new();
-        self.waiting_since = Instant::now();
-        Some(ReadResult::Silent)
+        self.send_again(may_resend, step).await
     }
 
     fn forward(&mut self, batch: Batch) -> Bytes {
@@ -184,8 +265,10 @@
         self.job.events += batch.count;
         self.waiting_since = Instant::now();
         if let Some(exchange) = &mut self.exchange {
-            let version = &exchange.member.version;
-            self.job.version.get_or_insert_with(|| version.clone());
+            if self.job.version.is_none() {
+                self.job.version = Some(exchange.member.version.clone());
+                self.job.record_origin(&exchange.member);
+            }
             let is_first = exchange.in_flight.time_to_first_event().is_none();
             exchange.in_flight.record_first_event();
             if is_first && let Some(elapsed) = exchange.in_flight.time_to_first_event() {
@@ -225,9 +308,14 @@
         // Closes the connection before the request is sent again.
         drop(broken);
         self.splitter = Splitter::new();
-        self.job.waiting_since = self.job.context.clock.now();
         let step = self.job.dispatch.fail(SendFailure::Lost);
-        let end_reason = match (is_late, may_resend, step) {
+        self.send_again(may_resend, step).await
+    }
+
+    /// Sends the request again after the stream has lost its backend server, if `step` allows that.
+    async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<io::Result<Bytes>> {
+        self.job.waiting_since = self.job.context.clock.now();
+        let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
             (true, _, _) => Some(EndReason::TimedOut),
             (_, false, _) => Some(EndReason::Suspected),
             (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
--- a/daemon/src/gateway/relay/takeover.rs
+++ b/daemon/src/gateway/relay/takeover.rs
@@ -1,16 +1,17 @@
-//! Seeks a backend server that takes over a stream from one that has fallen silent.
-//!
-//! The silent one may be sound and go on, so it is given up only once another one has responded.
+//! Finds a backend server that may take over a stream from one that has fallen silent.
 
 use {
     super::{
         Job,
-        exchange::{Exchange, ExchangeError},
+        exchange::{self, Connected},
+    },
+    crate::gateway::{
+        scheduler::{PlacementRequest, Scheduler},
+        starts,
     },
-    crate::gateway::{scheduler::PlacementRequest, starts},
     derive_more::Display,
-    std::{future::pending, time::Duration},
-    tamarackdale_core::{dispatch::SendFailure, fleet::Member},
+    std::time::Duration,
+    tamarackdale_core::fleet::Member,
     tokio::time::sleep,
 };
 
@@ -25,26 +26,38 @@
     NotProved,
     #[display("requests like it crash backend servers")]
     Quarantined,
-    #[display("no slot is free")]
-    NoSlot,
-    #[display("the limit of the backend server allows no start")]
-    NoStart,
     #[display("the retry budget is used up")]
     NoRetry,
-    #[display("the other backend server did not take the request")]
-    NotTaken,
+    #[display("it cannot be placed: {_0:?}")]
+    NotPlaced(crate::gateway::scheduler::PlacementError),
+    #[display("the limit of the backend server allows no start")]
+    NoStart,
+    #[display("the other backend server cannot be reached")]
+    NotConnected,
+}
+
+/// A retry that returns to the budget unless it is used.
+struct Retry<'a> {
+    scheduler: &'a Scheduler,
+    service: &'a str,
+    is_used: bool,
+}
+
+impl Drop for Retry<'_> {
+    fn drop(&mut self) {
+        if !self.is_used {
+            self.scheduler.return_retry(self.service);
+        }
+    }
 }
 
-/// Sends the request to other backend servers than `silent` until one responds with a stream. Never
-/// returns if the request may not be sent again.
-///
-/// Dropping the future closes the connection to the other backend server.
-pub async fn run(job: &mut Job, silent: &Member) -> Exchange {
-    job.dispatch.begin_move();
+/// Connects to another backend server than `silent` that has a slot for the request, within the retry
+/// budget. Never returns if there is none.
+pub async fn find(job: &Job, silent: &Member) -> Connected {
     let mut is_logged = false;
-    while job.dispatch.may_send_again() {
-        let obstacle = match attempt(job, silent).await {
-            Ok(exchange) => return exchange,
+    loop {
+        let obstacle = match try_find(job, silent).await {
+            Ok(connected) => return connected,
             Err(obstacle) => obstacle,
         };
         if !is_logged {
@@ -57,17 +70,24 @@
         }
         sleep(SEARCH_PAUSE).await;
     }
-    pending().await
 }
 
-/// Sends the request to one other backend server, if there is one for it.
-async fn attempt(job: &mut Job, silent: &Member) -> Result<Exchange, Obstacle> {
+async fn try_find(job: &Job, silent: &Member) -> Result<Connected, Obstacle> {
     if !job.is_key_proved() {
         return Err(Obstacle::NotProved);
     }
     if job.quarantine().is_some() {
         return Err(Obstacle::Quarantined);
     }
+    let scheduler = &job.context.scheduler;
+    if !scheduler.take_retry(&job.service) {
+        return Err(Obstacle::NoRetry);
+    }
+    let mut retry = Retry {
+        scheduler,
+        service: &job.service,
+        is_used: false,
+    };
     let now = job.context.clock.now();
     let mut placement = PlacementRequest {
         waiting_since: now,
@@ -75,36 +95,19 @@
         ..job.placement_request()
     };
     placement.excluded.push(silent.id.clone());
-    let is_retry = placement.is_retry;
-    let placed = job.context.scheduler.place(placement).await;
-    let choice = placed.map_err(|_| Obstacle::NoSlot)?;
-    job.log_placement(&choice, now, is_retry);
+    let is_returning = placement.is_retry;
+    let choice = scheduler
+        .place(placement)
+        .await
+        .map_err(Obstacle::NotPlaced)?;
+    job.log_placement(&choice, now, is_returning);
     let load = choice.request_load(job.prompt_tokens());
     let request = job.request.head.id.as_str();
     if !starts::obtain(&job.context, &choice.member, load, request).await {
         return Err(Obstacle::NoStart);
     }
-    if !job.context.scheduler.take_retry(&job.service) {
-        return Err(Obstacle::NoRetry);
-    }
-    let failure = match job.exchange(&choice).await {
-        Ok(exchange) if exchange.is_stream() => return Ok(exchange),
-        Ok(_) => SendFailure::Failed,
-        // Its time is over, or the configuration was not confirmed in time.
-        Err(ExchangeError::GivenUp(_)) => SendFailure::Lost,
-        Err(ExchangeError::SendFailure(failure)) => failure,
-        Err(ExchangeError::ConnectionBroken) => {
-            job.may_resend_after_break(&choice.member).await;
-            SendFailure::Lost
-        }
-    };
-    job.dispatch.fail(failure);
-    log::info!(
-        request = job.request.head.id.as_str(),
-        backend_server = choice.member.id.as_str(),
-        setback:? = failure;
-        "stream not taken over"
-    );
-    job.excluded.push(choice.member.id);
-    Err(Obstacle::NotTaken)
+    let connected = exchange::connect(job, &choice).await;
+    let connected = connected.map_err(|_| Obstacle::NotConnected)?;
+    retry.is_used = true;
+    Ok(connected)
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -146,6 +146,11 @@
         budget.try_retry() || budget.try_fraction(random)
     }
 
+    /// Returns a retry that was taken and not used.
+    pub fn return_retry(&self, service: &str) {
+        self.lock().retry_budget(service).return_retry();
+    }
+
     /// Chooses a backend server for the request. If all are full, the request waits in the queue as
     /// long as it can still be answered in time.
     pub async fn place(&self, request: PlacementRequest) -> Result<Choice, PlacementError> {
