--- a/testbed/src/platform/soak/check.rs
+++ b/testbed/src/platform/soak/check.rs
@@ -124,11 +124,13 @@
     let first = call.tries.first()?;
     let versions: BTreeSet<&str> = events.iter().map(|event| event.version.as_str()).collect();
     if versions.len() > 1 {
-        let count = call.tries.len();
-        return Some(format!(
-            "{}: joined from {versions:?}, {count} tries",
-            first.id
-        ));
+        let tries = call.tries.iter().map(|attempt| {
+            let events = attempt.events().into_iter();
+            let events: Vec<_> = events.map(|event| (event.id, event.version)).collect();
+            format!("{} {:?} {events:?}", attempt.gateway, attempt.status())
+        });
+        let tries: Vec<String> = tries.collect();
+        return Some(format!("{}: joined: {}", first.id, tries.join("; ")));
     }
     let is_stream = matches!(call.kind, "stream" | RESUMABLE);
     let last = call.tries.last()?;
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -11,7 +11,7 @@
         store::Outage,
         wait,
     },
-    tokio::time::sleep,
+    tokio::time::{sleep, timeout},
 };
 
 /// A route whose streams may be resumed.
@@ -110,6 +110,16 @@
         join_all(callers).await
     }
 
+    /// Lets streams begin at all gateways, one after the other, without end.
+    async fn keep_beginning(&self) {
+        for number in 0.. {
+            let mut caller = Caller::new(PATH, &format!("other-{number}"));
+            // One that is not answered at once is left.
+            let begin = caller.begin(self.callers_address(number), 1);
+            let _ = timeout(QUICK, begin).await;
+        }
+    }
+
     /// Ends all gateways at once, without notice, and starts them again.
     async fn kill_all_gateways(&mut self) {
         self.kill_gateways();
@@ -416,6 +426,35 @@
     assert_eq!(whole(&callers), CALLERS);
 }
 
+/// Guards against the version of a server that was asked first and wrote nothing, which the store may
+/// still hold when the gateway that knows better has ended.
+#[tokio::test]
+async fn stream_that_moved_before_its_first_event_is_not_taken_up_where_it_was_asked_first() {
+    const STREAMS: usize = 24;
+    let mut bench = Bench::start(3, 1, 2).await;
+    bench.register(&bench.new);
+    sleep(IN_FORCE).await;
+    bench.set_latency(QUICK);
+    bench.old[0].set_behaviour(Behaviour::LosesAnswers);
+    bench.old[0].set_latency(SLOW * 3);
+
+    // Other streams begin all the while, so that the gateways have something to save at any time.
+    let mut callers = tokio::select! {
+        callers = bench.begin(STREAMS, 1) => callers,
+        () = bench.keep_beginning() => unreachable!("that does not end"),
+    };
+    let asked_first = bench.old[0].runs();
+    let asked_first = asked_first.iter().filter(|run| run.id.starts_with('c'));
+    assert!(asked_first.count() >= 4, "few streams were to move");
+    bench.kill_all_gateways().await;
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+    bench.old[0].set_behaviour(Behaviour::Sound);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+}
+
 /// Guards against a stream that its gateway had moved to another server, and that its caller then takes
 /// up at another version.
 #[rstest]
