Gateways: a stream that moved before its first event begins once the store knows

Callers who took such a stream up after all gateways had ended got text of two versions: the gateway records the version when it sends the request, and the store may have that when the request moves to a server of another version, which then writes the first event. The correction waited for the next save and was lost with the gateway.

The first event of a stream whose recorded origin was another one now waits for the save that corrects it, for at most a second; about as long as callers bear, and logged when it passes. Other streams do not wait for the store: what is saved of them before their first event is right.

--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -50,14 +50,18 @@
         Self::default()
     }
 
-    /// Records where a stream began, or goes on, which callers may take up until `until`.
-    pub fn record(&mut self, stream: u64, origin: Arc<Origin>, until: Timestamp) {
+    /// Records where a stream began, or goes on, which callers may take up until `until`. Returns
+    /// whether another origin was recorded before, which others may have read.
+    pub fn record(&mut self, stream: u64, origin: Arc<Origin>, until: Timestamp) -> bool {
         let record = Record { origin, until };
         match self.records.get_mut(&stream) {
-            Some(known) if known.origin == record.origin => known.until = known.until.max(until),
+            Some(known) if known.origin == record.origin => {
+                known.until = known.until.max(until);
+                false
+            }
             _ => {
-                self.records.insert(stream, record);
                 self.has_changed = true;
+                self.records.insert(stream, record).is_some()
             }
         }
     }
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -29,8 +29,10 @@
     pub has_unreachable_peers: watch::Sender<bool>,
     /// Quota use that this gateway must save in the store. Empty if another gateway does so.
     pub quota_use_to_save: watch::Sender<SavedQuotaUse>,
-    /// Origins of this gateway's streams, to be saved in the store.
-    pub origins_to_save: watch::Sender<origin::Saved>,
+    /// Origins of this gateway's streams, to be saved in the store, with the number of the save.
+    pub origins_to_save: watch::Sender<(u64, origin::Saved)>,
+    /// Number of the last save of origins that the store has acknowledged.
+    origins_saved: watch::Receiver<u64>,
     /// Number of reads of the saved origins that were requested.
     origin_reads: watch::Sender<u64>,
     /// Number of the last read of the saved origins that has ended, and what was read.
@@ -38,6 +40,13 @@
 }
 
 impl StoreHandle {
+    /// Waits until the store has acknowledged a save of origins, or a later one.
+    pub async fn wait_for_origins(&self, save: u64) {
+        let mut saved = self.origins_saved.clone();
+        // The follower lives as long as the process.
+        let _ = saved.wait_for(|saved| *saved >= save).await;
+    }
+
     /// Reads the origins of streams that all gateways have saved. `None` if the store does not respond.
     pub async fn read_origins(&self) -> Option<Arc<SavedOrigins>> {
         let mut number = 0;
@@ -59,7 +68,8 @@
     pub(super) saved_quota_use: watch::Sender<Option<SavedQuotaUse>>,
     pub(super) has_unreachable_peers: watch::Receiver<bool>,
     pub(super) quota_use_to_save: watch::Receiver<SavedQuotaUse>,
-    pub(super) origins_to_save: watch::Receiver<origin::Saved>,
+    pub(super) origins_to_save: watch::Receiver<(u64, origin::Saved)>,
+    pub(super) origins_saved: watch::Sender<u64>,
     pub(super) origin_reads: watch::Receiver<u64>,
     pub(super) origins: watch::Sender<(u64, Option<Arc<SavedOrigins>>)>,
 }
@@ -72,7 +82,8 @@
     let (saved_quota_use, saved_quota_use_receiver) = watch::channel(None);
     let (has_unreachable_peers, has_unreachable_peers_receiver) = watch::channel(false);
     let (quota_use_to_save, quota_use_to_save_receiver) = watch::channel(SavedQuotaUse::default());
-    let (origins_to_save, origins_to_save_receiver) = watch::channel(origin::Saved::default());
+    let (origins_to_save, origins_to_save_receiver) = watch::channel(Default::default());
+    let (origins_saved, origins_saved_receiver) = watch::channel(0);
     let (origin_reads, origin_reads_receiver) = watch::channel(0);
     let (origins, origins_receiver) = watch::channel((0, None));
     let channels = FollowerChannels {
@@ -83,6 +94,7 @@
         has_unreachable_peers: has_unreachable_peers_receiver,
         quota_use_to_save: quota_use_to_save_receiver,
         origins_to_save: origins_to_save_receiver,
+        origins_saved,
         origin_reads: origin_reads_receiver,
         origins,
     };
@@ -94,6 +106,7 @@
         has_unreachable_peers,
         quota_use_to_save,
         origins_to_save,
+        origins_saved: origins_saved_receiver,
         origin_reads,
         origins: origins_receiver,
     };
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -45,11 +45,12 @@
             if failures == 0 && origins.changed().await.is_err() {
                 return;
             }
-            let current = origins.borrow_and_update().clone();
+            let (number, current) = origins.borrow_and_update().clone();
             match self.write_origins(&current, held.take()).await {
                 Ok(lease) => {
                     held = Some(lease);
                     failures = 0;
+                    self.channels.origins_saved.send_replace(number);
                 }
                 Err(error) => {
                     self.record_store_error("stream origins", &error);
--- a/daemon/src/gateway/origins.rs
+++ b/daemon/src/gateway/origins.rs
@@ -44,6 +44,8 @@
     versions: Versions,
     /// Whether what is in the store is this gateway's table.
     is_saved: bool,
+    /// Number of saves that were passed to the follower.
+    saves: u64,
 }
 
 /// Why the origin of a stream is not known.
@@ -66,10 +68,13 @@
         }
     }
 
-    /// Records that a stream, which callers may take up until `until`, runs at a backend server.
-    pub fn record(&self, stream: u64, member: &Member, until: Timestamp) {
+    /// Records that a stream, which callers may take up until `until`, runs at a backend server. If
+    /// another origin was recorded before, returns the number of the save that corrects it.
+    pub fn record(&self, stream: u64, member: &Member, until: Timestamp) -> Option<u64> {
         let origin = Arc::new(member.origin());
-        self.lock().table.record(stream, origin, until);
+        let mut state = self.lock();
+        let has_moved = state.table.record(stream, origin, until);
+        has_moved.then_some(state.saves + 1)
     }
 
     /// Removes a stream that brought no event.
@@ -90,12 +95,16 @@
     }
 
     /// What has changed since the last call and must be saved.
-    fn changes_to_save(&self) -> Option<Saved> {
+    fn changes_to_save(&self) -> Option<(u64, Saved)> {
         let mut state = self.lock();
         let is_mixed = state.versions.is_mixed();
         let has_changed = state.table.take_changes() || !state.is_saved;
         state.is_saved = is_mixed;
-        (is_mixed && has_changed).then(|| state.table.by_origin(MAX_SAVED).into())
+        if !is_mixed || !has_changed {
+            return None;
+        }
+        state.saves += 1;
+        Some((state.saves, state.table.by_origin(MAX_SAVED).into()))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -39,6 +39,7 @@
         wait_policy,
     },
     tamarackdale_platform::request::RequestHead,
+    tokio::time::timeout,
 };
 
 /// Outcome of a request whose response was passed on completely.
@@ -58,6 +59,9 @@
 /// Time after the deadline of a request for which its caller may still take its stream up.
 const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest time for which the first event of a stream waits for the store. Callers give up a second later.
+const MAX_CORRECTION_TIME: Duration = Duration::from_millis(1_000);
+
 /// A caller's request that was authorised and charged to its quota.
 pub struct Request {
     /// Decoded headers.
@@ -97,6 +101,8 @@
     waiting_since: Timestamp,
     /// Digest under which the origin of the stream is recorded, if its caller may take it up.
     stream: Option<u64>,
+    /// Number of the save that corrects the recorded origin of the stream, if it was another one.
+    correction: Option<u64>,
     /// Version of the service's software that began the stream, once the caller has an event of it.
     version: Option<String>,
     /// Identifier of the last event that the caller has received.
@@ -145,6 +151,7 @@
         deadline: request.accepted.plus(time_left),
         waiting_since: request.accepted,
         stream: is_resumable.then(|| origin::stream(first_attempt)),
+        correction: None,
         version: None,
         last_event: request.head.last_event,
         service,
@@ -353,10 +360,27 @@
     }
 
     /// Records that the stream, if it is one that callers may take up, runs at a backend server.
-    fn record_origin(&self, member: &Member) {
+    fn record_origin(&mut self, member: &Member) {
         if let Some(stream) = self.stream {
             let until = self.deadline.plus(TAKE_UP_MARGIN);
-            self.context.origins.record(stream, member, until);
+            let correction = self.context.origins.record(stream, member, until);
+            self.correction = correction.or(self.correction);
+        }
+    }
+
+    /// Waits until the store has the origin of the stream, if it may have another one: who takes the
+    /// stream up must not believe that. No other stream waits for the store.
+    async fn wait_for_correction(&mut self) {
+        let Some(save) = self.correction.take() else {
+            return;
+        };
+        let saved = self.context.store.wait_for_origins(save);
+        if timeout(MAX_CORRECTION_TIME, saved).await.is_err() {
+            log::warn!(
+                request = self.request.head.id.as_str(),
+                waited_ms = MAX_CORRECTION_TIME.as_millis() as u64;
+                "stream begins although the store may have another origin of it"
+            );
         }
     }
 
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -109,7 +109,7 @@
                 result => result,
             };
             let failed = match result {
-                ReadResult::Events(batch) => return Some(Ok(self.forward(batch))),
+                ReadResult::Events(batch) => return Some(Ok(self.forward(batch).await)),
                 ReadResult::End if self.splitter.is_inside_event() => {
                     let reason = "the last event is incomplete";
                     self.resume_after_break(reason).await
@@ -260,7 +260,7 @@
         self.send_again(may_resend, step).await
     }
 
-    fn forward(&mut self, batch: Batch) -> Bytes {
+    async fn forward(&mut self, batch: Batch) -> Bytes {
         self.job.last_event = batch.last_id.or(self.job.last_event);
         self.job.events += batch.count;
         self.waiting_since = Instant::now();
@@ -268,6 +268,7 @@
             if self.job.version.is_none() {
                 self.job.version = Some(exchange.member.version.clone());
                 self.job.record_origin(&exchange.member);
+                self.job.wait_for_correction().await;
             }
             let is_first = exchange.in_flight.time_to_first_event().is_none();
             exchange.in_flight.record_first_event();
