--- a/core/benches/route.rs
+++ b/core/benches/route.rs
@@ -47,6 +47,7 @@
         rates: Rates::new(4_000.0, 30.0),
         evicted_prefixes: Vec::new(),
         seen: Vec::new(),
+        notices: Vec::new(),
     }
 }
 
--- a/core/src/failure.rs
+++ b/core/src/failure.rs
@@ -45,6 +45,8 @@
     BackendServer,
     /// An internal ring or other buffer is full.
     Full,
+    /// Backend servers crash when they run this request.
+    Quarantined,
     /// The request is malformed or not authorised.
     BadRequest,
 }
--- a/core/src/poison.rs
+++ b/core/src/poison.rs
@@ -41,6 +41,10 @@
 /// the loss of many requests.
 const JUDGEMENT_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Difference from which a later answer, or a later end of a quarantine, is passed on. Several routers
+/// that come to the same judgement differ by the times that their notices took.
+const NEWS_INTERVAL: Duration = Duration::from_secs(1);
+
 /// What distinguishes a request from others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fingerprint {
@@ -75,6 +79,17 @@
     Quarantine(Quarantine),
 }
 
+/// The notices of `current` after those that were told before, which have the same addresses.
+pub fn news<'a>(previous: &[Arc<Notice>], current: &'a [Arc<Notice>]) -> &'a [Arc<Notice>] {
+    let is_known = |notice: &Arc<Notice>| {
+        let mut known = previous.iter().rev();
+        known.any(|known| Arc::ptr_eq(known, notice))
+    };
+    // Older notices are removed from anywhere in the list, new ones are added at its end.
+    let last_known = current.iter().rposition(is_known);
+    &current[last_known.map_or(0, |index| index + 1)..]
+}
+
 /// What a request is recognised by.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 enum Feature {
@@ -199,6 +214,15 @@
         }
     }
 
+    /// Merges what a peer has told, and tells it to the other peers if it is news. For a process that
+    /// passes notices on between others, several of which may come to the same judgement.
+    pub fn relay(&mut self, notice: &Notice, now: Timestamp) {
+        if self.is_news(notice, now) {
+            self.push_own(notice.clone(), now);
+        }
+        self.merge(notice, now);
+    }
+
     /// Judges the crashes that were observed. Returns the quarantines that this begins. Called several
     /// times a second, and before a request is checked.
     pub fn judge(&mut self, now: Timestamp) -> Vec<Quarantine> {
@@ -249,6 +273,27 @@
             .retain(|_, answer| now.since(answer.at) < ANSWER_MEMORY);
     }
 
+    /// Whether a notice says more than what is known, apart from slightly different times.
+    fn is_news(&self, notice: &Notice, now: Timestamp) -> bool {
+        match notice {
+            Notice::Crash {
+                fingerprint,
+                server,
+                at,
+            } => !self.log.contains(fingerprint, *server, *at),
+            Notice::Answer { fingerprint, at } => fingerprint.features().any(|feature| {
+                let known = self.answers.get(&feature);
+                known.is_none_or(|known| known.at.plus(NEWS_INTERVAL) <= *at)
+            }),
+            Notice::Quarantine(quarantine) => {
+                let known = self.register.until(&quarantine.cause);
+                let is_later =
+                    known.is_none_or(|until| until.plus(NEWS_INTERVAL) <= quarantine.until);
+                is_later && quarantine.until > now && !self.is_refuted(quarantine)
+            }
+        }
+    }
+
     /// Whether what is blamed was answered after the last crash.
     fn is_refuted(&self, quarantine: &Quarantine) -> bool {
         let blamed = Fingerprint::from(quarantine.cause.clone());
--- a/core/src/poison/crash_log.rs
+++ b/core/src/poison/crash_log.rs
@@ -108,9 +108,7 @@
         at: Timestamp,
         now: Timestamp,
     ) -> bool {
-        let is_known =
-            |loss: &Loss| loss.is_same_crash(server, at) && loss.fingerprint == *fingerprint;
-        if now.since(at) >= MEMORY || self.0.iter().any(is_known) {
+        if now.since(at) >= MEMORY || self.contains(fingerprint, server, at) {
             return false;
         }
         if self.0.len() >= MAX_LOSSES {
@@ -131,6 +129,13 @@
         true
     }
 
+    /// Whether the loss of a request at a crash is known.
+    pub(super) fn contains(&self, fingerprint: &Fingerprint, server: u64, at: Timestamp) -> bool {
+        let is_known =
+            |loss: &Loss| loss.is_same_crash(server, at) && loss.fingerprint == *fingerprint;
+        self.0.iter().any(is_known)
+    }
+
     pub(super) fn prune(&mut self, now: Timestamp) {
         self.0.retain(|loss| now.since(loss.at) < MEMORY);
     }
--- a/core/src/poison/quarantine.rs
+++ b/core/src/poison/quarantine.rs
@@ -142,6 +142,12 @@
         self.0.iter().any(|known| known.cause == *cause)
     }
 
+    /// The end of the quarantine of a cause, if one is known.
+    pub(super) fn until(&self, cause: &Cause) -> Option<Timestamp> {
+        let known = self.0.iter().find(|known| known.cause == *cause)?;
+        Some(known.until)
+    }
+
     pub(super) fn begin(&mut self, blame: Blame) -> Option<Quarantine> {
         if self.contains(&blame.cause) {
             return None;
--- a/core/src/report.rs
+++ b/core/src/report.rs
@@ -1,9 +1,13 @@
 //! Reports of a sidecar on itself and its backend server.
 
-use crate::{
-    cost::Rates,
-    floor,
-    id::{Attempt, Boot, Incarnation},
+use {
+    crate::{
+        cost::Rates,
+        floor,
+        id::{Attempt, Boot, Incarnation},
+        poison::Notice,
+    },
+    std::sync::Arc,
 };
 
 /// Load and state of one sidecar and its backend server.
@@ -35,6 +39,9 @@
     pub evicted_prefixes: Vec<u64>,
     /// Latest attempt of each router that is included in this report.
     pub seen: Vec<Attempt>,
+    /// Requests that were lost when the backend server crashed, and what routers have told of such
+    /// requests. Oldest first.
+    pub notices: Vec<Arc<Notice>>,
 }
 
 impl Report {
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -105,7 +105,7 @@
         };
         let usages = current.usages.iter();
         let usages = usages.filter(|usage| before(&usage.organisation) != Some(*usage));
-        let poison = new_notices(&self.previous.poison, &current.poison).to_vec();
+        let poison = poison::news(&self.previous.poison, &current.poison).to_vec();
         let statements = current.statements.iter();
         let statements = statements.filter(|report| !self.previous.statements.contains(report));
         let changes = Summary {
@@ -135,17 +135,3 @@
         }
     }
 }
-
-/// The notices of `current` after those that were sent before, which have the same addresses.
-fn new_notices<'a>(
-    previous: &[Arc<poison::Notice>],
-    current: &'a [Arc<poison::Notice>],
-) -> &'a [Arc<poison::Notice>] {
-    let is_known = |notice: &Arc<poison::Notice>| {
-        let mut known = previous.iter().rev();
-        known.any(|known| Arc::ptr_eq(known, notice))
-    };
-    // Older notices are removed from anywhere in the list, new ones are added at its end.
-    let last_known = current.iter().rposition(is_known);
-    &current[last_known.map_or(0, |index| index + 1)..]
-}
--- a/core/tests/poison.rs
+++ b/core/tests/poison.rs
@@ -437,6 +437,56 @@
     assert!(quarantine(&mut new, &plain(DEADLY), much_later).is_some());
 }
 
+/// Guards against a flood of the same judgement where each router of a data centre tells the same
+/// sidecar, which tells all of them.
+#[test]
+fn relay_passes_the_same_judgement_of_several_routers_on_once() {
+    const TRANSFER: Duration = Duration::from_millis(20);
+    let mut relay = Detector::new();
+    for number in 0..5 {
+        let mut router = Detector::new();
+        let lost = plain(DEADLY);
+        (0..3).for_each(|count| {
+            let seen_at = at(count).plus(TRANSFER * number);
+            router.record_crash(&lost, &format!("server-{count}"), seen_at);
+        });
+        router.judge(at(3));
+        let told = router.own_notices(at(3)).collect::<Vec<_>>();
+        told.iter().for_each(|notice| relay.relay(notice, at(3)));
+    }
+
+    let told: Vec<Arc<Notice>> = relay.own_notices(at(3)).collect();
+
+    let quarantines = told.iter();
+    let quarantines = quarantines.filter(|notice| matches!(***notice, Notice::Quarantine(_)));
+    assert_eq!(quarantines.count(), 1);
+    let crashes = told.iter();
+    let crashes = crashes.filter(|notice| matches!(***notice, Notice::Crash { .. }));
+    assert_eq!(crashes.count(), 3);
+}
+
+/// Guards against a sidecar that keeps to itself what a router tells it for the others.
+#[test]
+fn relay_tells_a_router_of_a_quarantine_and_of_the_answer_that_ends_it() {
+    let (mut first, mut relay, mut second) = (Detector::new(), Detector::new(), Detector::new());
+    let pass_on = |from: &Detector, relay: &mut Detector, now| {
+        let told = from.own_notices(now).collect::<Vec<_>>();
+        told.iter().for_each(|notice| relay.relay(notice, now));
+    };
+    crash_of(&mut first, &plain(DEADLY), 3);
+    first.judge(at(3));
+    pass_on(&first, &mut relay, at(3));
+    tell(&[&relay], &mut second, at(3));
+    let refused = quarantine(&mut second, &plain(DEADLY), at(3));
+
+    first.record_answer(&plain(DEADLY), at(4));
+    pass_on(&first, &mut relay, at(4));
+    tell(&[&relay], &mut second, at(4));
+
+    assert!(refused.is_some());
+    assert_eq!(quarantine(&mut second, &plain(DEADLY), at(4)), None);
+}
+
 /// A request that was sent before its quarantine may be answered after it.
 #[test]
 fn answer_ends_a_quarantine_at_all_routers_whatever_order_they_hear_it_in() {
--- a/core/tests/route.rs
+++ b/core/tests/route.rs
@@ -48,6 +48,7 @@
         rates: Rates::new(1_000.0, 10.0),
         evicted_prefixes: Vec::new(),
         seen: Vec::new(),
+        notices: Vec::new(),
     }
 }
 
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -1,6 +1,7 @@
 //! Pool of connections to backend servers.
 
 use {
+    crate::http::probe::Probe,
     bytes::Bytes,
     http_body_util::Full,
     hyper::client::conn::http1::{self, SendRequest},
@@ -17,7 +18,7 @@
     tokio::{
         net::TcpStream,
         task::AbortHandle,
-        time::{Instant, sleep, timeout},
+        time::{Instant, timeout},
     },
 };
 
@@ -34,14 +35,6 @@
 /// Unanswered keep-alive probes after which the connection is closed.
 const KEEPALIVE_PROBES: u32 = 2;
 
-/// Time for which the result of a probe holds for other connections that broke at the same moment. A
-/// server that has crashed needs longer to return.
-const PROBE_VALIDITY: Duration = Duration::from_millis(100);
-
-/// Time for which a new connection must last to show that a server has not crashed: a proxy or load
-/// balancer before it accepts connections also without it, and then resets them.
-const PROBE_DURATION: Duration = Duration::from_millis(10);
-
 /// Maximum number of idle connections per backend server.
 const MAX_IDLE: usize = 32;
 
@@ -83,9 +76,6 @@
     probes: Mutex<HashMap<String, Arc<Probe>>>,
 }
 
-/// Time and result of the last probe. Locked while one is in progress.
-type Probe = tokio::sync::Mutex<Option<(Instant, bool)>>;
-
 impl ConnectionPool {
     /// Creates an empty pool.
     pub fn new() -> Self {
@@ -111,23 +101,17 @@
             probes.retain(|id, probe| *id == member.id || Arc::strong_count(probe) > 1);
             Arc::clone(probes.entry(member.id.clone()).or_default())
         };
-        let mut last = probe.lock().await;
-        if let Some((at, result)) = *last
-            && at.elapsed() < PROBE_VALIDITY
-        {
-            return result;
-        }
-        let opened = open_lasting(member.address).await;
-        let is_reachable = opened.is_ok();
-        match opened {
-            Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
-            Err(error) => log::info!(
-                backend_server = member.id.as_str();
-                "backend server has crashed: connections broke and no new one is accepted: {error}"
-            ),
-        }
-        *last = Some((Instant::now(), is_reachable));
-        is_reachable
+        let open = open(member.address);
+        let is_closed = |opened: &Connection| opened.sender.is_closed();
+        probe
+            .is_reachable(open, is_closed, |opened| match opened {
+                Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
+                Err(error) => log::info!(
+                    backend_server = member.id.as_str();
+                    "backend server has crashed: connections broke and no new one is accepted: {error}"
+                ),
+            })
+            .await
     }
 
     /// Returns a connection to the pool after a complete response. The backend server keeps it open
@@ -173,16 +157,6 @@
     }
 }
 
-/// Opens a connection that the other side does not close at once.
-async fn open_lasting(address: SocketAddr) -> io::Result<Connection> {
-    let connection = open(address).await?;
-    sleep(PROBE_DURATION).await;
-    match connection.sender.is_closed() {
-        true => Err(io::ErrorKind::ConnectionReset.into()),
-        false => Ok(connection),
-    }
-}
-
 async fn open(address: SocketAddr) -> io::Result<Connection> {
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
     stream.set_nodelay(true)?;
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -9,7 +9,7 @@
 
 use {
     self::state::State,
-    crate::clock::Clock,
+    crate::{clock::Clock, quarantine},
     rand::Rng as _,
     std::{
         collections::HashMap,
@@ -22,7 +22,7 @@
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
-        poison::{Cause, Fingerprint, Quarantine},
+        poison::Fingerprint,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
@@ -361,7 +361,7 @@
         if begun.is_empty() {
             return;
         }
-        begun.iter().for_each(log_quarantine);
+        begun.iter().for_each(quarantine::log);
         self.changed.notify_one();
     }
 
@@ -465,24 +465,6 @@
     }
 }
 
-fn log_quarantine(quarantine: &Quarantine) {
-    let crashes = quarantine.crashes;
-    let length_s = quarantine.until.since(quarantine.last_crash).as_secs();
-    match &quarantine.cause {
-        Cause::Request(digest) => log::warn!(
-            request_digest = format!("{digest:x}"), crashes, length_s;
-            "request quarantined: backend servers crash when they run it"
-        ),
-        Cause::Parts(parts) => {
-            let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-            log::warn!(
-                prompt_parts = parts.join(","), crashes, length_s;
-                "prompt parts quarantined: backend servers crash when they run requests with them"
-            );
-        }
-    }
-}
-
 /// Removes a request from the queue when dropped.
 struct QueueGuard<'a> {
     scheduler: &'a Scheduler,
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -2,6 +2,7 @@
 
 pub mod body;
 pub mod client;
+pub mod probe;
 pub mod server;
 
 pub use server::Server;
--- a/daemon/src/http/client.rs
+++ b/daemon/src/http/client.rs
@@ -10,7 +10,8 @@
     std::time::Duration,
 };
 
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest time until a connection is established.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Shorter than the idle timeout of the daemon's listeners, so that the client closes first.
 const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/daemon/src/lib.rs
+++ b/daemon/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod http;
 pub mod logging;
 pub mod metrics;
+pub mod quarantine;
 pub mod router;
 pub mod settings;
 pub mod sidecar;
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -12,7 +12,11 @@
 pub mod relay;
 
 use {
-    self::{claims::Claims, context::Context, placement::Placement},
+    self::{
+        claims::Claims,
+        context::Context,
+        placement::{Placement, notice_relay},
+    },
     crate::{
         admin,
         clock::Clock,
@@ -30,7 +34,7 @@
     rand::Rng as _,
     std::{io, sync::Arc},
     tamarackdale_core::{floor::Notice, id::Boot},
-    tamarackdale_wire::path,
+    tamarackdale_wire::{message::Notices, path},
     tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
@@ -45,7 +49,15 @@
     let boot = Boot(rand::rng().random());
     let peers = peer::Client::new();
     let send_floor = floor_sender(runtime.handle().clone(), peers.clone());
-    let (placement_worker, placement) = Placement::spawn(boot, clock, settings.policy, send_floor)?;
+    let send_notices = notice_sender(runtime.handle().clone(), peers.clone(), clock);
+    let (placement_worker, placement) = Placement::spawn(
+        boot,
+        clock,
+        settings.policy,
+        &settings.common.data_centre,
+        send_floor,
+        send_notices,
+    )?;
     let identity = Identity::new(&settings.common, boot, "router");
     let configuration = configuration::Settings {
         store: settings.common.store.clone(),
@@ -58,6 +70,7 @@
     let (membership_worker, reports_received) = membership::spawn(
         membership::Settings {
             instance_list: settings.common.instance_list.clone(),
+            clock,
             boot,
             instance: settings.common.instance.clone(),
             data_centre: settings.common.data_centre.clone(),
@@ -102,6 +115,23 @@
     }
 }
 
+/// Returns a function that sends notices of crashes to sidecars and can be called from a thread outside
+/// the runtime.
+fn notice_sender(
+    runtime: tokio::runtime::Handle,
+    client: peer::Client,
+    clock: Clock,
+) -> impl Fn(notice_relay::Message) + Send + 'static {
+    move |due| {
+        let message = Arc::new(Notices::new(&due.notices, clock.now()));
+        for peer in due.peers {
+            let client = client.clone();
+            let message = Arc::clone(&message);
+            runtime.spawn(async move { client.send_notices(&peer, &message).await });
+        }
+    }
+}
+
 async fn serve(
     settings: &settings::Router,
     shutdown: &Shutdown,
--- a/daemon/src/router/inbound.rs
+++ b/daemon/src/router/inbound.rs
@@ -74,6 +74,22 @@
         self.finish_alone || !self.idempotent
     }
 
+    /// Whether the answer to an earlier submission with the same key may be at a sidecar.
+    pub fn may_have_kept_answer(&self) -> bool {
+        self.has_caller_key && self.needs_claim()
+    }
+
+    /// Digest of what is the same when the request comes again with another key; the same as that of
+    /// its `Enqueue` message.
+    pub fn digest(&self) -> u64 {
+        digest::request(
+            &self.id.organisation,
+            self.method.as_str(),
+            &self.path,
+            &self.body.bytes,
+        )
+    }
+
     /// Checksum of method, path and body, to detect a key that is reused for a different request.
     pub fn fingerprint(&self) -> u64 {
         let mut digest = digest::Digest::new();
--- a/daemon/src/router/membership.rs
+++ b/daemon/src/router/membership.rs
@@ -5,7 +5,7 @@
 use {
     self::report_stream::ReportRequest,
     super::placement::{Placement, command::SidecarEvent},
-    crate::{signal::Shutdown, worker::Worker},
+    crate::{clock::Clock, signal::Shutdown, worker::Worker},
     std::{
         collections::{HashMap, HashSet},
         io,
@@ -29,6 +29,8 @@
 
 /// Settings of the membership worker.
 pub struct Settings {
+    /// Clock of the process.
+    pub clock: Clock,
     /// Boot of this process.
     pub boot: Boot,
     /// Address of the instance list.
@@ -229,6 +231,7 @@
         let subscription = report_stream::run(
             member.clone(),
             report_request,
+            self.settings.clock,
             placement,
             self.first_attempt_guard.clone(),
         );
--- a/daemon/src/router/membership/report_stream.rs
+++ b/daemon/src/router/membership/report_stream.rs
@@ -3,13 +3,14 @@
 use {
     super::gone_event,
     crate::{
+        clock::Clock,
         http::client,
         router::placement::{Placement, command::SidecarEvent},
     },
     http_body_util::{BodyExt as _, Full},
     hyper::{Request, body::Incoming},
-    std::time::Duration,
-    tamarackdale_core::{id::Boot, report::Report},
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{id::Boot, poison::Notice, report::Report},
     tamarackdale_store::list::Member,
     tamarackdale_wire::{self as wire, codec::Splitter, path},
     tokio::{
@@ -27,6 +28,9 @@
 /// Delay before reconnecting to the sidecar.
 const RECONNECT_BACKOFF: Duration = Duration::from_millis(250);
 
+/// Version of the notices of crashes that this process reads.
+const POISON_VERSION: u8 = 1;
+
 /// Parameters of a report stream.
 #[derive(Clone, Copy, Debug)]
 pub struct ReportRequest {
@@ -50,12 +54,18 @@
 pub async fn run(
     member: Member,
     report_request: ReportRequest,
+    clock: Clock,
     placement: Placement,
     mut first_attempt_guard: Option<mpsc::Sender<()>>,
 ) {
     loop {
         if let Some(body) = connect(&member, report_request).await {
-            read_reports(&member, body, &placement, &mut first_attempt_guard).await;
+            let reader = Reader {
+                member: &member,
+                clock,
+                placement: &placement,
+            };
+            reader.read(body, &mut first_attempt_guard).await;
         }
         first_attempt_guard = None;
         log::info!(
@@ -71,7 +81,7 @@
 
 async fn connect(member: &Member, report_request: ReportRequest) -> Option<Incoming> {
     let url = format!(
-        "http://{}{}?router={}&bytes_per_s={}",
+        "http://{}{}?router={}&bytes_per_s={}&poison={POISON_VERSION}",
         member.address,
         path::REPORTS,
         report_request.router.0,
@@ -85,53 +95,60 @@
     response.status().is_success().then(|| response.into_body())
 }
 
-async fn read_reports(
-    member: &Member,
-    mut body: Incoming,
-    placement: &Placement,
-    first_attempt_guard: &mut Option<mpsc::Sender<()>>,
-) {
-    let mut splitter = Splitter::new();
-    let mut last = None;
-    while let Ok(Some(Ok(frame))) = timeout(IDLE_TIMEOUT, body.frame()).await {
-        if let Some(bytes) = frame.data_ref() {
-            splitter.push(bytes);
-        }
-        loop {
-            match splitter.next_item::<Option<wire::Report>>() {
-                Ok(Some(item)) => {
-                    last = item.or(last);
-                    if let Some(report) = &last {
-                        forward_report(member, report.clone(), placement);
+/// Reads one stream of reports.
+struct Reader<'a> {
+    member: &'a Member,
+    clock: Clock,
+    placement: &'a Placement,
+}
+
+impl Reader<'_> {
+    async fn read(&self, mut body: Incoming, first_attempt_guard: &mut Option<mpsc::Sender<()>>) {
+        let mut splitter = Splitter::new();
+        let mut last = None;
+        while let Ok(Some(Ok(frame))) = timeout(IDLE_TIMEOUT, body.frame()).await {
+            if let Some(bytes) = frame.data_ref() {
+                splitter.push(bytes);
+            }
+            loop {
+                match splitter.next_item::<Option<wire::Report>>() {
+                    Ok(Some(item)) => {
+                        last = item.or(last);
+                        if let Some(report) = &mut last {
+                            // The ages of notices hold only for the report that brought them.
+                            let notices = report.take_notices(self.clock.now());
+                            self.forward(report.clone(), notices);
+                        }
+                        *first_attempt_guard = None;
+                    }
+                    Ok(None) => break,
+                    Err(error) => {
+                        log::warn!(
+                            target: LOG_TARGET,
+                            instance = self.member.instance.as_str();
+                            "failed to decode the report stream of the sidecar: {error}"
+                        );
+                        return;
                     }
-                    *first_attempt_guard = None;
-                }
-                Ok(None) => break,
-                Err(error) => {
-                    log::warn!(
-                        target: LOG_TARGET,
-                        instance = member.instance.as_str();
-                        "failed to decode the report stream of the sidecar: {error}"
-                    );
-                    return;
                 }
             }
         }
     }
-}
 
-fn forward_report(member: &Member, report: wire::Report, placement: &Placement) {
-    match Report::try_from(report) {
-        Ok(report) => placement.send_event(SidecarEvent::Report {
-            report,
-            address: member.address,
-        }),
-        Err(error) => {
-            log::warn!(
-                target: LOG_TARGET,
-                instance = member.instance.as_str();
-                "invalid report from the sidecar: {error}"
-            );
+    fn forward(&self, report: wire::Report, notices: Vec<Arc<Notice>>) {
+        match Report::try_from(report) {
+            Ok(report) => self.placement.send_event(SidecarEvent::Report {
+                report: Box::new(Report { notices, ..report }),
+                address: self.member.address,
+                data_centre: self.member.data_centre.clone(),
+            }),
+            Err(error) => {
+                log::warn!(
+                    target: LOG_TARGET,
+                    instance = self.member.instance.as_str();
+                    "invalid report from the sidecar: {error}"
+                );
+            }
         }
     }
 }
--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -19,7 +19,7 @@
     },
     tamarackdale_wire::{
         codec,
-        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Notices, Resume},
         path,
     },
     tokio::time::timeout,
@@ -141,6 +141,15 @@
         let _ = self.post(&self.pooled, peer, path::FLOOR, &message).await;
     }
 
+    /// Tells a sidecar what its other routers are to know of requests that crash backend servers.
+    pub async fn send_notices(&self, peer: &Peer, message: &Notices) {
+        let sent = self.post(&self.pooled, peer, path::NOTICES, message).await;
+        // Another sidecar is told the same, and each router judges by itself what it has observed.
+        if let Err(error) = sent {
+            log::info!(sidecar:% = peer; "notices of crashes not passed on: {error}");
+        }
+    }
+
     async fn post<T: Serialize>(
         &self,
         client: &HttpClient,
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -5,6 +5,7 @@
 pub mod command;
 pub mod decision_log;
 pub mod floor_broadcast;
+pub mod notice_relay;
 pub mod service;
 
 use {
@@ -16,7 +17,15 @@
     crate::{channel::BoundedSender, clock::Clock, worker::Worker},
     crossbeam_channel::Receiver,
     rand::{SeedableRng as _, rngs::SmallRng},
-    std::{collections::HashMap, io, sync::Arc, time::Duration},
+    std::{
+        collections::HashMap,
+        io,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
     tamarackdale_core::{
         failure::{Failure, Reason},
         floor::Notice,
@@ -48,32 +57,41 @@
 #[derive(Clone)]
 pub struct Placement {
     sender: BoundedSender<Command>,
+    /// Whether any crash or quarantine is remembered.
+    is_alert: Arc<AtomicBool>,
 }
 
 impl Placement {
     /// Starts the worker of the router with the given boot.
     ///
-    /// `send_floor` sends the shed floor to sidecars and must not block. Fails if the thread cannot
-    /// be started.
+    /// `data_centre` is the router's own. `send_floor` sends the shed floor to sidecars, and
+    /// `send_notices` what their other routers are to know of crashes; neither may block. Fails if the
+    /// thread cannot be started.
     pub fn spawn(
         router: Boot,
         clock: Clock,
         policy: Policy,
+        data_centre: &str,
         send_floor: impl Fn(Vec<Peer>, Notice) + Send + 'static,
+        send_notices: impl Fn(notice_relay::Message) + Send + 'static,
     ) -> io::Result<(Worker, Self)> {
+        let is_alert = Arc::new(AtomicBool::new(false));
         let (sender, commands) = BoundedSender::new(CAPACITY);
         let worker = PlacementWorker {
             router,
             clock,
             policy,
+            data_centre: data_centre.to_owned(),
+            is_alert: Arc::clone(&is_alert),
             send_floor: Box::new(send_floor),
+            send_notices: Box::new(send_notices),
             services: HashMap::new(),
             share: RouterShare::new(0, 1),
             sequence: 0,
             rng: SmallRng::seed_from_u64(router.0),
         };
         let thread = Worker::spawn("placement", move || worker.run(&commands))?;
-        Ok((thread, Self { sender }))
+        Ok((thread, Self { sender, is_alert }))
     }
 
     /// Counts a request against its organisation's limits; [`Placement::release`] must follow.
@@ -107,6 +125,29 @@
         asked.map_err(not_dispatched)?
     }
 
+    /// Checks before a request is granted that backend servers do not crash when they run it.
+    ///
+    /// Fails if it is quarantined.
+    pub async fn check(&self, request: &Arc<InboundRequest>) -> Result<(), Failure> {
+        if !self.is_alert.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let request = Arc::clone(request);
+        let asked = self
+            .sender
+            .ask(|reply| Command::Check { request, reply })
+            .await;
+        asked.map_err(not_dispatched)?
+    }
+
+    /// Reports that a backend server has answered a request.
+    pub fn record_answer(&self, request: &InboundRequest) {
+        self.sender.send_with_retry(Command::Answered {
+            service: request.id.service.clone(),
+            digest: request.digest(),
+        });
+    }
+
     /// Reports that an attempt has ended; `failure` is given if its sidecar did not run it.
     pub fn finish_attempt(&self, assignment: &Assignment, failure: Option<Failure>) {
         self.sender.send_with_retry(Command::FinishAttempt {
@@ -148,7 +189,10 @@
     router: Boot,
     clock: Clock,
     policy: Policy,
+    data_centre: String,
+    is_alert: Arc<AtomicBool>,
     send_floor: Box<dyn Fn(Vec<Peer>, Notice) + Send>,
+    send_notices: Box<dyn Fn(notice_relay::Message) + Send>,
     services: HashMap<String, Service>,
     share: RouterShare,
     sequence: u64,
@@ -185,6 +229,17 @@
                         .remove_attempt(assignment.attempt);
                 }
             }
+            Command::Check { request, reply } => {
+                let service = self.service(&request.id.service);
+                let checked = service.check_quarantine(&request, now);
+                // The relay may have ended; then nobody needs the reply.
+                let _ = reply.send(checked);
+                self.after_judgement(&request.id.service, now);
+            }
+            Command::Answered { service, digest } => {
+                self.service(&service).record_answer(digest, now);
+                self.after_judgement(&service, now);
+            }
             Command::FinishAttempt {
                 service,
                 instance,
@@ -221,15 +276,23 @@
         };
         let placed = service.place(placement, attempt, now, &mut self.rng);
         self.broadcast_floor(&placement.request.id.service, now);
+        self.after_judgement(&placement.request.id.service, now);
         placed
     }
 
     fn handle_sidecar_event(&mut self, event: SidecarEvent, now: Timestamp) {
         match event {
-            SidecarEvent::Report { report, address } => {
+            SidecarEvent::Report {
+                report,
+                address,
+                data_centre,
+            } => {
                 let name = report.service.clone();
-                self.service(&name).apply_report(report, address, now);
+                let service = self.service(&name);
+                service.apply_report(*report, address, data_centre, now);
+                service.judge_crashes(now);
                 self.broadcast_floor(&name, now);
+                self.after_judgement(&name, now);
             }
             SidecarEvent::Leaving { service, instance } => {
                 self.service(&service).mark_leaving(&instance)
@@ -249,6 +312,16 @@
         }
     }
 
+    /// Tells sidecars what other routers of the service are to know of crashes.
+    fn after_judgement(&mut self, name: &str, now: Timestamp) {
+        let own = self.data_centre.clone();
+        for message in self.service(name).notices_to_tell(&own, now) {
+            (self.send_notices)(message);
+        }
+        let is_alert = self.services.values().any(Service::is_alert);
+        self.is_alert.store(is_alert, Ordering::Relaxed);
+    }
+
     fn set_share(&mut self, share: RouterShare) {
         self.share = share;
         for service in self.services.values_mut() {
--- a/daemon/src/router/placement/command.rs
+++ b/daemon/src/router/placement/command.rs
@@ -40,6 +40,20 @@
         /// Receives the assignment, or the reason why there is none.
         reply: oneshot::Sender<Result<Assignment, Failure>>,
     },
+    /// Check that backend servers do not crash when they run a request.
+    Check {
+        /// The request.
+        request: Arc<InboundRequest>,
+        /// Receives whether it may be granted.
+        reply: oneshot::Sender<Result<(), Failure>>,
+    },
+    /// A request was answered by its backend server.
+    Answered {
+        /// Service that the request was for.
+        service: String,
+        /// Digest of the request.
+        digest: u64,
+    },
     /// An attempt has ended.
     FinishAttempt {
         /// Service that the request is for.
@@ -83,9 +97,11 @@
     /// It sent a report.
     Report {
         /// The report.
-        report: Report,
+        report: Box<Report>,
         /// Address of its peer listener.
         address: SocketAddr,
+        /// Its data centre.
+        data_centre: String,
     },
     /// It accepts no new work.
     Leaving {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -2,17 +2,28 @@
 
 use {
     super::{
-        Assignment, command::PlacementRequest, decision_log::DecisionLog,
+        Assignment,
+        command::PlacementRequest,
+        decision_log::DecisionLog,
         floor_broadcast::FloorBroadcast,
+        notice_relay::{Message, NoticeRelay},
+    },
+    crate::{
+        quarantine,
+        router::{inbound::InboundRequest, peer::Peer},
     },
-    crate::router::{inbound::InboundRequest, peer::Peer},
     rand::Rng,
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{BTreeMap, HashMap},
+        net::SocketAddr,
+        time::Duration,
+    },
     tamarackdale_core::{
         failure::{Failure, Reason},
         floor::{self, Floor, Notice},
         id::{Attempt, Boot, Instance},
         limit::{Limiter, Limits, RouterShare},
+        poison::{Detector, Fingerprint},
         report::Report,
         retry::{self, Budget},
         route::{Choice, Policy, Request, Table},
@@ -21,16 +32,30 @@
     tamarackdale_wire::status::Decision,
 };
 
+/// Interval at which observations that are too old to matter are forgotten.
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// A router's state for one service: the known sidecars, the shed floor and the limits.
 pub struct Service {
     name: String,
     table: Table,
-    addresses: HashMap<Instance, SocketAddr>,
+    addresses: HashMap<Instance, Address>,
     floor: Floor,
     broadcast: FloorBroadcast,
     limiter: Limiter,
     budget: Budget,
     decision_log: DecisionLog,
+    /// Observations of crashes, and the requests that are refused because of them.
+    poison: Detector,
+    notice_relay: NoticeRelay,
+    /// When what is too old was last forgotten.
+    pruned: Timestamp,
+}
+
+/// Where a sidecar is reached.
+struct Address {
+    peer_listener: SocketAddr,
+    data_centre: String,
 }
 
 impl Service {
@@ -48,6 +73,9 @@
             limiter: Limiter::new(share),
             budget: Budget::new(retry::Settings::default()),
             decision_log: DecisionLog::default(),
+            poison: Detector::new(),
+            notice_relay: NoticeRelay::default(),
+            pruned: Timestamp::default(),
         }
     }
 
@@ -106,6 +134,10 @@
         rng: &mut impl Rng,
     ) -> Result<Assignment, Failure> {
         let request = &placement.request;
+        // A kept answer can be fetched. That the request does not run again is checked before the grant.
+        if !request.may_have_kept_answer() {
+            self.check_quarantine(request, now)?;
+        }
         if !self.floor.serves(request.rank, now) {
             let remaining = self.floor.notice(now).remaining;
             return Err(Failure::not_run(Reason::Overload).with_retry_after(remaining));
@@ -156,8 +188,21 @@
     }
 
     /// Applies a sidecar's report.
-    pub fn apply_report(&mut self, report: Report, address: SocketAddr, now: Timestamp) {
+    pub fn apply_report(
+        &mut self,
+        report: Report,
+        peer_listener: SocketAddr,
+        data_centre: String,
+        now: Timestamp,
+    ) {
         self.floor.merge(report.floor, now);
+        for notice in &report.notices {
+            self.poison.merge(notice, now);
+        }
+        let address = Address {
+            peer_listener,
+            data_centre,
+        };
         self.addresses
             .insert(report.incarnation.instance.clone(), address);
         self.table.update(report, now);
@@ -188,12 +233,72 @@
                 let address = self.addresses.get(&incarnation.instance)?;
                 Some(Peer {
                     incarnation: incarnation.clone(),
-                    address: *address,
+                    address: address.peer_listener,
                 })
             })
             .collect()
     }
 
+    /// Whether any crash or quarantine is remembered.
+    pub fn is_alert(&self) -> bool {
+        self.poison.is_alert()
+    }
+
+    /// Records that a backend server has answered a request.
+    pub fn record_answer(&mut self, digest: u64, now: Timestamp) {
+        self.poison.record_answer(&fingerprint(digest), now);
+    }
+
+    /// Judges which requests crash backend servers. Called at each report, since the losses at a crash
+    /// become known one after the other.
+    pub fn judge_crashes(&mut self, now: Timestamp) {
+        if now.since(self.pruned) >= PRUNE_INTERVAL {
+            self.pruned = now;
+            self.poison.prune(now);
+        }
+        let begun = self.poison.judge(now);
+        begun.iter().for_each(quarantine::log);
+    }
+
+    /// Checks that backend servers do not crash when they run a request.
+    ///
+    /// Fails if it is quarantined.
+    pub fn check_quarantine(
+        &mut self,
+        request: &InboundRequest,
+        now: Timestamp,
+    ) -> Result<(), Failure> {
+        if !self.poison.is_alert() {
+            return Ok(());
+        }
+        self.judge_crashes(now);
+        match self.poison.quarantine(&fingerprint(request.digest()), now) {
+            Some(quarantine) => {
+                let remaining = quarantine.until.since(now);
+                Err(Failure::not_run(Reason::Quarantined).with_retry_after(remaining))
+            }
+            None => Ok(()),
+        }
+    }
+
+    /// Returns what sidecars are to be told now for the other routers, of which `own` is the data
+    /// centre of this one.
+    pub fn notices_to_tell(&mut self, own: &str, now: Timestamp) -> Vec<Message> {
+        let notices: Vec<_> = self.poison.own_notices(now).collect();
+        if notices.is_empty() {
+            return Vec::new();
+        }
+        let mut sidecars: BTreeMap<String, Vec<Peer>> = BTreeMap::new();
+        for peer in self.peers() {
+            if let Some(address) = self.addresses.get(&peer.incarnation.instance) {
+                let sidecars = sidecars.entry(address.data_centre.clone()).or_default();
+                sidecars.push(peer);
+            }
+        }
+        let relay = &mut self.notice_relay;
+        relay.messages(&self.name, &notices, &sidecars, own, now)
+    }
+
     /// Sets this router's share of the limits.
     pub fn set_share(&mut self, share: RouterShare) {
         self.limiter.set_share(share);
@@ -224,9 +329,10 @@
         now: Timestamp,
     ) -> Result<Assignment, Failure> {
         let instance = &choice.incarnation.instance;
-        let Some(address) = self.addresses.get(instance).copied() else {
+        let Some(address) = self.addresses.get(instance) else {
             return Err(Failure::not_run(Reason::NoBackendServer));
         };
+        let address = address.peer_listener;
         self.table
             .record_dispatch(instance, attempt, request.rank, &request.cost, now);
         Ok(Assignment {
@@ -265,6 +371,14 @@
     }
 }
 
+/// What distinguishes a request from others.
+fn fingerprint(digest: u64) -> Fingerprint {
+    Fingerprint {
+        request: Some(digest),
+        parts: Vec::new(),
+    }
+}
+
 /// Returns the properties of a request that the routing table needs.
 fn requirements(placement: &PlacementRequest) -> Request {
     let request = &placement.request;
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -199,6 +199,10 @@
             RequestOutcome::Failed(failure) if failure.verdict == Verdict::NotRun => {
                 AttemptOutcome::NotRun(failure)
             }
+            RequestOutcome::Served => {
+                self.context.placement.record_answer(&self.request);
+                AttemptOutcome::Finished(outcome)
+            }
             RequestOutcome::CallerGone if !self.request.runs_to_completion() => {
                 response.cancel().await;
                 AttemptOutcome::Finished(outcome)
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -86,9 +86,17 @@
             Ok(()) => self.claim(&mut frames, responder).await,
             Err(error) => Err(error),
         };
-        if let Err(error) = claimed {
+        let permitted = match claimed {
+            // The request may have been quarantined while it waited.
+            Ok(()) => self.context.placement.check(self.request).await,
+            Err(error) => {
+                self.withdraw(attempt);
+                return Err(error);
+            }
+        };
+        if let Err(failure) = permitted {
             self.withdraw(attempt);
-            return Err(error);
+            return Err(OfferError::Failed(failure));
         }
         self.grant(attempt, frames).await
     }
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -154,6 +154,7 @@
         rates: Rates::new(batch.rates.prefill, batch.rates.decode),
         evicted_prefixes: Vec::new(),
         seen: Vec::new(),
+        notices: Vec::new(),
     }
 }
 
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -2,14 +2,17 @@
 
 use {
     super::exchange::is_hop_by_hop,
-    crate::http::client::{self, HttpClient},
+    crate::http::{
+        client::{self, HttpClient},
+        probe::Probe,
+    },
     bytes::Bytes,
     http_body_util::Full,
-    hyper::{Method, Request, Response, body::Incoming},
-    std::time::Duration,
+    hyper::{Method, Request, Response, Uri, body::Incoming},
+    std::{io, time::Duration},
     tamarackdale_core::failure::{Failure, Reason},
     tamarackdale_wire::message::Enqueue,
-    tokio::time::timeout,
+    tokio::{net::TcpStream, time::timeout},
 };
 
 const CONTROL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -18,6 +21,7 @@
 pub struct BackendServer {
     url: String,
     client: HttpClient,
+    probe: Probe,
 }
 
 impl BackendServer {
@@ -26,6 +30,7 @@
         Self {
             url,
             client: client::unpooled(),
+            probe: Probe::default(),
         }
     }
 
@@ -68,6 +73,33 @@
         response.status().is_success().then_some(response)
     }
 
+    /// Whether the backend server accepts new connections after one broke, and so has not crashed.
+    pub async fn is_reachable(&self) -> bool {
+        let is_closed = |stream: &TcpStream| match stream.try_read(&mut [0]) {
+            Ok(length) => length == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        };
+        let log_failure = |opened: io::Result<TcpStream>| {
+            if let Err(error) = opened {
+                log::warn!(
+                    "backend server has crashed: connections broke and no new one is accepted: {error}"
+                );
+            }
+        };
+        self.probe
+            .is_reachable(self.open(), is_closed, log_failure)
+            .await
+    }
+
+    async fn open(&self) -> io::Result<TcpStream> {
+        let uri: Uri = self.url.parse().map_err(io::Error::other)?;
+        let host = uri.host().ok_or(io::ErrorKind::InvalidInput)?;
+        // Connections to it are not encrypted.
+        let port = uri.port_u16().unwrap_or(80);
+        let address = format!("{host}:{port}");
+        timeout(client::CONNECT_TIMEOUT, TcpStream::connect(address)).await?
+    }
+
     /// Cancels a response at the backend server.
     pub async fn cancel(&self, id: &str) {
         let path = format!("/v1/responses/{id}/cancel");
--- a/daemon/src/sidecar/dispatch.rs
+++ b/daemon/src/sidecar/dispatch.rs
@@ -25,6 +25,7 @@
         document::Revision,
         floor::{self, Floor},
         id::{Attempt, Incarnation},
+        poison::Detector,
         prefix_history::PrefixHistory,
         queue::{self, Queue},
         report::Report,
@@ -71,6 +72,8 @@
     evictions: Evictions,
     tasks: HashMap<Attempt, Handle>,
     latest_attempts: LatestAttempts,
+    /// What routers are told of requests that crash backend servers. They judge; nothing is refused here.
+    poison: Detector,
 }
 
 impl Dispatcher {
@@ -104,6 +107,7 @@
             evictions: Evictions::default(),
             tasks: HashMap::new(),
             latest_attempts: LatestAttempts::default(),
+            poison: Detector::new(),
             settings,
         }
     }
@@ -161,6 +165,13 @@
                 self.prefixes.record_eviction(prefix, BACKEND_SERVER);
                 self.evictions.record(prefix, self.clock.now());
             }
+            Command::LostAtCrash { request_digest } => self.record_crash(request_digest),
+            Command::Notices(notices) => {
+                let now = self.clock.now();
+                for notice in &notices {
+                    self.poison.relay(notice, now);
+                }
+            }
             Command::Progressed(progress) => self.on_progress(&progress),
             Command::Finished { attempt, verdict } => self.on_finished(attempt, verdict),
         }
--- a/daemon/src/sidecar/dispatch/command.rs
+++ b/daemon/src/sidecar/dispatch/command.rs
@@ -9,6 +9,7 @@
         failure::Failure,
         floor::Notice,
         id::{Attempt, Boot},
+        poison,
         queue::{Entry, LatePolicy},
         tier::Rank,
         time::Timestamp,
@@ -65,6 +66,13 @@
     Floor(Notice),
     /// The backend server's cache has evicted a prefix.
     Evicted(u64),
+    /// A running attempt was lost when the backend server crashed.
+    LostAtCrash {
+        /// Digest of what is the same when the request comes again.
+        request_digest: u64,
+    },
+    /// A router tells what its peers are to know of requests that crash backend servers.
+    Notices(Vec<poison::Notice>),
     /// A running attempt has generated tokens.
     Progressed(Progress),
     /// A running attempt has ended.
--- a/daemon/src/sidecar/dispatch/execution.rs
+++ b/daemon/src/sidecar/dispatch/execution.rs
@@ -7,6 +7,7 @@
         attempt::Resumption,
         failure::{Failure, Reason},
         id::{Attempt, Boot},
+        poison::Fingerprint,
         time::Timestamp,
         verdict::Verdict,
     },
@@ -124,6 +125,17 @@
         self.limit.finished(now);
     }
 
+    /// Records that a request was lost when the backend server crashed.
+    pub(super) fn record_crash(&mut self, request_digest: u64) {
+        let fingerprint = Fingerprint {
+            request: Some(request_digest),
+            parts: Vec::new(),
+        };
+        let server = self.settings.incarnation.instance.0.as_str();
+        self.poison
+            .record_crash(&fingerprint, server, self.clock.now());
+    }
+
     pub(super) fn void(&mut self, attempt: Attempt, failure: Failure, now: Timestamp) {
         if self.table.void(attempt, now).is_ok() {
             self.remove_waiting(attempt);
--- a/daemon/src/sidecar/dispatch/schedule.rs
+++ b/daemon/src/sidecar/dispatch/schedule.rs
@@ -89,6 +89,7 @@
     }
 
     pub(super) fn publish(&mut self, now: Timestamp) {
+        self.poison.prune(now);
         let report = Report {
             incarnation: self.settings.incarnation.clone(),
             service: self.settings.service.clone(),
@@ -103,6 +104,7 @@
             rates: self.limit.rates(now),
             evicted_prefixes: self.evictions.recent(now),
             seen: self.latest_attempts.recent(now),
+            notices: self.poison.own_notices(now).collect(),
         };
         let modified = self.report.send_if_modified(|published| {
             let changed = *published != report;
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -8,14 +8,17 @@
         event::Event,
         stream::{ConnectionEnd, StreamState},
     },
-    super::{backend_server::BackendServer, response_buffer::Chunk},
-    crate::http::body::is_event_stream,
+    super::{backend_server::BackendServer, dispatch::Command, response_buffer::Chunk},
+    crate::{channel::BoundedSender, http::body::is_event_stream},
     bytes::Bytes,
     futures_util::StreamExt as _,
     http_body_util::BodyExt as _,
     hyper::{Response, body::Incoming},
     std::{sync::Arc, time::Duration},
-    tamarackdale_core::failure::{Failure, Reason},
+    tamarackdale_core::{
+        failure::{Failure, Reason},
+        verdict::Verdict,
+    },
     tamarackdale_wire::{frame::Header, message::Enqueue},
     tokio::{
         sync::{Semaphore, mpsc},
@@ -47,6 +50,8 @@
     pub budget_bytes: usize,
     /// Channel to the attempt's task.
     pub events: mpsc::Sender<Event>,
+    /// Channel to the dispatch worker.
+    pub dispatch: BoundedSender<Command>,
     /// Cancelled when the response is no longer needed.
     pub cancelled: CancellationToken,
 }
@@ -69,7 +74,12 @@
     async fn relay(&self, state: &mut StreamState) -> Result<(), ReceiverClosed> {
         let response = match self.backend_server.send(&self.request).await {
             Ok(response) => response,
-            Err(failure) => return self.fail(failure).await,
+            Err(failure) => {
+                if failure.verdict == Verdict::MayHaveRun {
+                    self.report_if_crashed().await;
+                }
+                return self.fail(failure).await;
+            }
         };
         self.send_head(&response).await?;
         if is_event_stream(response.headers()) {
@@ -93,6 +103,7 @@
                 Ok(bytes) => self.emit_chunk(bytes, 0).await?,
                 Err(error) => {
                     log::warn!("response of the backend server was interrupted: {error}");
+                    self.report_if_crashed().await;
                     return self
                         .fail(Failure::may_have_run(Reason::BackendServer))
                         .await;
@@ -114,7 +125,7 @@
                 let previous = state.last_sequence();
                 match self.relay_connection(response, state).await? {
                     ConnectionEnd::Completed => return self.emit(Event::End).await,
-                    ConnectionEnd::Broken => {}
+                    ConnectionEnd::Broken => self.report_if_crashed().await,
                 }
                 if state.last_sequence() != previous {
                     failures = 0;
@@ -160,6 +171,24 @@
         }
     }
 
+    /// After a connection broke: tells the dispatch worker if the backend server has crashed, and the
+    /// request was lost with it.
+    async fn report_if_crashed(&self) {
+        if self.backend_server.is_reachable().await {
+            return;
+        }
+        let request_digest = self.request.request_digest();
+        log::warn!(
+            attempt:% = tamarackdale_core::id::Attempt::from(self.request.attempt),
+            request_digest = format!("{request_digest:x}");
+            "request lost at a crash"
+        );
+        let lost = Command::LostAtCrash { request_digest };
+        if self.dispatch.send(lost).is_err() {
+            log::warn!("crash not reported: the dispatch worker's queue is full");
+        }
+    }
+
     async fn cancel(&self, state: &StreamState) {
         if let Some(id) = state.response_id() {
             self.backend_server.cancel(id).await;
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -30,7 +30,7 @@
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
         Frame, codec,
-        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Notices, Resume},
         path,
     },
 };
@@ -47,6 +47,7 @@
         route.post(path::CANCEL).to_async(cancel);
         route.post(path::ACKNOWLEDGE).to_async(acknowledge);
         route.post(path::FLOOR).to_async(floor);
+        route.post(path::NOTICES).to_async(notices);
         route
             .get(path::REPORTS)
             .with_query_string_extractor::<report_stream::Query>()
@@ -185,12 +186,28 @@
     Ok((state, response))
 }
 
+async fn notices(mut state: State) -> HandlerResult {
+    let context = Context::borrow_from(&state).clone();
+    let response = match read::<Notices>(&context, &mut state).await {
+        Ok(told) => {
+            let notices = told.into_notices(context.tasks.clock.now());
+            match context.dispatch.send(Command::Notices(notices)) {
+                Ok(()) => body::status(StatusCode::NO_CONTENT),
+                Err(_) => body::status(StatusCode::SERVICE_UNAVAILABLE),
+            }
+        }
+        Err(response) => response,
+    };
+    Ok((state, response))
+}
+
 async fn reports(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let query = report_stream::Query::take_from(&mut state);
     let reports = report_stream::open(
         context.report,
         query,
+        context.tasks.clock,
         context.report_interval,
         context.drained,
     );
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -193,6 +193,7 @@
             budget: Arc::clone(&self.context.budget),
             budget_bytes: self.context.budget_bytes,
             events: sender,
+            dispatch: self.context.dispatch.clone(),
             cancelled: cancelled.clone(),
         };
         self.context.tracker.spawn(exchange.run());
--- a/daemon/tests/report_stream.rs
+++ b/daemon/tests/report_stream.rs
@@ -4,16 +4,21 @@
 
 use {
     futures_util::StreamExt as _,
-    std::{io, pin::Pin, time::Duration},
+    std::{io, pin::Pin, sync::Arc, time::Duration},
     tamarackdale_core::{
         cost::Rates,
         floor,
         id::{Attempt, Boot, Incarnation, Instance},
+        poison::{Fingerprint, Notice},
         report::Report,
         tier::Rank,
+        time::Timestamp,
     },
     tamarackdale_wire::{self as wire, codec::Splitter},
-    tamarackdaled::sidecar::report_stream::{self, Query},
+    tamarackdaled::{
+        clock::Clock,
+        sidecar::report_stream::{self, Query},
+    },
     tokio::{
         sync::watch,
         time::{Instant, sleep, timeout},
@@ -36,14 +41,21 @@
 }
 
 impl TestStream {
+    /// The stream of a router that reads notices of crashes.
     fn new(bytes_per_s: u32) -> Self {
+        Self::with_poison(bytes_per_s, Some(1))
+    }
+
+    fn with_poison(bytes_per_s: u32, poison: Option<u8>) -> Self {
         let (reports, receiver) = watch::channel(report());
         let drained = CancellationToken::new();
         let query = Query {
             router: ROUTER,
             bytes_per_s,
+            poison,
         };
-        let items = report_stream::open(receiver, query, INTERVAL, drained.clone());
+        let clock = Clock::new();
+        let items = report_stream::open(receiver, query, clock, INTERVAL, drained.clone());
         let items = items.map(|item| item.map(|frame| frame.into_data().expect("a data frame")));
         Self {
             reports,
@@ -88,6 +100,7 @@
         rates: Rates::new(1_000.0, 10.0),
         evicted_prefixes: Vec::new(),
         seen: Vec::new(),
+        notices: Vec::new(),
     }
 }
 
@@ -201,3 +214,78 @@
 
     assert!(matches!(end, Ok(None)));
 }
+
+/// A request that was lost at a crash.
+fn lost(digest: u64) -> Arc<Notice> {
+    Arc::new(Notice::Crash {
+        fingerprint: Fingerprint {
+            request: Some(digest),
+            parts: Vec::new(),
+        },
+        server: 1,
+        at: Timestamp::from_millis(1),
+    })
+}
+
+#[tokio::test(start_paused = true)]
+async fn request_that_was_lost_at_a_crash_is_told_at_once_and_once() {
+    let mut stream = TestStream::new(1);
+    stream.next().await;
+    let start = Instant::now();
+    stream
+        .reports
+        .send_modify(|report| report.notices.push(lost(7)));
+
+    let (item, _) = stream.next().await;
+    let told_after = start.elapsed();
+    stream.reports.send_modify(|report| report.running = 1);
+    let (next, _) = stream.next().await;
+
+    let told = item.expect("a report").poison;
+    assert_eq!(
+        told.iter().map(|told| told.request).collect::<Vec<_>>(),
+        [Some(7)]
+    );
+    assert!(told_after <= MAX_URGENT_DELAY, "{told_after:?}");
+    assert_eq!(next.map(|report| report.poison.len()), Some(0));
+}
+
+/// Guards against notices that take all of a router's budget when a server crashes with many requests.
+#[tokio::test(start_paused = true)]
+async fn requests_that_were_lost_at_a_crash_are_told_in_bounded_parts() {
+    const LOST: u64 = 100;
+    const MAX_BYTES: usize = 480;
+    let mut stream = TestStream::new(1);
+    stream.next().await;
+    let start = Instant::now();
+    stream
+        .reports
+        .send_modify(|report| report.notices.extend((0..LOST).map(lost)));
+
+    let mut told = Vec::new();
+    while (told.len() as u64) < LOST {
+        let (item, length) = stream.next().await;
+        let digests = item.into_iter().flat_map(|report| report.poison);
+        told.extend(digests.filter_map(|told| told.request));
+        assert!(length <= MAX_BYTES, "{length} bytes at once");
+    }
+
+    assert_eq!(told, (0..LOST).collect::<Vec<_>>());
+    let seconds = start.elapsed().as_secs();
+    assert!((8..=9).contains(&seconds), "{seconds} s");
+}
+
+/// Guards against reports that routers of older versions cannot read.
+#[tokio::test(start_paused = true)]
+async fn router_that_does_not_ask_for_notices_gets_none() {
+    let mut stream = TestStream::with_poison(1_000, None);
+    stream.next().await;
+    stream.reports.send_modify(|report| {
+        report.notices.push(lost(7));
+        report.leaving = true;
+    });
+
+    let (item, _) = stream.next().await;
+
+    assert_eq!(item.map(|report| report.poison.len()), Some(0));
+}
--- a/testbed/tests/deadly_requests.rs
+++ b/testbed/tests/deadly_requests.rs
@@ -5,10 +5,11 @@
     hyper::Method,
     rstest::rstest,
     std::time::{Duration, Instant},
+    tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service},
         http,
-        load::{Generator, Shot},
+        load::{Generator, Record, Shot},
         platform::{Configuration, CrashPoint, Gateway, Server, Site, request},
     },
     tokio::{task::JoinSet, time::sleep},
@@ -96,26 +97,37 @@
 }
 
 /// Guards against the same in the own interface, where sidecars send to the backend servers: a retry with
-/// another key is another request there.
+/// another key is another request there. A request with a key of its caller's is quarantined later, since
+/// its answer may have been kept.
+#[rstest]
+#[case::read(Method::GET, "/orders/1", None)]
+#[case::booking(Method::POST, "/pickups/1", None)]
+#[case::booking_with_a_key(Method::POST, "/pickups/1", Some("key"))]
 #[tokio::test]
-async fn request_that_crashes_servers_behind_sidecars_is_soon_sent_to_none() {
-    const PATH: &str = "/orders/1";
+async fn request_that_crashes_servers_behind_sidecars_is_soon_sent_to_none(
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+) {
     let layout = Layout::new(vec![Service::ordre_app(SERVERS)]);
     let deployment = Deployment::start(&layout).await.expect("starts");
     for sidecar in &deployment.sidecars {
-        sidecar.plain().set_deadly_path(PATH);
+        sidecar.plain().set_deadly_path(path);
     }
     let generator = Generator::new(&deployment.entries());
     let started = Instant::now();
 
-    let mut number = 0;
+    let mut records = Vec::new();
     while started.elapsed() < LENGTH {
-        let shot = Shot::plain("ordre-app", "joiner-example-key", Method::GET, PATH, "");
+        let number = records.len();
+        let shot = Shot::plain("ordre-app", "joiner-example-key", method.clone(), path, "");
         let shot = shot.with_tier("status");
-        let _ = generator
-            .offer(tokio::time::Instant::now(), number, &shot)
-            .await;
-        number += 1;
+        let shot = match key {
+            Some(key) => shot.with_key(&format!("{key}-{number}")),
+            None => shot,
+        };
+        let now = tokio::time::Instant::now();
+        records.push(generator.offer(now, number, &shot).await);
         sleep(REQUEST_INTERVAL * SOUND_TO_DEADLY as u32).await;
     }
 
@@ -128,6 +140,69 @@
     let known = calls[2] + KNOWN_AFTER;
     let later = calls.iter().filter(|at| **at > known).count();
     assert!(later <= ALLOWED, "{later} runs, {} in all", calls.len());
+    eprintln!(
+        "DBG later {later} calls {} offered {}",
+        calls.len(),
+        records.len()
+    );
+    let not_run = records.iter();
+    let not_run = not_run.filter(|record| record.verdict == Some(Verdict::NotRun));
+    assert!(
+        calls.len() <= records.len() - not_run.count(),
+        "what was not run did not run"
+    );
+}
+
+/// Guards against sound requests that are refused in place of the deadly one behind sidecars, and against
+/// refusals that callers cannot rely on.
+#[tokio::test]
+async fn requests_beside_a_deadly_one_behind_sidecars_are_served_once_it_is_refused() {
+    const PATH: &str = "/orders/1";
+    let layout = Layout::new(vec![Service::ordre_app(SERVERS)]);
+    let deployment = Deployment::start(&layout).await.expect("starts");
+    for sidecar in &deployment.sidecars {
+        sidecar.plain().set_deadly_path(PATH);
+    }
+    let entries = deployment.entries();
+
+    let start = tokio::time::Instant::now();
+    let mut running = JoinSet::new();
+    let mut number = 0;
+    while start.elapsed() < LENGTH {
+        let generator = Generator::new(&entries);
+        let is_deadly = number % (SOUND_TO_DEADLY + 1) == 0;
+        let path = match is_deadly {
+            true => PATH.to_owned(),
+            // A few polls that come again and again, as the deadly one does.
+            false => format!("/orders/{}", 2 + number % 5),
+        };
+        let shot = Shot::plain("ordre-app", "joiner-example-key", Method::GET, &path, "");
+        let shot = shot.with_tier("status");
+        running.spawn(async move { (is_deadly, generator.offer(start, number, &shot).await) });
+        number += 1;
+        sleep(REQUEST_INTERVAL).await;
+    }
+    let records = running.join_all().await;
+
+    let is_refused = |record: &Record| record.reason.as_deref() == Some("quarantined");
+    let (deadly, sound): (Vec<_>, Vec<_>) = records.iter().partition(|(is_deadly, _)| *is_deadly);
+    let refused = deadly.iter().map(|(_, record)| record);
+    let refused: Vec<&Record> = refused.filter(|record| is_refused(record)).collect();
+    let first = refused.iter().map(|record| record.offered).min();
+    let first = first.expect("the deadly request is refused");
+    assert!(refused.iter().all(|record| {
+        record.verdict == Some(Verdict::NotRun)
+            && record.status == Some(503)
+            && record.retry_after > Some(Duration::from_secs(60))
+    }));
+    let quarantined = sound.iter().filter(|(_, record)| is_refused(record));
+    assert_eq!(quarantined.count(), 0, "no sound request is quarantined");
+    // The servers that crashed last are back by then.
+    let known = first + KNOWN_AFTER;
+    let unserved = sound
+        .iter()
+        .filter(|(_, record)| record.offered > known && !record.whole);
+    assert_eq!(unserved.count(), 0, "sound requests after that are served");
 }
 
 /// Guards against a request that crashes one server after the other each time that it comes again.
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod message;
 pub mod path;
+pub mod poison;
 pub mod report;
 pub mod start;
 pub mod statement;
--- a/wire/src/message.rs
+++ b/wire/src/message.rs
@@ -1,11 +1,11 @@
 //! Requests between processes, and their responses.
 
 use {
-    crate::{failure::Failure, frame::Header, id::Attempt},
+    crate::{failure::Failure, frame::Header, id::Attempt, poison::Poison},
     bytes::Bytes,
     serde::{Deserialize, Serialize},
-    std::time::Duration,
-    tamarackdale_core::{cost, floor, tier::Rank},
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{cost, digest, floor, poison::Notice, tier::Rank, time::Timestamp},
 };
 
 /// Offers a request to a sidecar. The sidecar dispatches it only after a [`Grant`].
@@ -49,6 +49,13 @@
     pub body: Bytes,
 }
 
+impl Enqueue {
+    /// Digest of what is the same when the request comes again.
+    pub fn request_digest(&self) -> u64 {
+        digest::request(&self.organisation, &self.method, &self.path, &self.body)
+    }
+}
+
 /// Estimated cost of a request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Cost {
@@ -140,6 +147,29 @@
     }
 }
 
+/// Tells a sidecar what its other routers are to know of requests that crash backend servers.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Notices {
+    /// What is told, oldest first.
+    pub poison: Vec<Poison>,
+}
+
+impl Notices {
+    /// Converts notices at the time `now` of the sender's clock.
+    pub fn new(notices: &[Arc<Notice>], now: Timestamp) -> Self {
+        let notices = notices.iter();
+        Self {
+            poison: notices.map(|notice| Poison::new(notice, now)).collect(),
+        }
+    }
+
+    /// The notices on the clock of the receiver, which received them at `now`.
+    pub fn into_notices(self, now: Timestamp) -> Vec<Notice> {
+        let told = self.poison.into_iter();
+        told.filter_map(|told| told.into_notice(now)).collect()
+    }
+}
+
 /// A service's document with its revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -18,8 +18,12 @@
 /// `POST` [`crate::message::Floor`]; responds with an empty body.
 pub const FLOOR: &str = "/v1/floor";
 
-/// `GET` with the query parameters `router` (boot identifier) and `bytes_per_s` (share of the
-/// router's bandwidth budget); responds with an endless stream of optional [`crate::Report`]s,
+/// `POST` [`crate::message::Notices`]; responds with an empty body.
+pub const NOTICES: &str = "/v1/notices";
+
+/// `GET` with the query parameters `router` (boot identifier), `bytes_per_s` (share of the router's
+/// bandwidth budget) and `poison` (version of [`crate::poison::Poison`] that the router reads, now 1;
+/// without it the reports have none); responds with an endless stream of optional [`crate::Report`]s,
 /// where `None` means that the last report still holds.
 pub const REPORTS: &str = "/v1/reports";
 
--- a/wire/src/report.rs
+++ b/wire/src/report.rs
@@ -1,11 +1,13 @@
 //! Report of a sidecar's load and state.
 
 use {
-    crate::id::Attempt,
+    crate::{id::Attempt, poison::Poison},
     derive_more::{Display, Error},
     serde::{Deserialize, Serialize},
-    std::time::Duration,
-    tamarackdale_core::{cost::Rates, floor, id, report, tier::Rank},
+    std::{sync::Arc, time::Duration},
+    tamarackdale_core::{
+        cost::Rates, floor, id, poison::Notice, report, tier::Rank, time::Timestamp,
+    },
 };
 
 /// Load and state of one sidecar and its backend server.
@@ -43,6 +45,11 @@
     pub evicted_prefixes: Vec<u64>,
     /// The newest attempt of each router that this report takes into account.
     pub seen: Vec<Attempt>,
+    /// Requests that were lost at crashes, and what routers have told of such requests; only for a
+    /// router that asks for it. A report without any is encoded without this field, since routers of
+    /// older versions refuse a report with one more.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub poison: Vec<Poison>,
 }
 
 /// Waiting work of one rank.
@@ -78,6 +85,23 @@
     decode_rate: f32,
 }
 
+impl Report {
+    /// Sets the notices to tell, at the time `now` of the sender's clock.
+    pub fn with_notices(mut self, notices: &[Arc<Notice>], now: Timestamp) -> Self {
+        let notices = notices.iter();
+        self.poison = notices.map(|notice| Poison::new(notice, now)).collect();
+        self
+    }
+
+    /// Takes the notices out, on the clock of the receiver, which received them at `now`.
+    pub fn take_notices(&mut self, now: Timestamp) -> Vec<Arc<Notice>> {
+        let told = std::mem::take(&mut self.poison).into_iter();
+        let notices = told.filter_map(|told| told.into_notice(now));
+        notices.map(Arc::new).collect()
+    }
+}
+
+/// Without the notices, whose ages depend on the moment of sending.
 impl From<report::Report> for Report {
     fn from(report: report::Report) -> Self {
         Self {
@@ -97,10 +121,12 @@
             decode_rate: report.rates.decode as f32,
             evicted_prefixes: report.evicted_prefixes,
             seen: report.seen.into_iter().map(Attempt::from).collect(),
+            poison: Vec::new(),
         }
     }
 }
 
+/// Without the notices, see [`Report::take_notices`].
 impl TryFrom<Report> for report::Report {
     type Error = InvalidRate;
 
@@ -137,6 +163,7 @@
             rates: Rates::new(report.prefill_rate.into(), report.decode_rate.into()),
             evicted_prefixes: report.evicted_prefixes,
             seen: report.seen.into_iter().map(id::Attempt::from).collect(),
+            notices: Vec::new(),
         })
     }
 }
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,13 +1,12 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
-    crate::statement::{Statement, millis_between, time_of},
+    crate::{poison::Poison, statement::Statement},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
         fleet::{Load, Speed},
         floor::Notice,
-        poison::{self, Cause, Fingerprint, Quarantine},
         quota, summary,
         tier::Rank,
         time::Timestamp,
@@ -52,30 +51,6 @@
     pub statements: Vec<Statement>,
 }
 
-/// Observation of a request that may crash backend servers, or a judgement on it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
-pub struct Poison {
-    /// Digest of the request, if it is meant or was computed.
-    pub request: Option<u64>,
-    /// Identifiers of the parts of its prompt.
-    pub parts: Vec<u64>,
-    /// Age in milliseconds of the observation, or of the last crash, when it was sent.
-    pub age_ms: u32,
-    /// What was observed.
-    pub kind: PoisonKind,
-}
-
-/// What was observed of a request.
-#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
-pub enum PoisonKind {
-    /// It was lost at a crash; holds the hash of the backend server's identifier.
-    Crash(u64),
-    /// It was answered.
-    Answer,
-    /// It, or the parts, are blamed for a number of crashes, and refused for some milliseconds more.
-    Quarantine(u32, u32),
-}
-
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SavedQuotaUse {
@@ -166,63 +141,6 @@
     }
 }
 
-impl Poison {
-    fn new(notice: &poison::Notice, now: Timestamp) -> Self {
-        let (fingerprint, at, kind) = match notice {
-            poison::Notice::Crash {
-                fingerprint,
-                server,
-                at,
-            } => (fingerprint.clone(), *at, PoisonKind::Crash(*server)),
-            poison::Notice::Answer { fingerprint, at } => {
-                (fingerprint.clone(), *at, PoisonKind::Answer)
-            }
-            poison::Notice::Quarantine(quarantine) => {
-                let crashes = u32::try_from(quarantine.crashes).unwrap_or(u32::MAX);
-                let remaining_ms = millis_between(now, quarantine.until);
-                let kind = PoisonKind::Quarantine(crashes, remaining_ms);
-                (quarantine.cause.clone().into(), quarantine.last_crash, kind)
-            }
-        };
-        Self {
-            request: fingerprint.request,
-            parts: fingerprint.parts,
-            age_ms: millis_between(at, now),
-            kind,
-        }
-    }
-
-    /// The notice on the clock of the receiver, which received it at `now`. `None` if it is a
-    /// quarantine of nothing.
-    fn into_notice(self, now: Timestamp) -> Option<poison::Notice> {
-        let at = time_of(self.age_ms, now);
-        let fingerprint = Fingerprint {
-            request: self.request,
-            parts: self.parts,
-        };
-        Some(match self.kind {
-            PoisonKind::Crash(server) => poison::Notice::Crash {
-                fingerprint,
-                server,
-                at,
-            },
-            PoisonKind::Answer => poison::Notice::Answer { fingerprint, at },
-            PoisonKind::Quarantine(crashes, remaining_ms) => {
-                let Ok(cause) = Cause::try_from(fingerprint) else {
-                    log::warn!("ignoring a peer's quarantine of nothing");
-                    return None;
-                };
-                poison::Notice::Quarantine(Quarantine {
-                    cause,
-                    crashes: crashes as usize,
-                    last_crash: at,
-                    until: now.plus(Duration::from_millis(remaining_ms.into())),
-                })
-            }
-        })
-    }
-}
-
 impl Frame {
     /// The summary on the clock of the receiver, which received it at `now`.
     pub fn into_summary(self, now: Timestamp) -> summary::Summary {
--- a/wire/tests/report.rs
+++ b/wire/tests/report.rs
@@ -2,11 +2,41 @@
 
 use {
     rstest::rstest,
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
     std::time::Duration,
-    tamarackdale_core::{cost::Rates, floor, id, report, tier::Rank},
-    tamarackdale_wire::{Report, codec},
+    tamarackdale_core::{
+        cost::Rates,
+        floor, id,
+        poison::{Fingerprint, Notice},
+        report,
+        tier::Rank,
+        time::Timestamp,
+    },
+    tamarackdale_wire::{Report, codec, id::Attempt, report::Work},
 };
 
+/// A report as routers and sidecars knew it that had no notices of crashes.
+#[derive(Debug, Deserialize, Serialize)]
+struct EarlierReport {
+    instance: String,
+    boot: u64,
+    service: String,
+    leaving: bool,
+    revision: i64,
+    floor: u8,
+    floor_ms: u32,
+    limit: u32,
+    running: u32,
+    running_tokens: u32,
+    unprefilled_tokens: u32,
+    waiting: Vec<Work>,
+    prefill_rate: f32,
+    decode_rate: f32,
+    evicted_prefixes: Vec<u64>,
+    seen: Vec<Attempt>,
+}
+
 fn full_report() -> report::Report {
     report::Report {
         incarnation: id::Incarnation {
@@ -40,6 +70,7 @@
             router: id::Boot(1),
             sequence: 8,
         }],
+        notices: Vec::new(),
     }
 }
 
@@ -66,3 +97,41 @@
 
     assert!(report::Report::try_from(report).is_err());
 }
+
+/// Guards against routers that lose all sidecars of a newer version, and the other way round.
+#[test]
+fn report_is_understood_by_the_version_before_notices_of_crashes() {
+    let report = Report::from(full_report());
+
+    let told = codec::encode(&report).expect("the report is encoded");
+    let earlier: EarlierReport = codec::decode(&told).expect("the earlier version decodes it");
+    let told = codec::encode(&earlier).expect("the earlier report is encoded");
+    let back: Report = codec::decode(&told).expect("the report of the earlier version is decoded");
+
+    assert_eq!(back, report);
+}
+
+#[test]
+fn notices_are_told_with_their_ages() {
+    const CLOCKS_APART: Duration = Duration::from_secs(490);
+    let sent = Timestamp::from_millis(10_000);
+    let notice = |at| {
+        Arc::new(Notice::Crash {
+            fingerprint: Fingerprint {
+                request: Some(7),
+                parts: Vec::new(),
+            },
+            server: 3,
+            at,
+        })
+    };
+    let report = Report::from(full_report());
+    let report = report.with_notices(&[notice(Timestamp::from_millis(9_400))], sent);
+
+    let told = codec::encode(&report).expect("the report is encoded");
+    let mut told: Report = codec::decode(&told).expect("the report is decoded");
+    let notices = told.take_notices(sent.plus(CLOCKS_APART));
+
+    assert_eq!(notices, [notice(Timestamp::from_millis(499_400))]);
+    assert_eq!(told, Report::from(full_report()));
+}
