Test: an engine that stood still for a moment, known red

Callers saw: requests that go to an engine which is ten times slower, though the other one is idle, after that one stood still for 0.3 s: 13 of 30 where slow * 2 < quick is wanted, so up to 1.8 s in place of 0.2 s for an answer. In the core, the average gap between tokens rises from 4.4 to 43.7 ms by such a stall.

--- a/core/tests/batch_limit.rs
+++ b/core/tests/batch_limit.rs
@@ -111,6 +111,25 @@
     );
 }
 
+/// Guards against an engine that counts as slow for good after it stood still for a moment: routers that
+/// know a faster one send it nothing by which its speed could be measured again.
+#[test]
+fn moment_without_tokens_counts_for_no_more_than_it_lasted() {
+    const STALL: Duration = Duration::from_millis(300);
+    let mut engine = Engine::new(2_000, 10, Settings::default());
+    engine.run(seconds(10), 1);
+    let gap = engine.gap();
+    let base = engine.base;
+
+    engine.base = STALL;
+    engine.run(Duration::from_millis(1), 1);
+    engine.base = base;
+    engine.run(Duration::from_millis(100), 1);
+
+    let after = engine.gap();
+    assert!(after < 3.0 * gap, "gap {gap} s, after the stall {after} s");
+}
+
 #[test]
 fn fixed_limit_does_not_adapt() {
     let settings = Settings {
--- a/testbed/tests/faults.rs
+++ b/testbed/tests/faults.rs
@@ -11,7 +11,10 @@
         proxy::{Direction, Fault, Proxy, Scope},
         wait,
     },
-    tokio::{task::JoinHandle, time::Instant},
+    tokio::{
+        task::JoinHandle,
+        time::{Instant, sleep},
+    },
 };
 
 /// Bound on the whole of a test's work.
@@ -316,6 +319,49 @@
     );
 }
 
+/// Guards against an engine that counts as slow for good after it stood still for a moment, or its machine
+/// did: it then gets no requests by whose tokens its speed could be measured again.
+#[tokio::test]
+async fn engine_that_stood_still_for_a_moment_is_preferred_to_one_that_is_slow() {
+    const STALL: Duration = Duration::from_millis(300);
+    let deployment = start().await;
+    deployment.sidecars[0].engine().set_slow_factor(10.0);
+    let generator = Generator::new(&deployment.entries()).with_limit(LIMIT);
+    let site = |index| shot(index).with_tier("site");
+    let warm_up = Schedule::even(10.0, Duration::from_secs(2));
+    generator
+        .run(&warm_up, |index| site(REQUESTS + index))
+        .await;
+    let running = offer(&deployment, 0, assessment());
+    let quick = || deployment.sidecars[1].engine().runs();
+    let is_decoding = || {
+        let runs = quick();
+        runs.last()
+            .is_some_and(|run| run.output_tokens == LONG && run.decoded_tokens > LONG / 4)
+    };
+    assert!(
+        wait::until(LIMIT, is_decoding).await,
+        "no answer is on its way"
+    );
+    deployment.sidecars[1].process.pause().expect("running");
+    sleep(STALL).await;
+    let process = &deployment.sidecars[1].process;
+    process.resume_execution().expect("running");
+    assert!(running.await.expect("no panic").whole);
+    let before = [0, 1].map(|sidecar| runs_since(&deployment, sidecar, 0));
+
+    let schedule = Schedule::even(10.0, Duration::from_secs(3));
+    let records = generator.run(&schedule, site).await;
+
+    assert!(records.iter().all(|record| record.whole));
+    let slow = runs_since(&deployment, 0, before[0]);
+    let quick = runs_since(&deployment, 1, before[1]);
+    assert!(
+        slow * 2 < quick,
+        "{slow} runs at the slow engine, {quick} at the other"
+    );
+}
+
 #[tokio::test]
 async fn silent_link_and_death_of_the_router_together() {
     let mut deployment = start_single().await;
