A sidecar counts a moment without tokens for as long as it lasted

Cause: the average gap between tokens weighted each gap by its length, so that a gap counted by the square of it. A stall of 0.3 s of a process, link or machine raised the average from 2 to over 40 ms, above that of the slow engine. Routers then send the quick one nothing, and without tokens the average stays. It would have recovered after about two time constants of decoding.

Change: the average is the time that requests took lately divided by the tokens that they got, both fading with 0.5 s. It follows a slowdown about as soon as before: the former average was biased towards slow samples, with 2 s. Gateways do not have this fault: they average whole requests.

The comparisons in docs/POLICY.md were not measured again.

--- a/core/src/batch_limit/meter.rs
+++ b/core/src/batch_limit/meter.rs
@@ -7,7 +7,7 @@
 
 /// Time constant of the average gap between tokens. It is longer than the prefill of one prompt,
 /// during which the gaps are longer.
-const GAP_TIME_CONSTANT_S: f64 = 2.0;
+const GAP_TIME_CONSTANT_S: f64 = 0.5;
 
 /// Size in tokens of a prefill sample that has half the weight in the average prefill rate. Until
 /// as many tokens have been prefilled, smaller samples have it.
@@ -16,10 +16,14 @@
 /// Moving averages of the prefill rate and of the gap between tokens.
 pub(super) struct Meter {
     prefill_rate: f64,
-    gap_s: f64,
+    /// Gap that is assumed before the first measurement.
+    assumed_gap_s: f64,
+    /// Tokens generated lately, and the time that their requests took for them; both fade. A long gap
+    /// counts for as much as it lasted: an average of the gaps by time would count it by the square.
+    tokens: f64,
+    elapsed_s: f64,
     /// Tokens prefilled so far, at most [`PREFILL_WINDOW_TOKENS`].
     prefill_tokens: f64,
-    gap_count: u32,
     last_token: Timestamp,
 }
 
@@ -27,9 +31,10 @@
     pub(super) fn new(rates: Rates) -> Self {
         Self {
             prefill_rate: rates.prefill,
-            gap_s: 1.0 / rates.decode,
+            assumed_gap_s: 1.0 / rates.decode,
+            tokens: 0.0,
+            elapsed_s: 0.0,
             prefill_tokens: 0.0,
-            gap_count: 0,
             last_token: Timestamp::START,
         }
     }
@@ -41,7 +46,15 @@
             true => now.since(self.last_token).as_secs_f64(),
             false => 0.0,
         };
-        Rates::new(self.prefill_rate, 1.0 / self.gap_s.max(last_token_age_s))
+        Rates::new(self.prefill_rate, 1.0 / self.gap_s().max(last_token_age_s))
+    }
+
+    /// Average gap between two tokens of a request.
+    fn gap_s(&self) -> f64 {
+        match self.tokens > 0.0 {
+            true => self.elapsed_s / self.tokens,
+            false => self.assumed_gap_s,
+        }
     }
 
     /// Resets the age of the last token, after the backend server was idle.
@@ -62,11 +75,8 @@
     pub(super) fn token_gap(&mut self, tokens: u32, elapsed: Duration, now: Timestamp) {
         let since_last_s = now.since(self.last_token).as_secs_f64();
         self.last_token = now;
-        let sample = elapsed.as_secs_f64() / f64::from(tokens.max(1));
-        self.gap_count = self.gap_count.saturating_add(1);
-        // The initial assumption has no weight, and the first gaps all have the same weight.
-        let weight = 1.0 - (-since_last_s / GAP_TIME_CONSTANT_S).exp();
-        let weight = weight.max(1.0 / f64::from(self.gap_count));
-        self.gap_s += (sample - self.gap_s) * weight;
+        let remaining = (-since_last_s / GAP_TIME_CONSTANT_S).exp();
+        self.tokens = self.tokens * remaining + f64::from(tokens.max(1));
+        self.elapsed_s = self.elapsed_s * remaining + elapsed.as_secs_f64();
     }
 }
