A request that asks for a start at a limited server still counts as waiting

Callers saw: urgent requests refused after 0.8 s beside less urgent ones of the same gateway that were served, one in each of 4 of 15 runs of more_urgent_requests_of_any_gateway_get_the_starts_first beside four busy loops.

Cause: a request leaves the queue when it is placed, and only then asks the keeper of its server for a start. Meanwhile the gateway and its peers took it for served, and less urgent requests were placed at the other limited servers whose starts were due. The urgent one was refused by the first keeper, and then found the other start gone; so several times in a row.

Change: the scheduler keeps the open questions, one a server, with the urgency of the request, until they are answered, at most for the time of a question. Meanwhile less urgent requests of the service are placed at servers without a limit only, and peers are told of the question as of a waiting request. Equally urgent ones ask for starts at several servers at once, as before.

Measured: start_is_left_to_a_more_urgent_request_that_asks_for_one_elsewhere failed before and passes; 18 of 18 runs of the test with real processes passed beside four busy loops (load average 37 to 68 on 8 cores).

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -294,7 +294,11 @@
     /// Records that this gateway got a start at a limited backend server.
     pub fn record_start_granted(&self, id: &str) {
         let now = self.clock.now();
-        self.lock().fleet.record_start_granted(id, now);
+        let mut state = self.lock();
+        state.end_question(id);
+        state.fleet.record_start_granted(id, now);
+        drop(state);
+        self.changed.notify_one();
     }
 
     /// Records that this gateway got no start at a limited backend server, where the next one is in
@@ -304,6 +308,7 @@
         let mut state = self.lock();
         let random = state.random.random();
         let delay = limit::ask_delay(next, state.known_gateways, random);
+        state.end_question(id);
         state.fleet.record_start_refused(id, load, delay, now);
         delay
     }
@@ -440,7 +445,7 @@
             entries: state.fleet.own_state().collect(),
             usages: state.ledger.usages(is_first, now).collect(),
             is_complete: state.ledger.is_complete(now),
-            waits: state.most_urgent_waiting(now),
+            waits: state.most_urgent_unserved(now),
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -6,7 +6,7 @@
     std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
         cell::Layout,
-        fleet::{Choice, Demand, Fleet, Load, Shortage},
+        fleet::{Choice, Demand, Fleet, Load, Shortage, limit},
         floor::{self, Floor},
         poison::Detector,
         quota::Ledger,
@@ -30,6 +30,15 @@
     pub(super) reply: oneshot::Sender<Choice>,
 }
 
+/// A request that asks for a start at a limited backend server, and so does not wait in the queue.
+#[derive(Clone, Debug)]
+struct Question {
+    service: String,
+    key: SchedulingKey,
+    /// When it has ended, also if its caller has left meanwhile.
+    end: Timestamp,
+}
+
 pub(super) struct State {
     pub(super) fleet: Fleet,
     pub(super) ledger: Ledger,
@@ -39,6 +48,8 @@
     pub(super) retry_budgets: HashMap<String, Budget>,
     /// Requests that wait for a slot at a backend server.
     pub(super) queue: WaitQueue<Waiter>,
+    /// Questions for starts by backend server; one is open at each at a time.
+    questions: HashMap<String, Question>,
     /// Urgency of the most urgent request that waits at each peer of the same cell, by service.
     pub(super) peer_waiting: HashMap<u64, Vec<(String, Urgency)>>,
     /// Finds parts of prompts that crash backend servers.
@@ -66,6 +77,7 @@
             shed_floors: HashMap::new(),
             retry_budgets: HashMap::new(),
             queue: WaitQueue::new(),
+            questions: HashMap::new(),
             peer_waiting: HashMap::new(),
             poison: Detector::new(),
             random: SmallRng::from_os_rng(),
@@ -131,7 +143,16 @@
         now: Timestamp,
     ) -> Result<Choice, Shortage> {
         let demand = demand(request, only, &self.data_centre, self.layout, now);
-        self.fleet.choose(&demand, now, &mut self.random)
+        let choice = self.fleet.choose(&demand, now, &mut self.random)?;
+        if choice.limit.is_none() || self.questions.is_empty() {
+            return Ok(choice);
+        }
+        let urgency = self.scheduling_key(request, now).urgency(now);
+        // A more urgent one that is refused its start must find that of another server.
+        match self.has_more_urgent_question(&request.service, urgency, now) {
+            true => Err(Shortage::Full(Duration::ZERO)),
+            false => Ok(choice),
+        }
     }
 
     /// Chooses a backend server with a free slot, of any data centre, for a request that would
@@ -153,13 +174,30 @@
         choice.filter(|choice| is_first || choice.limit.is_none())
     }
 
-    /// Whether a more urgent request of the service waits here or at a peer.
+    /// Whether a more urgent request of the service asks for a start.
+    fn has_more_urgent_question(&self, service: &str, urgency: Urgency, now: Timestamp) -> bool {
+        let mut questions = self.open_questions(now);
+        questions.any(|question| question.service == service && question.key.urgency(now) < urgency)
+    }
+
+    fn open_questions(&self, now: Timestamp) -> impl Iterator<Item = &Question> {
+        let questions = self.questions.values();
+        questions.filter(move |question| question.end > now)
+    }
+
+    /// Records that the request that asked for a start at a backend server has its answer.
+    pub(super) fn end_question(&mut self, id: &str) {
+        self.questions.remove(id);
+    }
+
+    /// Whether a more urgent request of the service waits, or asks for a start, here or at a peer.
     fn has_more_urgent(&self, service: &str, urgency: Urgency, now: Timestamp) -> bool {
         let mut waiting_here = self.queue.iter();
         let mut waiting_at_peers = self.peer_waiting.values().flatten();
         waiting_here
             .any(|(key, waiter)| waiter.request.service == service && key.urgency(now) < urgency)
             || waiting_at_peers.any(|(known, waiting)| known == service && *waiting < urgency)
+            || self.has_more_urgent_question(service, urgency, now)
     }
 
     /// Reserves capacity for a request that is about to be sent, so that the next one does not get
@@ -167,6 +205,14 @@
     pub(super) fn reserve(&mut self, choice: &Choice, request: &PlacementRequest, now: Timestamp) {
         let request_load = choice.request_load(request.prompt);
         self.fleet.reserve(&choice.member.id, request_load, now);
+        if choice.limit.is_some() {
+            let question = Question {
+                service: request.service.clone(),
+                key: self.scheduling_key(request, now),
+                end: now.plus(limit::ASK_TIMEOUT),
+            };
+            self.questions.insert(choice.member.id.clone(), question);
+        }
     }
 
     /// Number of requests of the same service that wait here with the same or a more urgent rank.
@@ -218,16 +264,19 @@
 
     /// Urgency of the most urgent request that waits here, by service.
     pub(super) fn most_urgent_waiting(&self, now: Timestamp) -> Vec<(String, Urgency)> {
-        let mut most_urgent: Vec<(String, Urgency)> = Vec::new();
-        for (key, waiter) in self.queue.iter() {
-            let service = &waiter.request.service;
-            let urgency = key.urgency(now);
-            match most_urgent.iter_mut().find(|(known, _)| known == service) {
-                Some((_, most)) => *most = urgency.min(*most),
-                None => most_urgent.push((service.clone(), urgency)),
-            }
-        }
-        most_urgent
+        most_urgent(self.waiting(now))
+    }
+
+    /// The same with those that ask for a start, for peers: their less urgent requests come after both.
+    pub(super) fn most_urgent_unserved(&self, now: Timestamp) -> Vec<(String, Urgency)> {
+        let asking = self.open_questions(now);
+        let asking = asking.map(|question| (question.service.as_str(), question.key.urgency(now)));
+        most_urgent(self.waiting(now).chain(asking))
+    }
+
+    fn waiting(&self, now: Timestamp) -> impl Iterator<Item = (&str, Urgency)> {
+        let waiting = self.queue.iter();
+        waiting.map(move |(key, waiter)| (waiter.request.service.as_str(), key.urgency(now)))
     }
 
     /// Key that determines the position of a request in the queue.
@@ -362,6 +411,18 @@
     }
 }
 
+/// The most urgent of each service.
+fn most_urgent<'a>(requests: impl Iterator<Item = (&'a str, Urgency)>) -> Vec<(String, Urgency)> {
+    let mut found: Vec<(String, Urgency)> = Vec::new();
+    for (service, urgency) in requests {
+        match found.iter_mut().find(|(known, _)| known == service) {
+            Some((_, most)) => *most = urgency.min(*most),
+            None => found.push((service.to_owned(), urgency)),
+        }
+    }
+    found
+}
+
 fn demand<'a>(
     request: &'a PlacementRequest,
     only: Option<&'a str>,
