--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -9,7 +9,7 @@
 
 use {
     self::state::State,
-    crate::clock::Clock,
+    crate::{clock::Clock, quarantine},
     rand::Rng as _,
     std::{
         collections::HashMap,
@@ -22,7 +22,7 @@
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
-        poison::{Cause, Fingerprint, Quarantine},
+        poison::Fingerprint,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
@@ -299,7 +299,11 @@
     /// Records that this gateway got a start at a limited backend server.
     pub fn record_start_granted(&self, id: &str) {
         let now = self.clock.now();
-        self.lock().fleet.record_start_granted(id, now);
+        let mut state = self.lock();
+        state.end_question(id);
+        state.fleet.record_start_granted(id, now);
+        drop(state);
+        self.changed.notify_one();
     }
 
     /// Records that this gateway got no start at a limited backend server, where the next one is in
@@ -309,6 +313,7 @@
         let mut state = self.lock();
         let random = state.random.random();
         let delay = limit::ask_delay(next, state.known_gateways, random);
+        state.end_question(id);
         state.fleet.record_start_refused(id, load, delay, now);
         delay
     }
@@ -366,7 +371,7 @@
         if begun.is_empty() {
             return;
         }
-        begun.iter().for_each(log_quarantine);
+        begun.iter().for_each(quarantine::log);
         self.changed.notify_one();
     }
 
@@ -445,7 +450,7 @@
             entries: state.fleet.own_state().collect(),
             usages: state.ledger.usages(is_first, now).collect(),
             is_complete: state.ledger.is_complete(now),
-            waits: state.most_urgent_waiting(now),
+            waits: state.most_urgent_unserved(now),
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
@@ -470,24 +475,6 @@
     }
 }
 
-fn log_quarantine(quarantine: &Quarantine) {
-    let crashes = quarantine.crashes;
-    let length_s = quarantine.until.since(quarantine.last_crash).as_secs();
-    match &quarantine.cause {
-        Cause::Request(digest) => log::warn!(
-            request_digest = format!("{digest:x}"), crashes, length_s;
-            "request quarantined: backend servers crash when they run it"
-        ),
-        Cause::Parts(parts) => {
-            let parts: Vec<String> = parts.iter().map(|part| format!("{part:x}")).collect();
-            log::warn!(
-                prompt_parts = parts.join(","), crashes, length_s;
-                "prompt parts quarantined: backend servers crash when they run requests with them"
-            );
-        }
-    }
-}
-
 /// Removes a request from the queue when dropped.
 struct QueueGuard<'a> {
     scheduler: &'a Scheduler,
