--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -19,7 +19,7 @@
     },
     tamarackdale_wire::{
         codec,
-        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Resume},
+        message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Notices, Resume},
         path,
     },
     tokio::time::timeout,
@@ -85,6 +85,9 @@
     }
 
     /// Grants an attempt. The message is sent once and not retried by lower layers.
+    ///
+    /// A refusal counts only if it names the attempt: one of an earlier grant may arrive where this one's
+    /// response is expected.
     pub async fn grant(
         &self,
         peer: &Peer,
@@ -102,8 +105,18 @@
         };
         match codec::decode::<GrantResponse>(&bytes) {
             Ok(GrantResponse::Dispatched) => Ok(Ok(())),
-            Ok(GrantResponse::Refused(failure)) => Ok(Err(failure_from_wire(failure))),
-            Err(_) => Err(CallError::NoResponse),
+            Ok(GrantResponse::Refused {
+                attempt: refused,
+                failure,
+            }) if id::Attempt::from(refused) == attempt => Ok(Err(failure_from_wire(failure))),
+            Ok(GrantResponse::Refused { .. }) | Err(_) => {
+                log::warn!(
+                    attempt:% = attempt,
+                    sidecar:% = peer;
+                    "response to a grant names another attempt or cannot be decoded"
+                );
+                Err(CallError::NoResponse)
+            }
         }
     }
 
@@ -141,6 +154,15 @@
         let _ = self.post(&self.pooled, peer, path::FLOOR, &message).await;
     }
 
+    /// Tells a sidecar what its other routers are to know of requests that crash backend servers.
+    pub async fn send_notices(&self, peer: &Peer, message: &Notices) {
+        let sent = self.post(&self.pooled, peer, path::NOTICES, message).await;
+        // Another sidecar is told the same, and each router judges by itself what it has observed.
+        if let Err(error) = sent {
+            log::info!(sidecar:% = peer; "notices of crashes not passed on: {error}");
+        }
+    }
+
     async fn post<T: Serialize>(
         &self,
         client: &HttpClient,
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod message;
 pub mod origin;
 pub mod path;
+pub mod poison;
 pub mod report;
 pub mod start;
 pub mod statement;
