--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -87,10 +87,13 @@
             prefix: None,
             output: 0,
             excluded: Vec::new(),
+            version: None,
             accepted: now,
+            waiting_since: now,
             objective: Duration::from_secs(1),
             deadline: now.plus(Duration::from_secs(10)),
             is_retry: false,
+            is_optional: false,
         };
         timeout(AT_ONCE, self.scheduler.place(request)).await.ok()
     }
