Instance list: a group that cannot be used hides no others

One group of the instance list that was not of the expected structure, or whose address was none, failed the whole list each time that it was read, so that routers followed no change any more. Cause: the groups were decoded as one list, and the first error ended it. Instances at port 0 or at 0.0.0.0 were taken.

Groups are decoded one by one; those that cannot be used are left out, and logged when they appear.

The case of bytes that are not UTF-8 has a good target now, so that it tests the name alone.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! time ([`time::Timestamp`]) and the seeded random generator are arguments, so that every decision
 //! is reproducible in tests.
 
+pub mod address;
 pub mod attempt;
 pub mod batch_limit;
 pub mod breaker;
--- a/store/src/list.rs
+++ b/store/src/list.rs
@@ -5,17 +5,22 @@
     derive_more::{Display, Error as StdError, FromStr},
     hyper::header::HeaderValue,
     serde::Deserialize,
+    serde_json::value::RawValue,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
+    tamarackdale_core::address,
 };
 
 /// Default timeout of each call.
 pub const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Most groups that cannot be used and are logged for one list.
+const MAX_LOGGED: usize = 20;
+
 /// Value of the `state` label of an instance that is shutting down.
 const LEAVING: &str = "leaving";
 
@@ -53,7 +58,7 @@
     /// The list's server cannot be reached, or its response is incomplete or an error.
     #[display("the instance list is unavailable: {_0}")]
     Unavailable(#[error(not(source))] String),
-    /// The response is not a valid instance list.
+    /// The response is not a list, or a group of it cannot be used.
     #[display("the instance list is malformed: {_0}")]
     Malformed(#[error(not(source))] String),
 }
@@ -73,6 +78,8 @@
 struct CachedList {
     etag: Option<HeaderValue>,
     members: Arc<[Member]>,
+    /// Why some of its groups are left out.
+    rejections: Arc<[String]>,
 }
 
 /// Target group of Prometheus HTTP service discovery.
@@ -100,7 +107,8 @@
         }
     }
 
-    /// Reads the whole list. Instances whose role is not a [`Role`] are left out.
+    /// Reads the whole list. Instances whose role is not a [`Role`] are left out, as are groups that
+    /// cannot be used, which are logged when they appear.
     pub async fn fetch(&self) -> Result<Vec<Member>, Error> {
         let cached = self.lock_cache().clone();
         let response = self
@@ -112,15 +120,29 @@
             ConditionalResponse::NotModified => return Ok(cached.members.to_vec()),
             ConditionalResponse::Modified { body, etag } => (body, etag),
         };
-        let groups: Vec<TargetGroup> =
-            serde_json::from_slice(&body).map_err(|error| Error::Malformed(error.to_string()))?;
-        let members: Vec<Member> = groups
+        // Groups are decoded one by one, so that one that another program wrote does not hide the
+        // others. Bytes that are not UTF-8 are replaced.
+        let text = String::from_utf8_lossy(&body);
+        let groups: Vec<&RawValue> =
+            serde_json::from_str(&text).map_err(|error| Error::Malformed(error.to_string()))?;
+        let mut members = Vec::new();
+        let mut rejections = Vec::new();
+        for group in groups {
+            match decode_member(group) {
+                Ok(member) => members.extend(member),
+                Err(error) => rejections.push(error.to_string()),
+            }
+        }
+        let known: HashSet<&String> = cached.rejections.iter().collect();
+        rejections
             .iter()
-            .filter_map(TargetGroup::member)
-            .collect::<Result<_, Error>>()?;
+            .filter(|reason| !known.contains(reason))
+            .take(MAX_LOGGED)
+            .for_each(|reason| log::warn!("skipping a group of the instance list: {reason}"));
         *self.lock_cache() = CachedList {
             etag,
             members: members.as_slice().into(),
+            rejections: rejections.into(),
         };
         Ok(members)
     }
@@ -130,6 +152,13 @@
     }
 }
 
+/// Decodes a group; `None` if its role is not a [`Role`].
+fn decode_member(group: &RawValue) -> Result<Option<Member>, Error> {
+    let group: TargetGroup =
+        serde_json::from_str(group.get()).map_err(|error| Error::Malformed(error.to_string()))?;
+    group.member().transpose()
+}
+
 impl TargetGroup {
     /// The member that the group describes, or `None` if its role is not a [`Role`].
     fn member(&self) -> Option<Result<Member, Error>> {
@@ -144,12 +173,17 @@
                 self.targets.len()
             )));
         };
-        if self.label("instance").is_empty() {
+        let name = self.label("instance");
+        if name.is_empty() || name.contains(char::REPLACEMENT_CHARACTER) {
             return Err(Error::Malformed(format!(
-                "target {target} has no instance name"
+                "target {target} has no readable instance name"
             )));
         }
-        let address = target.parse().map_err(|_| {
+        let address = target
+            .parse()
+            .ok()
+            .filter(|address| address::is_reachable(*address));
+        let address = address.ok_or_else(|| {
             Error::Malformed(format!("target {target:?} is not an IP address and port"))
         })?;
         Ok(Member {
--- a/store/tests/list.rs
+++ b/store/tests/list.rs
@@ -141,7 +141,9 @@
 #[case::surrogate(
     br#"{"targets":["127.0.0.1:1"],"labels":{"role":"sidecar","instance":"\ud800"}}"#
 )]
-#[case::not_utf8(b"{\"targets\":[],\"labels\":{\"role\":\"sidecar\",\"instance\":\"\xff\"}}")]
+#[case::not_utf8(
+    b"{\"targets\":[\"127.0.0.1:1\"],\"labels\":{\"role\":\"sidecar\",\"instance\":\"\xff\"}}"
+)]
 #[case::nested(&[[b'['; LEVELS], [b']'; LEVELS]].concat())]
 #[tokio::test]
 async fn odd_group_hides_no_others(#[case] odd: &[u8]) {
