Test: odd messages, documents and configurations, one fault known red

Nested maps in a message of the own wire format, such as the saved quota use that a gateway reads from the store when it starts, overflow the stack of a debug build: rmp-serde allows 1,024 levels, and the fields of a map that are not known take the largest frames. The gateway ends at each start. A release build decodes the same message to an error.

--- a/core/tests/document.rs
+++ b/core/tests/document.rs
@@ -233,3 +233,22 @@
 
     assert_eq!(dangers, expected);
 }
+
+/// Guards against a parser that recurses, and against numbers that overflow in conversions.
+#[rstest]
+#[case::arrays("deadline_ms = 10_000", &format!("deadline_ms = {}{}", "[".repeat(100_000), "]".repeat(100_000)))]
+#[case::unclosed("deadline_ms = 10_000", &format!("deadline_ms = {}", "[".repeat(100_000)))]
+#[case::tables("deadline_ms = 10_000", &format!("deadline_ms = {}", "{a=".repeat(100_000)))]
+#[case::keys("deadline_ms = 10_000", &format!("{}b = 1", "a.".repeat(100_000)))]
+#[case::header("[[actions]]", &format!("[{}b]", "a.".repeat(100_000)))]
+#[case::over_i64("10_000", "9223372036854775808")]
+#[case::largest("10_000", "9223372036854775807")]
+#[case::negative("10_000", "-9223372036854775808")]
+#[case::infinite("10_000", "inf")]
+#[case::no_number("10_000", "nan")]
+#[case::fraction("10_000", "1e999")]
+fn odd_document_is_refused(#[case] from: &str, #[case] to: &str) {
+    let (_, problems) = problems(from, to);
+
+    assert!(!problems.to_string().is_empty());
+}
--- a/testbed/tests/odd_entries.rs
+++ b/testbed/tests/odd_entries.rs
@@ -3,7 +3,7 @@
 
 use {
     rstest::rstest,
-    serde_json::Value,
+    serde_json::{Value, json},
     std::time::Duration,
     tamarackdale_testbed::platform::{Configuration, Gateway, Server, Site},
     tokio::time::{Instant, sleep},
@@ -342,3 +342,143 @@
     assert_eq!((first_status, statuses), (Some(200), vec![200; 20]));
     assert_eq!(panics(&gateway), Vec::<String>::new());
 }
+
+/// A configuration that can be decoded, with the largest numbers that an entry may state.
+fn extreme_configuration() -> Configuration {
+    let mut configuration = Configuration::default().with(
+        "/limits",
+        json!({
+            "max_header_bytes": u64::MAX, "max_body_bytes": u64::MAX,
+            "header_timeout_ms": u64::MAX, "idle_timeout_ms": u64::MAX,
+        }),
+    );
+    let value = &mut configuration.value;
+    for route in value["routes"].as_array_mut().expect("routes") {
+        route["timeout_ms"] = u64::MAX.into();
+        route["target_latency_ms"] = f64::MAX.into();
+        route["attempts"] = u32::MAX.into();
+        let service = route["service"].take();
+        route["backends"] = json!([
+            {"service": service, "weight": u32::MAX}, {"service": service, "weight": u32::MAX},
+        ]);
+    }
+    for service in value["services"].as_array_mut().expect("services") {
+        service["max_conns"] = u32::MAX.into();
+        service["engine"] = json!({
+            "slots": u32::MAX, "kv_capacity_tokens": u64::MAX, "stride": u32::MAX,
+        });
+    }
+    for tenant in value["tenants"].as_array_mut().expect("tenants") {
+        tenant["rate_per_s"] = f64::MAX.into();
+        tenant["burst"] = f64::MAX.into();
+        tenant["uncached_tokens"] = u32::MAX.into();
+    }
+    configuration
+}
+
+/// Guards against arithmetic that overflows, and against a gateway that follows no later version.
+#[tokio::test]
+async fn gateway_serves_with_an_extreme_configuration_and_follows_the_next() {
+    let site = Site::new(&extreme_configuration()).expect("starts");
+    let first = server("plain-1");
+    let engine = Server::new("engine-1", "engine").expect("starts");
+    site.register(&first);
+    site.register(&engine);
+    let mut gateway = ready_gateway(&site).await;
+    assert!(
+        is_soon_used(&gateway, &first).await,
+        "the server is not used"
+    );
+
+    let statuses = statuses(&gateway, "s", 20).await;
+    let stream = gateway.call("/stream/1", "t-1").await;
+    let resumable = gateway.call("/resumable/1", "r-1").await;
+    let next = Configuration::default()
+        // The requests so far cost more than any other quota.
+        .with("/tenants/0/rate_per_s", json!(0))
+        .with("/routes/3/prefix", json!("/other/"));
+    site.configure(&next);
+    let is_followed = wait_for_status(&gateway, "/other/1", 200).await;
+
+    assert_eq!((statuses, is_followed), (vec![200; 20], true));
+    let streams = [stream, resumable].map(|answer| answer.map_or(0, |answer| answer.status()));
+    assert_eq!(streams, [200; 2]);
+    assert_eq!(panics(&gateway), Vec::<String>::new());
+    assert!(gateway.process.is_running());
+}
+
+/// Guards against a gateway that ends at a configuration that cannot be read, or follows no later one.
+#[rstest]
+#[case::nested(nested())]
+#[case::unclosed("{\"routes\":".repeat(LEVELS))]
+#[case::number(r#"{"version":1e999}"#.to_owned())]
+#[case::large("x".repeat(LARGE))]
+#[case::large_text(Configuration::default().with("/routes/0/route_type", json!("x".repeat(LARGE))).value.to_string())]
+#[tokio::test]
+async fn gateway_keeps_its_configuration_beside_an_odd_one_and_follows_the_next(
+    #[case] odd: String,
+) {
+    let site = site();
+    let first = server("plain-1");
+    site.register(&first);
+    let mut gateway = ready_gateway(&site).await;
+    assert!(
+        is_soon_used(&gateway, &first).await,
+        "the server is not used"
+    );
+
+    site.store.put("op/config", odd.as_bytes());
+    sleep(Duration::from_millis(1_500)).await;
+    let meanwhile = statuses(&gateway, "s", 5).await;
+    let next = Configuration::default().with("/routes/3/prefix", json!("/other/"));
+    site.configure(&next);
+    let is_followed = wait_for_status(&gateway, "/other/1", 200).await;
+
+    assert_eq!((meanwhile, is_followed), (vec![200; 5], true));
+    assert_eq!(panics(&gateway), Vec::<String>::new());
+    assert!(gateway.process.is_running());
+    assert!(longest_line(&gateway) <= LONGEST_LINE);
+}
+
+/// Guards against a gateway that does not start beside what other programs left under its own keys.
+#[rstest]
+#[case::empty(Vec::new())]
+#[case::text(b"not MessagePack".to_vec())]
+#[case::nested(vec![0x91; LEVELS])]
+#[case::nested_maps([0x81, 0x01].repeat(LEVELS))]
+#[case::length_without_content(vec![0xdd, 0xff, 0xff, 0xff, 0xff])]
+#[case::map_without_content(vec![0x91, 0xdf, 0xff, 0xff, 0xff, 0xff])]
+#[tokio::test]
+async fn gateway_starts_beside_odd_entries_under_its_own_keys(#[case] saved: Vec<u8>) {
+    let site = site();
+    site.store.put("quota-use", &saved);
+    for name in ["", "x", "127.0.0.1:70000", "127.0.0.1", "\n"] {
+        site.store.put(format!("gateways/{name}"), &saved);
+    }
+    site.store.put(b"gateways/\xff", &saved);
+    let first = server("plain-1");
+    site.register(&first);
+
+    let mut gateway = ready_gateway(&site).await;
+    let is_used = is_soon_used(&gateway, &first).await;
+    let statuses = statuses(&gateway, "s", 20).await;
+
+    assert_eq!((is_used, statuses), (true, vec![200; 20]));
+    assert_eq!(panics(&gateway), Vec::<String>::new());
+    assert!(gateway.process.is_running());
+}
+
+/// Waits until requests to a path have a status.
+async fn wait_for_status(gateway: &Gateway, path: &str, expected: u16) -> bool {
+    let deadline = Instant::now() + IN_FORCE;
+    let mut number = 0;
+    while Instant::now() < deadline {
+        number += 1;
+        let answer = gateway.call(path, &format!("w-{number}")).await;
+        if answer.is_ok_and(|answer| answer.status() == expected) {
+            return true;
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    false
+}
--- a/wire/tests/codec.rs
+++ b/wire/tests/codec.rs
@@ -8,7 +8,7 @@
         failure as core_failure,
         id::{Attempt, Boot, Incarnation, Instance},
     },
-    tamarackdale_wire::{Frame, claim, codec, failure::Failure},
+    tamarackdale_wire::{Frame, claim, codec, failure::Failure, report, summary},
 };
 
 fn frames() -> Vec<Frame> {
@@ -91,3 +91,20 @@
     assert_eq!(decoded.address, address);
     assert_eq!(core_claim::Record::from(decoded), record);
 }
+
+/// Guards against a decoder that recurses, or that allocates what a length announces.
+#[rstest]
+#[case::arrays(vec![0x91; 100_000])]
+#[case::maps([0x81, 0x01].repeat(100_000))]
+#[case::unknown_field([&[0x81, 0xa1, b'x'][..], &[0x91; 100_000]].concat())]
+#[case::long_array(vec![0xdd, 0xff, 0xff, 0xff, 0xff])]
+#[case::long_map(vec![0xdf, 0xff, 0xff, 0xff, 0xff])]
+#[case::long_text(vec![0xdb, 0xff, 0xff, 0xff, 0xff])]
+#[case::long_bytes(vec![0xc6, 0xff, 0xff, 0xff, 0xff])]
+#[case::empty(Vec::new())]
+fn odd_message_is_refused(#[case] bytes: Vec<u8>) {
+    assert!(codec::decode::<Frame>(&bytes).is_err());
+    assert!(codec::decode::<summary::Frame>(&bytes).is_err());
+    assert!(codec::decode::<summary::SavedQuotaUse>(&bytes).is_err());
+    assert!(codec::decode::<report::Report>(&bytes).is_err());
+}
