Wire: messages are nested 32 levels at most

A gateway ended at each start while the saved quota use in the store consisted of nested maps: rmp-serde decodes 1,024 levels, which overflows the stack of a thread in a debug build. The same holds for every message of a peer, in a gateway, a router or a sidecar. Messages in use are nested a few levels; the limit is 32.

--- a/wire/src/codec.rs
+++ b/wire/src/codec.rs
@@ -10,6 +10,10 @@
 /// Largest message accepted, in bytes.
 pub const MAX_MESSAGE_BYTES: usize = 32 * 1024 * 1024;
 
+/// Most levels of nesting in a message. Those of the messages in use are fewer, and the default of the
+/// library, 1,024, overflows the stack of a thread in a build without optimisation.
+const MAX_DEPTH: usize = 32;
+
 /// Errors of encoding and decoding.
 #[derive(Debug, Display, Error, From)]
 pub enum Error {
@@ -31,7 +35,9 @@
 
 /// Decodes a message from a complete HTTP body.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
-    Ok(rmp_serde::from_slice(bytes)?)
+    let mut deserializer = rmp_serde::Deserializer::from_read_ref(bytes);
+    deserializer.set_max_depth(MAX_DEPTH);
+    Ok(T::deserialize(&mut deserializer)?)
 }
 
 /// Encodes a message with its length prefix, as an item of a stream.
