Test: a sidecar's report with the largest numbers, known red

The sequence number of the last attempt that a sidecar reports, and its limit, are added to without a check: attempt to add with overflow in a debug build.

--- a/core/tests/route.rs
+++ b/core/tests/route.rs
@@ -428,3 +428,46 @@
         prop_assert!(choice.is_ok() || loaded.is_err());
     }
 }
+
+/// Guards against arithmetic that overflows: a sidecar may report any numbers.
+#[rstest]
+#[case(0)]
+#[case(u32::MAX)]
+fn absurd_report_can_be_used(#[case] number: u32) {
+    let work = WaitingWork {
+        requests: number,
+        prefill_tokens: number,
+        decode_tokens: number,
+        shares: vec![Share {
+            organisation: 1,
+            weight: number,
+            tokens: number,
+        }],
+    };
+    let absurd = Report {
+        limit: number,
+        running: number,
+        running_tokens: number,
+        unprefilled_tokens: number,
+        waiting: vec![work; 300],
+        rates: Rates::new(f64::from(number) * f64::MAX, 0.0),
+        seen: vec![attempt(u64::from(number) << 32 | u64::from(number))],
+        ..report(1)
+    };
+    let mut table = table(Policy::default(), vec![report(1), report(2)]);
+    dispatch(&mut table, 1, 1, &cost(Vec::new()));
+    table.update(absurd, NOW);
+
+    let ranks = [Rank::FIRST, Rank(1), Rank(255)];
+    let choices = ranks.map(|rank| {
+        let deadline = NOW.plus(Duration::from_secs(60));
+        let request = Request::new(rank, "joiners", cost(Vec::new()), deadline);
+        table
+            .choose(&request, &[], NOW, &mut rng())
+            .map(|choice| choice.incarnation.instance)
+    });
+
+    for choice in choices {
+        assert_eq!(choice.expect("a sidecar"), instance(2));
+    }
+}
