Routers: a sidecar's report with the largest numbers can be used

Seen in a debug build: a reported attempt with the largest sequence number ends the addition of one with an overflow. The limit of the most urgent rank is computed in the same way; that one was not seen by itself. Both saturate.

Test: absurd_report_can_be_used, one of two cases red before, both pass now, with the others of core/tests/route.rs and core/tests/batch_limit.rs.

--- a/core/src/batch_limit.rs
+++ b/core/src/batch_limit.rs
@@ -74,7 +74,7 @@
     if rank != Rank::FIRST {
         return limit;
     }
-    limit + (f64::from(limit) * URGENT_HEADROOM).ceil() as u32
+    limit.saturating_add((f64::from(limit) * URGENT_HEADROOM).ceil() as u32)
 }
 
 /// Adaptive limit on the number of running requests.
--- a/core/src/route/sidecar.rs
+++ b/core/src/route/sidecar.rs
@@ -72,7 +72,10 @@
     pub(super) fn update(&mut self, report: Report, router: Boot, now: Timestamp) {
         let seen = report.seen.iter().find(|attempt| attempt.router == router);
         if let Some(seen) = seen {
-            self.unreported = self.unreported.split_off(&(seen.sequence + 1));
+            self.unreported = match seen.sequence.checked_add(1) {
+                Some(next) => self.unreported.split_off(&next),
+                None => BTreeMap::new(),
+            };
         }
         self.is_leaving |= report.leaving;
         self.report = report;
