--- a/testbed/tests/odd_entries.rs
+++ b/testbed/tests/odd_entries.rs
@@ -18,6 +18,9 @@
 /// Longest line in the log, in bytes.
 const LONGEST_LINE: usize = 16 * 1024;
 
+/// Connections that a server of `plain` accepts. A test with two servers sends 15 requests at a time.
+const MAX_CONNS: usize = 8;
+
 /// Size of an entry that must not be logged as a whole, in bytes.
 const LARGE: usize = 1024 * 1024;
 
@@ -297,7 +300,11 @@
 /// Guards against a server that takes all requests because it claims to have more slots than any.
 #[tokio::test]
 async fn server_with_an_absurd_number_of_slots_does_not_take_all_requests() {
-    let site = site();
+    let configuration = Configuration::default()
+        .with("/services/1/max_conns", json!(MAX_CONNS))
+        // Too little for a wait at a server.
+        .with("/routes/3/target_latency_ms", json!(1));
+    let site = Site::new(&configuration).expect("starts");
     let (first, second) = (server("plain-1"), server("plain-2"));
     let (key, value) = first.registration("ready");
     let value = String::from_utf8(value).expect("text");
@@ -311,13 +318,25 @@
 
     let gateway = &gateway;
     let calls = (0..100).map(|number| async move {
-        sleep(Duration::from_millis(5 * number)).await;
+        sleep(Duration::from_millis(7 * number)).await;
         let answer = gateway.call("/status/1", &format!("s-{number}")).await;
         answer.map_or(0, |answer| answer.status())
     });
-    let statuses = futures_util::future::join_all(calls).await;
+    let calls = futures_util::future::join_all(calls);
+    let mut most_at_once = 0;
+    let observation = async {
+        loop {
+            most_at_once = first.working().max(most_at_once);
+            sleep(Duration::from_millis(2)).await;
+        }
+    };
+    let statuses = tokio::select! {
+        statuses = calls => statuses,
+        () = observation => Vec::new(),
+    };
 
     assert_eq!(statuses, [200; 100]);
+    assert!(most_at_once <= MAX_CONNS, "{most_at_once} at once");
     let runs = (first.runs().len(), second.runs().len());
     assert!(runs.0 >= 10 && runs.1 >= 10, "{runs:?}");
     assert_eq!(panics(gateway), Vec::<String>::new());
