Gateways: a server has no more slots than it accepts connections

A server runs one request at a time on a connection, so the slots that it states are bounded by the max_conns of its service, if that is known. Backend servers are applied again when the configuration changes, since a gateway may read them first.

--- a/core/src/routing_config.rs
+++ b/core/src/routing_config.rs
@@ -11,7 +11,10 @@
     route::{RepeatPolicy, Route, Target},
 };
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use {
+    crate::fleet::Members,
+    std::{collections::HashMap, sync::Arc, time::Duration},
+};
 
 /// Properties of a model engine, as configured by the operator.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -29,7 +32,8 @@
 pub struct Service {
     /// Name.
     pub name: String,
-    /// Maximum number of connections to each of its backend servers, over all callers.
+    /// Maximum number of connections to each of its backend servers, over all callers; zero if it is
+    /// not known.
     pub max_connections: u32,
     /// Properties of its engines; none for a plain service.
     pub engine: Option<Engine>,
@@ -156,6 +160,20 @@
         self.services.get(name)
     }
 
+    /// The members, none with more slots than its service's servers accept connections: a server runs
+    /// one request at a time on each.
+    pub fn with_bounded_slots(&self, members: &Members) -> Members {
+        let mut members = members.clone();
+        for member in members.values_mut() {
+            let service = self.service(&member.service);
+            let max = service.map_or(0, |service| service.max_connections);
+            if max > 0 {
+                member.slots = member.slots.min(max);
+            }
+        }
+        members
+    }
+
     /// The route of a request: the one of `host` with the longest prefix that matches `path`. A
     /// port in `host` is ignored.
     pub fn route(&self, host: &str, path: &str) -> Result<&Arc<Route>, Denial> {
--- a/core/tests/routing_config.rs
+++ b/core/tests/routing_config.rs
@@ -4,9 +4,10 @@
     rstest::rstest,
     std::time::Duration,
     tamarackdale_core::{
+        fleet::{Member, Members},
         routing_config::{
             Denial, Limits, Organisation, RepeatPolicy, Route, RoutingConfig, RoutingConfigParts,
-            Target,
+            Service, Target,
         },
         tier::Rank,
     },
@@ -115,3 +116,39 @@
     assert_eq!(new.count(), 100);
     assert_eq!(split.target(5), split.target(5));
 }
+
+/// Guards against a server that is never full because of the number of slots that it states.
+#[rstest]
+#[case("s", u32::MAX, 8)]
+#[case("s", 8, 8)]
+#[case("s", 4, 4)]
+#[case("unbounded", u32::MAX, u32::MAX)]
+#[case("unknown", u32::MAX, u32::MAX)]
+fn server_has_no_more_slots_than_it_accepts_connections(
+    #[case] service: &str,
+    #[case] stated: u32,
+    #[case] expected: u32,
+) {
+    let with_connections = |name: &str, max_connections| Service {
+        name: name.to_owned(),
+        max_connections,
+        engine: None,
+    };
+    let config = RoutingConfig::new(RoutingConfigParts {
+        services: vec![with_connections("s", 8), with_connections("unbounded", 0)],
+        ..RoutingConfigParts::default()
+    });
+    let member = Member {
+        id: "i".to_owned(),
+        started_at_ms: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        service: service.to_owned(),
+        data_centre: "a".to_owned(),
+        slots: stated,
+        is_leaving: false,
+    };
+
+    let members = config.with_bounded_slots(&Members::from([("i".to_owned(), member)]));
+
+    assert_eq!(members["i"].slots, expected);
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -104,19 +104,29 @@
 }
 
 /// Applies the registered backend servers to the scheduler and to the connection pool, on each
-/// change and every second.
+/// change of theirs or of the configuration, and every second.
 async fn apply_members(context: &Context) {
     let mut members = context.store.members.clone();
+    let mut configuration = context.store.configuration.clone();
     loop {
         let current = members.borrow_and_update().clone();
-        context.scheduler.update_servers(&current);
+        let snapshot = configuration.borrow_and_update().clone();
+        match snapshot {
+            Some(snapshot) => {
+                let bounded = snapshot.value.with_bounded_slots(&current);
+                context.scheduler.update_servers(&bounded);
+            }
+            None => context.scheduler.update_servers(&current),
+        }
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
-        if timeout(Duration::from_secs(1), members.changed())
-            .await
-            .is_ok_and(|changed| changed.is_err())
-        {
+        let is_closed = tokio::select! {
+            changed = members.changed() => changed.is_err(),
+            changed = configuration.changed() => changed.is_err(),
+            () = sleep(Duration::from_secs(1)) => false,
+        };
+        if is_closed {
             return std::future::pending().await;
         }
     }
