Test: streams that began before a release go on at their version

Gateways keep the version of a stream only while several versions serve. A stream that begins under one version must not be joined when another one comes and all gateways end at once, and must go on when they had time to hear of it.

--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -507,6 +507,35 @@
     assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
 }
 
+/// Guards against streams whose version nobody keeps because there was only one when they began, when
+/// another one comes and all gateways end soon after.
+#[rstest]
+#[case::at_once(Duration::from_millis(100), false)]
+#[case::when_all_know_of_it(IN_FORCE, true)]
+#[tokio::test]
+async fn streams_that_began_before_a_release_go_on_at_their_version(
+    #[case] pause: Duration,
+    #[case] is_in_force: bool,
+) {
+    let mut bench = Bench::start(3, 2, 2).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    let mut callers = bench.begin(CALLERS, 1).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    bench.register(&bench.new);
+    sleep(pause).await;
+    bench.kill_all_gateways().await;
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    let is_enough = whole * 2 >= CALLERS || !is_in_force;
+    assert!(is_enough, "{whole} of {CALLERS} go on");
+}
+
 /// How the store is in trouble.
 #[derive(Clone, Copy, Debug)]
 enum Trouble {
