--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -4,7 +4,11 @@
 //! it: within one response, and when its caller takes it up with another request.
 
 use {
-    crate::{fleet::Members, rendezvous, time::Timestamp},
+    crate::{
+        fleet::Members,
+        rendezvous,
+        time::{self, Timestamp},
+    },
     std::{
         collections::{BTreeMap, HashMap},
         sync::Arc,
@@ -16,6 +20,20 @@
 /// saved origins of a process are kept after its end. Longer than any stream, its repeats included.
 pub const RETENTION: Duration = Duration::from_secs(60);
 
+/// Time between two saves of a router's table. Streams that began within it are unknown if all routers
+/// end at once.
+const SAVE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Part of the store's writing calls that all routers together use for saves.
+const WRITE_FRACTION: f64 = 0.2;
+
+/// Time between two saves of one of `routers` routers, if the store takes `writes_per_s` writing calls a
+/// second from all of them.
+pub fn save_interval(routers: usize, writes_per_s: f64) -> Duration {
+    let turn_s = routers as f64 / (writes_per_s * WRITE_FRACTION);
+    SAVE_INTERVAL.max(time::seconds(turn_s))
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Origin {
--- a/core/tests/origin.rs
+++ b/core/tests/origin.rs
@@ -76,6 +76,22 @@
     assert_eq!(streams, [6, 7, 8, 9]);
 }
 
+/// Guards against saves of a large fleet that take the store's writes from everything else.
+#[rstest]
+fn saves_of_all_routers_take_a_fifth_of_the_stores_writes_at_most(
+    #[values(8, 41, 103, 360)] routers: usize,
+    #[values(400.0, 1_200.0, 3_200.0)] writes_per_s: f64,
+) {
+    let interval = origin::save_interval(routers, writes_per_s);
+
+    let all_per_s = routers as f64 / interval.as_secs_f64();
+    assert!(
+        all_per_s <= writes_per_s * 0.2 + 1e-6,
+        "{all_per_s} a second"
+    );
+    assert!(interval * 10 < RETENTION, "saved every {interval:?}");
+}
+
 /// Guards against a stream that goes on at the only version in service although another one, which has
 /// just left, may have begun it.
 #[rstest]
--- a/daemon/src/gateway/origins.rs
+++ b/daemon/src/gateway/origins.rs
@@ -13,22 +13,16 @@
     },
     tamarackdale_core::{
         fleet::{Member, Members},
-        origin::{Origin, Table, Versions},
+        origin::{self, Origin, Table, Versions},
         time::Timestamp,
     },
     tamarackdale_wire::origin::Saved,
     tokio::time::sleep,
 };
 
-/// Time between two saves. Streams that began within it are unknown if all gateways end at once.
-const SAVE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time from the first change after a quiet time until it is saved. Streams begin in groups.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 
-/// Part of the store's writing calls that all gateways together use for saves.
-const WRITE_FRACTION: f64 = 0.2;
-
 /// Most streams that are saved, so that the entry stays within half of the store's limit of 1 MiB.
 const MAX_SAVED: usize = 40_000;
 
@@ -125,9 +119,7 @@
 
 fn save_interval(context: &Context) -> Duration {
     let (_, gateways) = context.known_peers().counts();
-    let writes_per_s = context.settings.borrow().store_writes_per_s * WRITE_FRACTION;
-    let turn_s = gateways as f64 / writes_per_s;
-    SAVE_INTERVAL.max(tamarackdale_core::time::seconds(turn_s))
+    origin::save_interval(gateways, context.settings.borrow().store_writes_per_s)
 }
 
 /// Finds where a stream began that its caller takes up. `stream` is `None` if the caller does not say
