Gateways: a stream that moves asks a third server when the second one is silent too

A stream that had left a silent server waited for the next one to the end of its time, although a third one was sound; callers leave after two seconds without an event.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -117,11 +117,6 @@
 }
 
 impl Connected {
-    /// The backend server.
-    pub fn member(&self) -> &Member {
-        &self.member
-    }
-
     /// Sends the request.
     pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
         let time_left = job.time_left();
@@ -141,7 +136,7 @@
 }
 
 /// Response headers, or why there are none; the request is returned if it was not written.
-type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+pub type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
 
 /// A request that was sent and has no response yet. Dropping it closes the connection.
 pub struct Sent {
@@ -151,6 +146,11 @@
 }
 
 impl Sent {
+    /// The backend server.
+    pub fn member(&self) -> &Member {
+        &self.connected.member
+    }
+
     /// Waits for the response headers. Dropping the future loses nothing.
     pub async fn response(&mut self) -> SendResult {
         self.response.as_mut().await
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         Cause, Job,
-        exchange::{Exchange, ExchangeError},
+        exchange::{Exchange, ExchangeError, SendResult, Sent},
         takeover,
     },
     crate::http::body,
@@ -161,7 +161,7 @@
             return None;
         }
         let max_wait = match self.job.events {
-            0 => FIRST_EVENT_PATIENCE + self.job.request.route.objective * 2,
+            0 => self.first_event_patience(),
             _ => EVENT_PATIENCE,
         };
         Some(max_wait.saturating_sub(self.waiting_since.elapsed()))
@@ -186,7 +186,6 @@
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => return Some(result),
             connected = takeover::find(&self.job, &member) => connected,
         };
-        let next = connected.member().clone();
         self.job.dispatch.begin_move();
         let mut sent = match connected.send(&mut self.job) {
             Ok(sent) => sent,
@@ -202,17 +201,18 @@
             response = sent.response() => Some(response),
             () = sleep(MAX_OVERLAP) => None,
         };
-        let response = match response {
-            Some(response) => response,
+        let (sent, response) = match response {
+            Some(response) => (sent, response),
             None => {
                 // Drops the silent exchange, and so closes its connection.
                 self.leave_silent();
-                match timeout(self.job.time_left(), sent.response()).await {
-                    Ok(response) => response,
+                match timeout(time_left, self.wait_for_response(sent)).await {
+                    Ok(responded) => responded,
                     Err(_) => return Some(ReadResult::TimedOut),
                 }
             }
         };
+        let next = sent.member().clone();
         let failure = match sent.into_exchange(&self.job, response) {
             Ok(exchange) if exchange.is_stream() => {
                 self.leave_silent();
@@ -235,6 +235,43 @@
         Some(ReadResult::NotTaken(next, failure))
     }
 
+    /// Waits for the response to a request that was sent, and seeks another backend server while there
+    /// is none. Returns the request to which a response came.
+    async fn wait_for_response(&mut self, mut sent: Sent) -> (Sent, SendResult) {
+        loop {
+            if !self.job.dispatch.may_send_again() {
+                let response = sent.response().await;
+                return (sent, response);
+            }
+            let silent = sent.member().clone();
+            let connected = tokio::select! {
+                biased;
+                response = sent.response() => return (sent, response),
+                connected = async {
+                    sleep(self.first_event_patience()).await;
+                    takeover::find(&self.job, &silent).await
+                } => connected,
+            };
+            let Ok(mut next) = connected.send(&mut self.job) else {
+                let response = sent.response().await;
+                return (sent, response);
+            };
+            tokio::select! {
+                biased;
+                response = sent.response() => return (sent, response),
+                response = next.response() => return (next, response),
+                () = sleep(MAX_OVERLAP) => {}
+            }
+            self.job.excluded.push(silent.id);
+            sent = next;
+        }
+    }
+
+    /// Time for which a backend server may stay silent before its first event.
+    fn first_event_patience(&self) -> Duration {
+        FIRST_EVENT_PATIENCE + self.job.request.route.objective * 2
+    }
+
     /// Closes the connection to a silent backend server.
     fn leave_silent(&mut self) {
         if let Some(silent) = self.exchange.take() {
