--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -583,3 +583,277 @@
     let whole = whole(&callers);
     assert!(whole * 2 >= begun, "{whole} of {begun} go on");
 }
+
+/// Callers whose streams have each brought an event at one gateway and are still open.
+async fn begin_at(bench: &Bench, gateway: usize) -> Vec<Caller> {
+    let mut callers: Vec<Caller> = (0..CALLERS).map(caller).collect();
+    let address = bench.callers_address(gateway);
+    join_all(callers.iter_mut().map(|caller| caller.begin(address, 1))).await;
+    assert_eq!(begun(&callers), CALLERS);
+    callers
+}
+
+/// Lets each caller take its stream up at one gateway, until it is served or gives up.
+async fn take_up_at(bench: &Bench, callers: &mut [Caller], gateway: usize) {
+    let address = bench.callers_address(gateway);
+    let calls = callers.iter_mut().map(|caller| async move {
+        for _ in 0..TAKE_UPS {
+            if caller.call(address).await {
+                return;
+            }
+            sleep(PAUSE).await;
+        }
+    });
+    join_all(calls).await;
+}
+
+/// Status and text of what the first caller's take-ups brought.
+fn answers(callers: &[Caller]) -> Vec<(Option<u16>, &str)> {
+    let later = callers[0].tries().iter().skip(1);
+    later.map(|later| (later.status(), later.text())).collect()
+}
+
+/// Guards against gateways that have just started and take the version that they find for the only one
+/// that there was: another one left while they were down.
+#[rstest]
+#[case::all_gateways_killed(true)]
+#[case::one_gateway_killed(false)]
+#[tokio::test]
+async fn stream_whose_version_left_while_its_gateway_was_down_does_not_go_on_at_another(
+    #[case] kills_all: bool,
+) {
+    let mut bench = Bench::start(2, 1, 2).await;
+    let first = bench.gateways[0].callers();
+    let mut callers: Vec<Caller> = (0..CALLERS).map(caller).collect();
+    join_all(callers.iter_mut().map(|caller| caller.begin(first, 2))).await;
+    assert!(begun(&callers) >= 8, "{} begin", begun(&callers));
+
+    bench.gateways[0].process.kill().expect("ends");
+    if kills_all {
+        bench.gateways[1].process.kill().expect("ends");
+    }
+    bench
+        .site
+        .store
+        .remove(&format!("servers/{}", bench.old[0].id()));
+    bench.register(&bench.new);
+    bench.gateways[0].restart().expect("starts");
+    assert!(bench.gateways[0].wait_ready(true).await, "not ready");
+    sleep(IN_FORCE).await;
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    join_all(callers.iter_mut().map(|caller| caller.call(first))).await;
+
+    assert_not_joined(&callers);
+}
+
+/// Two gateways, of which the first one has not heard of the new version, and the second one has just
+/// saved streams of the old version only. Its next save is half a second later.
+async fn saved_without_new_version() -> Bench {
+    for _ in 0..10 {
+        let mut bench = Bench::start(1, 1, 1).await;
+        bench.set_latency(QUICK);
+        bench.site.store.set_watches_silent(true);
+        bench.register(&bench.new);
+        let second = bench.site.gateway("gateway-later").expect("starts");
+        assert!(second.wait_ready(true).await, "not ready");
+        bench.gateways.push(second);
+        let mut other = Caller::new(PATH, "other");
+        other.call(bench.callers_address(1)).await;
+        if other.versions() == BTreeSet::from(["v1".to_owned()]) {
+            return bench;
+        }
+    }
+    panic!("no stream begins at the old version");
+}
+
+/// Guards against a gateway that has not heard of a new version yet and takes the old one for the only
+/// one, when a stream that began at the new one comes to it before its gateway has saved it.
+#[tokio::test]
+async fn stream_of_a_version_that_a_gateway_has_not_heard_of_does_not_go_on_there_at_another() {
+    let bench = saved_without_new_version().await;
+
+    let mut callers: Vec<Caller> = (0..CALLERS * 2).map(caller).collect();
+    let (from, to) = (bench.callers_address(1), bench.callers_address(0));
+    let calls = callers.iter_mut().map(|caller| async move {
+        caller.begin(from, 1).await;
+        caller.leave();
+        caller.call(to).await;
+    });
+    join_all(calls).await;
+
+    assert_not_joined(&callers);
+}
+
+/// Guards against take-ups that wait for the store beyond the time that they have.
+#[tokio::test]
+async fn take_up_beside_a_store_that_hangs_is_answered_in_its_time() {
+    const BUDGET: Duration = Duration::from_millis(500);
+    let bench = Bench::start_in_service(2, 2).await;
+    let mut callers = (0..CALLERS)
+        .map(|number| {
+            Caller::new(PATH, &format!("c{number}")).with_time_budget(Duration::from_millis(1_000))
+        })
+        .collect::<Vec<_>>();
+    join_all(
+        callers
+            .iter_mut()
+            .map(|caller| caller.begin(bench.callers_address(0), 1)),
+    )
+    .await;
+    assert_eq!(begun(&callers), CALLERS);
+    bench.site.store.stop(Outage::Hang);
+
+    callers.iter_mut().for_each(Caller::leave);
+    let mut callers: Vec<Caller> = callers
+        .into_iter()
+        .map(|caller| caller.with_time_budget(BUDGET))
+        .collect();
+    let calls = callers.iter_mut().map(|caller| {
+        let address = bench.callers_address(1);
+        async move {
+            let start = tokio::time::Instant::now();
+            caller.call(address).await;
+            start.elapsed()
+        }
+    });
+    let elapsed = join_all(calls).await;
+
+    let longest = elapsed.into_iter().max().unwrap_or_default();
+    assert!(
+        longest < BUDGET + Duration::from_millis(500),
+        "answered after {longest:?} with a time budget of {BUDGET:?}"
+    );
+}
+
+/// Guards against a stream that is forgotten when the route's time is over, although its caller has more
+/// and comes back.
+#[rstest]
+#[case::at_once(Duration::from_millis(500))]
+#[case::after_a_pause(IN_FORCE)]
+#[tokio::test]
+async fn stream_that_ended_with_its_routes_time_is_taken_up_for_as_long_as_its_caller_has(
+    #[case] pause: Duration,
+) {
+    let bench = Bench::start_in_service(2, 2).await;
+    let configuration = Configuration::default().with("/routes/1/timeout_ms", json!(1_000));
+    bench.site.configure(&configuration);
+    sleep(IN_FORCE).await;
+    let mut callers = bench.begin(CALLERS, 1).await;
+    assert_eq!(begun(&callers), CALLERS);
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    sleep(pause).await;
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 0).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    let answers = answers(&callers);
+    assert!(
+        whole * 2 >= CALLERS,
+        "{whole} of {CALLERS} go on: {answers:?}"
+    );
+}
+
+/// Guards against streams that other gateways do not know any more after the store was restored from a
+/// copy of before they began.
+#[tokio::test]
+async fn streams_are_known_again_after_the_store_was_restored() {
+    let bench = Bench::start_in_service(2, 2).await;
+    let copy = bench.site.store.copy();
+    let mut callers = begin_at(&bench, 0).await;
+    sleep(IN_FORCE / 2).await;
+    bench.site.store.restore(copy);
+    sleep(IN_FORCE / 2).await;
+
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    take_up_at(&bench, &mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    let whole = whole(&callers);
+    let answers = answers(&callers);
+    assert!(
+        whole * 2 >= CALLERS,
+        "{whole} of {CALLERS} go on: {answers:?}"
+    );
+}
+
+/// Guards against new requests that wait behind a stream whose version has no free slot, while servers
+/// of another version have.
+#[tokio::test]
+async fn new_streams_do_not_wait_behind_one_whose_version_has_no_free_slot() {
+    const LIMIT: Duration = Duration::from_millis(400);
+    let bench = Bench::start(1, 2, 2).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    bench.set_latency(Duration::from_millis(700));
+    let _open = bench.begin(16, 1).await;
+    bench
+        .new
+        .iter()
+        .for_each(|server| server.set_latency(QUICK));
+    bench.register(&bench.new);
+    sleep(IN_FORCE / 3).await;
+    let mut before = Caller::new(PATH, "before").with_time_budget(TIMEOUT);
+    let start = tokio::time::Instant::now();
+    before.begin(bench.callers_address(0), 1).await;
+    assert!(start.elapsed() < LIMIT, "no free slot");
+
+    bench.old[1].close();
+    sleep(Duration::from_millis(100)).await;
+    let calls = (0..8).map(|number| {
+        let address = bench.callers_address(0);
+        async move {
+            let mut caller = Caller::new(PATH, &format!("new-{number}")).with_time_budget(TIMEOUT);
+            let start = tokio::time::Instant::now();
+            caller.begin(address, 1).await;
+            (start.elapsed(), caller.tries()[0].status())
+        }
+    });
+    let begun = join_all(calls).await;
+
+    let late = begun
+        .iter()
+        .filter(|(elapsed, status)| *elapsed > LIMIT || *status != Some(200));
+    assert_eq!(late.count(), 0, "{begun:?}");
+}
+
+/// Guards against less urgent requests that are refused because a stream whose version has no free slot
+/// is shed, while servers of another version have free slots.
+#[tokio::test]
+async fn less_urgent_requests_are_not_refused_for_a_stream_whose_version_has_no_free_slot() {
+    let bench = Bench::start(1, 2, 2).await;
+    let configuration = Configuration::default()
+        .with("/routes/1/timeout_ms", json!(TIMEOUT.as_millis() as u64))
+        .with("/routes/0/timeout_ms", json!(TIMEOUT.as_millis() as u64))
+        .with("/routes/0/priority", json!(5));
+    bench.site.configure(&configuration);
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    bench.set_latency(Duration::from_millis(700));
+    let _open = bench.begin(16, 1).await;
+    bench
+        .new
+        .iter()
+        .for_each(|server| server.set_latency(QUICK));
+    bench.register(&bench.new);
+    sleep(IN_FORCE / 3).await;
+
+    bench.old[1].close();
+    let calls = (0..50).map(|number: u32| {
+        let address = bench.callers_address(0);
+        async move {
+            sleep(Duration::from_millis(40) * number).await;
+            let mut caller = Caller::new("/stream/1", &format!("less-{number}"));
+            caller.begin(address, 1).await;
+            let first = &caller.tries()[0];
+            (first.status(), first.text().to_owned())
+        }
+    });
+    let answers = join_all(calls).await;
+
+    let refused = answers.iter().filter(|(status, _)| *status != Some(200));
+    assert_eq!(refused.count(), 0, "{answers:?}");
+}
