--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -782,8 +782,13 @@
 
 /// Guards against new requests that wait behind a stream whose version has no free slot, while servers
 /// of another version have.
+#[rstest]
+#[case::crash(None)]
+#[case::silence(Some(Duration::from_secs(6)))]
 #[tokio::test]
-async fn new_streams_do_not_wait_behind_one_whose_version_has_no_free_slot() {
+async fn new_streams_do_not_wait_behind_one_whose_version_has_no_free_slot(
+    #[case] silence: Option<Duration>,
+) {
     const LIMIT: Duration = Duration::from_millis(400);
     let bench = Bench::start(1, 2, 2).await;
     bench.register(&bench.old);
@@ -801,7 +806,14 @@
     before.begin(bench.callers_address(0), 1).await;
     assert!(start.elapsed() < LIMIT, "no free slot");
 
-    bench.old[1].close();
+    match silence {
+        None => bench.old[1].close(),
+        Some(length) => {
+            bench.old[1].fall_silent(length);
+            // Until another server is sought for its streams.
+            sleep(Duration::from_millis(1_300)).await;
+        }
+    }
     sleep(Duration::from_millis(100)).await;
     let calls = (0..8).map(|number| {
         let address = bench.callers_address(0);
