Gateways: a stream that waits for a slot of its version holds up no others

Callers waited 0.76 s, or were refused with `floor`, although servers of the other version had 16 free slots: a stream that had lost its server and waited for one of its version went first, and nothing of its service was placed meanwhile; when it found none it raised the shed floor.

A request that is bound to a version competes for slots of that version only. It raises no floor: what it lacks is not a slot of the service.

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -164,7 +164,7 @@
             let urgency = key.urgency(now);
             // Requests that wait although a slot is free go before new ones.
             state.place_waiting(None, now);
-            let must_wait = state.is_behind_waiting(&request.service, urgency, now)
+            let must_wait = state.is_behind_waiting(&request, urgency, now)
                 || state.yields_to_peers(&request.service, urgency, now);
             if !must_wait {
                 match state.choose(&request, None, now) {
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -35,3 +35,12 @@
     /// Whether the request may stay where it is: it is not shed if there is no slot for it.
     pub is_optional: bool,
 }
+
+impl PlacementRequest {
+    /// Whether this request may need any slot that the other one may get. One that is bound to a
+    /// version needs none of the other versions.
+    pub fn competes_with(&self, other: &Self) -> bool {
+        let is_same_service = self.service == other.service;
+        is_same_service && (self.version.is_none() || self.version == other.version)
+    }
+}
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -219,7 +219,7 @@
     pub(super) fn count_ahead(&self, request: &PlacementRequest) -> usize {
         let waiting = self.queue.iter();
         let ahead = waiting.filter(|(key, waiter)| {
-            key.rank <= request.rank && waiter.request.service == request.service
+            key.rank <= request.rank && waiter.request.competes_with(request)
         });
         ahead.count()
     }
@@ -232,16 +232,16 @@
             .count()
     }
 
-    /// Whether a request of the service waits here that is at least as urgent as a new one.
+    /// Whether a request waits here that is at least as urgent as a new one and may need its slot.
     pub(super) fn is_behind_waiting(
         &self,
-        service: &str,
+        request: &PlacementRequest,
         urgency: Urgency,
         now: Timestamp,
     ) -> bool {
-        self.queue
-            .iter()
-            .any(|(key, waiter)| waiter.request.service == service && key.urgency(now) <= urgency)
+        self.queue.iter().any(|(key, waiter)| {
+            waiter.request.competes_with(request) && key.urgency(now) <= urgency
+        })
     }
 
     /// Whether the free slots are left to more urgent requests that wait at peers.
@@ -312,7 +312,8 @@
     /// Raises the shed floor to the rank of a request that is shed: for a while, less urgent
     /// requests are refused.
     pub(super) fn record_shed(&mut self, request: &PlacementRequest, now: Timestamp) {
-        if request.is_optional {
+        // One that is bound to a version lacks a slot there only.
+        if request.is_optional || request.version.is_some() {
             return;
         }
         if self
@@ -389,14 +390,14 @@
         if self.queue.is_empty() {
             return;
         }
-        let mut full_services: Vec<String> = Vec::new();
+        let mut unplaced: Vec<PlacementRequest> = Vec::new();
         for number in self.queue.order(now) {
             let Some((key, waiter)) = self.queue.get(number) else {
                 continue;
             };
             let urgency = key.urgency(now);
             let request = waiter.request.clone();
-            if full_services.contains(&request.service) {
+            if unplaced.iter().any(|other| other.competes_with(&request)) {
                 continue;
             }
             let choice = match self.yields_to_peers(&request.service, urgency, now) {
@@ -404,7 +405,7 @@
                 false => self.choose(&request, only, now).ok(),
             };
             let Some(choice) = choice else {
-                full_services.push(request.service);
+                unplaced.push(request);
                 continue;
             };
             let waiter = self.queue.remove(number);
