Gateways: a silent server that closes before its first event ends no stream

Its end, without a length and without an event, was taken for the end of the stream while another server was being asked; it is a break like others, and the other server gets its time. Found by reading; no test of its own.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -256,9 +256,9 @@
         self.parts.status.is_success() && body::is_event_stream(&self.parts.headers)
     }
 
-    /// Whether the first event has arrived.
-    pub fn has_begun(&self) -> bool {
-        self.in_flight.time_to_first_event().is_some()
+    /// Whether a response that is only ended by its connection has brought no event.
+    pub fn is_unbegun(&self) -> bool {
+        !self.is_framed && self.in_flight.time_to_first_event().is_none()
     }
 
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -55,7 +55,7 @@
 
 struct StreamRelay {
     job: Job,
-    /// `None` after the end of the stream.
+    /// `None` after the end of the stream, and between two backend servers.
     exchange: Option<Exchange>,
     splitter: Splitter,
     /// When the last event was passed on, or when the backend server began to respond.
@@ -137,8 +137,7 @@
     /// Whether a response that is only ended by its connection has ended without any event, as when
     /// its backend server crashes.
     fn ended_with_nothing(&self) -> bool {
-        let exchange = self.exchange.as_ref();
-        exchange.is_some_and(|exchange| !exchange.is_framed && !exchange.has_begun())
+        self.exchange.as_ref().is_some_and(Exchange::is_unbegun)
     }
 
     async fn read(&mut self) -> Option<ReadResult> {
@@ -195,7 +194,7 @@
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
                 ReadResult::Invalid(_) | ReadResult::Broken(_) => None,
-                ReadResult::End if self.splitter.is_inside_event() => None,
+                ReadResult::End if self.splitter.is_inside_event() || silent.is_unbegun() => None,
                 result => return Some(result),
             },
             response = sent.response() => Some(response),
