Gateways: the versions of services are saved always, and origins wherever they are missing

- Each gateway saves the versions that it knows as soon as there is a new one, and every 20 s, with or without streams: a start reads which versions there were before it, and another gateway's table tells of those that this one has not heard of.
- Tables are saved again when the store comes back from an older copy.
- Origins are kept for the caller's time if that is longer than the route's.
- Finding an origin takes a second at most, and half of the time that is left.
- A gateway reads the tables no more often than makes a fifth of the store's reads for all of them; computed and tested for 8, 41, 103 and 360 gateways.

--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -34,6 +34,15 @@
     SAVE_INTERVAL.max(time::seconds(turn_s))
 }
 
+/// Part of the store's reading calls that all routers together use for reading the saved tables.
+const READ_FRACTION: f64 = 0.2;
+
+/// Time between two reads of the saved tables by one of `routers` routers, if the store takes
+/// `reads_per_s` reading calls a second from all of them. Take-ups that come between share a read.
+pub fn read_interval(routers: usize, reads_per_s: f64) -> Duration {
+    time::seconds(routers as f64 / (reads_per_s * READ_FRACTION))
+}
+
 /// Where a stream began.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Origin {
@@ -125,7 +134,8 @@
 /// Versions of each service that serve, or of which streams may still be taken up.
 #[derive(Debug, Default)]
 pub struct Versions {
-    seen: HashMap<Origin, Timestamp>,
+    seen: HashMap<Arc<Origin>, Timestamp>,
+    has_changed: bool,
 }
 
 impl Versions {
@@ -139,7 +149,8 @@
         match self.seen.get_mut(origin) {
             Some(seen) => *seen = now,
             None => {
-                self.seen.insert(origin.clone(), now);
+                self.seen.insert(Arc::new(origin.clone()), now);
+                self.has_changed = true;
             }
         }
     }
@@ -153,8 +164,18 @@
         self.seen.retain(|_, seen| now.since(*seen) < RETENTION);
     }
 
+    /// All versions.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Origin>> {
+        self.seen.keys()
+    }
+
+    /// Whether there were new versions since the last call.
+    pub fn take_changes(&mut self) -> bool {
+        std::mem::take(&mut self.has_changed)
+    }
+
     /// The only version of a service, if there is no other one.
-    pub fn only(&self, service: &str) -> Option<&Origin> {
+    pub fn only(&self, service: &str) -> Option<&Arc<Origin>> {
         let mut versions = self.seen.keys().filter(|seen| seen.service == service);
         let only = versions.next()?;
         versions.next().is_none().then_some(only)
--- a/core/tests/origin.rs
+++ b/core/tests/origin.rs
@@ -92,6 +92,23 @@
     assert!(interval * 10 < RETENTION, "saved every {interval:?}");
 }
 
+/// Guards against take-ups of a large fleet that take the store's reads from everything else.
+#[rstest]
+fn reads_of_all_routers_take_a_fifth_of_the_stores_reads_at_most(
+    #[values(8, 41, 103, 360)] routers: usize,
+) {
+    const READS_PER_S: f64 = 2_000.0;
+
+    let interval = origin::read_interval(routers, READS_PER_S);
+
+    let all_per_s = routers as f64 / interval.as_secs_f64();
+    assert!(
+        all_per_s <= READS_PER_S * 0.2 + 1e-6,
+        "{all_per_s} a second"
+    );
+    assert!(interval < Duration::from_secs(1), "read every {interval:?}");
+}
+
 /// Guards against a stream that goes on at the only version in service although another one, which has
 /// just left, may have begun it.
 #[rstest]
@@ -131,5 +148,8 @@
 
     assert!(is_mixed_before);
     assert!(!versions.is_mixed());
-    assert_eq!(versions.only("engine"), Some(&origin("v2")));
+    assert_eq!(
+        versions.only("engine").map(AsRef::as_ref),
+        Some(&origin("v2"))
+    );
 }
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -3,13 +3,14 @@
 use {
     super::{Follower, rejections::Rejections},
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::Arc,
         time::{Duration, Instant},
     },
-    tamarackdale_core::origin::{Origin, RETENTION},
+    tamarackdale_core::origin::{self, Origin, RETENTION},
     tamarackdale_platform::store::{Entry, Error, Lease},
     tamarackdale_wire::{codec, origin::Saved},
+    tokio::{sync::watch, time::sleep},
 };
 
 /// Store key prefix of the saved origins; the gateway's boot identifier follows, so that a start does
@@ -22,12 +23,23 @@
 /// Time after which the lease is renewed before the next write.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Origins of streams by digest, as all gateways have saved them.
-pub type SavedOrigins = HashMap<u64, Arc<Origin>>;
+/// Interval at which the store is known to be another copy of itself, in which the origins may be missing.
+const ERA_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What all gateways have saved.
+#[derive(Debug, Default)]
+pub struct SavedOrigins {
+    /// Origins of streams by digest.
+    pub streams: HashMap<u64, Arc<Origin>>,
+    /// All versions that a gateway knew.
+    pub versions: HashSet<Arc<Origin>>,
+}
 
 /// Lease under which the origins are saved.
 struct OriginsLease {
     lease: Lease,
+    /// Era of the store in which it was granted.
+    era: Option<u64>,
     renewed: Instant,
 }
 
@@ -39,11 +51,11 @@
 
     async fn save_origins(&self) {
         let mut origins = self.channels.origins_to_save.clone();
-        let mut held = None;
+        let mut held: Option<OriginsLease> = None;
         let mut failures = 0;
         loop {
-            if failures == 0 && origins.changed().await.is_err() {
-                return;
+            if failures == 0 {
+                self.wait_for_save(&mut origins, held.as_ref()).await;
             }
             let (number, current) = origins.borrow_and_update().clone();
             match self.write_origins(&current, held.take()).await {
@@ -61,20 +73,43 @@
         }
     }
 
+    /// Waits until there is something to save, or the store was restored from an older copy.
+    async fn wait_for_save(
+        &self,
+        origins: &mut watch::Receiver<(u64, Saved)>,
+        held: Option<&OriginsLease>,
+    ) {
+        let restored = async {
+            loop {
+                sleep(ERA_INTERVAL).await;
+                if held.is_some_and(|held| held.era != self.store.eras().latest()) {
+                    return;
+                }
+            }
+        };
+        tokio::select! {
+            // The process holds the sender until it ends.
+            _ = origins.changed() => {}
+            () = restored => {}
+        }
+    }
+
     async fn write_origins(
         &self,
         origins: &Saved,
         held: Option<OriginsLease>,
     ) -> Result<OriginsLease, Error> {
-        let held = match held {
+        let era = self.store.eras().latest();
+        let held = match held.filter(|held| held.era == era) {
             Some(held) if held.renewed.elapsed() < RENEWAL_INTERVAL => held,
             Some(held) => {
                 self.store.renew_lease(held.lease).await?;
-                OriginsLease::new(held.lease)
+                OriginsLease::new(held.lease, era)
             }
             None => {
                 let duration = RETENTION.max(self.settings.borrow().min_lease);
-                OriginsLease::new(self.store.grant_lease(duration).await?)
+                let lease = self.store.grant_lease(duration).await?;
+                OriginsLease::new(lease, self.store.eras().latest())
             }
         };
         let bytes = codec::encode(origins).map_err(|error| Error::Malformed(error.to_string()))?;
@@ -90,6 +125,7 @@
         let mut rejections = Rejections::new();
         while requested.changed().await.is_ok() {
             let number = *requested.borrow_and_update();
+            let started = Instant::now();
             let read = self.read_origins(&mut rejections).await;
             let read = read
                 .inspect_err(|error| self.record_store_error("stream origins", error))
@@ -97,6 +133,10 @@
             self.channels
                 .origins
                 .send_replace((number, read.map(Arc::new)));
+            let gateways = self.channels.gateways.borrow().len() + 1;
+            let interval =
+                origin::read_interval(gateways, self.settings.borrow().store_reads_per_s);
+            sleep(interval.saturating_sub(started.elapsed())).await;
         }
     }
 
@@ -105,16 +145,27 @@
         for item in &range.unreadable {
             rejections.log_unreadable(WHAT, item);
         }
-        let saved = range.entries.iter();
-        let saved = saved.filter_map(|entry| decode(entry, rejections));
-        Ok(saved.flat_map(SavedOrigins::from).collect())
+        let mut all = SavedOrigins::default();
+        for entry in &range.entries {
+            if let Some(saved) = decode(entry, rejections) {
+                let by_origin = HashMap::<Arc<Origin>, Vec<u64>>::from(saved);
+                for (origin, streams) in by_origin {
+                    let streams = streams.into_iter();
+                    all.streams
+                        .extend(streams.map(|stream| (stream, Arc::clone(&origin))));
+                    all.versions.insert(origin);
+                }
+            }
+        }
+        Ok(all)
     }
 }
 
 impl OriginsLease {
-    fn new(lease: Lease) -> Self {
+    fn new(lease: Lease, era: Option<u64>) -> Self {
         Self {
             lease,
+            era,
             renewed: Instant::now(),
         }
     }
--- a/daemon/src/gateway/origins.rs
+++ b/daemon/src/gateway/origins.rs
@@ -1,13 +1,15 @@
 //! Origins of the streams that callers may take up, at this gateway or another one.
 //!
 //! A gateway keeps the origins of its own streams in memory. While a service has several versions,
-//! it saves them in the store, where all gateways find them, also after all have ended at once.
+//! it saves them in the store, where all gateways find them, also after all have ended at once. The
+//! versions themselves are saved always, so that a start knows whether there were others before it.
 
 use {
     super::context::Context,
     crate::clock::Clock,
     derive_more::Display,
     std::{
+        collections::BTreeMap,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -23,6 +25,9 @@
 /// Time from the first change after a quiet time until it is saved. Streams begin in groups.
 const SETTLE_TIME: Duration = Duration::from_millis(50);
 
+/// Time after which the table is saved again without a change, well before its lease ends.
+const KEEP_INTERVAL: Duration = Duration::from_secs(20);
+
 /// Most streams that are saved, so that the entry stays within half of the store's limit of 1 MiB.
 const MAX_SAVED: usize = 40_000;
 
@@ -32,7 +37,6 @@
     state: Mutex<State>,
 }
 
-#[derive(Default)]
 struct State {
     table: Table,
     versions: Versions,
@@ -40,6 +44,8 @@
     is_saved: bool,
     /// Number of saves that were passed to the follower.
     saves: u64,
+    /// When the last of them was.
+    saved_at: Timestamp,
 }
 
 /// Why the origin of a stream is not known.
@@ -58,7 +64,13 @@
     pub fn new(clock: Clock) -> Self {
         Self {
             clock,
-            state: Mutex::default(),
+            state: Mutex::new(State {
+                table: Table::new(),
+                versions: Versions::new(),
+                is_saved: false,
+                saves: 0,
+                saved_at: clock.now(),
+            }),
         }
     }
 
@@ -90,15 +102,26 @@
 
     /// What has changed since the last call and must be saved.
     fn changes_to_save(&self) -> Option<(u64, Saved)> {
+        let now = self.clock.now();
         let mut state = self.lock();
         let is_mixed = state.versions.is_mixed();
         let has_changed = state.table.take_changes() || !state.is_saved;
         state.is_saved = is_mixed;
-        if !is_mixed || !has_changed {
+        let has_new_version = state.versions.take_changes();
+        let is_due = state.saves > 0 && now.since(state.saved_at) >= KEEP_INTERVAL;
+        if !(is_mixed && has_changed || has_new_version || is_due) {
             return None;
         }
         state.saves += 1;
-        Some((state.saves, state.table.by_origin(MAX_SAVED).into()))
+        state.saved_at = now;
+        let mut streams = match is_mixed {
+            true => state.table.by_origin(MAX_SAVED),
+            false => BTreeMap::new(),
+        };
+        for version in state.versions.iter() {
+            streams.entry(Arc::clone(version)).or_default();
+        }
+        Some((state.saves, streams.into()))
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -117,7 +140,8 @@
     }
 }
 
-fn save_interval(context: &Context) -> Duration {
+/// Time after which a living gateway has saved the origins of the streams that it has begun.
+pub fn save_interval(context: &Context) -> Duration {
     let (_, gateways) = context.known_peers().counts();
     origin::save_interval(gateways, context.settings.borrow().store_writes_per_s)
 }
@@ -138,15 +162,14 @@
     }
     let saved = context.store.read_origins().await;
     let saved = saved.ok_or(Unknown::Unreadable)?;
-    if let Some(origin) = stream.and_then(|stream| saved.get(&stream)) {
+    if let Some(origin) = stream.and_then(|stream| saved.streams.get(&stream)) {
         return Ok(Arc::clone(origin));
     }
     let now = origins.clock.now();
     let mut state = origins.lock();
-    for origin in saved.values() {
+    for origin in &saved.versions {
         state.versions.observe(origin, now);
     }
     let only = state.versions.only(service);
-    only.map(|only| Arc::new(only.clone()))
-        .ok_or(Unknown::NotSaved)
+    only.cloned().ok_or(Unknown::NotSaved)
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -8,7 +8,7 @@
     self::exchange::{BodyError, Exchange, ExchangeError},
     super::{
         context::Context,
-        origins,
+        origins::{self, Unknown},
         refusal::{Cause, Refusal},
         scheduler::{InFlightRequest, PlacementRequest},
         starts,
@@ -52,13 +52,16 @@
 /// A request that only happened to be there is rarely lost at two in a row.
 const MAX_CRASHES_OF_RESENT: usize = 2;
 
-/// `Retry-After` of a request whose stream nobody knows. The gateway at which it began saves its origin
-/// within this time, if it lives.
-const ORIGIN_RETRY_AFTER: Duration = Duration::from_millis(600);
+/// Margin in the `Retry-After` of a request whose stream nobody knows, for the save of the gateway at
+/// which it began.
+const ORIGIN_RETRY_MARGIN: Duration = Duration::from_millis(100);
 
-/// Time after the deadline of a request for which its caller may still take its stream up.
+/// Time after the caller's and the route's time for which its caller may still take its stream up.
 const TAKE_UP_MARGIN: Duration = Duration::from_secs(2);
 
+/// Longest time for finding out where a stream began. Callers give up after two seconds without an event.
+const MAX_FINDING_TIME: Duration = Duration::from_millis(1_000);
+
 /// Longest time for which the first event of a stream waits for the store. Callers give up a second later.
 const MAX_CORRECTION_TIME: Duration = Duration::from_millis(1_000);
 
@@ -183,7 +186,10 @@
         };
         let resumes = head.resumes.as_deref();
         let known = resumes.is_some().then_some(stream);
-        let found = origins::find(&self.context, known, &self.service).await;
+        let finding = origins::find(&self.context, known, &self.service);
+        let limit = MAX_FINDING_TIME.min(self.time_left() / 2);
+        let found = timeout(limit, finding).await;
+        let found = found.unwrap_or(Err(Unknown::Unreadable));
         let id = head.id.as_str();
         match found {
             Ok(origin) => {
@@ -362,7 +368,10 @@
     /// Records that the stream, if it is one that callers may take up, runs at a backend server.
     fn record_origin(&mut self, member: &Member) {
         if let Some(stream) = self.stream {
-            let until = self.deadline.plus(TAKE_UP_MARGIN);
+            let route = &self.request.route;
+            let callers_time = self.request.head.time_budget.unwrap_or_default();
+            let time = callers_time.max(route.timeout) + TAKE_UP_MARGIN;
+            let until = self.request.accepted.plus(time);
             let correction = self.context.origins.record(stream, member, until);
             self.correction = correction.or(self.correction);
         }
@@ -476,7 +485,9 @@
             let random = self.context.scheduler.random();
             let retry_after = match (cause, self.quarantine()) {
                 (Cause::Quarantined, Some(remaining)) => remaining,
-                (Cause::OriginUnknown, _) => ORIGIN_RETRY_AFTER,
+                (Cause::OriginUnknown, _) => {
+                    origins::save_interval(&self.context) + ORIGIN_RETRY_MARGIN
+                }
                 _ => {
                     let earliest = self.context.scheduler.return_delay(&self.service);
                     let delay = wait_policy::retry_after(self.time_left(), random);
--- a/wire/src/origin.rs
+++ b/wire/src/origin.rs
@@ -12,13 +12,13 @@
 /// Origins that one router has saved.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct Saved {
-    /// Each origin with its streams.
-    pub origins: Vec<Origin>,
+    /// Each origin that the router knows, with its streams.
+    pub origins: Vec<Group>,
 }
 
 /// Streams that began at one version of a service.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct Origin {
+pub struct Group {
     /// Name of the service.
     pub service: String,
     /// Version of its software.
@@ -29,7 +29,7 @@
 
 impl From<BTreeMap<Arc<origin::Origin>, Vec<u64>>> for Saved {
     fn from(streams: BTreeMap<Arc<origin::Origin>, Vec<u64>>) -> Self {
-        let origins = streams.into_iter().map(|(origin, streams)| Origin {
+        let origins = streams.into_iter().map(|(origin, streams)| Group {
             service: origin.service.clone(),
             version: origin.version.clone(),
             streams,
@@ -40,16 +40,15 @@
     }
 }
 
-impl From<Saved> for HashMap<u64, Arc<origin::Origin>> {
+impl From<Saved> for HashMap<Arc<origin::Origin>, Vec<u64>> {
     fn from(saved: Saved) -> Self {
-        let by_stream = saved.origins.into_iter().flat_map(|saved| {
-            let origin = Arc::new(origin::Origin {
-                service: saved.service,
-                version: saved.version,
-            });
-            let streams = saved.streams.into_iter();
-            streams.map(move |stream| (stream, Arc::clone(&origin)))
+        let by_origin = saved.origins.into_iter().map(|group| {
+            let origin = origin::Origin {
+                service: group.service,
+                version: group.version,
+            };
+            (Arc::new(origin), group.streams)
         });
-        by_stream.collect()
+        by_origin.collect()
     }
 }
--- a/wire/tests/origin.rs
+++ b/wire/tests/origin.rs
@@ -26,13 +26,12 @@
     let saved = Saved::from(table.by_origin(10));
     let bytes = codec::encode(&saved).expect("encodes");
     let read: Saved = codec::decode(&bytes).expect("decodes");
-    let streams: HashMap<u64, Arc<Origin>> = read.into();
+    let mut streams: HashMap<Arc<Origin>, Vec<u64>> = read.into();
+    streams
+        .values_mut()
+        .for_each(|streams| streams.sort_unstable());
 
-    let expected = [
-        (1, origin("v1")),
-        (u64::MAX, origin("v2")),
-        (3, origin("v1")),
-    ];
+    let expected = [(origin("v1"), vec![1, 3]), (origin("v2"), vec![u64::MAX])];
     assert_eq!(streams, HashMap::from(expected));
 }
 
