--- a/testbed/src/injection/disturbance.rs
+++ b/testbed/src/injection/disturbance.rs
@@ -27,6 +27,10 @@
 /// How much slower an engine becomes, at most.
 const MAX_SLOW_FACTOR: f64 = 10.0;
 
+/// Length of a silence of a backend server, in milliseconds.
+const MIN_SILENCE_MS: u64 = 600;
+const MAX_SILENCE_MS: u64 = 1_500;
+
 /// A kind of fault.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[display(rename_all = "kebab-case")]
@@ -59,11 +63,13 @@
     DelayStore,
     /// The store loses answers after the write took effect.
     LoseAnswers,
+    /// A backend server falls silent for a while and goes on.
+    SilenceBackend,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::KillRouter,
         Self::KillSidecar,
         Self::PauseRouter,
@@ -78,6 +84,7 @@
         Self::StopStore,
         Self::DelayStore,
         Self::LoseAnswers,
+        Self::SilenceBackend,
     ];
 }
 
@@ -94,8 +101,8 @@
     BackendLink(usize),
     /// The link from a router to the store.
     StoreLink(usize),
-    /// An engine.
-    Engine(usize),
+    /// An engine or a plain service.
+    Backend(usize),
     /// The store.
     Store,
 }
@@ -119,7 +126,7 @@
             Kind::KillSidecar | Kind::PauseSidecar | Kind::ReplaceSidecar => {
                 Target::Sidecar(sidecar)
             }
-            Kind::SlowEngine => Target::Engine(sidecar),
+            Kind::SlowEngine | Kind::SilenceBackend => Target::Backend(sidecar),
             Kind::StopStore | Kind::DelayStore | Kind::LoseAnswers => Target::Store,
             Kind::SilenceLink | Kind::CutLink | Kind::TruncateLink | Kind::DelayLink => {
                 match generator.random_range(0..5) {
@@ -166,10 +173,14 @@
             (Kind::ReplaceSidecar, Target::Sidecar(index)) => {
                 deployment.sidecars[index].process.terminate()
             }
-            (Kind::SlowEngine, Target::Engine(index)) => {
+            (Kind::SlowEngine, Target::Backend(index)) => {
                 self.set_slow_factor(deployment, index, 1.0 + self.size * (MAX_SLOW_FACTOR - 1.0));
                 Ok(())
             }
+            (Kind::SilenceBackend, Target::Backend(index)) => {
+                self.silence(deployment, index);
+                Ok(())
+            }
             (_, Target::Store) => {
                 self.disturb_store(deployment);
                 Ok(())
@@ -208,7 +219,7 @@
                 }
                 sidecar.restart(&deployment.list)
             }
-            (_, Target::Engine(index)) => {
+            (_, Target::Backend(index)) => {
                 self.set_slow_factor(deployment, index, 1.0);
                 Ok(())
             }
@@ -231,6 +242,15 @@
         }
     }
 
+    fn silence(&self, deployment: &Deployment, index: usize) {
+        let range = (MAX_SILENCE_MS - MIN_SILENCE_MS) as f64;
+        let length = Duration::from_millis(MIN_SILENCE_MS + (self.size * range) as u64);
+        match &deployment.sidecars[index].backend_server {
+            Standin::Engine(engine) => engine.fall_silent(length),
+            Standin::Plain(plain) => plain.fall_silent(length),
+        }
+    }
+
     fn disturb_store(&self, deployment: &Deployment) {
         let store = &deployment.store;
         match self.kind {
