--- a/testbed/src/platform/soak/check.rs
+++ b/testbed/src/platform/soak/check.rs
@@ -26,7 +26,7 @@
 /// Take-ups from which the share that goes on is judged, as in the platform's rules.
 const ENOUGH_TAKE_UPS: usize = 12;
 
-/// Servers that ran each request.
+/// Servers that ran each request, oldest run first.
 type Runs = HashMap<String, Vec<usize>>;
 
 /// Checks all calls and counts them.
@@ -44,22 +44,31 @@
             let problems = problems.map(|problem| format!("{}: {problem}", attempt.id));
             report.violations.extend(problems);
         }
-        report.violations.extend(check_stream(call));
+        report.violations.extend(check_stream(call, &runs, world));
     }
     report.violations.extend(check_take_ups(calls, world));
     report.violations.extend_from_slice(world.ended());
 }
 
 fn runs(servers: &[Server]) -> Runs {
+    let runs = servers.iter().enumerate().flat_map(|(number, server)| {
+        let runs = server.runs().into_iter();
+        runs.map(move |run| (run.at, run.id, number))
+    });
+    let mut ordered: Vec<_> = runs.collect();
+    ordered.sort();
     let mut runs = Runs::new();
-    for (number, server) in servers.iter().enumerate() {
-        for run in server.runs() {
-            runs.entry(run.id).or_default().push(number);
-        }
+    for (_, id, number) in ordered {
+        runs.entry(id).or_default().push(number);
     }
     runs
 }
 
+fn ids<'a>(ran: &[usize], world: &'a World) -> Vec<&'a str> {
+    let servers = world.servers();
+    ran.iter().map(|number| servers[*number].id()).collect()
+}
+
 /// What is wrong with one try and its answer.
 fn problems(
     call: &Call,
@@ -67,10 +76,7 @@
     ran: &[usize],
     world: &World,
 ) -> impl Iterator<Item = String> {
-    let ids: Vec<&str> = ran
-        .iter()
-        .map(|number| world.servers()[*number].id())
-        .collect();
+    let ids = ids(ran, world);
     let status = attempt.status();
     let is_refusal = status.is_some_and(|status| REFUSALS.contains(&status));
     let is_quarantined = is_refusal && attempt.text().contains("quarantined");
@@ -119,7 +125,7 @@
 }
 
 /// Checks the events that a caller has, over all its tries.
-fn check_stream(call: &Call) -> Option<String> {
+fn check_stream(call: &Call, runs: &Runs, world: &World) -> Option<String> {
     let events: Vec<Event> = call.tries.iter().flat_map(Try::events).collect();
     let first = call.tries.first()?;
     let versions: BTreeSet<&str> = events.iter().map(|event| event.version.as_str()).collect();
@@ -127,7 +133,9 @@
         let tries = call.tries.iter().map(|attempt| {
             let events = attempt.events().into_iter();
             let events: Vec<_> = events.map(|event| (event.id, event.version)).collect();
-            format!("{} {:?} {events:?}", attempt.gateway, attempt.status())
+            let ran = runs.get(&attempt.id).map_or(&[][..], Vec::as_slice);
+            let (gateway, status, ran) = (attempt.gateway, attempt.status(), ids(ran, world));
+            format!("{gateway} {status:?} at {ran:?} {events:?}")
         });
         let tries: Vec<String> = tries.collect();
         return Some(format!("{}: joined: {}", first.id, tries.join("; ")));
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -363,6 +363,50 @@
     }
 }
 
+/// Guards against gateways that take the only version they see for the only one there has been: all
+/// servers were replaced while no gateway was there.
+#[tokio::test]
+async fn take_up_is_refused_when_its_version_was_replaced_while_no_gateway_was_there() {
+    let mut bench = Bench::start(2, 2, 2).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    let mut callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    bench.kill_gateways();
+    for server in &bench.old {
+        let key = format!("servers/{}", server.id());
+        bench.site.store.remove(&key);
+    }
+    bench.register(&bench.new);
+    bench.start_gateways_again().await;
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 0).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.new), 0, "runs at the new version");
+}
+
+/// Guards against take-ups that are refused although their service has only one version, because
+/// gateways that have just started know nothing of before.
+#[tokio::test]
+async fn streams_of_the_only_version_go_on_after_all_gateways_were_killed() {
+    let mut bench = Bench::start(3, 3, 0).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE).await;
+    let mut callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+
+    bench.kill_all_gateways().await;
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 1).await;
+
+    let whole = whole(&callers);
+    assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
+}
+
 /// Guards against a version that is forgotten after the first take-up: each one names the attempt that
 /// brought the first event, whoever served the ones between.
 #[tokio::test]
