--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -3,6 +3,7 @@
 pub mod activity;
 pub mod body;
 pub mod client;
+pub mod probe;
 pub mod server;
 
 pub use server::Server;
