Gateways: SIGHUP right after the start ends no process

A gateway that got SIGHUP before its handler was installed ended.

The handler is installed before anything else is started.

Not shown by a test of its own; the time before `main` cannot be covered.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -38,7 +38,7 @@
     std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
     tamarackdale_platform::Settings,
     tokio::{
-        signal::unix::{SignalKind, signal},
+        signal::unix::{Signal, SignalKind, signal},
         sync::{mpsc, watch},
         time::sleep,
     },
@@ -66,6 +66,11 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
+    // Installed first: without a handler the signal ends the process.
+    let hangup = {
+        let _entered = runtime.enter();
+        signal(SignalKind::hangup())?
+    };
     let shutdown = Shutdown::new();
     let clock = Clock::new();
     let boot = rand::rng().random();
@@ -98,7 +103,7 @@
         leaving: CancellationToken::new(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
-    let watched = watch_settings(path, settings_sender, context.clone());
+    let watched = watch_settings(path, hangup, settings_sender, context.clone());
     let served = runtime.block_on(async {
         tokio::select! {
             served = serve(&settings, &shutdown, context, introductions) => served,
@@ -233,10 +238,10 @@
 /// is logged and the current settings stay in force.
 async fn watch_settings(
     path: PathBuf,
+    mut hangup: Signal,
     sender: watch::Sender<Arc<Settings>>,
     context: Context,
 ) -> io::Result<()> {
-    let mut hangup = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
             _ = hangup.recv() => {}
