--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -117,11 +117,6 @@
 }
 
 impl Connected {
-    /// The backend server.
-    pub fn member(&self) -> &Member {
-        &self.member
-    }
-
     /// Sends the request.
     pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
         let time_left = job.time_left();
@@ -141,7 +136,7 @@
 }
 
 /// Response headers, or why there are none; the request is returned if it was not written.
-type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+pub type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
 
 /// A request that was sent and has no response yet. Dropping it closes the connection.
 pub struct Sent {
@@ -151,6 +146,11 @@
 }
 
 impl Sent {
+    /// The backend server.
+    pub fn member(&self) -> &Member {
+        &self.connected.member
+    }
+
     /// Waits for the response headers. Dropping the future loses nothing.
     pub async fn response(&mut self) -> SendResult {
         self.response.as_mut().await
@@ -256,9 +256,9 @@
         self.parts.status.is_success() && body::is_event_stream(&self.parts.headers)
     }
 
-    /// Whether the first event has arrived.
-    pub fn has_begun(&self) -> bool {
-        self.in_flight.time_to_first_event().is_some()
+    /// Whether a response that is only ended by its connection has brought no event.
+    pub fn is_unbegun(&self) -> bool {
+        !self.is_framed && self.in_flight.time_to_first_event().is_none()
     }
 
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
