Test of long silences at an engine behind a sidecar

Callers see a stream broken off while its sound engine is silent for longer than five seconds and the rest cannot be had on another connection, although most of their time is left.

The engine stand-in can now leave out the identifier of a response or refuse to continue it.

--- a/testbed/src/engine.rs
+++ b/testbed/src/engine.rs
@@ -62,6 +62,17 @@
 /// How often the load is sampled.
 const LOAD_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Whether a response can be continued on another connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Resumption {
+    /// By its identifier.
+    Offered,
+    /// Its identifier is known, and requests for it are refused.
+    Refused,
+    /// The events of a stream do not name it.
+    Unnamed,
+}
+
 /// Properties of an engine.
 #[derive(Clone, Debug)]
 pub struct Model {
@@ -75,6 +86,8 @@
     pub cache_event_gap: u64,
     /// What it does with old fencing tokens.
     pub fencing: Fencing,
+    /// Whether a response can be continued on another connection.
+    pub resumption: Resumption,
     /// Time to load or unload a model.
     pub load_time: Duration,
     /// Models loaded at the start.
@@ -90,6 +103,7 @@
             cache_event_lag: Duration::from_millis(200),
             cache_event_gap: 16,
             fencing: Fencing::Obeyed,
+            resumption: Resumption::Offered,
             load_time: Duration::from_millis(100),
             models: vec!["default".to_owned()],
         }
@@ -107,6 +121,12 @@
         self
     }
 
+    /// Sets whether a response can be continued on another connection.
+    pub fn with_resumption(mut self, resumption: Resumption) -> Self {
+        self.resumption = resumption;
+        self
+    }
+
     /// Sets the age of the load report.
     pub fn with_load_lag(mut self, lag: Duration) -> Self {
         self.load_lag = lag;
--- a/testbed/src/engine/api.rs
+++ b/testbed/src/engine/api.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        State, answer as text,
+        Resumption, State, answer as text,
         batch::Submission,
         cache::Change,
         prompt,
@@ -98,13 +98,18 @@
     };
     let mut batch = state.batch();
     let run = batch.submit(submission);
-    let found = (run.view(), run.progress.subscribe());
+    let mut view = run.view();
+    view.is_named = state.model.resumption != Resumption::Unnamed;
+    let found = (view, run.progress.subscribe());
     drop(batch);
     state.arrived.notify_one();
     found
 }
 
 async fn resume(state: &State, id: &str, query: Option<&str>) -> Response<Body> {
+    if state.model.resumption != Resumption::Offered {
+        return failure(StatusCode::NOT_FOUND, "no such response");
+    }
     let found = state
         .batch()
         .find(id)
--- a/testbed/src/engine/run.rs
+++ b/testbed/src/engine/run.rs
@@ -88,6 +88,7 @@
     pub(crate) fn view(&self) -> View {
         View {
             id: self.record.id.clone(),
+            is_named: true,
             model: self.model.clone(),
             seed: self.seed,
             output_tokens: self.record.output_tokens,
@@ -99,6 +100,8 @@
 #[derive(Clone)]
 pub(crate) struct View {
     pub(crate) id: String,
+    /// Whether events and answers have the identifier.
+    pub(crate) is_named: bool,
     pub(crate) model: String,
     seed: u64,
     output_tokens: u32,
@@ -122,7 +125,8 @@
 
     /// The response object of the protocol, without its text.
     pub(crate) fn response(&self, status: &str) -> Value {
-        json!({ "id": self.id, "object": "response", "model": self.model, "status": status })
+        let id = self.is_named.then_some(&self.id);
+        json!({ "id": id, "object": "response", "model": self.model, "status": status })
     }
 
     /// The whole text.
--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -9,8 +9,8 @@
     std::{fs, time::Duration},
     tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service},
-        engine::Hardware,
+        deployment::{BackendServer, Deployment, Layout, Service},
+        engine::{Hardware, Model, Outcome, Resumption},
         http,
         load::{Generator, Record, Schedule, Shot},
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
@@ -475,6 +475,18 @@
     Deployment::start(&layout).await.expect("starts")
 }
 
+/// One engine behind a sidecar and two routers, whose responses can be continued like this.
+async fn start_engine_with(resumption: Resumption) -> Deployment {
+    let hardware = Hardware::newer().with_speedup(4.0);
+    let model = Model::new(hardware).with_models(&["sharpening"]);
+    let mut service = Service::slibe_llm(&[]);
+    let model = model.with_resumption(resumption);
+    service.backend_servers.push(BackendServer::Engine(model));
+    Deployment::start(&Layout::new(vec![service]))
+        .await
+        .expect("starts")
+}
+
 /// A request to the engine whose answer takes a second or so.
 fn advice(index: usize) -> Shot {
     const TOKENS: u32 = 400;
@@ -540,6 +552,81 @@
     assert_whole(&records);
 }
 
+/// Guards against answers that a sidecar gives up, long before their deadline, because their sound
+/// engine is silent for longer than the sidecar takes to seek the rest on another connection, and the
+/// rest is not to be had there.
+#[rstest]
+#[case::no_identifier(Resumption::Unnamed, Duration::from_secs(7))]
+#[case::resumption_refused(Resumption::Refused, Duration::from_secs(7))]
+#[case::all_connections_silent(Resumption::Offered, Duration::from_secs(18))]
+#[tokio::test]
+async fn answers_of_an_engine_silent_for_long_midway_are_whole(
+    #[case] resumption: Resumption,
+    #[case] silence: Duration,
+) {
+    let deployment = start_engine_with(resumption).await;
+    let offered = offer(&deployment, advice);
+    wait_for_tokens(&deployment).await;
+
+    deployment.sidecars[0].engine().fall_silent(silence);
+    let records = offered.await.expect("no panic");
+
+    assert_whole(&records);
+}
+
+/// Guards against a caller who waits without end for a stream whose engine stays silent, and against one
+/// whose stream fails before its deadline.
+#[rstest]
+#[case::no_identifier(Resumption::Unnamed)]
+#[case::resumption_refused(Resumption::Refused)]
+#[case::all_connections_silent(Resumption::Offered)]
+#[tokio::test]
+async fn stream_of_an_engine_that_stays_silent_fails_at_its_deadline(
+    #[case] resumption: Resumption,
+) {
+    const DEADLINE: Duration = Duration::from_secs(20);
+    const MARGIN: Duration = Duration::from_millis(1_500);
+    let deployment = start_engine_with(resumption).await;
+    let offered = offer(&deployment, |index| advice(index).with_deadline(DEADLINE));
+    wait_for_tokens(&deployment).await;
+
+    deployment.sidecars[0].engine().fall_silent(CALL_LIMIT * 2);
+    let records = offered.await.expect("no panic");
+
+    for record in records {
+        let taken = record.ended - record.offered;
+        assert!(record.broken && !record.whole, "{record:?}");
+        assert!(taken >= DEADLINE - MARGIN, "{record:?}");
+        assert!(taken <= DEADLINE + MARGIN, "{record:?}");
+    }
+}
+
+/// Guards against a run that goes on for a caller who has left, because the sidecar waits for a silent
+/// engine.
+#[tokio::test]
+async fn run_at_an_engine_silent_for_long_is_cancelled_soon_after_its_caller_has_left() {
+    /// When the caller leaves; the sidecar seeks the rest elsewhere by then.
+    const CALLER_PATIENCE: Duration = Duration::from_secs(7);
+    /// Makes the answer take longer than that.
+    const SLOW_FACTOR: f64 = 20.0;
+    let deployment = start_engine_with(Resumption::Offered).await;
+    let engine = deployment.sidecars[0].engine();
+    engine.set_slow_factor(SLOW_FACTOR);
+    let generator = Generator::new(&deployment.entries()).with_limit(CALLER_PATIENCE);
+    let schedule = Schedule::burst(Duration::ZERO, 1);
+    let offered = tokio::spawn(async move { generator.run(&schedule, advice).await });
+    let has_begun = || engine.runs().iter().any(|run| run.decoded_tokens > 2);
+    assert!(wait::until(CALL_LIMIT, has_begun).await, "not begun");
+
+    engine.fall_silent(CALL_LIMIT);
+    let records = offered.await.expect("no panic");
+    let is_cancelled = || engine.runs()[0].outcome == Outcome::Cancelled;
+    let soon = wait::until(Duration::from_secs(2), is_cancelled).await;
+
+    assert!(!records[0].whole, "{records:?}");
+    assert!(soon, "{:?}", engine.runs());
+}
+
 /// Guards against requests that a sidecar or router gives up because a sound engine is silent before it
 /// begins to answer.
 #[tokio::test]
