A sidecar stays at a silent connection until another has the rest

Callers saw a stream broken off although its engine was sound and most of their time was left: the sidecar closed a connection after five seconds without an event (20 s before the first token) and then asked for the rest. A stream without a response identifier failed at once, one whose resumption was refused or not answered after five attempts.

The sidecar now keeps reading from the silent connection while it asks for the rest on another one, and closes it only when that one responds with an event stream. If the response has no identifier, or the rest is not to be had, it waits until the request's deadline, and at least as long as five attempts took before. The task computes the deadline from the time left that the offer names. Cancellation still ends the exchange at any point of the wait. A connection that closes or fails is handled as before.

--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -4,12 +4,9 @@
 pub mod stream;
 
 use {
-    self::{
-        event::Event,
-        stream::{ConnectionEnd, StreamState},
-    },
+    self::{event::Event, stream::StreamState},
     super::{backend_server::BackendServer, dispatch::Command, response_buffer::Chunk},
-    crate::{channel::BoundedSender, http::body::is_event_stream},
+    crate::{channel::BoundedSender, clock::Clock, http::body::is_event_stream},
     bytes::Bytes,
     futures_util::StreamExt as _,
     http_body_util::BodyExt as _,
@@ -17,18 +14,19 @@
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
+        time::Timestamp,
         verdict::Verdict,
     },
     tamarackdale_wire::{frame::Header, message::Enqueue},
     tokio::{
         sync::{Semaphore, mpsc},
-        time::timeout,
+        time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
 };
 
-/// Silence of a backend server after which the connection is considered dead; applies only to
-/// event streams, which another connection can continue.
+/// Silence of a backend server after which the rest of an event stream is sought on another connection;
+/// the silent one may still go on.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Number of failed connections in a row, without a new event between them, after which the
@@ -38,12 +36,24 @@
 /// Pause before the next connection.
 const RESUME_BACKOFF: Duration = Duration::from_millis(200);
 
+/// Pause before the rest is sought again while a silent connection may still go on. The backend server
+/// may refuse at once, and for as long as it is silent.
+const SEARCH_BACKOFF: Duration = Duration::from_secs(1);
+
+/// Shortest time for which the rest is sought before a silent connection is given up, also after the
+/// request's deadline; as long as [`MAX_FAILED_CONNECTIONS`] attempts to resume take.
+const MIN_SEARCH_TIME: Duration = Duration::from_secs(11);
+
 /// Runs one request at the backend server and forwards the response as events.
 pub struct Exchange {
     /// The backend server.
     pub backend_server: Arc<BackendServer>,
     /// The request.
     pub request: Arc<Enqueue>,
+    /// The process's clock.
+    pub clock: Clock,
+    /// The request's deadline.
+    pub deadline: Timestamp,
     /// Memory budget for buffered responses, one permit per byte.
     pub budget: Arc<Semaphore>,
     /// Size of the whole budget, in bytes.
@@ -59,6 +69,19 @@
 /// The receiver of the events has been dropped.
 struct ReceiverClosed;
 
+/// How a connection ended.
+enum ConnectionEnd {
+    /// The final event has arrived.
+    Completed,
+    /// The connection closed or failed before the final event.
+    Broken,
+    /// The connection was silent, and this response to another one has the rest.
+    Resumed(Response<Incoming>),
+    /// The connection was silent until the request's time was over, and the rest was not to be had on
+    /// another one.
+    GivenUp,
+}
+
 impl Exchange {
     /// Sends the request and relays the response until it ends, fails or is cancelled.
     pub async fn run(self) {
@@ -121,15 +144,28 @@
         let mut response = Some(response);
         let mut failures = 0;
         while failures < MAX_FAILED_CONNECTIONS {
-            if let Some(response) = response.take() {
+            if let Some(connection) = response.take() {
                 let previous = state.last_sequence();
-                match self.relay_connection(response, state).await? {
-                    ConnectionEnd::Completed => return self.emit(Event::End).await,
-                    ConnectionEnd::Broken => self.report_if_crashed().await,
-                }
+                let end = self.relay_connection(connection, state).await?;
                 if state.last_sequence() != previous {
                     failures = 0;
                 }
+                match end {
+                    ConnectionEnd::Completed => return self.emit(Event::End).await,
+                    ConnectionEnd::Resumed(other) => {
+                        // Silence is no failure while the request has time.
+                        if self.time_left().is_zero() {
+                            failures += 1;
+                        }
+                        response = Some(other);
+                        continue;
+                    }
+                    ConnectionEnd::Broken => self.report_if_crashed().await,
+                    ConnectionEnd::GivenUp => {
+                        self.report_if_crashed().await;
+                        break;
+                    }
+                }
             }
             failures += 1;
             let Some(id) = state.response_id() else {
@@ -140,7 +176,7 @@
                 after = state.last_sequence();
                 "resuming the response at the backend server"
             );
-            tokio::time::sleep(RESUME_BACKOFF).await;
+            sleep(RESUME_BACKOFF).await;
             response = self.backend_server.resume(id, state.last_sequence()).await;
         }
         self.fail(Failure::may_have_run(Reason::BackendServer))
@@ -155,11 +191,27 @@
         let mut events = stream::events(response.into_body());
         loop {
             let limit = state.idle_timeout(IDLE_TIMEOUT);
-            let Ok(next) = timeout(limit, events.next()).await else {
-                return Ok(ConnectionEnd::Broken);
+            let next = match timeout(limit, events.next()).await {
+                Ok(next) => next,
+                Err(_) => tokio::select! {
+                    biased;
+                    next = events.next() => next,
+                    other = self.find_rest(state) => return Ok(ConnectionEnd::Resumed(other)),
+                    () = sleep(self.time_left().max(MIN_SEARCH_TIME)) => {
+                        log::warn!(
+                            response = state.response_id(),
+                            after = state.last_sequence();
+                            "backend server silent until the request's time was over"
+                        );
+                        return Ok(ConnectionEnd::GivenUp);
+                    }
+                },
             };
             let Some(Ok(event)) = next else {
-                return Ok(state.connection_end());
+                return Ok(match state.is_completed() {
+                    true => ConnectionEnd::Completed,
+                    false => ConnectionEnd::Broken,
+                });
             };
             let Some(forwarded) = state.accept(event) else {
                 continue;
@@ -171,6 +223,34 @@
         }
     }
 
+    /// Seeks the rest of a response, whose connection is silent, on another one. Never returns while
+    /// it is not to be had there.
+    async fn find_rest(&self, state: &StreamState) -> Response<Incoming> {
+        let after = state.last_sequence();
+        let Some(id) = state.response_id() else {
+            log::info!(
+                after = after;
+                "backend server silent, waiting: the response cannot be resumed without an identifier"
+            );
+            return std::future::pending().await;
+        };
+        log::info!(
+            response = id,
+            after = after;
+            "backend server silent, seeking the rest on another connection"
+        );
+        loop {
+            match self.backend_server.resume(id, after).await {
+                Some(response) if is_event_stream(response.headers()) => return response,
+                Some(_) | None => sleep(SEARCH_BACKOFF).await,
+            }
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.deadline.since(self.clock.now())
+    }
+
     /// After a connection broke: tells the dispatch worker if the backend server has crashed, and the
     /// request was lost with it.
     async fn report_if_crashed(&self) {
--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -25,15 +25,6 @@
 /// may still be prefilling.
 const FIRST_TOKEN_FACTOR: u32 = 4;
 
-/// How a connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ConnectionEnd {
-    /// The final event has arrived.
-    Completed,
-    /// The connection closed, failed or timed out before the final event.
-    Broken,
-}
-
 /// An event to forward.
 pub struct ForwardedEvent {
     /// The encoded event.
@@ -83,14 +74,6 @@
         self.completed
     }
 
-    /// The outcome of a connection that closes now.
-    pub fn connection_end(&self) -> ConnectionEnd {
-        if self.completed {
-            return ConnectionEnd::Completed;
-        }
-        ConnectionEnd::Broken
-    }
-
     /// Idle timeout until the next event, given the usual timeout.
     pub fn idle_timeout(&self, usual: Duration) -> Duration {
         if self.tokens == 0 {
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -88,6 +88,7 @@
     context: Context,
     attempt: id::Attempt,
     request: Arc<Enqueue>,
+    deadline: Timestamp,
     messages: mpsc::Receiver<Message>,
     handle_count: Arc<()>,
     response: ResponseBuffer,
@@ -116,9 +117,11 @@
         needs_claim: request.keep_answer,
         _handle_count: Arc::clone(&handle_count),
     };
+    let now = context.clock.now();
     let task = Task {
         context: context.clone(),
         attempt: request.attempt.into(),
+        deadline: now.plus(Duration::from_millis(request.remaining_ms)),
         request: Arc::new(request),
         messages,
         handle_count,
@@ -127,7 +130,7 @@
         exchange: None,
         started: false,
         acknowledged: false,
-        last_reader_at: context.clock.now(),
+        last_reader_at: now,
         ended_at: None,
     };
     let aborting = context.aborting.clone();
@@ -190,6 +193,8 @@
         let exchange = Exchange {
             backend_server: Arc::clone(&self.context.backend_server),
             request: Arc::clone(&self.request),
+            clock: self.context.clock,
+            deadline: self.deadline,
             budget: Arc::clone(&self.context.budget),
             budget_bytes: self.context.budget_bytes,
             events: sender,
