Test of a sidecar that stands still for long

Callers see a stream broken off while its sidecar stands still for longer than the router takes to resume the response, and then goes on, although most of their time is left.

--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -675,6 +675,24 @@
     assert_whole(&records);
 }
 
+/// Guards against answers that a router gives up, long before their deadline, because their sidecar
+/// stands still for longer than connections are kept, and then goes on.
+#[tokio::test]
+async fn answers_are_whole_although_their_sidecar_stands_still_for_long() {
+    const STANDSTILL: Duration = Duration::from_secs(17);
+    let deployment = start_engine().await;
+    let offered = offer(&deployment, advice);
+    wait_for_tokens(&deployment).await;
+    let process = &deployment.sidecars[0].process;
+
+    process.pause().expect("running");
+    sleep(STANDSTILL).await;
+    process.resume_execution().expect("paused");
+    let records = offered.await.expect("no panic");
+
+    assert_whole(&records);
+}
+
 /// Guards against requests that end without an answer, or run after they were refused, because their
 /// sidecar stands still before it takes them.
 #[tokio::test]
