A sidecar's own standstill is no absence of its routers

Callers saw answers broken off as cancelled when their sidecar went on after a standstill longer than router-absence-ms (15 s): the sidecar counted its own standstill as time for which the router was disconnected, and cancelled the requests before the router could connect again.

A check now counts at most one second of absence, two of its intervals, so that the time in which this process did not run is left out.

--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -36,6 +36,10 @@
 
 const TICK: Duration = Duration::from_millis(500);
 
+/// Longest time between two ticks that counts as a router's absence. In a longer one this process stood
+/// still, and no router could reach it.
+const MAX_COUNTED_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Time for which a router may be disconnected before its waiting attempt is cancelled.
 const WAITING_ABSENCE_LIMIT: Duration = Duration::from_secs(3);
 
@@ -96,7 +100,9 @@
     exchange: Option<Running>,
     started: bool,
     acknowledged: bool,
-    last_reader_at: Timestamp,
+    /// Time for which no router has been connected.
+    absence: Duration,
+    checked_at: Timestamp,
     ended_at: Option<Timestamp>,
 }
 
@@ -130,7 +136,8 @@
         exchange: None,
         started: false,
         acknowledged: false,
-        last_reader_at: now,
+        absence: Duration::ZERO,
+        checked_at: now,
         ended_at: None,
     };
     let aborting = context.aborting.clone();
@@ -282,19 +289,21 @@
 
     fn check_readers(&mut self) {
         let now = self.context.clock.now();
+        let elapsed = now.since(self.checked_at);
+        self.checked_at = now;
         // The task holds one reference and the dispatch worker's handle another.
         if Arc::strong_count(&self.handle_count) > 2 {
-            self.last_reader_at = now;
+            self.absence = Duration::ZERO;
             return;
         }
-        let absent = now.since(self.last_reader_at);
-        if !self.started && self.ended_at.is_none() && absent > WAITING_ABSENCE_LIMIT {
+        self.absence += elapsed.min(MAX_COUNTED_INTERVAL);
+        if !self.started && self.ended_at.is_none() && self.absence > WAITING_ABSENCE_LIMIT {
             // If the channel is full, the next tick sends it again.
             let _ = self.context.dispatch.send(Command::Cancel {
                 attempt: self.attempt,
             });
         }
-        let is_orphaned = absent > self.context.router_absence_limit;
+        let is_orphaned = self.absence > self.context.router_absence_limit;
         if self.exchange.is_some() && !self.request.finish_alone && is_orphaned {
             log::info!(attempt:% = self.attempt; "attempt cancelled: its router is disconnected");
             self.cancel();
