A router asks a silent sidecar for the rest until the deadline

Callers saw a stream broken off 14 s after their sidecar fell silent, although it was sound and most of their time was left: the router lost the connection after three seconds without a frame and stopped asking for the rest after ten more. The sidecar alone has the response, and keeps it.

The router now asks until the request's deadline, and for ten seconds at least, also after the deadline. It logs when it gives a response up.

--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -192,7 +192,8 @@
     }
 
     async fn relay_granted(&mut self, assignment: &Assignment, granted: Granted) -> AttemptOutcome {
-        let mut response = ResponseReader::new(&self.context, &assignment.peer, granted);
+        let mut response =
+            ResponseReader::new(&self.context, &assignment.peer, granted, self.deadline);
         let outcome = self.relay_response(&mut response).await;
         match outcome {
             // Nothing has been sent to the backend server or to the caller.
@@ -219,7 +220,7 @@
             attempt,
             frames: None,
         };
-        let mut response = ResponseReader::new(&self.context, peer, granted);
+        let mut response = ResponseReader::new(&self.context, peer, granted, self.deadline);
         match self.relay_response(&mut response).await {
             // The other attempt did not run.
             RequestOutcome::Failed(failure) if failure.verdict == Verdict::NotRun => {
--- a/daemon/src/router/relay/response_reader.rs
+++ b/daemon/src/router/relay/response_reader.rs
@@ -26,7 +26,8 @@
 /// Target of this module's log lines; part of the log format, so it does not follow the file name.
 const LOG_TARGET: &str = "tamarackdaled::router::relay::answer";
 
-/// Time after which the router stops trying to resume a response.
+/// Shortest time for which the router tries to resume a response, also after the request's deadline.
+/// Until then it does not stop: a sidecar that stands still may go on, and it alone has the response.
 const RESUME_LIMIT: Duration = Duration::from_secs(10);
 
 /// Delay between attempts to resume a response.
@@ -58,6 +59,7 @@
     context: Context,
     peer: Peer,
     attempt: id::Attempt,
+    deadline: Timestamp,
     frames: Option<Frames>,
     head_received: bool,
     digest: Digest,
@@ -66,11 +68,12 @@
 }
 
 impl ResponseReader {
-    /// Creates a reader for the response of an attempt at `peer`.
-    pub fn new(context: &Context, peer: &Peer, granted: Granted) -> Self {
+    /// Creates a reader for the response of an attempt at `peer`, to a request with this deadline.
+    pub fn new(context: &Context, peer: &Peer, granted: Granted, deadline: Timestamp) -> Self {
         Self {
             context: context.clone(),
             peer: peer.clone(),
+            deadline,
             attempt: granted.attempt,
             frames: granted.frames,
             head_received: false,
@@ -178,7 +181,15 @@
     async fn reconnect(&mut self) -> Result<(), Failure> {
         let now = self.context.clock.now();
         let disconnected_since = *self.disconnected_since.get_or_insert(now);
-        if now.since(disconnected_since) > RESUME_LIMIT {
+        let limit = self.deadline.max(disconnected_since.plus(RESUME_LIMIT));
+        if now > limit {
+            log::warn!(
+                target: LOG_TARGET,
+                attempt:% = self.attempt,
+                sidecar:% = self.peer,
+                disconnected_ms = now.since(disconnected_since).as_millis() as u64;
+                "response given up: the sidecar does not respond"
+            );
             return Err(Failure::may_have_run(Reason::ConnectionLost));
         }
         if disconnected_since != now {
