--- a/testbed/tests/silent_servers.rs
+++ b/testbed/tests/silent_servers.rs
@@ -640,12 +640,15 @@
 }
 
 /// Guards against requests that a sidecar or router gives up because a sound plain service is silent.
+#[rstest]
+#[case::shorter(SILENCE)]
+#[case::most_of_their_time(Duration::from_secs(8))]
 #[tokio::test]
-async fn answers_of_a_plain_service_that_is_silent_are_whole() {
+async fn answers_of_a_plain_service_that_is_silent_are_whole(#[case] silence: Duration) {
     let layout = Layout::new(vec![Service::ordre_app(1)]);
     let deployment = Deployment::start(&layout).await.expect("starts");
 
-    deployment.sidecars[0].plain().fall_silent(SILENCE);
+    deployment.sidecars[0].plain().fall_silent(silence);
     let records = offer(&deployment, order).await.expect("no panic");
 
     assert_whole(&records);
@@ -675,15 +678,23 @@
     assert_whole(&records);
 }
 
-/// Guards against answers that a router gives up, long before their deadline, because their sidecar
+/// Guards against answers that are given up, long before their deadline, because a sidecar or a router
 /// stands still for longer than connections are kept, and then goes on.
+#[rstest]
+#[case::sidecar(true)]
+#[case::router(false)]
 #[tokio::test]
-async fn answers_are_whole_although_their_sidecar_stands_still_for_long() {
+async fn answers_are_whole_although_a_process_on_their_way_stands_still_for_long(
+    #[case] is_sidecar: bool,
+) {
     const STANDSTILL: Duration = Duration::from_secs(17);
     let deployment = start_engine().await;
     let offered = offer(&deployment, advice);
     wait_for_tokens(&deployment).await;
-    let process = &deployment.sidecars[0].process;
+    let process = match is_sidecar {
+        true => &deployment.sidecars[0].process,
+        false => &deployment.routers[0].process,
+    };
 
     process.pause().expect("running");
     sleep(STANDSTILL).await;
