Gateways: a version that others have reported is not reported again

Two gateways that read each other's tables would have kept a version that has left for as long as callers took unknown streams up: each had saved what it read from the other, and takes it for seen again. Such streams would have been refused although their service had one version. Found by reading.

Reported and registered versions are kept apart; only the latter are saved.

--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -134,42 +134,53 @@
 /// Versions of each service that serve, or of which streams may still be taken up.
 #[derive(Debug, Default)]
 pub struct Versions {
-    seen: HashMap<Arc<Origin>, Timestamp>,
+    seen: HashMap<Arc<Origin>, Sightings>,
     has_changed: bool,
 }
 
+/// When a version was last known to serve.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sightings {
+    /// By the registration of a backend server.
+    registered: Option<Timestamp>,
+    /// By what another router has saved.
+    reported: Option<Timestamp>,
+}
+
 impl Versions {
     /// Creates a set without versions.
     pub fn new() -> Self {
         Self::default()
     }
 
-    /// Records that a version of a service serves or has begun a stream.
-    pub fn observe(&mut self, origin: &Origin, now: Timestamp) {
-        match self.seen.get_mut(origin) {
-            Some(seen) => *seen = now,
-            None => {
-                self.seen.insert(Arc::new(origin.clone()), now);
-                self.has_changed = true;
-            }
-        }
+    /// Records a version that another router has saved.
+    pub fn observe_report(&mut self, origin: &Arc<Origin>, now: Timestamp) {
+        let sightings = self.seen.entry(Arc::clone(origin)).or_default();
+        sightings.reported = Some(now);
     }
 
     /// Records the versions of the registered backend servers, and drops those not seen for
     /// [`RETENTION`].
     pub fn observe_servers(&mut self, members: &Members, now: Timestamp) {
         for member in members.values() {
-            self.observe(&member.origin(), now);
+            let sightings = self.seen.entry(Arc::new(member.origin())).or_default();
+            self.has_changed |= sightings.registered.is_none();
+            sightings.registered = Some(now);
         }
-        self.seen.retain(|_, seen| now.since(*seen) < RETENTION);
+        let is_recent = |seen: Option<Timestamp>| seen.is_some_and(|at| now.since(at) < RETENTION);
+        self.seen.retain(|_, sightings| {
+            is_recent(sightings.registered) || is_recent(sightings.reported)
+        });
     }
 
-    /// All versions.
-    pub fn iter(&self) -> impl Iterator<Item = &Arc<Origin>> {
-        self.seen.keys()
+    /// The versions that this router has seen registered, for others. What others have reported is
+    /// not passed on: two routers would remind each other of it for ever.
+    pub fn registered(&self) -> impl Iterator<Item = &Arc<Origin>> {
+        let seen = self.seen.iter();
+        seen.filter_map(|(origin, sightings)| sightings.registered.map(|_| origin))
     }
 
-    /// Whether there were new versions since the last call.
+    /// Whether there were newly registered versions since the last call.
     pub fn take_changes(&mut self) -> bool {
         std::mem::take(&mut self.has_changed)
     }
--- a/core/tests/origin.rs
+++ b/core/tests/origin.rs
@@ -122,12 +122,12 @@
 ) {
     let mut versions = Versions::new();
     for (version, seconds) in seen {
-        versions.observe(&origin(version), at(*seconds));
+        versions.observe_report(&Arc::new(origin(version)), at(*seconds));
     }
     for version in ["v1", "v2"] {
         let service = "other".to_owned();
         let version = version.to_owned();
-        versions.observe(&Origin { service, version }, at(0));
+        versions.observe_report(&Arc::new(Origin { service, version }), at(0));
     }
 
     let only = versions.only("engine").map(|only| only.version.as_str());
@@ -139,8 +139,8 @@
 fn version_that_has_left_counts_for_as_long_as_its_streams_may_be_taken_up() {
     let mut versions = Versions::new();
     let nobody = std::collections::BTreeMap::new();
-    versions.observe(&origin("v1"), at(0));
-    versions.observe(&origin("v2"), at(30));
+    versions.observe_report(&Arc::new(origin("v1")), at(0));
+    versions.observe_report(&Arc::new(origin("v2")), at(30));
 
     versions.observe_servers(&nobody, at(0).plus(RETENTION - Duration::from_secs(1)));
     let is_mixed_before = versions.is_mixed();
@@ -153,3 +153,15 @@
         Some(&origin("v2"))
     );
 }
+
+/// Guards against two routers that remind each other for ever of a version that has left.
+#[test]
+fn version_that_was_only_reported_is_not_told_to_others() {
+    let mut versions = Versions::new();
+
+    versions.observe_report(&Arc::new(origin("v1")), at(0));
+
+    assert_eq!(versions.registered().count(), 0);
+    assert!(!versions.take_changes());
+    assert!(versions.only("engine").is_some());
+}
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -23,7 +23,8 @@
 /// Time after which the lease is renewed before the next write.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
 
-/// Interval at which the store is known to be another copy of itself, in which the origins may be missing.
+/// Interval at which it is checked whether the store was restored from an older copy, which may lack the
+/// origins.
 const ERA_INTERVAL: Duration = Duration::from_secs(1);
 
 /// What all gateways have saved.
--- a/daemon/src/gateway/origins.rs
+++ b/daemon/src/gateway/origins.rs
@@ -118,7 +118,7 @@
             true => state.table.by_origin(MAX_SAVED),
             false => BTreeMap::new(),
         };
-        for version in state.versions.iter() {
+        for version in state.versions.registered() {
             streams.entry(Arc::clone(version)).or_default();
         }
         Some((state.saves, streams.into()))
@@ -168,7 +168,7 @@
     let now = origins.clock.now();
     let mut state = origins.lock();
     for origin in &saved.versions {
-        state.versions.observe(origin, now);
+        state.versions.observe_report(origin, now);
     }
     let only = state.versions.only(service);
     only.cloned().ok_or(Unknown::NotSaved)
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -64,8 +64,8 @@
     may_move: bool,
 }
 
-/// What was read from the backend server's stream.
-enum ReadResult {
+/// What came next of the stream.
+enum Progress {
     /// Complete events.
     Events(Batch),
     /// The end of the body.
@@ -105,28 +105,28 @@
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let result = match self.read().await? {
-                ReadResult::Silent => self.read_or_move().await?,
+                Progress::Silent => self.read_or_move().await?,
                 result => result,
             };
             let failed = match result {
-                ReadResult::Events(batch) => return Some(Ok(self.forward(batch).await)),
-                ReadResult::End if self.splitter.is_inside_event() => {
+                Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
+                Progress::End if self.splitter.is_inside_event() => {
                     let reason = "the last event is incomplete";
                     self.resume_after_break(reason).await
                 }
-                ReadResult::End if self.ended_with_nothing() => {
+                Progress::End if self.ended_with_nothing() => {
                     let reason = "the connection was closed before the first event";
                     self.resume_after_break(reason).await
                 }
-                ReadResult::End => {
+                Progress::End => {
                     self.finish();
                     return None;
                 }
-                ReadResult::Invalid(reason) => self.resume(&reason, true).await,
-                ReadResult::Broken(reason) => self.resume_after_break(&reason).await,
-                ReadResult::TimedOut => Some(self.abort(EndReason::TimedOut)),
-                ReadResult::NotTaken(next, failure) => self.recover(next, failure).await,
-                ReadResult::Moved | ReadResult::Silent => None,
+                Progress::Invalid(reason) => self.resume(&reason, true).await,
+                Progress::Broken(reason) => self.resume_after_break(&reason).await,
+                Progress::TimedOut => Some(self.abort(EndReason::TimedOut)),
+                Progress::NotTaken(next, failure) => self.recover(next, failure).await,
+                Progress::Moved | Progress::Silent => None,
             };
             if failed.is_some() {
                 return failed;
@@ -140,7 +140,7 @@
         self.exchange.as_ref().is_some_and(Exchange::is_unbegun)
     }
 
-    async fn read(&mut self) -> Option<ReadResult> {
+    async fn read(&mut self) -> Option<Progress> {
         let time_left = self.job.time_left();
         let patience = self.patience().filter(|patience| *patience < time_left);
         let body = &mut self.exchange.as_mut()?.body;
@@ -149,7 +149,7 @@
             Some(patience) => timeout(patience, reading).await,
             None => Ok(reading.await),
         };
-        Some(result.unwrap_or(ReadResult::Silent))
+        Some(result.unwrap_or(Progress::Silent))
     }
 
     /// Time for which the backend server may stay silent before another one is sought, or `None` if the
@@ -168,7 +168,7 @@
 
     /// Seeks another backend server for the stream while the silent one may still go on, and gives that
     /// up only when the other one responds, or has not responded for so long that both might run.
-    async fn read_or_move(&mut self) -> Option<ReadResult> {
+    async fn read_or_move(&mut self) -> Option<Progress> {
         let time_left = self.job.time_left();
         let silent = self.exchange.as_mut()?;
         let member = silent.member.clone();
@@ -188,13 +188,13 @@
         self.job.dispatch.begin_move();
         let mut sent = match connected.send(&mut self.job) {
             Ok(sent) => sent,
-            Err(_) => return Some(ReadResult::TimedOut),
+            Err(_) => return Some(Progress::TimedOut),
         };
         let response = tokio::select! {
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
-                ReadResult::Invalid(_) | ReadResult::Broken(_) => None,
-                ReadResult::End if self.splitter.is_inside_event() || silent.is_unbegun() => None,
+                Progress::Invalid(_) | Progress::Broken(_) => None,
+                Progress::End if self.splitter.is_inside_event() || silent.is_unbegun() => None,
                 result => return Some(result),
             },
             response = sent.response() => Some(response),
@@ -207,10 +207,15 @@
                 self.leave_silent();
                 match timeout(time_left, self.wait_for_response(sent)).await {
                     Ok(responded) => responded,
-                    Err(_) => return Some(ReadResult::TimedOut),
+                    Err(_) => return Some(Progress::TimedOut),
                 }
             }
         };
+        Some(self.take_over(sent, response))
+    }
+
+    /// Moves the stream to the backend server that has responded, unless it has not taken it over.
+    fn take_over(&mut self, sent: Sent, response: SendResult) -> Progress {
         let next = sent.member().clone();
         let failure = match sent.into_exchange(&self.job, response) {
             Ok(exchange) if exchange.is_stream() => {
@@ -219,7 +224,7 @@
                 self.job.record_origin(&next);
                 self.splitter = Splitter::new();
                 self.waiting_since = Instant::now();
-                return Some(ReadResult::Moved);
+                return Progress::Moved;
             }
             Ok(_) | Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
             Err(ExchangeError::SendFailure(failure)) => failure,
@@ -231,7 +236,7 @@
             setback:? = failure;
             "stream not taken over"
         );
-        Some(ReadResult::NotTaken(next, failure))
+        Progress::NotTaken(next, failure)
     }
 
     /// Waits for the response to a request that was sent, and seeks another backend server while there
@@ -401,22 +406,22 @@
     body: &mut Incoming,
     splitter: &mut Splitter,
     time_left: Duration,
-) -> ReadResult {
+) -> Progress {
     let reading = async {
         loop {
             let bytes = match body.frame().await {
-                None => return ReadResult::End,
-                Some(Err(error)) => return ReadResult::Broken(error.to_string()),
+                None => return Progress::End,
+                Some(Err(error)) => return Progress::Broken(error.to_string()),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             match splitter.push(&bytes) {
                 Ok(None) => {}
-                Ok(Some(batch)) => return ReadResult::Events(batch),
-                Err(error) => return ReadResult::Invalid(error.to_string()),
+                Ok(Some(batch)) => return Progress::Events(batch),
+                Err(error) => return Progress::Invalid(error.to_string()),
             }
         }
     };
     timeout(time_left, reading)
         .await
-        .unwrap_or(ReadResult::TimedOut)
+        .unwrap_or(Progress::TimedOut)
 }
