--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -53,7 +53,7 @@
 }
 
 /// Digest that stands for a stream: of the identifier of the attempt that brought its first event.
-pub fn stream(attempt: &str) -> u64 {
+pub fn stream_digest(attempt: &str) -> u64 {
     rendezvous::hash(attempt)
 }
 
--- a/core/src/wait_queue.rs
+++ b/core/src/wait_queue.rs
@@ -1,9 +1,9 @@
 //! Requests that wait at a router for a free slot at a backend server.
 //!
-//! More urgent ranks are served first. Within a rank, requests that go on with a stream are served first,
-//! then requests that can still be on time before late ones, and those with the most time left first: under overload, serving the oldest
-//! first would make every request wait until it is just late. Late requests get the remaining
-//! capacity in order of arrival.
+//! More urgent ranks are served first. Within a rank, requests that go on with a stream are served
+//! first, then those that can still be on time, and then late ones. Of those that can be on time, the
+//! one with the most time left goes first: under overload, serving the oldest first would make every
+//! request wait until it is just late. Late requests get the remaining capacity in order of arrival.
 
 use {
     crate::{tier::Rank, time::Timestamp},
--- a/core/tests/origin.rs
+++ b/core/tests/origin.rs
@@ -25,7 +25,7 @@
 #[test]
 fn stream_that_moves_has_the_origin_of_its_last_run() {
     let mut table = Table::new();
-    let stream = origin::stream("a-1");
+    let stream = origin::stream_digest("a-1");
 
     table.record(stream, Arc::new(origin("v1")), at(10));
     table.record(stream, Arc::new(origin("v2")), at(10));
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -153,7 +153,7 @@
         excluded: Vec::new(),
         deadline: request.accepted.plus(time_left),
         waiting_since: request.accepted,
-        stream: is_resumable.then(|| origin::stream(first_attempt)),
+        stream: is_resumable.then(|| origin::stream_digest(first_attempt)),
         correction: None,
         version: None,
         last_event: request.head.last_event,
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -108,7 +108,8 @@
                 Progress::Silent => self.read_or_move().await?,
                 result => result,
             };
-            let failed = match result {
+            // The error that ends the caller's connection, or `None` to read on.
+            let error = match result {
                 Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
                 Progress::End if self.splitter.is_inside_event() => {
                     let reason = "the last event is incomplete";
@@ -128,8 +129,8 @@
                 Progress::NotTaken(next, failure) => self.recover(next, failure).await,
                 Progress::Moved | Progress::Silent => None,
             };
-            if failed.is_some() {
-                return failed;
+            if error.is_some() {
+                return error;
             }
         }
     }
