Logs tell whether a refused request's body was read, and of closes beside a request

A caller that reported neither an answer nor a refusal could not be told apart in the log from one that was answered: the line of a refusal did not say whether the request's body had been read, and a connection that was closed while its peer still sent a request left no line.

"refused" and "invalid request" have `body_read`; "connection closed before a request was read to its end" names the listener, the peer, the requests in progress and the bytes that were read. The sidecar logs messages that are too large or break off, which it answered without a line.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -70,7 +70,7 @@
     let head = match RequestHead::decode(&headers) {
         Ok(head) => head,
         Err(error) => {
-            log::info!(path = uri.path(); "invalid request headers: {error}");
+            log::info!(path = uri.path(), body_read = false; "invalid request headers: {error}");
             return Refusal::new(Cause::Malformed).response("");
         }
     };
@@ -94,6 +94,7 @@
     log::warn!(
         request = id,
         cause:% = refusal.cause,
+        body_read = refusal.is_body_read,
         retry_after_ms = retry_after.as_millis() as u64,
         organisation = exceeded.map(|exceeded| exceeded.organisation.as_str()),
         quota_used = exceeded.map(|exceeded| exceeded.used),
@@ -120,14 +121,20 @@
     body: Body,
 ) -> Result<Request, Refusal> {
     if context.leaving.is_cancelled() {
-        return Err(Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETRY_AFTER));
+        let refusal = Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
+        return Err(refusal.without_body());
     }
-    let authorised = authorise(context, &incoming.headers, &incoming.uri, &incoming.head)?;
+    let authorised = authorise(context, &incoming.headers, &incoming.uri, &incoming.head)
+        .map_err(Refusal::without_body)?;
     let limit = authorised.snapshot.value.limits().body_bytes;
     let bytes = match timeout(BODY_READ_TIMEOUT, body::read(body, limit)).await {
         Ok(Ok(bytes)) => bytes,
-        Ok(Err(ReadError::TooLarge)) => return Err(Refusal::new(Cause::BodyTooLarge)),
-        Ok(Err(ReadError::Broken)) | Err(_) => return Err(Refusal::new(Cause::BodyBroken)),
+        Ok(Err(ReadError::TooLarge)) => {
+            return Err(Refusal::new(Cause::BodyTooLarge).without_body());
+        }
+        Ok(Err(ReadError::Broken)) | Err(_) => {
+            return Err(Refusal::new(Cause::BodyBroken).without_body());
+        }
     };
     let cost = charge(context, &authorised, &incoming.head)?;
     Ok(Request {
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -100,15 +100,18 @@
     pub retry_after: Option<Duration>,
     /// Details of the exceeded quota, if that is the cause.
     pub quota_exceeded: Option<QuotaExceeded>,
+    /// Whether the request's body had been read to its end.
+    pub is_body_read: bool,
 }
 
 impl Refusal {
-    /// Creates a refusal without `Retry-After`.
+    /// Creates a refusal, without `Retry-After`, of a request whose body has been read.
     pub fn new(cause: Cause) -> Self {
         Self {
             cause,
             retry_after: None,
             quota_exceeded: None,
+            is_body_read: true,
         }
     }
 
@@ -118,6 +121,12 @@
         self
     }
 
+    /// Marks a refusal whose request's body has not been read to its end.
+    pub fn without_body(mut self) -> Self {
+        self.is_body_read = false;
+        self
+    }
+
     /// Adds the details of the exceeded quota.
     pub fn with_quota_exceeded(mut self, exceeded: QuotaExceeded) -> Self {
         self.quota_exceeded = Some(exceeded);
--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     http_body_util::BodyExt as _,
-    hyper::body::Body,
+    hyper::body::{Body, Frame, Incoming, SizeHint},
     std::{
         io,
         pin::Pin,
@@ -41,6 +41,10 @@
     head_since: Option<Instant>,
     /// Whether bytes wait until the peer takes them.
     is_write_blocked: bool,
+    /// Whether the body of the last request has not been read to its end.
+    is_body_unread: bool,
+    /// Number of bytes that were read.
+    bytes_read: u64,
 }
 
 /// A request that is in progress until this is dropped.
@@ -62,9 +66,18 @@
         }
     }
 
+    /// Reports whether `body`, of a request on the connection, is read to its end.
+    pub fn observe_body(&self, body: Incoming) -> ObservedBody {
+        ObservedBody {
+            body: Some(body),
+            activity: self.clone(),
+        }
+    }
+
     /// Records that bytes were read.
-    fn record_read(&self) {
+    fn record_read(&self, bytes: usize) {
         self.state.send_if_modified(|state| {
+            state.bytes_read += bytes as u64;
             let is_new_head = state.requests == 0 && state.head_since.is_none();
             if is_new_head {
                 state.head_since = Some(Instant::now());
@@ -73,6 +86,14 @@
         });
     }
 
+    /// Records that the body of the last request has not been read to its end.
+    fn record_unread_body(&self) {
+        self.state.send_if_modified(|state| {
+            state.is_body_unread = true;
+            false
+        });
+    }
+
     /// Records whether bytes that were to be written wait until the peer takes them.
     fn record_write(&self, is_blocked: bool) {
         self.state.send_if_modified(|state| {
@@ -87,6 +108,7 @@
         self.state.send_modify(|state| {
             state.requests += 1;
             state.head_since = None;
+            state.is_body_unread = false;
         });
         InProgress {
             state: Arc::clone(&self.state),
@@ -98,6 +120,17 @@
         self.state.borrow().requests
     }
 
+    /// Number of bytes that were read.
+    pub fn bytes_read(&self) -> u64 {
+        self.state.borrow().bytes_read
+    }
+
+    /// Whether the peer has sent a part of a request and not all of it, as far as was read.
+    pub fn is_request_incomplete(&self) -> bool {
+        let state = self.state.borrow();
+        state.is_body_unread || state.head_since.is_some()
+    }
+
     /// Waits until a head takes too long, or the connection has been idle for too long. The timeouts
     /// are read at the beginning and at the end of that time, and the longer one counts.
     pub async fn timed_out(&self, timeouts: &(dyn Fn() -> Timeouts + Send + Sync)) {
@@ -162,8 +195,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.activity.record_read();
+        let bytes = buffer.filled().len() - before;
+        if bytes > 0 {
+            self.activity.record_read(bytes);
         }
         polled
     }
@@ -203,6 +237,49 @@
     }
 }
 
+/// A request's body; its connection's activity follows whether it is read to its end.
+pub struct ObservedBody {
+    /// `None` once the body has ended.
+    body: Option<Incoming>,
+    activity: Activity,
+}
+
+impl Body for ObservedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let Some(body) = &mut self.body else {
+            return Poll::Ready(None);
+        };
+        let polled = Pin::new(body).poll_frame(context);
+        if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
+            self.body = None;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let body = self.body.as_ref();
+        body.map_or(SizeHint::with_exact(0), Body::size_hint)
+    }
+}
+
+impl Drop for ObservedBody {
+    fn drop(&mut self) {
+        if !self.is_end_stream() {
+            self.activity.record_unread_body();
+        }
+    }
+}
+
 impl Default for Activity {
     fn default() -> Self {
         Self {
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -126,9 +126,11 @@
         let activity = Activity::new();
         let requests = activity.clone();
         let service = service_fn(move |request: Request<Incoming>| {
-            let state = State::from_request(remove_invalid_request_id(request), peer);
-            let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             let in_progress = requests.begin_request();
+            let request = remove_invalid_request_id(request);
+            let request = request.map(|body| requests.observe_body(body));
+            let state = State::from_request(request, peer);
+            let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             async move {
                 let response = response.await;
                 response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
@@ -149,17 +151,27 @@
                     biased;
                     result = connection.as_mut() => {
                         log_connection_error(name, peer, &activity, result);
+                        log_incomplete_request(name, peer, &activity);
                         return;
                     }
                     () = shutdown.aborting.cancelled() => {
-                        log::warn!(listener = name, peer:% = peer; "connection aborted at shutdown");
+                        log::warn!(
+                            listener = name,
+                            peer:% = peer,
+                            requests = activity.requests(),
+                            bytes_read = activity.bytes_read();
+                            "connection aborted at shutdown"
+                        );
                         return;
                     }
                     () = shutdown.closing.cancelled(), if !is_closing => {
                         is_closing = true;
                         connection.as_mut().graceful_shutdown();
                     }
-                    () = activity.timed_out(&*timeouts) => return,
+                    () = activity.timed_out(&*timeouts) => {
+                        log_incomplete_request(name, peer, &activity);
+                        return;
+                    }
                 }
             }
         }
@@ -194,8 +206,22 @@
         requests => log::info!(
             listener = name,
             peer:% = peer,
-            requests;
+            requests,
+            bytes_read = activity.bytes_read();
             "connection ended before its response was complete: {error}"
         ),
     }
 }
+
+/// Logs that a connection is closed although its peer may still send a request.
+fn log_incomplete_request(name: &'static str, peer: SocketAddr, activity: &Activity) {
+    if activity.is_request_incomplete() {
+        log::info!(
+            listener = name,
+            peer:% = peer,
+            requests = activity.requests(),
+            bytes_read = activity.bytes_read();
+            "connection closed before a request was read to its end"
+        );
+    }
+}
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -36,7 +36,7 @@
     let response = match accept(&context, &mut state).await {
         Ok(request) => run_relay(&context, request).await,
         Err(invalid) => {
-            log::info!(reason:% = invalid; "invalid request");
+            log::info!(reason:% = invalid, body_read = false; "invalid request");
             invalid.response()
         }
     };
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -242,8 +242,14 @@
     let limit = context.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
     let bytes = match body::read(Body::take_from(state), limit).await {
         Ok(bytes) => bytes,
-        Err(ReadError::TooLarge) => return Err(body::status(StatusCode::PAYLOAD_TOO_LARGE)),
-        Err(ReadError::Broken) => return Err(body::status(StatusCode::BAD_REQUEST)),
+        Err(ReadError::TooLarge) => {
+            log::warn!(limit; "a message is larger than the limit");
+            return Err(body::status(StatusCode::PAYLOAD_TOO_LARGE));
+        }
+        Err(ReadError::Broken) => {
+            log::info!("a message was not received to its end");
+            return Err(body::status(StatusCode::BAD_REQUEST));
+        }
     };
     codec::decode(&bytes).map_err(|error| {
         log::warn!("cannot decode a message: {error}");
--- a/testbed/tests/kept_connections.rs
+++ b/testbed/tests/kept_connections.rs
@@ -229,3 +229,39 @@
         answers.len()
     );
 }
+
+/// Guards against a refusal of which the log does not tell whether its request's body was read.
+#[rstest]
+#[case::by_the_head("Bearer another", "unknown-key", false)]
+#[case::after_the_body("Bearer key", "quota", true)]
+#[tokio::test]
+async fn log_tells_whether_the_body_of_a_refused_request_was_read(
+    #[case] key: &'static str,
+    #[case] cause: &str,
+    #[case] expected: bool,
+) {
+    let bench = start().await;
+    let limited = configuration()
+        .with("/tenants/0/rate_per_s", json!(1))
+        .with("/tenants/0/burst", json!(1));
+    bench.site.configure(&limited);
+    sleep(IN_FORCE).await;
+    let mut refused = request("/status/1", "b-1");
+    let key = hyper::header::HeaderValue::from_static(key);
+    refused.headers_mut().insert("authorization", key);
+    let tokens = hyper::header::HeaderValue::from_static("90000,90000");
+    refused.headers_mut().insert("token-usage", tokens);
+
+    // The first one may overrun a quota.
+    let _ = http::call(bench.gateway.callers(), refused.clone(), CALL_LIMIT).await;
+    let answer = http::call(bench.gateway.callers(), refused, CALL_LIMIT).await;
+    let line = bench
+        .gateway
+        .process
+        .wait_for_log("refused", CALL_LIMIT, |line| {
+            line["message"] == "refused" && line["cause"] == cause
+        });
+
+    assert!(answer.expect("answered").status() >= 400);
+    assert_eq!(line.expect("logged")["body_read"], json!(expected));
+}
