An answer before the end of a request's body reaches its caller

Callers that were refused by the head of their request alone (401, 404, 400, 503 `not-proved` and `leaving`), or for a body that is too large (413), while they still sent the body, saw a failed write or a reset in place of the refusal. hyper reads once more when a handler drops a body, then closes the socket; unread bytes make that a reset, and the peer's system drops the answer with the connection.

The shared server now never closes while its peer still sends a request that it answers, on all listeners:

- A handler's unread rest is read on beside the answer, which is sent at once, and the connection is kept.
The alternative, to read the body first, would delay each refusal by up to the time of its body and hold the answer to a caller that waits for it; after a half-close the connection would be lost for the next request.
- Where the answer ends the connection (`Connection: close`, 413, a shutdown), where the request waits for `100 Continue`, or where the rest is longer than is discarded, the server sends the answer, ends its own direction and reads on until the peer ends its own (RFC 9112, section 9.6).
- Each of both is bounded by ten seconds, as the body of a request that is served, and by 32 MiB; one buffer is reused, and what is discarded is logged.
A drained listener waits for it until the grace period's end.
A peer that has sent whole requests has half a second to close.
- While a rest is read the connection is not idle, and the rest's bytes are no head.
The next head can come with the end of a rest, so rests are counted.
- A body whose announced length is over the limit is refused before it is read.

Requests on a kept connection after such an answer, answers beside a shutdown, after a panic, to a request that waits for `100 Continue`, and bodies without end are tested at the shared server.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -4,6 +4,7 @@
 pub mod body;
 pub mod client;
 pub mod probe;
+pub mod request_body;
 pub mod server;
 
 pub use server::Server;
--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -3,7 +3,7 @@
 use {
     bytes::Bytes,
     http_body_util::BodyExt as _,
-    hyper::body::{Body, Frame, Incoming, SizeHint},
+    hyper::body::Body,
     std::{
         io,
         pin::Pin,
@@ -43,6 +43,9 @@
     is_write_blocked: bool,
     /// Whether the body of the last request has not been read to its end.
     is_body_unread: bool,
+    /// Bodies whose rests are being read after their answers. There may be two for a moment, since the
+    /// next request's head can come with the end of a rest.
+    discards: usize,
     /// Number of bytes that were read.
     bytes_read: u64,
 }
@@ -66,19 +69,12 @@
         }
     }
 
-    /// Reports whether `body`, of a request on the connection, is read to its end.
-    pub fn observe_body(&self, body: Incoming) -> ObservedBody {
-        ObservedBody {
-            body: Some(body),
-            activity: self.clone(),
-        }
-    }
-
     /// Records that bytes were read.
     fn record_read(&self, bytes: usize) {
         self.state.send_if_modified(|state| {
             state.bytes_read += bytes as u64;
-            let is_new_head = state.requests == 0 && state.head_since.is_none();
+            let is_new_head =
+                state.requests == 0 && state.discards == 0 && state.head_since.is_none();
             if is_new_head {
                 state.head_since = Some(Instant::now());
             }
@@ -87,13 +83,28 @@
     }
 
     /// Records that the body of the last request has not been read to its end.
-    fn record_unread_body(&self) {
+    pub fn record_unread_body(&self) {
         self.state.send_if_modified(|state| {
             state.is_body_unread = true;
             false
         });
     }
 
+    /// Records that the rest of the last request's body is read from now on. The connection is not idle
+    /// until the end of that.
+    pub fn begin_discard(&self) {
+        self.state.send_modify(|state| state.discards += 1);
+    }
+
+    /// Records that the rest of a body is not read any more, either because it was read to its end or
+    /// because that took too long.
+    pub fn end_discard(&self, is_whole: bool) {
+        self.state.send_modify(|state| {
+            state.discards -= 1;
+            state.is_body_unread &= !is_whole || state.discards > 0;
+        });
+    }
+
     /// Records whether bytes that were to be written wait until the peer takes them.
     fn record_write(&self, is_blocked: bool) {
         self.state.send_if_modified(|state| {
@@ -137,7 +148,7 @@
         let mut changes = self.state.subscribe();
         loop {
             let state = *changes.borrow_and_update();
-            if state.requests > 0 || state.is_write_blocked {
+            if state.requests > 0 || state.discards > 0 || state.is_write_blocked {
                 // The sender lives as long as `self`.
                 let _ = changes.changed().await;
                 continue;
@@ -187,6 +198,13 @@
     activity: Activity,
 }
 
+impl<T> Observed<T> {
+    /// The stream itself.
+    pub fn into_inner(self) -> T {
+        self.stream
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Observed<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -237,49 +255,6 @@
     }
 }
 
-/// A request's body; its connection's activity follows whether it is read to its end.
-pub struct ObservedBody {
-    /// `None` once the body has ended.
-    body: Option<Incoming>,
-    activity: Activity,
-}
-
-impl Body for ObservedBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        let Some(body) = &mut self.body else {
-            return Poll::Ready(None);
-        };
-        let polled = Pin::new(body).poll_frame(context);
-        if matches!(polled, Poll::Ready(None | Some(Err(_)))) {
-            self.body = None;
-        }
-        polled
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.as_ref().is_none_or(Body::is_end_stream)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let body = self.body.as_ref();
-        body.map_or(SizeHint::with_exact(0), Body::size_hint)
-    }
-}
-
-impl Drop for ObservedBody {
-    fn drop(&mut self) {
-        if !self.is_end_stream() {
-            self.activity.record_unread_body();
-        }
-    }
-}
-
 impl Default for Activity {
     fn default() -> Self {
         Self {
--- a/daemon/src/http/body.rs
+++ b/daemon/src/http/body.rs
@@ -27,6 +27,9 @@
     B: hyper::body::Body<Data = Bytes>,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(ReadError::TooLarge);
+    }
     match Limited::new(body, limit).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(ReadError::TooLarge),
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -4,15 +4,33 @@
 //! accept loop.
 
 use {
-    super::activity::{Activity, Timeouts},
+    super::{
+        activity::{Activity, Timeouts},
+        request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
+    },
     crate::signal::Shutdown,
     gotham::{handler::NewHandler, helpers::http::Body, service::call_handler, state::State},
-    hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response,
+        body::{Body as _, Incoming},
+        header::{CONNECTION, EXPECT, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
-    std::{io, net::SocketAddr, panic::AssertUnwindSafe, pin::pin, sync::Arc, time::Duration},
+    std::{
+        io,
+        net::SocketAddr,
+        panic::AssertUnwindSafe,
+        pin::{Pin, pin},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{Semaphore, mpsc},
+        time::timeout,
     },
     tokio_util::task::TaskTracker,
 };
@@ -26,6 +44,13 @@
 const MAX_HEADER_BUFFER_BYTES: usize = 64 * 1024;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Time for a peer to close its direction of a connection whose requests have all been read: a round trip
+/// and thread scheduling on a loaded machine.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Size of the pieces in which bytes are read that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+
 /// A bound listener with the handler that serves its connections.
 pub struct Server<H> {
     name: &'static str,
@@ -125,35 +150,47 @@
         let timeouts = Arc::clone(&self.timeouts);
         let activity = Activity::new();
         let requests = activity.clone();
+        let (rests_sender, rests) = mpsc::unbounded_channel();
         let service = service_fn(move |request: Request<Incoming>| {
             let in_progress = requests.begin_request();
+            let awaits_continue = request.headers().contains_key(EXPECT);
             let request = remove_invalid_request_id(request);
-            let request = request.map(|body| requests.observe_body(body));
+            let request = request.map(|body| RequestBody::new(body, requests.clone()));
+            let unread = request.body().unread();
             let state = State::from_request(request, peer);
             let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
+            let activity = requests.clone();
+            let rests = rests_sender.clone();
             async move {
-                let response = response.await;
-                response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
+                response.await.map(|mut response| {
+                    if let Some(rest) = unread.take() {
+                        if awaits_continue || is_last(&response, &rest) {
+                            let close = HeaderValue::from_static("close");
+                            response.headers_mut().insert(CONNECTION, close);
+                        } else {
+                            activity.begin_discard();
+                            // The receiver lives as long as the connection.
+                            let _ = rests.send(rest);
+                        }
+                    }
+                    response.map(|body| in_progress.until_end_of(body))
+                })
             }
         });
         let stream = activity.observe(stream);
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             // `Activity` has the timeouts.
             .header_read_timeout(None)
             .max_buf_size(MAX_HEADER_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         async move {
-            let mut connection = pin!(connection);
+            let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
             let mut is_closing = false;
-            loop {
+            let result = loop {
                 tokio::select! {
                     // A request that has arrived goes before the timeout.
                     biased;
-                    result = connection.as_mut() => {
-                        log_connection_error(name, peer, &activity, result);
-                        log_incomplete_request(name, peer, &activity);
-                        return;
-                    }
+                    result = &mut connection => break result,
                     () = shutdown.aborting.cancelled() => {
                         log::warn!(
                             listener = name,
@@ -164,17 +201,68 @@
                         );
                         return;
                     }
-                    () = shutdown.closing.cancelled(), if !is_closing => {
-                        is_closing = true;
-                        connection.as_mut().graceful_shutdown();
-                    }
+                    () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
+                    () = discarding.as_mut() => {}
                     () = activity.timed_out(&*timeouts) => {
                         log_incomplete_request(name, peer, &activity);
                         return;
                     }
                 }
+                // Only the beginning of the shutdown leads here.
+                Pin::new(&mut connection).graceful_shutdown();
+            };
+            log_connection_error(name, peer, &activity, result);
+            // Drops what is left of the handlers.
+            let stream = connection.into_parts().io.into_inner().into_inner();
+            tokio::select! {
+                () = close(name, peer, &activity, stream) => {}
+                () = shutdown.aborting.cancelled() => {}
+            }
+        }
+    }
+}
+
+/// Whether a connection ends after a response to a request with an unread `rest`.
+fn is_last(response: &Response<Body>, rest: &Incoming) -> bool {
+    let connection = response.headers().get(CONNECTION);
+    connection.is_some_and(|value| value == "close")
+        || rest.size_hint().lower() > MAX_DISCARDED_BYTES
+}
+
+/// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
+/// its own or a limit is reached.
+async fn close(name: &'static str, peer: SocketAddr, activity: &Activity, mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        // The connection is broken.
+        return;
+    }
+    let is_incomplete = activity.is_request_incomplete();
+    let limit = match is_incomplete {
+        true => DISCARD_TIMEOUT,
+        false => CLOSE_TIMEOUT,
+    };
+    let mut discarded = 0;
+    let reading = async {
+        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+        while discarded <= MAX_DISCARDED_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return true,
+                Ok(bytes) => discarded += bytes as u64,
             }
         }
+        false
+    };
+    let is_closed_by_peer = timeout(limit, reading).await.unwrap_or(false);
+    if is_incomplete || discarded > 0 {
+        log::info!(
+            listener = name,
+            peer:% = peer,
+            requests = activity.requests(),
+            bytes_read = activity.bytes_read(),
+            bytes_discarded = discarded,
+            is_closed_by_peer;
+            "connection closed before a request was read to its end"
+        );
     }
 }
 
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -5,11 +5,16 @@
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::Response,
+        hyper::{
+            Response, Uri,
+            header::{CONNECTION, HeaderValue},
+        },
+        router::Router,
         state::{State, StateData},
     },
     rstest::rstest,
     std::{net::SocketAddr, time::Duration},
+    tamarackdale_testbed::strict::{Connection, Framing, Request},
     tamarackdaled::{
         http::{self, Server, activity::Timeouts, body},
         signal::Shutdown,
@@ -23,6 +28,9 @@
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Longest time for an answer once the request has been sent.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
 #[derive(Clone)]
 struct Answer(usize);
 
@@ -30,19 +38,29 @@
 
 async fn answer(state: State) -> HandlerResult {
     let size = state.borrow::<Answer>().0;
-    let response: Response<Body> = Response::new(body::full(Bytes::from(vec![b'x'; size])));
+    let mut response: Response<Body> = Response::new(body::full(Bytes::from(vec![b'x'; size])));
+    match state.borrow::<Uri>().path() {
+        "/last" => {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        "/panic" => panic!("the test wants it"),
+        _ => {}
+    }
     Ok((state, response))
 }
 
-/// A server that answers each request with that many bytes, without reading the request's body.
-async fn start(size: usize, idle: Duration) -> (SocketAddr, Shutdown) {
-    let router = http::catch_all_router(Answer(size), answer);
+async fn bind(router: Router) -> (Server<Router>, SocketAddr) {
     let port = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
     let address = port.local_addr().expect("bound");
     drop(port);
-    let server = Server::bind("test", address, 8, router)
-        .await
-        .expect("binds");
+    let server = Server::bind("test", address, 8, router).await;
+    (server.expect("binds"), address)
+}
+
+/// A server that answers each request with that many bytes, without reading the request's body.
+async fn start(size: usize, idle: Duration) -> (SocketAddr, Shutdown) {
+    let (server, address) = bind(http::catch_all_router(Answer(size), answer)).await;
     let server = server.with_timeouts(move || Timeouts { idle, head: idle });
     let shutdown = Shutdown::new();
     let served = shutdown.clone();
@@ -129,3 +147,134 @@
 
     assert_eq!(answered, CALLS, "answered");
 }
+
+/// A request to a path in pieces that are sent a few milliseconds apart.
+fn pieces(path: &str, count: usize, framing: Framing) -> Request {
+    Request {
+        head: format!("POST {path} HTTP/1.1\r\nHost: a\r\n"),
+        piece: 10_000,
+        pieces: count,
+        pause: Duration::from_millis(5),
+        framing,
+    }
+}
+
+/// Guards against an answer that is lost because the connection is closed while its caller still sends.
+#[rstest]
+#[case::kept("/", 200, false)]
+#[case::closed_by_the_server("/last", 200, true)]
+#[case::after_a_panic("/panic", 500, false)]
+#[tokio::test]
+async fn caller_that_sends_all_first_gets_the_answer_to_a_request_that_is_not_read(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] is_last: bool,
+    #[values(6, 90)] count: usize,
+    #[values(Framing::Length, Framing::Chunked)] framing: Framing,
+) {
+    const CONNECTIONS: usize = 5;
+    const CALLS: usize = 2;
+    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let request = pieces(path, count, framing);
+    let calls = if is_last { 1 } else { CALLS };
+    let mut lost = Vec::new();
+
+    for _ in 0..CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        for _ in 0..calls {
+            match connection.call(&request, CALL_LIMIT).await {
+                Ok(answer) => assert_eq!((answer.status, answer.is_last), (status, is_last)),
+                Err(error) => lost.push(error),
+            }
+        }
+    }
+
+    let all = CONNECTIONS * calls;
+    assert!(lost.is_empty(), "{} of {all} lost: {lost:?}", lost.len());
+}
+
+/// Guards against a connection that counts as idle, or its body as a head, while its caller still sends.
+#[rstest]
+#[case::with_a_length(Framing::Length)]
+#[case::chunked(Framing::Chunked)]
+#[tokio::test]
+async fn body_that_comes_slowly_after_the_answer_is_no_idle_time(#[case] framing: Framing) {
+    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let slow = Request {
+        pause: IDLE_TIMEOUT / 2,
+        ..pieces("/", 6, framing)
+    };
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let first = connection.call(&slow, CALL_LIMIT).await;
+    sleep(IDLE_TIMEOUT / 2).await;
+    let second = connection.call(&pieces("/", 6, framing), CALL_LIMIT).await;
+
+    assert_eq!(first.expect("answered").status, 200);
+    assert_eq!(second.expect("answered").status, 200);
+}
+
+/// Guards against the same loss at a graceful shutdown, and a shutdown that waits for longer than needed.
+#[rstest]
+#[case::kept("/")]
+#[case::closed_by_the_server("/last")]
+#[tokio::test]
+async fn caller_that_still_sends_at_shutdown_gets_its_answer(#[case] path: &str) {
+    let router = http::catch_all_router(Answer(16), answer);
+    let (server, address) = bind(router).await;
+    let shutdown = Shutdown::new();
+    let served = shutdown.clone();
+    let serving = tokio::spawn(async move { server.serve(&served).await });
+    let request = pieces(path, 60, Framing::Length);
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let (answer, ()) = tokio::join!(connection.call(&request, CALL_LIMIT), async {
+        sleep(Duration::from_millis(100)).await;
+        shutdown.closing.cancel();
+    });
+    drop(connection);
+    let ended = tokio::time::timeout(Duration::from_secs(1), serving).await;
+
+    assert_eq!(answer.expect("answered").status, 200);
+    assert!(ended.is_ok(), "still serving");
+}
+
+/// Guards against a caller that is told to go on with a body that nobody reads.
+#[tokio::test]
+async fn caller_that_waits_before_its_body_is_answered_at_once() {
+    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n";
+
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    let read = tokio::time::timeout(CALL_LIMIT, stream.read_to_string(&mut answer)).await;
+
+    assert!(read.is_ok_and(|read| read.is_ok()), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+}
+
+/// Guards against a peer that sends without end and is read without end.
+#[rstest]
+#[case::with_a_length(Framing::Length)]
+#[case::chunked(Framing::Chunked)]
+#[tokio::test]
+async fn body_without_end_is_discarded_within_limits(#[case] framing: Framing) {
+    /// What is discarded before and after the end of the answers, and the sockets' buffers.
+    const LIMIT: usize = 80 * 1024 * 1024;
+    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let endless = Request {
+        piece: 1024 * 1024,
+        pieces: 2 * LIMIT / (1024 * 1024),
+        pause: Duration::ZERO,
+        ..pieces("/", 0, framing)
+    };
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let answer = connection.call(&endless, CALL_LIMIT).await;
+
+    assert!(answer.is_err(), "{answer:?}");
+    let sent = connection.bytes_sent();
+    assert!(sent < LIMIT, "{sent} bytes sent");
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -23,5 +23,6 @@
 mod silence;
 pub mod sse;
 pub mod store;
+pub mod strict;
 pub mod traffic;
 pub mod wait;
--- a/testbed/tests/kept_connections.rs
+++ b/testbed/tests/kept_connections.rs
@@ -14,6 +14,7 @@
     tamarackdale_testbed::{
         http,
         platform::{Configuration, Gateway, Server, Site, request},
+        strict::{self, Framing},
     },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -265,3 +266,48 @@
     assert!(answer.expect("answered").status() >= 400);
     assert_eq!(line.expect("logged")["body_read"], json!(expected));
 }
+
+/// Guards against a refusal by the head alone that is lost while its caller still sends the body.
+#[rstest]
+#[case::malformed("/status/1", "key\r\nTime-Budget: x", 6, 400)]
+#[case::unknown_key("/status/1", "another", 6, 401)]
+#[case::no_route("/none", "key", 6, 404)]
+#[case::body_too_large("/status/1", "key", 200, 413)]
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_sends_all_first(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] pieces: usize,
+    #[case] expected: u16,
+    #[values(Framing::Length, Framing::Chunked)] framing: Framing,
+) {
+    const CALLS: usize = 20;
+    let bench = start().await;
+    let refused = strict_request(path, key, pieces, framing);
+    let mut lost = Vec::new();
+
+    for _ in 0..CALLS {
+        let opened = strict::Connection::open(bench.gateway.callers()).await;
+        let answer = opened.expect("accepted").call(&refused, CALL_LIMIT).await;
+        match answer {
+            Ok(answer) => assert_eq!(answer.status, expected),
+            Err(error) => lost.push(error),
+        }
+    }
+
+    assert!(lost.is_empty(), "{} of {CALLS} lost: {lost:?}", lost.len());
+}
+
+/// A request in pieces a few milliseconds apart.
+fn strict_request(path: &str, key: &str, pieces: usize, framing: Framing) -> strict::Request {
+    strict::Request {
+        head: format!(
+            "POST {path} HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: s-1\r\n\
+             Authorization: Bearer {key}\r\n"
+        ),
+        piece: 9_000,
+        pieces,
+        pause: Duration::from_millis(5),
+        framing,
+    }
+}
