The longest idle timeout of the last convergence time holds

Callers that kept to an idle timeout of ten seconds lost their connection after two when the timeout had been raised and lowered again while the connection was idle, and after 50 ms when it had just been lowered to that and they had not heard of it. The timeout was read at the beginning and at the end of the idle time only, so a longer one in between was forgotten, and one that was replaced did not count at all for connections that became idle after it.

The follower records the timeouts of each version that it applies; the largest that was in force within the convergence of the settings counts, for the idle time and for heads. A caller relies on a version until the convergence after the acknowledgement of the next, and a gateway applies that one no earlier than the store has taken it. A raised timeout thus takes effect at once, a lowered one after the convergence. Only values that can still count are kept.

A version that is replaced before the gateway has read it stays unknown to it, as the store has the newest one only.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod queue;
 pub mod quorum;
 pub mod quota;
+pub mod recent;
 pub mod rendezvous;
 pub mod report;
 pub mod retry;
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -10,14 +10,18 @@
         starts::Keepers,
         summary_broadcast::SummaryBroadcast,
     },
-    crate::{clock::Clock, http::activity::Timeouts, metrics::Metrics},
+    crate::{
+        clock::{self, Clock},
+        http::activity::Timeouts,
+        metrics::Metrics,
+    },
     gotham::state::StateData,
     std::{
         net::SocketAddr,
         panic::RefUnwindSafe,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
     },
-    tamarackdale_core::peer_table::PeerTable,
+    tamarackdale_core::{peer_table::PeerTable, routing_config::Limits},
     tamarackdale_platform::Settings,
     tokio::sync::{mpsc, watch},
     tokio_util::sync::CancellationToken,
@@ -70,13 +74,22 @@
         known_peers.unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Timeouts of callers' connections.
+    /// Timeouts of callers' connections: the longest ones within the time in which a change of the
+    /// configuration takes effect, since callers that have not heard of it rely on the former ones.
     pub fn connection_timeouts(&self) -> Timeouts {
-        let limits = self.snapshot().map(|snapshot| snapshot.value.limits());
-        let limits = limits.unwrap_or_default();
+        let now = clock::boottime_now();
+        let window = self.settings.borrow().bounds.convergence;
+        let timeouts = self.store.timeouts.borrow();
+        let default = Limits::default();
         Timeouts {
-            idle: limits.idle_timeout,
-            head: limits.header_timeout,
+            idle: timeouts
+                .idle
+                .get(now, window)
+                .unwrap_or(default.idle_timeout),
+            head: timeouts
+                .head
+                .get(now, window)
+                .unwrap_or(default.header_timeout),
         }
     }
 }
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -26,6 +26,7 @@
         freshness::BootTime,
         retry::Backoff,
         revision::Revision,
+        routing_config::Limits,
     },
     tamarackdale_platform::{
         Settings, configuration,
@@ -274,10 +275,22 @@
                 log::warn!(version, revision:% = revision; "ignoring an older configuration");
             }
         }
+        if matches!(outcome, Outcome::Applied) {
+            self.publish_timeouts(snapshot.value.limits());
+        }
         self.publish_snapshot(snapshot);
         true
     }
 
+    fn publish_timeouts(&self, limits: Limits) {
+        let now = clock::boottime_now();
+        let window = self.bounds().convergence;
+        self.channels.timeouts.send_modify(|timeouts| {
+            timeouts.idle.set(limits.idle_timeout, now, window);
+            timeouts.head.set(limits.header_timeout, now, window);
+        });
+    }
+
     /// Records that the known configuration was unchanged when the check was sent. Until the store
     /// has settled after a restoration, this proves nothing.
     fn confirm_configuration(&self, known: &Snapshot, sent: BootTime) {
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -2,9 +2,9 @@
 
 use {
     super::SavedOrigins,
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_core::{
-        cached_config::CachedConfig, fleet::Members, routing_config::RoutingConfig,
+        cached_config::CachedConfig, fleet::Members, recent, routing_config::RoutingConfig,
     },
     tamarackdale_wire::{origin, summary::SavedQuotaUse},
     tokio::sync::watch,
@@ -13,12 +13,23 @@
 /// A configuration with the time of the last check that it is current.
 pub type Snapshot = CachedConfig<RoutingConfig>;
 
+/// Timeouts of callers' connections in the configurations that have been in force.
+#[derive(Clone, Debug, Default)]
+pub struct RecentTimeouts {
+    /// Maximum time for which a connection may be idle.
+    pub idle: recent::Maximum<Duration>,
+    /// Maximum time to receive a complete head.
+    pub head: recent::Maximum<Duration>,
+}
+
 /// The process's ends of the channels: the store's data as the follower last read it, and what the
 /// follower needs from the process.
 #[derive(Clone)]
 pub struct StoreHandle {
     /// The latest configuration.
     pub configuration: watch::Receiver<Option<Arc<Snapshot>>>,
+    /// Timeouts of callers' connections.
+    pub timeouts: watch::Receiver<RecentTimeouts>,
     /// Registered backend servers.
     pub members: watch::Receiver<Arc<Members>>,
     /// Peer addresses of the other registered gateways.
@@ -63,6 +74,7 @@
 /// The follower's ends of the channels.
 pub struct FollowerChannels {
     pub(super) configuration: watch::Sender<Option<Arc<Snapshot>>>,
+    pub(super) timeouts: watch::Sender<RecentTimeouts>,
     pub(super) members: watch::Sender<Arc<Members>>,
     pub(super) gateways: watch::Sender<Arc<BTreeSet<SocketAddr>>>,
     pub(super) saved_quota_use: watch::Sender<Option<SavedQuotaUse>>,
@@ -77,6 +89,7 @@
 /// Creates both ends of the channels.
 pub fn channels() -> (FollowerChannels, StoreHandle) {
     let (configuration, configuration_receiver) = watch::channel(None);
+    let (timeouts, timeouts_receiver) = watch::channel(RecentTimeouts::default());
     let (members, members_receiver) = watch::channel(Arc::new(Members::new()));
     let (gateways, gateways_receiver) = watch::channel(Arc::new(BTreeSet::new()));
     let (saved_quota_use, saved_quota_use_receiver) = watch::channel(None);
@@ -88,6 +101,7 @@
     let (origins, origins_receiver) = watch::channel((0, None));
     let channels = FollowerChannels {
         configuration,
+        timeouts,
         members,
         gateways,
         saved_quota_use,
@@ -100,6 +114,7 @@
     };
     let handle = StoreHandle {
         configuration: configuration_receiver,
+        timeouts: timeouts_receiver,
         members: members_receiver,
         gateways: gateways_receiver,
         saved_quota_use: saved_quota_use_receiver,
--- a/testbed/tests/kept_connections.rs
+++ b/testbed/tests/kept_connections.rs
@@ -86,6 +86,56 @@
     assert_eq!(last.expect("answered"), 200);
 }
 
+/// Guards against a connection that is closed at the last of several idle timeouts, while its caller may
+/// still rely on a longer one: for the convergence of the site's settings, a second.
+#[rstest]
+#[case::raised_and_lowered(&[10_000, IDLE_TIMEOUT_MS], Duration::from_millis(2_150))]
+#[case::lowered(&[50], Duration::from_millis(850))]
+#[tokio::test]
+async fn kept_connection_stays_open_for_the_longest_recent_idle_timeout(
+    #[case] timeouts_ms: &[u64],
+    #[case] idle: Duration,
+) {
+    /// More than the shortest of the timeouts.
+    const LEAST_IDLE: Duration = Duration::from_millis(100);
+    let bench = start().await;
+    let opened = http::Connection::open(bench.gateway.callers()).await;
+    let mut connection = opened.expect("accepted");
+    let mut next = configuration();
+
+    let first = call(&mut connection, "k-1").await;
+    let end = tokio::time::Instant::now() + idle;
+    for timeout_ms in timeouts_ms {
+        next = next.with("/limits/idle_timeout_ms", json!(timeout_ms));
+        bench.site.configure(&next);
+        wait_applied(&bench, &next).await;
+    }
+    let second = match timeouts_ms {
+        [_] => call(&mut connection, "k-2").await,
+        _ => Ok(200),
+    };
+    tokio::time::sleep_until(end.max(tokio::time::Instant::now() + LEAST_IDLE)).await;
+    let last = call(&mut connection, "k-3").await;
+
+    assert_eq!(first.expect("answered"), 200);
+    assert_eq!(second.expect("answered"), 200);
+    assert_eq!(last.expect("answered"), 200);
+}
+
+/// Waits until the gateway has applied a version of the configuration.
+async fn wait_applied(bench: &Bench, configuration: &Configuration) {
+    let version = &configuration.value["version"];
+    let is_applied = || {
+        let logs = bench.gateway.process.logs();
+        let mut applied = logs.iter();
+        applied
+            .any(|line| line["message"] == "configuration applied" && &line["version"] == version)
+    };
+    while !is_applied() {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against a connection that is closed under a request whose caller kept to the idle timeout and
 /// to the timeout for heads, because the time before the head counts as part of it.
 #[rstest]
