A connection is idle once a body that came after its answer has been read

Callers could keep a connection for ten seconds beyond the idle timeout, and the log said that the rest of a body had not come to its end, although it had. Once the answer is written and the body is read, hyper waits for the next head, and drops its end of the body's channel only when that comes; the rest's reader waited for that.

The end of a rest of known length is taken from its length. The end of a chunked one cannot be noticed, so the answer to a request whose chunked body is not read ends its connection: the answer is sent at once and the server reads on until its peer has closed. The bound in bytes is checked with the length, before the answer.

--- a/daemon/src/http/request_body.rs
+++ b/daemon/src/http/request_body.rs
@@ -104,8 +104,9 @@
     }
 }
 
-/// Reads the rests of bodies to their ends, so that the connection can be used for the next request. One
-/// that is too long or too slow is dropped, whereupon the connection ends after the answer. Never returns.
+/// Reads the rests of bodies, whose lengths are known, to their ends, so that the connection can be used
+/// for the next request. One that is too slow is dropped, whereupon the connection ends after the answer.
+/// Never returns.
 pub async fn discard_all(
     name: &'static str,
     peer: SocketAddr,
@@ -128,16 +129,14 @@
     std::future::pending().await
 }
 
-/// Reads a rest and counts its bytes. Returns whether it came to its end.
+/// Reads a rest of known length and counts its bytes. Returns whether it came to its end.
 async fn discard(rest: &mut Incoming, bytes: &mut u64) -> bool {
-    while let Some(frame) = rest.frame().await {
-        let Ok(frame) = frame else {
+    // After the answer, hyper tells the end only once the next request has begun.
+    while !rest.is_end_stream() {
+        let Some(Ok(frame)) = rest.frame().await else {
             return false;
         };
         *bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
-        if *bytes > MAX_DISCARDED_BYTES {
-            return false;
-        }
     }
     true
 }
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -222,11 +222,13 @@
     }
 }
 
-/// Whether a connection ends after a response to a request with an unread `rest`.
+/// Whether a connection ends after a response to a request with an unread `rest`. The end of a rest of
+/// unknown length could not be noticed.
 fn is_last(response: &Response<Body>, rest: &Incoming) -> bool {
     let connection = response.headers().get(CONNECTION);
+    let length = rest.size_hint().exact();
     connection.is_some_and(|value| value == "close")
-        || rest.size_hint().lower() > MAX_DISCARDED_BYTES
+        || length.is_none_or(|length| length > MAX_DISCARDED_BYTES)
 }
 
 /// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
