At the connection limit, the longest idle connection makes room

The listener accepts first, and if there is no room it notifies the connection that has been idle for longest, which is closed as at its idle timeout: a request that has arrived goes before. The same where the process has run out of descriptors. If no connection is idle, the next one to become so makes room.

Also a test of requests that follow one whose answer ends the connection: its caller had a broken pipe before the server read on after its last answer.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -13,7 +13,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::watch,
+        sync::{Notify, watch},
         time::{Instant, sleep_until},
     },
 };
@@ -50,6 +50,18 @@
     bytes_read: u64,
 }
 
+impl State {
+    /// Whether anything but the peer is waited for, or the peer takes an answer.
+    fn is_busy(&self) -> bool {
+        self.requests > 0 || self.discards > 0 || self.is_write_blocked
+    }
+
+    /// Whether the next request has not begun either.
+    fn is_idle(&self) -> bool {
+        !self.is_busy() && self.head_since.is_none()
+    }
+}
+
 /// A request that is in progress until this is dropped.
 pub struct InProgress {
     state: Arc<watch::Sender<State>>,
@@ -142,13 +154,26 @@
         state.is_body_unread || state.head_since.is_some()
     }
 
+    /// Waits until the connection is idle and `reclaim` notifies it. The one that has waited longest is
+    /// notified first.
+    pub async fn reclaimed(&self, reclaim: &Notify) {
+        let mut changes = self.state.subscribe();
+        loop {
+            let is_idle = changes.borrow_and_update().is_idle();
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = reclaim.notified(), if is_idle => return,
+            }
+        }
+    }
+
     /// Waits until a head takes too long, or the connection has been idle for too long. The timeouts
     /// are read at the beginning and at the end of that time, and the longer one counts.
     pub async fn timed_out(&self, timeouts: &(dyn Fn() -> Timeouts + Send + Sync)) {
         let mut changes = self.state.subscribe();
         loop {
             let state = *changes.borrow_and_update();
-            if state.requests > 0 || state.discards > 0 || state.is_write_blocked {
+            if state.is_busy() {
                 // The sender lives as long as `self`.
                 let _ = changes.changed().await;
                 continue;
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -18,6 +18,7 @@
         service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    rustix::io::Errno,
     std::{
         io,
         net::SocketAddr,
@@ -29,8 +30,8 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
-        sync::{Semaphore, mpsc},
-        time::timeout,
+        sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc},
+        time::{sleep, timeout},
     },
     tokio_util::task::TaskTracker,
 };
@@ -57,6 +58,8 @@
     listener: TcpListener,
     handler: Arc<H>,
     connections: Arc<Semaphore>,
+    /// Notifies an idle connection that is closed in favour of a new one.
+    reclaim: Arc<Notify>,
     timeouts: Arc<dyn Fn() -> Timeouts + Send + Sync>,
 }
 
@@ -81,6 +84,7 @@
             listener,
             handler: Arc::new(handler),
             connections: Arc::new(Semaphore::new(max_connections)),
+            reclaim: Arc::default(),
             timeouts: Arc::new(|| TIMEOUTS),
         })
     }
@@ -121,21 +125,31 @@
         tracker.wait().await;
     }
 
-    async fn accept(&self) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-        // The semaphore is never closed.
-        let permit = Arc::clone(&self.connections).acquire_owned().await.ok()?;
-        match self.listener.accept().await {
-            Ok((stream, _)) => {
-                // Without TCP_NODELAY, small frames would wait for the peer's acknowledgements.
-                stream.set_nodelay(true).ok()?;
-                Some((stream, permit))
-            }
+    /// Accepts a connection. While there are as many as the limit allows, an idle one makes room for it.
+    async fn accept(&self) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        let stream = match self.listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(listener = self.name; "cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-                None
+                if matches!(
+                    Errno::from_io_error(&error),
+                    Some(Errno::MFILE | Errno::NFILE)
+                ) {
+                    self.reclaim.notify_one();
+                }
+                sleep(ACCEPT_BACKOFF).await;
+                return None;
             }
+        };
+        // Without TCP_NODELAY, small frames would wait for the peer's acknowledgements.
+        stream.set_nodelay(true).ok()?;
+        if self.connections.available_permits() == 0 {
+            log::info!(listener = self.name; "connection limit reached: an idle one is closed");
+            self.reclaim.notify_one();
         }
+        // The semaphore is never closed.
+        let permit = Arc::clone(&self.connections).acquire_owned().await.ok()?;
+        Some((stream, permit))
     }
 
     /// Serves one connection until it ends, is idle for too long or is ended by the shutdown.
@@ -148,6 +162,7 @@
         let name = self.name;
         let handler = Arc::clone(&self.handler);
         let timeouts = Arc::clone(&self.timeouts);
+        let reclaim = Arc::clone(&self.reclaim);
         let activity = Activity::new();
         let requests = activity.clone();
         let (rests_sender, rests) = mpsc::unbounded_channel();
@@ -203,12 +218,13 @@
                     }
                     () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
                     () = discarding.as_mut() => {}
+                    () = activity.reclaimed(&reclaim) => {}
                     () = activity.timed_out(&*timeouts) => {
                         log_incomplete_request(name, peer, &activity);
                         return;
                     }
                 }
-                // Only the beginning of the shutdown leads here.
+                // The shutdown begins, or the connection makes room for another one.
                 Pin::new(&mut connection).graceful_shutdown();
             };
             log_connection_error(name, peer, &activity, result);
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -28,6 +28,8 @@
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+const MAX_CONNECTIONS: usize = 8;
+
 /// Longest time for an answer once the request has been sent.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
@@ -54,7 +56,7 @@
     let port = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
     let address = port.local_addr().expect("bound");
     drop(port);
-    let server = Server::bind("test", address, 8, router).await;
+    let server = Server::bind("test", address, MAX_CONNECTIONS, router).await;
     (server.expect("binds"), address)
 }
 
@@ -281,3 +283,55 @@
     let sent = connection.bytes_sent();
     assert!(sent < LIMIT, "{sent} bytes sent");
 }
+
+/// Guards against callers that wait without an answer while connections are idle: the one that has been
+/// idle for longest makes room.
+#[tokio::test]
+async fn idle_connection_makes_room_for_a_new_one() {
+    let (address, _) = start(16, Duration::from_secs(60)).await;
+    let request = pieces("/", 1, Framing::Length);
+    let mut kept = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        let answer = connection.call(&request, CALL_LIMIT).await;
+        assert_eq!(answer.expect("answered").status, 200);
+        kept.push(connection);
+    }
+
+    let mut next = Connection::open(address).await.expect("accepted");
+    let answer = next.call(&request, CALL_LIMIT).await;
+    let mut others = Vec::new();
+    for connection in &mut kept {
+        others.push(connection.call(&request, CALL_LIMIT).await.is_ok());
+    }
+
+    assert_eq!(answer.expect("answered").status, 200);
+    assert!(!others[0], "the longest idle one is still open");
+    assert!(others[1..].iter().all(|is_open| *is_open), "{others:?}");
+}
+
+/// Guards against the loss of the last answer on a connection on which its caller has sent more requests.
+#[tokio::test]
+async fn last_answer_is_whole_although_more_requests_follow() {
+    const SIZE: usize = 60_000;
+    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let last = "GET /last HTTP/1.1\r\nHost: a\r\n\r\n";
+    let more = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_000);
+
+    stream.write_all(last.as_bytes()).await.expect("sent");
+    for piece in more.as_bytes().chunks(2_000) {
+        stream.write_all(piece).await.expect("sent");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut answers = Vec::new();
+    let read = stream.read_to_end(&mut answers).await;
+
+    assert!(read.is_ok(), "{read:?}");
+    assert!(answers.starts_with(b"HTTP/1.1 200 OK"));
+    assert!(
+        (SIZE..SIZE + 1_000).contains(&answers.len()),
+        "{}",
+        answers.len()
+    );
+}
