A connection that ends with the rest of a body is closed without a further wait

A process that shut down waited for up to ten seconds for the peer of a connection whose answer was written and whose body had come to its end, when the peer left the connection open: the connection ended in the same step as the body's rest, before that was noted, so the request counted as incomplete. The shutdown's test, whose peer now leaves its connection open, failed before (still serving after a second). The rest's reader is polled once more when the connection has ended.

--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -9,6 +9,7 @@
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
     },
     crate::signal::Shutdown,
+    futures_util::FutureExt as _,
     gotham::{handler::NewHandler, helpers::http::Body, service::call_handler, state::State},
     hyper::{
         Request, Response,
@@ -227,6 +228,8 @@
                 // The shutdown begins, or the connection makes room for another one.
                 Pin::new(&mut connection).graceful_shutdown();
             };
+            // The end of a rest can come with the end of its connection.
+            let _ = discarding.as_mut().now_or_never();
             log_connection_error(name, peer, &activity, result);
             // Drops what is left of the handlers.
             let stream = connection.into_parts().io.into_inner().into_inner();
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -219,12 +219,16 @@
     assert!(third.is_err(), "not closed: {third:?}");
 }
 
-/// Guards against the same loss at a graceful shutdown, and a shutdown that waits for longer than needed.
+/// Guards against the same loss at a graceful shutdown, and a shutdown that waits for longer than needed:
+/// for a caller that has sent all and does not close its connection.
 #[rstest]
-#[case::kept("/")]
-#[case::closed_by_the_server("/last")]
+#[case::kept("/", false)]
+#[case::closed_by_the_server("/last", true)]
 #[tokio::test]
-async fn caller_that_still_sends_at_shutdown_gets_its_answer(#[case] path: &str) {
+async fn caller_that_still_sends_at_shutdown_gets_its_answer(
+    #[case] path: &str,
+    #[case] closes: bool,
+) {
     let router = http::catch_all_router(Answer(16), answer);
     let (server, address) = bind(router).await;
     let shutdown = Shutdown::new();
@@ -237,11 +241,12 @@
         sleep(Duration::from_millis(100)).await;
         shutdown.closing.cancel();
     });
-    drop(connection);
+    let open = (!closes).then_some(connection);
     let ended = tokio::time::timeout(Duration::from_secs(1), serving).await;
 
     assert_eq!(answer.expect("answered").status, 200);
     assert!(ended.is_ok(), "still serving");
+    drop(open);
 }
 
 /// Guards against a caller that is told to go on with a body that nobody reads.
