--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -50,8 +50,9 @@
 /// and thread scheduling on a loaded machine.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Size of the pieces in which bytes are read that are discarded.
-const DISCARD_BUFFER_BYTES: usize = 16 * 1024;
+/// Size of the pieces in which bytes are read that are discarded. Small, since all connections of a
+/// listener may need it at once.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
 /// A bound listener with the handler that serves its connections.
 pub struct Server<H> {
