--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -4,15 +4,35 @@
 //! accept loop.
 
 use {
-    super::activity::{Activity, Timeouts},
+    super::{
+        activity::{Activity, Timeouts},
+        request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
+    },
     crate::signal::Shutdown,
+    futures_util::FutureExt as _,
     gotham::{handler::NewHandler, helpers::http::Body, service::call_handler, state::State},
-    hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
+    hyper::{
+        Request, Response,
+        body::{Body as _, Incoming},
+        header::{CONNECTION, EXPECT, HeaderValue},
+        server::conn::http1,
+        service::service_fn,
+    },
     hyper_util::rt::TokioIo,
-    std::{io, net::SocketAddr, panic::AssertUnwindSafe, pin::pin, sync::Arc, time::Duration},
+    rustix::io::Errno,
+    std::{
+        io,
+        net::SocketAddr,
+        panic::AssertUnwindSafe,
+        pin::{Pin, pin},
+        sync::Arc,
+        time::Duration,
+    },
     tokio::{
+        io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
-        sync::Semaphore,
+        sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc},
+        time::{sleep, timeout},
     },
     tokio_util::task::TaskTracker,
 };
@@ -26,12 +46,22 @@
 const MAX_HEADER_BUFFER_BYTES: usize = 64 * 1024;
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Time for a peer to close its direction of a connection whose requests have all been read: a round trip
+/// and thread scheduling on a loaded machine.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Size of the pieces in which bytes are read that are discarded. Small, since all connections of a
+/// listener may need it at once.
+const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
+
 /// A bound listener with the handler that serves its connections.
 pub struct Server<H> {
     name: &'static str,
     listener: TcpListener,
     handler: Arc<H>,
     connections: Arc<Semaphore>,
+    /// Notifies an idle connection that is closed in favour of a new one.
+    reclaim: Arc<Notify>,
     timeouts: Arc<dyn Fn() -> Timeouts + Send + Sync>,
 }
 
@@ -56,6 +86,7 @@
             listener,
             handler: Arc::new(handler),
             connections: Arc::new(Semaphore::new(max_connections)),
+            reclaim: Arc::default(),
             timeouts: Arc::new(|| TIMEOUTS),
         })
     }
@@ -96,21 +127,31 @@
         tracker.wait().await;
     }
 
-    async fn accept(&self) -> Option<(TcpStream, tokio::sync::OwnedSemaphorePermit)> {
-        // The semaphore is never closed.
-        let permit = Arc::clone(&self.connections).acquire_owned().await.ok()?;
-        match self.listener.accept().await {
-            Ok((stream, _)) => {
-                // Without TCP_NODELAY, small frames would wait for the peer's acknowledgements.
-                stream.set_nodelay(true).ok()?;
-                Some((stream, permit))
-            }
+    /// Accepts a connection. While there are as many as the limit allows, an idle one makes room for it.
+    async fn accept(&self) -> Option<(TcpStream, OwnedSemaphorePermit)> {
+        let stream = match self.listener.accept().await {
+            Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(listener = self.name; "cannot accept a connection: {error}");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-                None
+                if matches!(
+                    Errno::from_io_error(&error),
+                    Some(Errno::MFILE | Errno::NFILE)
+                ) {
+                    self.reclaim.notify_one();
+                }
+                sleep(ACCEPT_BACKOFF).await;
+                return None;
             }
+        };
+        // Without TCP_NODELAY, small frames would wait for the peer's acknowledgements.
+        stream.set_nodelay(true).ok()?;
+        if self.connections.available_permits() == 0 {
+            log::info!(listener = self.name; "connection limit reached: an idle one is closed");
+            self.reclaim.notify_one();
         }
+        // The semaphore is never closed.
+        let permit = Arc::clone(&self.connections).acquire_owned().await.ok()?;
+        Some((stream, permit))
     }
 
     /// Serves one connection until it ends, is idle for too long or is ended by the shutdown.
@@ -123,49 +164,130 @@
         let name = self.name;
         let handler = Arc::clone(&self.handler);
         let timeouts = Arc::clone(&self.timeouts);
+        let reclaim = Arc::clone(&self.reclaim);
         let activity = Activity::new();
         let requests = activity.clone();
+        let (rests_sender, rests) = mpsc::unbounded_channel();
         let service = service_fn(move |request: Request<Incoming>| {
-            let state = State::from_request(remove_invalid_request_id(request), peer);
-            let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             let in_progress = requests.begin_request();
+            let awaits_continue = request.headers().contains_key(EXPECT);
+            let request = remove_invalid_request_id(request);
+            let request = request.map(|body| RequestBody::new(body, requests.clone()));
+            let unread = request.body().unread();
+            let state = State::from_request(request, peer);
+            let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
+            let activity = requests.clone();
+            let rests = rests_sender.clone();
             async move {
-                let response = response.await;
-                response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
+                response.await.map(|mut response| {
+                    if let Some(rest) = unread.take() {
+                        if awaits_continue || is_last(&response, &rest) {
+                            let close = HeaderValue::from_static("close");
+                            response.headers_mut().insert(CONNECTION, close);
+                        } else {
+                            activity.begin_discard();
+                            // The receiver lives as long as the connection.
+                            let _ = rests.send(rest);
+                        }
+                    }
+                    response.map(|body| in_progress.until_end_of(body))
+                })
             }
         });
         let stream = activity.observe(stream);
-        let connection = http1::Builder::new()
+        let mut connection = http1::Builder::new()
             // `Activity` has the timeouts.
             .header_read_timeout(None)
             .max_buf_size(MAX_HEADER_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         async move {
-            let mut connection = pin!(connection);
+            let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
             let mut is_closing = false;
-            loop {
+            let result = loop {
                 tokio::select! {
                     // A request that has arrived goes before the timeout.
                     biased;
-                    result = connection.as_mut() => {
-                        log_connection_error(name, peer, &activity, result);
-                        return;
-                    }
+                    result = &mut connection => break result,
                     () = shutdown.aborting.cancelled() => {
-                        log::warn!(listener = name, peer:% = peer; "connection aborted at shutdown");
+                        log::warn!(
+                            listener = name,
+                            peer:% = peer,
+                            requests = activity.requests(),
+                            bytes_read = activity.bytes_read();
+                            "connection aborted at shutdown"
+                        );
                         return;
                     }
-                    () = shutdown.closing.cancelled(), if !is_closing => {
-                        is_closing = true;
-                        connection.as_mut().graceful_shutdown();
+                    () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
+                    () = discarding.as_mut() => {}
+                    () = activity.reclaimed(&reclaim) => {}
+                    () = activity.timed_out(&*timeouts) => {
+                        log_incomplete_request(name, peer, &activity);
+                        return;
                     }
-                    () = activity.timed_out(&*timeouts) => return,
                 }
+                // The shutdown begins, or the connection makes room for another one.
+                Pin::new(&mut connection).graceful_shutdown();
+            };
+            // The end of a rest can come with the end of its connection.
+            let _ = discarding.as_mut().now_or_never();
+            log_connection_error(name, peer, &activity, result);
+            // Drops what is left of the handlers.
+            let stream = connection.into_parts().io.into_inner().into_inner();
+            tokio::select! {
+                () = close(name, peer, &activity, stream) => {}
+                () = shutdown.aborting.cancelled() => {}
             }
         }
     }
 }
 
+/// Whether a connection ends after a response to a request with an unread `rest`. The end of a rest of
+/// unknown length could not be noticed.
+fn is_last(response: &Response<Body>, rest: &Incoming) -> bool {
+    let connection = response.headers().get(CONNECTION);
+    let length = rest.size_hint().exact();
+    connection.is_some_and(|value| value == "close")
+        || length.is_none_or(|length| length > MAX_DISCARDED_BYTES)
+}
+
+/// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
+/// its own or a limit is reached.
+async fn close(name: &'static str, peer: SocketAddr, activity: &Activity, mut stream: TcpStream) {
+    if stream.shutdown().await.is_err() {
+        // The connection is broken.
+        return;
+    }
+    let is_incomplete = activity.is_request_incomplete();
+    let limit = match is_incomplete {
+        true => DISCARD_TIMEOUT,
+        false => CLOSE_TIMEOUT,
+    };
+    let mut discarded = 0;
+    let reading = async {
+        let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
+        while discarded <= MAX_DISCARDED_BYTES {
+            match stream.read(&mut buffer).await {
+                Ok(0) | Err(_) => return true,
+                Ok(bytes) => discarded += bytes as u64,
+            }
+        }
+        false
+    };
+    let is_closed_by_peer = timeout(limit, reading).await.unwrap_or(false);
+    if is_incomplete || discarded > 0 {
+        log::info!(
+            listener = name,
+            peer:% = peer,
+            requests = activity.requests(),
+            bytes_read = activity.bytes_read(),
+            bytes_discarded = discarded,
+            is_closed_by_peer;
+            "connection closed before a request was read to its end"
+        );
+    }
+}
+
 /// Removes a request identifier that is not UTF-8, on which gotham would panic.
 fn remove_invalid_request_id(mut request: Request<Incoming>) -> Request<Incoming> {
     let name = "x-request-id";
@@ -194,8 +316,22 @@
         requests => log::info!(
             listener = name,
             peer:% = peer,
-            requests;
+            requests,
+            bytes_read = activity.bytes_read();
             "connection ended before its response was complete: {error}"
         ),
     }
 }
+
+/// Logs that a connection is closed although its peer may still send a request.
+fn log_incomplete_request(name: &'static str, peer: SocketAddr, activity: &Activity) {
+    if activity.is_request_incomplete() {
+        log::info!(
+            listener = name,
+            peer:% = peer,
+            requests = activity.requests(),
+            bytes_read = activity.bytes_read();
+            "connection closed before a request was read to its end"
+        );
+    }
+}
