Streams: pass on only what belongs to the stream

Callers found an error's text, at times with its head, in the middle of their stream or in place of it, and a stream that ended as if it were complete after that: a backend server wrote it into a response without a length, and any bytes up to an empty line passed as an event. A server that went on with a stream from its first event, or repeated one, was joined as it came.

core::sse checks each block at the joint and within a response: its lines are the fields of an event (those of the HTML standard, and the line that names a change of the weights' version) or comments, and an event has one identifier, above that of the last event passed on. Anything else is not passed on; the attempt counts as broken, its server as failing, and the stream goes on elsewhere if its dispatch allows that. Events before the fault in the same bytes are passed on. Streams that may be resumed have identifiers from their first event on; others show by their first event whether they have any. Only a 200 is a stream: a part of one (206) isn't. What ends a stream as complete is stated once, in Exchange::incompleteness. Comments no longer count as events: a server that sends only these is silent.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     gotham::hyper::{
-        Request, Response,
+        Request, Response, StatusCode,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
@@ -26,6 +26,7 @@
     tamarackdale_core::{
         dispatch::SendFailure,
         fleet::{Choice, Member, health::Failure},
+        sse::Splitter,
         time::Timestamp,
     },
     tamarackdale_platform::{
@@ -186,7 +187,7 @@
         let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
             .iter()
             .any(|name| parts.headers.contains_key(name));
-        if !body::is_event_stream(&parts.headers) {
+        if parts.status != StatusCode::OK || !body::is_event_stream(&parts.headers) {
             in_flight.record_first_event();
         }
         parts.headers = response::returned_headers(&parts.headers);
@@ -251,14 +252,23 @@
 }
 
 impl Exchange {
-    /// Whether the response is an event stream.
+    /// Whether the response is an event stream. Other successes, as of a part of it, are none.
     pub fn is_stream(&self) -> bool {
-        self.parts.status.is_success() && body::is_event_stream(&self.parts.headers)
+        self.parts.status == StatusCode::OK && body::is_event_stream(&self.parts.headers)
     }
 
-    /// Whether a response that is only ended by its connection has brought no event.
-    pub fn is_unbegun(&self) -> bool {
-        !self.is_framed && self.in_flight.time_to_first_event().is_none()
+    /// Why the end of the response is not the end of its stream, if it is not.
+    ///
+    /// A stream is complete when its response has ended between two events, by its length or its last
+    /// chunk. A response without either ends with its connection, as also when its backend server crashes;
+    /// it must have brought an event. One that states its end need not: all events may have been passed on
+    /// before an earlier response broke off.
+    pub fn incompleteness(&self, splitter: &Splitter) -> Option<&'static str> {
+        if splitter.is_inside_event() {
+            return Some("the last event is incomplete");
+        }
+        let is_begun = self.in_flight.time_to_first_event().is_some();
+        (!self.is_framed && !is_begun).then_some("the connection was closed before the first event")
     }
 
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -20,8 +20,9 @@
     tamarackdale_core::{
         dispatch::{SendFailure, Step},
         fleet::Member,
-        sse::{Batch, Splitter},
+        sse::{Batch, Numbering, Splitter},
     },
+    tamarackdale_platform::response,
     tokio::time::{Instant, sleep, timeout},
 };
 
@@ -39,10 +40,14 @@
 /// Returns a response that passes on the events as they arrive.
 pub fn respond(job: Job, exchange: Exchange) -> Response<Body> {
     let parts = exchange.parts.clone();
+    let numbering = match job.stream {
+        Some(_) => Numbering::Above(job.last_event),
+        None => Numbering::Undecided,
+    };
     let relay = StreamRelay {
         job,
         exchange: Some(exchange),
-        splitter: Splitter::new(),
+        splitter: Splitter::new(numbering).with_extra_field(response::VERSION_FIELD),
         waiting_since: Instant::now(),
         may_move: true,
     };
@@ -70,7 +75,7 @@
     Events(Batch),
     /// The end of the body.
     End,
-    /// An event that cannot be passed on.
+    /// Bytes that do not go on with the stream.
     Invalid(String),
     /// The connection broke.
     Broken(String),
@@ -111,18 +116,13 @@
             // The error that ends the caller's connection, or `None` to read on.
             let error = match result {
                 Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
-                Progress::End if self.splitter.is_inside_event() => {
-                    let reason = "the last event is incomplete";
-                    self.resume_after_break(reason).await
-                }
-                Progress::End if self.ended_with_nothing() => {
-                    let reason = "the connection was closed before the first event";
-                    self.resume_after_break(reason).await
-                }
-                Progress::End => {
-                    self.finish();
-                    return None;
-                }
+                Progress::End => match self.exchange.as_ref()?.incompleteness(&self.splitter) {
+                    Some(reason) => self.resume_after_break(reason).await,
+                    None => {
+                        self.finish();
+                        return None;
+                    }
+                },
                 Progress::Invalid(reason) => self.resume(&reason, true).await,
                 Progress::Broken(reason) => self.resume_after_break(&reason).await,
                 Progress::TimedOut => Some(self.abort(EndReason::TimedOut)),
@@ -135,12 +135,6 @@
         }
     }
 
-    /// Whether a response that is only ended by its connection has ended without any event, as when
-    /// its backend server crashes.
-    fn ended_with_nothing(&self) -> bool {
-        self.exchange.as_ref().is_some_and(Exchange::is_unbegun)
-    }
-
     async fn read(&mut self) -> Option<Progress> {
         let time_left = self.job.time_left();
         let patience = self.patience().filter(|patience| *patience < time_left);
@@ -195,7 +189,7 @@
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
                 Progress::Invalid(_) | Progress::Broken(_) => None,
-                Progress::End if self.splitter.is_inside_event() || silent.is_unbegun() => None,
+                Progress::End if silent.incompleteness(&self.splitter).is_some() => None,
                 result => return Some(result),
             },
             response = sent.response() => Some(response),
@@ -223,7 +217,7 @@
                 self.leave_silent();
                 self.exchange = Some(exchange);
                 self.job.record_origin(&next);
-                self.splitter = Splitter::new();
+                self.splitter.begin_response();
                 self.waiting_since = Instant::now();
                 return Progress::Moved;
             }
@@ -298,11 +292,15 @@
             self.may_move &= may_resend;
             return None;
         }
-        self.splitter = Splitter::new();
+        self.splitter.begin_response();
         self.send_again(may_resend, step).await
     }
 
     async fn forward(&mut self, batch: Batch) -> Bytes {
+        if batch.count == 0 {
+            // A comment shows that the connection is open, and not that the stream goes on.
+            return batch.bytes.into();
+        }
         self.job.last_event = batch.last_id.or(self.job.last_event);
         self.job.events += batch.count;
         self.waiting_since = Instant::now();
@@ -350,7 +348,7 @@
         );
         // Closes the connection before the request is sent again.
         drop(broken);
-        self.splitter = Splitter::new();
+        self.splitter.begin_response();
         let step = self.job.dispatch.fail(SendFailure::Lost);
         self.send_again(may_resend, step).await
     }
@@ -410,15 +408,15 @@
 ) -> Progress {
     let reading = async {
         loop {
-            let bytes = match body.frame().await {
-                None => return Progress::End,
-                Some(Err(error)) => return Progress::Broken(error.to_string()),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-            match splitter.push(&bytes) {
+            match splitter.next_batch() {
                 Ok(None) => {}
                 Ok(Some(batch)) => return Progress::Events(batch),
-                Err(error) => return Progress::Invalid(error.to_string()),
+                Err(fault) => return Progress::Invalid(fault.to_string()),
+            }
+            match body.frame().await {
+                None => return Progress::End,
+                Some(Err(error)) => return Progress::Broken(error.to_string()),
+                Some(Ok(frame)) => splitter.append(&frame.into_data().unwrap_or_default()),
             }
         }
     };
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -13,6 +13,7 @@
     std::{
         io,
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -85,6 +86,28 @@
     BeforeAnswer,
 }
 
+/// An answer that is not the next part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Oddity {
+    /// Another status, or another content type, than those of a stream, with an error's text.
+    Error {
+        /// Status code.
+        status: u16,
+        /// Content type.
+        content_type: &'static str,
+        /// Whether it says that it has not run the request.
+        is_refusal: bool,
+    },
+    /// The events from the first to the second number, and then a text. The response has no length and
+    /// ends with its connection.
+    Unframed(u64, u64, &'static str),
+    /// The whole stream, under another signature.
+    OtherSeal,
+}
+
+/// Odd answers that servers share: each is the answer of one server to one request.
+pub type Oddities = Arc<Mutex<Vec<Oddity>>>;
+
 /// When a server crashes at a request that is deadly to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -156,6 +179,8 @@
     events: Mutex<u64>,
     silence: Silence,
     deadly: Mutex<Option<Deadly>>,
+    /// Answers that it gives before it treats requests as usual.
+    oddities: Mutex<Oddities>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
     /// When it crashed.
@@ -193,6 +218,7 @@
             events: Mutex::new(5),
             silence: Silence::default(),
             deadly: Mutex::default(),
+            oddities: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
             retry_after: Mutex::default(),
@@ -271,6 +297,11 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Lets the server give odd answers that it shares with others, the last first, until none is left.
+    pub fn set_oddities(&self, oddities: &Oddities) {
+        *lock(&self.state.oddities) = Arc::clone(oddities);
+    }
+
     /// Sets the time that an answer takes, or the time between two events.
     pub fn set_latency(&self, latency: Duration) {
         *lock(&self.state.latency) = latency;
@@ -442,6 +473,15 @@
             }
             return Some(response);
         }
+        let oddity = lock(&lock(&self.oddities)).pop();
+        if let Some(Oddity::Error {
+            status,
+            content_type,
+            is_refusal,
+        }) = oddity
+        {
+            return Some(signed(error(status, content_type, is_refusal), &id));
+        }
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
@@ -461,6 +501,12 @@
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
         self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
+        if let (Some(Oddity::Unframed(first, last, foreign)), Some(connection)) =
+            (oddity, &connection)
+        {
+            connection.write(&self.unframed(&id, first..=last, foreign));
+            return None;
+        }
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -500,7 +546,22 @@
             put(&mut response, "attempt-id", echo);
             return Some(response);
         }
-        Some(signed(response, echo))
+        let mut response = signed(response, echo);
+        if oddity == Some(Oddity::OtherSeal) {
+            put(&mut response, "response-seal", "another signature");
+        }
+        Some(response)
+    }
+
+    /// The bytes of a stream without a length.
+    fn unframed(&self, id: &str, events: RangeInclusive<u64>, foreign: &str) -> Vec<u8> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-seal: signature\r\n\
+             content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+        );
+        let events = events.flat_map(|number| self.event(number));
+        let events = events.chain(foreign.bytes());
+        head.into_bytes().into_iter().chain(events).collect()
     }
 
     /// Writes the last refusal once more on a kept connection, if the server does so at this point.
@@ -623,6 +684,21 @@
     )
 }
 
+/// An error that is no stream, or success that is none.
+fn error(status: u16, content_type: &str, is_refusal: bool) -> Response<Body> {
+    let status = StatusCode::from_u16(status).expect("a status code");
+    let body = match status {
+        StatusCode::NO_CONTENT => Bytes::new(),
+        _ => Bytes::from_static(b"data: internal error\n\n"),
+    };
+    let mut response = whole(status, body);
+    put(&mut response, "content-type", content_type);
+    if is_refusal {
+        put(&mut response, "not-executed", "1");
+    }
+    response
+}
+
 fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
     put(&mut response, "attempt-id", id);
     put(&mut response, "response-seal", "signature");
--- a/testbed/tests/takeovers.rs
+++ b/testbed/tests/takeovers.rs
@@ -5,10 +5,10 @@
     hyper::{Request, header::HeaderValue},
     rstest::rstest,
     serde_json::{Value, json},
-    std::{fs, time::Duration},
+    std::{fs, sync::Mutex, time::Duration},
     tamarackdale_testbed::{
         http,
-        platform::{Caller, Configuration, Gateway, Server, Site, request},
+        platform::{Caller, Configuration, Gateway, Oddities, Oddity, Server, Site, request},
         wait,
     },
     tokio::{
@@ -248,3 +248,128 @@
     let rest = rest.expect("in time").expect("whole");
     assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
 }
+
+fn error(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/plain",
+        is_refusal: false,
+    }
+}
+
+fn refusal(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/plain",
+        is_refusal: true,
+    }
+}
+
+fn error_as_stream(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/event-stream",
+        is_refusal: false,
+    }
+}
+
+const HEAD: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nerror\n\n";
+
+/// The events of a stream up to `last`, as the servers write them.
+fn events(last: u64) -> String {
+    let event = |id| format!("id: {id}\ndata: token {id} of v1\n\n");
+    (1..=last).map(event).collect()
+}
+
+/// Reads an answer to its end. Returns its body, and whether it came to a clean end.
+async fn read(mut reply: http::Reply) -> (String, bool) {
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match reply.chunk().await {
+            Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    (String::from_utf8_lossy(&body).into_owned(), is_whole)
+}
+
+/// Guards against an error's text, or a part of another run, in the middle of a stream that broke and was
+/// to go on elsewhere, and against a stream that ends as if it were complete.
+#[rstest]
+#[case::fails(error(500))]
+#[case::bad_gateway(error(502))]
+#[case::unavailable(error(503))]
+#[case::refuses(refusal(500))]
+#[case::unavailable_and_refuses(refusal(503))]
+#[case::failure_as_stream(error_as_stream(500))]
+#[case::no_event(Oddity::Unframed(2, 1, ""))]
+#[case::head_in_place_of_events(Oddity::Unframed(2, 1, HEAD))]
+#[case::head_after_an_event(Oddity::Unframed(2, 2, HEAD))]
+#[case::text_after_an_event(Oddity::Unframed(2, 2, "internal error\n\n"))]
+#[case::event_without_identifier(Oddity::Unframed(2, 2, "data: internal error\n\n"))]
+#[case::starts_again(Oddity::Unframed(1, 5, ""))]
+#[case::repeats_an_event(Oddity::Unframed(2, 3, "id: 3\ndata: token 3 of v1\n\n"))]
+#[tokio::test]
+async fn stream_that_another_server_does_not_go_on_with_is_whole_or_broken_off(
+    #[case] oddity: Oddity,
+    #[values(2, 8)] attempts: u32,
+) {
+    let configuration = Configuration::default().with("/routes/1/attempts", json!(attempts));
+    let bench = start(&configuration, engines(3), 3).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    let oddities = Oddities::new(Mutex::new(vec![oddity]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+    split(&bench.servers).0.close();
+    let (rest, is_whole) = read(reply).await;
+
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert!(events(EVENTS).starts_with(&body), "{body}");
+    assert!(oddities.lock().expect("sound").is_empty(), "not sent on");
+    let is_complete = body == events(EVENTS);
+    assert_eq!((is_whole, is_complete), (attempts > 2, attempts > 2));
+}
+
+/// Guards against an error's text as the first part of a stream.
+#[rstest]
+#[case::nothing(Oddity::Unframed(1, 0, ""))]
+#[case::head(Oddity::Unframed(1, 0, HEAD))]
+#[case::head_after_an_event(Oddity::Unframed(1, 1, HEAD))]
+#[case::text(Oddity::Unframed(1, 0, "data: internal error\n\n"))]
+#[tokio::test]
+async fn stream_whose_server_writes_something_else_into_it_is_whole(#[case] oddity: Oddity) {
+    let bench = start(&Configuration::default(), engines(3), 3).await;
+    let oddities = Oddities::new(Mutex::new(vec![oddity]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let answer = read(reply.expect("a head")).await;
+
+    assert_eq!(answer, (events(EVENTS), true));
+}
+
+/// A stream keeps the head of its first server, so another signature is no fault.
+#[tokio::test]
+async fn stream_goes_on_at_a_server_with_another_signature() {
+    let bench = start(&Configuration::default(), engines(2), 2).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let seal = reply.head().headers["response-seal"].clone();
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    let (running, next) = split(&bench.servers);
+    next.set_oddities(&Oddities::new(Mutex::new(vec![Oddity::OtherSeal])));
+    running.close();
+    let (rest, is_whole) = read(reply).await;
+
+    assert_eq!(seal, "signature");
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert_eq!((body, is_whole), (events(EVENTS), true));
+}
