Streams: an answer that is no stream is a failed attempt

A stream that had begun and broke off ended although attempts and sound servers were left, when the next server answered with a 4xx, a 204, a 206 or a 200 of another content type: only failures that check_response knows went on to another server. Such an answer now counts as a failed attempt like any other, its server as failing, also where the server was to take the stream over from a silent one.

--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -100,8 +100,6 @@
     Suspected,
     #[display("no backend server could take it: {_0}")]
     NotPlaced(Cause),
-    #[display("the other backend server did not respond with a stream")]
-    NoStream,
 }
 
 impl StreamRelay {
@@ -221,7 +219,11 @@
                 self.waiting_since = Instant::now();
                 return Progress::Moved;
             }
-            Ok(_) | Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
+            Ok(exchange) => {
+                exchange.record_failure();
+                SendFailure::Failed
+            }
+            Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
             Err(ExchangeError::SendFailure(failure)) => failure,
             Err(ExchangeError::ConnectionBroken) => SendFailure::Lost,
         };
@@ -353,26 +355,39 @@
         self.send_again(may_resend, step).await
     }
 
-    /// Sends the request again after the stream has lost its backend server, if `step` allows that.
+    /// Sends the request again after the stream has lost its backend server, if `step` allows that, until
+    /// one goes on with the stream.
     async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<io::Result<Bytes>> {
         self.job.waiting_since = self.job.context.clock.now();
-        let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
-            (true, _, _) => Some(EndReason::TimedOut),
-            (_, false, _) => Some(EndReason::Suspected),
-            (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
-            (_, _, Step::Resend) => None,
-        };
-        if let Some(end_reason) = end_reason {
-            return Some(self.abort(end_reason));
-        }
-        match self.job.send_until_response().await {
-            Ok(exchange) if exchange.is_stream() => {
-                self.exchange = Some(exchange);
+        let mut step = step;
+        loop {
+            let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
+                (true, _, _) => Some(EndReason::TimedOut),
+                (_, false, _) => Some(EndReason::Suspected),
+                (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
+                (_, _, Step::Resend) => None,
+            };
+            if let Some(end_reason) = end_reason {
+                return Some(self.abort(end_reason));
+            }
+            let next = match self.job.send_until_response().await {
+                Ok(next) => next,
+                Err(cause) => return Some(self.abort(EndReason::NotPlaced(cause))),
+            };
+            if next.is_stream() {
+                self.exchange = Some(next);
                 self.waiting_since = Instant::now();
-                None
+                return None;
             }
-            Ok(_) => Some(self.abort(EndReason::NoStream)),
-            Err(cause) => Some(self.abort(EndReason::NotPlaced(cause))),
+            next.record_failure();
+            log::warn!(
+                request = self.job.request.head.id.as_str(),
+                backend_server = next.member.id.as_str(),
+                status = next.parts.status.as_u16();
+                "backend server did not go on with the stream: its response is none"
+            );
+            self.job.excluded.push(next.member.id.clone());
+            step = self.job.dispatch.fail(SendFailure::Failed);
         }
     }
 
