Streams: the head waits for the first event

The caller of a stream that no server began got the head of a success and then a closed connection, neither an answer nor a refusal: the head was passed on as soon as a server had sent it. It now goes out with the first event, with the head of the server that wrote that event. Until then a stream that cannot go on anywhere is answered with the reason: 502, or 504 when its time is over. No event is later for it, since a head is of no use to a caller before.

stream_that_no_server_begins_is_answered failed before in its three cases: (200, broken off).

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -451,7 +451,7 @@
 
     async fn respond(self, exchange: Exchange) -> Response<Body> {
         if exchange.is_stream() {
-            return stream::respond(self, exchange);
+            return stream::respond(self, exchange).await;
         }
         match exchange.read_body(&self.context.response_buffers).await {
             Ok((parts, bytes, in_flight)) => {
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -9,10 +9,10 @@
     crate::http::body,
     bytes::Bytes,
     derive_more::Display,
-    futures_util::stream,
+    futures_util::{StreamExt as _, stream},
     gotham::{
         helpers::http::Body,
-        hyper::{Response, body::Frame},
+        hyper::{Response, body::Frame, http::response::Parts},
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
@@ -38,28 +38,40 @@
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// Returns a response that passes on the events as they arrive.
-pub fn respond(job: Job, exchange: Exchange) -> Response<Body> {
-    let parts = exchange.parts.clone();
+///
+/// The head waits for the first event: until then a stream that cannot go on anywhere is still answered
+/// with the reason.
+pub async fn respond(job: Job, exchange: Exchange) -> Response<Body> {
     let numbering = match job.stream {
         Some(_) => Numbering::Above(job.last_event),
         None => Numbering::Undecided,
     };
-    let relay = StreamRelay {
+    let mut relay = StreamRelay {
+        parts: exchange.parts.clone(),
         job,
         exchange: Some(exchange),
         splitter: Splitter::new(numbering).with_extra_field(response::VERSION_FIELD),
         waiting_since: Instant::now(),
         may_move: true,
     };
-    let events = stream::unfold(relay, |mut relay| async move {
+    let first = match relay.next().await.transpose() {
+        Ok(first) => first,
+        Err(reason) => return relay.refuse(reason),
+    };
+    let parts = relay.parts.clone();
+    let first = stream::iter(first.map(|events| Ok(Frame::data(events))));
+    let rest = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
+        let item = item.map_err(|reason| relay.abort(reason));
         Some((item.map(Frame::data), relay))
     });
-    Response::from_parts(parts, body::stream(events))
+    Response::from_parts(parts, body::stream(first.chain(rest)))
 }
 
 struct StreamRelay {
     job: Job,
+    /// Head of the first response that brought an event, or else of the last one.
+    parts: Parts,
     /// `None` after the end of the stream, and between two backend servers.
     exchange: Option<Exchange>,
     splitter: Splitter,
@@ -103,16 +115,16 @@
 }
 
 impl StreamRelay {
-    /// Returns the next complete events, `None` at the end of the stream, or an error if the stream
+    /// Returns the next complete events, `None` at the end of the stream, or the reason for which the stream
     /// broke and cannot be resumed.
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+    async fn next(&mut self) -> Option<Result<Bytes, EndReason>> {
         loop {
             let result = match self.read().await? {
                 Progress::Silent => self.read_or_move().await?,
                 result => result,
             };
-            // The error that ends the caller's connection, or `None` to read on.
-            let error = match result {
+            // Why the stream ends, or `None` to read on.
+            let end_reason = match result {
                 Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
                 Progress::End => match self.exchange.as_ref()?.incompleteness(&self.splitter) {
                     Some(reason) => self.resume_after_break(reason).await,
@@ -123,12 +135,12 @@
                 },
                 Progress::Invalid(reason) => self.resume(&reason, true).await,
                 Progress::Broken(reason) => self.resume_after_break(&reason).await,
-                Progress::TimedOut => Some(self.abort(EndReason::TimedOut)),
+                Progress::TimedOut => Some(EndReason::TimedOut),
                 Progress::NotTaken(next, failure) => self.recover(next, failure).await,
                 Progress::Moved | Progress::Silent => None,
             };
-            if error.is_some() {
-                return error;
+            if let Some(end_reason) = end_reason {
+                return Some(Err(end_reason));
             }
         }
     }
@@ -213,10 +225,9 @@
         let failure = match sent.into_exchange(&self.job, response) {
             Ok(exchange) if exchange.is_stream() => {
                 self.leave_silent();
-                self.exchange = Some(exchange);
                 self.job.record_origin(&next);
                 self.splitter.begin_response();
-                self.waiting_since = Instant::now();
+                self.go_on(exchange);
                 return Progress::Moved;
             }
             Ok(exchange) => {
@@ -283,7 +294,7 @@
 
     /// Handles the failure of a backend server that was to take the stream over. The stream stays at the
     /// silent one, or is sent to others if that was left.
-    async fn recover(&mut self, next: Member, failure: SendFailure) -> Option<io::Result<Bytes>> {
+    async fn recover(&mut self, next: Member, failure: SendFailure) -> Option<EndReason> {
         let may_resend = match failure {
             SendFailure::Lost => self.job.may_resend_after_break(&next).await,
             _ => true,
@@ -323,16 +334,15 @@
 
     /// Resumes the stream after its connection broke, unless the request is suspected to crash backend
     /// servers.
-    async fn resume_after_break(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+    async fn resume_after_break(&mut self, reason: &str) -> Option<EndReason> {
         let member = self.exchange.as_ref()?.member.clone();
         let may_resend = self.job.may_resend_after_break(&member).await;
         self.resume(reason, may_resend).await
     }
 
     /// Resumes the stream at another backend server after the last event that was passed on.
-    /// Returns the error that closes the caller's connection if that is not possible, or if the request
-    /// may not be sent again.
-    async fn resume(&mut self, reason: &str, may_resend: bool) -> Option<io::Result<Bytes>> {
+    /// Returns the reason if that is not possible, or if the request may not be sent again.
+    async fn resume(&mut self, reason: &str, may_resend: bool) -> Option<EndReason> {
         let broken = self.exchange.take()?;
         let is_late = self.job.time_left().is_zero();
         if !is_late {
@@ -357,7 +367,7 @@
 
     /// Sends the request again after the stream has lost its backend server, if `step` allows that, until
     /// one goes on with the stream.
-    async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<io::Result<Bytes>> {
+    async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<EndReason> {
         self.job.waiting_since = self.job.context.clock.now();
         let mut step = step;
         loop {
@@ -367,16 +377,15 @@
                 (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
                 (_, _, Step::Resend) => None,
             };
-            if let Some(end_reason) = end_reason {
-                return Some(self.abort(end_reason));
+            if end_reason.is_some() {
+                return end_reason;
             }
             let next = match self.job.send_until_response().await {
                 Ok(next) => next,
-                Err(cause) => return Some(self.abort(EndReason::NotPlaced(cause))),
+                Err(cause) => return Some(EndReason::NotPlaced(cause)),
             };
             if next.is_stream() {
-                self.exchange = Some(next);
-                self.waiting_since = Instant::now();
+                self.go_on(next);
                 return None;
             }
             next.record_failure();
@@ -391,8 +400,36 @@
         }
     }
 
+    /// Reads on at a backend server that has responded with a stream.
+    fn go_on(&mut self, exchange: Exchange) {
+        if self.job.events == 0 {
+            self.parts = exchange.parts.clone();
+        }
+        self.exchange = Some(exchange);
+        self.waiting_since = Instant::now();
+    }
+
+    /// Answers the caller, who has nothing of the stream yet, with the reason for which there is none.
+    fn refuse(&mut self, reason: EndReason) -> Response<Body> {
+        self.log_end(reason);
+        self.exchange = None;
+        let cause = match reason {
+            EndReason::TimedOut => Cause::Timeout,
+            EndReason::NotPlaced(cause) => cause,
+            EndReason::NoAttemptLeft | EndReason::Suspected => self.job.give_up(Cause::NotExecuted),
+        };
+        self.job.refuse(cause)
+    }
+
     /// Ends the stream, and with it the caller's connection, before the last event.
-    fn abort(&mut self, reason: EndReason) -> io::Result<Bytes> {
+    fn abort(&mut self, reason: EndReason) -> io::Error {
+        self.log_end(reason);
+        self.exchange = None;
+        self.job.finish("broken", None);
+        io::Error::other("the stream from the backend server broke")
+    }
+
+    fn log_end(&self, reason: EndReason) {
         log::warn!(
             request = self.job.request.head.id.as_str(),
             events = self.job.events,
@@ -401,9 +438,6 @@
             time_left_ms = self.job.time_left().as_millis() as u64;
             "stream ended before its last event: {reason}"
         );
-        self.exchange = None;
-        self.job.finish("broken", None);
-        Err(io::Error::other("the stream from the backend server broke"))
     }
 
     fn finish(&mut self) {
--- a/testbed/tests/takeovers.rs
+++ b/testbed/tests/takeovers.rs
@@ -361,6 +361,28 @@
     assert_eq!(answer, (events(EVENTS), true));
 }
 
+/// Guards against a stream of which its caller gets the head and then nothing: no answer that says what
+/// has become of the request.
+#[rstest]
+#[case::nothing(Oddity::Unframed(1, 0, ""), "/resumable/1")]
+#[case::text(Oddity::Unframed(1, 0, "internal error\n\n"), "/resumable/1")]
+#[case::not_resumable(Oddity::Unframed(1, 0, ""), "/stream/1")]
+#[tokio::test]
+async fn stream_that_no_server_begins_is_answered(#[case] oddity: Oddity, #[case] path: &str) {
+    let bench = start(&Configuration::default(), engines(3), 3).await;
+    let oddities = Oddities::new(Mutex::new(vec![oddity; 3]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+
+    let reply = http::send(bench.gateway.callers(), request(path, "r-1")).await;
+    let reply = reply.expect("a head");
+    let status = reply.head().status.as_u16();
+    let (_, is_whole) = read(reply).await;
+
+    assert_eq!((status, is_whole), (502, true));
+}
+
 /// A stream keeps the head of its first server, so another signature is no fault.
 #[tokio::test]
 async fn stream_goes_on_at_a_server_with_another_signature() {
