Streams: one that breaks waits for what it lacks to go on

A stream whose server broke was broken off at its caller although another server was sound, if in that very moment the configuration was not confirmed, the retry budget was used up, no server was known, or a more urgent rank had been shed. None of these is a state of the server or of the request, and each may be over within tens of milliseconds.

Such a stream now looks again every 50 ms until 1.5 s after its last event (callers give up after 2 s without one, and may then still take the stream up). It is never sent on unconfirmed. A retry that comes meanwhile is held for the placement and returned if it isn't used (scheduler::Retry, shared with takeovers), so waiting streams reserve no slots. A shed for lack of slots is not repeated: it has waited in the queue. First attempts are refused as before.

stream_that_breaks_waits_for_what_it_lacks failed before in both cases and stream_that_breaks_waits_for_a_repeat too: broken off at the break.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -10,7 +10,7 @@
         context::Context,
         origins::{self, Unknown},
         refusal::{Cause, Refusal},
-        scheduler::{InFlightRequest, PlacementRequest},
+        scheduler::{InFlightRequest, PlacementRequest, Retry},
         starts,
     },
     crate::{clock, http::body, metrics::Labels},
@@ -39,9 +39,13 @@
         wait_policy,
     },
     tamarackdale_platform::request::RequestHead,
-    tokio::time::timeout,
+    tokio::time::{sleep, timeout},
 };
 
+/// Pause before a stream that broke looks again for what it lacks to go on. Slots, retries and
+/// confirmations come within tens of milliseconds under load.
+const RESUME_PAUSE: Duration = Duration::from_millis(50);
+
 /// Outcome of a request whose response was passed on completely.
 const ANSWERED: &str = "answered";
 
@@ -102,6 +106,9 @@
     deadline: Timestamp,
     /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
     waiting_since: Timestamp,
+    /// Until when a stream that broke waits for what it lacks to go on. It is `None` for a request that may
+    /// be refused.
+    resume_until: Option<Timestamp>,
     /// Digest under which the origin of the stream is recorded, if its caller may take it up.
     stream: Option<u64>,
     /// Number of the save that corrects the recorded origin of the stream, if it was another one.
@@ -153,6 +160,7 @@
         excluded: Vec::new(),
         deadline: request.accepted.plus(time_left),
         waiting_since: request.accepted,
+        resume_until: None,
         stream: is_resumable.then(|| origin::stream_digest(first_attempt)),
         correction: None,
         version: None,
@@ -218,11 +226,18 @@
     /// Sends the request to one backend server after another until one responds or no further
     /// attempt is allowed.
     async fn send_until_response(&mut self) -> Result<Exchange, Cause> {
+        // Taken ahead of the placement by a stream that had to wait for it.
+        let mut retry = None;
         loop {
             let choice = match self.place().await {
                 Ok(choice) => choice,
+                Err(Cause::NoBackendServer | Cause::Floor) if self.pause().await => continue,
                 Err(cause) => return Err(self.give_up(cause)),
             };
+            // The configuration may have become stale while the request waited in the queue.
+            if !self.wait_for_proof().await {
+                return Err(self.give_up(Cause::NotProved));
+            }
             // A part of the prompt may have been quarantined while the request waited.
             if self.quarantine().is_some() {
                 return Err(self.give_up(Cause::Quarantined));
@@ -232,8 +247,18 @@
             if !starts::obtain(&self.context, &choice.member, load, request).await {
                 continue;
             }
-            if self.dispatch.sent() > 0 && !self.context.scheduler.take_retry(&self.service) {
-                return Err(self.give_up(Cause::NotExecuted));
+            if self.dispatch.sent() > 0 {
+                let scheduler = &self.context.scheduler;
+                match retry
+                    .take()
+                    .or_else(|| Retry::take(scheduler, &self.service))
+                {
+                    Some(retry) => retry.spend(),
+                    None => {
+                        retry = Some(self.wait_for_retry().await?);
+                        continue;
+                    }
+                }
             }
             let (failure, is_break) = match self.exchange(&choice).await {
                 Ok(exchange) => return Ok(exchange),
@@ -263,6 +288,37 @@
         }
     }
 
+    /// Pauses if the request is a stream that broke and may wait for longer. Returns whether it did.
+    async fn pause(&self) -> bool {
+        let now = self.context.clock.now();
+        let may_wait = self.resume_until.is_some_and(|end| now < end);
+        if may_wait {
+            sleep(RESUME_PAUSE).await;
+        }
+        may_wait
+    }
+
+    /// Waits, if the request is a stream that broke, until the configuration is confirmed. Returns whether
+    /// it is.
+    async fn wait_for_proof(&self) -> bool {
+        while !self.is_key_proved() {
+            if !self.pause().await {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Waits, if the request is a stream that broke, until there is a retry in the budget.
+    async fn wait_for_retry(&self) -> Result<Retry, Cause> {
+        while self.pause().await {
+            if let Some(retry) = Retry::take(&self.context.scheduler, &self.service) {
+                return Ok(retry);
+            }
+        }
+        Err(self.give_up(Cause::NotExecuted))
+    }
+
     /// Time for which this request is refused because requests like it crash backend servers.
     fn quarantine(&self) -> Option<Duration> {
         let scheduler = &self.context.scheduler;
@@ -394,7 +450,7 @@
     }
 
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, ExchangeError> {
-        // The configuration may have become stale while the request waited in the queue.
+        // The configuration may have become stale while a start was asked for.
         if !self.is_key_proved() {
             return Err(ExchangeError::GivenUp(self.give_up(Cause::NotProved)));
         }
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -33,6 +33,10 @@
 /// The same before the first event, in addition to twice the route's objective.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// Time without an event for which a stream that broke waits for what it lacks to go on: a slot, a retry in
+/// the budget, a confirmed configuration. After that its caller still has time to take it up.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Time after which a silent backend server is left although the next one has not responded: the platform
 /// allows two to run a stream for 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
@@ -368,7 +372,14 @@
     /// Sends the request again after the stream has lost its backend server, if `step` allows that, until
     /// one goes on with the stream.
     async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<EndReason> {
-        self.job.waiting_since = self.job.context.clock.now();
+        let now = self.job.context.clock.now();
+        let patience = match self.job.events {
+            0 => RESUME_PATIENCE + self.job.request.route.objective * 2,
+            _ => RESUME_PATIENCE,
+        };
+        let resume_until = now.plus(patience.saturating_sub(self.waiting_since.elapsed()));
+        self.job.resume_until = Some(resume_until.min(self.job.deadline));
+        self.job.waiting_since = now;
         let mut step = step;
         loop {
             let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
--- a/daemon/src/gateway/relay/takeover.rs
+++ b/daemon/src/gateway/relay/takeover.rs
@@ -6,7 +6,7 @@
         exchange::{self, Connected},
     },
     crate::gateway::{
-        scheduler::{PlacementRequest, Scheduler},
+        scheduler::{PlacementRequest, Retry},
         starts,
     },
     derive_more::Display,
@@ -36,21 +36,6 @@
     NotConnected,
 }
 
-/// A retry that returns to the budget unless it is used.
-struct Retry<'a> {
-    scheduler: &'a Scheduler,
-    service: &'a str,
-    is_used: bool,
-}
-
-impl Drop for Retry<'_> {
-    fn drop(&mut self) {
-        if !self.is_used {
-            self.scheduler.return_retry(self.service);
-        }
-    }
-}
-
 /// Connects to another backend server than `silent` that has a slot for the request, within the retry
 /// budget. Never returns if there is none.
 pub async fn find(job: &Job, silent: &Member) -> Connected {
@@ -80,14 +65,7 @@
         return Err(Obstacle::Quarantined);
     }
     let scheduler = &job.context.scheduler;
-    if !scheduler.take_retry(&job.service) {
-        return Err(Obstacle::NoRetry);
-    }
-    let mut retry = Retry {
-        scheduler,
-        service: &job.service,
-        is_used: false,
-    };
+    let retry = Retry::take(scheduler, &job.service).ok_or(Obstacle::NoRetry)?;
     let now = job.context.clock.now();
     let mut placement = PlacementRequest {
         waiting_since: now,
@@ -108,6 +86,6 @@
     }
     let connected = exchange::connect(job, &choice).await;
     let connected = connected.map_err(|_| Obstacle::NotConnected)?;
-    retry.is_used = true;
+    retry.spend();
     Ok(connected)
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -3,9 +3,10 @@
 
 mod in_flight;
 mod placement_request;
+mod retry;
 mod state;
 
-pub use {in_flight::InFlightRequest, placement_request::PlacementRequest};
+pub use {in_flight::InFlightRequest, placement_request::PlacementRequest, retry::Retry};
 
 use {
     self::state::State,
@@ -139,7 +140,7 @@
 
     /// Takes one retry from this gateway's part of the shared retry budget. Returns whether there
     /// was one left.
-    pub fn take_retry(&self, service: &str) -> bool {
+    fn take_retry(&self, service: &str) -> bool {
         let mut state = self.lock();
         let random = state.random.random();
         let budget = state.retry_budget(service);
@@ -147,7 +148,7 @@
     }
 
     /// Returns a retry that was taken and not used.
-    pub fn return_retry(&self, service: &str) {
+    fn return_retry(&self, service: &str) {
         self.lock().retry_budget(service).return_retry();
     }
 
--- a/testbed/tests/takeovers.rs
+++ b/testbed/tests/takeovers.rs
@@ -9,6 +9,7 @@
     tamarackdale_testbed::{
         http,
         platform::{Caller, Configuration, Gateway, Oddities, Oddity, Server, Site, request},
+        store::Outage,
         wait,
     },
     tokio::{
@@ -59,6 +60,20 @@
     }
 }
 
+/// Sets the service's budget for repeats.
+fn set_repeats(bench: &Bench, budget: f64, extra: u32) {
+    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
+    let settings = settings
+        .replace("retry_budget = 0.2", &format!("retry_budget = {budget:.1}"))
+        .replace("retry_extra = 100", &format!("retry_extra = {extra}"));
+    fs::write(&bench.gateway.settings, settings).expect("written");
+    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
+    let process = &bench.gateway.process;
+    process
+        .wait_for_log("new settings", IN_FORCE, is_reloaded)
+        .expect("applied");
+}
+
 fn engines(count: usize) -> Vec<Server> {
     let server = |number| Server::new(&format!("engine-{number}"), "engine").expect("starts");
     (0..count).map(server).collect()
@@ -189,16 +204,7 @@
     const STREAMS: usize = 8;
     const SOON: Duration = Duration::from_millis(600);
     let bench = start(&Configuration::default(), engines(2), 1).await;
-    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
-    let settings = settings
-        .replace("retry_budget = 0.2", "retry_budget = 0.0")
-        .replace("retry_extra = 100", "retry_extra = 0");
-    fs::write(&bench.gateway.settings, settings).expect("written");
-    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
-    let process = &bench.gateway.process;
-    process
-        .wait_for_log("new settings", IN_FORCE, is_reloaded)
-        .expect("applied");
+    set_repeats(&bench, 0.0, 0);
     bench.servers[0].set_events(MANY);
     let mut open = Vec::new();
     for number in 0..STREAMS {
@@ -361,6 +367,87 @@
     assert_eq!(answer, (events(EVENTS), true));
 }
 
+/// What a stream that broke lacks to go on.
+#[derive(Clone, Copy, Debug)]
+enum Lack {
+    Confirmation,
+    Server,
+}
+
+/// Guards against a stream that is broken off because it cannot go on in the very moment at which its
+/// server breaks, and against one that goes on although it may not yet.
+#[rstest]
+#[case::confirmation(Lack::Confirmation)]
+#[case::server(Lack::Server)]
+#[tokio::test]
+async fn stream_that_breaks_waits_for_what_it_lacks(#[case] lack: Lack) {
+    /// Longer than the last confirmation holds.
+    const MANY: u64 = 70;
+    const LACK: Duration = Duration::from_millis(600);
+    let registered = if matches!(lack, Lack::Server) { 1 } else { 2 };
+    let bench = start(&Configuration::default(), engines(2), registered).await;
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_events(MANY));
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+    let reading = tokio::spawn(read(reply));
+    if matches!(lack, Lack::Confirmation) {
+        bench.site.store.stop(Outage::Hang);
+        assert!(bench.gateway.wait_ready(false).await, "still confirmed");
+    }
+
+    let (running, next) = split(&bench.servers);
+    running.close();
+    sleep(LACK).await;
+    let runs_without = next.runs().len();
+    match lack {
+        Lack::Confirmation => bench.site.store.resume(),
+        Lack::Server => bench.site.register(next),
+    }
+    let (rest, is_whole) = reading.await.expect("reads");
+
+    assert_eq!(runs_without, 0, "runs at the next server");
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert_eq!((body, is_whole), (events(MANY), true));
+}
+
+/// Guards against a stream that is broken off because the budget for repeats is used up at the moment at
+/// which its server breaks.
+#[tokio::test]
+async fn stream_that_breaks_waits_for_a_repeat() {
+    const MANY: u64 = 70;
+    const LACK: Duration = Duration::from_millis(600);
+    let bench = start(&Configuration::default(), engines(2), 1).await;
+    set_repeats(&bench, 1.0, 1);
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_events(MANY));
+    let mut streams = JoinSet::new();
+    for id in ["r-1", "r-2"] {
+        let reply = http::send(bench.gateway.callers(), patient(id)).await;
+        streams.spawn(read(reply.expect("a head")));
+    }
+    let [running, next] = &bench.servers[..] else {
+        panic!("two servers")
+    };
+    bench.site.register(next);
+    sleep(IN_FORCE).await;
+
+    running.close();
+    sleep(LACK).await;
+    let runs_without = next.runs().len();
+    let other = http::send(bench.gateway.callers(), patient("n-1")).await;
+    let bodies = streams.join_all().await;
+
+    assert_eq!(runs_without, 1, "runs at the next server");
+    assert!(other.is_ok(), "no answer");
+    assert_eq!(bodies, vec![(events(MANY), true); 2]);
+}
+
 /// Guards against a stream of which its caller gets the head and then nothing: no answer that says what
 /// has become of the request.
 #[rstest]
