Backend servers: an answer that comes before the whole request was read is not lost

A server may answer before it has read a long body. Where it then closed the connection, the answer was lost although it had arrived: hyper ends a connection at the first write that fails, before the response is read to its end. Requests that may run once got 502 for an answer that was there, and a refusal (Not-Executed) counted as a request that may have run, so 502 in place of another server or a 503.

Connections to backend servers now go on reading after a write has failed (pool::socket): the write waits without end, and its error is reported where what can be read ends. It must not be swallowed: the system reports a reset once, after which the end looks like a clean one, and a response without a length would pass as whole. Nothing else is written, and such a connection isn't used again.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -1,6 +1,9 @@
 //! Pool of connections to backend servers.
 
+mod socket;
+
 use {
+    self::socket::Socket,
     crate::http::probe::Probe,
     bytes::Bytes,
     http_body_util::Full,
@@ -170,7 +173,7 @@
     socket.set_tcp_keepalive(&keepalive)?;
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(stream))
+        .handshake(TokioIo::new(Socket::new(stream)))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
--- /dev/null
+++ b/daemon/src/gateway/pool/socket.rs
@@ -0,0 +1,98 @@
+//! A TCP stream on which a response is read although the rest of the request cannot be written.
+
+use {
+    std::{
+        io,
+        pin::Pin,
+        task::{Context, Poll, ready},
+    },
+    tokio::{
+        io::{AsyncRead, AsyncWrite, ReadBuf},
+        net::TcpStream,
+    },
+};
+
+/// A TCP stream whose failure to write is reported at the end of what can be read.
+///
+/// A backend server may answer before it has read the whole request, and close the connection. hyper gives a
+/// connection up at the first failure to write, and with it the response that has already arrived.
+pub struct Socket {
+    stream: TcpStream,
+    write_error: Option<io::Error>,
+}
+
+impl Socket {
+    /// Wraps a stream that is connected.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            write_error: None,
+        }
+    }
+
+    /// Waits without end for a write that has failed; the end is that of reading.
+    fn hold_error<T>(&mut self, written: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+        match written {
+            Poll::Ready(Err(error)) => {
+                self.write_error = Some(error);
+                Poll::Pending
+            }
+            written => written,
+        }
+    }
+}
+
+impl AsyncRead for Socket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let length = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let is_end = buffer.filled().len() == length && buffer.remaining() > 0;
+        // The system reports a reset once. After that the end of the stream looks like a clean one.
+        match self.write_error.take_if(|_| is_end) {
+            Some(error) => Poll::Ready(Err(error)),
+            None => Poll::Ready(Ok(())),
+        }
+    }
+}
+
+impl AsyncWrite for Socket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.write_error.is_some() {
+            return Poll::Pending;
+        }
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.hold_error(written)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if self.write_error.is_some() {
+            return Poll::Pending;
+        }
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.hold_error(written)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/testbed/src/platform.rs
+++ b/testbed/src/platform.rs
@@ -8,6 +8,6 @@
 
 pub use {
     caller::{Caller, Event, Try, take_up},
-    server::{Behaviour, CrashPoint, Oddities, Oddity, Repeat, RepeatPoint, Run, Server},
+    server::{Behaviour, CrashPoint, Early, Oddities, Oddity, Repeat, RepeatPoint, Run, Server},
     site::{Configuration, Gateway, Site, request},
 };
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -8,7 +8,10 @@
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
-    hyper::{Request, Response, StatusCode, body::Frame, body::Incoming},
+    hyper::{
+        Request, Response, StatusCode,
+        body::{Body as _, Frame, Incoming},
+    },
     serde_json::json as value,
     std::{
         io,
@@ -32,6 +35,16 @@
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Size of an answer that is written before the body of the request is read, in bytes: less than the
+/// caller's system takes at once, since a server that closes loses the rest.
+const EARLY_BYTES: usize = 20_000;
+
+/// Time from such an answer until the server reads on.
+const EARLY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Pause between two pieces of a body that is read slowly.
+const READ_PAUSE: Duration = Duration::from_millis(1);
+
 /// Version of a server's software unless it is another one.
 const DEFAULT_VERSION: &str = "v1";
 
@@ -64,6 +77,17 @@
     Trickles,
     /// Writes a refusal that it has sent before once more.
     RepeatsRefusal(Repeat),
+    /// Answers before it has read the body.
+    AnswersEarly(Early),
+}
+
+/// An answer that a server writes before it has read the body of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Early {
+    /// Whether the server says that it did not run the request.
+    pub is_refusal: bool,
+    /// Whether it then closes the connection in place of reading on.
+    pub closes: bool,
 }
 
 /// A refusal that is written once more on a kept connection.
@@ -201,6 +225,8 @@
     refusals: AtomicUsize,
     /// Identifier of the last of them.
     last_refused: Mutex<Option<String>>,
+    /// Answers that it gave before it had read the body.
+    early_answers: AtomicUsize,
 }
 
 impl Server {
@@ -230,6 +256,7 @@
             working: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
             last_refused: Mutex::default(),
+            early_answers: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
@@ -383,6 +410,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Answers that it gave before it had read the body of the request.
+    pub fn early_answers(&self) -> usize {
+        self.state.early_answers.load(Ordering::SeqCst)
+    }
+
     /// Requests that it works on now.
     pub fn working(&self) -> usize {
         self.state.working.load(Ordering::SeqCst)
@@ -482,6 +514,9 @@
         {
             return Some(signed(error(status, content_type, is_refusal), &id));
         }
+        if let Behaviour::AnswersEarly(early) = behaviour {
+            return self.answer_early(&id, early, body, connection).await;
+        }
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
@@ -553,6 +588,48 @@
         Some(response)
     }
 
+    /// Answers before the body is read, and reads it slowly after that, or not at all.
+    async fn answer_early(
+        &self,
+        id: &str,
+        early: Early,
+        body: Incoming,
+        connection: Option<Connection>,
+    ) -> Option<Response<Body>> {
+        self.early_answers.fetch_add(1, Ordering::SeqCst);
+        if early.closes {
+            let (status, refusal) = match early.is_refusal {
+                true => ("503 Service Unavailable", "not-executed: 1\r\n"),
+                false => ("200 OK", ""),
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\n{refusal}attempt-id: {id}\r\nresponse-seal: signature\r\n\
+                 content-length: {EARLY_BYTES}\r\n\r\n"
+            );
+            connection?.write(&[head.as_bytes(), &[b'y'; EARLY_BYTES]].concat());
+            return None;
+        }
+        let status = match early.is_refusal {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::OK,
+        };
+        let mut response = signed(whole(status, vec![b'y'; EARLY_BYTES].into()), id);
+        if early.is_refusal {
+            put(&mut response, "not-executed", "1");
+        }
+        tokio::spawn(async move {
+            let mut body = body;
+            sleep(EARLY_PAUSE).await;
+            while !body.is_end_stream() {
+                let Some(Ok(_)) = body.frame().await else {
+                    return;
+                };
+                sleep(READ_PAUSE).await;
+            }
+        });
+        Some(response)
+    }
+
     /// The bytes of a stream without a length.
     fn unframed(&self, id: &str, events: RangeInclusive<u64>, foreign: &str) -> Vec<u8> {
         let head = format!(
