--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -8,11 +8,15 @@
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
     http_body_util::{BodyExt as _, StreamBody},
-    hyper::{Request, Response, StatusCode, body::Frame, body::Incoming},
+    hyper::{
+        Request, Response, StatusCode,
+        body::{Body as _, Frame, Incoming},
+    },
     serde_json::json as value,
     std::{
         io,
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -31,6 +35,16 @@
 /// Time from the head of a response to the crash of its server.
 const HEAD_PAUSE: Duration = Duration::from_millis(20);
 
+/// Size of an answer that is written before the body of the request is read, in bytes: less than the
+/// caller's system takes at once, since a server that closes loses the rest.
+const EARLY_BYTES: usize = 20_000;
+
+/// Time from such an answer until the server reads on.
+const EARLY_PAUSE: Duration = Duration::from_millis(1_000);
+
+/// Pause between two pieces of a body that is read slowly.
+const READ_PAUSE: Duration = Duration::from_millis(1);
+
 /// Version of a server's software unless it is another one.
 const DEFAULT_VERSION: &str = "v1";
 
@@ -63,6 +77,17 @@
     Trickles,
     /// Writes a refusal that it has sent before once more.
     RepeatsRefusal(Repeat),
+    /// Answers before it has read the body.
+    AnswersEarly(Early),
+}
+
+/// An answer that a server writes before it has read the body of the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Early {
+    /// Whether the server says that it did not run the request.
+    pub is_refusal: bool,
+    /// Whether it then closes the connection in place of reading on.
+    pub closes: bool,
 }
 
 /// A refusal that is written once more on a kept connection.
@@ -85,6 +110,28 @@
     BeforeAnswer,
 }
 
+/// An answer that is not the next part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Oddity {
+    /// Another status, or another content type, than those of a stream, with an error's text.
+    Error {
+        /// Status code.
+        status: u16,
+        /// Content type.
+        content_type: &'static str,
+        /// Whether it says that it has not run the request.
+        is_refusal: bool,
+    },
+    /// The events from the first to the second number, and then a text. The response has no length and
+    /// ends with its connection.
+    Unframed(u64, u64, &'static str),
+    /// The whole stream, under another signature.
+    OtherSeal,
+}
+
+/// Odd answers that servers share: each is the answer of one server to one request.
+pub type Oddities = Arc<Mutex<Vec<Oddity>>>;
+
 /// When a server crashes at a request that is deadly to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -156,6 +203,8 @@
     events: Mutex<u64>,
     silence: Silence,
     deadly: Mutex<Option<Deadly>>,
+    /// Answers that it gives before it treats requests as usual.
+    oddities: Mutex<Oddities>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
     /// When it crashed.
@@ -176,6 +225,8 @@
     refusals: AtomicUsize,
     /// Identifier of the last of them.
     last_refused: Mutex<Option<String>>,
+    /// Answers that it gave before it had read the body.
+    early_answers: AtomicUsize,
 }
 
 impl Server {
@@ -193,6 +244,7 @@
             events: Mutex::new(5),
             silence: Silence::default(),
             deadly: Mutex::default(),
+            oddities: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
             retry_after: Mutex::default(),
@@ -204,6 +256,7 @@
             working: AtomicUsize::new(0),
             refusals: AtomicUsize::new(0),
             last_refused: Mutex::default(),
+            early_answers: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
@@ -271,6 +324,11 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Lets the server give odd answers that it shares with others, the last first, until none is left.
+    pub fn set_oddities(&self, oddities: &Oddities) {
+        *lock(&self.state.oddities) = Arc::clone(oddities);
+    }
+
     /// Sets the time that an answer takes, or the time between two events.
     pub fn set_latency(&self, latency: Duration) {
         *lock(&self.state.latency) = latency;
@@ -352,6 +410,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Answers that it gave before it had read the body of the request.
+    pub fn early_answers(&self) -> usize {
+        self.state.early_answers.load(Ordering::SeqCst)
+    }
+
     /// Requests that it works on now.
     pub fn working(&self) -> usize {
         self.state.working.load(Ordering::SeqCst)
@@ -442,6 +505,18 @@
             }
             return Some(response);
         }
+        let oddity = lock(&lock(&self.oddities)).pop();
+        if let Some(Oddity::Error {
+            status,
+            content_type,
+            is_refusal,
+        }) = oddity
+        {
+            return Some(signed(error(status, content_type, is_refusal), &id));
+        }
+        if let Behaviour::AnswersEarly(early) = behaviour {
+            return self.answer_early(&id, early, body, connection).await;
+        }
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
@@ -461,6 +536,12 @@
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
         self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
+        if let (Some(Oddity::Unframed(first, last, foreign)), Some(connection)) =
+            (oddity, &connection)
+        {
+            connection.write(&self.unframed(&id, first..=last, foreign));
+            return None;
+        }
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -500,7 +581,64 @@
             put(&mut response, "attempt-id", echo);
             return Some(response);
         }
-        Some(signed(response, echo))
+        let mut response = signed(response, echo);
+        if oddity == Some(Oddity::OtherSeal) {
+            put(&mut response, "response-seal", "another signature");
+        }
+        Some(response)
+    }
+
+    /// Answers before the body is read, and reads it slowly after that, or not at all.
+    async fn answer_early(
+        &self,
+        id: &str,
+        early: Early,
+        body: Incoming,
+        connection: Option<Connection>,
+    ) -> Option<Response<Body>> {
+        self.early_answers.fetch_add(1, Ordering::SeqCst);
+        if early.closes {
+            let (status, refusal) = match early.is_refusal {
+                true => ("503 Service Unavailable", "not-executed: 1\r\n"),
+                false => ("200 OK", ""),
+            };
+            let head = format!(
+                "HTTP/1.1 {status}\r\n{refusal}attempt-id: {id}\r\nresponse-seal: signature\r\n\
+                 content-length: {EARLY_BYTES}\r\n\r\n"
+            );
+            connection?.write(&[head.as_bytes(), &[b'y'; EARLY_BYTES]].concat());
+            return None;
+        }
+        let status = match early.is_refusal {
+            true => StatusCode::SERVICE_UNAVAILABLE,
+            false => StatusCode::OK,
+        };
+        let mut response = signed(whole(status, vec![b'y'; EARLY_BYTES].into()), id);
+        if early.is_refusal {
+            put(&mut response, "not-executed", "1");
+        }
+        tokio::spawn(async move {
+            let mut body = body;
+            sleep(EARLY_PAUSE).await;
+            while !body.is_end_stream() {
+                let Some(Ok(_)) = body.frame().await else {
+                    return;
+                };
+                sleep(READ_PAUSE).await;
+            }
+        });
+        Some(response)
+    }
+
+    /// The bytes of a stream without a length.
+    fn unframed(&self, id: &str, events: RangeInclusive<u64>, foreign: &str) -> Vec<u8> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-seal: signature\r\n\
+             content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+        );
+        let events = events.flat_map(|number| self.event(number));
+        let events = events.chain(foreign.bytes());
+        head.into_bytes().into_iter().chain(events).collect()
     }
 
     /// Writes the last refusal once more on a kept connection, if the server does so at this point.
@@ -623,6 +761,21 @@
     )
 }
 
+/// An error that is no stream, or success that is none.
+fn error(status: u16, content_type: &str, is_refusal: bool) -> Response<Body> {
+    let status = StatusCode::from_u16(status).expect("a status code");
+    let body = match status {
+        StatusCode::NO_CONTENT => Bytes::new(),
+        _ => Bytes::from_static(b"data: internal error\n\n"),
+    };
+    let mut response = whole(status, body);
+    put(&mut response, "content-type", content_type);
+    if is_refusal {
+        put(&mut response, "not-executed", "1");
+    }
+    response
+}
+
 fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
     put(&mut response, "attempt-id", id);
     put(&mut response, "response-seal", "signature");
