Testbed: servers whose answers break off at any byte

Operators of a system like this one saw answers whose server had stopped in the middle of the head and closed passed on as a 200 with an empty or short body. The test breaks answers off at each byte of head and body, closed and reset, on new and kept connections, after 100, 102 and 103, with a length, chunks or neither, at plain calls and streams.

--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -9,6 +9,7 @@
         Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
     },
     hyper_util::rt::TokioIo,
+    socket2::SockRef,
     std::{
         io::{self, Write as _},
         net::{self, SocketAddr},
@@ -61,6 +62,12 @@
         // A broken connection is the peer's affair.
         let _ = (&*self.socket).write_all(bytes);
     }
+
+    /// Lets the connection be reset when it is closed.
+    pub fn reset_at_close(&self) {
+        // A broken connection is the peer's affair.
+        let _ = SockRef::from(&*self.socket).set_linger(Some(Duration::ZERO));
+    }
 }
 
 /// A running host. Its thread ends with it.
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -25,3 +25,4 @@
 pub mod store;
 pub mod traffic;
 pub mod wait;
+pub mod written;
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -4,6 +4,7 @@
     crate::{
         host::{Body, Connection, Host, json, whole},
         silence::Silence,
+        written::Break,
     },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
@@ -63,6 +64,8 @@
     Trickles,
     /// Writes a refusal that it has sent before once more.
     RepeatsRefusal(Repeat),
+    /// Runs them, writes the beginning of the answer and ends the connection.
+    BreaksAt(Break),
 }
 
 /// A refusal that is written once more on a kept connection.
@@ -126,6 +129,8 @@
     pub resumes: Option<String>,
     /// Version of the server's software.
     pub version: String,
+    /// Whether its connection had carried an earlier request.
+    pub is_kept: bool,
     /// Whether the caller's key came with it.
     pub has_key: bool,
     /// Parts of its prompt as they were stated.
@@ -405,6 +410,15 @@
         format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
     }
 
+    /// The events of a stream after `after`.
+    fn events(&self, after: u64) -> String {
+        let count = *lock(&self.events);
+        let events = (after + 1..=count).map(|id| self.event(id));
+        events
+            .map(|event| String::from_utf8_lossy(&event).into_owned())
+            .collect()
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let text = |name: &str| {
@@ -450,6 +464,7 @@
             resumed_after,
             resumes: Some(text("resumes").to_owned()).filter(|attempt| !attempt.is_empty()),
             version: self.version(),
+            is_kept: connection.as_ref().is_some_and(|it| it.is_kept),
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
@@ -470,6 +485,14 @@
         match behaviour {
             Behaviour::LosesAnswers => return None,
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::BreaksAt(point) => {
+                let body = match is_stream {
+                    true => self.events(resumed_after.unwrap_or(0)),
+                    false => plain_answer(&self.id, size),
+                };
+                point.write(&connection?, &id, &body);
+                return None;
+            }
             Behaviour::Fails => {
                 return Some(signed(
                     json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
@@ -598,9 +621,13 @@
     })
 }
 
+fn plain_answer(id: &str, size: usize) -> String {
+    format!("{id} got {size} bytes")
+}
+
 /// The answer of the server `id` to a request with a body of `size` bytes.
 fn answer_whole(id: &str, size: usize, behaviour: Behaviour) -> Response<Body> {
-    let text = format!("{id} got {size} bytes");
+    let text = plain_answer(id, size);
     if behaviour == Behaviour::Endless {
         return Response::new(StreamBody::new(endless_bytes()).boxed_unsync());
     }
