Gateway: a stream does not end at the length that its first server stated

The gateway returned the header of the first server unchanged, and hyper frames a body of unknown length by that header: what comes after it is dropped, and less than it breaks the connection.

The gateway no longer returns the length of the backend server. A stream is sent in chunks; a plain response, which is buffered, is sent with the length of its buffer. The answer to a HEAD request has no body and keeps it.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -12,7 +12,7 @@
     },
     bytes::Bytes,
     gotham::hyper::{
-        Request, Response,
+        Method, Request, Response,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
@@ -190,6 +190,11 @@
             in_flight.record_first_event();
         }
         parts.headers = response::returned_headers(&parts.headers);
+        // The rest of a stream may come from another backend server, and have another length. The
+        // length of what is passed on is stated anew where it is known.
+        if job.request.method != Method::HEAD {
+            parts.headers.remove(CONTENT_LENGTH);
+        }
         Ok(Exchange {
             parts,
             body,
--- a/testbed/tests/broken_answers.rs
+++ b/testbed/tests/broken_answers.rs
@@ -159,4 +159,50 @@
     let attempt = &caller.tries()[0];
     assert!(attempt.is_whole, "{attempt:?}");
     assert_eq!(attempt.text(), body(kind));
+    let length = match kind {
+        "stream" => String::new(),
+        _ => body(kind).len().to_string(),
+    };
+    assert_eq!(attempt.header("content-length"), length);
+}
+
+/// Guards against a stream that ends as whole at the length that its first server stated, although
+/// another server took it over and has more.
+#[tokio::test]
+async fn resumed_stream_is_not_cut_at_the_length_of_its_first_server() {
+    const MORE: u64 = EVENTS + 3;
+    const ROUNDS: usize = 10;
+    let bench = start("resumable", 2).await;
+    let answer = Written {
+        framing: Framing::Length,
+        interim: None,
+    };
+    let (head, written) = answer.parts("r-0", &body("resumable"));
+    let point = Break {
+        answer,
+        bytes: head.len() + written.len() / 2,
+        is_reset: false,
+    };
+    bench.servers[1].set_events(MORE);
+    let mut taken_over = 0;
+
+    for number in 0..ROUNDS {
+        // The first server is preferred after that.
+        bench.servers[1].set_behaviour(Behaviour::Full);
+        let before = format!("b-{number}");
+        bench.call("resumable", &before, Behaviour::Sound).await;
+        bench.servers[1].set_behaviour(Behaviour::Sound);
+        let id = format!("r-{number}");
+        let caller = bench
+            .call("resumable", &id, Behaviour::BreaksAt(point))
+            .await;
+        let ran = |server: &Server| server.runs().iter().any(|run| run.id == id);
+        let is_whole = caller.has_whole_stream(MORE);
+        taken_over += usize::from(is_whole && bench.servers.iter().all(ran));
+        let ids: Vec<u64> = caller.events().iter().map(|event| event.id).collect();
+        let is_broken_off = !caller.tries()[0].is_whole;
+        assert!(is_whole || is_broken_off, "whole with events {ids:?}");
+    }
+
+    assert!(taken_over > 0, "no stream was taken over");
 }
