Listeners: a stream that breaks off does not look whole to a caller of HTTP/1.0

A caller of HTTP/1.0 knows no chunks; it takes the end of the connection for that of a response of unknown length. A stream that broke off, or was aborted at the shutdown, was closed like a whole one: read to its end without an error in both cases of the test before the change. A gateway that is killed looked the same.

From the first byte of such a response the socket is set to be reset when it is closed (SO_LINGER of zero), and set back when hyper shuts the connection down, which it does only after a complete response. So every other end, also that of the process, resets it. Connections of HTTP/1.1 are left as they are: their chunks tell.

--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod probe;
 pub mod server;
+pub mod unframed;
 
 pub use server::Server;
 
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -4,7 +4,10 @@
 //! accept loop.
 
 use {
-    super::activity::{Activity, Timeouts},
+    super::{
+        activity::{Activity, Timeouts},
+        unframed,
+    },
     crate::signal::Shutdown,
     gotham::{handler::NewHandler, helpers::http::Body, service::call_handler, state::State},
     hyper::{Request, body::Incoming, server::conn::http1, service::service_fn},
@@ -125,13 +128,22 @@
         let timeouts = Arc::clone(&self.timeouts);
         let activity = Activity::new();
         let requests = activity.clone();
+        let guard = unframed::Guard::new();
+        let stream = guard.watch(stream);
         let service = service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
+            let guard = guard.clone();
             let state = State::from_request(remove_invalid_request_id(request), peer);
             let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             let in_progress = requests.begin_request();
             async move {
                 let response = response.await;
-                response.map(|response| response.map(|body: Body| in_progress.until_end_of(body)))
+                response.map(|response| {
+                    response.map(|body: Body| {
+                        guard.begin_response(version, &body);
+                        in_progress.until_end_of(body)
+                    })
+                })
             }
         });
         let stream = activity.observe(stream);
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -2,14 +2,15 @@
 
 use {
     bytes::Bytes,
+    futures_util::{StreamExt as _, stream},
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::Response,
+        hyper::{Response, body::Frame},
         state::{State, StateData},
     },
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     tamarackdaled::{
         http::{self, Server, activity::Timeouts, body},
         signal::Shutdown,
@@ -23,20 +24,52 @@
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
-#[derive(Clone)]
-struct Answer(usize);
+/// Time from a part of a stream to its break.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What the server of a test answers.
+#[derive(Clone, Copy)]
+enum Answer {
+    /// That many bytes.
+    Bytes(usize),
+    /// Some bytes of a stream, which then ends like this or not at all.
+    Stream(Option<StreamEnd>),
+}
+
+#[derive(Clone, Copy)]
+enum StreamEnd {
+    Whole,
+    Broken,
+}
 
 impl StateData for Answer {}
 
 async fn answer(state: State) -> HandlerResult {
-    let size = state.borrow::<Answer>().0;
-    let response: Response<Body> = Response::new(body::full(Bytes::from(vec![b'x'; size])));
-    Ok((state, response))
+    let body: Body = match *state.borrow::<Answer>() {
+        Answer::Bytes(size) => body::full(Bytes::from(vec![b'x'; size])),
+        Answer::Stream(end) => {
+            let first = stream::iter([Ok(Frame::data(Bytes::from_static(b"part")))]);
+            let rest = match end {
+                Some(StreamEnd::Whole) => stream::empty().boxed(),
+                Some(StreamEnd::Broken) => {
+                    let error = async {
+                        // The part goes out first.
+                        sleep(PAUSE).await;
+                        Err(io::Error::other("broken off"))
+                    };
+                    stream::once(error).boxed()
+                }
+                None => stream::pending().boxed(),
+            };
+            body::stream(first.chain(rest))
+        }
+    };
+    Ok((state, Response::new(body)))
 }
 
-/// A server that answers each request with that many bytes, without reading the request's body.
-async fn start(size: usize, idle: Duration) -> (SocketAddr, Shutdown) {
-    let router = http::catch_all_router(Answer(size), answer);
+/// A server that answers each request like this, without reading the request's body.
+async fn start(answers: Answer, idle: Duration) -> (SocketAddr, Shutdown) {
+    let router = http::catch_all_router(answers, answer);
     let port = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
     let address = port.local_addr().expect("bound");
     drop(port);
@@ -54,7 +87,7 @@
 #[tokio::test]
 async fn answer_is_whole_although_its_caller_reads_slowly() {
     const SIZE: usize = 64 * 1024 * 1024;
-    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
     let request = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
 
@@ -70,7 +103,7 @@
 #[tokio::test]
 async fn answer_on_a_kept_connection_is_whole_although_its_caller_reads_slowly() {
     const SIZE: usize = 64 * 1024 * 1024;
-    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
 
     let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -87,7 +120,7 @@
 async fn answer_on_a_kept_connection_is_whole_at_shutdown() {
     const SIZE: usize = 64 * 1024 * 1024;
     const PAUSE: Duration = Duration::from_millis(300);
-    let (address, shutdown) = start(SIZE, Duration::from_secs(60)).await;
+    let (address, shutdown) = start(Answer::Bytes(SIZE), Duration::from_secs(60)).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
 
     let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -101,6 +134,35 @@
     assert!(read.is_ok(), "{read:?}");
 }
 
+/// Guards against a stream that breaks off and looks whole to a caller of HTTP/1.0, who is told its end by
+/// that of the connection; and against a whole stream that looks broken.
+#[rstest]
+#[case::whole(Answer::Stream(Some(StreamEnd::Whole)), false)]
+#[case::broken(Answer::Stream(Some(StreamEnd::Broken)), true)]
+#[case::aborted_at_shutdown(Answer::Stream(None), true)]
+#[tokio::test]
+async fn only_a_stream_that_breaks_off_resets_the_connection_of_a_caller_without_chunks(
+    #[case] answers: Answer,
+    #[case] is_reset: bool,
+) {
+    let (address, shutdown) = start(answers, IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let mut received = [0; 15];
+
+    let request = "GET / HTTP/1.0\r\nHost: a\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let begun = stream.read_exact(&mut received).await;
+    sleep(PAUSE * 2).await;
+    shutdown.aborting.cancel();
+    let read = stream.read_to_end(&mut Vec::new()).await;
+
+    assert!(
+        begun.is_ok() && received.starts_with(b"HTTP/1.0 200 OK"),
+        "{begun:?}"
+    );
+    assert_eq!(read.is_err(), is_reset, "{read:?}");
+}
+
 /// Guards against a request that is sent wholly and gets no answer because its body is not read.
 #[rstest]
 #[case::at_once(1)]
@@ -110,7 +172,7 @@
     const CALLS: usize = 50;
     const SIZE: usize = 60_000;
     const PAUSE: Duration = Duration::from_millis(1);
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let mut answered = 0;
 
     for _ in 0..CALLS {
