Testbed: answers that break off behind sidecars, and frames that break off before routers

Answers of a plain service are broken off at each byte, closed and reset, and the connections between router and sidecar at each of the first 560 bytes.

The fault proxy no longer panics when a limit is set between the reading of a piece and its passing on.

--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -6,8 +6,9 @@
 
 use {
     crate::{
-        host::{Body, Host, json as answer_json},
+        host::{Body, Connection, Host, json as answer_json},
         silence::Silence,
+        written::Break,
     },
     http_body_util::BodyExt as _,
     hyper::{Request, Response, StatusCode, body::Incoming},
@@ -55,6 +56,8 @@
     completed: AtomicUsize,
     /// Path at which it crashes.
     deadly_path: Mutex<Option<String>>,
+    /// Where its answers break off.
+    break_point: Mutex<Option<Break>>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
 }
@@ -74,6 +77,7 @@
             calls: Mutex::new(Vec::new()),
             completed: AtomicUsize::new(0),
             deadly_path: Mutex::default(),
+            break_point: Mutex::default(),
             crash: Arc::default(),
         });
         let shared = Arc::clone(&state);
@@ -110,6 +114,11 @@
         *lock(&self.state.deadly_path) = Some(path.to_owned());
     }
 
+    /// Lets it break its answers off there from now on.
+    pub fn set_break_point(&self, point: Break) {
+        *lock(&self.state.break_point) = Some(point);
+    }
+
     /// Calls received, oldest first.
     pub fn calls(&self) -> Vec<Call> {
         lock(&self.state.calls).clone()
@@ -157,6 +166,16 @@
     if let Some(bytes) = padding(parts.uri.query()) {
         value["padding"] = "x".repeat(bytes).into();
     }
+    let break_point = *lock(&state.break_point);
+    if let Some(point) = break_point {
+        let id = call.marker.as_deref().unwrap_or_default();
+        point.write(
+            parts.extensions.get::<Connection>()?,
+            id,
+            &value.to_string(),
+        );
+        return None;
+    }
     Some(answer_json(StatusCode::OK, &value))
 }
 
--- a/testbed/src/proxy/pump.rs
+++ b/testbed/src/proxy/pump.rs
@@ -123,7 +123,10 @@
             return Ok(());
         }
         hold_back(fault.delay).await;
-        let allowed = fault.remaining.map(|limit| limit - sent_since_change);
+        // A fault may be set between the reading and here.
+        let allowed = fault
+            .remaining
+            .map(|limit| limit.saturating_sub(sent_since_change));
         let passed = allowed.map_or(count, |allowed| count.min(allowed as usize));
         sink.write_all(&buffer[..passed]).await?;
         sent_since_change += passed as u64;
--- a/testbed/tests/broken_answers.rs
+++ b/testbed/tests/broken_answers.rs
@@ -1,17 +1,29 @@
-//! Backend servers whose answers break off, against a gateway as a real process.
+//! Backend servers whose answers break off, against gateways, routers and sidecars as real processes.
 
 use {
+    hyper::Method,
     rstest::rstest,
     std::time::Duration,
+    tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
+        deployment::{Deployment, Layout, Service},
+        load::{Generator, Record, Schedule, Shot},
         platform::{Behaviour, Caller, Configuration, Gateway, Server, Site},
+        proxy::{Direction, Fault, Scope},
         written::{Break, Framing, Written},
     },
+    tokio::time::{sleep, timeout},
 };
 
 /// Events of a stream.
 const EVENTS: u64 = 2;
 
+/// How often a service that was cut off is called.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
+/// Longest time for an answer by way of a router and a sidecar.
+const CALL_LIMIT: Duration = Duration::from_secs(10);
+
 /// Statuses that promise that a request has not run.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
@@ -206,3 +218,121 @@
 
     assert!(taken_over > 0, "no stream was taken over");
 }
+
+/// A plain service behind a sidecar and a router.
+async fn start_sidecar(layout: Layout) -> Deployment {
+    let deployment = Deployment::start(&layout.with_routers(1)).await;
+    deployment.expect("starts")
+}
+
+/// Sends a booking by way of a router and a sidecar.
+async fn book(deployment: &Deployment, key: &str) -> Record {
+    let generator = Generator::new(&deployment.entries()).with_limit(CALL_LIMIT);
+    let shot = Shot::plain(
+        "ordre-app",
+        "joiner-example-key",
+        Method::POST,
+        "/pickups",
+        "{}",
+    );
+    let shot = shot.with_tier("order").with_key(key);
+    let schedule = Schedule::burst(Duration::ZERO, 1);
+    let records = generator.run(&schedule, |_| shot.clone()).await;
+    records.into_iter().next().expect("one was offered")
+}
+
+/// What is wrong with a booking: it ran more than once, its answer is a success and not the server's, or
+/// the router says wrongly that it has run or has not.
+fn problem(deployment: &Deployment, key: &str, record: &Record) -> Option<String> {
+    let calls = deployment.sidecars[0].plain().calls();
+    let runs = calls
+        .iter()
+        .filter(|call| call.marker.as_deref() == Some(key));
+    let runs = runs.count();
+    let expected = match (record.whole, record.verdict) {
+        (true, _) => 1..=1,
+        (false, Some(Verdict::NotRun)) => 0..=0,
+        (false, _) => 0..=1,
+    };
+    let is_wrong = record.is_corrupt() || !expected.contains(&runs);
+    is_wrong.then(|| format!("ran {runs} times: {record:?}"))
+}
+
+/// Guards against an answer that breaks off between a sidecar and its plain service and is passed on as
+/// whole, as never run, or after a second run.
+#[rstest]
+#[case::length(Framing::Length, None)]
+#[case::chunked(Framing::Chunked, None)]
+#[case::after_early_hints(Framing::Length, Some(103))]
+#[tokio::test]
+async fn answer_that_breaks_off_behind_a_sidecar_is_no_success(
+    #[case] framing: Framing,
+    #[case] interim: Option<u16>,
+) {
+    /// More bytes than an answer has.
+    const MOST_BYTES: usize = 400;
+    let deployment = start_sidecar(Layout::new(vec![Service::ordre_app(1)])).await;
+    let answer = Written { framing, interim };
+    let mut wrong = Vec::new();
+
+    for is_reset in [false, true] {
+        for bytes in 0..MOST_BYTES {
+            let key = format!("key-{}{bytes}", u8::from(is_reset));
+            let point = Break {
+                answer,
+                bytes,
+                is_reset,
+            };
+            deployment.sidecars[0].plain().set_break_point(point);
+            let record = book(&deployment, &key).await;
+            // The server was at the end of its answer.
+            if record.whole {
+                break;
+            }
+            wrong.extend(problem(&deployment, &key, &record));
+        }
+    }
+
+    assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+}
+
+/// Guards against a response that breaks off between a router and a sidecar and is passed on as whole, as
+/// never run, or after a second run.
+#[rstest]
+#[tokio::test]
+async fn response_that_breaks_off_before_a_router_is_no_success(
+    #[values(0, 1, 2, 3, 4, 5, 6, 7)] first: u64,
+) {
+    /// More bytes than the sidecar sends for one request.
+    const MOST_BYTES: u64 = 560;
+    /// Each of the deployments has its share of the positions.
+    const STEP: usize = 8;
+    let layout = Layout::new(vec![Service::ordre_app(1)]).with_proxies();
+    let deployment = start_sidecar(layout).await;
+    let link = deployment.sidecars[0].peer_proxy.as_ref().expect("proxied");
+    let mut wrong = Vec::new();
+    let mut whole = 0;
+
+    for bytes in (first..MOST_BYTES).step_by(STEP) {
+        let key = format!("key-{bytes}");
+        let is_back = async {
+            while !book(&deployment, &format!("before-{key}")).await.whole {
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        assert!(
+            timeout(CALL_LIMIT, is_back).await.is_ok(),
+            "not back before {key}"
+        );
+        link.inject(Scope::Open, Direction::FromTarget, Fault::truncate(bytes));
+        let record = book(&deployment, &key).await;
+        wrong.extend(problem(&deployment, &key, &record));
+        whole += usize::from(record.whole);
+    }
+
+    assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+    assert!(
+        whole > 0,
+        "no response was read further on another connection"
+    );
+}
