--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -43,13 +43,19 @@
         let request = self
             .build_request(message)
             .map_err(|_| Failure::not_run(Reason::BadRequest))?;
-        self.client.request(request).await.map_err(|error| {
+        let response = self.client.request(request).await.map_err(|error| {
             log::warn!("request to the backend server failed: {error}");
             if error.is_connect() {
                 return Failure::not_run(Reason::BackendServer);
             }
             Failure::may_have_run(Reason::BackendServer)
-        })
+        })?;
+        let status = response.status();
+        if status.is_informational() {
+            log::warn!(status = status.as_u16(); "response of the backend server is not a final one");
+            return Err(Failure::may_have_run(Reason::BackendServer));
+        }
+        Ok(response)
     }
 
     fn build_request(&self, message: &Enqueue) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
--- a/testbed/tests/broken_answers.rs
+++ b/testbed/tests/broken_answers.rs
@@ -219,6 +219,30 @@
     assert!(taken_over > 0, "no stream was taken over");
 }
 
+/// Guards against an upgrade that nobody asked for and that is passed on as the final answer.
+#[rstest]
+#[case::not_idempotent("booking")]
+#[case::idempotent("status")]
+#[case::stream("stream")]
+#[tokio::test]
+async fn unasked_upgrade_is_no_answer(#[case] kind: &str) {
+    let bench = start(kind, 1).await;
+    let answer = Written {
+        framing: Framing::Length,
+        interim: Some(101),
+    };
+    let whole = Break {
+        answer,
+        bytes: usize::MAX,
+        is_reset: false,
+    };
+
+    let caller = bench.call(kind, "u", Behaviour::BreaksAt(whole)).await;
+
+    assert_eq!(caller.tries()[0].status(), Some(502));
+    assert_eq!(bench.servers[0].runs().len(), 1);
+}
+
 /// A plain service behind a sidecar and a router.
 async fn start_sidecar(layout: Layout) -> Deployment {
     let deployment = Deployment::start(&layout.with_routers(1)).await;
@@ -254,7 +278,8 @@
         (false, Some(Verdict::NotRun)) => 0..=0,
         (false, _) => 0..=1,
     };
-    let is_wrong = record.is_corrupt() || !expected.contains(&runs);
+    let is_final = record.status.is_none_or(|status| status >= 200);
+    let is_wrong = record.is_corrupt() || !is_final || !expected.contains(&runs);
     is_wrong.then(|| format!("ran {runs} times: {record:?}"))
 }
 
@@ -264,6 +289,7 @@
 #[case::length(Framing::Length, None)]
 #[case::chunked(Framing::Chunked, None)]
 #[case::after_early_hints(Framing::Length, Some(103))]
+#[case::after_an_unasked_upgrade(Framing::Length, Some(101))]
 #[tokio::test]
 async fn answer_that_breaks_off_behind_a_sidecar_is_no_success(
     #[case] framing: Framing,
