Store client: a response that breaks off, or an unasked upgrade, is lost

Responses of the store are broken off at each byte, closed and reset, with a length, chunks or after 103: each call failed as lost, none had a short body.

--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -214,6 +214,13 @@
     async fn request(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let pool = self.lock_pool().clone();
         match timeout(self.timeout, pool.request(request)).await {
+            // hyper gives out an upgrade, which was not asked for.
+            Ok(Ok(response)) if response.status().is_informational() => {
+                let status = response.status();
+                Err(Error::Lost(format!(
+                    "the response is not a final one: {status}"
+                )))
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) if error.is_connect() => Err(Error::Connect(format_with_causes(&error))),
             Ok(Err(error)) => Err(Error::Lost(format_with_causes(&error))),
--- a/store/tests/http.rs
+++ b/store/tests/http.rs
@@ -4,11 +4,17 @@
     bytes::Bytes,
     futures_util::stream,
     http_body_util::{BodyExt as _, StreamBody},
-    hyper::{Response, body::Frame},
+    hyper::{
+        Request, Response,
+        body::{Frame, Incoming},
+    },
     rstest::rstest,
     std::{io, time::Duration},
     tamarackdale_store::http::{Client, Error},
-    tamarackdale_testbed::host::Host,
+    tamarackdale_testbed::{
+        host::{Connection, Host},
+        written::{Break, Framing, Written},
+    },
     tokio::time::{Instant, sleep},
 };
 
@@ -61,3 +67,40 @@
     assert!(matches!(response, Err(Error::Lost(_))), "{response:?}");
     assert!(started.elapsed() < TIMEOUT * 10, "{:?}", started.elapsed());
 }
+
+/// Guards against a response that breaks off and is taken for a whole one, as an empty list of servers would
+/// be.
+#[rstest]
+#[case::length(Framing::Length, None)]
+#[case::chunked(Framing::Chunked, None)]
+#[case::after_early_hints(Framing::Length, Some(103))]
+#[case::after_an_unasked_upgrade(Framing::Length, Some(101))]
+#[tokio::test]
+async fn response_that_breaks_off_is_lost(
+    #[case] framing: Framing,
+    #[case] interim: Option<u16>,
+    #[values(false, true)] is_reset: bool,
+) {
+    const BODY: &str = "{\"items\":[]}";
+    let answer = Written { framing, interim };
+    let (head, body) = answer.parts("", BODY);
+    let mut wrong = Vec::new();
+
+    for bytes in 0..head.len() + body.len() {
+        let point = Break {
+            answer,
+            bytes,
+            is_reset,
+        };
+        let server = Host::new("broken", move |request: Request<Incoming>| async move {
+            point.write(request.extensions().get::<Connection>()?, "", BODY);
+            None
+        });
+        let server = server.expect("starts");
+        let response = client(&server).get_response("/").await;
+        let is_lost = matches!(response, Err(Error::Lost(_)));
+        wrong.extend((!is_lost).then(|| format!("{bytes}: {response:?}")));
+    }
+
+    assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
+}
