Soak: broken heads, foreign text in streams, strict callers, gateways alone without the store, idle timeouts

New faults, each with draws of its own: servers that break their answers off at a drawn byte, answer the resumption of a stream with an error, or write a second head or an error's text into a stream without a length; gateways whose link to the store alone is cut at the steps of a release; idle timeouts that change in series. New callers send bodies in pieces and take a failed write for the end. New checks: a stream has nothing that is no event; a strict caller has an answer if its gateway had read the head and was not killed (told by the log where the gateway was told to end).

--- a/testbed/src/platform/caller.rs
+++ b/testbed/src/platform/caller.rs
@@ -45,7 +45,7 @@
 }
 
 impl Try {
-    fn new(id: String, gateway: SocketAddr) -> Self {
+    pub(crate) fn new(id: String, gateway: SocketAddr) -> Self {
         Self {
             id,
             gateway,
@@ -77,11 +77,24 @@
 
     /// The complete events that it brought.
     pub fn events(&self) -> Vec<Event> {
+        let blocks = self.blocks();
+        let events = blocks.iter().filter_map(|block| parse_event(block));
+        events.collect()
+    }
+
+    /// Whether its body has something that is no event, but for the beginning of one at its end.
+    pub fn has_foreign_text(&self) -> bool {
+        let blocks = self.blocks();
+        let is_cut = self.is_whole && !self.body.is_empty() && !self.body.ends_with(b"\n\n");
+        is_cut || blocks.iter().any(|block| parse_event(block).is_none())
+    }
+
+    /// The parts of its body that an empty line ends.
+    fn blocks(&self) -> Vec<String> {
         let text = String::from_utf8_lossy(&self.body);
-        let complete = text
-            .rsplit_once("\n\n")
-            .map_or("", |(complete, _)| complete);
-        complete.split("\n\n").filter_map(parse_event).collect()
+        let complete = text.rsplit_once("\n\n").map(|(complete, _)| complete);
+        let blocks = complete.into_iter().flat_map(|text| text.split("\n\n"));
+        blocks.map(str::to_owned).collect()
     }
 }
 
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -4,7 +4,7 @@
     crate::{
         host::{Body, Connection, Host, json, whole},
         silence::Silence,
-        written::Break,
+        written::{Break, Framing},
     },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
@@ -66,6 +66,10 @@
     RepeatsRefusal(Repeat),
     /// Runs them, writes the beginning of the answer and ends the connection.
     BreaksAt(Break),
+    /// Answers a request to go on with a stream with an error.
+    FailsToResume,
+    /// Writes this text in the middle of a stream, whose end is that of the connection.
+    Interjects(&'static str),
 }
 
 /// A refusal that is written once more on a kept connection.
@@ -485,6 +489,20 @@
         match behaviour {
             Behaviour::LosesAnswers => return None,
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::FailsToResume if resumed_after.is_some() => {
+                return Some(signed(
+                    json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
+                    &id,
+                ));
+            }
+            Behaviour::Interjects(text) if is_stream => {
+                let events = self.events(resumed_after.unwrap_or(0));
+                let (first, _) = events.split_at(events.len() / 2);
+                let (first, _) = first.rsplit_once("\n\n").unwrap_or_default();
+                let body = format!("{first}\n\n{text}");
+                Break::none(Framing::Connection).write(&connection?, &id, &body);
+                return None;
+            }
             Behaviour::BreaksAt(point) => {
                 let body = match is_stream {
                     true => self.events(resumed_after.unwrap_or(0)),
--- a/testbed/src/platform/soak.rs
+++ b/testbed/src/platform/soak.rs
@@ -1,6 +1,7 @@
 //! Random, overlapping faults on a site under load. The invariants are checked on what callers and
 //! backend servers observed.
 
+mod answers;
 mod changes;
 mod check;
 mod demands;
@@ -8,12 +9,13 @@
 mod load;
 mod oddities;
 mod release;
+mod strict;
 mod world;
 
 use {
     self::{
-        changes::Changes, demands::Demands, drill::Drill, oddities::Oddities, release::Release,
-        world::World,
+        answers::Answers, changes::Changes, demands::Demands, drill::Drill, oddities::Oddities,
+        release::Release, world::World,
     },
     crate::process,
     derive_more::{Display, Error, From},
@@ -76,6 +78,7 @@
     let mut release = Release::draw(seed, length, &world);
     let mut changes = Changes::draw(seed, length, world.gateways().len());
     let mut oddities = Oddities::new(seed);
+    let mut answers = Answers::new(seed);
     while start.elapsed() < length {
         world.end_due()?;
         let elapsed = start.elapsed();
@@ -83,6 +86,7 @@
         report.faults.extend(release.step(&mut world, elapsed));
         report.faults.extend(changes.step(&mut world, elapsed)?);
         report.faults.extend(oddities.step(&mut world, elapsed));
+        report.faults.extend(answers.step(&mut world, elapsed));
         report.faults.extend(demands.step(world.servers(), elapsed));
         if Instant::now() >= next {
             report.faults.extend(world.begin(&mut random)?);
--- a/testbed/src/platform/soak/changes.rs
+++ b/testbed/src/platform/soak/changes.rs
@@ -22,11 +22,22 @@
 /// Latency targets of new configurations, in milliseconds.
 const TARGET_MS: std::ops::Range<u64> = 300..500;
 
+/// Offset of the seed of the idle timeouts.
+const IDLE_SEED_OFFSET: u64 = 8 << 32;
+
+/// Range of the pause between two idle timeouts, in milliseconds: some follow each other before they hold
+/// everywhere.
+const IDLE_PAUSE_MS: std::ops::Range<u64> = 100..1_500;
+
+/// Idle timeouts, in milliseconds. Callers of the soak leave no connection idle for as long.
+const IDLE_MS: std::ops::Range<u64> = 400..3_000;
+
 #[derive(Clone, Copy, Debug)]
 enum Change {
     Reload(usize),
     End(usize),
     Configure { target_ms: u64 },
+    IdleTimeout { ms: u64 },
     KillAll,
 }
 
@@ -58,6 +69,13 @@
             }
             at += millis(&mut random, SERIES_PAUSE_MS);
         }
+        let mut random = StdRng::seed_from_u64(seed + IDLE_SEED_OFFSET);
+        let mut at = millis(&mut random, IDLE_PAUSE_MS);
+        while at < length {
+            let ms = random.random_range(IDLE_MS);
+            due.push((at, Change::IdleTimeout { ms }));
+            at += millis(&mut random, IDLE_PAUSE_MS);
+        }
         due.sort_by_key(|(at, _)| *at);
         Self { due: due.into() }
     }
@@ -75,7 +93,10 @@
         let is_made = match change {
             Change::Reload(gateway) => world.reload(gateway)?,
             Change::End(gateway) => world.terminate(gateway)?,
-            Change::Configure { target_ms } => world.configure(target_ms),
+            Change::Configure { target_ms } => {
+                world.configure("/routes/1/target_latency_ms", target_ms)
+            }
+            Change::IdleTimeout { ms } => world.configure("/limits/idle_timeout_ms", ms),
             Change::KillAll => world.kill_all_gateways()?,
         };
         Ok(is_made.then(|| format!("{change:?}")))
--- a/testbed/src/platform/soak/check.rs
+++ b/testbed/src/platform/soak/check.rs
@@ -23,6 +23,9 @@
 /// three seconds that requests and routes have.
 const NEARLY_ALL: Duration = Duration::from_millis(2_900);
 
+/// Time from SIGTERM to the end of a gateway, as in the settings of the site.
+const GRACE: Duration = Duration::from_secs(6);
+
 /// Take-ups from which the share that goes on is judged, as in the platform's rules.
 const ENOUGH_TAKE_UPS: usize = 12;
 
@@ -94,6 +97,14 @@
         ),
         (is_refusal && !ran.is_empty(), "was refused and ran"),
         (is_success && !is_own, "answered as another request"),
+        (
+            status == Some(200) && !is_plain && attempt.has_foreign_text(),
+            "brought something that is no event",
+        ),
+        (
+            call.is_strict && is_unanswered(attempt, world),
+            "got no answer after a failed write",
+        ),
         (
             is_cut(attempt, ran, world),
             "cut though its servers were sound",
@@ -114,14 +125,31 @@
     let from = from.unwrap_or(attempt.sent_at);
     let is_server_harmed = |number: &usize| world.is_server_harmed(*number, from, ended);
     let is_over = ended - attempt.sent_at >= NEARLY_ALL;
-    let gateway = gateway(attempt, world);
+    let gateway = Target::Gateway(gateway_number(attempt, world));
     !is_over && !world.is_harmed(gateway, from, ended) && !ran.iter().any(is_server_harmed)
 }
 
-fn gateway(attempt: &Try, world: &World) -> Target {
+/// Whether a caller that takes a failed write for the end got no answer, although its gateway had read the
+/// head, or has not been told to end and so had time to.
+fn is_unanswered(attempt: &Try, world: &World) -> bool {
+    let (None, Some(ended)) = (&attempt.head, attempt.ended_at) else {
+        return false;
+    };
+    let before = |time: Duration| attempt.sent_at.checked_sub(time).unwrap_or(attempt.sent_at);
+    let number = gateway_number(attempt, world);
+    let is_over = ended - attempt.sent_at >= NEARLY_ALL;
+    let may_be_gone = world.is_terminated(number, before(GRACE), ended);
+    let names_it = |line: &serde_json::Value| line["request"] == *attempt.id;
+    let has_read = || world.gateways()[number].process.logs().iter().any(names_it);
+    let target = Target::Gateway(number);
+    let is_harmed = world.is_harmed(target, before(AFTERMATH), ended);
+    !is_over && !is_harmed && (!may_be_gone || has_read())
+}
+
+fn gateway_number(attempt: &Try, world: &World) -> usize {
     let mut callers = world.callers().into_iter();
     let number = callers.position(|address| address == attempt.gateway);
-    Target::Gateway(number.unwrap_or_default())
+    number.unwrap_or_default()
 }
 
 /// Checks the events that a caller has, over all its tries.
@@ -203,7 +231,13 @@
     };
     let from = attempt.sent_at.checked_sub(AFTERMATH);
     let from = from.unwrap_or(attempt.sent_at);
-    let targets = [Target::Store, Target::StoreLink, gateway(attempt, world)];
+    let number = gateway_number(attempt, world);
+    let targets = [
+        Target::Store,
+        Target::StoreLink,
+        Target::OwnStoreLink(number),
+        Target::Gateway(number),
+    ];
     let is_harmed = |target: &Target| world.is_harmed(*target, from, ended);
     let has_two = |version: &&str| world.sound_engines(version, from, ended) >= 2;
     let versions: &[&str] = match &version {
--- a/testbed/src/platform/soak/load.rs
+++ b/testbed/src/platform/soak/load.rs
@@ -1,7 +1,7 @@
 //! Requests of all kinds to all gateways, on connections of their own and on kept ones.
 
 use {
-    super::millis,
+    super::{millis, strict},
     crate::{
         http::Connection,
         platform::{Caller, Try},
@@ -20,6 +20,12 @@
 /// Pause between two requests on a kept connection.
 const KEPT_INTERVAL: Duration = Duration::from_millis(30);
 
+/// Pause between two requests whose bodies come in pieces.
+const STRICT_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Offset of the seed of these, so that the draws of the others stay the same for a seed.
+const STRICT_SEED_OFFSET: u64 = 7 << 32;
+
 /// Kept connections to each gateway.
 const KEPT: usize = 2;
 
@@ -55,6 +61,8 @@
     pub kind: &'static str,
     /// Whether it crashes servers.
     pub is_deadly: bool,
+    /// Whether its caller takes a write that fails for the end of its request.
+    pub is_strict: bool,
     /// The caller's tries; all but the first take the stream up.
     pub tries: Vec<Try>,
 }
@@ -74,11 +82,42 @@
             end,
         ));
     }
+    let strict = tokio::spawn(call_strictly(callers.clone(), seed, end));
     let mut calls = call_anew(&callers, seed.wrapping_add(1), end).await;
+    calls.extend(strict.await.unwrap_or_default());
     calls.extend(kept.join_all().await.into_iter().flatten());
     calls
 }
 
+/// Sends bodies in pieces, a part of them with a path or a key that is refused.
+async fn call_strictly(callers: Vec<SocketAddr>, seed: u64, end: Instant) -> Vec<Call> {
+    let mut random = StdRng::seed_from_u64(seed + STRICT_SEED_OFFSET);
+    let mut running = JoinSet::new();
+    let mut number = 0;
+    while Instant::now() < end {
+        number += 1;
+        let gateway = callers[random.random_range(0..callers.len())];
+        let targets = [
+            ("/booking/1", "key"),
+            ("/booking/1", "no-key"),
+            ("/none/1", "key"),
+        ];
+        let (path, key) = *targets.choose(&mut random).unwrap_or(&targets[0]);
+        running.spawn(async move {
+            let id = format!("p-{number}");
+            let attempt = strict::call(gateway, path, key, &id).await?;
+            Some(Call {
+                kind: "booking",
+                is_deadly: false,
+                is_strict: true,
+                tries: vec![attempt],
+            })
+        });
+        sleep(STRICT_INTERVAL).await;
+    }
+    running.join_all().await.into_iter().flatten().collect()
+}
+
 async fn call_anew(callers: &[SocketAddr], seed: u64, end: Instant) -> Vec<Call> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut running = JoinSet::new();
@@ -104,6 +143,7 @@
             Call {
                 kind,
                 is_deadly,
+                is_strict: false,
                 tries: caller.into_tries(),
             }
         });
@@ -142,6 +182,7 @@
         calls.push(Call {
             kind,
             is_deadly: false,
+            is_strict: false,
             tries: caller.into_tries(),
         });
     }
--- a/testbed/src/platform/soak/release.rs
+++ b/testbed/src/platform/soak/release.rs
@@ -15,6 +15,12 @@
 /// Range of the pause between two servers that come or leave, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 50..800;
 
+/// Range of the time by which a gateway is cut off from the store before a step, in milliseconds.
+const CUT_EARLY_MS: std::ops::Range<u64> = 0..100;
+
+/// Range of the length of such a cut, in milliseconds.
+const CUT_MS: std::ops::Range<u64> = 100..1_500;
+
 /// Time for which a server that leaves says so: `drain_ms` of the site.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -22,6 +28,8 @@
 pub(super) struct Release {
     /// What happens to which server, and when.
     steps: VecDeque<(Duration, usize, Presence)>,
+    /// Gateways that are cut off from the store meanwhile, when and for how long.
+    cuts: VecDeque<(Duration, usize, Duration)>,
 }
 
 impl Release {
@@ -46,13 +54,25 @@
             at += millis(&mut random, PAUSE_MS);
         }
         steps.sort_by_key(|(at, ..)| *at);
+        let mut cuts = Vec::new();
+        for (at, ..) in &steps {
+            let early = millis(&mut random, CUT_EARLY_MS);
+            let gateway = random.random_range(0..world.gateways().len());
+            let length = millis(&mut random, CUT_MS);
+            cuts.push((at.saturating_sub(early), gateway, length));
+        }
+        cuts.sort();
         Self {
             steps: steps.into(),
+            cuts: cuts.into(),
         }
     }
 
     /// Performs the next step if it is due `elapsed` after the start of the soak, and describes it.
     pub(super) fn step(&mut self, world: &mut World, elapsed: Duration) -> Option<String> {
+        if let Some((_, number, length)) = self.cuts.pop_front_if(|(at, ..)| *at <= elapsed) {
+            return world.cut_off_from_store(number, length);
+        }
         let (_, number, presence) = self.steps.pop_front_if(|(at, ..)| *at <= elapsed)?;
         world.set_presence(number, presence);
         let id = world.servers()[number].id();
--- a/testbed/src/platform/soak/world.rs
+++ b/testbed/src/platform/soak/world.rs
@@ -49,6 +49,8 @@
     Store,
     /// The link to the store.
     StoreLink,
+    /// The link of one gateway to the store.
+    OwnStoreLink(usize),
     /// A gateway.
     Gateway(usize),
 }
@@ -86,6 +88,10 @@
     servers: Vec<Server>,
     links: Vec<Proxy>,
     store_link: Proxy,
+    /// Links of each gateway alone, which lead to the one of all.
+    own_store_links: Vec<Proxy>,
+    /// When gateways got SIGTERM.
+    terminations: Vec<(usize, Instant)>,
     gateways: Vec<Gateway>,
     /// Numbers of the gateways that got SIGTERM and have not been started again.
     terminated: BTreeSet<usize>,
@@ -103,9 +109,8 @@
 impl World {
     /// Starts a site whose gateways are ready.
     pub async fn new() -> Result<Self, Fault> {
-        let site = Site::new(&Configuration::default())?;
+        let mut site = Site::new(&Configuration::default())?;
         let store_link = Proxy::new(site.store.address())?;
-        let site = site.with_store_address(store_link.address());
         let (mut servers, mut links) = (Vec::new(), Vec::new());
         for number in 0..OLDER + NEWER {
             let (service, version) = match number {
@@ -127,8 +132,11 @@
             servers.push(server);
             links.push(link);
         }
-        let mut gateways = Vec::new();
+        let (mut gateways, mut own_store_links) = (Vec::new(), Vec::new());
         for number in 0..GATEWAYS {
+            let link = Proxy::new(store_link.address())?;
+            site = site.with_store_address(link.address());
+            own_store_links.push(link);
             gateways.push(site.gateway(&format!("gateway-{number}"))?);
         }
         for gateway in &gateways {
@@ -145,6 +153,8 @@
             servers,
             links,
             store_link,
+            own_store_links,
+            terminations: Vec::new(),
             gateways,
             terminated: BTreeSet::new(),
             active: Vec::new(),
@@ -242,10 +252,10 @@
         &self.ended
     }
 
-    /// Puts a new configuration.
-    pub fn configure(&mut self, target_ms: u64) -> bool {
+    /// Puts a new configuration, with another value at a JSON pointer.
+    pub fn configure(&mut self, pointer: &str, value: u64) -> bool {
         let next = self.configuration.clone();
-        self.configuration = next.with("/routes/1/target_latency_ms", target_ms.into());
+        self.configuration = next.with(pointer, value.into());
         self.site.configure(&self.configuration);
         true
     }
@@ -276,12 +286,32 @@
         }
         self.disturbed_gateways.push(Instant::now());
         self.gateways[number].process.terminate()?;
+        self.terminations.push((number, Instant::now()));
         self.terminated.insert(number);
         let end = Instant::now() + SHUTDOWN_POLL;
         self.active.push(Active { target, end });
         Ok(true)
     }
 
+    /// Whether a gateway got SIGTERM between `from` and `to`.
+    pub fn is_terminated(&self, number: usize, from: Instant, to: Instant) -> bool {
+        let mut terminations = self.terminations.iter();
+        terminations.any(|(other, at)| *other == number && (from..=to).contains(at))
+    }
+
+    /// Cuts a gateway alone off from the store for `length`, and describes it.
+    pub fn cut_off_from_store(&mut self, number: usize, length: Duration) -> Option<String> {
+        let target = Target::OwnStoreLink(number);
+        if self.is_busy(target) {
+            return None;
+        }
+        self.harm(target);
+        self.own_store_links[number].inject(Scope::All, Direction::Both, proxy::Fault::silence());
+        let end = Instant::now() + length;
+        self.active.push(Active { target, end });
+        Some(format!("{target:?} is cut ({length:?})"))
+    }
+
     /// Ends all gateways at once, but for those that have a fault, and starts them again soon.
     pub fn kill_all_gateways(&mut self) -> Result<bool, Fault> {
         for number in 0..self.gateways.len() {
@@ -409,13 +439,17 @@
     }
 
     fn disturb(&mut self, target: Target, random: &mut StdRng) -> Result<String, Fault> {
-        if matches!(target, Target::Link(_) | Target::StoreLink | Target::Store) {
+        if matches!(
+            target,
+            Target::Link(_) | Target::StoreLink | Target::OwnStoreLink(_) | Target::Store
+        ) {
             self.harm(target);
         }
         match target {
             Target::Server(number) => Ok(self.disturb_server(number, random)),
             Target::Link(number) => Ok(disturb_link(&self.links[number], random)),
             Target::StoreLink => Ok(disturb_link(&self.store_link, random)),
+            Target::OwnStoreLink(number) => Ok(disturb_link(&self.own_store_links[number], random)),
             Target::Store => Ok(self.disturb_store(random)),
             Target::Gateway(number) => self.disturb_gateway(number, random),
         }
@@ -479,6 +513,7 @@
             }
             Target::Link(number) => self.links[number].heal(),
             Target::StoreLink => self.store_link.heal(),
+            Target::OwnStoreLink(number) => self.own_store_links[number].heal(),
             Target::Store => self.site.store.resume(),
             Target::Gateway(number) => self.revive(number)?,
         }
@@ -500,6 +535,7 @@
             }
             _ => {
                 process.terminate()?;
+                self.terminations.push((number, Instant::now()));
                 self.terminated.insert(number);
                 return Ok("told to end".to_owned());
             }
--- a/testbed/src/written.rs
+++ b/testbed/src/written.rs
@@ -71,6 +71,18 @@
 }
 
 impl Break {
+    /// A whole answer.
+    pub fn none(framing: Framing) -> Self {
+        Self {
+            answer: Written {
+                framing,
+                interim: None,
+            },
+            bytes: usize::MAX,
+            is_reset: false,
+        }
+    }
+
     /// Writes the beginning of the answer. The connection is then to be dropped.
     pub fn write(&self, connection: &Connection, id: &str, body: &str) {
         let (head, body) = self.answer.parts(id, body);
