Listeners: a broken unframed response is not shut down, whoever closes its connection

The reset relied on hyper, which shuts a connection down only after a complete response. Code that closes connections itself after an error would have sent the end that looks like that of a whole response. The guard now observes the body, and refuses to shut the connection down once it broke off.

--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -139,10 +139,8 @@
             async move {
                 let response = response.await;
                 response.map(|response| {
-                    response.map(|body: Body| {
-                        guard.begin_response(version, &body);
-                        in_progress.until_end_of(body)
-                    })
+                    response
+                        .map(|body: Body| in_progress.until_end_of(guard.observe(version, body)))
                 })
             }
         });
--- a/daemon/src/http/unframed.rs
+++ b/daemon/src/http/unframed.rs
@@ -4,6 +4,7 @@
 //! them. Their connection is reset unless the response came to its end.
 
 use {
+    http_body_util::BodyExt as _,
     hyper::{Version, body::Body},
     socket2::SockRef,
     std::{
@@ -25,7 +26,10 @@
 /// Tells the stream of a connection of the responses on it. Clones share it.
 #[derive(Clone, Default)]
 pub struct Guard {
+    /// Whether the last response is unframed.
     is_unframed: Arc<AtomicBool>,
+    /// Whether an unframed response broke off.
+    is_broken: Arc<AtomicBool>,
 }
 
 impl Guard {
@@ -43,11 +47,23 @@
         }
     }
 
-    /// Records that a response with this body is about to be written, to a request of this version.
-    pub fn begin_response(&self, version: Version, body: &impl Body) {
+    /// Observes the body of the next response, to a request of this version.
+    pub fn observe<B>(
+        &self,
+        version: Version,
+        body: B,
+    ) -> impl Body<Data = B::Data, Error = B::Error> + use<B>
+    where
+        B: Body,
+    {
         let has_length = body.size_hint().exact().is_some();
         let is_unframed = version < Version::HTTP_11 && !has_length;
         self.is_unframed.store(is_unframed, Ordering::Relaxed);
+        let is_broken = Arc::clone(&self.is_broken);
+        body.map_err(move |error| {
+            is_broken.store(is_unframed, Ordering::Relaxed);
+            error
+        })
     }
 }
 
@@ -116,7 +132,10 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // A connection is shut down only once its last response is complete.
+        if self.guard.is_broken.load(Ordering::Relaxed) {
+            let reason = "a response that only the end of the connection ends broke off";
+            return Poll::Ready(Err(io::Error::other(reason)));
+        }
         self.set_reset(false)?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
