Testbed: broken streams are asked of as many servers as there are

A stream that may go to more servers may wait for one until its time is over, at each of the bytes at which it is broken off. With one attempt a server it ends at once; the case with two servers takes streams over as before.

--- a/testbed/tests/broken_answers.rs
+++ b/testbed/tests/broken_answers.rs
@@ -39,7 +39,9 @@
         "stream" | "resumable" => "engine",
         _ => "plain",
     };
-    let site = Site::new(&Configuration::default()).expect("starts");
+    // No stream waits for a server that there is not.
+    let configuration = Configuration::default().with("/routes/1/attempts", count.into());
+    let site = Site::new(&configuration).expect("starts");
     let server = |number| Server::new(&format!("server-{number}"), service);
     let servers: Vec<Server> = (0..count)
         .map(|number| server(number).expect("starts"))
