--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -7,6 +7,7 @@
     super::{
         activity::{Activity, Timeouts},
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
+        unframed,
     },
     crate::signal::Shutdown,
     futures_util::FutureExt as _,
@@ -168,7 +169,11 @@
         let activity = Activity::new();
         let requests = activity.clone();
         let (rests_sender, rests) = mpsc::unbounded_channel();
+        let guard = unframed::Guard::new();
+        let stream = guard.watch(stream);
         let service = service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
+            let guard = guard.clone();
             let in_progress = requests.begin_request();
             let awaits_continue = request.headers().contains_key(EXPECT);
             let request = remove_invalid_request_id(request);
@@ -190,7 +195,8 @@
                             let _ = rests.send(rest);
                         }
                     }
-                    response.map(|body| in_progress.until_end_of(body))
+                    response
+                        .map(|body: Body| in_progress.until_end_of(guard.observe(version, body)))
                 })
             }
         });
@@ -253,7 +259,12 @@
 
 /// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
 /// its own or a limit is reached.
-async fn close(name: &'static str, peer: SocketAddr, activity: &Activity, mut stream: TcpStream) {
+async fn close(
+    name: &'static str,
+    peer: SocketAddr,
+    activity: &Activity,
+    mut stream: unframed::Guarded,
+) {
     if stream.shutdown().await.is_err() {
         // The connection is broken.
         return;
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -2,18 +2,20 @@
 
 use {
     bytes::Bytes,
+    futures_util::{StreamExt as _, stream},
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
         hyper::{
             Response, Uri,
+            body::Frame,
             header::{CONNECTION, HeaderValue},
         },
         router::Router,
         state::{State, StateData},
     },
     rstest::rstest,
-    std::{net::SocketAddr, time::Duration},
+    std::{io, net::SocketAddr, time::Duration},
     tamarackdale_testbed::strict::{Connection, Framing, Request},
     tamarackdaled::{
         http::{self, Server, activity::Timeouts, body, request_body::DISCARD_TIMEOUT},
@@ -33,14 +35,47 @@
 /// Longest time for an answer once the request has been sent.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
-#[derive(Clone)]
-struct Answer(usize);
+/// Time from a part of a stream to its break.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// What the server of a test answers.
+#[derive(Clone, Copy)]
+enum Answer {
+    /// That many bytes.
+    Bytes(usize),
+    /// Some bytes of a stream, which then ends like this or not at all.
+    Stream(Option<StreamEnd>),
+}
+
+#[derive(Clone, Copy)]
+enum StreamEnd {
+    Whole,
+    Broken,
+}
 
 impl StateData for Answer {}
 
 async fn answer(state: State) -> HandlerResult {
-    let size = state.borrow::<Answer>().0;
-    let mut response: Response<Body> = Response::new(body::full(Bytes::from(vec![b'x'; size])));
+    let body: Body = match *state.borrow::<Answer>() {
+        Answer::Bytes(size) => body::full(Bytes::from(vec![b'x'; size])),
+        Answer::Stream(end) => {
+            let first = stream::iter([Ok(Frame::data(Bytes::from_static(b"part")))]);
+            let rest = match end {
+                Some(StreamEnd::Whole) => stream::empty().boxed(),
+                Some(StreamEnd::Broken) => {
+                    let error = async {
+                        // The part goes out first.
+                        sleep(PAUSE).await;
+                        Err(io::Error::other("broken off"))
+                    };
+                    stream::once(error).boxed()
+                }
+                None => stream::pending().boxed(),
+            };
+            body::stream(first.chain(rest))
+        }
+    };
+    let mut response = Response::new(body);
     match state.borrow::<Uri>().path() {
         "/last" => {
             let close = HeaderValue::from_static("close");
@@ -60,9 +95,9 @@
     (server.expect("binds"), address)
 }
 
-/// A server that answers each request with that many bytes, without reading the request's body.
-async fn start(size: usize, idle: Duration) -> (SocketAddr, Shutdown) {
-    let (server, address) = bind(http::catch_all_router(Answer(size), answer)).await;
+/// A server that answers each request like this, without reading the request's body.
+async fn start(answers: Answer, idle: Duration) -> (SocketAddr, Shutdown) {
+    let (server, address) = bind(http::catch_all_router(answers, answer)).await;
     let server = server.with_timeouts(move || Timeouts { idle, head: idle });
     let shutdown = Shutdown::new();
     let served = shutdown.clone();
@@ -74,7 +109,7 @@
 #[tokio::test]
 async fn answer_is_whole_although_its_caller_reads_slowly() {
     const SIZE: usize = 64 * 1024 * 1024;
-    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
     let request = "GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
 
@@ -90,7 +125,7 @@
 #[tokio::test]
 async fn answer_on_a_kept_connection_is_whole_although_its_caller_reads_slowly() {
     const SIZE: usize = 64 * 1024 * 1024;
-    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
 
     let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -107,7 +142,7 @@
 async fn answer_on_a_kept_connection_is_whole_at_shutdown() {
     const SIZE: usize = 64 * 1024 * 1024;
     const PAUSE: Duration = Duration::from_millis(300);
-    let (address, shutdown) = start(SIZE, Duration::from_secs(60)).await;
+    let (address, shutdown) = start(Answer::Bytes(SIZE), Duration::from_secs(60)).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
 
     let request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -121,6 +156,35 @@
     assert!(read.is_ok(), "{read:?}");
 }
 
+/// Guards against a stream that breaks off and looks whole to a caller of HTTP/1.0, who is told its end by
+/// that of the connection; and against a whole stream that looks broken.
+#[rstest]
+#[case::whole(Answer::Stream(Some(StreamEnd::Whole)), false)]
+#[case::broken(Answer::Stream(Some(StreamEnd::Broken)), true)]
+#[case::aborted_at_shutdown(Answer::Stream(None), true)]
+#[tokio::test]
+async fn only_a_stream_that_breaks_off_resets_the_connection_of_a_caller_without_chunks(
+    #[case] answers: Answer,
+    #[case] is_reset: bool,
+) {
+    let (address, shutdown) = start(answers, IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let mut received = [0; 15];
+
+    let request = "GET / HTTP/1.0\r\nHost: a\r\n\r\n";
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let begun = stream.read_exact(&mut received).await;
+    sleep(PAUSE * 2).await;
+    shutdown.aborting.cancel();
+    let read = stream.read_to_end(&mut Vec::new()).await;
+
+    assert!(
+        begun.is_ok() && received.starts_with(b"HTTP/1.0 200 OK"),
+        "{begun:?}"
+    );
+    assert_eq!(read.is_err(), is_reset, "{read:?}");
+}
+
 /// Guards against a request that is sent wholly and gets no answer because its body is not read.
 #[rstest]
 #[case::at_once(1)]
@@ -130,7 +194,7 @@
     const CALLS: usize = 50;
     const SIZE: usize = 60_000;
     const PAUSE: Duration = Duration::from_millis(1);
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let mut answered = 0;
 
     for _ in 0..CALLS {
@@ -176,7 +240,7 @@
 ) {
     const CONNECTIONS: usize = 5;
     const CALLS: usize = 2;
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let request = pieces(path, count, framing);
     // The end of a chunked rest cannot be noticed, so such a connection is not kept.
     let is_last = is_last || framing == Framing::Chunked;
@@ -201,7 +265,7 @@
 /// and against one that is not idle after that.
 #[tokio::test]
 async fn connection_is_idle_from_the_end_of_a_body_that_comes_after_the_answer() {
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let slow = Request {
         pause: IDLE_TIMEOUT / 2,
         ..pieces("/", 6, Framing::Length)
@@ -229,7 +293,7 @@
     #[case] path: &str,
     #[case] closes: bool,
 ) {
-    let router = http::catch_all_router(Answer(16), answer);
+    let router = http::catch_all_router(Answer::Bytes(16), answer);
     let (server, address) = bind(router).await;
     let shutdown = Shutdown::new();
     let served = shutdown.clone();
@@ -252,7 +316,7 @@
 /// Guards against a caller that is told to go on with a body that nobody reads.
 #[tokio::test]
 async fn caller_that_waits_before_its_body_is_answered_at_once() {
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
     let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n";
 
@@ -269,7 +333,7 @@
 #[tokio::test]
 async fn body_that_does_not_come_is_awaited_for_a_limited_time() {
     const MARGIN: Duration = Duration::from_secs(3);
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
     let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbody";
 
@@ -291,7 +355,7 @@
 async fn body_without_end_is_discarded_within_limits(#[case] framing: Framing) {
     /// What is discarded before and after the end of the answers, and the sockets' buffers.
     const LIMIT: usize = 80 * 1024 * 1024;
-    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
     let endless = Request {
         piece: 1024 * 1024,
         pieces: 2 * LIMIT / (1024 * 1024),
@@ -311,7 +375,7 @@
 /// idle for longest makes room.
 #[tokio::test]
 async fn idle_connection_makes_room_for_a_new_one() {
-    let (address, _) = start(16, Duration::from_secs(60)).await;
+    let (address, _) = start(Answer::Bytes(16), Duration::from_secs(60)).await;
     let request = pieces("/", 1, Framing::Length);
     let mut kept = Vec::new();
     for _ in 0..MAX_CONNECTIONS {
@@ -337,7 +401,7 @@
 #[tokio::test]
 async fn last_answer_is_whole_although_more_requests_follow() {
     const SIZE: usize = 60_000;
-    let (address, _) = start(SIZE, IDLE_TIMEOUT).await;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
     let mut stream = TcpStream::connect(address).await.expect("accepted");
     let last = "GET /last HTTP/1.1\r\nHost: a\r\n\r\n";
     let more = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_000);
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -26,3 +26,4 @@
 pub mod strict;
 pub mod traffic;
 pub mod wait;
+pub mod written;
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -4,6 +4,7 @@
     crate::{
         host::{Body, Connection, Host, json, whole},
         silence::Silence,
+        written::{Break, Framing},
     },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
@@ -79,6 +80,12 @@
     RepeatsRefusal(Repeat),
     /// Answers before it has read the body.
     AnswersEarly(Early),
+    /// Runs them, writes the beginning of the answer and ends the connection.
+    BreaksAt(Break),
+    /// Answers a request to go on with a stream with an error.
+    FailsToResume,
+    /// Writes this text in the middle of a stream, whose end is that of the connection.
+    Interjects(&'static str),
 }
 
 /// An answer that a server writes before it has read the body of the request.
@@ -173,6 +180,8 @@
     pub resumes: Option<String>,
     /// Version of the server's software.
     pub version: String,
+    /// Whether its connection had carried an earlier request.
+    pub is_kept: bool,
     /// Whether the caller's key came with it.
     pub has_key: bool,
     /// Parts of its prompt as they were stated.
@@ -468,6 +477,15 @@
         format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
     }
 
+    /// The events of a stream after `after`.
+    fn events(&self, after: u64) -> String {
+        let count = *lock(&self.events);
+        let events = (after + 1..=count).map(|id| self.event(id));
+        events
+            .map(|event| String::from_utf8_lossy(&event).into_owned())
+            .collect()
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let text = |name: &str| {
@@ -525,6 +543,7 @@
             resumed_after,
             resumes: Some(text("resumes").to_owned()).filter(|attempt| !attempt.is_empty()),
             version: self.version(),
+            is_kept: connection.as_ref().is_some_and(|it| it.is_kept),
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
@@ -551,6 +570,28 @@
         match behaviour {
             Behaviour::LosesAnswers => return None,
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::FailsToResume if resumed_after.is_some() => {
+                return Some(signed(
+                    json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
+                    &id,
+                ));
+            }
+            Behaviour::Interjects(text) if is_stream => {
+                let events = self.events(resumed_after.unwrap_or(0));
+                let (first, _) = events.split_at(events.len() / 2);
+                let (first, _) = first.rsplit_once("\n\n").unwrap_or_default();
+                let body = format!("{first}\n\n{text}");
+                Break::none(Framing::Connection).write(&connection?, &id, &body);
+                return None;
+            }
+            Behaviour::BreaksAt(point) => {
+                let body = match is_stream {
+                    true => self.events(resumed_after.unwrap_or(0)),
+                    false => plain_answer(&self.id, size),
+                };
+                point.write(&connection?, &id, &body);
+                return None;
+            }
             Behaviour::Fails => {
                 return Some(signed(
                     json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
@@ -736,9 +777,13 @@
     })
 }
 
+fn plain_answer(id: &str, size: usize) -> String {
+    format!("{id} got {size} bytes")
+}
+
 /// The answer of the server `id` to a request with a body of `size` bytes.
 fn answer_whole(id: &str, size: usize, behaviour: Behaviour) -> Response<Body> {
-    let text = format!("{id} got {size} bytes");
+    let text = plain_answer(id, size);
     if behaviour == Behaviour::Endless {
         return Response::new(StreamBody::new(endless_bytes()).boxed_unsync());
     }
