Sidecar: forward only events of the response

An engine that answered the request, or its resumption, with something else as an event (an error's text without a sequence number, an event of another response) had it forwarded to the caller in the middle of the answer; after an event of another response the rest was sought under that one's identifier.

An event that has no sequence number where those before it have one, or that names another response, now counts as a broken connection: it is not forwarded, and the rest is sought again after the last event. Engines that number no events are served as before. Repeated numbers were skipped already. A gap in the numbers is no fault: the interface does not say that they increase by one.

--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -213,8 +213,17 @@
                     false => ConnectionEnd::Broken,
                 });
             };
-            let Some(forwarded) = state.accept(event) else {
-                continue;
+            let forwarded = match state.accept(event) {
+                Ok(Some(forwarded)) => forwarded,
+                Ok(None) => continue,
+                Err(foreign) => {
+                    log::warn!(
+                        response = state.response_id(),
+                        after = state.last_sequence();
+                        "response of the backend server is broken: {foreign}"
+                    );
+                    return Ok(ConnectionEnd::Broken);
+                }
             };
             self.emit_chunk(forwarded.bytes, forwarded.tokens).await?;
             if state.is_completed() {
--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -2,6 +2,7 @@
 
 use {
     bytes::Bytes,
+    derive_more::{Display, Error},
     eventsource_stream::{Event, EventStreamError, Eventsource as _},
     futures_util::Stream,
     http_body_util::BodyExt as _,
@@ -33,6 +34,17 @@
     pub tokens: u32,
 }
 
+/// Why an event does not belong to a response.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+pub enum Foreign {
+    /// It has no sequence number, unlike the events before it.
+    #[display("an event has no sequence number")]
+    Unnumbered,
+    /// It names another response.
+    #[display("an event names another response")]
+    OtherResponse,
+}
+
 /// State of a response, over all its connections.
 #[derive(Debug, Default)]
 pub struct StreamState {
@@ -84,11 +96,14 @@
 
     /// Updates the state with an event and returns what to forward; `None` if the event is a
     /// repetition.
-    pub fn accept(&mut self, event: Event) -> Option<ForwardedEvent> {
+    ///
+    /// Fails if the event does not belong to the response, as the text of an error.
+    pub fn accept(&mut self, event: Event) -> Result<Option<ForwardedEvent>, Foreign> {
         let data: Option<EventData> = serde_json::from_str(&event.data).ok();
+        self.check(data.as_ref())?;
         if let Some(data) = data {
             if is_repeated(data.sequence_number, self.last_sequence) {
-                return None;
+                return Ok(None);
             }
             self.last_sequence = data.sequence_number.or(self.last_sequence);
             if let Some(id) = data.response.and_then(|response| response.id) {
@@ -98,10 +113,24 @@
         self.completed = FINAL_EVENTS.contains(&event.event.as_str());
         let tokens = u32::from(event.event == DELTA_EVENT);
         self.tokens += u64::from(tokens);
-        Some(ForwardedEvent {
+        Ok(Some(ForwardedEvent {
             bytes: encode_event(&event),
             tokens,
-        })
+        }))
+    }
+
+    /// Checks that an event belongs to the response. All events have a sequence number if the first one
+    /// has one.
+    fn check(&self, data: Option<&EventData>) -> Result<(), Foreign> {
+        let sequence = data.and_then(|data| data.sequence_number);
+        if self.last_sequence.is_some() && sequence.is_none() {
+            return Err(Foreign::Unnumbered);
+        }
+        let id = data.and_then(|data| data.response.as_ref()?.id.as_deref());
+        match (self.response_id(), id) {
+            (Some(own), Some(id)) if id != own => Err(Foreign::OtherResponse),
+            _ => Ok(()),
+        }
     }
 }
 
