Streams begin at a new version only once the store names it

What callers saw: during a release one gateway was out of step (cut off, standing still, or just started). Streams that had begun at servers of the new version through another gateway broke, were taken up at that gateway, and went on at a server of the old version: texts of two versions in one stream.

Cause: `Versions::only` took "I have not heard of another version" for "there is none". A gateway sent streams to a new version as soon as it had heard of it, 50 ms or more before any table in the store named it; if it was cut off in between, nobody else could know.

Change: the version comes first. A request that begins a resumable stream goes to a version only once the store has acknowledged a save of this gateway that names it; until then other versions serve, and without any the request waits in the queue as for a free slot. One write for each gateway and version, spread over as long as all gateways take with half of the store's writes; the first one of a start is made at once. A version that cannot be saved is held back for 5 s at most: a gateway that misses the store for longer has no confirmed configuration and takes no requests with keys. A take-up that nobody knows also reads the registrations, after it has come, if only one version is known: that covers versions that serve unsaved, and tables that are lost with a restored store.

Why it works: a version is in the store before it has written an event, and what a take-up is judged by is read after the take-up has come. So a version that is not read cannot have begun the stream.

Weighed against it: reading alone, which misses servers of the new version that have crashed meanwhile; telling peers, which needs none of them to be cut off; holding back the first event in place of the request, which would fail requests that have run.

The stand-in store holds back writes alone.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -25,7 +25,7 @@
     },
     rand::{Rng, RngCore, seq::IteratorRandom as _},
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         net::SocketAddr,
         time::Duration,
     },
@@ -130,6 +130,9 @@
     pub excluded: &'a [String],
     /// The only version of the software that may be chosen; `None` allows any.
     pub required_version: Option<&'a str>,
+    /// Whether the request begins a stream that callers may take up elsewhere, which must not begin at
+    /// a version that is held back.
+    pub begins_stream: bool,
     /// Longest acceptable wait for a slot.
     pub max_wait: Duration,
     /// Time left until the response must be complete.
@@ -185,6 +188,8 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: BTreeMap<String, Server>,
+    /// Versions at which no stream may begin yet.
+    held_back: HashSet<Origin>,
     /// What backend servers without a registration have said of themselves.
     unregistered: statement::Unregistered,
 }
@@ -232,6 +237,12 @@
         }
     }
 
+    /// Replaces the versions at which no stream may begin yet. Takes effect before servers of them are
+    /// known, if it is called before [`Self::update_members`].
+    pub fn hold_back(&mut self, versions: HashSet<Origin>) {
+        self.held_back = versions;
+    }
+
     /// Records what a response says of the process of a backend server that started at
     /// `started_at_ms`, whatever registrations say later. The request was sent at `sent`. Returns
     /// what is news.
@@ -473,13 +484,20 @@
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.candidates_with_held_back(demand, now)
-            .filter(move |server| server.admits(now))
+            .filter(move |server| server.admits(now) && !self.is_held_back(server, demand))
+    }
+
+    fn is_held_back(&self, server: &Server, demand: &Demand) -> bool {
+        demand.begins_stream
+            && !self.held_back.is_empty()
+            && self.held_back.contains(&server.member.origin())
     }
 
-    /// Whether a backend server lacks nothing but the end of its pause, or a start within its limit.
+    /// Whether a backend server lacks nothing but the end of its pause, a start within its limit, or the
+    /// save of its version.
     fn has_candidate_later(&self, demand: &Demand, now: Timestamp) -> bool {
         self.candidates_with_held_back(demand, now)
-            .any(|server| !server.admits(now))
+            .any(|server| !server.admits(now) || self.is_held_back(server, demand))
     }
 
     fn candidates_with_held_back(
--- a/core/src/origin.rs
+++ b/core/src/origin.rs
@@ -10,7 +10,7 @@
         time::{self, Timestamp},
     },
     std::{
-        collections::{BTreeMap, HashMap},
+        collections::{BTreeMap, HashMap, HashSet},
         sync::Arc,
         time::Duration,
     },
@@ -34,11 +34,26 @@
     SAVE_INTERVAL.max(time::seconds(turn_s))
 }
 
+/// Part of the store's writing calls that all routers together use for the first saves of a version.
+const FIRST_SAVE_FRACTION: f64 = 0.5;
+
+/// Time over which `routers` routers spread their first saves of a version, of which they hear at the
+/// same moment, if the store takes `writes_per_s` writing calls a second from all of them. Also the least
+/// time between two such saves of one router.
+pub fn first_save_spread(routers: usize, writes_per_s: f64) -> Duration {
+    time::seconds(routers as f64 / (writes_per_s * FIRST_SAVE_FRACTION))
+}
+
+/// Longest time for which a version that cannot be saved is held back. By then a router that has not
+/// heard of it has not confirmed its configuration for so long that it takes no requests.
+const MAX_HOLD: Duration = Duration::from_secs(5);
+
 /// Part of the store's reading calls that all routers together use for reading the saved tables.
 const READ_FRACTION: f64 = 0.2;
 
 /// Time between two reads of the saved tables by one of `routers` routers, if the store takes
-/// `reads_per_s` reading calls a second from all of them. Take-ups that come between share a read.
+/// `reads_per_s` reading calls a second from all of them. Take-ups that come between share a read. The
+/// registrations are read no more often than that either.
 pub fn read_interval(routers: usize, reads_per_s: f64) -> Duration {
     time::seconds(routers as f64 / (reads_per_s * READ_FRACTION))
 }
@@ -110,9 +125,14 @@
         self.has_changed |= self.records.len() != before;
     }
 
-    /// Whether there were changes since the last call.
-    pub fn take_changes(&mut self) -> bool {
-        std::mem::take(&mut self.has_changed)
+    /// Whether there were changes since the last call of [`Self::clear_changes`].
+    pub fn has_changes(&self) -> bool {
+        self.has_changed
+    }
+
+    /// Records that the changes so far are saved.
+    pub fn clear_changes(&mut self) {
+        self.has_changed = false;
     }
 
     /// Streams by origin, at most `limit` of them: those that may be taken up for the longest time.
@@ -135,6 +155,8 @@
 #[derive(Debug, Default)]
 pub struct Versions {
     seen: HashMap<Arc<Origin>, Sightings>,
+    /// Number of the last save that the store has acknowledged.
+    acknowledged: u64,
     has_changed: bool,
 }
 
@@ -143,7 +165,11 @@
 struct Sightings {
     /// By the registration of a backend server.
     registered: Option<Timestamp>,
-    /// By what another router has saved.
+    /// When the first registration was seen.
+    since: Option<Timestamp>,
+    /// Number of the first save that names the version; all later ones do so too.
+    save: Option<u64>,
+    /// By what another router has saved, or by registrations that were read for a take-up.
     reported: Option<Timestamp>,
 }
 
@@ -153,7 +179,7 @@
         Self::default()
     }
 
-    /// Records a version that another router has saved.
+    /// Records a version that another router has saved, or that was read for a take-up.
     pub fn observe_report(&mut self, origin: &Arc<Origin>, now: Timestamp) {
         let sightings = self.seen.entry(Arc::clone(origin)).or_default();
         sightings.reported = Some(now);
@@ -166,6 +192,7 @@
             let sightings = self.seen.entry(Arc::new(member.origin())).or_default();
             self.has_changed |= sightings.registered.is_none();
             sightings.registered = Some(now);
+            sightings.since.get_or_insert(now);
         }
         let is_recent = |seen: Option<Timestamp>| seen.is_some_and(|at| now.since(at) < RETENTION);
         self.seen.retain(|_, sightings| {
@@ -180,6 +207,31 @@
         seen.filter_map(|(origin, sightings)| sightings.registered.map(|_| origin))
     }
 
+    /// Records that save `number` names all versions that this router has seen registered.
+    pub fn record_save(&mut self, number: u64) {
+        let seen = self.seen.values_mut();
+        for sightings in seen.filter(|sightings| sightings.registered.is_some()) {
+            sightings.save.get_or_insert(number);
+        }
+    }
+
+    /// Records that the store has acknowledged save `number`, and so has what the earlier ones named.
+    pub fn acknowledge(&mut self, number: u64) {
+        self.acknowledged = self.acknowledged.max(number);
+    }
+
+    /// Versions at which no stream may begin yet, because the store does not name them: a router that
+    /// has not heard of them would take another version for the only one.
+    pub fn held_back(&self, now: Timestamp) -> HashSet<Origin> {
+        let seen = self.seen.iter();
+        let unsaved = seen.filter(|(_, sightings)| {
+            let is_saved = sightings.save.is_some_and(|save| save <= self.acknowledged);
+            let since = sightings.since;
+            !is_saved && since.is_some_and(|since| now.since(since) < MAX_HOLD)
+        });
+        unsaved.map(|(origin, _)| origin.as_ref().clone()).collect()
+    }
+
     /// Whether there were newly registered versions since the last call.
     pub fn take_changes(&mut self) -> bool {
         std::mem::take(&mut self.has_changed)
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -2,7 +2,11 @@
 
 use {
     rand::{SeedableRng, rngs::StdRng},
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        net::SocketAddr,
+        time::Duration,
+    },
     tamarackdale_core::{
         fleet::{
             Demand, Fleet, Load, Member, Members, RequestLoad, SharedPrefix, Shortage, Speed,
@@ -51,6 +55,7 @@
         time_left: Duration::from_secs(15),
         prefix: None,
         data_centre: "a",
+        begins_stream: false,
         required_version: None,
         max_remote: None,
         required_server: None,
@@ -553,6 +558,41 @@
     assert!(fleet.accepts_requests("a", at(5_000)));
 }
 
+/// Guards against streams that begin at a version that the store does not know, and against requests that
+/// are refused in place of waiting for it.
+#[test]
+fn server_of_a_version_that_is_held_back_begins_no_stream() {
+    let mut fleet = Fleet::new();
+    let newer = Member {
+        version: "v2".to_owned(),
+        ..member("b")
+    };
+    let held_back = newer.origin();
+    let mut both = members(&["a"]);
+    both.insert("b".to_owned(), newer);
+    fleet.hold_back(HashSet::from([held_back]));
+    fleet.update_members(&both, at(0));
+    let beginning = Demand {
+        begins_stream: true,
+        ..demand(10, 10)
+    };
+    let only_b = Demand {
+        required_server: Some("b"),
+        ..beginning
+    };
+
+    let chosen = choices(&fleet, &beginning);
+    let others = choices(&fleet, &demand(10, 10));
+    let alone = fleet.choose(&only_b, at(1_000), &mut StdRng::seed_from_u64(1));
+    fleet.hold_back(HashSet::new());
+    let released = choices(&fleet, &beginning);
+
+    assert_eq!(chosen.get("a"), Some(&200));
+    assert!(others.contains_key("b"));
+    assert_eq!(alone, Err(Shortage::Full(Duration::ZERO)));
+    assert!(released.contains_key("b"));
+}
+
 /// A server that sheds its load for some seconds.
 #[test]
 fn paused_server_gets_nothing_until_its_pause_ends_and_then_one_request_first() {
--- a/core/tests/origin.rs
+++ b/core/tests/origin.rs
@@ -4,6 +4,7 @@
     rstest::rstest,
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
+        fleet::{Member, Members},
         origin::{self, Origin, RETENTION, Table, Versions},
         time::Timestamp,
     },
@@ -16,6 +17,21 @@
     }
 }
 
+/// One registered server of a version.
+fn members(version: &str) -> Members {
+    let member = Member {
+        id: format!("server-{version}"),
+        started_at_ms: 1,
+        address: "127.0.0.1:1".parse().expect("an address"),
+        service: "engine".to_owned(),
+        data_centre: "a".to_owned(),
+        version: version.to_owned(),
+        slots: 1,
+        is_leaving: false,
+    };
+    Members::from([(member.id.clone(), member)])
+}
+
 fn at(seconds: u64) -> Timestamp {
     Timestamp::START.plus(Duration::from_secs(seconds))
 }
@@ -52,11 +68,16 @@
     let mut table = Table::new();
     table.record(1, Arc::new(origin("v1")), at(10));
 
-    let has_begun = table.take_changes();
+    let take_changes = |table: &mut Table| {
+        let has_changes = table.has_changes();
+        table.clear_changes();
+        has_changes
+    };
+    let has_begun = take_changes(&mut table);
     table.record(1, Arc::new(origin("v1")), at(20));
-    let has_longer = table.take_changes();
+    let has_longer = take_changes(&mut table);
     table.remove(1);
-    let has_ended = table.take_changes();
+    let has_ended = take_changes(&mut table);
 
     assert_eq!((has_begun, has_longer, has_ended), (true, false, true));
 }
@@ -109,6 +130,58 @@
     assert!(interval < Duration::from_secs(1), "read every {interval:?}");
 }
 
+/// Guards against a release in which all routers save the new version in the same moment, beside the
+/// saves of streams and those that keep the tables.
+#[rstest]
+fn calls_of_a_release_leave_the_store_to_others(
+    #[values(8, 41, 103, 360)] routers: usize,
+    #[values(400.0, 1_200.0)] writes_per_s: f64,
+) {
+    const KEEP_S: f64 = 15.0;
+    const READS_PER_S: f64 = 2_000.0;
+    let all = routers as f64;
+
+    let spread = origin::first_save_spread(routers, writes_per_s);
+    let first_saves = all / spread.as_secs_f64();
+    let saves = all / origin::save_interval(routers, writes_per_s).as_secs_f64();
+    let reads = 2.0 * all / origin::read_interval(routers, READS_PER_S).as_secs_f64();
+
+    let writes = first_saves + saves + all / KEEP_S;
+    assert!(writes <= writes_per_s * 0.8, "{writes} writes a second");
+    assert!(reads <= READS_PER_S * 0.4 + 1e-6, "{reads} reads a second");
+    assert!(spread < Duration::from_secs(2), "spread over {spread:?}");
+}
+
+/// Guards against streams that begin at a version that no table in the store names, and against a version
+/// that stays unused for ever because the store takes no writes.
+#[test]
+fn version_is_held_back_until_it_is_saved_for_a_while_at_most() {
+    let mut versions = Versions::new();
+    let held_back = |versions: &Versions, now| -> Vec<String> {
+        let held_back = versions.held_back(now).into_iter();
+        held_back.map(|origin| origin.version).collect()
+    };
+
+    versions.observe_servers(&members("v1"), at(0));
+    versions.record_save(1);
+    let before = held_back(&versions, at(1));
+    versions.acknowledge(1);
+    versions.observe_servers(&members("v2"), at(10));
+    let after = held_back(&versions, at(10));
+    versions.record_save(2);
+    versions.acknowledge(1);
+    let unsaved = held_back(&versions, at(14));
+    let late = held_back(&versions, at(15));
+    versions.acknowledge(2);
+    let saved = held_back(&versions, at(11));
+
+    assert_eq!(before, ["v1"]);
+    assert_eq!(after, ["v2"]);
+    assert_eq!(unsaved, ["v2"]);
+    assert!(late.is_empty());
+    assert!(saved.is_empty());
+}
+
 /// Guards against a stream that goes on at the only version in service although another one, which has
 /// just left, may have begun it.
 #[rstest]
--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -139,6 +139,7 @@
         time_left: Duration::from_secs(1),
         prefix: None,
         data_centre: "d",
+        begins_stream: false,
         required_version: None,
         max_remote: None,
         required_server: None,
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -185,6 +185,7 @@
         tokio::join!(
             peers::run(context.clone(), introductions),
             origins::save(&context),
+            origins::release_versions(&context),
         )
     };
     let (watched, ()) = tokio::select! {
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -2,9 +2,13 @@
 
 use {
     super::SavedOrigins,
-    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    std::{
+        collections::{BTreeSet, HashSet},
+        net::SocketAddr,
+        sync::Arc,
+    },
     tamarackdale_core::{
-        cached_config::CachedConfig, fleet::Members, routing_config::RoutingConfig,
+        cached_config::CachedConfig, fleet::Members, origin::Origin, routing_config::RoutingConfig,
     },
     tamarackdale_wire::{origin, summary::SavedQuotaUse},
     tokio::sync::watch,
@@ -33,33 +37,108 @@
     pub origins_to_save: watch::Sender<(u64, origin::Saved)>,
     /// Number of the last save of origins that the store has acknowledged.
     origins_saved: watch::Receiver<u64>,
-    /// Number of reads of the saved origins that were requested.
-    origin_reads: watch::Sender<u64>,
-    /// Number of the last read of the saved origins that has ended, and what was read.
-    origins: watch::Receiver<(u64, Option<Arc<SavedOrigins>>)>,
+    /// Reads of the saved origins.
+    origins: Reader<SavedOrigins>,
+    /// Reads of the versions of the registered backend servers.
+    versions: Reader<HashSet<Arc<Origin>>>,
 }
 
 impl StoreHandle {
-    /// Waits until the store has acknowledged a save of origins, or a later one.
-    pub async fn wait_for_origins(&self, save: u64) {
+    /// Waits until the store has acknowledged a save of origins, or a later one. Returns its number.
+    pub async fn wait_for_origins(&self, save: u64) -> u64 {
         let mut saved = self.origins_saved.clone();
-        // The follower lives as long as the process.
-        let _ = saved.wait_for(|saved| *saved >= save).await;
+        let saved = saved.wait_for(|saved| *saved >= save).await;
+        if let Some(saved) = saved.ok().map(|saved| *saved) {
+            return saved;
+        }
+        // The follower has ended, and with it the process does.
+        std::future::pending().await
     }
 
     /// Reads the origins of streams that all gateways have saved. `None` if the store does not respond.
     pub async fn read_origins(&self) -> Option<Arc<SavedOrigins>> {
+        self.origins.read().await
+    }
+
+    /// Reads the versions of the registered backend servers. `None` if the store does not respond.
+    pub async fn read_versions(&self) -> Option<Arc<HashSet<Arc<Origin>>>> {
+        self.versions.read().await
+    }
+}
+
+/// Requests reads from the follower.
+struct Reader<T> {
+    /// Number of reads that were requested.
+    requested: watch::Sender<u64>,
+    /// Number of the last read that has ended, and what was read.
+    ended: watch::Receiver<(u64, Option<Arc<T>>)>,
+}
+
+impl<T> Clone for Reader<T> {
+    fn clone(&self) -> Self {
+        Self {
+            requested: self.requested.clone(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+impl<T> Reader<T> {
+    async fn read(&self) -> Option<Arc<T>> {
         let mut number = 0;
-        self.origin_reads.send_modify(|requested| {
+        self.requested.send_modify(|requested| {
             *requested += 1;
             number = *requested;
         });
-        let mut origins = self.origins.clone();
-        let read = origins.wait_for(|(ended, _)| *ended >= number).await.ok()?;
+        let mut ended = self.ended.clone();
+        let read = ended.wait_for(|(ended, _)| *ended >= number).await.ok()?;
         read.1.clone()
     }
 }
 
+/// The follower's end of a [`Reader`].
+pub(super) struct ReadRequests<T> {
+    requested: watch::Receiver<u64>,
+    ended: watch::Sender<(u64, Option<Arc<T>>)>,
+}
+
+impl<T> ReadRequests<T> {
+    /// The number of the last read that was requested, once there is a new one. Requests that arrive
+    /// during a read share the next one, which may know more. `None` if nobody can request any more.
+    pub(super) async fn next(&mut self) -> Option<u64> {
+        self.requested.changed().await.ok()?;
+        Some(*self.requested.borrow_and_update())
+    }
+
+    /// Passes on what was read, or `None` if the store did not respond.
+    pub(super) fn end(&self, number: u64, read: Option<T>) {
+        self.ended.send_replace((number, read.map(Arc::new)));
+    }
+}
+
+impl<T> Clone for ReadRequests<T> {
+    fn clone(&self) -> Self {
+        Self {
+            requested: self.requested.clone(),
+            ended: self.ended.clone(),
+        }
+    }
+}
+
+fn reads<T>() -> (Reader<T>, ReadRequests<T>) {
+    let (requested, requested_receiver) = watch::channel(0);
+    let (ended, ended_receiver) = watch::channel((0, None));
+    let reader = Reader {
+        requested,
+        ended: ended_receiver,
+    };
+    let requests = ReadRequests {
+        requested: requested_receiver,
+        ended,
+    };
+    (reader, requests)
+}
+
 /// The follower's ends of the channels.
 pub struct FollowerChannels {
     pub(super) configuration: watch::Sender<Option<Arc<Snapshot>>>,
@@ -70,8 +149,8 @@
     pub(super) quota_use_to_save: watch::Receiver<SavedQuotaUse>,
     pub(super) origins_to_save: watch::Receiver<(u64, origin::Saved)>,
     pub(super) origins_saved: watch::Sender<u64>,
-    pub(super) origin_reads: watch::Receiver<u64>,
-    pub(super) origins: watch::Sender<(u64, Option<Arc<SavedOrigins>>)>,
+    pub(super) origins: ReadRequests<SavedOrigins>,
+    pub(super) versions: ReadRequests<HashSet<Arc<Origin>>>,
 }
 
 /// Creates both ends of the channels.
@@ -84,8 +163,8 @@
     let (quota_use_to_save, quota_use_to_save_receiver) = watch::channel(SavedQuotaUse::default());
     let (origins_to_save, origins_to_save_receiver) = watch::channel(Default::default());
     let (origins_saved, origins_saved_receiver) = watch::channel(0);
-    let (origin_reads, origin_reads_receiver) = watch::channel(0);
-    let (origins, origins_receiver) = watch::channel((0, None));
+    let (origins, origin_requests) = reads();
+    let (versions, version_requests) = reads();
     let channels = FollowerChannels {
         configuration,
         members,
@@ -95,8 +174,8 @@
         quota_use_to_save: quota_use_to_save_receiver,
         origins_to_save: origins_to_save_receiver,
         origins_saved,
-        origin_reads: origin_reads_receiver,
-        origins,
+        origins: origin_requests,
+        versions: version_requests,
     };
     let handle = StoreHandle {
         configuration: configuration_receiver,
@@ -107,8 +186,8 @@
         quota_use_to_save,
         origins_to_save,
         origins_saved: origins_saved_receiver,
-        origin_reads,
-        origins: origins_receiver,
+        origins,
+        versions,
     };
     (channels, handle)
 }
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -1,14 +1,17 @@
 //! Saves the origins of this gateway's streams in the store, and reads those that all gateways saved.
 
 use {
-    super::{Follower, rejections::Rejections},
+    super::{Follower, channel::ReadRequests, rejections::Rejections},
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
         time::{Duration, Instant},
     },
     tamarackdale_core::origin::{self, Origin, RETENTION},
-    tamarackdale_platform::store::{Entry, Error, Lease},
+    tamarackdale_platform::{
+        registration,
+        store::{Entry, Error, Lease},
+    },
     tamarackdale_wire::{codec, origin::Saved},
     tokio::{sync::watch, time::sleep},
 };
@@ -20,8 +23,9 @@
 /// What the log calls an entry under the prefix.
 const WHAT: &str = "table of stream origins";
 
-/// Time after which the lease is renewed before the next write.
-const RENEWAL_INTERVAL: Duration = Duration::from_secs(20);
+/// Time after which the lease is renewed before the next write. With the time between two saves, what was
+/// saved stays for more than half of the lease after a gateway has lost the store.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Interval at which it is checked whether the store was restored from an older copy, which may lack the
 /// origins.
@@ -47,7 +51,11 @@
 impl Follower {
     /// Saves origins when they change, and reads them when asked to.
     pub(super) async fn follow_origins(&self) {
-        tokio::join!(self.save_origins(), self.answer_origin_reads());
+        tokio::join!(
+            self.save_origins(),
+            self.answer_origin_reads(),
+            self.answer_version_reads(),
+        );
     }
 
     async fn save_origins(&self) {
@@ -119,28 +127,67 @@
         Ok(held)
     }
 
-    /// Reads the origins whenever a read is requested. Requests that arrive during a read share the
-    /// next one, which may know more.
+    /// Reads the origins whenever a read is requested.
     async fn answer_origin_reads(&self) {
-        let mut requested = self.channels.origin_reads.clone();
         let mut rejections = Rejections::new();
-        while requested.changed().await.is_ok() {
-            let number = *requested.borrow_and_update();
+        let mut requests = self.channels.origins.clone();
+        while let Some(number) = requests.next().await {
             let started = Instant::now();
             let read = self.read_origins(&mut rejections).await;
-            let read = read
-                .inspect_err(|error| self.record_store_error("stream origins", error))
-                .ok();
-            self.channels
-                .origins
-                .send_replace((number, read.map(Arc::new)));
-            let gateways = self.channels.gateways.borrow().len() + 1;
-            let interval =
-                origin::read_interval(gateways, self.settings.borrow().store_reads_per_s);
-            sleep(interval.saturating_sub(started.elapsed())).await;
+            self.end_read(&requests, number, "stream origins", read);
+            self.pause_after_read(started).await;
+        }
+    }
+
+    /// Reads the versions of the registered backend servers whenever a read is requested. The table of
+    /// servers may be older than the request.
+    async fn answer_version_reads(&self) {
+        let mut rejections = Rejections::new();
+        let mut requests = self.channels.versions.clone();
+        while let Some(number) = requests.next().await {
+            let started = Instant::now();
+            let read = self.read_versions(&mut rejections).await;
+            self.end_read(&requests, number, "backend servers", read);
+            self.pause_after_read(started).await;
         }
     }
 
+    fn end_read<T>(
+        &self,
+        requests: &ReadRequests<T>,
+        number: u64,
+        what: &str,
+        read: Result<T, Error>,
+    ) {
+        let read = read.inspect_err(|error| self.record_store_error(what, error));
+        requests.end(number, read.ok());
+    }
+
+    /// Pauses after a read of the saved origins or of the registrations that began at `started`.
+    async fn pause_after_read(&self, started: Instant) {
+        let gateways = self.channels.gateways.borrow().len() + 1;
+        let interval = origin::read_interval(gateways, self.settings.borrow().store_reads_per_s);
+        sleep(interval.saturating_sub(started.elapsed())).await;
+    }
+
+    async fn read_versions(
+        &self,
+        rejections: &mut Rejections,
+    ) -> Result<HashSet<Arc<Origin>>, Error> {
+        let range = self.store.range(registration::PREFIX).await?;
+        let entries = range.entries.iter();
+        let versions = entries.filter_map(|entry| {
+            registration::decode(&entry.key, &entry.value)
+                .inspect_err(|error| {
+                    rejections.log("backend server registration", &entry.key, error)
+                })
+                .ok()
+        });
+        Ok(versions
+            .map(|registration| Arc::new(registration.member.origin()))
+            .collect())
+    }
+
     async fn read_origins(&self, rejections: &mut Rejections) -> Result<SavedOrigins, Error> {
         let range = self.store.range(ORIGINS).await?;
         for item in &range.unreadable {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! by subscribing to its own summaries.
 
 use {
-    super::context::Context,
+    super::{context::Context, origins},
     crate::http::body,
     bytes::Bytes,
     futures_util::stream,
@@ -111,14 +111,16 @@
     loop {
         let current = members.borrow_and_update().clone();
         let snapshot = configuration.borrow_and_update().clone();
+        let spread = origins::first_save_spread(context);
+        let random = context.scheduler.random();
+        let held_back = context.origins.observe_servers(&current, spread, random);
         match snapshot {
             Some(snapshot) => {
                 let bounded = snapshot.value.with_bounded_slots(&current);
-                context.scheduler.update_servers(&bounded);
+                context.scheduler.update_servers(&bounded, held_back);
             }
-            None => context.scheduler.update_servers(&current),
+            None => context.scheduler.update_servers(&current, held_back),
         }
-        context.origins.observe_servers(&current);
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -335,6 +335,7 @@
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
             version: self.version.clone(),
+            begins_stream: self.stream.is_some() && self.version.is_none(),
             accepted: self.request.accepted,
             waiting_since: self.waiting_since,
             objective: route.objective,
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -12,7 +12,7 @@
     crate::{clock::Clock, quarantine},
     rand::Rng as _,
     std::{
-        collections::HashMap,
+        collections::{HashMap, HashSet},
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -22,6 +22,7 @@
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
+        origin::Origin,
         poison::Fingerprint,
         quota::{QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
@@ -73,15 +74,26 @@
         self.lock().update_settings(settings);
     }
 
-    /// Replaces the set of registered backend servers. Called at least every second, which also
-    /// bounds how long outdated observations of prompts are kept.
-    pub fn update_servers(&self, members: &Members) {
+    /// Replaces the set of registered backend servers, and that of the versions at which no stream may
+    /// begin yet. Called at least every second, which also bounds how long outdated observations of
+    /// prompts are kept.
+    pub fn update_servers(&self, members: &Members, held_back: HashSet<Origin>) {
         let now = self.clock.now();
         let mut state = self.lock();
+        state.fleet.hold_back(held_back);
         state.fleet.update_members(members, now);
         state.poison.prune(now);
     }
 
+    /// Replaces the versions at which no stream may begin yet, and places the requests that have waited
+    /// for them.
+    pub fn hold_back(&self, versions: HashSet<Origin>) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.fleet.hold_back(versions);
+        state.place_waiting(None, now);
+    }
+
     /// Numbers of quarantines in force and of limited backend servers.
     pub fn protection(&self) -> (usize, usize) {
         let now = self.clock.now();
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -22,6 +22,8 @@
     pub excluded: Vec<String>,
     /// The only version of the service's software that may serve it, if it goes on with a stream.
     pub version: Option<String>,
+    /// Whether it begins a stream that its caller may take up elsewhere.
+    pub begins_stream: bool,
     /// When the gateway accepted the request.
     pub accepted: Timestamp,
     /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -441,6 +441,7 @@
         output_tokens: request.output,
         excluded: &request.excluded,
         required_version: request.version.as_deref(),
+        begins_stream: request.begins_stream,
         max_wait: wait_policy::max_engine_wait(request.objective),
         time_left: request.deadline.since(now),
         prefix: request.prefix,
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -67,7 +67,7 @@
         let settings = Settings::parse(SETTINGS).expect("the settings are valid");
         let scheduler = Scheduler::new(clock, 1, &settings);
         let members: Members = (1..=2).map(member).collect();
-        scheduler.update_servers(&members);
+        scheduler.update_servers(&members, Default::default());
         let notice = Notice {
             limit: limit::Notice::Limited(Limit::new(4.0).expect("a number")),
             ..Notice::default()
@@ -88,6 +88,7 @@
             output: 0,
             excluded: Vec::new(),
             version: None,
+            begins_stream: false,
             accepted: now,
             waiting_since: now,
             objective: Duration::from_secs(1),
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -107,6 +107,11 @@
         self.gateway.faults().set_delay(delay);
     }
 
+    /// Holds back all writes, and nothing else, until that ends. What a test writes directly is done.
+    pub fn set_writes_hanging(&self, hanging: bool) {
+        self.gateway.faults().set_writes_hanging(hanging);
+    }
+
     /// Cuts the connections of the next `count` writes after they have taken effect.
     pub fn lose_answers(&self, count: u32) {
         self.gateway.faults().lose_answers(count);
--- a/testbed/src/store/fault.rs
+++ b/testbed/src/store/fault.rs
@@ -1,8 +1,11 @@
 //! Faults of the store.
 
-use std::{
-    sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
-    time::Duration,
+use {
+    super::Call,
+    std::{
+        sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering},
+        time::Duration,
+    },
 };
 
 /// How an outage shows.
@@ -18,6 +21,7 @@
 #[derive(Default)]
 pub(super) struct Faults {
     hanging: tokio::sync::watch::Sender<bool>,
+    writes_hanging: tokio::sync::watch::Sender<bool>,
     delay_micros: AtomicU64,
     lost_answers: AtomicU32,
     /// Writes until the outage; zero for no outage to come.
@@ -32,6 +36,10 @@
         self.hanging.send_replace(hanging);
     }
 
+    pub fn set_writes_hanging(&self, hanging: bool) {
+        self.writes_hanging.send_replace(hanging);
+    }
+
     pub fn set_delay(&self, delay: Duration) {
         let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
         self.delay_micros.store(micros, Ordering::SeqCst);
@@ -49,12 +57,16 @@
     }
 
     /// Waits until a call may be carried out.
-    pub async fn pass(&self) {
+    pub async fn pass(&self, kind: Call) {
         let delay = Duration::from_micros(self.delay_micros.load(Ordering::SeqCst));
         tokio::time::sleep(delay).await;
         let mut hanging = self.hanging.subscribe();
         // The sender lives as long as `self`, so the wait ends only when the outage does.
         let _ = hanging.wait_for(|hanging| !hanging).await;
+        if kind == Call::Write {
+            let mut hanging = self.writes_hanging.subscribe();
+            let _ = hanging.wait_for(|hanging| !hanging).await;
+        }
     }
 
     /// Whether the answer of this write is to be lost.
--- a/testbed/src/store/gateway.rs
+++ b/testbed/src/store/gateway.rs
@@ -134,7 +134,7 @@
     };
     // A call that has arrived is carried out, also when its caller goes away meanwhile.
     let work = tokio::spawn(async move {
-        gateway.faults.pass().await;
+        gateway.faults.pass(kind).await;
         if kind == Call::Watch {
             return Some(watch::answer(gateway, &call));
         }
--- a/testbed/src/store/platform.rs
+++ b/testbed/src/store/platform.rs
@@ -60,7 +60,7 @@
     let body = serde_json::from_slice(&body).unwrap_or_default();
     // A call that has arrived is carried out, also when its caller goes away meanwhile.
     let work = tokio::spawn(async move {
-        gateway.faults().pass().await;
+        gateway.faults().pass(kind).await;
         match kind {
             Call::Watch => watch(&gateway, &query).await,
             Call::Read => Some(read(&gateway.state(), &path, &query)),
--- a/testbed/src/store/watch.rs
+++ b/testbed/src/store/watch.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        Write,
+        Call, Write,
         gateway::{Gateway, header},
         operation::{blob, integer},
     },
@@ -81,7 +81,7 @@
                 // The sender lives as long as the gateway that this watch holds.
                 let _ = self.written.changed().await;
             }
-            self.gateway.faults().pass().await;
+            self.gateway.faults().pass(Call::Watch).await;
         }
     }
 
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -8,6 +8,7 @@
     std::{collections::BTreeSet, net::SocketAddr, time::Duration},
     tamarackdale_testbed::{
         platform::{Behaviour, Caller, Configuration, CrashPoint, Gateway, Server, Site},
+        proxy::{Direction, Fault, Proxy, Scope},
         store::Outage,
         wait,
     },
@@ -729,6 +730,181 @@
     assert_not_joined(&callers);
 }
 
+/// Two gateways, each with a link of its own to the store, two servers of the old version and one of the
+/// new one, which is not in service yet.
+async fn start_with_links() -> (Bench, [Proxy; 2]) {
+    let configuration =
+        Configuration::default().with("/routes/1/timeout_ms", json!(TIMEOUT.as_millis() as u64));
+    let mut site = Site::new(&configuration).expect("starts");
+    let (old, new) = (servers("v1", 2), servers("v2", 1));
+    old.iter().for_each(|server| site.register(server));
+    let links = [(); 2].map(|()| Proxy::new(site.store.address()).expect("starts"));
+    let mut gateways = Vec::new();
+    for (number, link) in links.iter().enumerate() {
+        site = site.with_store_address(link.address());
+        let gateway = site.gateway(&format!("gateway-{number}")).expect("starts");
+        assert!(gateway.wait_ready(true).await, "not ready");
+        gateways.push(gateway);
+    }
+    sleep(IN_FORCE / 2).await;
+    let bench = Bench {
+        site,
+        gateways,
+        old,
+        new,
+    };
+    (bench, links)
+}
+
+/// How a gateway is out of step.
+#[derive(Clone, Copy, Debug)]
+enum Lag {
+    CutOff,
+    StandsStill,
+    Down,
+}
+
+/// Guards against a gateway that takes the version that it has heard of for the only one: while it was
+/// out of step, streams began at a new version elsewhere, and their gateway was cut off before it had
+/// saved that.
+#[rstest]
+#[case::cut_off(Lag::CutOff, false)]
+#[case::cut_off_until_the_new_version_has_crashed(Lag::CutOff, true)]
+#[case::stands_still(Lag::StandsStill, false)]
+#[case::stands_still_until_the_new_version_has_crashed(Lag::StandsStill, true)]
+#[case::starts_after_the_new_version_has_crashed(Lag::Down, true)]
+#[tokio::test]
+async fn stream_does_not_go_on_at_another_version_at_a_gateway_that_was_out_of_step(
+    #[case] lag: Lag,
+    #[case] crashes: bool,
+) {
+    const HEARD: Duration = Duration::from_millis(10);
+    let (mut bench, links) = start_with_links().await;
+    let lagging = &mut bench.gateways[1].process;
+    match lag {
+        Lag::CutOff => links[1].inject(Scope::All, Direction::Both, Fault::silence()),
+        Lag::StandsStill => lagging.pause().expect("stands still"),
+        Lag::Down => lagging.kill().map(drop).expect("ends"),
+    }
+    bench.register(&bench.new);
+    let mut callers: Vec<Caller> = (0..CALLERS * 2).map(caller).collect();
+    let address = bench.callers_address(0);
+    let calls = callers
+        .iter_mut()
+        .enumerate()
+        .map(|(number, caller)| async move {
+            sleep(HEARD.mul_f64(number as f64 / CALLERS as f64)).await;
+            caller.begin(address, 1).await;
+        });
+    let cut = async {
+        sleep(HEARD).await;
+        links[0].inject(Scope::All, Direction::Both, Fault::silence());
+    };
+    tokio::join!(join_all(calls), cut);
+
+    if crashes {
+        let key = format!("servers/{}", bench.new[0].id());
+        bench.site.store.remove(&key);
+    }
+    let lagging = &mut bench.gateways[1];
+    match lag {
+        Lag::CutOff => links[1].heal(),
+        Lag::StandsStill => lagging.process.resume_execution().expect("goes on"),
+        Lag::Down => {
+            lagging.restart().expect("starts");
+            assert!(lagging.wait_ready(true).await, "not ready");
+        }
+    }
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    take_up_at(&bench, &mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    assert!(begun(&callers) * 2 >= callers.len(), "{}", begun(&callers));
+}
+
+/// Guards against streams that begin at a version that the store does not know yet, and against
+/// requests that are refused for that although another version serves.
+#[rstest]
+#[case::serves_on(false)]
+#[case::crashes(true)]
+#[tokio::test]
+async fn stream_begins_at_a_new_version_only_once_the_store_knows_it(#[case] crashes: bool) {
+    let (bench, links) = start_with_links().await;
+    links[1].inject(Scope::All, Direction::Both, Fault::silence());
+    bench.site.store.set_writes_hanging(true);
+    bench.register(&bench.new);
+    sleep(PAUSE).await;
+    let mut callers = begin_at(&bench, 0).await;
+    let new = versions_begun(&callers, "v2");
+
+    if crashes {
+        let key = format!("servers/{}", bench.new[0].id());
+        bench.site.store.remove(&key);
+    }
+    links[1].heal();
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    take_up_at(&bench, &mut callers, 1).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(new, 0, "streams at the version that is not saved");
+    bench.site.store.set_writes_hanging(false);
+    sleep(PAUSE).await;
+    let mut later = Caller::new(PATH, "later");
+    let mut is_used = false;
+    for _ in 0..CALLERS {
+        later = Caller::new(PATH, &format!("later-{}", later.tries().len()));
+        is_used |= later.call(bench.callers_address(0)).await && later.versions().contains("v2");
+    }
+    assert!(is_used || crashes, "the new version stays unused");
+}
+
+/// Guards against streams that wait, or are refused, in an ordinary release because their version is not
+/// saved yet: the old servers leave as soon as the new ones have come.
+#[tokio::test]
+async fn new_streams_begin_at_once_during_a_release() {
+    const EVERY: Duration = Duration::from_millis(25);
+    const COUNT: usize = 80;
+    const LONGEST: Duration = Duration::from_millis(300);
+    let bench = Bench::start(3, 2, 2).await;
+    bench.register(&bench.old);
+    bench.set_latency(QUICK);
+    sleep(IN_FORCE).await;
+
+    let release = async {
+        sleep(EVERY * 20).await;
+        bench.register(&bench.new);
+        sleep(EVERY * 5).await;
+        for old in &bench.old {
+            bench.site.set_state(old, "draining");
+        }
+    };
+    let bench = &bench;
+    let calls = (0..COUNT).map(|number| async move {
+        sleep(EVERY * number as u32).await;
+        let mut caller = caller(number);
+        let start = tokio::time::Instant::now();
+        caller.begin(bench.callers_address(number), 1).await;
+        let elapsed = start.elapsed();
+        caller.finish().await;
+        (caller, elapsed)
+    });
+    let (answers, ()) = tokio::join!(join_all(calls), release);
+
+    let (callers, elapsed): (Vec<Caller>, Vec<Duration>) = answers.into_iter().unzip();
+    let longest = elapsed.into_iter().max().unwrap_or_default();
+    assert_eq!(whole(&callers), COUNT);
+    assert!(versions_begun(&callers, "v2") > COUNT / 2);
+    assert!(longest < LONGEST, "first event after {longest:?}");
+}
+
+/// Number of streams that began at a version.
+fn versions_begun(callers: &[Caller], version: &str) -> usize {
+    let began = |caller: &&Caller| caller.versions().contains(version);
+    callers.iter().filter(began).count()
+}
+
 /// Guards against take-ups that wait for the store beyond the time that they have.
 #[tokio::test]
 async fn take_up_beside_a_store_that_hangs_is_answered_in_its_time() {
