Streams do not go on at a server that has started again since its registration

What callers saw: a server that starts again under its identifier and address at another version is taken for the former version until its registration says so. Streams of the former version went on there, within an answer and when their callers took them up: texts of two versions in one stream.

Cause: a stream is bound to a version of the registration, while its request goes to whichever process listens at the address.

Change: before a stream goes on at an engine, the process is asked for its start (`GET /report`, `born`) on the same connection, once for each connection. If it is not the registered one, nothing is sent there and the stream goes elsewhere. A process cannot change behind an open connection, so what is asked there holds for the request that follows.

A server that does not answer within 200 ms gets the stream unchecked, over a new connection: silent servers are many. So a server that has changed its version and is silent as well is not recognised.

The cost is one probe for each connection on which a stream goes on. Requests that begin streams pay nothing, and are not covered.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -3,7 +3,7 @@
 use {
     crate::http::probe::Probe,
     bytes::Bytes,
-    http_body_util::Full,
+    http_body_util::{BodyExt as _, Full, Limited},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
     socket2::{SockRef, TcpKeepalive},
@@ -15,6 +15,7 @@
         time::Duration,
     },
     tamarackdale_core::fleet::{Member, Members},
+    tamarackdale_platform::report,
     tokio::{
         net::TcpStream,
         task::AbortHandle,
@@ -26,6 +27,9 @@
 /// milliseconds. A lost SYN is retransmitted after a second, which is too late to wait for.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest time for a backend server's report, for which the callers of streams wait: some round trips.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time after which a connection with unacknowledged data is closed (`TCP_USER_TIMEOUT`). A sound
 /// server may read nothing for a second or two; callers of streams give up a little later.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -54,9 +58,38 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<Full<Bytes>>,
+    /// Start time that the process at the other end has stated, in Unix milliseconds.
+    started_at_ms: Option<u64>,
     driver: AbortHandle,
 }
 
+impl Connection {
+    /// Whether the process at the other end is the start of the backend server that is registered. It
+    /// is asked once on each connection; one that does not state its start counts as that.
+    ///
+    /// Fails if it does not answer in time.
+    pub async fn leads_to(&mut self, member: &Member) -> io::Result<bool> {
+        if member.started_at_ms == 0 || self.started_at_ms == Some(member.started_at_ms) {
+            return Ok(true);
+        }
+        let body = timeout(REPORT_TIMEOUT, self.read_report(member.address)).await??;
+        self.started_at_ms = report::started_at_ms(&body);
+        Ok(self
+            .started_at_ms
+            .is_none_or(|started| started == member.started_at_ms))
+    }
+
+    async fn read_report(&mut self, address: SocketAddr) -> io::Result<Bytes> {
+        let response = self.sender.send_request(report::request(address)).await;
+        let body = response.map_err(io::Error::other)?.into_body();
+        let body = Limited::new(body, report::MAX_BYTES).collect().await;
+        let bytes = body.map_err(io::Error::other)?.to_bytes();
+        // The next request is sent at once, for which the connection must have ended this exchange.
+        self.sender.ready().await.map_err(io::Error::other)?;
+        Ok(bytes)
+    }
+}
+
 impl Drop for Connection {
     fn drop(&mut self) {
         self.driver.abort();
@@ -180,6 +213,7 @@
     });
     Ok(Connection {
         sender,
+        started_at_ms: None,
         driver: driver.abort_handle(),
     })
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -437,6 +437,15 @@
         self.request.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
+    /// Whether the request's service runs on engines, which report on themselves.
+    fn is_for_engine(&self) -> bool {
+        let snapshot = self.context.snapshot();
+        let service = snapshot.as_ref().map(|snapshot| &snapshot.value);
+        service
+            .and_then(|value| value.service(&self.service))
+            .is_some_and(|service| service.engine.is_some())
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -19,6 +19,7 @@
     http_body_util::Full,
     hyper::{body::Incoming, client::conn::TrySendError},
     std::{
+        io::{self, ErrorKind},
         pin::Pin,
         sync::Arc,
         time::{Duration, SystemTime},
@@ -95,8 +96,14 @@
     let scheduler = &job.context.scheduler;
     let load = choice.request_load(job.prompt_tokens());
     let in_flight = scheduler.start_request(&member.id, load);
-    let connection = match job.context.pool.connect(member).await {
-        Ok(connection) => connection,
+    let is_checked = job.version.is_some() && job.is_for_engine();
+    let connected = match is_checked {
+        true => connect_to_start(job, member).await,
+        false => job.context.pool.connect(member).await.map(Some),
+    };
+    let connection = match connected {
+        Ok(Some(connection)) => connection,
+        Ok(None) => return Err(ExchangeError::SendFailure(SendFailure::NotSent)),
         Err(error) => {
             log::info!(
                 backend_server = member.id.as_str();
@@ -116,6 +123,40 @@
     })
 }
 
+/// Connects to the backend server, if the process there is the start that is registered: a later one may
+/// be of another version, before its registration says so. `None` if it is another one.
+async fn connect_to_start(job: &Job, member: &Member) -> io::Result<Option<Connection>> {
+    let pool = &job.context.pool;
+    let backend_server = member.id.as_str();
+    let mut connection = pool.connect(member).await?;
+    // A connection that was idle may have been closed.
+    let mut leads = connection.leads_to(member).await;
+    if leads
+        .as_ref()
+        .is_err_and(|error| error.kind() != ErrorKind::TimedOut)
+    {
+        connection = pool.connect(member).await?;
+        leads = connection.leads_to(member).await;
+    }
+    match leads {
+        Ok(true) => Ok(Some(connection)),
+        Ok(false) => {
+            log::warn!(
+                backend_server,
+                started_at_ms = member.started_at_ms;
+                "stream not sent there: the backend server has started again since its registration"
+            );
+            Ok(None)
+        }
+        // Silent servers are many, and those that have also changed their version rare.
+        Err(error) if error.kind() == ErrorKind::TimedOut => {
+            log::info!(backend_server; "start of a silent backend server not checked: {error}");
+            pool.connect(member).await.map(Some)
+        }
+        Err(error) => Err(error),
+    }
+}
+
 impl Connected {
     /// Sends the request.
     pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -207,9 +207,12 @@
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
-        let handler = move |request| {
+        let handler = move |request: Request<Incoming>| {
             let shared = Arc::clone(&shared);
             async move {
+                if request.uri().path() == "/report" {
+                    return Some(shared.silence.hold(shared.report()).await);
+                }
                 lock(&shared.arrivals).push(Instant::now());
                 let response = Arc::clone(&shared).answer(request).await?;
                 let mut response = shared.silence.hold(response).await;
@@ -347,6 +350,15 @@
         self.set_limit(None);
     }
 
+    /// Crashes and is at once back under its identifier and address, at another version of its software.
+    /// Tells so once it is registered.
+    pub fn restart_at(&self, version: &str) {
+        self.host.close();
+        version.clone_into(&mut lock(&self.state.version));
+        self.start_again();
+        self.host.open();
+    }
+
     /// The requests that it ran, oldest first.
     pub fn runs(&self) -> Vec<Run> {
         lock(&self.state.runs).clone()
@@ -400,6 +412,15 @@
         lock(&self.version).clone()
     }
 
+    /// What it says of itself.
+    fn report(&self) -> Response<Body> {
+        let born = self.started_at_ms.load(Ordering::SeqCst);
+        json(
+            StatusCode::OK,
+            &value!({"stage": "mixed", "models": [], "queued": 0, "running": 0, "born": born}),
+        )
+    }
+
     /// An event of a stream.
     fn event(&self, id: u64) -> Bytes {
         format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -905,6 +905,61 @@
     callers.iter().filter(began).count()
 }
 
+/// Two gateways and two servers of the old version, of which the second one has started again at the new
+/// version while its registration still names the old one.
+async fn start_with_restarted() -> (Bench, Vec<Caller>) {
+    const STREAMS: usize = 6;
+    let bench = Bench::start(2, 2, 0).await;
+    let mut callers: Vec<Caller> = (0..STREAMS).map(caller).collect();
+    let address = bench.callers_address(0);
+    join_all(callers.iter_mut().map(|caller| caller.begin(address, 1))).await;
+    assert_eq!(begun(&callers), STREAMS);
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    bench.old[1].restart_at("v2");
+    (bench, callers)
+}
+
+/// Guards against a server that starts again under its identifier and address at another version, and is
+/// taken for the former one until its registration says so.
+#[rstest]
+#[case::within_an_answer(false)]
+#[case::taken_up(true)]
+#[tokio::test]
+async fn stream_does_not_go_on_at_a_server_that_started_again_at_another_version(
+    #[case] is_taken_up: bool,
+) {
+    let (bench, mut callers) = start_with_restarted().await;
+
+    bench.old[0].close();
+    match is_taken_up {
+        false => drop(join_all(callers.iter_mut().map(Caller::finish)).await),
+        true => {
+            callers.iter_mut().for_each(Caller::leave);
+            take_up_at(&bench, &mut callers, 1).await;
+        }
+    }
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.old[1..]), 0, "runs at the new version");
+}
+
+/// Guards against a server that serves no stream that goes on because it is asked for its start first.
+#[tokio::test]
+async fn stream_goes_on_at_a_server_that_started_again_at_its_version() {
+    let (bench, mut callers) = start_with_restarted().await;
+    bench.old[1].restart_at("v1");
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    bench.set_latency(QUICK);
+
+    bench.old[0].close();
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    assert_not_joined(&callers);
+    assert_eq!(whole(&callers), callers.len());
+}
+
 /// Guards against take-ups that wait for the store beyond the time that they have.
 #[tokio::test]
 async fn take_up_beside_a_store_that_hangs_is_answered_in_its_time() {
