Test: streams that begin at a server that started again at another version

What would mend it is a report on each new connection before a stream begins there, a probe in the ordinary case.

--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -944,6 +944,29 @@
     assert_eq!(resumed_runs(&bench.old[1..]), 0, "runs at the new version");
 }
 
+/// Guards against the former version of such a server in the origins of streams that begin there: they go
+/// on elsewhere at a version that they did not begin at.
+#[tokio::test]
+async fn stream_that_began_at_a_server_that_started_again_goes_on_at_no_other_version() {
+    let (bench, _) = start_with_restarted().await;
+    let bench = &bench;
+    let callers = (0..CALLERS).map(|number| async move {
+        let mut caller = Caller::new(PATH, &format!("later-{number}")).with_time_budget(TIMEOUT);
+        caller.begin(bench.callers_address(0), 1).await;
+        caller
+    });
+    let mut callers = join_all(callers).await;
+    assert!(
+        versions_begun(&callers, "v2") > 0,
+        "none at the new version"
+    );
+
+    bench.old[1].close();
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    assert_not_joined(&callers);
+}
+
 /// Guards against a server that serves no stream that goes on because it is asked for its start first.
 #[tokio::test]
 async fn stream_goes_on_at_a_server_that_started_again_at_its_version() {
