Unreachable gateways stay known while the store has forgotten them

What operators would see: two gateways that cannot reach each other, while both reach the store, each use the whole of the quotas, the budgets and the limits of servers, for as long as the cut between them lasts.

Cause: a peer that has been unreachable for ten seconds is dropped when it is not registered. After an outage or a restoration of the store all registrations of gateways are gone, until each has renewed its own within four seconds. A gateway that read them in between took that for their end; and without an unreachable peer it never read them again.

Change: for eight seconds after trouble with the store, or after its own registration was found gone, a gateway adds to the registrations that it knew and takes none away. The peer is still unreachable then, so they are read again.

--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -2,7 +2,12 @@
 
 use {
     super::{Follower, rejections::Rejections},
-    std::{net::SocketAddr, sync::Arc, time::Duration},
+    std::{
+        collections::BTreeSet,
+        net::SocketAddr,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
     tamarackdale_platform::store::{Error, Lease},
     tokio::time::sleep,
 };
@@ -10,6 +15,10 @@
 /// Interval between renewals of the lease, a third of its duration.
 const RENEWAL_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Time after trouble with the store within which running gateways have registered again: twice the time
+/// between two renewals, one of which finds that the registration is gone.
+const RETURN_TIME: Duration = Duration::from_secs(8);
+
 /// Key prefix of the gateways' registrations; the gateway's address for peers follows.
 const GATEWAYS: &str = "gateways/";
 
@@ -20,16 +29,28 @@
     /// Keeps this gateway registered and reads the registrations of the other gateways.
     pub(super) async fn follow_gateways(&self) {
         let mut lease = None;
+        // When the store was last found to be in trouble, or to have forgotten this registration.
+        let mut troubled_at: Option<Instant> = None;
         let mut failures = 0;
         let mut rejections = Rejections::new();
         loop {
+            if self.last_store_error.borrow().is_some() {
+                troubled_at = Some(Instant::now());
+            }
+            // What is missing soon after trouble may have lapsed, and be registered again.
+            let keeps_missing = troubled_at.is_some_and(|at| at.elapsed() < RETURN_TIME);
             let held = match lease {
                 Some(held) => {
-                    let renewed = self.renew_registration(held, &mut rejections).await;
+                    let renewed = self
+                        .renew_registration(held, keeps_missing, &mut rejections)
+                        .await;
                     renewed.map(|()| held)
                 }
-                None => self.register(&mut rejections).await,
+                None => self.register(keeps_missing, &mut rejections).await,
             };
+            if held.is_err() {
+                troubled_at = Some(Instant::now());
+            }
             lease = match held {
                 Ok(held) => Some(held),
                 Err(Error::NoLease) => None,
@@ -51,14 +72,18 @@
     /// Registers this gateway under a new lease, then reads the other registrations. As each
     /// gateway reads after it has written, at least one of two that register concurrently sees the
     /// other.
-    async fn register(&self, rejections: &mut Rejections) -> Result<Lease, Error> {
+    async fn register(
+        &self,
+        keeps_missing: bool,
+        rejections: &mut Rejections,
+    ) -> Result<Lease, Error> {
         let own = self.settings.borrow().peers;
         let lease = self.store.grant_lease(self.lease_duration()).await?;
         let key = format!("{GATEWAYS}{own}");
         self.store
             .put(&key, own.to_string().as_bytes(), lease)
             .await?;
-        self.read_gateways(rejections).await?;
+        self.read_gateways(keeps_missing, rejections).await?;
         Ok(lease)
     }
 
@@ -68,27 +93,35 @@
     async fn renew_registration(
         &self,
         lease: Lease,
+        keeps_missing: bool,
         rejections: &mut Rejections,
     ) -> Result<(), Error> {
         self.store.renew_lease(lease).await?;
         if *self.channels.has_unreachable_peers.borrow() {
-            self.read_gateways(rejections).await?;
+            self.read_gateways(keeps_missing, rejections).await?;
         }
         Ok(())
     }
 
-    async fn read_gateways(&self, rejections: &mut Rejections) -> Result<(), Error> {
+    async fn read_gateways(
+        &self,
+        keeps_missing: bool,
+        rejections: &mut Rejections,
+    ) -> Result<(), Error> {
         let own = self.settings.borrow().peers;
         let range = self.store.range(GATEWAYS).await?;
         for item in &range.unreadable {
             rejections.log_unreadable(WHAT, item);
         }
-        let addresses = range
+        let mut addresses: BTreeSet<SocketAddr> = range
             .entries
             .iter()
             .filter_map(|entry| parse_address(&entry.key, rejections))
             .filter(|address| *address != own)
             .collect();
+        if keeps_missing {
+            addresses.extend(self.channels.gateways.borrow().iter());
+        }
         self.channels.gateways.send_replace(Arc::new(addresses));
         Ok(())
     }
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -4,7 +4,7 @@
     bytes::Bytes,
     hyper::{Request, StatusCode},
     rstest::rstest,
-    serde_json::json,
+    serde_json::{Value, json},
     std::{collections::BTreeSet, time::Duration},
     tamarackdale_testbed::{
         http,
@@ -688,6 +688,41 @@
     assert!(wait::until(Duration::from_secs(8), is_registered).await);
 }
 
+/// Guards against a gateway that takes its unreachable peers for gone because the store has forgotten all
+/// registrations, and uses their part of the quotas until it hears of them again.
+#[rstest]
+#[case::registers_again(true)]
+#[case::is_gone(false)]
+#[tokio::test]
+async fn unreachable_peer_stays_known_while_the_store_has_forgotten_it(#[case] returns: bool) {
+    // Nobody listens there.
+    const PEER: &str = "127.0.0.3:9";
+    let site = Site::new(&Configuration::default()).expect("starts");
+    let copy = site.store.copy();
+    let register = || site.store.put(format!("gateways/{PEER}"), PEER.as_bytes());
+    register();
+    let gateway = site.gateway("one").expect("starts");
+    let is_dropped = |line: &Value| {
+        line["peer"] == PEER
+            && line["message"]
+                .as_str()
+                .is_some_and(|it| it.contains("dropped"))
+    };
+    // An unreachable peer is given up after ten seconds.
+    sleep(Duration::from_secs(11)).await;
+
+    site.store.restore(copy);
+    // Registrations are renewed every four seconds.
+    sleep(Duration::from_secs(4)).await;
+    if returns {
+        register();
+    }
+    sleep(Duration::from_secs(10)).await;
+
+    let has_dropped = gateway.process.logs().iter().any(is_dropped);
+    assert_eq!(has_dropped, !returns);
+}
+
 #[tokio::test]
 async fn server_stops_working_soon_after_the_caller_has_left() {
     let bench = start().await;
