--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -391,6 +391,7 @@
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
             excluded: self.excluded.clone(),
             version: self.version.clone(),
+            begins_stream: self.stream.is_some() && self.version.is_none(),
             accepted: self.request.accepted,
             waiting_since: self.waiting_since,
             objective: route.objective,
@@ -492,6 +493,15 @@
         self.request.head.tokens.map_or(0, |tokens| tokens.prompt)
     }
 
+    /// Whether the request's service runs on engines, which report on themselves.
+    fn is_for_engine(&self) -> bool {
+        let snapshot = self.context.snapshot();
+        let service = snapshot.as_ref().map(|snapshot| &snapshot.value);
+        service
+            .and_then(|value| value.service(&self.service))
+            .is_some_and(|service| service.engine.is_some())
+    }
+
     fn time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
