--- a/core/src/quota.rs
+++ b/core/src/quota.rs
@@ -4,6 +4,11 @@
 //! it admits itself and those that its peers report. Reported totals only grow, so that lost or
 //! repeated summaries make no difference. A router that does not hear from all of its peers uses
 //! only the part of the quota that belongs to the routers it hears from, itself included.
+//!
+//! Routers that start together hear each other one by one, and none knows what the others admit
+//! meanwhile. Until a router has heard all of its peers, it admits only its own part of what is free,
+//! anew in each round of reports. What waits for its peers is admitted in the same manner, since it
+//! does so at all routers at once.
 
 use {
     crate::{
@@ -30,6 +35,14 @@
 /// Time over which the current rate of use is measured.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
+/// Shortest round of reports: the lag of a small fleet.
+const MIN_ROUND: Duration = Duration::from_millis(90);
+
+/// Largest fraction of the free units that a request may cost to be drawn, and the share of the parts
+/// that is drawn: the sum over all routers then exceeds what is free at four standard deviations.
+const MAX_DRAWN_FRACTION: f64 = 1.0 / 32.0;
+const DRAWN_PART: f64 = 0.5;
+
 /// Buckets per window in a [`UsageHistory`].
 const HISTORY_BUCKETS: usize = 16;
 
@@ -76,7 +89,8 @@
     pub admitted: f64,
     /// Units among them whose requests did not run.
     pub refunded: f64,
-    /// Use within the window by all routers that the sender knows. Only sent to a new peer.
+    /// Use within the window. Only sent to a new peer. Of a sender with complete counts it is the use
+    /// of all routers, otherwise its own.
     pub history: Option<UsageHistory>,
 }
 
@@ -129,21 +143,43 @@
     used: f64,
     /// Units that peers have reported within the last [`RATE_WINDOW`], by the time of the report.
     recent_peer_use: VecDeque<(Timestamp, f64)>,
+    /// Own part of the current round of reports, if there was one.
+    round: Option<Round>,
+    /// Units that are counted of what this router and its peers have admitted since its start.
+    since_start: f64,
     /// Units that this router has admitted, and those among them that were refunded.
     own: (f64, f64),
     /// The same totals of each peer.
     peers: HashMap<u64, (f64, f64)>,
 }
 
+/// What a router may admit by itself within one round of reports.
+#[derive(Clone, Copy, Debug)]
+struct Round {
+    start: Timestamp,
+    /// Units that are left of the router's part, once it has admitted any.
+    left: Option<f64>,
+    /// Random number that decides whether the router admits a first request that is larger than its
+    /// part, so that the routers use a share of their parts together.
+    draw: f64,
+}
+
 /// Use of the quotas of all organisations, as counted by one router.
 #[derive(Debug)]
 pub struct Ledger {
     settings: Settings,
     accounts: HashMap<String, Account>,
+    /// Number of routers that this router hears from, including itself.
+    visible: usize,
     /// Fraction of the known routers that this router hears from.
     visible_fraction: f64,
+    /// Until when a router that has just started is expected to hear its peers. `None` once it has
+    /// heard all of them.
+    settles_until: Option<Timestamp>,
     /// Time until units admitted by a peer are counted here.
     lag: Duration,
+    /// Peers that are not heard any more, with the time until which their totals are kept.
+    removed: Vec<(Timestamp, u64)>,
     /// Whether a router with complete counts has reported them to this one.
     has_complete_peer: bool,
     /// Organisations that were near their quotas before the restart. `None` until they are
@@ -157,13 +193,38 @@
         Self {
             settings,
             accounts: HashMap::new(),
+            visible: 1,
             visible_fraction: 1.0,
+            settles_until: None,
             lag: Duration::ZERO,
+            removed: Vec::new(),
             has_complete_peer: false,
             restored: None,
         }
     }
 
+    /// The ledger of a router that has just started and is expected to hear its peers by `until`.
+    /// Nothing is admitted before [`Self::set_share`] is called.
+    pub fn with_unknown_peers(mut self, until: Timestamp) -> Self {
+        self.visible = 0;
+        self.visible_fraction = 0.0;
+        self.settles_until = Some(until);
+        self
+    }
+
+    /// Updates until when this router is expected to hear its peers, unless it has heard them.
+    pub fn expect_peers(&mut self, until: Timestamp) {
+        if let Some(known) = &mut self.settles_until {
+            *known = until;
+        }
+    }
+
+    /// Whether this router has just started and still expects to hear peers, so that more may be
+    /// free soon.
+    pub fn is_settling(&self, now: Timestamp) -> bool {
+        self.settles_until.is_some_and(|until| now < until)
+    }
+
     /// Updates the settings, except for [`Settings::is_first_start`].
     pub fn update_settings(&mut self, settings: Settings) {
         self.settings = Settings {
@@ -180,7 +241,7 @@
             let window = self.settings.window;
             let unrecorded = history.0.iter().take(UNRECORDED_BUCKETS).sum();
             let account = self.account(organisation, now);
-            account.merge_history(history, now, window);
+            account.merge_history(history, 0.0, now, window);
             account.add(unrecorded, now, window);
         }
         self.restored = Some(restored.into_keys().collect());
@@ -195,8 +256,9 @@
     ) -> HashMap<String, UsageHistory> {
         organisations
             .filter_map(|organisation| {
-                let limit = self.limit(organisation.quota?);
-                let unknown_use = self.unknown_use(organisation, limit, now);
+                let quota = organisation.quota?;
+                let limit = self.limit(quota, organisation, now);
+                let unknown_use = self.unknown_use(organisation, quota, now);
                 let account = self.accounts.get(&organisation.name)?;
                 let is_near = account.used + unknown_use > limit * NEAR_QUOTA_FRACTION;
                 let history = || account.history(unknown_use, now, self.settings.window);
@@ -208,9 +270,7 @@
     /// Whether all units admitted within the window are counted here, including those admitted
     /// before this router's start.
     pub fn is_complete(&self, now: Timestamp) -> bool {
-        self.has_complete_peer
-            || self.settings.is_first_start
-            || now.since(Timestamp::START) >= self.settings.window
+        self.has_complete_peer || now.since(Timestamp::START) >= self.settings.window
     }
 
     /// Records that a peer with complete counts has reported all of them.
@@ -222,11 +282,75 @@
     /// this one, and the lag until units admitted by a peer are counted here.
     pub fn set_share(&mut self, visible: usize, known: usize, lag: Duration) {
         self.lag = lag;
+        self.visible = visible;
         self.visible_fraction = visible as f64 / known.max(visible).max(1) as f64;
+        if visible >= known {
+            self.settles_until = None;
+        }
     }
 
-    /// Admits a request of `cost` units, or fails if it exceeds the quota.
+    /// Admits a request of `cost` units, or fails if it exceeds the quota. `random`, from 0 up to but
+    /// not including 1, is drawn anew for each request.
     pub fn admit(
+        &mut self,
+        organisation: &Organisation,
+        cost: f64,
+        random: f64,
+        now: Timestamp,
+    ) -> Result<(), QuotaExceeded> {
+        match self.is_settling(now) {
+            true => self.admit_part(organisation, cost, random, now),
+            false => self.admit_any(organisation, cost, now),
+        }
+    }
+
+    /// Like [`Self::admit`], for a request that may have waited as long as others at all routers:
+    /// admits no more than this router's part of what is free, in each round of reports.
+    pub fn admit_part(
+        &mut self,
+        organisation: &Organisation,
+        cost: f64,
+        random: f64,
+        now: Timestamp,
+    ) -> Result<(), QuotaExceeded> {
+        let Some(quota) = organisation.quota else {
+            return Ok(());
+        };
+        let exceeded = self.exceeded_by(organisation, quota, cost, now);
+        let free = (exceeded.limit - exceeded.used - exceeded.assumed).max(0.0);
+        let part = free / self.visible.max(1) as f64;
+        let length = self.lag.max(MIN_ROUND);
+        let has_all_peers = self.visible_fraction >= 1.0;
+        let account = self.account(&organisation.name, now);
+        let current = account
+            .round
+            .filter(|round| now.since(round.start) < length);
+        // The part of a router that does not hear its peers stays the same, and so must its draw.
+        let drawn = current.or(account.round.filter(|_| !has_all_peers));
+        let left = current.and_then(|round| round.left).unwrap_or(part);
+        let mut round = Round {
+            start: current.map_or(now, |round| round.start),
+            left: current.and_then(|round| round.left),
+            draw: drawn.map_or(random, |round| round.draw),
+        };
+        let is_drawn = round.left.is_none()
+            && cost <= free * MAX_DRAWN_FRACTION
+            && left >= cost * round.draw / DRAWN_PART;
+        let is_admitted = left.min(part) > 0.0 && (left >= cost || is_drawn);
+        if is_admitted {
+            round.left = Some(left - cost);
+        }
+        account.round = Some(round);
+        match is_admitted {
+            true => {
+                self.charge(&organisation.name, cost, now);
+                Ok(())
+            }
+            false => Err(exceeded),
+        }
+    }
+
+    fn admit_any(
         &mut self,
         organisation: &Organisation,
         cost: f64,
@@ -235,27 +359,63 @@
         let Some(quota) = organisation.quota else {
             return Ok(());
         };
-        let limit = self.limit(quota);
-        let unknown_use = self.unknown_use(organisation, limit, now);
+        let exceeded = self.exceeded_by(organisation, quota, cost, now);
+        let counted = exceeded.used + exceeded.assumed;
+        // A request larger than the whole quota is admitted when no other use is counted, and none is
+        // hidden.
+        let is_alone = counted <= 0.0 && self.visible_fraction >= 1.0;
+        if counted + cost > exceeded.limit && !is_alone {
+            return Err(exceeded);
+        }
+        self.charge(&organisation.name, cost, now);
+        Ok(())
+    }
+
+    /// The error of a request that does not fit.
+    pub fn exceeded(
+        &mut self,
+        organisation: &Organisation,
+        cost: f64,
+        now: Timestamp,
+    ) -> Option<QuotaExceeded> {
+        let quota = organisation.quota?;
+        Some(self.exceeded_by(organisation, quota, cost, now))
+    }
+
+    fn exceeded_by(
+        &mut self,
+        organisation: &Organisation,
+        quota: Quota,
+        cost: f64,
+        now: Timestamp,
+    ) -> QuotaExceeded {
+        let limit = self.limit(quota, organisation, now);
+        let unknown_use = self.unknown_use(organisation, quota, now);
         let window = self.settings.window;
         let lag = self.lag;
+        let settles_until = self.settles_until.filter(|until| now < *until);
         let account = self.account(&organisation.name, now);
         let assumed = unknown_use + account.unreported_use(now, lag);
         let used = account.used;
-        let excess = used + assumed + cost - limit;
-        // A request larger than the whole quota is admitted when no other use is counted.
-        if excess > 0.0 && used + assumed > 0.0 {
-            return Err(QuotaExceeded {
-                organisation: organisation.name.clone(),
-                delay: account.time_until_free(excess, now, window),
-                used,
-                assumed,
-                limit,
-            });
+        let delay = match settles_until {
+            Some(until) => until.since(now),
+            None => account.time_until_free(used + assumed + cost - limit, now, window),
+        };
+        QuotaExceeded {
+            organisation: organisation.name.clone(),
+            delay,
+            used,
+            assumed,
+            limit,
         }
+    }
+
+    fn charge(&mut self, organisation: &str, cost: f64, now: Timestamp) {
+        let window = self.settings.window;
+        let account = self.account(organisation, now);
         account.add(cost, now, window);
         account.own.0 += cost;
-        Ok(())
+        account.since_start += cost;
     }
 
     /// Refunds `cost` units that were admitted at `admitted` for a request that did not run.
@@ -267,12 +427,15 @@
         }
     }
 
-    /// Merges the reported use of the peer `peer`, unless it is not valid.
-    pub fn merge(&mut self, peer: u64, usage: &Usage, now: Timestamp) {
+    /// Merges the reported use of the peer `peer`, whose counts are complete or not, unless it is not
+    /// valid.
+    pub fn merge(&mut self, peer: u64, usage: &Usage, is_complete: bool, now: Timestamp) {
         if !usage.is_valid() {
             return;
         }
         let window = self.settings.window;
+        let has_complete_peer = self.has_complete_peer;
+        self.removed.retain(|(_, removed)| *removed != peer);
         let account = self.account(&usage.organisation, now);
         let totals = (usage.admitted, usage.refunded);
         let before = account.peers.insert(peer, totals);
@@ -280,29 +443,52 @@
         match (before, &usage.history) {
             (Some((admitted, refunded)), _) => {
                 account.add_from_peer(usage.admitted - admitted, now, window);
+                account.since_start += usage.admitted - admitted;
                 let admitted = now.minus(REFUND_AGE);
                 account.subtract(usage.refunded - refunded, admitted, window);
             }
-            (None, Some(known)) => account.merge_history(known, now, window),
+            (None, Some(known)) => {
+                // Not part of the history: of two routers that have just started, what either has
+                // admitted before they heard each other, and here what was admitted before the
+                // first complete history.
+                let other = match (is_complete, has_complete_peer) {
+                    (false, _) => account.used,
+                    (true, false) => account.own.0 - account.own.1,
+                    (true, true) => 0.0,
+                };
+                account.merge_history(known, other, now, window);
+                if !is_complete {
+                    account.since_start += usage.admitted - usage.refunded;
+                }
+            }
             (None, None) => {}
         }
     }
 
-    /// Removes a peer. Its use stays counted until it leaves the window.
-    pub fn remove_peer(&mut self, peer: u64) {
-        for account in self.accounts.values_mut() {
-            account.peers.remove(&peer);
+    /// Removes a peer that is not heard any more. Its use stays counted until it leaves the window, and
+    /// so do its totals, on which its reports build if it is heard again.
+    pub fn remove_peer(&mut self, peer: u64, now: Timestamp) {
+        let end = now.plus(self.settings.window);
+        self.removed.push((end, peer));
+        for (_, peer) in self.removed.extract_if(.., |(end, _)| *end <= now) {
+            for account in self.accounts.values_mut() {
+                account.peers.remove(&peer);
+            }
         }
     }
 
     /// Use to report to the peers. The first report to a peer must include the history.
     pub fn usages(&self, is_first: bool, now: Timestamp) -> impl Iterator<Item = Usage> {
         let window = self.settings.window;
+        let is_complete = self.is_complete(now);
         self.accounts.iter().map(move |(name, account)| Usage {
             organisation: name.clone(),
             admitted: account.own.0,
             refunded: account.own.1,
-            history: is_first.then(|| account.history(0.0, now, window)),
+            history: is_first.then(|| match is_complete {
+                true => account.history(0.0, now, window),
+                false => account.own_history(now, window),
+            }),
         })
     }
 
@@ -312,19 +498,33 @@
         account.map_or(0.0, |account| account.used)
     }
 
-    /// Units that may be used within a window by the routers that this one hears from.
-    fn limit(&self, quota: Quota) -> f64 {
+    /// Units that may be counted within a window by the routers that this one hears from. While the
+    /// router settles, they share with those that it has not heard what was left when they started;
+    /// otherwise the whole quota.
+    fn limit(&self, quota: Quota, organisation: &Organisation, now: Timestamp) -> f64 {
+        let whole = self.whole_limit(quota);
+        let account = self.accounts.get(&organisation.name);
+        let before = match (self.is_settling(now), account) {
+            (true, Some(account)) => (account.used - account.since_start).clamp(0.0, whole),
+            _ => 0.0,
+        };
+        before + (whole - before) * self.visible_fraction
+    }
+
+    /// Units that may be used within a window by all routers.
+    fn whole_limit(&self, quota: Quota) -> f64 {
         let stated = quota.rate * self.settings.window.as_secs_f64() + quota.burst;
         let tolerance = stated * self.settings.overrun + self.settings.slack;
         let (min, max) = TOLERANCE_FRACTIONS;
         let fraction = 1.0 - self.lag.as_secs_f64() / FULL_LAG.as_secs_f64();
-        (stated + tolerance * fraction.clamp(min, max)) * self.visible_fraction
+        stated + tolerance * fraction.clamp(min, max)
     }
 
-    /// Units that may have been admitted within the window but before this router's start. If all
-    /// routers have restarted together, none of them has counted these.
-    fn unknown_use(&self, organisation: &Organisation, limit: f64, now: Timestamp) -> f64 {
-        if self.is_complete(now) {
+    /// Units that may have been admitted within the window but before this router's start, as far as
+    /// the routers that this one hears from must allow for them. If all routers have restarted
+    /// together, none of them has counted these.
+    fn unknown_use(&self, organisation: &Organisation, quota: Quota, now: Timestamp) -> f64 {
+        if self.settings.is_first_start || self.is_complete(now) {
             return 0.0;
         }
         let restored = self.restored.as_ref();
@@ -332,13 +532,14 @@
             return 0.0;
         }
         // Organisations near their quotas were persisted, so the use of any other was below that.
+        let limit = self.whole_limit(quota);
         let max_use = match restored {
             Some(_) => limit * NEAR_QUOTA_FRACTION,
             None => limit,
         };
-        let rate = organisation.quota.map_or(0.0, |quota| quota.rate);
         let since_start = now.since(Timestamp::START).as_secs_f64();
-        (max_use - rate * UNKNOWN_USE_FRACTION * self.visible_fraction * since_start).max(0.0)
+        let left = max_use - quota.rate * UNKNOWN_USE_FRACTION * since_start;
+        left.max(0.0) * self.visible_fraction
     }
 
     fn account(&mut self, name: &str, now: Timestamp) -> &mut Account {
@@ -408,10 +609,17 @@
         units * lag.as_secs_f64() / RATE_WINDOW.as_secs_f64()
     }
 
-    /// Merges the history of another router, as far as its total exceeds the use counted here.
-    fn merge_history(&mut self, history: &UsageHistory, now: Timestamp, window: Duration) {
+    /// Merges the history of another router, as far as its total exceeds the use counted here but for
+    /// `other` units that are not part of it.
+    fn merge_history(
+        &mut self,
+        history: &UsageHistory,
+        other: f64,
+        now: Timestamp,
+        window: Duration,
+    ) {
         let total: f64 = history.0.iter().sum();
-        let missing = total - self.used;
+        let missing = total.min(total + other - self.used);
         if missing <= 0.0 {
             return;
         }
@@ -447,9 +655,22 @@
         UsageHistory(buckets)
     }
 
+    /// The own use of a router that has started within the window, by about the ages of all use.
+    fn own_history(&self, now: Timestamp, window: Duration) -> UsageHistory {
+        let UsageHistory(mut buckets) = self.history(0.0, now, window);
+        let own = self.own.0 - self.own.1;
+        let total: f64 = buckets.iter().sum();
+        let fraction = if total > own { own / total } else { 1.0 };
+        buckets.iter_mut().for_each(|units| *units *= fraction);
+        UsageHistory(buckets)
+    }
+
     /// Time until `units` have left the window.
     fn time_until_free(&self, units: f64, now: Timestamp, window: Duration) -> Duration {
         let mut left = units;
+        if left <= 0.0 {
+            return Duration::ZERO;
+        }
         for (end, bucket) in &self.buckets {
             left -= bucket;
             if left <= 0.0 {
--- a/core/tests/quota.rs
+++ b/core/tests/quota.rs
@@ -2,6 +2,7 @@
 
 use {
     rand::{Rng, SeedableRng, rngs::StdRng},
+    rstest::rstest,
     std::{collections::HashMap, time::Duration},
     tamarackdale_core::{
         quota::{self, Ledger, Settings},
@@ -42,11 +43,12 @@
 fn exchange(routers: &mut [Ledger], now: Timestamp) {
     for sender in 0..routers.len() {
         let usages: Vec<_> = routers[sender].usages(true, now).collect();
+        let is_complete = routers[sender].is_complete(now);
         for (receiver, ledger) in routers.iter_mut().enumerate() {
             if receiver != sender {
                 usages
                     .iter()
-                    .for_each(|usage| ledger.merge(sender as u64, usage, now));
+                    .for_each(|usage| ledger.merge(sender as u64, usage, is_complete, now));
             }
         }
     }
@@ -83,7 +85,7 @@
         let cost = random.random_range(5.0..60.0);
         let router = random.random_range(0..routers.len());
         if routers[router]
-            .admit(&organisation, cost, at(millis))
+            .admit(&organisation, cost, 0.5, at(millis))
             .is_ok()
         {
             admitted.push((millis, cost));
@@ -129,7 +131,7 @@
 
     let admitted = (0..80).all(|step| {
         let now = at(20_000 + step * 10);
-        ledger.admit(&organisation, 100.0, now).is_ok()
+        ledger.admit(&organisation, 100.0, 0.5, now).is_ok()
     });
 
     assert!(admitted);
@@ -165,7 +167,9 @@
 
     let admitted = (1..160).all(|step| {
         let now = at(step * 50);
-        ledger.admit(&organisation, RATE * 0.05 * 0.6, now).is_ok()
+        ledger
+            .admit(&organisation, RATE * 0.05 * 0.6, 0.5, now)
+            .is_ok()
     });
 
     assert!(admitted);
@@ -178,25 +182,45 @@
     ledger.set_share(1, 4, Duration::ZERO);
 
     let admitted: f64 = (0..1_000)
-        .filter(|step| ledger.admit(&organisation, 10.0, at(*step)).is_ok())
+        .filter(|step| ledger.admit(&organisation, 10.0, 0.5, at(*step)).is_ok())
         .count() as f64
         * 10.0;
 
     assert!(admitted < (RATE * WINDOW_S as f64 + RATE) * 1.1 / 3.0);
 }
 
+/// Guards against routers that do not hear each other and each admit one request that is larger than
+/// their part.
+#[rstest]
+fn isolated_routers_admit_no_more_than_the_quota_of_requests_larger_than_their_parts(
+    #[values(8, 41, 103, 360)] count: usize,
+) {
+    let organisation = organisation();
+    let stated = RATE * WINDOW_S as f64 + RATE;
+    let cost = stated / count as f64 * 2.0;
+
+    let admitted = (0..count).filter(|_| {
+        let mut ledger = Ledger::new(settings(true));
+        ledger.set_share(1, count, Duration::ZERO);
+        ledger.admit(&organisation, cost, 0.5, at(0)).is_ok()
+    });
+
+    let sum = admitted.count() as f64 * cost;
+    assert!(sum <= stated * 1.1, "{sum} of {stated}");
+}
+
 #[test]
 fn lowered_quota_applies_immediately() {
     let mut ledger = Ledger::new(settings(true));
     let mut organisation = organisation();
-    assert!(ledger.admit(&organisation, 5_000.0, at(0)).is_ok());
+    assert!(ledger.admit(&organisation, 5_000.0, 0.5, at(0)).is_ok());
 
     organisation.quota = organisation.quota.map(|quota| Quota {
         rate: 100.0,
         burst: 100.0,
         ..quota
     });
-    let refused = ledger.admit(&organisation, 10.0, at(100));
+    let refused = ledger.admit(&organisation, 10.0, 0.5, at(100));
 
     let excess = refused.expect_err("more than the lowered quota is used");
     let delay = excess.delay;
@@ -209,15 +233,15 @@
     let mut receiver = Ledger::new(settings(true));
     let organisation = organisation();
     sender
-        .admit(&organisation, 100.0, at(0))
+        .admit(&organisation, 100.0, 0.5, at(0))
         .expect("the quota is not used up");
     let usage = sender
         .usages(true, at(5))
         .next()
         .expect("one organisation is known");
 
-    receiver.merge(1, &usage, at(10));
-    receiver.merge(1, &usage, at(20));
+    receiver.merge(1, &usage, false, at(10));
+    receiver.merge(1, &usage, false, at(20));
 
     assert_eq!(receiver.used("large"), 100.0);
 }
@@ -237,7 +261,7 @@
         let cost = random.random_range(5.0..60.0);
         let chosen = random.random_range(0..routers.len());
         let is_admitted = routers[chosen]
-            .admit(&organisation, cost, at(millis))
+            .admit(&organisation, cost, 0.5, at(millis))
             .is_ok();
         // For 1.5 of every 4 s, admitted requests are refused after a wait of 1.4 s.
         let is_overloaded = millis % 4_000 < 1_500;
@@ -268,13 +292,13 @@
     let mut peer = Ledger::new(settings(true));
     let report = |own: &Ledger, peer: &mut Ledger, millis: u64| {
         own.usages(false, at(millis))
-            .for_each(|usage| peer.merge(1, &usage, at(millis)));
+            .for_each(|usage| peer.merge(1, &usage, false, at(millis)));
     };
-    own.admit(&organisation, 1.0, at(0))
+    own.admit(&organisation, 1.0, 0.5, at(0))
         .expect("the quota is not used up");
     report(&own, &mut peer, 1);
 
-    own.admit(&organisation, 5_000.0, at(10))
+    own.admit(&organisation, 5_000.0, 0.5, at(10))
         .expect("the quota is not used up");
     report(&own, &mut peer, 20);
     own.refund("large", 5_000.0, at(10));
@@ -283,7 +307,7 @@
     assert!((own.used("large"), peer.used("large")) == (1.0, 0.0));
     for ledger in [&mut own, &mut peer] {
         // After the admission has left the window, and before the refund has.
-        let admitted = ledger.admit(&organisation, 1.0, at(9_000));
+        let admitted = ledger.admit(&organisation, 1.0, 0.5, at(9_000));
         assert!(admitted.is_ok() && ledger.used("large") >= 1.0);
     }
 }
@@ -301,7 +325,7 @@
     let organisation = organisation();
     let mut known = Ledger::new(settings(true));
     known
-        .admit(&organisation, 5_000.0, at(0))
+        .admit(&organisation, 5_000.0, 0.5, at(0))
         .expect("the quota is not used up");
     let mut now = 0;
 
@@ -312,12 +336,12 @@
             .next()
             .expect("one organisation is known");
         let mut next = Ledger::new(settings(false));
-        next.merge(1, &usage, at(now));
+        next.merge(1, &usage, known.is_complete(at(now)), at(now));
         next.mark_complete();
         known = next;
     }
 
-    let admitted = known.admit(&organisation, 9_000.0, at(now + 100));
+    let admitted = known.admit(&organisation, 9_000.0, 0.5, at(now + 100));
     assert!(
         admitted.is_ok(),
         "{} units are still counted",
@@ -339,7 +363,7 @@
 /// Units that a ledger admits within one window.
 fn admitted_in_window(ledger: &mut Ledger, now: Timestamp) -> f64 {
     let organisation = organisation();
-    let admits = |_: &i32| ledger.admit(&organisation, 100.0, now).is_ok();
+    let admits = |_: &i32| ledger.admit(&organisation, 100.0, 0.5, now).is_ok();
     (0..1_000).filter(admits).count() as f64 * 100.0
 }
 
@@ -358,10 +382,10 @@
                 history,
             };
             let history = is_history.then(|| quota::UsageHistory(vec![number, 1.0]));
-            ledger.merge(1, &usage(0.0, history), at(0));
+            ledger.merge(1, &usage(0.0, history), true, at(0));
             if !is_history {
-                ledger.merge(1, &usage(number, None), at(10));
-                ledger.merge(1, &usage(5.0, None), at(20));
+                ledger.merge(1, &usage(number, None), true, at(10));
+                ledger.merge(1, &usage(5.0, None), true, at(20));
             }
 
             let admitted = admitted_in_window(&mut ledger, at(30));
@@ -392,3 +416,229 @@
         );
     }
 }
+
+/// Routers that start together, their callers, and what the last of them to save its use has saved.
+struct Fleet {
+    organisation: Organisation,
+    random: StdRng,
+    routers: Vec<Starting>,
+    /// Units and times of all admissions, over all starts.
+    admitted: Vec<(u64, f64)>,
+    /// Requests offered and served in the first second after each start.
+    offered: usize,
+    served: usize,
+    saved: HashMap<String, quota::UsageHistory>,
+}
+
+/// A router that has just started.
+struct Starting {
+    ledger: Ledger,
+    /// When it knows how many routers there are.
+    reads_at: u64,
+    /// When it hears each of them.
+    hears_at: Vec<u64>,
+    /// Cost and arrival of the requests that wait for its peers, and whether each goes on with a stream.
+    waiting: Vec<(f64, u64)>,
+}
+
+impl Fleet {
+    /// Time after its start by which each router has heard all others.
+    const HEARD_BY_MS: u64 = 600;
+
+    /// Longest time for which a request waits for the peers.
+    const MAX_WAIT_MS: u64 = 800;
+
+    /// The fleet of an organisation with `scale` times the usual quota.
+    fn new(scale: f64) -> Self {
+        let mut organisation = organisation();
+        organisation.quota = organisation.quota.map(|quota| Quota {
+            rate: quota.rate * scale,
+            burst: quota.burst * scale,
+            ..quota
+        });
+        Self {
+            organisation,
+            random: StdRng::seed_from_u64(13),
+            routers: Vec::new(),
+            admitted: Vec::new(),
+            offered: 0,
+            served: 0,
+            saved: HashMap::new(),
+        }
+    }
+
+    /// Starts `count` routers at `start`, at which callers ask for a `fraction` of the
+    /// organisation's rate until all end together after `life`.
+    fn run(&mut self, count: usize, is_first: bool, start: u64, life: u64, fraction: f64) {
+        let organisation = self.organisation.clone();
+        let rate = organisation.quota.map_or(0.0, |quota| quota.rate) * fraction;
+        self.routers = (0..count).map(|_| self.starting(count, is_first)).collect();
+        // Reports come as seldom as the layout of so many routers asks for.
+        let interval = (count as u64 * 3 / 4).max(50);
+        let lag = Duration::from_millis(interval * 3 + 80);
+        let mut owed = 0.0;
+        let mut restored = Some(self.saved.clone());
+        for millis in (0..life).step_by(5) {
+            self.hear(millis, lag);
+            if millis >= 100
+                && let Some(restored) = restored.take()
+            {
+                for router in &mut self.routers {
+                    router.ledger.restore(restored.clone(), at(millis));
+                }
+            }
+            owed += rate * 0.005;
+            while owed > 0.0 {
+                let cost = self.random.random_range(5.0..60.0);
+                owed -= cost;
+                self.offered += usize::from(millis < 1_000);
+                let router = self.random.random_range(0..count);
+                self.routers[router].waiting.push((cost, millis));
+            }
+            for number in 0..count {
+                self.admit(number, &organisation, start, millis);
+            }
+            if millis % interval < 5 {
+                self.exchange(millis);
+            }
+            // Collected every 0.5 s and written every second.
+            if millis > 0 && millis.is_multiple_of(1_000) {
+                let ledger = &self.routers[0].ledger;
+                self.saved = ledger.usage_to_persist([&organisation].into_iter(), at(millis));
+            }
+        }
+    }
+
+    fn starting(&mut self, count: usize, is_first: bool) -> Starting {
+        let ledger = Ledger::new(settings(is_first)).with_unknown_peers(at(1_200));
+        let reads_at = self.random.random_range(50..150);
+        let hears_at = (0..count)
+            .map(|_| self.random.random_range(150..Self::HEARD_BY_MS))
+            .collect();
+        Starting {
+            ledger,
+            reads_at,
+            hears_at,
+            waiting: Vec::new(),
+        }
+    }
+
+    fn hear(&mut self, millis: u64, lag: Duration) {
+        if millis > Self::HEARD_BY_MS {
+            return;
+        }
+        let count = self.routers.len();
+        for number in 0..count {
+            let now = millis..millis + 5;
+            if now.contains(&self.routers[number].reads_at) {
+                let until = at(millis + 1_200);
+                self.routers[number].ledger.expect_peers(until);
+            }
+            for peer in (0..count).filter(|peer| *peer != number) {
+                if now.contains(&self.routers[number].hears_at[peer]) {
+                    let sender = &self.routers[peer].ledger;
+                    let usages: Vec<_> = sender.usages(true, at(millis)).collect();
+                    let is_complete = sender.is_complete(at(millis));
+                    let ledger = &mut self.routers[number].ledger;
+                    for usage in &usages {
+                        ledger.merge(peer as u64, usage, is_complete, at(millis));
+                    }
+                    if is_complete {
+                        ledger.mark_complete();
+                    }
+                }
+            }
+            let router = &mut self.routers[number];
+            if router.reads_at < now.end {
+                let heard = router.hears_at.iter().enumerate();
+                let heard = heard.filter(|(peer, at)| *peer != number && **at < now.end);
+                let visible = heard.count() + 1;
+                router.ledger.set_share(visible, count, lag);
+            }
+        }
+    }
+
+    fn admit(&mut self, number: usize, organisation: &Organisation, start: u64, millis: u64) {
+        let router = &mut self.routers[number];
+        let waiting = std::mem::take(&mut router.waiting);
+        for (cost, arrival) in waiting {
+            let random = self.random.random();
+            let admitted = match arrival == millis {
+                true => router.ledger.admit(organisation, cost, random, at(millis)),
+                false if !millis.is_multiple_of(50) => {
+                    router.waiting.push((cost, arrival));
+                    continue;
+                }
+                false => router
+                    .ledger
+                    .admit_part(organisation, cost, random, at(millis)),
+            };
+            let may_wait = arrival != millis || router.ledger.is_settling(at(millis));
+            match admitted {
+                Ok(()) => {
+                    self.admitted.push((start + millis, cost));
+                    self.served += usize::from(arrival < 1_000);
+                }
+                Err(_) if may_wait && millis < arrival + Self::MAX_WAIT_MS => {
+                    router.waiting.push((cost, arrival));
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn exchange(&mut self, millis: u64) {
+        let reports: Vec<Vec<_>> = self
+            .routers
+            .iter()
+            .map(|router| router.ledger.usages(false, at(millis)).collect())
+            .collect();
+        for (number, router) in self.routers.iter_mut().enumerate() {
+            for (peer, usages) in reports.iter().enumerate() {
+                if peer != number && router.hears_at[peer] < millis {
+                    usages.iter().for_each(|usage| {
+                        router.ledger.merge(peer as u64, usage, false, at(millis))
+                    });
+                }
+            }
+        }
+    }
+}
+
+/// Guards against requests that are refused because routers that start together have not heard each
+/// other yet, although their organisation uses less than its quota.
+#[rstest]
+fn ordinary_use_is_admitted_while_routers_that_start_together_hear_each_other(
+    #[values(8, 41, 103, 360)] count: usize,
+) {
+    const USE: f64 = 0.75;
+    let mut fleet = Fleet::new(count as f64 / 4.0);
+    // Enough for the use to be saved.
+    fleet.run(1, true, 0, 9_000, USE);
+    (fleet.served, fleet.offered) = (0, 0);
+
+    fleet.run(count, false, 9_300, 2_000, USE);
+
+    let (served, offered) = (fleet.served, fleet.offered);
+    assert!(served * 20 >= offered * 19, "{served} of {offered}");
+}
+
+/// Guards against more than the quota in a window in which all routers start, once or several times;
+/// also where a router's part is less than a request.
+#[rstest]
+fn quota_holds_over_starts_of_all_routers(
+    #[values(8, 41, 103, 360)] count: usize,
+    #[values((true, 9_000), (false, 9_000), (false, 2_600), (false, 1_300))] start: (bool, u64),
+) {
+    const PAUSE_MS: u64 = 300;
+    let (is_first, life) = start;
+    let mut fleet = Fleet::new(1.0);
+
+    for start in (0..9_000).step_by((life + PAUSE_MS) as usize) {
+        fleet.run(count, is_first, start, life, 3.0);
+    }
+
+    let allowed = (RATE * WINDOW_S as f64 + RATE) * 1.1 + 500.0;
+    let most = most_in_window(&fleet.admitted);
+    assert!(most <= allowed, "{most} of {allowed}");
+}
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -30,6 +30,7 @@
         routing_config::{Denial, Organisation, Route},
         time::Timestamp,
         wait_policy,
+        wait_queue::SchedulingKey,
     },
     tamarackdale_platform::request::RequestHead,
     tokio::time::timeout,
@@ -129,7 +130,7 @@
         Ok(Err(ReadError::TooLarge)) => return Err(Refusal::new(Cause::BodyTooLarge)),
         Ok(Err(ReadError::Broken)) | Err(_) => return Err(Refusal::new(Cause::BodyBroken)),
     };
-    let cost = charge(context, &authorised, &incoming.head)?;
+    let cost = charge(context, &authorised, &incoming.head, incoming.accepted).await?;
     Ok(Request {
         head: incoming.head,
         method: incoming.method,
@@ -193,8 +194,13 @@
     })
 }
 
-/// Charges the request to its organisation's quota. Returns the cost.
-fn charge(context: &Context, authorised: &Authorised, head: &RequestHead) -> Result<f64, Refusal> {
+/// Charges the request to its organisation's quota, for which it may have to wait. Returns the cost.
+async fn charge(
+    context: &Context,
+    authorised: &Authorised,
+    head: &RequestHead,
+    accepted: Timestamp,
+) -> Result<f64, Refusal> {
     let Some(organisation) = &authorised.organisation else {
         return Ok(0.0);
     };
@@ -205,10 +211,21 @@
         .tokens
         .map(|tokens| tokens.prompt.saturating_add(tokens.max_output));
     let cost = quota::cost(quota.unit, tokens);
-    match context.scheduler.admit(organisation, cost) {
+    let route = &authorised.route;
+    let time_left = head.time_budget.unwrap_or(route.timeout);
+    let outer = organisation.rank.unwrap_or(route.rank);
+    let key = SchedulingKey {
+        rank: route.rank.nested_in(outer),
+        is_resumed: head.last_event.is_some(),
+        is_retry: wait_policy::is_retry(time_left, route.timeout),
+        on_time_until: accepted.plus(route.objective),
+    };
+    let deadline = accepted.plus(time_left.min(route.timeout));
+    let wait_until = wait_policy::wait_deadline(accepted, deadline);
+    let admitted = context.scheduler.admit(organisation, cost, key, wait_until);
+    match admitted.await {
         Ok(()) => Ok(cost),
         Err(exceeded) => {
-            let time_left = head.time_budget.unwrap_or(authorised.route.timeout);
             let random_delay = wait_policy::retry_after(time_left, context.scheduler.random());
             let refusal =
                 Refusal::new(Cause::Quota).with_retry_after(exceeded.delay.max(random_delay));
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -21,8 +21,8 @@
     pub configuration: watch::Receiver<Option<Arc<Snapshot>>>,
     /// Registered backend servers.
     pub members: watch::Receiver<Arc<Members>>,
-    /// Peer addresses of the other registered gateways.
-    pub gateways: watch::Receiver<Arc<BTreeSet<SocketAddr>>>,
+    /// Peer addresses of the other registered gateways, or `None` until they have been read.
+    pub gateways: watch::Receiver<Option<Arc<BTreeSet<SocketAddr>>>>,
     /// Quota use that was saved before this start, or `None` until it has been read.
     pub saved_quota_use: watch::Receiver<Option<SavedQuotaUse>>,
     /// Whether a known gateway is unreachable, in which case the registrations are read again.
@@ -64,7 +64,7 @@
 pub struct FollowerChannels {
     pub(super) configuration: watch::Sender<Option<Arc<Snapshot>>>,
     pub(super) members: watch::Sender<Arc<Members>>,
-    pub(super) gateways: watch::Sender<Arc<BTreeSet<SocketAddr>>>,
+    pub(super) gateways: watch::Sender<Option<Arc<BTreeSet<SocketAddr>>>>,
     pub(super) saved_quota_use: watch::Sender<Option<SavedQuotaUse>>,
     pub(super) has_unreachable_peers: watch::Receiver<bool>,
     pub(super) quota_use_to_save: watch::Receiver<SavedQuotaUse>,
@@ -78,7 +78,7 @@
 pub fn channels() -> (FollowerChannels, StoreHandle) {
     let (configuration, configuration_receiver) = watch::channel(None);
     let (members, members_receiver) = watch::channel(Arc::new(Members::new()));
-    let (gateways, gateways_receiver) = watch::channel(Arc::new(BTreeSet::new()));
+    let (gateways, gateways_receiver) = watch::channel(None);
     let (saved_quota_use, saved_quota_use_receiver) = watch::channel(None);
     let (has_unreachable_peers, has_unreachable_peers_receiver) = watch::channel(false);
     let (quota_use_to_save, quota_use_to_save_receiver) = watch::channel(SavedQuotaUse::default());
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -89,7 +89,9 @@
             .filter_map(|entry| parse_address(&entry.key, rejections))
             .filter(|address| *address != own)
             .collect();
-        self.channels.gateways.send_replace(Arc::new(addresses));
+        self.channels
+            .gateways
+            .send_replace(Some(Arc::new(addresses)));
         Ok(())
     }
 }
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -134,7 +134,13 @@
             self.channels
                 .origins
                 .send_replace((number, read.map(Arc::new)));
-            let gateways = self.channels.gateways.borrow().len() + 1;
+            let others = self
+                .channels
+                .gateways
+                .borrow()
+                .as_ref()
+                .map_or(0, |others| others.len());
+            let gateways = others + 1;
             let interval =
                 origin::read_interval(gateways, self.settings.borrow().store_reads_per_s);
             sleep(interval.saturating_sub(started.elapsed())).await;
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -137,6 +137,7 @@
     loop {
         sleep(UPKEEP_INTERVAL).await;
         context.scheduler.claim_unused_capacity();
+        context.scheduler.admit_waiting();
         context.scheduler.judge_crashes();
     }
 }
@@ -301,13 +302,20 @@
     let mut gateways = context.store.gateways.clone();
     let mut tasks = JoinSet::new();
     let mut introduced = None;
+    let mut is_registered = false;
     loop {
         let registered = gateways.borrow_and_update().clone();
-        for address in registered.iter().copied().chain(introduced.take()) {
+        let addresses = registered.iter().flat_map(|others| others.iter().copied());
+        for address in addresses.chain(introduced.take()) {
             if address != own && context.known_peers().add(address, context.clock.now()) {
                 tasks.spawn(follow_peer(context.clone(), address));
             }
         }
+        if registered.is_some() && !is_registered {
+            is_registered = true;
+            context.scheduler.expect_peers();
+        }
+        update_gateway_counts(context);
         tokio::select! {
             _ = gateways.changed() => {}
             address = introductions.recv() => introduced = address,
@@ -337,7 +345,8 @@
         let now = context.clock.now();
         context.known_peers().mark_unreachable(address, now);
         update_gateway_counts(&context);
-        let is_registered = context.store.gateways.borrow().contains(&address);
+        let registered = context.store.gateways.borrow().clone();
+        let is_registered = registered.is_some_and(|others| others.contains(&address));
         if context
             .known_peers()
             .remove_expired(address, is_registered, now)
@@ -351,8 +360,11 @@
 }
 
 /// Passes on how many gateways are known and connected, which determines this gateway's part of the
-/// shared limits.
+/// shared limits. Until the registrations have been read, that is not known.
 fn update_gateway_counts(context: &Context) {
+    if context.store.gateways.borrow().is_none() {
+        return;
+    }
     let (connected, known) = context.known_peers().counts();
     let has_unreachable = context.known_peers().has_unreachable();
     context
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -8,7 +8,7 @@
 pub use {in_flight::InFlightRequest, placement_request::PlacementRequest};
 
 use {
-    self::state::State,
+    self::state::{QuotaWaiter, State},
     crate::{clock::Clock, quarantine},
     rand::Rng as _,
     std::{
@@ -28,9 +28,13 @@
         summary::Summary,
         time::Timestamp,
         wait_policy,
+        wait_queue::SchedulingKey,
     },
     tamarackdale_platform::Settings,
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::{Notify, oneshot},
+        time::timeout,
+    },
 };
 
 /// Why the scheduler cannot place a request.
@@ -105,10 +109,68 @@
         self.lock().fleet.utilisation(service, now)
     }
 
-    /// Charges a request to its organisation's quota. Fails if the quota is exceeded.
-    pub fn admit(&self, organisation: &Organisation, cost: f64) -> Result<(), QuotaExceeded> {
+    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. While this
+    /// gateway has just started and has not heard its peers, the request waits until `wait_until` for
+    /// more than the gateway's own part, in order of `key`.
+    pub async fn admit(
+        &self,
+        organisation: &Arc<Organisation>,
+        cost: f64,
+        key: SchedulingKey,
+        wait_until: Timestamp,
+    ) -> Result<(), QuotaExceeded> {
+        let (number, reply, wait, exceeded) = {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            // Those that wait and fit by now go first.
+            state.admit_waiting(now);
+            let random = state.random.random();
+            let must_wait = state.ledger.is_settling(now)
+                && state.is_behind_quota_queue(organisation, key.urgency(now), now);
+            let exceeded = match must_wait {
+                true => state.ledger.exceeded(organisation, cost, now),
+                false => state.ledger.admit(organisation, cost, random, now).err(),
+            };
+            let Some(exceeded) = exceeded else {
+                return Ok(());
+            };
+            let has_place = state.quota_waiters(organisation, key.rank) < wait_policy::MAX_WAITING;
+            if !state.ledger.is_settling(now) || wait_until <= now || !has_place {
+                return Err(exceeded);
+            }
+            let (sender, reply) = oneshot::channel();
+            let waiter = QuotaWaiter {
+                organisation: Arc::clone(organisation),
+                cost,
+                reply: sender,
+            };
+            let number = state.quota_queue.insert(key, waiter);
+            (number, reply, wait_until.since(now), exceeded)
+        };
+        // Dropped, and so removed from the queue, also when the caller disconnects.
+        let _queued = QuotaGuard {
+            scheduler: self,
+            number,
+        };
+        match timeout(wait, reply).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(exceeded),
+        }
+    }
+
+    /// Charges requests that wait for their quotas, as far as they fit. Called periodically.
+    pub fn admit_waiting(&self) {
         let now = self.clock.now();
-        self.lock().ledger.admit(organisation, cost, now)
+        let mut state = self.lock();
+        if !state.quota_queue.is_empty() {
+            state.admit_waiting(now);
+        }
+    }
+
+    /// Records that the other gateways are known from now on, which are then expected to be heard.
+    pub fn expect_peers(&self) {
+        let until = self.clock.now().plus(state::SETTLING_TIME);
+        self.lock().ledger.expect_peers(until);
     }
 
     /// Restores the quota use that was saved before this start.
@@ -389,7 +451,7 @@
             }
         }
         for usage in &summary.usages {
-            state.ledger.merge(peer, usage, now);
+            state.ledger.merge(peer, usage, summary.is_complete, now);
         }
         // A peer's first summary contains all its counts, and later ones build on it.
         if summary.is_complete {
@@ -413,9 +475,10 @@
     /// Removes a peer that has disconnected. Its load and its waiting requests no longer count; the
     /// quota that it used stays counted until the window has passed.
     pub fn remove_peer(&self, peer: u64) {
+        let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.remove_peer(peer);
-        state.ledger.remove_peer(peer);
+        state.ledger.remove_peer(peer, now);
         state.peer_waiting.remove(&peer);
     }
 
@@ -475,6 +538,18 @@
     }
 }
 
+/// Removes a request that waits for its quota from the queue when dropped.
+struct QuotaGuard<'a> {
+    scheduler: &'a Scheduler,
+    number: u64,
+}
+
+impl Drop for QuotaGuard<'_> {
+    fn drop(&mut self) {
+        self.scheduler.lock().quota_queue.remove(self.number);
+    }
+}
+
 /// Removes a request from the queue when dropped.
 struct QueueGuard<'a> {
     scheduler: &'a Scheduler,
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -3,7 +3,7 @@
 use {
     super::PlacementRequest,
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
-    std::{collections::HashMap, time::Duration},
+    std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage, limit},
@@ -12,6 +12,8 @@
         quota::Ledger,
         rendezvous,
         retry::{self, Budget},
+        routing_config::Organisation,
+        tier::Rank,
         time::Timestamp,
         wait_policy,
         wait_queue::{SchedulingKey, Urgency, WaitQueue},
@@ -30,6 +32,17 @@
     pub(super) reply: oneshot::Sender<Choice>,
 }
 
+/// Time from the start of a gateway, and from its first reading of the registrations, within which it
+/// is expected to hear its peers: after that, one that was not heard counts as unreachable.
+pub(super) const SETTLING_TIME: Duration = Duration::from_millis(1_200);
+
+/// A request that waits to be charged to its organisation's quota.
+pub(super) struct QuotaWaiter {
+    pub(super) organisation: Arc<Organisation>,
+    pub(super) cost: f64,
+    pub(super) reply: oneshot::Sender<()>,
+}
+
 /// A request that asks for a start at a limited backend server, and so does not wait in the queue.
 #[derive(Clone, Debug)]
 struct Question {
@@ -42,6 +55,8 @@
 pub(super) struct State {
     pub(super) fleet: Fleet,
     pub(super) ledger: Ledger,
+    /// Requests that wait until this gateway, which has just started, has heard its peers.
+    pub(super) quota_queue: WaitQueue<QuotaWaiter>,
     /// Shed floors by service.
     pub(super) shed_floors: HashMap<String, Floor>,
     /// Retry budgets by service.
@@ -73,7 +88,9 @@
         Self {
             boot,
             fleet: Fleet::new(),
-            ledger: Ledger::new(settings.bounds.quota),
+            ledger: Ledger::new(settings.bounds.quota)
+                .with_unknown_peers(Timestamp::START.plus(SETTLING_TIME)),
+            quota_queue: WaitQueue::new(),
             shed_floors: HashMap::new(),
             retry_budgets: HashMap::new(),
             queue: WaitQueue::new(),
@@ -298,6 +315,54 @@
         }
     }
 
+    /// Charges waiting requests to the quotas of their organisations, the most urgent first, as far as
+    /// they fit.
+    pub(super) fn admit_waiting(&mut self, now: Timestamp) {
+        let mut full: Vec<String> = Vec::new();
+        for number in self.quota_queue.order(now) {
+            let Some((_, waiter)) = self.quota_queue.get(number) else {
+                continue;
+            };
+            let organisation = Arc::clone(&waiter.organisation);
+            let cost = waiter.cost;
+            if full.contains(&organisation.name) {
+                continue;
+            }
+            let random = self.random.random();
+            let admitted = self.ledger.admit_part(&organisation, cost, random, now);
+            if admitted.is_err() {
+                full.push(organisation.name.clone());
+                continue;
+            }
+            let waiter = self.quota_queue.remove(number);
+            if waiter.is_none_or(|waiter| waiter.reply.send(()).is_err()) {
+                self.ledger.refund(&organisation.name, cost, now);
+            }
+        }
+    }
+
+    /// Whether a request of the organisation waits for its quota that is at least as urgent.
+    pub(super) fn is_behind_quota_queue(
+        &self,
+        organisation: &Organisation,
+        urgency: Urgency,
+        now: Timestamp,
+    ) -> bool {
+        self.quota_queue.iter().any(|(key, waiter)| {
+            waiter.organisation.name == organisation.name && key.urgency(now) <= urgency
+        })
+    }
+
+    /// Number of requests of the organisation that wait for its quota, of the same or a more urgent rank.
+    pub(super) fn quota_waiters(&self, organisation: &Organisation, rank: Rank) -> usize {
+        let waiting = self.quota_queue.iter();
+        waiting
+            .filter(|(key, waiter)| {
+                key.rank <= rank && waiter.organisation.name == organisation.name
+            })
+            .count()
+    }
+
     /// Adds a request to the queue. Returns its number and the receiver of its placement.
     pub(super) fn enqueue(
         &mut self,
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -1,14 +1,17 @@
 //! The scheduler of a gateway: who gets the starts at limited backend servers.
 
 use {
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
     tamarackdale_core::{
+        cell::Layout,
         fleet::{
             Choice, Members,
             limit::{self, Limit},
             statement::Notice,
         },
+        routing_config::{Organisation, Quota, Unit},
         tier::Rank,
+        wait_queue::SchedulingKey,
     },
     tamarackdale_platform::{Settings, registration},
     tamarackdaled::{
@@ -174,3 +177,43 @@
 
     assert!(other.expect("at once").is_ok());
 }
+
+/// Guards against a stream that is refused by quota at a gateway that has just started, while a new one
+/// gets what is free once the gateway has heard its peers.
+#[tokio::test]
+async fn stream_that_goes_on_gets_the_quota_first_once_the_peers_are_heard() {
+    let bench = Bench::new();
+    let now = bench.clock.now();
+    let organisation = Arc::new(Organisation {
+        name: "o".to_owned(),
+        rank: None,
+        quota: Some(Quota {
+            rate: 100_000.0,
+            burst: 0.0,
+            unit: Unit::Requests,
+        }),
+    });
+    let admit = |is_resumed| {
+        let key = SchedulingKey {
+            rank: OTHER,
+            is_resumed,
+            is_retry: false,
+            on_time_until: now.plus(Duration::from_secs(1)),
+        };
+        let until = now.plus(Duration::from_millis(300));
+        // Two of them are more than the quota of 800,000 and what it may be overrun by.
+        bench.scheduler.admit(&organisation, 500_000.0, key, until)
+    };
+    let hear_peers = async {
+        tokio::task::yield_now().await;
+        bench
+            .scheduler
+            .set_gateways(1, 1, Layout::default(), Duration::ZERO);
+        bench.scheduler.admit_waiting();
+    };
+
+    let (new, resumed, ()) = tokio::join!(admit(false), admit(true), hear_peers);
+
+    assert!(resumed.is_ok(), "the stream goes on");
+    assert!(new.is_err(), "there is no room for both");
+}
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -154,6 +154,11 @@
     }
 }
 
+/// Lets each caller call a gateway once. Returns which of them are served.
+async fn call_all(callers: &mut [Caller], gateway: SocketAddr) -> Vec<bool> {
+    join_all(callers.iter_mut().map(|caller| caller.call(gateway))).await
+}
+
 fn servers(version: &str, count: usize) -> Vec<Server> {
     let server = |number| {
         let id = format!("{version}-{number}");
@@ -407,6 +412,62 @@
     assert!(whole * 2 >= CALLERS, "{whole} of {CALLERS} go on");
 }
 
+/// Guards against take-ups and new streams that are refused because gateways that have all just started
+/// have not heard each other yet, of an organisation that uses a good part of its quota.
+#[tokio::test]
+async fn streams_go_on_within_the_quota_right_after_all_gateways_were_killed() {
+    /// Units a second; a stream costs 70.
+    const RATE: u32 = 1_000;
+    /// Streams before the end of the gateways: more than half of the quota of eight seconds.
+    const BEFORE: usize = 90;
+    /// Time between the starts of two gateways.
+    const STAGGER: Duration = Duration::from_millis(100);
+    /// Time in which the use is saved.
+    const SAVED: Duration = Duration::from_millis(2_000);
+    let mut bench = Bench::start(4, 3, 0).await;
+    bench.register(&bench.old);
+    let configuration = Configuration::default()
+        .with("/routes/1/timeout_ms", json!(TIMEOUT.as_millis() as u64))
+        .with("/tenants/0/rate_per_s", json!(RATE))
+        .with("/tenants/0/burst", json!(RATE));
+    bench.site.configure(&configuration);
+    sleep(IN_FORCE).await;
+    bench.set_latency(Duration::from_millis(1));
+    for number in 0..BEFORE {
+        let mut caller = Caller::new(PATH, &format!("before-{number}"));
+        assert!(caller.call(bench.callers_address(number)).await, "served");
+    }
+    bench.set_latency(SLOW);
+    let mut callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+    sleep(SAVED).await;
+
+    bench.kill_gateways();
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    let mut new: Vec<Caller> = (CALLERS..CALLERS * 2).map(caller).collect();
+    let of_each = CALLERS / bench.gateways.len();
+    let starts = bench.gateways.iter_mut().enumerate();
+    let callers = callers.chunks_mut(of_each).zip(new.chunks_mut(of_each));
+    let served = join_all(starts.zip(callers).map(
+        |((number, gateway), (callers, new))| async move {
+            sleep(STAGGER * number as u32).await;
+            gateway.restart().expect("starts");
+            assert!(gateway.wait_ready(true).await, "not ready");
+            let address = gateway.callers();
+            tokio::join!(call_all(callers, address), call_all(new, address))
+        },
+    ));
+    let (taken_up, begun): (Vec<_>, Vec<_>) = served.await.into_iter().unzip();
+
+    let count = |served: Vec<Vec<bool>>| served.concat().into_iter().filter(|is| *is).count();
+    let (taken_up, begun) = (count(taken_up), count(begun));
+    assert!(
+        taken_up * 4 >= CALLERS * 3 && begun * 2 >= CALLERS,
+        "{taken_up} taken up, {begun} begun of {CALLERS} each"
+    );
+}
+
 /// Guards against a version that is forgotten after the first take-up: each one names the attempt that
 /// brought the first event, whoever served the ones between.
 #[tokio::test]
