Test of a named limit: the limited server is needed when it names its limit

The test failed with "0 of 44" now and then beside load: the limited server got no request at all.

Cause: a gateway with an open connection to the other server sends all there while that has free slots, which is what it should do. If all four gateways had done so within the first second, none asked the limited server and none heard of a limit. No caller waited or was refused.

The test assumed that the server is asked, so it is wrong there. Now the load needs both servers until the limit is named and heard. What is counted is as strict or stricter: the same bound on each window, all requests served, and at least half of the limit used within the same length, of which what arrives before all gateways have heard of the limit no longer counts.

--- a/testbed/tests/server_limit.rs
+++ b/testbed/tests/server_limit.rs
@@ -32,6 +32,12 @@
 /// Most requests that may reach a server with the limit [`LIMIT`] in a window.
 const ALLOWED: usize = 29; // 1.5 * 4 per second * 4 s + 5
 
+/// Latency at which the load needs twelve slots, of which one server has eight.
+const NEEDS_BOTH: Duration = Duration::from_millis(150);
+
+/// Latency at which one server carries the load.
+const QUICK: Duration = Duration::from_millis(10);
+
 /// A site with two servers of a service.
 struct Bench {
     _site: Site,
@@ -44,6 +50,13 @@
     start_configured(service, data_centres, in_each, &Configuration::default()).await
 }
 
+impl Bench {
+    fn set_latency(&self, latency: Duration) {
+        let servers = self.servers.iter();
+        servers.for_each(|server| server.set_latency(latency));
+    }
+}
+
 async fn start_configured(
     service: &str,
     data_centres: &[&str],
@@ -117,10 +130,16 @@
 ) {
     let bench = start(service).await;
     let limited = &bench.servers[0];
+    // A gateway that has an open connection to the other server need not ask this one, and would not hear
+    // of the limit: so both are needed until it is named.
+    bench.set_latency(NEEDS_BOTH);
     load(&bench, path, Duration::from_secs(1)).await;
-
     limited.set_limit(Some(&LIMIT.to_string()));
     let named = Instant::now();
+    load(&bench, path, Duration::from_secs(1)).await;
+    bench.set_latency(QUICK);
+
+    let heard = Instant::now();
     let answers = load(&bench, path, BINDS_AFTER + WINDOW * 2).await;
 
     let most = limited.most_arrivals(WINDOW, named + BINDS_AFTER);
@@ -133,7 +152,7 @@
         answers.len(),
         "the other server takes the rest"
     );
-    let taken = limited.arrivals().iter().filter(|at| **at > named).count();
+    let taken = limited.arrivals().iter().filter(|at| **at > heard).count();
     let offered = LIMIT * (BINDS_AFTER + WINDOW * 2).as_secs_f64();
     assert!(taken as f64 > offered / 2.0, "{taken} of {offered}");
 }
@@ -187,11 +206,7 @@
     let [limited, other] = &bench.servers[..] else {
         unreachable!("two servers")
     };
-    // One of them cannot carry the load, which needs twelve slots.
-    bench
-        .servers
-        .iter()
-        .for_each(|server| server.set_latency(Duration::from_millis(150)));
+    bench.set_latency(NEEDS_BOTH);
     limited.set_limit(Some(&LIMIT.to_string()));
     load(&bench, "/status/1", BINDS_AFTER).await;
 
