A request that is refused a start goes before less urgent ones that wait

Cause, from the gateways' logs: a request that asks for a start at one server does not wait in the queue. When it was refused, it was placed again, and before that all that waited were placed, also the less urgent: they got the start at the other server, in the same millisecond, again and again until the time of the urgent one was up.

Change: before a request is placed, only those that wait and are not less urgent go first.

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -224,8 +224,9 @@
             }
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
-            // Requests that wait although a slot is free go before new ones.
-            state.place_waiting(None, now);
+            // Requests that wait although a slot is free go before new ones, unless they are less urgent:
+            // this one may just have been refused a start.
+            state.place_waiting_before(Some((&request, urgency)), None, now);
             let must_wait = state.is_behind_waiting(&request, urgency, now)
                 || state.yields_to_peers(&request.service, urgency, now);
             if !must_wait {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -452,6 +452,17 @@
     /// Places waiting requests in queue order at free capacity of any backend server, or of `only`.
     /// A request never overtakes a more urgent one of its service for which there is no capacity.
     pub(super) fn place_waiting(&mut self, only: Option<&str>, now: Timestamp) {
+        self.place_waiting_before(None, only, now);
+    }
+
+    /// Like [`Self::place_waiting`], without those that must not overtake a `next` request, which is not
+    /// in the queue.
+    pub(super) fn place_waiting_before(
+        &mut self,
+        next: Option<(&PlacementRequest, Urgency)>,
+        only: Option<&str>,
+        now: Timestamp,
+    ) {
         if self.queue.is_empty() {
             return;
         }
@@ -462,7 +473,9 @@
             };
             let urgency = key.urgency(now);
             let request = waiter.request.clone();
-            if unplaced.iter().any(|other| other.competes_with(&request)) {
+            let is_behind_next =
+                next.is_some_and(|(next, most)| most < urgency && next.competes_with(&request));
+            if is_behind_next || unplaced.iter().any(|other| other.competes_with(&request)) {
                 continue;
             }
             let choice = match self.yields_to_peers(&request.service, urgency, now) {
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -1,7 +1,7 @@
 //! The scheduler of a gateway: who gets the starts at limited backend servers.
 
 use {
-    std::{sync::Arc, time::Duration},
+    std::{pin::pin, sync::Arc, time::Duration},
     tamarackdale_core::{
         cell::Layout,
         fleet::{
@@ -82,8 +82,13 @@
     }
 
     async fn place(&self, rank: Rank) -> Option<Result<Choice, PlacementError>> {
+        let placing = self.scheduler.place(self.request(rank));
+        timeout(AT_ONCE, placing).await.ok()
+    }
+
+    fn request(&self, rank: Rank) -> PlacementRequest {
         let now = self.clock.now();
-        let request = PlacementRequest {
+        PlacementRequest {
             service: "plain".to_owned(),
             rank,
             prompt: 0,
@@ -97,8 +102,7 @@
             deadline: now.plus(Duration::from_secs(10)),
             is_retry: false,
             is_optional: false,
-        };
-        timeout(AT_ONCE, self.scheduler.place(request)).await.ok()
+        }
     }
 
     /// Places an urgent request, which then asks for a start.
@@ -141,6 +145,23 @@
     assert_ne!(second.member.id, first.member.id);
 }
 
+/// Guards against a start at the other server for a less urgent request that waits in the queue, in the
+/// moment in which the more urgent one is refused its own and is placed again.
+#[tokio::test]
+async fn request_that_is_refused_a_start_goes_before_less_urgent_ones_that_wait() {
+    let bench = Bench::new();
+    let first = bench.place_urgent().await;
+    let mut other = pin!(bench.scheduler.place(bench.request(OTHER)));
+    let waiting = timeout(AT_ONCE, &mut other).await;
+    assert!(waiting.is_err(), "the less urgent request waits");
+
+    bench.refuse_start(&first);
+    let second = bench.place_urgent().await;
+
+    assert_ne!(second.member.id, first.member.id);
+    assert!(timeout(AT_ONCE, &mut other).await.is_err());
+}
+
 #[tokio::test]
 async fn less_urgent_request_gets_a_start_once_the_more_urgent_one_has_its_own() {
     let bench = Bench::new();
