--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -222,7 +222,8 @@
 }
 
 /// Returns the readiness check: a gateway is ready while its configuration is confirmed to be
-/// current, it knows backend servers and it is not shutting down.
+/// current, it knows backend servers and the number of gateways that share the quotas, and it is not
+/// shutting down.
 fn readiness(context: &Context) -> Arc<dyn Fn() -> bool + Send + Sync> {
     let context = context.clone();
     Arc::new(move || {
@@ -230,7 +231,11 @@
         let is_current = context
             .snapshot()
             .is_some_and(|snapshot| snapshot.freshness.is_fresh(now) && snapshot.is_usable(now));
-        !context.closing.is_cancelled() && is_current && context.scheduler.has_servers()
+        let knows_gateways = context.store.gateways.borrow().is_some();
+        !context.closing.is_cancelled()
+            && is_current
+            && knows_gateways
+            && context.scheduler.has_servers()
     })
 }
 
--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -35,6 +35,7 @@
                 Err(Error::NoLease) => None,
                 Err(error) => {
                     self.record_store_error("gateways", &error);
+                    self.read_first_gateways(&mut rejections).await;
                     failures += 1;
                     self.pause_after(failures).await;
                     continue;
@@ -62,6 +63,15 @@
         Ok(lease)
     }
 
+    /// Reads the other registrations although this gateway could not register, unless they have been
+    /// read: without them it admits nothing of the quotas. The store may take no writes.
+    async fn read_first_gateways(&self, rejections: &mut Rejections) {
+        let is_first = self.channels.gateways.borrow().is_none();
+        if is_first && let Err(error) = self.read_gateways(rejections).await {
+            self.record_store_error("gateways", &error);
+        }
+    }
+
     /// Renews the lease of the registration. The other registrations are read again only while a
     /// known gateway is unreachable, to tell whether it is still registered. New gateways introduce
     /// themselves.
