--- a/daemon/src/gateway/follower/gateways.rs
+++ b/daemon/src/gateway/follower/gateways.rs
@@ -56,6 +56,8 @@
                 Err(Error::NoLease) => None,
                 Err(error) => {
                     self.record_store_error("gateways", &error);
+                    self.read_first_gateways(keeps_missing, &mut rejections)
+                        .await;
                     failures += 1;
                     self.pause_after(failures).await;
                     continue;
@@ -87,6 +89,15 @@
         Ok(lease)
     }
 
+    /// Reads the other registrations although this gateway could not register, unless they have been
+    /// read: without them it admits nothing of the quotas. The store may take no writes.
+    async fn read_first_gateways(&self, keeps_missing: bool, rejections: &mut Rejections) {
+        let is_first = self.channels.gateways.borrow().is_none();
+        if is_first && let Err(error) = self.read_gateways(keeps_missing, rejections).await {
+            self.record_store_error("gateways", &error);
+        }
+    }
+
     /// Renews the lease of the registration. The other registrations are read again only while a
     /// known gateway is unreachable, to tell whether it is still registered. New gateways introduce
     /// themselves.
@@ -120,9 +131,12 @@
             .filter(|address| *address != own)
             .collect();
         if keeps_missing {
-            addresses.extend(self.channels.gateways.borrow().iter());
+            let known = self.channels.gateways.borrow();
+            addresses.extend(known.iter().flat_map(|known| known.iter().copied()));
         }
-        self.channels.gateways.send_replace(Arc::new(addresses));
+        self.channels
+            .gateways
+            .send_replace(Some(Arc::new(addresses)));
         Ok(())
     }
 }
--- a/daemon/src/gateway/follower/origins.rs
+++ b/daemon/src/gateway/follower/origins.rs
@@ -165,7 +165,8 @@
 
     /// Pauses after a read of the saved origins or of the registrations that began at `started`.
     async fn pause_after_read(&self, started: Instant) {
-        let gateways = self.channels.gateways.borrow().len() + 1;
+        let others = self.channels.gateways.borrow().clone();
+        let gateways = others.map_or(0, |others| others.len()) + 1;
         let interval = origin::read_interval(gateways, self.settings.borrow().store_reads_per_s);
         sleep(interval.saturating_sub(started.elapsed())).await;
     }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -9,7 +9,7 @@
 pub use {in_flight::InFlightRequest, placement_request::PlacementRequest, retry::Retry};
 
 use {
-    self::state::State,
+    self::state::{QuotaWaiter, State},
     crate::{clock::Clock, quarantine},
     rand::Rng as _,
     std::{
@@ -30,9 +30,13 @@
         summary::Summary,
         time::Timestamp,
         wait_policy,
+        wait_queue::SchedulingKey,
     },
     tamarackdale_platform::Settings,
-    tokio::{sync::Notify, time::timeout},
+    tokio::{
+        sync::{Notify, oneshot},
+        time::timeout,
+    },
 };
 
 /// Why the scheduler cannot place a request.
@@ -118,10 +122,68 @@
         self.lock().fleet.utilisation(service, now)
     }
 
-    /// Charges a request to its organisation's quota. Fails if the quota is exceeded.
-    pub fn admit(&self, organisation: &Organisation, cost: f64) -> Result<(), QuotaExceeded> {
+    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. While this
+    /// gateway has just started and has not heard its peers, the request waits until `wait_until` for
+    /// more than the gateway's own part, in order of `key`.
+    pub async fn admit(
+        &self,
+        organisation: &Arc<Organisation>,
+        cost: f64,
+        key: SchedulingKey,
+        wait_until: Timestamp,
+    ) -> Result<(), QuotaExceeded> {
+        let (number, reply, wait, exceeded) = {
+            let mut state = self.lock();
+            let now = self.clock.now();
+            // Those that wait and fit by now go first.
+            state.admit_waiting(now);
+            let random = state.random.random();
+            let must_wait = state.ledger.is_settling(now)
+                && state.is_behind_quota_queue(organisation, key.urgency(now), now);
+            let exceeded = match must_wait {
+                true => state.ledger.exceeded(organisation, cost, now),
+                false => state.ledger.admit(organisation, cost, random, now).err(),
+            };
+            let Some(exceeded) = exceeded else {
+                return Ok(());
+            };
+            let has_place = state.quota_waiters(organisation, key.rank) < wait_policy::MAX_WAITING;
+            if !state.ledger.is_settling(now) || wait_until <= now || !has_place {
+                return Err(exceeded);
+            }
+            let (sender, reply) = oneshot::channel();
+            let waiter = QuotaWaiter {
+                organisation: Arc::clone(organisation),
+                cost,
+                reply: sender,
+            };
+            let number = state.quota_queue.insert(key, waiter);
+            (number, reply, wait_until.since(now), exceeded)
+        };
+        // Dropped, and so removed from the queue, also when the caller disconnects.
+        let _queued = QuotaGuard {
+            scheduler: self,
+            number,
+        };
+        match timeout(wait, reply).await {
+            Ok(Ok(())) => Ok(()),
+            _ => Err(exceeded),
+        }
+    }
+
+    /// Charges requests that wait for their quotas, as far as they fit. Called periodically.
+    pub fn admit_waiting(&self) {
         let now = self.clock.now();
-        self.lock().ledger.admit(organisation, cost, now)
+        let mut state = self.lock();
+        if !state.quota_queue.is_empty() {
+            state.admit_waiting(now);
+        }
+    }
+
+    /// Records that the other gateways are known from now on, which are then expected to be heard.
+    pub fn expect_peers(&self) {
+        let until = self.clock.now().plus(state::SETTLING_TIME);
+        self.lock().ledger.expect_peers(until);
     }
 
     /// Restores the quota use that was saved before this start.
@@ -175,8 +237,9 @@
             }
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
-            // Requests that wait although a slot is free go before new ones.
-            state.place_waiting(None, now);
+            // Requests that wait although a slot is free go before new ones, unless they are less urgent:
+            // this one may just have been refused a start.
+            state.place_waiting_before(Some((&request, urgency)), None, now);
             let must_wait = state.is_behind_waiting(&request, urgency, now)
                 || state.yields_to_peers(&request.service, urgency, now);
             if !must_wait {
@@ -402,7 +465,7 @@
             }
         }
         for usage in &summary.usages {
-            state.ledger.merge(peer, usage, now);
+            state.ledger.merge(peer, usage, summary.is_complete, now);
         }
         // A peer's first summary contains all its counts, and later ones build on it.
         if summary.is_complete {
@@ -426,9 +489,10 @@
     /// Removes a peer that has disconnected. Its load and its waiting requests no longer count; the
     /// quota that it used stays counted until the window has passed.
     pub fn remove_peer(&self, peer: u64) {
+        let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.remove_peer(peer);
-        state.ledger.remove_peer(peer);
+        state.ledger.remove_peer(peer, now);
         state.peer_waiting.remove(&peer);
     }
 
@@ -488,6 +552,18 @@
     }
 }
 
+/// Removes a request that waits for its quota from the queue when dropped.
+struct QuotaGuard<'a> {
+    scheduler: &'a Scheduler,
+    number: u64,
+}
+
+impl Drop for QuotaGuard<'_> {
+    fn drop(&mut self) {
+        self.scheduler.lock().quota_queue.remove(self.number);
+    }
+}
+
 /// Removes a request from the queue when dropped.
 struct QueueGuard<'a> {
     scheduler: &'a Scheduler,
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -1,14 +1,17 @@
 //! The scheduler of a gateway: who gets the starts at limited backend servers.
 
 use {
-    std::time::Duration,
+    std::{pin::pin, sync::Arc, time::Duration},
     tamarackdale_core::{
+        cell::Layout,
         fleet::{
             Choice, Members,
             limit::{self, Limit},
             statement::Notice,
         },
+        routing_config::{Organisation, Quota, Unit},
         tier::Rank,
+        wait_queue::SchedulingKey,
     },
     tamarackdale_platform::{Settings, registration},
     tamarackdaled::{
@@ -79,8 +82,13 @@
     }
 
     async fn place(&self, rank: Rank) -> Option<Result<Choice, PlacementError>> {
+        let placing = self.scheduler.place(self.request(rank));
+        timeout(AT_ONCE, placing).await.ok()
+    }
+
+    fn request(&self, rank: Rank) -> PlacementRequest {
         let now = self.clock.now();
-        let request = PlacementRequest {
+        PlacementRequest {
             service: "plain".to_owned(),
             rank,
             prompt: 0,
@@ -95,8 +103,7 @@
             deadline: now.plus(Duration::from_secs(10)),
             is_retry: false,
             is_optional: false,
-        };
-        timeout(AT_ONCE, self.scheduler.place(request)).await.ok()
+        }
     }
 
     /// Places an urgent request, which then asks for a start.
@@ -139,6 +146,23 @@
     assert_ne!(second.member.id, first.member.id);
 }
 
+/// Guards against a start at the other server for a less urgent request that waits in the queue, in the
+/// moment in which the more urgent one is refused its own and is placed again.
+#[tokio::test]
+async fn request_that_is_refused_a_start_goes_before_less_urgent_ones_that_wait() {
+    let bench = Bench::new();
+    let first = bench.place_urgent().await;
+    let mut other = pin!(bench.scheduler.place(bench.request(OTHER)));
+    let waiting = timeout(AT_ONCE, &mut other).await;
+    assert!(waiting.is_err(), "the less urgent request waits");
+
+    bench.refuse_start(&first);
+    let second = bench.place_urgent().await;
+
+    assert_ne!(second.member.id, first.member.id);
+    assert!(timeout(AT_ONCE, &mut other).await.is_err());
+}
+
 #[tokio::test]
 async fn less_urgent_request_gets_a_start_once_the_more_urgent_one_has_its_own() {
     let bench = Bench::new();
@@ -175,3 +199,43 @@
 
     assert!(other.expect("at once").is_ok());
 }
+
+/// Guards against a stream that is refused by quota at a gateway that has just started, while a new one
+/// gets what is free once the gateway has heard its peers.
+#[tokio::test]
+async fn stream_that_goes_on_gets_the_quota_first_once_the_peers_are_heard() {
+    let bench = Bench::new();
+    let now = bench.clock.now();
+    let organisation = Arc::new(Organisation {
+        name: "o".to_owned(),
+        rank: None,
+        quota: Some(Quota {
+            rate: 100_000.0,
+            burst: 0.0,
+            unit: Unit::Requests,
+        }),
+    });
+    let admit = |is_resumed| {
+        let key = SchedulingKey {
+            rank: OTHER,
+            is_resumed,
+            is_retry: false,
+            on_time_until: now.plus(Duration::from_secs(1)),
+        };
+        let until = now.plus(Duration::from_millis(300));
+        // Two of them are more than the quota of 800,000 and what it may be overrun by.
+        bench.scheduler.admit(&organisation, 500_000.0, key, until)
+    };
+    let hear_peers = async {
+        tokio::task::yield_now().await;
+        bench
+            .scheduler
+            .set_gateways(1, 1, Layout::default(), Duration::ZERO);
+        bench.scheduler.admit_waiting();
+    };
+
+    let (new, resumed, ()) = tokio::join!(admit(false), admit(true), hear_peers);
+
+    assert!(resumed.is_ok(), "the stream goes on");
+    assert!(new.is_err(), "there is no room for both");
+}
