--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -13,7 +13,7 @@
     },
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
-        sync::watch,
+        sync::{Notify, watch},
         time::{Instant, sleep_until},
     },
 };
@@ -41,6 +41,25 @@
     head_since: Option<Instant>,
     /// Whether bytes wait until the peer takes them.
     is_write_blocked: bool,
+    /// Whether the body of the last request has not been read to its end.
+    is_body_unread: bool,
+    /// Bodies whose rests are being read after their answers. There may be two for a moment, since the
+    /// next request's head can come with the end of a rest.
+    discards: usize,
+    /// Number of bytes that were read.
+    bytes_read: u64,
+}
+
+impl State {
+    /// Whether anything but the peer is waited for, or the peer takes an answer.
+    fn is_busy(&self) -> bool {
+        self.requests > 0 || self.discards > 0 || self.is_write_blocked
+    }
+
+    /// Whether the next request has not begun either.
+    fn is_idle(&self) -> bool {
+        !self.is_busy() && self.head_since.is_none()
+    }
 }
 
 /// A request that is in progress until this is dropped.
@@ -63,9 +82,11 @@
     }
 
     /// Records that bytes were read.
-    fn record_read(&self) {
+    fn record_read(&self, bytes: usize) {
         self.state.send_if_modified(|state| {
-            let is_new_head = state.requests == 0 && state.head_since.is_none();
+            state.bytes_read += bytes as u64;
+            let is_new_head =
+                state.requests == 0 && state.discards == 0 && state.head_since.is_none();
             if is_new_head {
                 state.head_since = Some(Instant::now());
             }
@@ -73,6 +94,29 @@
         });
     }
 
+    /// Records that the body of the last request has not been read to its end.
+    pub fn record_unread_body(&self) {
+        self.state.send_if_modified(|state| {
+            state.is_body_unread = true;
+            false
+        });
+    }
+
+    /// Records that the rest of the last request's body is read from now on. The connection is not idle
+    /// until the end of that.
+    pub fn begin_discard(&self) {
+        self.state.send_modify(|state| state.discards += 1);
+    }
+
+    /// Records that the rest of a body is not read any more, either because it was read to its end or
+    /// because that took too long.
+    pub fn end_discard(&self, is_whole: bool) {
+        self.state.send_modify(|state| {
+            state.discards -= 1;
+            state.is_body_unread &= !is_whole || state.discards > 0;
+        });
+    }
+
     /// Records whether bytes that were to be written wait until the peer takes them.
     fn record_write(&self, is_blocked: bool) {
         self.state.send_if_modified(|state| {
@@ -87,6 +131,7 @@
         self.state.send_modify(|state| {
             state.requests += 1;
             state.head_since = None;
+            state.is_body_unread = false;
         });
         InProgress {
             state: Arc::clone(&self.state),
@@ -98,13 +143,37 @@
         self.state.borrow().requests
     }
 
+    /// Number of bytes that were read.
+    pub fn bytes_read(&self) -> u64 {
+        self.state.borrow().bytes_read
+    }
+
+    /// Whether the peer has sent a part of a request and not all of it, as far as was read.
+    pub fn is_request_incomplete(&self) -> bool {
+        let state = self.state.borrow();
+        state.is_body_unread || state.head_since.is_some()
+    }
+
+    /// Waits until the connection is idle and `reclaim` notifies it. The one that has waited longest is
+    /// notified first.
+    pub async fn reclaimed(&self, reclaim: &Notify) {
+        let mut changes = self.state.subscribe();
+        loop {
+            let is_idle = changes.borrow_and_update().is_idle();
+            tokio::select! {
+                _ = changes.changed() => {}
+                () = reclaim.notified(), if is_idle => return,
+            }
+        }
+    }
+
     /// Waits until a head takes too long, or the connection has been idle for too long. The timeouts
     /// are read at the beginning and at the end of that time, and the longer one counts.
     pub async fn timed_out(&self, timeouts: &(dyn Fn() -> Timeouts + Send + Sync)) {
         let mut changes = self.state.subscribe();
         loop {
             let state = *changes.borrow_and_update();
-            if state.requests > 0 || state.is_write_blocked {
+            if state.is_busy() {
                 // The sender lives as long as `self`.
                 let _ = changes.changed().await;
                 continue;
@@ -154,6 +223,13 @@
     activity: Activity,
 }
 
+impl<T> Observed<T> {
+    /// The stream itself.
+    pub fn into_inner(self) -> T {
+        self.stream
+    }
+}
+
 impl<T: AsyncRead + Unpin> AsyncRead for Observed<T> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -162,8 +238,9 @@
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            self.activity.record_read();
+        let bytes = buffer.filled().len() - before;
+        if bytes > 0 {
+            self.activity.record_read(bytes);
         }
         polled
     }
--- a/testbed/tests/kept_connections.rs
+++ b/testbed/tests/kept_connections.rs
@@ -14,6 +14,8 @@
     tamarackdale_testbed::{
         http,
         platform::{Configuration, Gateway, Server, Site, request},
+        store::Outage,
+        strict::{self, Framing},
     },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
@@ -85,6 +87,56 @@
     assert_eq!(last.expect("answered"), 200);
 }
 
+/// Guards against a connection that is closed at the last of several idle timeouts, while its caller may
+/// still rely on a longer one: for the convergence of the site's settings, a second.
+#[rstest]
+#[case::raised_and_lowered(&[10_000, IDLE_TIMEOUT_MS], Duration::from_millis(2_150))]
+#[case::lowered(&[50], Duration::from_millis(850))]
+#[tokio::test]
+async fn kept_connection_stays_open_for_the_longest_recent_idle_timeout(
+    #[case] timeouts_ms: &[u64],
+    #[case] idle: Duration,
+) {
+    /// More than the shortest of the timeouts.
+    const LEAST_IDLE: Duration = Duration::from_millis(100);
+    let bench = start().await;
+    let opened = http::Connection::open(bench.gateway.callers()).await;
+    let mut connection = opened.expect("accepted");
+    let mut next = configuration();
+
+    let first = call(&mut connection, "k-1").await;
+    let end = tokio::time::Instant::now() + idle;
+    for timeout_ms in timeouts_ms {
+        next = next.with("/limits/idle_timeout_ms", json!(timeout_ms));
+        bench.site.configure(&next);
+        wait_applied(&bench, &next).await;
+    }
+    let second = match timeouts_ms {
+        [_] => call(&mut connection, "k-2").await,
+        _ => Ok(200),
+    };
+    tokio::time::sleep_until(end.max(tokio::time::Instant::now() + LEAST_IDLE)).await;
+    let last = call(&mut connection, "k-3").await;
+
+    assert_eq!(first.expect("answered"), 200);
+    assert_eq!(second.expect("answered"), 200);
+    assert_eq!(last.expect("answered"), 200);
+}
+
+/// Waits until the gateway has applied a version of the configuration.
+async fn wait_applied(bench: &Bench, configuration: &Configuration) {
+    let version = &configuration.value["version"];
+    let is_applied = || {
+        let logs = bench.gateway.process.logs();
+        let mut applied = logs.iter();
+        applied
+            .any(|line| line["message"] == "configuration applied" && &line["version"] == version)
+    };
+    while !is_applied() {
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Guards against a connection that is closed under a request whose caller kept to the idle timeout and
 /// to the timeout for heads, because the time before the head counts as part of it.
 #[rstest]
@@ -229,3 +281,89 @@
         answers.len()
     );
 }
+
+/// Guards against a refusal of which the log does not tell whether its request's body was read.
+#[rstest]
+#[case::by_the_head("Bearer another", "unknown-key", false)]
+#[case::after_the_body("Bearer key", "quota", true)]
+#[tokio::test]
+async fn log_tells_whether_the_body_of_a_refused_request_was_read(
+    #[case] key: &'static str,
+    #[case] cause: &str,
+    #[case] expected: bool,
+) {
+    let bench = start().await;
+    let limited = configuration()
+        .with("/tenants/0/rate_per_s", json!(1))
+        .with("/tenants/0/burst", json!(1));
+    bench.site.configure(&limited);
+    sleep(IN_FORCE).await;
+    let mut refused = request("/status/1", "b-1");
+    let key = hyper::header::HeaderValue::from_static(key);
+    refused.headers_mut().insert("authorization", key);
+    let tokens = hyper::header::HeaderValue::from_static("90000,90000");
+    refused.headers_mut().insert("token-usage", tokens);
+
+    // The first one may overrun a quota.
+    let _ = http::call(bench.gateway.callers(), refused.clone(), CALL_LIMIT).await;
+    let answer = http::call(bench.gateway.callers(), refused, CALL_LIMIT).await;
+    let line = bench
+        .gateway
+        .process
+        .wait_for_log("refused", CALL_LIMIT, |line| {
+            line["message"] == "refused" && line["cause"] == cause
+        });
+
+    assert!(answer.expect("answered").status() >= 400);
+    assert_eq!(line.expect("logged")["body_read"], json!(expected));
+}
+
+/// Guards against a refusal by the head alone that is lost while its caller still sends the body.
+#[rstest]
+#[case::malformed("/status/1", "key\r\nTime-Budget: x", 6, 400)]
+#[case::unknown_key("/status/1", "another", 6, 401)]
+#[case::no_route("/none", "key", 6, 404)]
+#[case::body_too_large("/status/1", "key", 40, 413)]
+#[case::not_proved("/status/1", "key", 6, 503)]
+#[tokio::test]
+async fn refusal_reaches_a_caller_that_sends_all_first(
+    #[case] path: &str,
+    #[case] key: &str,
+    #[case] pieces: usize,
+    #[case] expected: u16,
+    #[values(Framing::Length, Framing::Chunked)] framing: Framing,
+) {
+    const CALLS: usize = 20;
+    let bench = start().await;
+    if expected == 503 {
+        bench.site.store.stop(Outage::Refuse);
+        assert!(bench.gateway.wait_ready(false).await, "still ready");
+    }
+    let refused = strict_request(path, key, pieces, framing);
+    let mut lost = Vec::new();
+
+    for _ in 0..CALLS {
+        let opened = strict::Connection::open(bench.gateway.callers()).await;
+        let answer = opened.expect("accepted").call(&refused, CALL_LIMIT).await;
+        match answer {
+            Ok(answer) => assert_eq!(answer.status, expected),
+            Err(error) => lost.push(error),
+        }
+    }
+
+    assert!(lost.is_empty(), "{} of {CALLS} lost: {lost:?}", lost.len());
+}
+
+/// A request in pieces a few milliseconds apart.
+fn strict_request(path: &str, key: &str, pieces: usize, framing: Framing) -> strict::Request {
+    strict::Request {
+        head: format!(
+            "POST {path} HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: s-1\r\n\
+             Authorization: Bearer {key}\r\n"
+        ),
+        piece: 9_000,
+        pieces,
+        pause: Duration::from_millis(5),
+        framing,
+    }
+}
