A new connection does not make room before its request arrives

At the connection limit, callers whose request was still on its way lost their connection: if no kept connection was idle, the newest one was the longest idle, and the next caller's connection took its place, so of several callers only the last one was served. The same held for a kept connection between an answer and the next request.

A connection makes room once it has been idle for half a second; a notification waits until one has been. One that has just got a request does not take the notification any more.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -14,10 +14,14 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         sync::{Notify, watch},
-        time::{Instant, sleep_until},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
+/// Time for which a connection is idle before it makes room for another one. Its first or next request may
+/// be on its way: a round trip and thread scheduling on a loaded machine.
+const RECLAIM_IDLE: Duration = Duration::from_millis(500);
+
 /// Timeouts of a connection on which no request is in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -154,15 +158,21 @@
         state.is_body_unread || state.head_since.is_some()
     }
 
-    /// Waits until the connection is idle and `reclaim` notifies it. The one that has waited longest is
-    /// notified first.
+    /// Waits until the connection has been idle for [`RECLAIM_IDLE`] and `reclaim` notifies it. The one
+    /// that has waited longest is notified first.
     pub async fn reclaimed(&self, reclaim: &Notify) {
         let mut changes = self.state.subscribe();
         loop {
             let is_idle = changes.borrow_and_update().is_idle();
+            let notified = async {
+                sleep(RECLAIM_IDLE).await;
+                reclaim.notified().await;
+            };
             tokio::select! {
+                // A request may have begun since the notification.
+                biased;
                 _ = changes.changed() => {}
-                () = reclaim.notified(), if is_idle => return,
+                () = notified, if is_idle => return,
             }
         }
     }
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -22,6 +22,7 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::TcpStream,
+        task::JoinSet,
         time::{Instant, sleep, timeout},
     },
 };
@@ -390,3 +391,33 @@
 
     assert!(answered.iter().all(|answered| *answered), "{answered:?}");
 }
+
+/// Guards against callers at the connection limit that lose their connection to each other before their
+/// requests arrive.
+#[tokio::test]
+async fn new_connection_does_not_make_room_before_its_request_arrives() {
+    const CALLERS: usize = 4;
+    const TRANSIT: Duration = Duration::from_millis(50);
+    let (address, _) = start(16, Duration::from_secs(60)).await;
+    let mut busy = Vec::new();
+    for _ in 1..MAX_CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("accepted");
+        stream.write_all(b"GET / HTTP/1.1\r\n").await.expect("sent");
+        busy.push(stream);
+    }
+    sleep(TRANSIT).await;
+    let mut callers = JoinSet::new();
+
+    for _ in 0..CALLERS {
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            sleep(TRANSIT).await;
+            let request = pieces("/last", 1, Framing::Length);
+            let answer = connection.call(&request, CALL_LIMIT).await;
+            answer.map(|answer| answer.status)
+        });
+    }
+    let answers = callers.join_all().await;
+
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+}
