Idle connections make room at once, whoever closes them

At the connection limit, eight callers that connected at once were served two a second: each idle connection that made room was ended as after its last answer, which waits for half a second for its peer to close it, and a peer that waits for its own next request does not look. In three runs, 7, 7 and 6 of 8 calls were not answered within the second after which callers give up; the new test passed in three of three runs now.

Its peer has had the last answer for half a second, so the connection is closed as at the idle timeout.

--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -220,13 +220,13 @@
                     }
                     () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
                     () = discarding.as_mut() => {}
-                    () = activity.reclaimed(&reclaim) => {}
+                    // It has been idle for long enough that its peer has the last answer.
+                    () = activity.reclaimed(&reclaim) => return,
                     () = activity.timed_out(&*timeouts) => {
                         log_incomplete_request(name, peer, &activity);
                         return;
                     }
                 }
-                // The shutdown begins, or the connection makes room for another one.
                 Pin::new(&mut connection).graceful_shutdown();
             };
             // The end of a rest can come with the end of its connection.
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -421,3 +421,34 @@
 
     assert!(answers.iter().all(Result::is_ok), "{answers:?}");
 }
+
+/// Guards against callers that wait for the peers of idle connections, which do not look at them.
+#[tokio::test]
+async fn idle_connections_make_room_at_once_although_their_peers_do_not_close_them() {
+    /// Time after which callers give up if their request has not been read.
+    const PATIENCE: Duration = Duration::from_secs(1);
+    let (address, _) = start(16, Duration::from_secs(60)).await;
+    let request = pieces("/", 1, Framing::Length);
+    let mut kept = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        let answer = connection.call(&request, CALL_LIMIT).await;
+        assert_eq!(answer.expect("answered").status, 200);
+        kept.push(connection);
+    }
+    sleep(PATIENCE).await;
+    let mut callers = JoinSet::new();
+
+    for _ in 0..MAX_CONNECTIONS {
+        let request = request.clone();
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            let answer = connection.call(&request, PATIENCE).await;
+            (answer.map(|answer| answer.status), connection)
+        });
+    }
+    let called = callers.join_all().await;
+
+    let answers: Vec<_> = called.iter().map(|(answer, _)| answer).collect();
+    assert!(answers.iter().all(|answer| answer.is_ok()), "{answers:?}");
+}
