The end of a body does not stand for that of the next request's

A caller that still sent the body of a request whose answer ends the connection had a broken pipe half a second after the answer, if the head had come with the end of another body that was discarded: hyper reads the end and the head in one step, and the end of the first body was noted after the second request had begun, as the end of the second one. So the server waited for the peer as if it had sent whole requests.

Rests are numbered by their requests.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -41,6 +41,8 @@
 struct State {
     /// Requests in progress.
     requests: usize,
+    /// Number of requests that have begun.
+    requests_begun: u64,
     /// When the first byte of a head arrived that is not complete.
     head_since: Option<Instant>,
     /// Whether bytes wait until the peer takes them.
@@ -107,17 +109,19 @@
     }
 
     /// Records that the rest of the last request's body is read from now on. The connection is not idle
-    /// until the end of that.
-    pub fn begin_discard(&self) {
+    /// until the end of that. Returns the request's number.
+    pub fn begin_discard(&self) -> u64 {
         self.state.send_modify(|state| state.discards += 1);
+        self.state.borrow().requests_begun
     }
 
-    /// Records that the rest of a body is not read any more, either because it was read to its end or
-    /// because that took too long.
-    pub fn end_discard(&self, is_whole: bool) {
+    /// Records that the rest of the body of a request is not read any more, either because it was read to
+    /// its end or because that took too long.
+    pub fn end_discard(&self, request: u64, is_whole: bool) {
         self.state.send_modify(|state| {
             state.discards -= 1;
-            state.is_body_unread &= !is_whole || state.discards > 0;
+            // The next request may have begun, with a body of its own.
+            state.is_body_unread &= !is_whole || state.requests_begun != request;
         });
     }
 
@@ -134,6 +138,7 @@
     pub fn begin_request(&self) -> InProgress {
         self.state.send_modify(|state| {
             state.requests += 1;
+            state.requests_begun += 1;
             state.head_since = None;
             state.is_body_unread = false;
         });
--- a/daemon/src/http/request_body.rs
+++ b/daemon/src/http/request_body.rs
@@ -104,20 +104,20 @@
     }
 }
 
-/// Reads the rests of bodies, whose lengths are known, to their ends, so that the connection can be used
-/// for the next request. One that is too slow is dropped, whereupon the connection ends after the answer.
-/// Never returns.
+/// Reads the rests of the bodies of numbered requests, whose lengths are known, to their ends, so that the
+/// connection can be used for the next request. One that is too slow is dropped, whereupon the connection
+/// ends after the answer. Never returns.
 pub async fn discard_all(
     name: &'static str,
     peer: SocketAddr,
     activity: Activity,
-    mut rests: mpsc::UnboundedReceiver<Incoming>,
+    mut rests: mpsc::UnboundedReceiver<(u64, Incoming)>,
 ) {
-    while let Some(mut rest) = rests.recv().await {
+    while let Some((request, mut rest)) = rests.recv().await {
         let mut bytes = 0;
         let discarded = timeout(DISCARD_TIMEOUT, discard(&mut rest, &mut bytes)).await;
         let is_whole = discarded.unwrap_or(false);
-        activity.end_discard(is_whole);
+        activity.end_discard(request, is_whole);
         log::info!(
             listener = name,
             peer:% = peer,
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -185,9 +185,9 @@
                             let close = HeaderValue::from_static("close");
                             response.headers_mut().insert(CONNECTION, close);
                         } else {
-                            activity.begin_discard();
+                            let request = activity.begin_discard();
                             // The receiver lives as long as the connection.
-                            let _ = rests.send(rest);
+                            let _ = rests.send((request, rest));
                         }
                     }
                     response.map(|body| in_progress.until_end_of(body))
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -452,3 +452,29 @@
     let answers: Vec<_> = called.iter().map(|(answer, _)| answer).collect();
     assert!(answers.iter().all(|answer| answer.is_ok()), "{answers:?}");
 }
+
+/// Guards against a request that counts as read to its end because the one before it is.
+#[tokio::test]
+async fn last_answer_reaches_a_caller_whose_head_came_with_the_end_of_another_body() {
+    /// Longer than the server waits for a peer that has sent whole requests.
+    const PAUSE: Duration = Duration::from_secs(1);
+    let (address, _) = start(16, IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let first = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nbody";
+    let second = "bodyPOST /last HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n\r\nbody";
+
+    stream.write_all(first.as_bytes()).await.expect("sent");
+    let mut answer = [0; 1_000];
+    let read = stream.read(&mut answer).await;
+    assert!(read.is_ok_and(|bytes| bytes > 0) && answer.starts_with(b"HTTP/1.1 200"));
+    stream.write_all(second.as_bytes()).await.expect("sent");
+    for _ in 0..2 {
+        sleep(PAUSE).await;
+        stream.write_all(b"body").await.expect("sent");
+    }
+    let mut last = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut last)).await;
+
+    assert!(matches!(read, Ok(Ok(_))), "{read:?}: {last}");
+    assert!(last.starts_with("HTTP/1.1 200"), "{last}");
+}
