--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -6,24 +6,35 @@
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::{Response, body::Frame},
+        hyper::{
+            Response, Uri,
+            body::Frame,
+            header::{CONNECTION, HeaderValue},
+        },
+        router::Router,
         state::{State, StateData},
     },
     rstest::rstest,
     std::{io, net::SocketAddr, time::Duration},
+    tamarackdale_testbed::strict::{Connection, Framing, Request},
     tamarackdaled::{
-        http::{self, Server, activity::Timeouts, body},
+        http::{self, Server, activity::Timeouts, body, request_body::DISCARD_TIMEOUT},
         signal::Shutdown,
     },
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::TcpStream,
-        time::sleep,
+        time::{Instant, sleep, timeout},
     },
 };
 
 const IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+const MAX_CONNECTIONS: usize = 8;
+
+/// Longest time for an answer once the request has been sent.
+const CALL_LIMIT: Duration = Duration::from_secs(3);
+
 /// Time from a part of a stream to its break.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -64,18 +75,29 @@
             body::stream(first.chain(rest))
         }
     };
-    Ok((state, Response::new(body)))
+    let mut response = Response::new(body);
+    match state.borrow::<Uri>().path() {
+        "/last" => {
+            let close = HeaderValue::from_static("close");
+            response.headers_mut().insert(CONNECTION, close);
+        }
+        "/panic" => panic!("the test wants it"),
+        _ => {}
+    }
+    Ok((state, response))
 }
 
-/// A server that answers each request like this, without reading the request's body.
-async fn start(answers: Answer, idle: Duration) -> (SocketAddr, Shutdown) {
-    let router = http::catch_all_router(answers, answer);
+async fn bind(router: Router) -> (Server<Router>, SocketAddr) {
     let port = std::net::TcpListener::bind("127.0.0.1:0").expect("binds");
     let address = port.local_addr().expect("bound");
     drop(port);
-    let server = Server::bind("test", address, 8, router)
-        .await
-        .expect("binds");
+    let server = Server::bind("test", address, MAX_CONNECTIONS, router).await;
+    (server.expect("binds"), address)
+}
+
+/// A server that answers each request like this, without reading the request's body.
+async fn start(answers: Answer, idle: Duration) -> (SocketAddr, Shutdown) {
+    let (server, address) = bind(http::catch_all_router(answers, answer)).await;
     let server = server.with_timeouts(move || Timeouts { idle, head: idle });
     let shutdown = Shutdown::new();
     let served = shutdown.clone();
@@ -191,3 +213,212 @@
 
     assert_eq!(answered, CALLS, "answered");
 }
+
+/// A request to a path in pieces that are sent a few milliseconds apart.
+fn pieces(path: &str, count: usize, framing: Framing) -> Request {
+    Request {
+        head: format!("POST {path} HTTP/1.1\r\nHost: a\r\n"),
+        piece: 10_000,
+        pieces: count,
+        pause: Duration::from_millis(5),
+        framing,
+    }
+}
+
+/// Guards against an answer that is lost because the connection is closed while its caller still sends.
+#[rstest]
+#[case::kept("/", 200, false)]
+#[case::closed_by_the_server("/last", 200, true)]
+#[case::after_a_panic("/panic", 500, false)]
+#[tokio::test]
+async fn caller_that_sends_all_first_gets_the_answer_to_a_request_that_is_not_read(
+    #[case] path: &str,
+    #[case] status: u16,
+    #[case] is_last: bool,
+    #[values(6, 90)] count: usize,
+    #[values(Framing::Length, Framing::Chunked)] framing: Framing,
+) {
+    const CONNECTIONS: usize = 5;
+    const CALLS: usize = 2;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let request = pieces(path, count, framing);
+    // The end of a chunked rest cannot be noticed, so such a connection is not kept.
+    let is_last = is_last || framing == Framing::Chunked;
+    let calls = if is_last { 1 } else { CALLS };
+    let mut lost = Vec::new();
+
+    for _ in 0..CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        for _ in 0..calls {
+            match connection.call(&request, CALL_LIMIT).await {
+                Ok(answer) => assert_eq!((answer.status, answer.is_last), (status, is_last)),
+                Err(error) => lost.push(error),
+            }
+        }
+    }
+
+    let all = CONNECTIONS * calls;
+    assert!(lost.is_empty(), "{} of {all} lost: {lost:?}", lost.len());
+}
+
+/// Guards against a connection that counts as idle, or its body as a head, while its caller still sends,
+/// and against one that is not idle after that.
+#[tokio::test]
+async fn connection_is_idle_from_the_end_of_a_body_that_comes_after_the_answer() {
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let slow = Request {
+        pause: IDLE_TIMEOUT / 2,
+        ..pieces("/", 6, Framing::Length)
+    };
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let first = connection.call(&slow, CALL_LIMIT).await;
+    sleep(IDLE_TIMEOUT / 2).await;
+    let second = connection.call(&slow, CALL_LIMIT).await;
+    sleep(IDLE_TIMEOUT * 2).await;
+    let third = connection.call(&slow, CALL_LIMIT).await;
+
+    assert_eq!(first.expect("answered").status, 200);
+    assert_eq!(second.expect("answered").status, 200);
+    assert!(third.is_err(), "not closed: {third:?}");
+}
+
+/// Guards against the same loss at a graceful shutdown, and a shutdown that waits for longer than needed:
+/// for a caller that has sent all and does not close its connection.
+#[rstest]
+#[case::kept("/", false)]
+#[case::closed_by_the_server("/last", true)]
+#[tokio::test]
+async fn caller_that_still_sends_at_shutdown_gets_its_answer(
+    #[case] path: &str,
+    #[case] closes: bool,
+) {
+    let router = http::catch_all_router(Answer::Bytes(16), answer);
+    let (server, address) = bind(router).await;
+    let shutdown = Shutdown::new();
+    let served = shutdown.clone();
+    let serving = tokio::spawn(async move { server.serve(&served).await });
+    let request = pieces(path, 60, Framing::Length);
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let (answer, ()) = tokio::join!(connection.call(&request, CALL_LIMIT), async {
+        sleep(Duration::from_millis(100)).await;
+        shutdown.closing.cancel();
+    });
+    let open = (!closes).then_some(connection);
+    let ended = timeout(Duration::from_secs(1), serving).await;
+
+    assert_eq!(answer.expect("answered").status, 200);
+    assert!(ended.is_ok(), "still serving");
+    drop(open);
+}
+
+/// Guards against a caller that is told to go on with a body that nobody reads.
+#[tokio::test]
+async fn caller_that_waits_before_its_body_is_answered_at_once() {
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\nExpect: 100-continue\r\n\r\n";
+
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut answer = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut answer)).await;
+
+    assert!(read.is_ok_and(|read| read.is_ok()), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.contains("connection: close\r\n"), "{answer}");
+}
+
+/// Guards against a connection that waits without end for the rest of a body.
+#[tokio::test]
+async fn body_that_does_not_come_is_awaited_for_a_limited_time() {
+    const MARGIN: Duration = Duration::from_secs(3);
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nbody";
+
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let started = Instant::now();
+    let mut answer = String::new();
+    let read = timeout(DISCARD_TIMEOUT + MARGIN, stream.read_to_string(&mut answer)).await;
+
+    assert!(read.is_ok_and(|read| read.is_ok()), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(started.elapsed() + MARGIN > DISCARD_TIMEOUT);
+}
+
+/// Guards against a peer that sends without end and is read without end.
+#[rstest]
+#[case::with_a_length(Framing::Length)]
+#[case::chunked(Framing::Chunked)]
+#[tokio::test]
+async fn body_without_end_is_discarded_within_limits(#[case] framing: Framing) {
+    /// What is discarded before and after the end of the answers, and the sockets' buffers.
+    const LIMIT: usize = 80 * 1024 * 1024;
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let endless = Request {
+        piece: 1024 * 1024,
+        pieces: 2 * LIMIT / (1024 * 1024),
+        pause: Duration::ZERO,
+        ..pieces("/", 0, framing)
+    };
+    let mut connection = Connection::open(address).await.expect("accepted");
+
+    let answer = connection.call(&endless, CALL_LIMIT).await;
+
+    assert!(answer.is_err(), "{answer:?}");
+    let sent = connection.bytes_sent();
+    assert!(sent < LIMIT, "{sent} bytes sent");
+}
+
+/// Guards against callers that wait without an answer while connections are idle: the one that has been
+/// idle for longest makes room.
+#[tokio::test]
+async fn idle_connection_makes_room_for_a_new_one() {
+    let (address, _) = start(Answer::Bytes(16), Duration::from_secs(60)).await;
+    let request = pieces("/", 1, Framing::Length);
+    let mut kept = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        let answer = connection.call(&request, CALL_LIMIT).await;
+        assert_eq!(answer.expect("answered").status, 200);
+        kept.push(connection);
+    }
+
+    let mut next = Connection::open(address).await.expect("accepted");
+    let answer = next.call(&request, CALL_LIMIT).await;
+    let mut others = Vec::new();
+    for connection in &mut kept {
+        others.push(connection.call(&request, CALL_LIMIT).await.is_ok());
+    }
+
+    assert_eq!(answer.expect("answered").status, 200);
+    assert!(!others[0], "the longest idle one is still open");
+    assert!(others[1..].iter().all(|is_open| *is_open), "{others:?}");
+}
+
+/// Guards against the loss of the last answer on a connection on which its caller has sent more requests.
+#[tokio::test]
+async fn last_answer_is_whole_although_more_requests_follow() {
+    const SIZE: usize = 60_000;
+    let (address, _) = start(Answer::Bytes(SIZE), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let last = "GET /last HTTP/1.1\r\nHost: a\r\n\r\n";
+    let more = "GET / HTTP/1.1\r\nHost: a\r\n\r\n".repeat(1_000);
+
+    stream.write_all(last.as_bytes()).await.expect("sent");
+    for piece in more.as_bytes().chunks(2_000) {
+        stream.write_all(piece).await.expect("sent");
+        sleep(Duration::from_millis(5)).await;
+    }
+    let mut answers = Vec::new();
+    let read = stream.read_to_end(&mut answers).await;
+
+    assert!(read.is_ok(), "{read:?}");
+    assert!(answers.starts_with(b"HTTP/1.1 200 OK"));
+    assert!(
+        (SIZE..SIZE + 1_000).contains(&answers.len()),
+        "{}",
+        answers.len()
+    );
+}
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -23,6 +23,7 @@
 mod silence;
 pub mod sse;
 pub mod store;
+pub mod strict;
 pub mod traffic;
 pub mod wait;
 pub mod written;
