--- a/testbed/tests/takeovers.rs
+++ b/testbed/tests/takeovers.rs
@@ -5,10 +5,11 @@
     hyper::{Request, header::HeaderValue},
     rstest::rstest,
     serde_json::{Value, json},
-    std::{fs, time::Duration},
+    std::{fs, sync::Mutex, time::Duration},
     tamarackdale_testbed::{
         http,
-        platform::{Caller, Configuration, Gateway, Server, Site, request},
+        platform::{Caller, Configuration, Gateway, Oddities, Oddity, Server, Site, request},
+        store::Outage,
         wait,
     },
     tokio::{
@@ -59,6 +60,20 @@
     }
 }
 
+/// Sets the service's budget for repeats.
+fn set_repeats(bench: &Bench, budget: f64, extra: u32) {
+    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
+    let settings = settings
+        .replace("retry_budget = 0.2", &format!("retry_budget = {budget:.1}"))
+        .replace("retry_extra = 100", &format!("retry_extra = {extra}"));
+    fs::write(&bench.gateway.settings, settings).expect("written");
+    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
+    let process = &bench.gateway.process;
+    process
+        .wait_for_log("new settings", IN_FORCE, is_reloaded)
+        .expect("applied");
+}
+
 fn engines(count: usize) -> Vec<Server> {
     let server = |number| Server::new(&format!("engine-{number}"), "engine").expect("starts");
     (0..count).map(server).collect()
@@ -189,16 +204,7 @@
     const STREAMS: usize = 8;
     const SOON: Duration = Duration::from_millis(600);
     let bench = start(&Configuration::default(), engines(2), 1).await;
-    let settings = fs::read_to_string(&bench.gateway.settings).expect("written");
-    let settings = settings
-        .replace("retry_budget = 0.2", "retry_budget = 0.0")
-        .replace("retry_extra = 100", "retry_extra = 0");
-    fs::write(&bench.gateway.settings, settings).expect("written");
-    let is_reloaded = |log: &Value| log["message"] == "settings reloaded";
-    let process = &bench.gateway.process;
-    process
-        .wait_for_log("new settings", IN_FORCE, is_reloaded)
-        .expect("applied");
+    set_repeats(&bench, 0.0, 0);
     bench.servers[0].set_events(MANY);
     let mut open = Vec::new();
     for number in 0..STREAMS {
@@ -248,3 +254,237 @@
     let rest = rest.expect("in time").expect("whole");
     assert_eq!(event_ids(&rest.body), [2, 3, 4, 5]);
 }
+
+fn error(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/plain",
+        is_refusal: false,
+    }
+}
+
+fn refusal(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/plain",
+        is_refusal: true,
+    }
+}
+
+fn error_as_stream(status: u16) -> Oddity {
+    Oddity::Error {
+        status,
+        content_type: "text/event-stream",
+        is_refusal: false,
+    }
+}
+
+const HEAD: &str = "HTTP/1.1 500 Internal Server Error\r\ncontent-length: 5\r\n\r\nerror\n\n";
+
+/// The events of a stream up to `last`, as the servers write them.
+fn events(last: u64) -> String {
+    let event = |id| format!("id: {id}\ndata: token {id} of v1\n\n");
+    (1..=last).map(event).collect()
+}
+
+/// Reads an answer to its end. Returns its body, and whether it came to a clean end.
+async fn read(mut reply: http::Reply) -> (String, bool) {
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match reply.chunk().await {
+            Ok(Some(bytes)) => body.extend_from_slice(&bytes),
+            Ok(None) => break true,
+            Err(_) => break false,
+        }
+    };
+    (String::from_utf8_lossy(&body).into_owned(), is_whole)
+}
+
+/// Guards against an error's text, or a part of another run, in the middle of a stream that broke and was
+/// to go on elsewhere, and against a stream that ends as if it were complete.
+#[rstest]
+#[case::fails(error(500))]
+#[case::bad_gateway(error(502))]
+#[case::unavailable(error(503))]
+#[case::refuses(refusal(500))]
+#[case::unavailable_and_refuses(refusal(503))]
+#[case::bad_request(error(400))]
+#[case::not_found(error(404))]
+#[case::success_that_is_no_stream(error(200))]
+#[case::no_content(error_as_stream(204))]
+#[case::partial_content(error_as_stream(206))]
+#[case::failure_as_stream(error_as_stream(500))]
+#[case::refusal_as_stream(error_as_stream(404))]
+#[case::no_event(Oddity::Unframed(2, 1, ""))]
+#[case::head_in_place_of_events(Oddity::Unframed(2, 1, HEAD))]
+#[case::head_after_an_event(Oddity::Unframed(2, 2, HEAD))]
+#[case::text_after_an_event(Oddity::Unframed(2, 2, "internal error\n\n"))]
+#[case::event_without_identifier(Oddity::Unframed(2, 2, "data: internal error\n\n"))]
+#[case::starts_again(Oddity::Unframed(1, 5, ""))]
+#[case::repeats_an_event(Oddity::Unframed(2, 3, "id: 3\ndata: token 3 of v1\n\n"))]
+#[tokio::test]
+async fn stream_that_another_server_does_not_go_on_with_is_whole_or_broken_off(
+    #[case] oddity: Oddity,
+    #[values(2, 8)] attempts: u32,
+) {
+    let configuration = Configuration::default().with("/routes/1/attempts", json!(attempts));
+    let bench = start(&configuration, engines(3), 3).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    let oddities = Oddities::new(Mutex::new(vec![oddity]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+    split(&bench.servers).0.close();
+    let (rest, is_whole) = read(reply).await;
+
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert!(events(EVENTS).starts_with(&body), "{body}");
+    assert!(oddities.lock().expect("sound").is_empty(), "not sent on");
+    let is_complete = body == events(EVENTS);
+    assert_eq!((is_whole, is_complete), (attempts > 2, attempts > 2));
+}
+
+/// Guards against an error's text as the first part of a stream.
+#[rstest]
+#[case::nothing(Oddity::Unframed(1, 0, ""))]
+#[case::head(Oddity::Unframed(1, 0, HEAD))]
+#[case::head_after_an_event(Oddity::Unframed(1, 1, HEAD))]
+#[case::text(Oddity::Unframed(1, 0, "data: internal error\n\n"))]
+#[tokio::test]
+async fn stream_whose_server_writes_something_else_into_it_is_whole(#[case] oddity: Oddity) {
+    let bench = start(&Configuration::default(), engines(3), 3).await;
+    let oddities = Oddities::new(Mutex::new(vec![oddity]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let answer = read(reply.expect("a head")).await;
+
+    assert_eq!(answer, (events(EVENTS), true));
+}
+
+/// What a stream that broke lacks to go on.
+#[derive(Clone, Copy, Debug)]
+enum Lack {
+    Confirmation,
+    Server,
+}
+
+/// Guards against a stream that is broken off because it cannot go on in the very moment at which its
+/// server breaks, and against one that goes on although it may not yet.
+#[rstest]
+#[case::confirmation(Lack::Confirmation)]
+#[case::server(Lack::Server)]
+#[tokio::test]
+async fn stream_that_breaks_waits_for_what_it_lacks(#[case] lack: Lack) {
+    /// Longer than the last confirmation holds.
+    const MANY: u64 = 70;
+    const LACK: Duration = Duration::from_millis(600);
+    let registered = if matches!(lack, Lack::Server) { 1 } else { 2 };
+    let bench = start(&Configuration::default(), engines(2), registered).await;
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_events(MANY));
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+    let reading = tokio::spawn(read(reply));
+    if matches!(lack, Lack::Confirmation) {
+        bench.site.store.stop(Outage::Hang);
+        assert!(bench.gateway.wait_ready(false).await, "still confirmed");
+    }
+
+    let (running, next) = split(&bench.servers);
+    running.close();
+    sleep(LACK).await;
+    let runs_without = next.runs().len();
+    match lack {
+        Lack::Confirmation => bench.site.store.resume(),
+        Lack::Server => bench.site.register(next),
+    }
+    let (rest, is_whole) = reading.await.expect("reads");
+
+    assert_eq!(runs_without, 0, "runs at the next server");
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert_eq!((body, is_whole), (events(MANY), true));
+}
+
+/// Guards against a stream that is broken off because the budget for repeats is used up at the moment at
+/// which its server breaks.
+#[tokio::test]
+async fn stream_that_breaks_waits_for_a_repeat() {
+    const MANY: u64 = 70;
+    const LACK: Duration = Duration::from_millis(600);
+    let bench = start(&Configuration::default(), engines(2), 1).await;
+    set_repeats(&bench, 1.0, 1);
+    bench
+        .servers
+        .iter()
+        .for_each(|server| server.set_events(MANY));
+    let mut streams = JoinSet::new();
+    for id in ["r-1", "r-2"] {
+        let reply = http::send(bench.gateway.callers(), patient(id)).await;
+        streams.spawn(read(reply.expect("a head")));
+    }
+    let [running, next] = &bench.servers[..] else {
+        panic!("two servers")
+    };
+    bench.site.register(next);
+    sleep(IN_FORCE).await;
+
+    running.close();
+    sleep(LACK).await;
+    let runs_without = next.runs().len();
+    let other = http::send(bench.gateway.callers(), patient("n-1")).await;
+    let bodies = streams.join_all().await;
+
+    assert_eq!(runs_without, 1, "runs at the next server");
+    assert!(other.is_ok(), "no answer");
+    assert_eq!(bodies, vec![(events(MANY), true); 2]);
+}
+
+/// Guards against a stream of which its caller gets the head and then nothing: no answer that says what
+/// has become of the request.
+#[rstest]
+#[case::nothing(Oddity::Unframed(1, 0, ""), "/resumable/1")]
+#[case::text(Oddity::Unframed(1, 0, "internal error\n\n"), "/resumable/1")]
+#[case::not_resumable(Oddity::Unframed(1, 0, ""), "/stream/1")]
+#[tokio::test]
+async fn stream_that_no_server_begins_is_answered(#[case] oddity: Oddity, #[case] path: &str) {
+    let bench = start(&Configuration::default(), engines(3), 3).await;
+    let oddities = Oddities::new(Mutex::new(vec![oddity; 3]));
+    for server in &bench.servers {
+        server.set_oddities(&oddities);
+    }
+
+    let reply = http::send(bench.gateway.callers(), request(path, "r-1")).await;
+    let reply = reply.expect("a head");
+    let status = reply.head().status.as_u16();
+    let (_, is_whole) = read(reply).await;
+
+    assert_eq!((status, is_whole), (502, true));
+}
+
+/// A stream keeps the head of its first server, so another signature is no fault.
+#[tokio::test]
+async fn stream_goes_on_at_a_server_with_another_signature() {
+    let bench = start(&Configuration::default(), engines(2), 2).await;
+    let reply = http::send(bench.gateway.callers(), patient("r-1")).await;
+    let mut reply = reply.expect("a head");
+    let seal = reply.head().headers["response-seal"].clone();
+    let first = reply.chunk().await.expect("an event").unwrap_or_default();
+
+    let (running, next) = split(&bench.servers);
+    next.set_oddities(&Oddities::new(Mutex::new(vec![Oddity::OtherSeal])));
+    running.close();
+    let (rest, is_whole) = read(reply).await;
+
+    assert_eq!(seal, "signature");
+    let body = [&String::from_utf8_lossy(&first), rest.as_str()].concat();
+    assert_eq!((body, is_whole), (events(EVENTS), true));
+}
