--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -9,10 +9,10 @@
     crate::http::body,
     bytes::Bytes,
     derive_more::Display,
-    futures_util::stream,
+    futures_util::{StreamExt as _, stream},
     gotham::{
         helpers::http::Body,
-        hyper::{Response, body::Frame},
+        hyper::{Response, body::Frame, http::response::Parts},
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
@@ -20,8 +20,9 @@
     tamarackdale_core::{
         dispatch::{SendFailure, Step},
         fleet::Member,
-        sse::{Batch, Splitter},
+        sse::{Batch, Numbering, Splitter},
     },
+    tamarackdale_platform::response,
     tokio::time::{Instant, sleep, timeout},
 };
 
@@ -32,29 +33,49 @@
 /// The same before the first event, in addition to twice the route's objective.
 const FIRST_EVENT_PATIENCE: Duration = Duration::from_millis(1_000);
 
+/// Time without an event for which a stream that broke waits for what it lacks to go on: a slot, a retry in
+/// the budget, a confirmed configuration. After that its caller still has time to take it up.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
+
 /// Time after which a silent backend server is left although the next one has not responded: the platform
 /// allows two to run a stream for 400 ms.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
 /// Returns a response that passes on the events as they arrive.
-pub fn respond(job: Job, exchange: Exchange) -> Response<Body> {
-    let parts = exchange.parts.clone();
-    let relay = StreamRelay {
+///
+/// The head waits for the first event: until then a stream that cannot go on anywhere is still answered
+/// with the reason.
+pub async fn respond(job: Job, exchange: Exchange) -> Response<Body> {
+    let numbering = match job.stream {
+        Some(_) => Numbering::Above(job.last_event),
+        None => Numbering::Undecided,
+    };
+    let mut relay = StreamRelay {
+        parts: exchange.parts.clone(),
         job,
         exchange: Some(exchange),
-        splitter: Splitter::new(),
+        splitter: Splitter::new(numbering).with_extra_field(response::VERSION_FIELD),
         waiting_since: Instant::now(),
         may_move: true,
     };
-    let events = stream::unfold(relay, |mut relay| async move {
+    let first = match relay.next().await.transpose() {
+        Ok(first) => first,
+        Err(reason) => return relay.refuse(reason),
+    };
+    let parts = relay.parts.clone();
+    let first = stream::iter(first.map(|events| Ok(Frame::data(events))));
+    let rest = stream::unfold(relay, |mut relay| async move {
         let item = relay.next().await?;
+        let item = item.map_err(|reason| relay.abort(reason));
         Some((item.map(Frame::data), relay))
     });
-    Response::from_parts(parts, body::stream(events))
+    Response::from_parts(parts, body::stream(first.chain(rest)))
 }
 
 struct StreamRelay {
     job: Job,
+    /// Head of the first response that brought an event, or else of the last one.
+    parts: Parts,
     /// `None` after the end of the stream, and between two backend servers.
     exchange: Option<Exchange>,
     splitter: Splitter,
@@ -70,7 +91,7 @@
     Events(Batch),
     /// The end of the body.
     End,
-    /// An event that cannot be passed on.
+    /// Bytes that do not go on with the stream.
     Invalid(String),
     /// The connection broke.
     Broken(String),
@@ -95,52 +116,39 @@
     Suspected,
     #[display("no backend server could take it: {_0}")]
     NotPlaced(Cause),
-    #[display("the other backend server did not respond with a stream")]
-    NoStream,
 }
 
 impl StreamRelay {
-    /// Returns the next complete events, `None` at the end of the stream, or an error if the stream
+    /// Returns the next complete events, `None` at the end of the stream, or the reason for which the stream
     /// broke and cannot be resumed.
-    async fn next(&mut self) -> Option<io::Result<Bytes>> {
+    async fn next(&mut self) -> Option<Result<Bytes, EndReason>> {
         loop {
             let result = match self.read().await? {
                 Progress::Silent => self.read_or_move().await?,
                 result => result,
             };
-            // The error that ends the caller's connection, or `None` to read on.
-            let error = match result {
+            // Why the stream ends, or `None` to read on.
+            let end_reason = match result {
                 Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
-                Progress::End if self.splitter.is_inside_event() => {
-                    let reason = "the last event is incomplete";
-                    self.resume_after_break(reason).await
-                }
-                Progress::End if self.ended_with_nothing() => {
-                    let reason = "the connection was closed before the first event";
-                    self.resume_after_break(reason).await
-                }
-                Progress::End => {
-                    self.finish();
-                    return None;
-                }
+                Progress::End => match self.exchange.as_ref()?.incompleteness(&self.splitter) {
+                    Some(reason) => self.resume_after_break(reason).await,
+                    None => {
+                        self.finish();
+                        return None;
+                    }
+                },
                 Progress::Invalid(reason) => self.resume(&reason, true).await,
                 Progress::Broken(reason) => self.resume_after_break(&reason).await,
-                Progress::TimedOut => Some(self.abort(EndReason::TimedOut)),
+                Progress::TimedOut => Some(EndReason::TimedOut),
                 Progress::NotTaken(next, failure) => self.recover(next, failure).await,
                 Progress::Moved | Progress::Silent => None,
             };
-            if error.is_some() {
-                return error;
+            if let Some(end_reason) = end_reason {
+                return Some(Err(end_reason));
             }
         }
     }
 
-    /// Whether a response that is only ended by its connection has ended without any event, as when
-    /// its backend server crashes.
-    fn ended_with_nothing(&self) -> bool {
-        self.exchange.as_ref().is_some_and(Exchange::is_unbegun)
-    }
-
     async fn read(&mut self) -> Option<Progress> {
         let time_left = self.job.time_left();
         let patience = self.patience().filter(|patience| *patience < time_left);
@@ -195,7 +203,7 @@
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
                 Progress::Invalid(_) | Progress::Broken(_) => None,
-                Progress::End if self.splitter.is_inside_event() || silent.is_unbegun() => None,
+                Progress::End if silent.incompleteness(&self.splitter).is_some() => None,
                 result => return Some(result),
             },
             response = sent.response() => Some(response),
@@ -221,13 +229,16 @@
         let failure = match sent.into_exchange(&self.job, response) {
             Ok(exchange) if exchange.is_stream() => {
                 self.leave_silent();
-                self.exchange = Some(exchange);
                 self.job.record_origin(&next);
-                self.splitter = Splitter::new();
-                self.waiting_since = Instant::now();
+                self.splitter.begin_response();
+                self.go_on(exchange);
                 return Progress::Moved;
             }
-            Ok(_) | Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
+            Ok(exchange) => {
+                exchange.record_failure();
+                SendFailure::Failed
+            }
+            Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
             Err(ExchangeError::SendFailure(failure)) => failure,
             Err(ExchangeError::ConnectionBroken) => SendFailure::Lost,
         };
@@ -287,7 +298,7 @@
 
     /// Handles the failure of a backend server that was to take the stream over. The stream stays at the
     /// silent one, or is sent to others if that was left.
-    async fn recover(&mut self, next: Member, failure: SendFailure) -> Option<io::Result<Bytes>> {
+    async fn recover(&mut self, next: Member, failure: SendFailure) -> Option<EndReason> {
         let may_resend = match failure {
             SendFailure::Lost => self.job.may_resend_after_break(&next).await,
             _ => true,
@@ -298,11 +309,15 @@
             self.may_move &= may_resend;
             return None;
         }
-        self.splitter = Splitter::new();
+        self.splitter.begin_response();
         self.send_again(may_resend, step).await
     }
 
     async fn forward(&mut self, batch: Batch) -> Bytes {
+        if batch.count == 0 {
+            // A comment shows that the connection is open, and not that the stream goes on.
+            return batch.bytes.into();
+        }
         self.job.last_event = batch.last_id.or(self.job.last_event);
         self.job.events += batch.count;
         self.waiting_since = Instant::now();
@@ -323,16 +338,15 @@
 
     /// Resumes the stream after its connection broke, unless the request is suspected to crash backend
     /// servers.
-    async fn resume_after_break(&mut self, reason: &str) -> Option<io::Result<Bytes>> {
+    async fn resume_after_break(&mut self, reason: &str) -> Option<EndReason> {
         let member = self.exchange.as_ref()?.member.clone();
         let may_resend = self.job.may_resend_after_break(&member).await;
         self.resume(reason, may_resend).await
     }
 
     /// Resumes the stream at another backend server after the last event that was passed on.
-    /// Returns the error that closes the caller's connection if that is not possible, or if the request
-    /// may not be sent again.
-    async fn resume(&mut self, reason: &str, may_resend: bool) -> Option<io::Result<Bytes>> {
+    /// Returns the reason if that is not possible, or if the request may not be sent again.
+    async fn resume(&mut self, reason: &str, may_resend: bool) -> Option<EndReason> {
         let broken = self.exchange.take()?;
         let is_late = self.job.time_left().is_zero();
         if !is_late {
@@ -350,36 +364,83 @@
         );
         // Closes the connection before the request is sent again.
         drop(broken);
-        self.splitter = Splitter::new();
+        self.splitter.begin_response();
         let step = self.job.dispatch.fail(SendFailure::Lost);
         self.send_again(may_resend, step).await
     }
 
-    /// Sends the request again after the stream has lost its backend server, if `step` allows that.
-    async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<io::Result<Bytes>> {
-        self.job.waiting_since = self.job.context.clock.now();
-        let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
-            (true, _, _) => Some(EndReason::TimedOut),
-            (_, false, _) => Some(EndReason::Suspected),
-            (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
-            (_, _, Step::Resend) => None,
+    /// Sends the request again after the stream has lost its backend server, if `step` allows that, until
+    /// one goes on with the stream.
+    async fn send_again(&mut self, may_resend: bool, step: Step) -> Option<EndReason> {
+        let now = self.job.context.clock.now();
+        let patience = match self.job.events {
+            0 => RESUME_PATIENCE + self.job.request.route.objective * 2,
+            _ => RESUME_PATIENCE,
         };
-        if let Some(end_reason) = end_reason {
-            return Some(self.abort(end_reason));
-        }
-        match self.job.send_until_response().await {
-            Ok(exchange) if exchange.is_stream() => {
-                self.exchange = Some(exchange);
-                self.waiting_since = Instant::now();
-                None
+        let resume_until = now.plus(patience.saturating_sub(self.waiting_since.elapsed()));
+        self.job.resume_until = Some(resume_until.min(self.job.deadline));
+        self.job.waiting_since = now;
+        let mut step = step;
+        loop {
+            let end_reason = match (self.job.time_left().is_zero(), may_resend, step) {
+                (true, _, _) => Some(EndReason::TimedOut),
+                (_, false, _) => Some(EndReason::Suspected),
+                (_, _, Step::Refuse | Step::Fail) => Some(EndReason::NoAttemptLeft),
+                (_, _, Step::Resend) => None,
+            };
+            if end_reason.is_some() {
+                return end_reason;
             }
-            Ok(_) => Some(self.abort(EndReason::NoStream)),
-            Err(cause) => Some(self.abort(EndReason::NotPlaced(cause))),
+            let next = match self.job.send_until_response().await {
+                Ok(next) => next,
+                Err(cause) => return Some(EndReason::NotPlaced(cause)),
+            };
+            if next.is_stream() {
+                self.go_on(next);
+                return None;
+            }
+            next.record_failure();
+            log::warn!(
+                request = self.job.request.head.id.as_str(),
+                backend_server = next.member.id.as_str(),
+                status = next.parts.status.as_u16();
+                "backend server did not go on with the stream: its response is none"
+            );
+            self.job.excluded.push(next.member.id.clone());
+            step = self.job.dispatch.fail(SendFailure::Failed);
+        }
+    }
+
+    /// Reads on at a backend server that has responded with a stream.
+    fn go_on(&mut self, exchange: Exchange) {
+        if self.job.events == 0 {
+            self.parts = exchange.parts.clone();
         }
+        self.exchange = Some(exchange);
+        self.waiting_since = Instant::now();
+    }
+
+    /// Answers the caller, who has nothing of the stream yet, with the reason for which there is none.
+    fn refuse(&mut self, reason: EndReason) -> Response<Body> {
+        self.log_end(reason);
+        self.exchange = None;
+        let cause = match reason {
+            EndReason::TimedOut => Cause::Timeout,
+            EndReason::NotPlaced(cause) => cause,
+            EndReason::NoAttemptLeft | EndReason::Suspected => self.job.give_up(Cause::NotExecuted),
+        };
+        self.job.refuse(cause)
     }
 
     /// Ends the stream, and with it the caller's connection, before the last event.
-    fn abort(&mut self, reason: EndReason) -> io::Result<Bytes> {
+    fn abort(&mut self, reason: EndReason) -> io::Error {
+        self.log_end(reason);
+        self.exchange = None;
+        self.job.finish("broken", None);
+        io::Error::other("the stream from the backend server broke")
+    }
+
+    fn log_end(&self, reason: EndReason) {
         log::warn!(
             request = self.job.request.head.id.as_str(),
             events = self.job.events,
@@ -388,9 +449,6 @@
             time_left_ms = self.job.time_left().as_millis() as u64;
             "stream ended before its last event: {reason}"
         );
-        self.exchange = None;
-        self.job.finish("broken", None);
-        Err(io::Error::other("the stream from the backend server broke"))
     }
 
     fn finish(&mut self) {
@@ -410,15 +468,15 @@
 ) -> Progress {
     let reading = async {
         loop {
-            let bytes = match body.frame().await {
-                None => return Progress::End,
-                Some(Err(error)) => return Progress::Broken(error.to_string()),
-                Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
-            };
-            match splitter.push(&bytes) {
+            match splitter.next_batch() {
                 Ok(None) => {}
                 Ok(Some(batch)) => return Progress::Events(batch),
-                Err(error) => return Progress::Invalid(error.to_string()),
+                Err(fault) => return Progress::Invalid(fault.to_string()),
+            }
+            match body.frame().await {
+                None => return Progress::End,
+                Some(Err(error)) => return Progress::Broken(error.to_string()),
+                Some(Ok(frame)) => splitter.append(&frame.into_data().unwrap_or_default()),
             }
         }
     };
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -6,6 +6,7 @@
 pub mod probe;
 pub mod request_body;
 pub mod server;
+pub mod unframed;
 
 pub use server::Server;
 
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -4,6 +4,7 @@
     crate::{
         host::{Body, Connection, Host, json, whole},
         silence::Silence,
+        written::{Break, Framing},
     },
     bytes::Bytes,
     futures_util::{Stream, StreamExt as _, stream},
@@ -13,6 +14,7 @@
     std::{
         io,
         net::SocketAddr,
+        ops::RangeInclusive,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
@@ -63,6 +65,12 @@
     Trickles,
     /// Writes a refusal that it has sent before once more.
     RepeatsRefusal(Repeat),
+    /// Runs them, writes the beginning of the answer and ends the connection.
+    BreaksAt(Break),
+    /// Answers a request to go on with a stream with an error.
+    FailsToResume,
+    /// Writes this text in the middle of a stream, whose end is that of the connection.
+    Interjects(&'static str),
 }
 
 /// A refusal that is written once more on a kept connection.
@@ -85,6 +93,28 @@
     BeforeAnswer,
 }
 
+/// An answer that is not the next part of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Oddity {
+    /// Another status, or another content type, than those of a stream, with an error's text.
+    Error {
+        /// Status code.
+        status: u16,
+        /// Content type.
+        content_type: &'static str,
+        /// Whether it says that it has not run the request.
+        is_refusal: bool,
+    },
+    /// The events from the first to the second number, and then a text. The response has no length and
+    /// ends with its connection.
+    Unframed(u64, u64, &'static str),
+    /// The whole stream, under another signature.
+    OtherSeal,
+}
+
+/// Odd answers that servers share: each is the answer of one server to one request.
+pub type Oddities = Arc<Mutex<Vec<Oddity>>>;
+
 /// When a server crashes at a request that is deadly to it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashPoint {
@@ -126,6 +156,8 @@
     pub resumes: Option<String>,
     /// Version of the server's software.
     pub version: String,
+    /// Whether its connection had carried an earlier request.
+    pub is_kept: bool,
     /// Whether the caller's key came with it.
     pub has_key: bool,
     /// Parts of its prompt as they were stated.
@@ -156,6 +188,8 @@
     events: Mutex<u64>,
     silence: Silence,
     deadly: Mutex<Option<Deadly>>,
+    /// Answers that it gives before it treats requests as usual.
+    oddities: Mutex<Oddities>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
     /// When it crashed.
@@ -193,6 +227,7 @@
             events: Mutex::new(5),
             silence: Silence::default(),
             deadly: Mutex::default(),
+            oddities: Mutex::default(),
             crash: Arc::default(),
             crashes: Mutex::default(),
             retry_after: Mutex::default(),
@@ -271,6 +306,11 @@
         *lock(&self.state.behaviour) = behaviour;
     }
 
+    /// Lets the server give odd answers that it shares with others, the last first, until none is left.
+    pub fn set_oddities(&self, oddities: &Oddities) {
+        *lock(&self.state.oddities) = Arc::clone(oddities);
+    }
+
     /// Sets the time that an answer takes, or the time between two events.
     pub fn set_latency(&self, latency: Duration) {
         *lock(&self.state.latency) = latency;
@@ -405,6 +445,15 @@
         format!("id: {id}\ndata: token {id} of {}\n\n", self.version()).into()
     }
 
+    /// The events of a stream after `after`.
+    fn events(&self, after: u64) -> String {
+        let count = *lock(&self.events);
+        let events = (after + 1..=count).map(|id| self.event(id));
+        events
+            .map(|event| String::from_utf8_lossy(&event).into_owned())
+            .collect()
+    }
+
     async fn answer(self: Arc<Self>, request: Request<Incoming>) -> Option<Response<Body>> {
         let (parts, body) = request.into_parts();
         let text = |name: &str| {
@@ -442,6 +491,15 @@
             }
             return Some(response);
         }
+        let oddity = lock(&lock(&self.oddities)).pop();
+        if let Some(Oddity::Error {
+            status,
+            content_type,
+            is_refusal,
+        }) = oddity
+        {
+            return Some(signed(error(status, content_type, is_refusal), &id));
+        }
         let resumed_after = text("last-event-id").parse().ok();
         let run = Run {
             id: id.clone(),
@@ -450,6 +508,7 @@
             resumed_after,
             resumes: Some(text("resumes").to_owned()).filter(|attempt| !attempt.is_empty()),
             version: self.version(),
+            is_kept: connection.as_ref().is_some_and(|it| it.is_kept),
             has_key: parts.headers.contains_key("authorization"),
             prompt_parts: text("prefix-hash").to_owned(),
             body: body.collect().await.ok()?.to_bytes(),
@@ -461,6 +520,12 @@
         let crash_point = crash_point.map(|deadly| deadly.point);
         lock(&self.runs).push(run);
         self.repeat_refusal(RepeatPoint::BeforeAnswer, connection.as_ref());
+        if let (Some(Oddity::Unframed(first, last, foreign)), Some(connection)) =
+            (oddity, &connection)
+        {
+            connection.write(&self.unframed(&id, first..=last, foreign));
+            return None;
+        }
         let work = Work::new(&self);
         let latency = *lock(&self.latency);
         let is_stream = parts.headers.contains_key("token-usage");
@@ -470,6 +535,28 @@
         match behaviour {
             Behaviour::LosesAnswers => return None,
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::FailsToResume if resumed_after.is_some() => {
+                return Some(signed(
+                    json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
+                    &id,
+                ));
+            }
+            Behaviour::Interjects(text) if is_stream => {
+                let events = self.events(resumed_after.unwrap_or(0));
+                let (first, _) = events.split_at(events.len() / 2);
+                let (first, _) = first.rsplit_once("\n\n").unwrap_or_default();
+                let body = format!("{first}\n\n{text}");
+                Break::none(Framing::Connection).write(&connection?, &id, &body);
+                return None;
+            }
+            Behaviour::BreaksAt(point) => {
+                let body = match is_stream {
+                    true => self.events(resumed_after.unwrap_or(0)),
+                    false => plain_answer(&self.id, size),
+                };
+                point.write(&connection?, &id, &body);
+                return None;
+            }
             Behaviour::Fails => {
                 return Some(signed(
                     json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
@@ -500,7 +587,22 @@
             put(&mut response, "attempt-id", echo);
             return Some(response);
         }
-        Some(signed(response, echo))
+        let mut response = signed(response, echo);
+        if oddity == Some(Oddity::OtherSeal) {
+            put(&mut response, "response-seal", "another signature");
+        }
+        Some(response)
+    }
+
+    /// The bytes of a stream without a length.
+    fn unframed(&self, id: &str, events: RangeInclusive<u64>, foreign: &str) -> Vec<u8> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nattempt-id: {id}\r\nresponse-seal: signature\r\n\
+             content-type: text/event-stream\r\nconnection: close\r\n\r\n"
+        );
+        let events = events.flat_map(|number| self.event(number));
+        let events = events.chain(foreign.bytes());
+        head.into_bytes().into_iter().chain(events).collect()
     }
 
     /// Writes the last refusal once more on a kept connection, if the server does so at this point.
@@ -598,9 +700,13 @@
     })
 }
 
+fn plain_answer(id: &str, size: usize) -> String {
+    format!("{id} got {size} bytes")
+}
+
 /// The answer of the server `id` to a request with a body of `size` bytes.
 fn answer_whole(id: &str, size: usize, behaviour: Behaviour) -> Response<Body> {
-    let text = format!("{id} got {size} bytes");
+    let text = plain_answer(id, size);
     if behaviour == Behaviour::Endless {
         return Response::new(StreamBody::new(endless_bytes()).boxed_unsync());
     }
@@ -623,6 +729,21 @@
     )
 }
 
+/// An error that is no stream, or success that is none.
+fn error(status: u16, content_type: &str, is_refusal: bool) -> Response<Body> {
+    let status = StatusCode::from_u16(status).expect("a status code");
+    let body = match status {
+        StatusCode::NO_CONTENT => Bytes::new(),
+        _ => Bytes::from_static(b"data: internal error\n\n"),
+    };
+    let mut response = whole(status, body);
+    put(&mut response, "content-type", content_type);
+    if is_refusal {
+        put(&mut response, "not-executed", "1");
+    }
+    response
+}
+
 fn signed(mut response: Response<Body>, id: &str) -> Response<Body> {
     put(&mut response, "attempt-id", id);
     put(&mut response, "response-seal", "signature");
