An unframed response that is incomplete is not shut down, whatever ends its connection

A caller of HTTP/1.0 that ends its own direction while it receives a stream saw the cut stream end as a whole one: hyper ends such a connection with an error, not the body, and the listener, which ends its own direction before it reads on, shut the connection down since no body had broken off.

The guard holds a response for incomplete until its body has come to its end.

--- a/daemon/src/http/unframed.rs
+++ b/daemon/src/http/unframed.rs
@@ -4,8 +4,10 @@
 //! them. Their connection is reset unless the response came to its end.
 
 use {
-    http_body_util::BodyExt as _,
-    hyper::{Version, body::Body},
+    hyper::{
+        Version,
+        body::{Body, Frame, SizeHint},
+    },
     socket2::SockRef,
     std::{
         io,
@@ -28,8 +30,8 @@
 pub struct Guard {
     /// Whether the last response is unframed.
     is_unframed: Arc<AtomicBool>,
-    /// Whether an unframed response broke off.
-    is_broken: Arc<AtomicBool>,
+    /// Whether an unframed response has begun and not come to its end.
+    is_incomplete: Arc<AtomicBool>,
 }
 
 impl Guard {
@@ -48,22 +50,55 @@
     }
 
     /// Observes the body of the next response, to a request of this version.
-    pub fn observe<B>(
-        &self,
-        version: Version,
-        body: B,
-    ) -> impl Body<Data = B::Data, Error = B::Error> + use<B>
+    pub fn observe<B>(&self, version: Version, body: B) -> Observed<B>
     where
         B: Body,
     {
         let has_length = body.size_hint().exact().is_some();
         let is_unframed = version < Version::HTTP_11 && !has_length;
         self.is_unframed.store(is_unframed, Ordering::Relaxed);
-        let is_broken = Arc::clone(&self.is_broken);
-        body.map_err(move |error| {
-            is_broken.store(is_unframed, Ordering::Relaxed);
-            error
-        })
+        Observed {
+            body,
+            is_unframed,
+            guard: self.clone(),
+        }
+    }
+}
+
+/// The body of a response whose end its connection's guard awaits.
+pub struct Observed<B> {
+    body: B,
+    is_unframed: bool,
+    guard: Guard,
+}
+
+impl<B: Body + Unpin> Body for Observed<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(context);
+        let has_ended = match &polled {
+            Poll::Ready(None) => true,
+            Poll::Ready(Some(Ok(_))) => self.body.is_end_stream(),
+            Poll::Ready(Some(Err(_))) | Poll::Pending => false,
+        };
+        let is_incomplete = self.is_unframed && !has_ended;
+        self.guard
+            .is_incomplete
+            .store(is_incomplete, Ordering::Relaxed);
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
     }
 }
 
@@ -132,7 +167,7 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        if self.guard.is_broken.load(Ordering::Relaxed) {
+        if self.guard.is_incomplete.load(Ordering::Relaxed) {
             let reason = "a response that only the end of the connection ends broke off";
             return Poll::Ready(Err(io::Error::other(reason)));
         }
