A request that crosses the end of an idle connection at shutdown is not read

At SIGTERM the listener ended its direction of idle connections and read on for half a second. A request that crossed that was read whole and dropped, so its caller, told that it was read, did not send it again unless it is idempotent, and it counted as read without an answer.

An idle connection is closed at once at the shutdown, as at its idle timeout: its peer has no answer to lose, as it sends the next request after the last answer.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -163,6 +163,11 @@
         state.is_body_unread || state.head_since.is_some()
     }
 
+    /// Whether no request is in progress, none has begun to arrive, and the last answer is written.
+    pub fn is_idle(&self) -> bool {
+        self.state.borrow().is_idle()
+    }
+
     /// Waits until the connection has been idle for [`RECLAIM_IDLE`] and `reclaim` notifies it. The one
     /// that has waited longest is notified first.
     pub async fn reclaimed(&self, reclaim: &Notify) {
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -218,7 +218,13 @@
                         );
                         return;
                     }
-                    () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
+                    () = shutdown.closing.cancelled(), if !is_closing => {
+                        if activity.is_idle() {
+                            // A request that crosses this stays unread, as its peer can tell.
+                            return;
+                        }
+                        is_closing = true;
+                    }
                     () = discarding.as_mut() => {}
                     // It has been idle for long enough that its peer has the last answer.
                     () = activity.reclaimed(&reclaim) => return,
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -478,3 +478,25 @@
     assert!(matches!(read, Ok(Ok(_))), "{read:?}: {last}");
     assert!(last.starts_with("HTTP/1.1 200"), "{last}");
 }
+
+/// Guards against a request that is read and dropped because it crosses the end of an idle connection at
+/// shutdown: callers send one again only if it was not read.
+#[tokio::test]
+async fn request_that_crosses_the_end_of_an_idle_connection_is_not_read() {
+    const TRANSIT: Duration = Duration::from_millis(50);
+    let (address, shutdown) = start(16, Duration::from_secs(60)).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    stream.write_all(request).await.expect("sent");
+    let answered = stream.read(&mut [0; 1_000]).await;
+    assert!(answered.is_ok_and(|bytes| bytes > 0));
+
+    shutdown.closing.cancel();
+    sleep(TRANSIT).await;
+    stream.write_all(request).await.expect("sent");
+    sleep(TRANSIT).await;
+    // Its system has reset a connection whose bytes nobody reads.
+    let next = stream.write_all(request).await;
+
+    assert!(next.is_err(), "read");
+}
