--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -500,3 +500,32 @@
 
     assert!(next.is_err(), "read");
 }
+
+/// Guards against a connection that counts as idle although a part of a head came with the request before.
+#[rstest]
+#[case::after_a_request("GET /later HTTP/1.1\r\nHost: a\r\n\r\n")]
+#[case::after_a_body_that_is_not_read(
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+)]
+#[tokio::test]
+async fn head_whose_first_part_came_with_another_request_is_awaited(#[case] first: &str) {
+    const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+    let (server, address) = bind(http::catch_all_router(Answer(16), answer)).await;
+    let server = server.with_timeouts(|| Timeouts {
+        idle: IDLE_TIMEOUT,
+        head: HEAD_TIMEOUT,
+    });
+    tokio::spawn(async move { server.serve(&Shutdown::new()).await });
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let part = "GET / HT";
+    let rest = "TP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+    let sent = stream.write_all(format!("{first}{part}").as_bytes()).await;
+    sleep(IDLE_TIMEOUT * 2).await;
+    let completed = stream.write_all(rest.as_bytes()).await;
+    let mut answers = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut answers)).await;
+
+    assert!(sent.is_ok() && completed.is_ok(), "{completed:?}");
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{read:?}");
+}
