--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -14,10 +14,14 @@
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         sync::{Notify, watch},
-        time::{Instant, sleep_until},
+        time::{Instant, sleep, sleep_until},
     },
 };
 
+/// Time for which a connection is idle before it makes room for another one. Its first or next request may
+/// be on its way: a round trip and thread scheduling on a loaded machine.
+const RECLAIM_IDLE: Duration = Duration::from_millis(500);
+
 /// Timeouts of a connection on which no request is in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -37,6 +41,8 @@
 struct State {
     /// Requests in progress.
     requests: usize,
+    /// Number of requests that have begun.
+    requests_begun: u64,
     /// When the first byte of a head arrived that is not complete.
     head_since: Option<Instant>,
     /// Whether bytes wait until the peer takes them.
@@ -103,17 +109,19 @@
     }
 
     /// Records that the rest of the last request's body is read from now on. The connection is not idle
-    /// until the end of that.
-    pub fn begin_discard(&self) {
+    /// until the end of that. Returns the request's number.
+    pub fn begin_discard(&self) -> u64 {
         self.state.send_modify(|state| state.discards += 1);
+        self.state.borrow().requests_begun
     }
 
-    /// Records that the rest of a body is not read any more, either because it was read to its end or
-    /// because that took too long.
-    pub fn end_discard(&self, is_whole: bool) {
+    /// Records that the rest of the body of a request is not read any more, either because it was read to
+    /// its end or because that took too long.
+    pub fn end_discard(&self, request: u64, is_whole: bool) {
         self.state.send_modify(|state| {
             state.discards -= 1;
-            state.is_body_unread &= !is_whole || state.discards > 0;
+            // The next request may have begun, with a body of its own.
+            state.is_body_unread &= !is_whole || state.requests_begun != request;
         });
     }
 
@@ -130,6 +138,7 @@
     pub fn begin_request(&self) -> InProgress {
         self.state.send_modify(|state| {
             state.requests += 1;
+            state.requests_begun += 1;
             state.head_since = None;
             state.is_body_unread = false;
         });
@@ -154,15 +163,26 @@
         state.is_body_unread || state.head_since.is_some()
     }
 
-    /// Waits until the connection is idle and `reclaim` notifies it. The one that has waited longest is
-    /// notified first.
+    /// Whether no request is in progress, none has begun to arrive, and the last answer is written.
+    pub fn is_idle(&self) -> bool {
+        self.state.borrow().is_idle()
+    }
+
+    /// Waits until the connection has been idle for [`RECLAIM_IDLE`] and `reclaim` notifies it. The one
+    /// that has waited longest is notified first.
     pub async fn reclaimed(&self, reclaim: &Notify) {
         let mut changes = self.state.subscribe();
         loop {
             let is_idle = changes.borrow_and_update().is_idle();
+            let notified = async {
+                sleep(RECLAIM_IDLE).await;
+                reclaim.notified().await;
+            };
             tokio::select! {
+                // A request may have begun since the notification.
+                biased;
                 _ = changes.changed() => {}
-                () = reclaim.notified(), if is_idle => return,
+                () = notified, if is_idle => return,
             }
         }
     }
@@ -184,6 +204,8 @@
                 None => timeouts().idle,
             };
             tokio::select! {
+                // A request may have begun since the timeout was noticed.
+                biased;
                 _ = changes.changed() => {}
                 () = elapsed(since, limit) => return,
             }
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -190,9 +190,9 @@
                             let close = HeaderValue::from_static("close");
                             response.headers_mut().insert(CONNECTION, close);
                         } else {
-                            activity.begin_discard();
+                            let request = activity.begin_discard();
                             // The receiver lives as long as the connection.
-                            let _ = rests.send(rest);
+                            let _ = rests.send((request, rest));
                         }
                     }
                     response
@@ -224,15 +224,21 @@
                         );
                         return;
                     }
-                    () = shutdown.closing.cancelled(), if !is_closing => is_closing = true,
+                    () = shutdown.closing.cancelled(), if !is_closing => {
+                        if activity.is_idle() {
+                            // A request that crosses this stays unread, as its peer can tell.
+                            return;
+                        }
+                        is_closing = true;
+                    }
                     () = discarding.as_mut() => {}
-                    () = activity.reclaimed(&reclaim) => {}
+                    // It has been idle for long enough that its peer has the last answer.
+                    () = activity.reclaimed(&reclaim) => return,
                     () = activity.timed_out(&*timeouts) => {
                         log_incomplete_request(name, peer, &activity);
                         return;
                     }
                 }
-                // The shutdown begins, or the connection makes room for another one.
                 Pin::new(&mut connection).graceful_shutdown();
             };
             // The end of a rest can come with the end of its connection.
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -24,6 +24,7 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::TcpStream,
+        task::JoinSet,
         time::{Instant, sleep, timeout},
     },
 };
@@ -35,6 +36,9 @@
 /// Longest time for an answer once the request has been sent.
 const CALL_LIMIT: Duration = Duration::from_secs(3);
 
+/// Time for an answer to `/later`.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// Time from a part of a stream to its break.
 const PAUSE: Duration = Duration::from_millis(50);
 
@@ -82,6 +86,7 @@
             response.headers_mut().insert(CONNECTION, close);
         }
         "/panic" => panic!("the test wants it"),
+        "/later" => sleep(ANSWER_TIME).await,
         _ => {}
     }
     Ok((state, response))
@@ -159,12 +164,14 @@
 /// Guards against a stream that breaks off and looks whole to a caller of HTTP/1.0, who is told its end by
 /// that of the connection; and against a whole stream that looks broken.
 #[rstest]
-#[case::whole(Answer::Stream(Some(StreamEnd::Whole)), false)]
-#[case::broken(Answer::Stream(Some(StreamEnd::Broken)), true)]
-#[case::aborted_at_shutdown(Answer::Stream(None), true)]
+#[case::whole(Answer::Stream(Some(StreamEnd::Whole)), false, false)]
+#[case::broken(Answer::Stream(Some(StreamEnd::Broken)), false, true)]
+#[case::aborted_at_shutdown(Answer::Stream(None), false, true)]
+#[case::half_closed_by_the_caller(Answer::Stream(None), true, true)]
 #[tokio::test]
 async fn only_a_stream_that_breaks_off_resets_the_connection_of_a_caller_without_chunks(
     #[case] answers: Answer,
+    #[case] half_closes: bool,
     #[case] is_reset: bool,
 ) {
     let (address, shutdown) = start(answers, IDLE_TIMEOUT).await;
@@ -174,6 +181,9 @@
     let request = "GET / HTTP/1.0\r\nHost: a\r\n\r\n";
     stream.write_all(request.as_bytes()).await.expect("sent");
     let begun = stream.read_exact(&mut received).await;
+    if half_closes {
+        stream.shutdown().await.expect("half-closed");
+    }
     sleep(PAUSE * 2).await;
     shutdown.aborting.cancel();
     let read = stream.read_to_end(&mut Vec::new()).await;
@@ -422,3 +432,169 @@
         answers.len()
     );
 }
+
+/// Guards against a request that is read, begun and not answered because it came just as its connection
+/// had been idle for too long.
+#[tokio::test]
+async fn request_that_arrives_with_the_idle_timeout_is_answered() {
+    /// From before the idle timeout until after it. The server runs on the test's thread, so it finds the
+    /// request and the timeout at once.
+    const STALL: Duration = Duration::from_millis(100);
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let request = b"GET /later HTTP/1.1\r\nHost: a\r\n\r\n";
+    let mut streams = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        streams.push(TcpStream::connect(address).await.expect("accepted"));
+    }
+
+    sleep(IDLE_TIMEOUT - STALL / 2).await;
+    for stream in &mut streams {
+        stream.try_write(request).expect("sent");
+    }
+    std::thread::sleep(STALL);
+    let mut answered = Vec::new();
+    for stream in &mut streams {
+        let read = timeout(CALL_LIMIT, stream.read(&mut [0; 1_000])).await;
+        answered.push(matches!(read, Ok(Ok(1..))));
+    }
+
+    assert!(answered.iter().all(|answered| *answered), "{answered:?}");
+}
+
+/// Guards against callers at the connection limit that lose their connection to each other before their
+/// requests arrive.
+#[tokio::test]
+async fn new_connection_does_not_make_room_before_its_request_arrives() {
+    const CALLERS: usize = 4;
+    const TRANSIT: Duration = Duration::from_millis(50);
+    let (address, _) = start(Answer::Bytes(16), Duration::from_secs(60)).await;
+    let mut busy = Vec::new();
+    for _ in 1..MAX_CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("accepted");
+        stream.write_all(b"GET / HTTP/1.1\r\n").await.expect("sent");
+        busy.push(stream);
+    }
+    sleep(TRANSIT).await;
+    let mut callers = JoinSet::new();
+
+    for _ in 0..CALLERS {
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            sleep(TRANSIT).await;
+            let request = pieces("/last", 1, Framing::Length);
+            let answer = connection.call(&request, CALL_LIMIT).await;
+            answer.map(|answer| answer.status)
+        });
+    }
+    let answers = callers.join_all().await;
+
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+}
+
+/// Guards against callers that wait for the peers of idle connections, which do not look at them.
+#[tokio::test]
+async fn idle_connections_make_room_at_once_although_their_peers_do_not_close_them() {
+    /// Time after which callers give up if their request has not been read.
+    const PATIENCE: Duration = Duration::from_secs(1);
+    let (address, _) = start(Answer::Bytes(16), Duration::from_secs(60)).await;
+    let request = pieces("/", 1, Framing::Length);
+    let mut kept = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut connection = Connection::open(address).await.expect("accepted");
+        let answer = connection.call(&request, CALL_LIMIT).await;
+        assert_eq!(answer.expect("answered").status, 200);
+        kept.push(connection);
+    }
+    sleep(PATIENCE).await;
+    let mut callers = JoinSet::new();
+
+    for _ in 0..MAX_CONNECTIONS {
+        let request = request.clone();
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            let answer = connection.call(&request, PATIENCE).await;
+            (answer.map(|answer| answer.status), connection)
+        });
+    }
+    let called = callers.join_all().await;
+
+    let answers: Vec<_> = called.iter().map(|(answer, _)| answer).collect();
+    assert!(answers.iter().all(|answer| answer.is_ok()), "{answers:?}");
+}
+
+/// Guards against a request that counts as read to its end because the one before it is.
+#[tokio::test]
+async fn last_answer_reaches_a_caller_whose_head_came_with_the_end_of_another_body() {
+    /// Longer than the server waits for a peer that has sent whole requests.
+    const PAUSE: Duration = Duration::from_secs(1);
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let first = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 8\r\n\r\nbody";
+    let second = "bodyPOST /last HTTP/1.1\r\nHost: a\r\nContent-Length: 12\r\n\r\nbody";
+
+    stream.write_all(first.as_bytes()).await.expect("sent");
+    let mut answer = [0; 1_000];
+    let read = stream.read(&mut answer).await;
+    assert!(read.is_ok_and(|bytes| bytes > 0) && answer.starts_with(b"HTTP/1.1 200"));
+    stream.write_all(second.as_bytes()).await.expect("sent");
+    for _ in 0..2 {
+        sleep(PAUSE).await;
+        stream.write_all(b"body").await.expect("sent");
+    }
+    let mut last = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut last)).await;
+
+    assert!(matches!(read, Ok(Ok(_))), "{read:?}: {last}");
+    assert!(last.starts_with("HTTP/1.1 200"), "{last}");
+}
+
+/// Guards against a request that is read and dropped because it crosses the end of an idle connection at
+/// shutdown: callers send one again only if it was not read.
+#[tokio::test]
+async fn request_that_crosses_the_end_of_an_idle_connection_is_not_read() {
+    const TRANSIT: Duration = Duration::from_millis(50);
+    let (address, shutdown) = start(Answer::Bytes(16), Duration::from_secs(60)).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    stream.write_all(request).await.expect("sent");
+    let answered = stream.read(&mut [0; 1_000]).await;
+    assert!(answered.is_ok_and(|bytes| bytes > 0));
+
+    shutdown.closing.cancel();
+    sleep(TRANSIT).await;
+    stream.write_all(request).await.expect("sent");
+    sleep(TRANSIT).await;
+    // Its system has reset a connection whose bytes nobody reads.
+    let next = stream.write_all(request).await;
+
+    assert!(next.is_err(), "read");
+}
+
+/// Guards against a connection that counts as idle although a part of a head came with the request before.
+#[rstest]
+#[case::after_a_request("GET /later HTTP/1.1\r\nHost: a\r\n\r\n")]
+#[case::after_a_body_that_is_not_read(
+    "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nbody"
+)]
+#[tokio::test]
+async fn head_whose_first_part_came_with_another_request_is_awaited(#[case] first: &str) {
+    const HEAD_TIMEOUT: Duration = Duration::from_secs(3);
+    let (server, address) = bind(http::catch_all_router(Answer::Bytes(16), answer)).await;
+    let server = server.with_timeouts(|| Timeouts {
+        idle: IDLE_TIMEOUT,
+        head: HEAD_TIMEOUT,
+    });
+    tokio::spawn(async move { server.serve(&Shutdown::new()).await });
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let part = "GET / HT";
+    let rest = "TP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+
+    let sent = stream.write_all(format!("{first}{part}").as_bytes()).await;
+    sleep(IDLE_TIMEOUT * 2).await;
+    let completed = stream.write_all(rest.as_bytes()).await;
+    let mut answers = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut answers)).await;
+
+    assert!(sent.is_ok() && completed.is_ok(), "{completed:?}");
+    assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{read:?}");
+}
