--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -199,8 +199,8 @@
 const METRICS_PORT: u16 = 9_464;
 
 /// Maximum number of connections to each of the listeners for peers, readiness and metrics, and of
-/// queued introductions.
-const MAX_PEERS: usize = 512;
+/// queued introductions: a stream of summaries and a question for starts from each of 360 gateways.
+const MAX_PEERS: usize = 1_024;
 
 async fn bind_admin(
     name: &'static str,
--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -168,7 +168,7 @@
         self.state.borrow().is_idle()
     }
 
-    /// Waits until the connection has been idle for [`RECLAIM_IDLE`] and `reclaim` notifies it. The one
+    /// Waits until the connection has been idle for half a second and `reclaim` notifies it. The one
     /// that has waited longest is notified first.
     pub async fn reclaimed(&self, reclaim: &Notify) {
         let mut changes = self.state.subscribe();
--- a/testbed/src/store/watch.rs
+++ b/testbed/src/store/watch.rs
@@ -88,7 +88,8 @@
     /// Turns the writes since the last look into messages, one per revision.
     fn take_writes(&mut self) {
         let state = self.gateway.state();
-        let news = &state.history()[self.seen..];
+        // A store that came back from an older copy of itself has fewer.
+        let news = state.history().get(self.seen..).unwrap_or_default();
         for writes in news.chunk_by(|one, other| one.revision == other.revision) {
             let events: Vec<Value> = writes
                 .iter()
