Test of a stream that waits for a repeat: a budget of more than one

The test gave its service 0.8 repeats, of which a random draw decides: with one chance in five no stream got one.

--- a/testbed/tests/takeovers.rs
+++ b/testbed/tests/takeovers.rs
@@ -421,7 +421,8 @@
     const MANY: u64 = 70;
     const LACK: Duration = Duration::from_millis(600);
     let bench = start(&Configuration::default(), engines(2), 1).await;
-    set_repeats(&bench, 1.0, 1);
+    // Of a budget of less than one repeat a random draw decides.
+    set_repeats(&bench, 1.0, 2);
     bench
         .servers
         .iter()
