Shutdown in three steps: requests that are left end with an answer before connections are dropped

Cause: the shutdown had two steps, closing and aborting. A request that was in progress at the second one lost its connection without an answer, and nothing told a request how much time was left. A second SIGTERM aborted everything.

Change: the shutdown knows its end from the first signal on, 300 ms before connections are dropped, and tells it. Another SIGTERM changes nothing; a SIGINT during the shutdown aborts as before.

--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -1,18 +1,33 @@
 //! Termination signals and graceful shutdown.
 
 use {
-    std::time::Duration,
-    tokio::signal::unix::{SignalKind, signal},
+    std::{
+        sync::{Arc, OnceLock},
+        time::Duration,
+    },
+    tokio::{
+        signal::unix::{SignalKind, signal},
+        time::{Instant, sleep_until},
+    },
     tokio_util::sync::CancellationToken,
 };
 
-/// Two-step shutdown: `closing` starts a graceful shutdown, `aborting` ends what is still running.
+/// Time for writing the answers to the requests that have not ended by themselves, before their
+/// connections are dropped.
+pub const ANSWER_RESERVE: Duration = Duration::from_millis(300);
+
+/// Shutdown in steps: `closing` starts it, at `ending` each request that is left is answered with what
+/// became of it, and `aborting` drops what is still open.
 #[derive(Clone, Debug, Default)]
 pub struct Shutdown {
-    /// Cancelled at the first signal: accept no new work, finish work in progress.
+    /// Cancelled at the first signal: requests that cannot end in time are not begun.
     pub closing: CancellationToken,
-    /// Cancelled at the second signal or after the time limit: abort work in progress.
+    /// Cancelled shortly before `aborting`: requests in progress end with an answer.
+    pub ending: CancellationToken,
+    /// Cancelled after the time limit or at an interrupt during the shutdown: abort what is left.
     pub aborting: CancellationToken,
+    /// When `ending` is cancelled, once the shutdown has begun.
+    end: Arc<OnceLock<Instant>>,
 }
 
 impl Shutdown {
@@ -21,16 +36,31 @@
         Self::default()
     }
 
-    /// Creates a shutdown with its own `closing` token that shares the `aborting` token.
+    /// Creates a shutdown with its own `closing` token that shares the rest.
     pub fn with_closing(&self, closing: CancellationToken) -> Self {
         Self {
             closing,
-            aborting: self.aborting.clone(),
+            ..self.clone()
         }
     }
 
-    /// Waits for SIGTERM or SIGINT and cancels `closing`; after a second signal or after `limit`
-    /// cancels `aborting`. Returns early once `finished` is cancelled.
+    /// Begins the shutdown: `ending` is due [`ANSWER_RESERVE`] before `limit` has passed. Later calls
+    /// change nothing.
+    pub fn begin(&self, limit: Duration) {
+        let end = Instant::now() + limit.saturating_sub(ANSWER_RESERVE);
+        // A shutdown that has begun keeps its end.
+        let _ = self.end.set(end);
+        self.closing.cancel();
+    }
+
+    /// Time until requests in progress are ended, or `None` while no shutdown has begun.
+    pub fn time_left(&self) -> Option<Duration> {
+        let end = self.end.get()?;
+        Some(end.saturating_duration_since(Instant::now()))
+    }
+
+    /// Waits for SIGTERM or SIGINT and begins the shutdown. Cancels `aborting` after `limit`, or at a
+    /// SIGINT meanwhile; another SIGTERM changes nothing. Returns early once `finished` is cancelled.
     ///
     /// Fails when the signal handlers cannot be installed.
     pub async fn watch(&self, limit: Duration, finished: CancellationToken) -> std::io::Result<()> {
@@ -41,16 +71,29 @@
             _ = interrupt.recv() => {}
             () = finished.cancelled() => return Ok(()),
         }
-        log::info!("closing");
-        self.closing.cancel();
-        tokio::select! {
-            _ = terminate.recv() => log::warn!("second signal received; aborting work in progress"),
-            _ = interrupt.recv() => log::warn!("second signal received; aborting work in progress"),
-            () = tokio::time::sleep(limit) => {
-                log::warn!("shutdown limit reached; aborting work in progress");
+        let abort_at = Instant::now() + limit;
+        self.begin(limit);
+        log::info!(limit_ms = limit.as_millis() as u64; "closing");
+        let end = self.end.get().copied().unwrap_or(abort_at);
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => log::info!("SIGTERM received again; the shutdown goes on"),
+                _ = interrupt.recv() => {
+                    log::warn!("interrupted during the shutdown; aborting work in progress");
+                    break;
+                }
+                () = sleep_until(end), if !self.ending.is_cancelled() => {
+                    log::info!("ending what is still in progress");
+                    self.ending.cancel();
+                }
+                () = sleep_until(abort_at) => {
+                    log::warn!("shutdown limit reached; aborting work in progress");
+                    break;
+                }
+                () = finished.cancelled() => return Ok(()),
             }
-            () = finished.cancelled() => return Ok(()),
         }
+        self.ending.cancel();
         self.aborting.cancel();
         Ok(())
     }
