Fleet and summary no longer import each other

Cause: the fleet built entries of the summary, whose parts belong to the fleet, so both modules needed each other.

Change: what one router adds to the knowledge of a backend server is a type of the fleet, which the summary lists.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The backend servers that a router sends requests to directly: their speed and health, their load
 //! from all routers, and the choice of one for the next request.
 
+pub mod contribution;
 pub mod health;
 pub mod limit;
 pub mod load;
@@ -9,6 +10,7 @@
 pub mod statement;
 
 pub use {
+    contribution::Contribution,
     health::Health,
     limit::Limit,
     load::{Load, RequestLoad},
@@ -20,7 +22,7 @@
 use {
     crate::{
         origin::Origin,
-        rendezvous, summary,
+        rendezvous,
         time::{self, Timestamp},
     },
     rand::{Rng, RngCore, seq::IteratorRandom as _},
@@ -660,8 +662,8 @@
     }
 
     /// This router's own load at each backend server, and the measured speed. Sorted by identifier.
-    pub fn own_state(&self) -> impl Iterator<Item = summary::Entry> {
-        self.servers.iter().map(|(id, server)| summary::Entry {
+    pub fn own_state(&self) -> impl Iterator<Item = Contribution> {
+        self.servers.iter().map(|(id, server)| Contribution {
             id: id.clone(),
             load: server.own,
             speed: (server.measurements > 0).then_some(server.speed),
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        fleet::{Load, Speed, statement},
+        fleet::{Contribution, statement},
         floor::Notice,
         poison,
         quota::Usage,
@@ -11,24 +11,11 @@
     std::{collections::HashMap, sync::Arc},
 };
 
-/// A router's work at one backend server.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Entry {
-    /// Identifier of the backend server.
-    pub id: String,
-    /// Load that this router has placed on it.
-    pub load: Load,
-    /// Measured speed of the backend server, which is not part of every summary.
-    pub speed: Option<Speed>,
-    /// Number of measurements that this router itself has made of the speed. Not sent to peers.
-    pub measurements: u64,
-}
-
 /// State of a router: all of it, or the changes since the last summary.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Summary {
     /// Work at each backend server, sorted by identifier.
-    pub entries: Vec<Entry>,
+    pub entries: Vec<Contribution>,
     /// Usage of quotas.
     pub usages: Vec<Usage>,
     /// Whether the usage covers the whole quota window.
@@ -45,7 +32,7 @@
 }
 
 impl Summary {
-    fn entry(&self, id: &str) -> Option<&Entry> {
+    fn entry(&self, id: &str) -> Option<&Contribution> {
         let index = self
             .entries
             .binary_search_by(|entry| entry.id.as_str().cmp(id));
@@ -93,7 +80,7 @@
                     .insert(entry.id.clone(), entry.measurements);
             }
             if has_changed || speed.is_some() {
-                entries.push(Entry {
+                entries.push(Contribution {
                     speed,
                     ..entry.clone()
                 });
--- a/core/tests/summary.rs
+++ b/core/tests/summary.rs
@@ -3,16 +3,16 @@
 use {
     std::sync::Arc,
     tamarackdale_core::{
-        fleet::{Load, Speed},
+        fleet::{Contribution, Load, Speed},
         poison::{Fingerprint, Notice},
         quota::Usage,
-        summary::{ChangeTracker, Entry, Summary},
+        summary::{ChangeTracker, Summary},
         time::Timestamp,
     },
 };
 
-fn entry(id: &str, requests: u32, measurements: u64) -> Entry {
-    Entry {
+fn entry(id: &str, requests: u32, measurements: u64) -> Contribution {
+    Contribution {
         id: id.to_owned(),
         load: Load {
             requests,
@@ -23,7 +23,7 @@
     }
 }
 
-fn summary(entries: &[Entry]) -> Summary {
+fn summary(entries: &[Contribution]) -> Summary {
     Summary {
         entries: entries.to_vec(),
         ..Summary::default()
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -5,7 +5,7 @@
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
-        fleet::{Load, Speed},
+        fleet::{self, Load, Speed},
         floor::Notice,
         quota, summary,
         tier::Rank,
@@ -220,8 +220,8 @@
     }
 }
 
-impl From<&summary::Entry> for Entry {
-    fn from(entry: &summary::Entry) -> Self {
+impl From<&fleet::Contribution> for Entry {
+    fn from(entry: &fleet::Contribution) -> Self {
         // The values are averages of noisy samples, so the precision of f32 is enough.
         let to_f32 = |value: Option<f64>| value.map(|value| value as f32);
         Self {
@@ -240,7 +240,7 @@
     }
 }
 
-impl From<Entry> for summary::Entry {
+impl From<Entry> for fleet::Contribution {
     fn from(entry: Entry) -> Self {
         let to_f64 = |value: Option<f32>| value.map(f64::from);
         Self {
