Router: nothing is begun that outlasts its shutdown, and what is left ends with an answer

Seen by callers: a booking that came late in the shutdown, or whose body did, was granted and cut without an answer at the limit; so was what waited for a slot, what ran, and a body that never came.

Cause: the decision to take a request was made at its head. Placement, offer, claim and grant looked at the deadline of the request only, and at the limit the connections were dropped under them.

Change: once the shutdown has begun, a request is placed, waits, is claimed and granted only while its predicted time fits in what is left; otherwise it is refused with `closing`, `not-run` and Retry-After. It is no shed and raises no floor: the deadline that placement judges overload by stays the request's own. Before connections are dropped, a granted request is answered `may-have-run`, is logged, and frees its sidecar unless it runs to completion. A body that has not come by then is refused as not run.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod route;
 pub mod routing_config;
 pub mod server_table;
+pub mod service_times;
 pub mod sse;
 pub mod subscription;
 pub mod summary;
--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -293,6 +293,7 @@
         Choice {
             incarnation: candidates[0].incarnation.clone(),
             predicted: scored[chosen].prediction.completion(),
+            service: scored[chosen].prediction.service,
             candidates,
             basis,
         }
--- a/core/src/route/choice.rs
+++ b/core/src/route/choice.rs
@@ -84,6 +84,8 @@
     pub incarnation: Incarnation,
     /// Predicted time until the response is complete.
     pub predicted: Duration,
+    /// Part of it after the dispatch to the backend server.
+    pub service: Duration,
     /// The chosen candidate, followed by some of the others.
     pub candidates: Vec<Candidate>,
     /// Why it was chosen.
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -86,6 +86,7 @@
         placement,
         claims,
         peers,
+        shutdown: shutdown.clone(),
         metrics: Metrics::new().map_err(io::Error::other)?,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
@@ -165,7 +166,10 @@
     let unready = shutdown.with_closing(CancellationToken::new());
     let announce = async {
         shutdown.closing.cancelled().await;
-        tokio::time::sleep(settings.unready_delay).await;
+        tokio::select! {
+            () = tokio::time::sleep(settings.unready_delay) => {}
+            () = shutdown.ending.cancelled() => {}
+        }
         unready.closing.cancel();
     };
     let drain = async {
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -53,7 +53,16 @@
     let catalogue = context.catalogue.borrow().clone();
     let is_served = |service: &str| context.configuration.needs(service);
     let authenticated = AuthenticatedHead::parse(&head, &catalogue, is_served)?;
-    let body = buffer_body(context, body).await?;
+    let body = tokio::select! {
+        body = buffer_body(context, body) => body?,
+        () = context.shutdown.ending.cancelled() => {
+            log::warn!(
+                key = authenticated.key();
+                "body not received before the end of the shutdown"
+            );
+            return Err(InvalidRequest::Closing);
+        }
+    };
     Ok(authenticated.into_request(&head, body))
 }
 
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -6,6 +6,7 @@
         clock::Clock,
         configuration::{ConfigurationHandle, catalogue::CatalogueReceiver},
         metrics::Metrics,
+        signal::Shutdown,
     },
     gotham::state::StateData,
     std::{panic::RefUnwindSafe, sync::Arc},
@@ -28,6 +29,8 @@
     pub claims: Claims,
     /// Client for calls to sidecars.
     pub peers: peer::Client,
+    /// Shutdown of the process.
+    pub shutdown: Shutdown,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Tracks the relay tasks, so that shutdown can wait for them.
--- a/daemon/src/router/inbound/head.rs
+++ b/daemon/src/router/inbound/head.rs
@@ -91,6 +91,11 @@
         })
     }
 
+    /// The idempotency key that the caller gave.
+    pub fn key(&self) -> Option<&str> {
+        self.key.as_deref()
+    }
+
     /// Combines the head with the body.
     pub fn into_request(self, head: &RequestHead<'_>, body: BufferedBody) -> InboundRequest {
         let document = &self.version.document;
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -51,6 +51,10 @@
     pub floor: Notice,
     /// Service that the request is for.
     pub service: String,
+    /// Least time until the response is complete, as predicted.
+    pub min_completion: Duration,
+    /// Least time from the grant until the response is complete, as predicted.
+    pub min_service: Duration,
 }
 
 /// Handle to the placement worker.
@@ -140,11 +144,11 @@
         asked.map_err(not_dispatched)?
     }
 
-    /// Reports that a backend server has answered a request.
-    pub fn record_answer(&self, request: &InboundRequest) {
+    /// Reports that a backend server has answered a request within `elapsed` of its grant.
+    pub fn record_answer(&self, request: &Arc<InboundRequest>, elapsed: Duration) {
         self.sender.send_with_retry(Command::Answered {
-            service: request.id.service.clone(),
-            digest: request.digest(),
+            request: Arc::clone(request),
+            elapsed,
         });
     }
 
@@ -236,9 +240,10 @@
                 let _ = reply.send(checked);
                 self.after_judgement(&request.id.service, now);
             }
-            Command::Answered { service, digest } => {
-                self.service(&service).record_answer(digest, now);
-                self.after_judgement(&service, now);
+            Command::Answered { request, elapsed } => {
+                let name = &request.id.service;
+                self.service(name).record_answer(&request, elapsed, now);
+                self.after_judgement(name, now);
             }
             Command::FinishAttempt {
                 service,
--- a/daemon/src/router/placement/command.rs
+++ b/daemon/src/router/placement/command.rs
@@ -49,10 +49,10 @@
     },
     /// A request was answered by its backend server.
     Answered {
-        /// Service that the request was for.
-        service: String,
-        /// Digest of the request.
-        digest: u64,
+        /// The request.
+        request: Arc<InboundRequest>,
+        /// Time from the grant to the end of the response.
+        elapsed: Duration,
     },
     /// An attempt has ended.
     FinishAttempt {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -19,6 +19,7 @@
         time::Duration,
     },
     tamarackdale_core::{
+        cost,
         failure::{Failure, Reason},
         floor::{self, Floor, Notice},
         id::{Attempt, Boot, Instance},
@@ -27,6 +28,7 @@
         report::Report,
         retry::{self, Budget},
         route::{Choice, Policy, Request, Table},
+        service_times::ServiceTimes,
         time::Timestamp,
     },
     tamarackdale_wire::status::Decision,
@@ -45,6 +47,8 @@
     limiter: Limiter,
     budget: Budget,
     decision_log: DecisionLog,
+    /// Times of requests without an estimated cost: those that may run only once, and the others.
+    service_times: HashMap<IsIdempotent, ServiceTimes>,
     /// Observations of crashes, and the requests that are refused because of them.
     poison: Detector,
     notice_relay: NoticeRelay,
@@ -52,6 +56,9 @@
     pruned: Timestamp,
 }
 
+/// Whether a request may run more than once.
+type IsIdempotent = bool;
+
 /// Where a sidecar is reached.
 struct Address {
     peer_listener: SocketAddr,
@@ -73,6 +80,7 @@
             limiter: Limiter::new(share),
             budget: Budget::new(retry::Settings::default()),
             decision_log: DecisionLog::default(),
+            service_times: HashMap::new(),
             poison: Detector::new(),
             notice_relay: NoticeRelay::default(),
             pruned: Timestamp::default(),
@@ -244,9 +252,23 @@
         self.poison.is_alert()
     }
 
-    /// Records that a backend server has answered a request.
-    pub fn record_answer(&mut self, digest: u64, now: Timestamp) {
+    /// Records that a backend server has answered a request within `elapsed` of its grant.
+    pub fn record_answer(&mut self, request: &InboundRequest, elapsed: Duration, now: Timestamp) {
+        let digest = request.digest();
         self.poison.record_answer(&fingerprint(digest), now);
+        if request.cost.tokens() == 0 {
+            let times = self.service_times.entry(request.idempotent).or_default();
+            times.record(elapsed);
+        }
+    }
+
+    /// Returns the least time that a request is predicted to take from its grant.
+    fn min_service(&self, request: &InboundRequest, choice: &Choice) -> Duration {
+        if request.cost.tokens() > 0 {
+            return cost::min_time(choice.service);
+        }
+        let times = self.service_times.get(&request.idempotent);
+        times.and_then(ServiceTimes::median).unwrap_or_default()
     }
 
     /// Judges which requests crash backend servers. Called at each report, since the losses at a crash
@@ -333,6 +355,8 @@
             return Err(Failure::not_run(Reason::NoBackendServer));
         };
         let address = address.peer_listener;
+        let min_service = self.min_service(request, &choice);
+        let min_wait = cost::min_time(choice.predicted.saturating_sub(choice.service));
         self.table
             .record_dispatch(instance, attempt, request.rank, &request.cost, now);
         Ok(Assignment {
@@ -343,6 +367,8 @@
             attempt,
             floor: self.floor.notice(now),
             service: self.name.clone(),
+            min_completion: min_wait + min_service,
+            min_service,
         })
     }
 
--- a/daemon/src/router/refusal.rs
+++ b/daemon/src/router/refusal.rs
@@ -58,6 +58,9 @@
     /// The service's document has not arrived yet.
     #[display("the router does not have the service's document yet")]
     NotReady,
+    /// The router ends before the body has arrived.
+    #[display("the router is shutting down")]
+    Closing,
     /// The router's budget for buffered bodies is exhausted.
     #[display("too many requests are being taken in")]
     Full,
@@ -71,7 +74,7 @@
             Self::TierNotAllowed => StatusCode::FORBIDDEN,
             Self::InvalidHeader(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::Full | Self::NotReady => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Full | Self::NotReady | Self::Closing => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
@@ -81,13 +84,14 @@
             Self::Unauthorized => "authorization",
             Self::TierNotAllowed => super::inbound::head::TIER,
             Self::InvalidHeader(name) => name,
-            Self::BodyTooLarge | Self::BodyBroken | Self::Full => "body",
+            Self::BodyTooLarge | Self::BodyBroken | Self::Full | Self::Closing => "body",
         }
     }
 
     fn failure(self) -> Failure {
         match self {
             Self::Full => Failure::not_run(Reason::Full),
+            Self::Closing => Failure::not_run(Reason::Closing),
             Self::NotReady => Failure::not_run(Reason::NotReady),
             _ => Failure::not_run(Reason::BadRequest),
         }
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -10,6 +10,7 @@
 pub mod response_reader;
 pub mod retry_rounds;
 pub mod revalidation;
+pub mod time_left;
 
 use {
     self::{
@@ -118,9 +119,16 @@
                     tokio::select! {
                         () = sleep(pause) => continue,
                         () = self.responder.abandoned() => return RequestOutcome::CallerGone,
+                        () = self.context.shutdown.ending.cancelled() => {
+                            return RequestOutcome::Failed(Failure::not_run(Reason::Closing));
+                        }
                     }
                 }
             };
+            if time_left::is_less_than(&self.context.shutdown, assignment.min_completion) {
+                self.context.placement.finish_attempt(&assignment, None);
+                return RequestOutcome::Failed(Failure::not_run(Reason::Closing));
+            }
             match self.attempt(&assignment).await {
                 AttemptOutcome::Finished(outcome) => return outcome,
                 AttemptOutcome::NotRun(failure) => {
@@ -194,6 +202,7 @@
     async fn relay_granted(&mut self, assignment: &Assignment, granted: Granted) -> AttemptOutcome {
         let mut response =
             ResponseReader::new(&self.context, &assignment.peer, granted, self.deadline);
+        let granted_at = self.context.clock.now();
         let outcome = self.relay_response(&mut response).await;
         match outcome {
             // Nothing has been sent to the backend server or to the caller.
@@ -201,13 +210,18 @@
                 AttemptOutcome::NotRun(failure)
             }
             RequestOutcome::Served => {
-                self.context.placement.record_answer(&self.request);
+                let elapsed = self.context.clock.now().since(granted_at);
+                self.context.placement.record_answer(&self.request, elapsed);
                 AttemptOutcome::Finished(outcome)
             }
             RequestOutcome::CallerGone if !self.request.runs_to_completion() => {
                 response.cancel().await;
                 AttemptOutcome::Finished(outcome)
             }
+            RequestOutcome::Failed(failure) if failure.reason == Reason::Closing => {
+                self.end_granted(assignment, response);
+                AttemptOutcome::Finished(outcome)
+            }
             outcome => AttemptOutcome::Finished(outcome),
         }
     }
@@ -235,6 +249,9 @@
             let event = tokio::select! {
                 event = response.next() => event,
                 () = self.responder.caller_gone() => return RequestOutcome::CallerGone,
+                () = self.context.shutdown.ending.cancelled() => {
+                    return RequestOutcome::Failed(Failure::may_have_run(Reason::Closing));
+                }
             };
             let sent = match event {
                 ResponseEvent::Head { status, headers } => {
@@ -254,6 +271,22 @@
         }
     }
 
+    /// Logs a granted attempt that ends with the shutdown of this router or of its sidecar, and frees
+    /// the sidecar if nobody can ask for the response later.
+    fn end_granted(&self, assignment: &Assignment, response: ResponseReader) {
+        log::warn!(
+            request:% = self.request.id,
+            attempt:% = assignment.attempt,
+            sidecar:% = assignment.peer,
+            verdict:% = Verdict::MayHaveRun;
+            "ended by the shutdown"
+        );
+        if !self.request.runs_to_completion() {
+            let cancelling = async move { response.cancel().await };
+            self.context.tracker.spawn(cancelling);
+        }
+    }
+
     async fn send_failure(&mut self, failure: &Failure) {
         log::info!(
             request:% = self.request.id,
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -4,6 +4,7 @@
     super::{
         claim::{Claim, ClaimOutcome},
         responder::Responder,
+        time_left,
     },
     crate::router::{
         context::Context,
@@ -66,12 +67,14 @@
     pub async fn submit(self, responder: &mut Responder) -> Result<Granted, OfferError> {
         let attempt = self.assignment.attempt;
         let message = self.enqueue_message(attempt);
-        let mut frames = self
-            .context
-            .peers
-            .enqueue(self.peer(), &message)
-            .await
-            .map_err(connection_lost)?;
+        let enqueued = tokio::select! {
+            enqueued = self.context.peers.enqueue(self.peer(), &message) => enqueued,
+            () = self.until_too_late() => {
+                self.withdraw(attempt);
+                return Err(closing());
+            }
+        };
+        let mut frames = enqueued.map_err(connection_lost)?;
         let ready = tokio::select! {
             ready = wait_until_ready(&mut frames) => ready,
             () = sleep(self.remaining()), if !self.request.finish_late => {
@@ -81,6 +84,7 @@
                 Err(OfferError::Failed(failure))
             }
             () = responder.abandoned() => Err(OfferError::CallerGone),
+            () = self.until_too_late() => Err(closing()),
         };
         let claimed = match ready {
             Ok(()) => self.claim(&mut frames, responder).await,
@@ -121,6 +125,7 @@
             claimed = claim.acquire() => claimed,
             error = wait_until_lost(frames) => return Err(error),
             () = responder.abandoned() => return Err(OfferError::CallerGone),
+            () = self.until_too_late() => return Err(closing()),
         };
         match claimed {
             ClaimOutcome::Held => Ok(()),
@@ -139,7 +144,12 @@
     }
 
     async fn grant(&self, attempt: id::Attempt, frames: Frames) -> Result<Granted, OfferError> {
-        match self.context.peers.grant(self.peer(), attempt).await {
+        let granted = tokio::select! {
+            granted = self.context.peers.grant(self.peer(), attempt) => granted,
+            // The sidecar may have received the grant.
+            () = self.context.shutdown.ending.cancelled() => Err(CallError::NoResponse),
+        };
+        match granted {
             Ok(Ok(())) => Ok(Granted {
                 attempt,
                 frames: Some(frames),
@@ -166,6 +176,12 @@
         &self.assignment.peer
     }
 
+    /// Waits until the request can no longer end before this router does.
+    async fn until_too_late(&self) {
+        let needed = self.assignment.min_service;
+        time_left::until_less_than(&self.context.shutdown, needed).await;
+    }
+
     fn remaining(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
@@ -240,6 +256,10 @@
     }
 }
 
+fn closing() -> OfferError {
+    OfferError::Failed(Failure::not_run(Reason::Closing))
+}
+
 fn connection_lost(_: CallError) -> OfferError {
     OfferError::NotRun(Failure::not_run(Reason::ConnectionLost))
 }
