Sidecar: a run that outlasts the shutdown ends with its verdict, and the process ends at its limit

Seen by callers: the run of a sidecar that was stopped ended as `connection-lost` long after the limit, and the process lived as long as its backend server took to answer.

Cause: at the limit the attempt's task was dropped without a word, while its exchange waited on for the backend server's answer, and the process for the exchange.

Change: shortly before the limit a run ends as `may-have-run`, `closing`, for its router, is logged, and is cancelled at the backend server unless it runs to completion. Its task ends once a router has read that. A grant whose start comes after this is not sent and ends `not-run`. An exchange ends with its task; a response that no router has read to its end is logged. What waits is handed back at SIGTERM as before.

--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -38,6 +38,9 @@
 /// Time for which the sidecar reports to routers that it is leaving, before it may end.
 const LEAVE_NOTICE_PERIOD: Duration = Duration::from_millis(300);
 
+/// Time for tasks to log what they abort: thread scheduling on a loaded machine.
+const ABORT_PERIOD: Duration = Duration::from_millis(100);
+
 /// Runs a sidecar until it has received a termination signal and finished its work.
 ///
 /// Fails when a listener cannot be bound or a thread cannot be started.
@@ -101,8 +104,7 @@
         budget_bytes: settings.max_kept_bytes,
         router_absence_limit: settings.router_absence_limit,
         tracker: TaskTracker::new(),
-        closing: shutdown.closing.clone(),
-        aborting: shutdown.aborting.clone(),
+        shutdown: shutdown.clone(),
     };
     let context = Context {
         boot,
@@ -196,11 +198,18 @@
     // The listeners stay open until all tasks have ended, so that routers can fetch responses.
     let draining = shutdown.with_closing(drained.clone());
     let finished = CancellationToken::new();
+    let abort = async {
+        shutdown.aborting.cancelled().await;
+        tokio::time::sleep(ABORT_PERIOD).await;
+    };
     let drain = async {
         shutdown.closing.cancelled().await;
         tokio::time::sleep(LEAVE_NOTICE_PERIOD).await;
         tracker.close();
-        tracker.wait().await;
+        tokio::select! {
+            () = tracker.wait() => {}
+            () = abort => {}
+        }
         drained.cancel();
     };
     let serving = async {
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -88,9 +88,12 @@
         let mut state = StreamState::new();
         let cancelled = self.cancelled.clone();
         tokio::select! {
+            biased;
             // An error means that the receiver is gone, so there is nobody to report it to.
             _ = self.relay(&mut state) => {}
             () = cancelled.cancelled() => self.cancel(&state).await,
+            // The task has ended, at the end of the shutdown; nobody waits for the response.
+            () = self.events.closed() => {}
         }
     }
 
--- a/daemon/src/sidecar/reader.rs
+++ b/daemon/src/sidecar/reader.rs
@@ -71,7 +71,7 @@
         match timeout(HEARTBEAT_INTERVAL, &mut pending).await {
             Ok(Ok(batch)) => {
                 self.position = batch.position;
-                self.is_finished = batch.frames.last().is_some_and(is_last);
+                self.is_finished = batch.frames.last().is_some_and(Frame::is_last);
                 batch.frames
             }
             Ok(Err(_)) => {
@@ -110,10 +110,6 @@
     Frame::Failed(Failure::may_have_run(Reason::ConnectionLost).into())
 }
 
-fn is_last(frame: &Frame) -> bool {
-    matches!(frame, Frame::End { .. } | Frame::Failed(_))
-}
-
 fn encode(frames: &[Frame]) -> io::Result<HttpFrame<Bytes>> {
     let mut bytes = Vec::new();
     for frame in frames {
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -12,7 +12,7 @@
         exchange::{Exchange, event::Event},
         response_buffer::{ReadError, ResponseBuffer},
     },
-    crate::{channel::BoundedSender, clock::Clock},
+    crate::{channel::BoundedSender, clock::Clock, signal::Shutdown},
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
@@ -20,7 +20,7 @@
         time::Timestamp,
         verdict::Verdict,
     },
-    tamarackdale_wire::message::Enqueue,
+    tamarackdale_wire::{Frame, message::Enqueue},
     tokio::{
         sync::{Semaphore, mpsc},
         time::{MissedTickBehavior, interval},
@@ -69,10 +69,8 @@
     pub router_absence_limit: Duration,
     /// Tracks the tasks so that they can be awaited.
     pub tracker: TaskTracker,
-    /// Cancelled at shutdown, after which responses are no longer kept for retries by callers.
-    pub closing: CancellationToken,
-    /// Cancelled when tasks must end at once.
-    pub aborting: CancellationToken,
+    /// Shutdown of the process. Once it is closing, responses are no longer kept for retries by callers.
+    pub shutdown: Shutdown,
 }
 
 /// Sending end of a task's mailbox.
@@ -100,6 +98,8 @@
     exchange: Option<Running>,
     started: bool,
     acknowledged: bool,
+    /// Whether a reader has been given the end of the response.
+    end_read: bool,
     /// Time for which no router has been connected.
     absence: Duration,
     checked_at: Timestamp,
@@ -136,22 +136,19 @@
         exchange: None,
         started: false,
         acknowledged: false,
+        end_read: false,
         absence: Duration::ZERO,
         checked_at: now,
         ended_at: None,
     };
-    let aborting = context.aborting.clone();
-    context.tracker.spawn(async move {
-        tokio::select! {
-            () = task.run() => {}
-            () = aborting.cancelled() => {}
-        }
-    });
+    context.tracker.spawn(task.run());
     handle
 }
 
 impl Task {
     async fn run(mut self) {
+        let shutdown = self.context.shutdown.clone();
+        let mut is_ending = false;
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.is_over() {
@@ -162,6 +159,14 @@
                 },
                 event = next_event(&mut self.exchange) => self.handle_event(event),
                 _ = ticks.tick() => self.check_readers(),
+                () = shutdown.ending.cancelled(), if !is_ending => {
+                    is_ending = true;
+                    self.end_at_shutdown();
+                }
+                () = shutdown.aborting.cancelled() => {
+                    self.log_unread();
+                    return;
+                }
             }
             self.serve_reads();
         }
@@ -171,7 +176,11 @@
         let Some(ended_at) = self.ended_at else {
             return false;
         };
-        let keep = self.request.keep_answer && !self.context.closing.is_cancelled();
+        let shutdown = &self.context.shutdown;
+        if shutdown.ending.is_cancelled() && self.end_read {
+            return true;
+        }
+        let keep = self.request.keep_answer && !shutdown.closing.is_cancelled();
         if !keep && self.acknowledged {
             return true;
         }
@@ -195,6 +204,12 @@
     }
 
     fn start(&mut self) {
+        self.started = true;
+        if self.context.shutdown.ending.is_cancelled() {
+            // Nothing has been sent to the backend server.
+            self.fail(Failure::not_run(Reason::Closing));
+            return;
+        }
         let (sender, events) = mpsc::channel(EVENT_CAPACITY);
         let cancelled = CancellationToken::new();
         let exchange = Exchange {
@@ -209,7 +224,6 @@
             cancelled: cancelled.clone(),
         };
         self.context.tracker.spawn(exchange.run());
-        self.started = true;
         self.exchange = Some(Running {
             events,
             cancelled,
@@ -273,6 +287,37 @@
         }
     }
 
+    /// Ends a run that outlasts the shutdown, so that its router learns what became of it.
+    fn end_at_shutdown(&mut self) {
+        // The dispatch worker has voided all attempts that wait.
+        if !self.started || self.ended_at.is_some() {
+            return;
+        }
+        let failure = Failure::may_have_run(Reason::Closing);
+        log::warn!(
+            attempt:% = self.attempt,
+            verdict:% = failure.verdict,
+            bytes = self.response.length();
+            "ended by the shutdown"
+        );
+        if !self.request.finish_alone {
+            self.cancel();
+        }
+        self.fail(failure);
+    }
+
+    /// Logs that the process ends before a router has read the end of the response.
+    fn log_unread(&self) {
+        if self.end_read || self.acknowledged || !self.started {
+            return;
+        }
+        log::warn!(
+            attempt:% = self.attempt,
+            bytes = self.response.length();
+            "response not read to its end before the end of the shutdown"
+        );
+    }
+
     fn cancel(&mut self) {
         if let Some(running) = &self.exchange {
             running.cancelled.cancel();
@@ -317,8 +362,12 @@
             }
             let mut position = read.position;
             match self.response.read(&mut position) {
-                // A reader that has disconnected in the meantime resumes at its old position.
-                Ok(frames) => drop(read.reply.send(FrameBatch { frames, position })),
+                Ok(frames) => {
+                    let is_end = frames.last().is_some_and(Frame::is_last);
+                    let sent = read.reply.send(FrameBatch { frames, position });
+                    // A reader that has disconnected in the meantime resumes at its old position.
+                    self.end_read |= is_end && sent.is_ok();
+                }
                 Err(ReadError::NotYet) => self.pending_reads.push(read),
                 Err(ReadError::Gone) => drop(read),
             }
--- a/testbed/tests/planned_stops_own_interface.rs
+++ b/testbed/tests/planned_stops_own_interface.rs
@@ -202,11 +202,13 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Stopped {
     Router,
+    Sidecar,
     All,
 }
 
 #[rstest]
 #[case::router(Stopped::Router)]
+#[case::sidecar(Stopped::Sidecar)]
 #[case::all(Stopped::All)]
 #[tokio::test]
 async fn what_has_not_ended_is_told_what_became_of_it(#[case] stopped: Stopped) {
@@ -218,8 +220,10 @@
     assert!(wait::until(LIMIT, || deployment.routed() == 2).await);
 
     let stopped_at = Instant::now();
-    deployment.routers[0].process.terminate().expect("running");
-    if stopped == Stopped::All {
+    if stopped != Stopped::Sidecar {
+        deployment.routers[0].process.terminate().expect("running");
+    }
+    if stopped != Stopped::Router {
         deployment.sidecars[0].process.terminate().expect("running");
     }
     let (running, waiting) = (running.await.expect("ends"), waiting.await.expect("ends"));
@@ -228,7 +232,10 @@
     assert_refused(&waiting, Verdict::NotRun);
     assert_eq!(runs(&deployment, "running"), 1);
     assert_eq!(runs(&deployment, "waiting"), 0);
-    let process = &mut deployment.routers[0].process;
+    let process = match stopped {
+        Stopped::Sidecar => &mut deployment.sidecars[0].process,
+        Stopped::Router | Stopped::All => &mut deployment.routers[0].process,
+    };
     assert_eq!(process.wait(LIMIT).await.expect("ends").code(), Some(0));
     assert!(stopped_at.elapsed() < SHUTDOWN_LIMIT + END_LIMIT);
     assert!(is_logged(&process.logs(), "ended by the shutdown"));
--- a/wire/src/frame.rs
+++ b/wire/src/frame.rs
@@ -44,6 +44,13 @@
     Failed(Failure),
 }
 
+impl Frame {
+    /// Whether it is the last frame of its stream.
+    pub fn is_last(&self) -> bool {
+        matches!(self, Self::End { .. } | Self::Failed(_))
+    }
+}
+
 /// One HTTP header.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Header {
