Router: the last event of a stream that breaks reaches its caller

Seen by callers: a stream that failed broke off without the `error` event that names its verdict.

Cause: the event and the error that breaks the connection were ready together. The connection takes all that is ready before it writes, and drops what it has not written when it meets the error.

Change: the error follows one turn of the scheduler later, when the event has been written.

--- a/daemon/src/router/relay/responder.rs
+++ b/daemon/src/router/relay/responder.rs
@@ -20,6 +20,7 @@
     tamarackdale_wire::frame::Header,
     tokio::{
         sync::{mpsc, oneshot},
+        task::yield_now,
         time::timeout,
     },
 };
@@ -164,10 +165,13 @@
         match receiver.recv().await {
             Some(BodyPart::Bytes(bytes)) => Some((Ok(HttpFrame::data(bytes)), Some(receiver))),
             Some(BodyPart::End) => None,
-            None => Some((
-                Err(io::Error::other("response ended before it was complete")),
-                None,
-            )),
+            None => {
+                // The connection writes what it has when there is nothing more to take, and drops it
+                // at an error.
+                yield_now().await;
+                let error = io::Error::other("response ended before it was complete");
+                Some((Err(error), None))
+            }
         }
     })
 }
--- a/testbed/tests/planned_stops_own_interface.rs
+++ b/testbed/tests/planned_stops_own_interface.rs
@@ -8,6 +8,7 @@
     tamarackdale_testbed::{
         deployment::{Deployment, Layout, Service, Standin},
         engine::Hardware,
+        http,
         load::{Generator, Record, Shot},
         plain::Plain,
         wait,
@@ -244,3 +245,34 @@
         "connection aborted at shutdown"
     ));
 }
+
+#[rstest]
+#[case::router(Stopped::Router)]
+#[case::sidecar(Stopped::Sidecar)]
+#[tokio::test]
+async fn stream_that_has_not_ended_breaks_with_a_last_event(#[case] stopped: Stopped) {
+    let deployment = start(assistant()).await;
+    let shot = question("stream");
+    let entry = deployment.entries()[0];
+    let mut reply = http::send(entry, shot.request(entry).expect("valid"))
+        .await
+        .expect("answered");
+
+    match stopped {
+        Stopped::Router => deployment.routers[0].process.terminate(),
+        Stopped::Sidecar | Stopped::All => deployment.sidecars[0].process.terminate(),
+    }
+    .expect("running");
+    let mut last = Vec::new();
+    let end = loop {
+        match timeout(LIMIT, reply.chunk()).await.expect("in time") {
+            Ok(Some(chunk)) => last = chunk.to_vec(),
+            end => break end,
+        }
+    };
+
+    assert!(end.is_err(), "the stream looks complete");
+    let last = String::from_utf8_lossy(&last);
+    assert!(last.contains("event: error"), "{last}");
+    assert!(last.contains("may-have-run"), "{last}");
+}
