A head that began with the request before is awaited

Callers whose next head came in part with the previous request, or with the end of a body that was discarded, lost their connection at the idle timeout, while the rest of the head was on its way.

Cause: hyper had read the first bytes into its own buffer, where the connection's activity does not see them.

Before a connection ends because it is idle, or makes room for another one, `Connection::into_parts` tells what hyper has read and not used. If that is anything, the connection goes on with these bytes, and the head has its own timeout from then on. A notification that such a connection got is passed on.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -84,6 +84,7 @@
         Observed {
             stream,
             activity: self.clone(),
+            returned: Bytes::new(),
         }
     }
 
@@ -100,6 +101,12 @@
         });
     }
 
+    /// Records that a part of a head has been read with the request before it.
+    pub fn record_begun_head(&self) {
+        self.state
+            .send_modify(|state| state.head_since = Some(Instant::now()));
+    }
+
     /// Records that the body of the last request has not been read to its end.
     pub fn record_unread_body(&self) {
         self.state.send_if_modified(|state| {
@@ -243,9 +250,19 @@
 pub struct Observed<T> {
     stream: T,
     activity: Activity,
+    /// Bytes that were read and are read again.
+    returned: Bytes,
 }
 
 impl<T> Observed<T> {
+    /// Returns `bytes`, which were read and not used, so that they are read again before others.
+    pub fn with_returned(self, bytes: Bytes) -> Self {
+        Self {
+            returned: bytes,
+            ..self
+        }
+    }
+
     /// The stream itself.
     pub fn into_inner(self) -> T {
         self.stream
@@ -258,6 +275,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.returned.is_empty() {
+            let bytes = self.returned.len().min(buffer.remaining());
+            buffer.put_slice(&self.returned.split_to(bytes));
+            return Poll::Ready(Ok(()));
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
         let bytes = buffer.filled().len() - before;
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -55,6 +55,15 @@
 /// listener may need it at once.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
 
+/// Why a connection ends on which no request is in progress.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Overdue {
+    /// It makes room for another one.
+    Reclaimed,
+    /// It has been idle, or a head has been incomplete, for too long.
+    TimedOut,
+}
+
 /// A bound listener with the handler that serves its connections.
 pub struct Server<H> {
     name: &'static str,
@@ -201,16 +210,16 @@
             }
         });
         let stream = activity.observe(stream);
-        let mut connection = http1::Builder::new()
-            // `Activity` has the timeouts.
-            .header_read_timeout(None)
-            .max_buf_size(MAX_HEADER_BUFFER_BYTES)
-            .serve_connection(TokioIo::new(stream), service);
+        let mut protocol = http1::Builder::new();
+        // `Activity` has the timeouts.
+        protocol.header_read_timeout(None);
+        protocol.max_buf_size(MAX_HEADER_BUFFER_BYTES);
+        let mut connection = protocol.serve_connection(TokioIo::new(stream), service);
         async move {
             let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
             let mut is_closing = false;
             let result = loop {
-                tokio::select! {
+                let overdue = tokio::select! {
                     // A request that has arrived goes before the timeout.
                     biased;
                     result = &mut connection => break result,
@@ -230,16 +239,32 @@
                             return;
                         }
                         is_closing = true;
+                        None
                     }
-                    () = discarding.as_mut() => {}
+                    () = discarding.as_mut() => None,
                     // It has been idle for long enough that its peer has the last answer.
-                    () = activity.reclaimed(&reclaim) => return,
-                    () = activity.timed_out(&*timeouts) => {
-                        log_incomplete_request(name, peer, &activity);
-                        return;
-                    }
+                    () = activity.reclaimed(&reclaim) => Some(Overdue::Reclaimed),
+                    () = activity.timed_out(&*timeouts) => Some(Overdue::TimedOut),
+                };
+                let Some(overdue) = overdue else {
+                    Pin::new(&mut connection).graceful_shutdown();
+                    continue;
+                };
+                let parts = connection.into_parts();
+                let is_idle = parts.read_buf.is_empty();
+                if is_closing || is_idle || activity.is_request_incomplete() {
+                    log_incomplete_request(name, peer, &activity);
+                    return;
+                }
+                if overdue == Overdue::Reclaimed {
+                    // Another connection makes room.
+                    reclaim.notify_one();
                 }
-                Pin::new(&mut connection).graceful_shutdown();
+                // A part of a head came in one read with the request before. From now on it has the time
+                // of a head.
+                activity.record_begun_head();
+                let stream = parts.io.into_inner().with_returned(parts.read_buf);
+                connection = protocol.serve_connection(TokioIo::new(stream), parts.service);
             };
             // The end of a rest can come with the end of its connection.
             let _ = discarding.as_mut().now_or_never();
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -598,3 +598,19 @@
     assert!(sent.is_ok() && completed.is_ok(), "{completed:?}");
     assert_eq!(answers.matches("HTTP/1.1 200").count(), 2, "{read:?}");
 }
+
+/// Guards against a caller that keeps its connection with a part of a head that came with another request.
+#[tokio::test]
+async fn head_whose_first_part_came_with_another_request_is_awaited_for_a_limited_time() {
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+
+    let sent = stream
+        .write_all(b"GET / HTTP/1.1\r\nHost: a\r\n\r\nGET")
+        .await;
+    let mut answers = String::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_string(&mut answers)).await;
+
+    assert!(sent.is_ok() && read.is_ok(), "{read:?}");
+    assert!(answers.starts_with("HTTP/1.1 200"), "{answers}");
+}
