An answer that finds the memory for answers full waits for room

Callers of requests that may run once got 502 although their server had answered, and others were sent again, when many or long answers came at once: a body that found the shared memory full was given up.

Since each of those that wait may hold a part of the memory, room for one whole answer (8 MiB) is kept apart, taken by one after another, so they cannot block each other. The sum stays an eighth of the memory, and at least 16 MiB in place of 8.

--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -333,13 +333,10 @@
                     backend_server = self.in_flight.id();
                     "cannot read the response body: {error}"
                 );
-                // A full buffer may be due to other backend servers.
-                if !matches!(error, BufferError::Full) {
-                    self.record_failure();
-                }
+                self.record_failure();
                 Err(match error {
                     BufferError::Broken(_) => BodyError::Broken(self.member),
-                    BufferError::TooLong | BufferError::Full => BodyError::Other,
+                    BufferError::TooLong => BodyError::Other,
                 })
             }
             Err(_) => {
--- a/daemon/src/gateway/response_buffers.rs
+++ b/daemon/src/gateway/response_buffers.rs
@@ -27,37 +27,51 @@
     /// The body is longer than one response may be.
     #[display("the body is longer than {MAX_RESPONSE_BYTES} bytes")]
     TooLong,
-    /// All buffered responses together are longer than the memory for them.
-    #[display("the memory for response bodies is full")]
-    Full,
 }
 
 /// Memory that all buffered responses share. Backend servers in trouble send bodies without end;
 /// the limit of one response would allow many of them to exhaust the memory of the process.
+///
+/// A response that finds the memory full waits. Each of those that wait may hold a part of the memory, so
+/// there is room for one whole response apart, which one of them gets after another.
 #[derive(Clone)]
 pub struct ResponseBuffers {
     blocks: Arc<Semaphore>,
+    whole_response: Arc<Semaphore>,
+}
+
+/// Memory that one response has reserved.
+struct Reservation<'a> {
+    buffers: &'a ResponseBuffers,
+    blocks: Option<SemaphorePermit<'a>>,
+    whole_response: Option<SemaphorePermit<'a>>,
 }
 
 impl ResponseBuffers {
     /// Creates the buffers of a process that may use `max_memory_bytes`.
     pub fn new(max_memory_bytes: u64) -> Self {
         let bytes = usize::try_from(max_memory_bytes / MEMORY_DIVISOR).unwrap_or(usize::MAX);
-        let blocks =
-            (bytes / BLOCK_BYTES).clamp(MAX_RESPONSE_BYTES / BLOCK_BYTES, Semaphore::MAX_PERMITS);
+        let shared = bytes.saturating_sub(MAX_RESPONSE_BYTES) / BLOCK_BYTES;
+        let blocks = shared.clamp(MAX_RESPONSE_BYTES / BLOCK_BYTES, Semaphore::MAX_PERMITS);
         Self {
             blocks: Arc::new(Semaphore::new(blocks)),
+            whole_response: Arc::new(Semaphore::new(1)),
         }
     }
 
-    /// Reads a whole body. The memory is released when the reading ends.
+    /// Reads a whole body, which waits while the memory is full. The memory is released when the reading
+    /// ends.
     pub async fn read<B>(&self, body: &mut B) -> Result<Bytes, BufferError>
     where
         B: Body<Data = Bytes> + Unpin,
         B::Error: Display,
     {
         let mut content = BytesMut::new();
-        let mut reserved: Option<SemaphorePermit> = None;
+        let mut reservation = Reservation {
+            buffers: self,
+            blocks: None,
+            whole_response: None,
+        };
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| BufferError::Broken(error.to_string()))?;
             let Some(bytes) = frame.data_ref() else {
@@ -67,16 +81,34 @@
                 return Err(BufferError::TooLong);
             }
             content.extend_from_slice(bytes);
-            let held = reserved.as_ref().map_or(0, SemaphorePermit::num_permits);
-            let missing = content.len().div_ceil(BLOCK_BYTES).saturating_sub(held);
-            let missing = u32::try_from(missing).unwrap_or(u32::MAX);
-            let permit = self.blocks.try_acquire_many(missing);
-            let permit = permit.map_err(|_| BufferError::Full)?;
-            match &mut reserved {
-                Some(reserved) => reserved.merge(permit),
-                None => reserved = Some(permit),
-            }
+            reservation.grow(content.len()).await;
         }
         Ok(content.freeze())
     }
 }
+
+impl Reservation<'_> {
+    /// Waits until there is memory for `bytes` in total.
+    async fn grow(&mut self, bytes: usize) {
+        let held = self.blocks.as_ref();
+        let held = held.map_or(0, SemaphorePermit::num_permits);
+        let missing = bytes.div_ceil(BLOCK_BYTES).saturating_sub(held);
+        if missing == 0 || self.whole_response.is_some() {
+            return;
+        }
+        let missing = u32::try_from(missing).unwrap_or(u32::MAX);
+        // The semaphores are never closed.
+        tokio::select! {
+            biased;
+            Ok(blocks) = self.buffers.blocks.acquire_many(missing) => match &mut self.blocks {
+                Some(held) => held.merge(blocks),
+                None => self.blocks = Some(blocks),
+            },
+            Ok(permit) = self.buffers.whole_response.acquire() => {
+                log::info!("memory for response bodies is full: a response uses the last room");
+                self.whole_response = Some(permit);
+            }
+            else => {}
+        }
+    }
+}
--- a/daemon/tests/response_buffers.rs
+++ b/daemon/tests/response_buffers.rs
@@ -2,11 +2,13 @@
 
 use {
     bytes::Bytes,
-    futures_util::stream,
+    futures_util::{StreamExt as _, future::join_all, stream},
     http_body_util::StreamBody,
     hyper::body::{Body, Frame},
-    std::convert::Infallible,
+    rstest::rstest,
+    std::{convert::Infallible, time::Duration},
     tamarackdaled::gateway::response_buffers::{BufferError, ResponseBuffers},
+    tokio::{task::yield_now, time::timeout},
 };
 
 /// Memory of a process whose buffers hold 8 MiB.
@@ -15,8 +17,15 @@
 /// A body of `count` chunks of `size` bytes.
 fn body(count: usize, size: usize) -> impl Body<Data = Bytes, Error = Infallible> + Unpin {
     let chunk = Bytes::from(vec![b'x'; size]);
-    let frames = (0..count).map(move |_| Ok(Frame::data(chunk.clone())));
-    StreamBody::new(stream::iter(frames))
+    let frames = stream::iter(0..count).then(move |_| {
+        let frame = Frame::data(chunk.clone());
+        async {
+            // Others get their next chunks meanwhile.
+            yield_now().await;
+            Ok(frame)
+        }
+    });
+    StreamBody::new(frames.boxed())
 }
 
 /// A backend server in trouble that sends a byte at a time must not take the memory of others.
@@ -51,3 +60,33 @@
         );
     }
 }
+
+/// Guards against requests that end with 502 although their servers answered, because the memory was full
+/// for a moment, and against bodies that wait for each other.
+#[rstest]
+#[case::large(8, 8)]
+#[case::many(24, 3)]
+#[tokio::test]
+async fn bodies_that_find_the_memory_full_wait_for_room(
+    #[case] responses: usize,
+    #[case] chunks: usize,
+) {
+    /// Far more than it takes.
+    const LIMIT: Duration = Duration::from_secs(10);
+    const CHUNK_BYTES: usize = 1024 * 1024;
+    let buffers = ResponseBuffers::new(MEMORY_BYTES);
+    let reads = (0..responses).map(|_| async {
+        let content = buffers.read(&mut body(chunks, CHUNK_BYTES)).await;
+        content.map(|content| content.len())
+    });
+
+    let lengths = timeout(LIMIT, join_all(reads)).await;
+
+    let lengths = lengths.expect("a body waits without end");
+    assert!(
+        lengths
+            .iter()
+            .all(|length| matches!(length, Ok(length) if *length == chunks * CHUNK_BYTES)),
+        "{lengths:?}"
+    );
+}
