Router: a retry that the shutdown ends is not called not run while an earlier call's outcome is open

Seen by callers: a booking was sent again under its key while the sidecar that had the first call was silent, and the router was stopped. The retry was answered `not-run`, `closing`.

Cause: the claim was given up with the verdict of this call alone, although its machine had read the record of the other attempt. AT-MOST-ONCE.md promises `may-have-run` there, as the claim itself says at its deadline.

Change: a claim that is given up says `may-have-run` if the record that it read last is that of another attempt which this router has not withdrawn.

--- a/daemon/src/router/relay/claim.rs
+++ b/daemon/src/router/relay/claim.rs
@@ -48,6 +48,10 @@
     assignment: &'a Assignment,
     key: String,
     machine: Machine,
+    nonce: Nonce,
+    withdrawn: &'a [Attempt],
+    /// Whether the record that was last read is that of an attempt which may run.
+    knows_other_attempt: bool,
     /// The sidecar named in the record that was last read.
     other_peer: Option<Peer>,
 }
@@ -67,7 +71,7 @@
         context: &'a Context,
         request: &InboundRequest,
         assignment: &'a Assignment,
-        withdrawn: &[Attempt],
+        withdrawn: &'a [Attempt],
         deadline: Timestamp,
     ) -> Self {
         let record = Record {
@@ -76,6 +80,7 @@
             attempt: assignment.attempt,
             fingerprint: request.fingerprint(),
         };
+        let nonce = record.nonce;
         let late = context.clock.now().plus(LATE_CLAIM_LIMIT);
         let deadline = if request.finish_late { late } else { deadline };
         Self {
@@ -83,12 +88,15 @@
             assignment,
             key: key(&request.id),
             machine: Machine::new(record, deadline).with_withdrawn(withdrawn),
+            nonce,
+            withdrawn,
+            knows_other_attempt: false,
             other_peer: None,
         }
     }
 
     /// Claims the request. Cancel safe: nothing is granted if the future is dropped.
-    pub async fn acquire(mut self) -> ClaimOutcome {
+    pub async fn acquire(&mut self) -> ClaimOutcome {
         let mut step = self.machine.start();
         loop {
             if !step.delay.is_zero() {
@@ -135,6 +143,15 @@
         }
     }
 
+    /// The failure of a claim that is given up for this reason before its outcome is known. The verdict
+    /// is `NotRun` only if no attempt is known that may run.
+    pub fn given_up(&self, reason: Reason) -> Failure {
+        match self.knows_other_attempt {
+            true => Failure::may_have_run(reason),
+            false => Failure::not_run(reason),
+        }
+    }
+
     async fn call(&mut self, call: Call) -> Result<Event, ClaimError> {
         let outcome = self.context.claims.call(&self.key, call).await;
         match outcome.map_err(ClaimError::Unavailable)? {
@@ -209,6 +226,8 @@
         };
         let address = stored.address;
         let record = Record::from(stored);
+        self.knows_other_attempt =
+            record.nonce != self.nonce && !self.withdrawn.contains(&record.attempt);
         self.other_peer = Some(Peer {
             incarnation: record.incarnation.clone(),
             address,
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -114,7 +114,7 @@
         if !self.request.needs_claim() {
             return Ok(());
         }
-        let claim = Claim::new(
+        let mut claim = Claim::new(
             self.context,
             self.request,
             self.assignment,
@@ -125,7 +125,9 @@
             claimed = claim.acquire() => claimed,
             error = wait_until_lost(frames) => return Err(error),
             () = responder.abandoned() => return Err(OfferError::CallerGone),
-            () = self.until_too_late() => return Err(closing()),
+            () = self.until_too_late() => {
+                return Err(OfferError::Failed(claim.given_up(Reason::Closing)));
+            }
         };
         match claimed {
             ClaimOutcome::Held => Ok(()),
--- a/testbed/tests/planned_stops_own_interface.rs
+++ b/testbed/tests/planned_stops_own_interface.rs
@@ -6,7 +6,7 @@
     std::time::Duration,
     tamarackdale_core::verdict::Verdict,
     tamarackdale_testbed::{
-        deployment::{Deployment, Layout, Service, Standin},
+        deployment::{Deployment, Layout, Service, Sidecar, Standin},
         engine::Hardware,
         http,
         load::{Generator, Record, Shot},
@@ -246,6 +246,34 @@
     ));
 }
 
+#[tokio::test]
+async fn retry_is_not_called_not_run_while_the_first_call_is_open() {
+    let deployment = start(Service::ordre_app(2)).await;
+    let sidecars = &deployment.sidecars;
+    sidecars
+        .iter()
+        .for_each(|sidecar| sidecar.plain().set_latency(ENDLESS));
+    let first = offer(&deployment, booking("twice"));
+    let of_first = || {
+        let called = |sidecar: &&Sidecar| !sidecar.plain().calls().is_empty();
+        sidecars.iter().find(called)
+    };
+    assert!(wait::until(LIMIT, || of_first().is_some()).await);
+    let holder = of_first().expect("has the call");
+    // The retry learns of the first call from its claim, and nothing of its outcome.
+    holder.process.pause().expect("running");
+    let retry = offer(&deployment, booking("twice"));
+    let conflicts = || deployment.logs_about("twice").matches("routed").count() >= 2;
+    assert!(wait::until(LIMIT, conflicts).await);
+
+    deployment.routers[0].process.terminate().expect("running");
+    let (first, retry) = (first.await.expect("ends"), retry.await.expect("ends"));
+    holder.process.resume_execution().expect("paused");
+
+    assert_refused(&first, Verdict::MayHaveRun);
+    assert_refused(&retry, Verdict::MayHaveRun);
+}
+
 #[rstest]
 #[case::router(Stopped::Router)]
 #[case::sidecar(Stopped::Sidecar)]
