Gateway: the end of a planned stop limits the time of every request, and each gets an answer

Cause: relay knew nothing of the stop. A decision was made once, at the head; body, quota, slot, start, proof and retry could end at any later moment, and the request was then sent with its whole time. Connections were dropped without an end.

Change: a request's time left is the nearer of its own and the end of the shutdown, and the server is told so. While closing, an attempt, a retry or a move is sent only if its predicted time fits in two thirds of what is left, or, if the server has not been measured, its own time fits in all of it; otherwise it is refused as not run at once, 50 ms Retry-After, or given up as before if it may have run. At the end of the shutdown what was not sent is refused with 503, what was sent is answered 504, and streams break. The refusal of all requests 2.5 s after SIGTERM goes. `placed`, `ended` and `refused` lines say for how long the gateway has been closing; a `placed` line also how old its request is and how much time it has, which tells a late decision from a long request; what is dropped nevertheless ends as `cut-at-shutdown`.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -99,8 +99,7 @@
         introductions: introductions_sender,
         keepers: Arc::default(),
         metrics: Metrics::new().map_err(io::Error::other)?,
-        closing: shutdown.closing.clone(),
-        leaving: CancellationToken::new(),
+        shutdown: shutdown.clone(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
     let watched = watch_settings(path, hangup, settings_sender, context.clone());
@@ -162,7 +161,6 @@
     let leave = async {
         shutdown.closing.cancelled().await;
         sleep(UNREADY_DELAY).await;
-        context.leaving.cancel();
         unready.closing.cancel();
     };
     let drain = async {
@@ -233,7 +231,7 @@
             .snapshot()
             .is_some_and(|snapshot| snapshot.freshness.is_fresh(now) && snapshot.is_usable(now));
         let knows_gateways = context.store.gateways.borrow().is_some();
-        !context.closing.is_cancelled()
+        !context.shutdown.closing.is_cancelled()
             && is_current
             && knows_gateways
             && context.scheduler.has_servers()
@@ -252,7 +250,7 @@
         tokio::select! {
             _ = hangup.recv() => {}
             () = sleep(SETTINGS_INTERVAL) => {}
-            () = context.closing.cancelled() => std::future::pending().await,
+            () = context.shutdown.closing.cancelled() => std::future::pending().await,
         }
         match Settings::read(&path) {
             Ok(settings) if settings == **sender.borrow() => {}
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -4,7 +4,7 @@
     super::{
         context::Context,
         follower::Snapshot,
-        refusal::{Cause, Refusal},
+        refusal::{Cause, LEAVING_RETRY_AFTER, Refusal},
         relay::{self, Request},
     },
     crate::{
@@ -43,10 +43,6 @@
 /// can serve the retry.
 const NOT_PROVED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// `Retry-After` of a gateway that is shutting down. The load balancer sends the next connection to
-/// another one.
-const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
-
 /// Routes every method and path of the callers' listener to one handler.
 pub fn routes(context: Context) -> Router {
     http::catch_all_router(context, handle)
@@ -55,7 +51,7 @@
 async fn handle(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let mut response = respond(&context, &mut state).await;
-    if context.closing.is_cancelled() {
+    if context.shutdown.closing.is_cancelled() {
         let headers = response.headers_mut();
         headers.insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -83,13 +79,22 @@
         headers,
         accepted,
     };
-    match accept(context, incoming, caller_body).await {
+    let accepting = accept(context, incoming, caller_body);
+    let accepted = tokio::select! {
+        biased;
+        accepted = accepting => accepted,
+        () = context.shutdown.ending.cancelled() => {
+            let refusal = Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
+            Err(refusal.without_body())
+        }
+    };
+    match accepted {
         Ok(request) => relay::run(context, request).await,
-        Err(refusal) => refuse(&id, refusal),
+        Err(refusal) => refuse(context, &id, refusal),
     }
 }
 
-fn refuse(id: &str, refusal: Refusal) -> Response<Body> {
+fn refuse(context: &Context, id: &str, refusal: Refusal) -> Response<Body> {
     let retry_after = refusal.retry_after.unwrap_or_default();
     let exceeded = refusal.quota_exceeded.as_ref();
     log::warn!(
@@ -97,6 +102,7 @@
         cause:% = refusal.cause,
         body_read = refusal.is_body_read,
         retry_after_ms = retry_after.as_millis() as u64,
+        closing_for_ms = context.closing_for_ms(),
         organisation = exceeded.map(|exceeded| exceeded.organisation.as_str()),
         quota_used = exceeded.map(|exceeded| exceeded.used),
         quota_assumed = exceeded.map(|exceeded| exceeded.assumed),
@@ -121,10 +127,6 @@
     incoming: IncomingRequest,
     body: Body,
 ) -> Result<Request, Refusal> {
-    if context.leaving.is_cancelled() {
-        let refusal = Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
-        return Err(refusal.without_body());
-    }
     let authorised = authorise(context, &incoming.headers, &incoming.uri, &incoming.head)
         .map_err(Refusal::without_body)?;
     let limit = authorised.snapshot.value.limits().body_bytes;
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -14,6 +14,7 @@
         clock::{self, Clock},
         http::activity::Timeouts,
         metrics::Metrics,
+        signal::Shutdown,
     },
     gotham::state::StateData,
     std::{
@@ -24,7 +25,6 @@
     tamarackdale_core::{peer_table::PeerTable, routing_config::Limits},
     tamarackdale_platform::Settings,
     tokio::sync::{mpsc, watch},
-    tokio_util::sync::CancellationToken,
 };
 
 /// State that the request handlers of a gateway share.
@@ -56,10 +56,8 @@
     pub keepers: Arc<Keepers>,
     /// Counters and histograms.
     pub metrics: Metrics,
-    /// Cancelled when the shutdown begins. New requests are still served.
-    pub closing: CancellationToken,
-    /// Cancelled when new requests are refused, because they might outlast the process.
-    pub leaving: CancellationToken,
+    /// The shutdown, which limits the time of all requests once it has begun.
+    pub shutdown: Shutdown,
 }
 
 impl Context {
@@ -68,6 +66,12 @@
         self.store.configuration.borrow().clone()
     }
 
+    /// Time in milliseconds since the shutdown began, or `None` while it has not, for logs.
+    pub fn closing_for_ms(&self) -> Option<u64> {
+        let time = self.shutdown.closing_for()?;
+        Some(time.as_millis() as u64)
+    }
+
     /// Locks the known peers.
     pub fn known_peers(&self) -> MutexGuard<'_, PeerTable> {
         let known_peers = self.known_peers.lock();
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -17,6 +17,10 @@
     tamarackdale_platform::response,
 };
 
+/// `Retry-After` of a gateway that is shutting down. The load balancer sends the next connection to
+/// another one.
+pub const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Why a gateway generates the response itself. Sent to the caller as `error`.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 #[display(rename_all = "kebab-case")]
@@ -33,7 +37,7 @@
     BodyBroken,
     /// No configuration is known, or it is not confirmed to be current.
     NotProved,
-    /// The gateway is shutting down.
+    /// The gateway is shutting down, and the request would not end in time.
     Leaving,
     /// The request exceeds its organisation's quota.
     Quota,
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -9,7 +9,7 @@
     super::{
         context::Context,
         origins::{self, Unknown},
-        refusal::{Cause, Refusal},
+        refusal::{Cause, LEAVING_RETRY_AFTER, Refusal},
         scheduler::{InFlightRequest, PlacementRequest, Retry},
         starts,
     },
@@ -52,6 +52,13 @@
 /// Outcome of a request whose caller disconnected before its end.
 const CALLER_GONE: &str = "caller-gone";
 
+/// Outcome of a request whose connection was dropped by the shutdown before its end.
+const CUT: &str = "cut-at-shutdown";
+
+/// Part of the time until the end of the shutdown that the predicted time of a request may take.
+/// Predictions are means, and callers' estimates of the output are often far off.
+const SHUTDOWN_FRACTION: f64 = 2.0 / 3.0;
+
 /// Crashes at which a request was lost after which it is not sent to another backend server by itself.
 /// A request that only happened to be there is rarely lost at two in a row.
 const MAX_CRASHES_OF_RESENT: usize = 2;
@@ -134,7 +141,11 @@
         if self.dispatch.verdict() == Verdict::NotRun {
             self.refund();
         }
-        self.finish(CALLER_GONE, None);
+        let outcome = match self.context.shutdown.aborting.is_cancelled() {
+            true => CUT,
+            false => CALLER_GONE,
+        };
+        self.finish(outcome, None);
     }
 }
 
@@ -176,15 +187,45 @@
 
 impl Job {
     async fn run(mut self) -> Response<Body> {
-        if let Err(cause) = self.find_origin().await {
-            return self.refuse(cause);
-        }
-        match self.send_until_response().await {
+        let ending = self.context.shutdown.ending.clone();
+        let sending = async {
+            self.find_origin().await?;
+            self.send_until_response().await
+        };
+        let exchange = tokio::select! {
+            biased;
+            exchange = sending => exchange,
+            () = ending.cancelled() => Err(self.end_at_shutdown()),
+        };
+        match exchange {
             Ok(exchange) => self.respond(exchange).await,
             Err(cause) => self.refuse(cause),
         }
     }
 
+    /// Returns the cause to report for a request that is in progress at the end of the shutdown.
+    fn end_at_shutdown(&self) -> Cause {
+        match self.dispatch.verdict() {
+            Verdict::NotRun => Cause::Leaving,
+            Verdict::MayHaveRun | Verdict::Ran => Cause::Timeout,
+        }
+    }
+
+    /// Whether the request is expected to end at the chosen backend server before the shutdown does.
+    fn ends_before_shutdown(&self, choice: &Choice) -> bool {
+        let Some(shutdown_left) = self.context.shutdown.time_left() else {
+            return true;
+        };
+        let is_measured = match self.request.head.tokens {
+            Some(_) => choice.speed.decode_ms.is_some(),
+            None => choice.speed.occupancy_ms.is_some(),
+        };
+        match is_measured {
+            true => choice.estimate.total <= shutdown_left.mul_f64(SHUTDOWN_FRACTION),
+            false => self.own_time_left() <= shutdown_left,
+        }
+    }
+
     /// Finds out which version began the stream that the caller takes up, if it does.
     async fn find_origin(&mut self) -> Result<(), Cause> {
         let head = &self.request.head;
@@ -242,6 +283,9 @@
             if self.quarantine().is_some() {
                 return Err(self.give_up(Cause::Quarantined));
             }
+            if !self.ends_before_shutdown(&choice) {
+                return Err(self.give_up(Cause::Leaving));
+            }
             let load = choice.request_load(self.prompt_tokens());
             let request = self.request.head.id.as_str();
             if !starts::obtain(&self.context, &choice.member, load, request).await {
@@ -369,7 +413,7 @@
         let is_retry = placement.is_retry;
         let choice = self.context.scheduler.place(placement).await?;
         self.log_placement(&choice, requested, is_retry);
-        if self.time_left().is_zero() {
+        if self.own_time_left().is_zero() {
             return Err(Cause::TimeoutUnsent);
         }
         Ok(choice)
@@ -395,7 +439,7 @@
             accepted: self.request.accepted,
             waiting_since: self.waiting_since,
             objective: route.objective,
-            deadline: self.deadline,
+            deadline: self.context.clock.now().plus(self.time_left()),
             is_retry: wait_policy::is_retry(time_budget, route.timeout),
             is_optional: false,
         }
@@ -417,7 +461,10 @@
             decode_ms = choice.speed.decode_ms.unwrap_or_default(),
             prefill_ms = choice.speed.prefill_ms.unwrap_or_default(),
             stay_ms = choice.speed.occupancy_ms.unwrap_or_default(),
-            limit_per_s = choice.limit.map(Limit::per_second);
+            limit_per_s = choice.limit.map(Limit::per_second),
+            accepted_ms_ago = self.context.clock.now().since(self.request.accepted).as_millis() as u64,
+            time_left_ms = self.own_time_left().as_millis() as u64,
+            closing_for_ms = self.context.closing_for_ms();
             "placed"
         );
     }
@@ -451,10 +498,13 @@
     }
 
     async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, ExchangeError> {
-        // The configuration may have become stale while a start was asked for.
+        // The configuration may have become stale while a start was asked for, and the time too short.
         if !self.is_key_proved() {
             return Err(ExchangeError::GivenUp(self.give_up(Cause::NotProved)));
         }
+        if !self.ends_before_shutdown(choice) {
+            return Err(ExchangeError::GivenUp(self.give_up(Cause::Leaving)));
+        }
         exchange::run(self, choice).await
     }
 
@@ -502,7 +552,15 @@
             .is_some_and(|service| service.engine.is_some())
     }
 
+    /// Time until the deadline or the end of the shutdown, whichever is nearer.
     fn time_left(&self) -> Duration {
+        let own = self.own_time_left();
+        let shutdown_left = self.context.shutdown.time_left();
+        shutdown_left.map_or(own, |left| left.min(own))
+    }
+
+    /// Time that the caller and the route allow.
+    fn own_time_left(&self) -> Duration {
         self.deadline.since(self.context.clock.now())
     }
 
@@ -519,7 +577,14 @@
         if exchange.is_stream() {
             return stream::respond(self, exchange).await;
         }
-        match exchange.read_body(&self.context.response_buffers).await {
+        let read = tokio::select! {
+            biased;
+            read = exchange.read_body(&self.context.response_buffers) => read,
+            () = self.context.shutdown.ending.cancelled() => {
+                return self.refuse(self.end_at_shutdown());
+            }
+        };
+        match read {
             Ok((parts, bytes, in_flight)) => {
                 self.record_answer();
                 self.finish(ANSWERED, Some(&in_flight));
@@ -532,10 +597,15 @@
     /// Handles a response that broke off before any of it was passed on.
     async fn retry_or_fail(mut self, error: BodyError) -> Response<Body> {
         let mut step = self.dispatch.fail(SendFailure::Lost);
-        if let BodyError::Broken(member) = &error
-            && !self.may_resend_after_break(member).await
-        {
-            step = Step::Fail;
+        if let BodyError::Broken(member) = &error {
+            let ending = self.context.shutdown.ending.clone();
+            let may_resend = tokio::select! {
+                may_resend = self.may_resend_after_break(member) => may_resend,
+                () = ending.cancelled() => false,
+            };
+            if !may_resend {
+                step = Step::Fail;
+            }
         }
         match step {
             Step::Resend => Box::pin(self.run()).await,
@@ -550,6 +620,7 @@
             self.refund();
             let random = self.context.scheduler.random();
             let retry_after = match (cause, self.quarantine()) {
+                (Cause::Leaving, _) => LEAVING_RETRY_AFTER,
                 (Cause::Quarantined, Some(remaining)) => remaining,
                 (Cause::OriginUnknown, _) => {
                     origins::save_interval(&self.context) + ORIGIN_RETRY_MARGIN
@@ -609,7 +680,7 @@
             _ => (log::Level::Warn, self.dispatch.verdict()),
         };
         let utilisation = self.context.scheduler.utilisation(&self.service);
-        let has_failed = outcome != ANSWERED && outcome != CALLER_GONE;
+        let has_failed = ![ANSWERED, CALLER_GONE, CUT].contains(&outcome);
         log::log!(
             level,
             request = self.request.head.id.as_str(),
@@ -631,7 +702,8 @@
             expected_output = self.request.head.tokens.map_or(0, |tokens| tokens.expected_output()),
             events = self.events,
             request_digest = has_failed.then(|| format!("{:x}", self.request_digest())),
-            elapsed_ms = elapsed.as_millis() as u64;
+            elapsed_ms = elapsed.as_millis() as u64,
+            closing_for_ms = self.context.closing_for_ms();
             "ended"
         );
     }
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -163,7 +163,11 @@
     pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
         let time_left = job.time_left();
         if time_left.is_zero() {
-            return Err(ExchangeError::GivenUp(job.give_up(Cause::TimeoutUnsent)));
+            let cause = match job.own_time_left().is_zero() {
+                true => Cause::TimeoutUnsent,
+                false => Cause::Leaving,
+            };
+            return Err(ExchangeError::GivenUp(job.give_up(cause)));
         }
         let request = build_request(job, &self.member.id, time_left);
         job.dispatch.send();
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -114,14 +114,25 @@
     NoAttemptLeft,
     #[display("the request is suspected to crash backend servers")]
     Suspected,
+    #[display("the shutdown ends what is in progress")]
+    Shutdown,
     #[display("no backend server could take it: {_0}")]
     NotPlaced(Cause),
 }
 
 impl StreamRelay {
     /// Returns the next complete events, `None` at the end of the stream, or the reason for which the stream
-    /// broke and cannot be resumed.
+    /// broke and cannot be resumed or was ended.
     async fn next(&mut self) -> Option<Result<Bytes, EndReason>> {
+        let ending = self.job.context.shutdown.ending.clone();
+        tokio::select! {
+            biased;
+            next = self.next_events() => next,
+            () = ending.cancelled() => Some(Err(EndReason::Shutdown)),
+        }
+    }
+
+    async fn next_events(&mut self) -> Option<Result<Bytes, EndReason>> {
         loop {
             let result = match self.read().await? {
                 Progress::Silent => self.read_or_move().await?,
@@ -426,6 +437,7 @@
         self.exchange = None;
         let cause = match reason {
             EndReason::TimedOut => Cause::Timeout,
+            EndReason::Shutdown => self.job.end_at_shutdown(),
             EndReason::NotPlaced(cause) => cause,
             EndReason::NoAttemptLeft | EndReason::Suspected => self.job.give_up(Cause::NotExecuted),
         };
--- a/daemon/src/gateway/relay/takeover.rs
+++ b/daemon/src/gateway/relay/takeover.rs
@@ -30,6 +30,8 @@
     NoRetry,
     #[display("it cannot be placed: {_0:?}")]
     NotPlaced(crate::gateway::scheduler::PlacementError),
+    #[display("it would not end there before the shutdown does")]
+    Leaving,
     #[display("the limit of the backend server allows no start")]
     NoStart,
     #[display("the other backend server cannot be reached")]
@@ -79,6 +81,9 @@
         .await
         .map_err(Obstacle::NotPlaced)?;
     job.log_placement(&choice, now, is_returning);
+    if !job.ends_before_shutdown(&choice) {
+        return Err(Obstacle::Leaving);
+    }
     let load = choice.request_load(job.prompt_tokens());
     let request = job.request.head.id.as_str();
     if !starts::obtain(&job.context, &choice.member, load, request).await {
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -26,8 +26,16 @@
     pub ending: CancellationToken,
     /// Cancelled after the time limit or at an interrupt during the shutdown: abort what is left.
     pub aborting: CancellationToken,
-    /// When `ending` is cancelled, once the shutdown has begun.
-    end: Arc<OnceLock<Instant>>,
+    /// The time of the shutdown, once it has begun.
+    period: Arc<OnceLock<Period>>,
+}
+
+/// The time of a shutdown.
+#[derive(Clone, Copy, Debug)]
+struct Period {
+    begin: Instant,
+    /// When `ending` is cancelled.
+    end: Instant,
 }
 
 impl Shutdown {
@@ -47,16 +55,23 @@
     /// Begins the shutdown: `ending` is due [`ANSWER_RESERVE`] before `limit` has passed. Later calls
     /// change nothing.
     pub fn begin(&self, limit: Duration) {
-        let end = Instant::now() + limit.saturating_sub(ANSWER_RESERVE);
+        let begin = Instant::now();
+        let end = begin + limit.saturating_sub(ANSWER_RESERVE);
         // A shutdown that has begun keeps its end.
-        let _ = self.end.set(end);
+        let _ = self.period.set(Period { begin, end });
         self.closing.cancel();
     }
 
     /// Time until requests in progress are ended, or `None` while no shutdown has begun.
     pub fn time_left(&self) -> Option<Duration> {
-        let end = self.end.get()?;
-        Some(end.saturating_duration_since(Instant::now()))
+        let period = self.period.get()?;
+        Some(period.end.saturating_duration_since(Instant::now()))
+    }
+
+    /// Time since the shutdown began, or `None` while it has not.
+    pub fn closing_for(&self) -> Option<Duration> {
+        let period = self.period.get()?;
+        Some(period.begin.elapsed())
     }
 
     /// Waits for SIGTERM or SIGINT and begins the shutdown. Cancels `aborting` after `limit`, or at a
@@ -74,7 +89,7 @@
         let abort_at = Instant::now() + limit;
         self.begin(limit);
         log::info!(limit_ms = limit.as_millis() as u64; "closing");
-        let end = self.end.get().copied().unwrap_or(abort_at);
+        let end = self.period.get().map_or(abort_at, |period| period.end);
         loop {
             tokio::select! {
                 _ = terminate.recv() => log::info!("SIGTERM received again; the shutdown goes on"),
