Gateway: the listener closes once no caller comes any more, and resets nothing that is on the line

What callers saw: from 2.5 s after SIGTERM on, connections were reset with their request on the line, and kept connections were closed under callers that still used them. testbed/tests/planned_stops.rs on: 21 requests lost beside 1,706 answered on new connections, 2 beside 995 on kept ones; of 40 kept connections that were used once more 0.5 to 4.4 s after SIGTERM, 21 were not answered.

Cause: the listener closed at a fixed time whether callers still came or not, with connections in its backlog. Idle connections closed at the same moment, also those that had just been opened and those whose bytes the runtime had not heard of.

Change: the callers' listener closes when no connection and no request has come for 500 ms after the balancer has had 2.5 s to notice, or when the shutdown ends what is in progress. Requests that come meanwhile are served if they fit, else refused, with `Connection: close`. Idle connections stay as long: closing them sooner loses more. A listener that closes first takes no new handshakes (a socket filter drops SYN), then accepts what is there; a new connection has 500 ms for its first request; and before an idle one is closed, the runtime hears of its bytes. The listeners for peers, readiness and metrics serve until then, as before.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -40,15 +40,19 @@
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
         sync::{mpsc, watch},
-        time::sleep,
+        time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
 };
 
-/// Time from SIGTERM until the callers' listener closes. The load balancer polls the readiness
+/// Shortest time from SIGTERM until the callers' listener closes. The load balancer polls the readiness
 /// every second and removes an instance after two failed polls.
 const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time without a caller after which the callers' listener closes: retries and new connections of those
+/// that were sent here before follow each other within tens of milliseconds under load.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -158,9 +162,15 @@
     let unready = shutdown.with_closing(CancellationToken::new());
     let drained = shutdown.with_closing(CancellationToken::new());
     let finished = CancellationToken::new();
+    let mut arrivals = callers.arrivals();
     let leave = async {
         shutdown.closing.cancelled().await;
-        sleep(UNREADY_DELAY).await;
+        let are_callers_gone = tokio::select! {
+            () = wait_for_quiet(&mut arrivals) => true,
+            () = shutdown.ending.cancelled() => false,
+        };
+        let closing_for_ms = shutdown.closing_for().map(|time| time.as_millis() as u64);
+        log::info!(are_callers_gone, closing_for_ms; "the callers' listener closes");
         unready.closing.cancel();
     };
     let drain = async {
@@ -193,6 +203,14 @@
     watched
 }
 
+/// Waits until the load balancer has noticed the shutdown and no caller has come for [`QUIET_TIME`].
+async fn wait_for_quiet(arrivals: &mut watch::Receiver<u64>) {
+    sleep(UNREADY_DELAY).await;
+    arrivals.mark_unchanged();
+    // The sender lives as long as the listener.
+    while timeout(QUIET_TIME, arrivals.changed()).await.is_ok() {}
+}
+
 /// Port of the metrics listener, as the deployment file declares it.
 const METRICS_PORT: u16 = 9_464;
 
--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -147,6 +147,11 @@
         }
     }
 
+    /// Whether a request has come, or a part of one.
+    pub fn has_begun(&self) -> bool {
+        self.state.borrow().bytes_read > 0
+    }
+
     /// Number of requests in progress.
     pub fn requests(&self) -> usize {
         self.state.borrow().requests
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -21,8 +21,9 @@
     },
     hyper_util::rt::TokioIo,
     rustix::io::Errno,
+    socket2::{SockFilter, SockRef},
     std::{
-        io,
+        io::{self, ErrorKind},
         net::SocketAddr,
         panic::AssertUnwindSafe,
         pin::{Pin, pin},
@@ -32,8 +33,9 @@
     tokio::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
-        sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc},
-        time::{sleep, timeout},
+        sync::{Notify, OwnedSemaphorePermit, Semaphore, mpsc, watch},
+        task::yield_now,
+        time::{Instant, sleep, sleep_until, timeout},
     },
     tokio_util::task::TaskTracker,
 };
@@ -51,6 +53,23 @@
 /// and thread scheduling on a loaded machine.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time for the first request on a new connection, within which the shutdown does not close it: a round trip
+/// and thread scheduling on a loaded machine.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+
+/// Time for the handshakes that are under way when a listener takes no new ones: a round trip in a data
+/// centre, twice.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(2);
+
+/// Socket filter (classic BPF) that drops TCP segments with the flag SYN and lets all others pass: loads the
+/// byte of the flags, skips an instruction if SYN is not set, drops, passes.
+const NO_SYN: [SockFilter; 4] = [
+    SockFilter::new(0x30, 0, 0, 13),
+    SockFilter::new(0x45, 0, 1, 0x02),
+    SockFilter::new(0x06, 0, 0, 0),
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+
 /// Size of the pieces in which bytes are read that are discarded. Small, since all connections of a
 /// listener may need it at once.
 const DISCARD_BUFFER_BYTES: usize = 4 * 1024;
@@ -64,6 +83,8 @@
     /// Notifies an idle connection that is closed in favour of a new one.
     reclaim: Arc<Notify>,
     timeouts: Arc<dyn Fn() -> Timeouts + Send + Sync>,
+    /// Number of connections and requests that have come.
+    arrivals: Arc<watch::Sender<u64>>,
 }
 
 impl<H> Server<H>
@@ -89,9 +110,15 @@
             connections: Arc::new(Semaphore::new(max_connections)),
             reclaim: Arc::default(),
             timeouts: Arc::new(|| TIMEOUTS),
+            arrivals: Arc::default(),
         })
     }
 
+    /// Changes whenever a connection or a request comes.
+    pub fn arrivals(&self) -> watch::Receiver<u64> {
+        self.arrivals.subscribe()
+    }
+
     /// Sets the timeouts of connections. They are read again before a connection is closed, so that
     /// longer ones hold at once.
     pub fn with_timeouts(
@@ -102,8 +129,8 @@
         self
     }
 
-    /// Serves until `shutdown` is closing, then ends each connection after its current request.
-    /// Drops all connections when `shutdown` is aborting.
+    /// Serves until `shutdown` is closing, then ends each connection after its current request, also those
+    /// that peers have opened by then. Drops all connections when `shutdown` is aborting.
     pub async fn serve(self, shutdown: &Shutdown) {
         let tracker = TaskTracker::new();
         loop {
@@ -111,33 +138,76 @@
                 accepted = self.accept() => accepted,
                 () = shutdown.closing.cancelled() => break,
             };
-            let Some((stream, permit)) = accepted else {
-                continue;
-            };
-            let Ok(peer) = stream.peer_addr() else {
-                continue;
-            };
-            let connection = self.serve_connection(stream, peer, shutdown.clone());
-            tracker.spawn(async move {
-                connection.await;
-                drop(permit);
-            });
+            if let Some((stream, permit)) = accepted {
+                self.spawn_connection(&tracker, stream, permit, shutdown);
+            }
+        }
+        for stream in self.accept_last().await {
+            // Beyond the limit a connection is reset, as it would be without this.
+            if let Ok(permit) = Arc::clone(&self.connections).try_acquire_owned() {
+                self.spawn_connection(&tracker, stream, permit, shutdown);
+            }
         }
         drop(self.listener);
         tracker.close();
         tracker.wait().await;
     }
 
+    fn spawn_connection(
+        &self,
+        tracker: &TaskTracker,
+        stream: TcpStream,
+        permit: OwnedSemaphorePermit,
+        shutdown: &Shutdown,
+    ) {
+        let Ok(peer) = stream.peer_addr() else {
+            return;
+        };
+        self.arrivals.send_modify(|arrivals| *arrivals += 1);
+        let connection = self.serve_connection(stream, peer, shutdown.clone());
+        tracker.spawn(async move {
+            connection.await;
+            drop(permit);
+        });
+    }
+
+    /// Accepts the connections that peers have opened, and lets none follow: one that comes between the last
+    /// accept and the close of the listener would be reset.
+    async fn accept_last(&self) -> Vec<TcpStream> {
+        let listener = SockRef::from(&self.listener);
+        match listener.attach_filter(&NO_SYN) {
+            Ok(()) => sleep(HANDSHAKE_TIME).await,
+            Err(error) => log::warn!(listener = self.name; "cannot stop new connections: {error}"),
+        }
+        let mut streams = Vec::new();
+        // Asks the operating system: the runtime hears of connections later.
+        loop {
+            let accepted = listener.accept();
+            let stream = accepted.and_then(|(socket, _)| {
+                socket.set_nonblocking(true)?;
+                socket.set_tcp_nodelay(true)?;
+                TcpStream::from_std(socket.into())
+            });
+            match stream {
+                Ok(stream) => streams.push(stream),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return streams,
+                Err(error) => {
+                    log::warn!(listener = self.name; "cannot accept a connection: {error}");
+                    if is_out_of_descriptors(&error) {
+                        return streams;
+                    }
+                }
+            }
+        }
+    }
+
     /// Accepts a connection. While there are as many as the limit allows, an idle one makes room for it.
     async fn accept(&self) -> Option<(TcpStream, OwnedSemaphorePermit)> {
         let stream = match self.listener.accept().await {
             Ok((stream, _)) => stream,
             Err(error) => {
                 log::warn!(listener = self.name; "cannot accept a connection: {error}");
-                if matches!(
-                    Errno::from_io_error(&error),
-                    Some(Errno::MFILE | Errno::NFILE)
-                ) {
+                if is_out_of_descriptors(&error) {
                     self.reclaim.notify_one();
                 }
                 sleep(ACCEPT_BACKOFF).await;
@@ -168,6 +238,7 @@
         let reclaim = Arc::clone(&self.reclaim);
         let activity = Activity::new();
         let requests = activity.clone();
+        let arrivals = Arc::clone(&self.arrivals);
         let (rests_sender, rests) = mpsc::unbounded_channel();
         let guard = unframed::Guard::new();
         let stream = guard.watch(stream);
@@ -175,6 +246,7 @@
             let version = request.version();
             let guard = guard.clone();
             let in_progress = requests.begin_request();
+            arrivals.send_modify(|arrivals| *arrivals += 1);
             let awaits_continue = request.headers().contains_key(EXPECT);
             let request = remove_invalid_request_id(request);
             let request = request.map(|body| RequestBody::new(body, requests.clone()));
@@ -206,7 +278,17 @@
             .header_read_timeout(None)
             .max_buf_size(MAX_HEADER_BUFFER_BYTES)
             .serve_connection(TokioIo::new(stream), service);
+        let opened = Instant::now();
         async move {
+            let closing = async {
+                shutdown.closing.cancelled().await;
+                if !activity.has_begun() {
+                    sleep_until(opened + FIRST_REQUEST_TIME).await;
+                }
+                // Lets the runtime hear of bytes that have arrived.
+                yield_now().await;
+            };
+            let mut closing = pin!(closing);
             let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
             let mut is_closing = false;
             let result = loop {
@@ -224,7 +306,7 @@
                         );
                         return;
                     }
-                    () = shutdown.closing.cancelled(), if !is_closing => {
+                    () = closing.as_mut(), if !is_closing => {
                         if activity.is_idle() {
                             // A request that crosses this stays unread, as its peer can tell.
                             return;
@@ -254,6 +336,11 @@
     }
 }
 
+fn is_out_of_descriptors(error: &io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    matches!(errno, Some(Errno::MFILE | Errno::NFILE))
+}
+
 /// Whether a connection ends after a response to a request with an unread `rest`. The end of a rest of
 /// unknown length could not be noticed.
 fn is_last(response: &Response<Body>, rest: &Incoming) -> bool {
--- a/testbed/tests/planned_stops.rs
+++ b/testbed/tests/planned_stops.rs
@@ -4,7 +4,7 @@
     futures_util::future::join_all,
     rstest::rstest,
     serde_json::json,
-    std::time::Duration,
+    std::{io, time::Duration},
     tamarackdale_testbed::{
         http,
         platform::{Behaviour, Configuration, Gateway, Server, Site, request},
@@ -117,6 +117,7 @@
 #[case::unknown_time(Row { takes: 4_500, sent: 2_250, status: 503, ..Row::default() })]
 #[case::known_long(Row { measured: Some(4_500), takes: 4_500, sent: 2_250, status: 503, ..Row::default() })]
 #[case::known_to_fit(Row { measured: Some(1_500), takes: 1_500, sent: 2_250, status: 200, runs: 1, ..Row::default() })]
+#[case::known_short(Row { measured: Some(50), takes: 50, sent: 3_200, status: 200, runs: 1, ..Row::default() })]
 #[case::longer_than_usual(Row { measured: Some(50), takes: 4_500, sent: 2_250, status: 504, runs: 1, ..Row::default() })]
 #[case::late_body(Row { measured: Some(1_900), takes: 2_800, sent: 2_800, pause: 300, status: 503, ..Row::default() })]
 #[case::late_body_longer_than_usual(Row { measured: Some(50), takes: 2_800, sent: 2_800, pause: 300, status: 504, runs: 1, ..Row::default() })]
@@ -173,6 +174,93 @@
     );
 }
 
+/// What became of a caller's requests.
+#[derive(Debug, Default)]
+struct Tally {
+    answered: usize,
+    /// Why there was no answer, and when, from the beginning.
+    lost: Vec<(io::Error, Duration)>,
+}
+
+/// Sends requests at intervals on one connection, or on a new one where that was refused or told to
+/// close, until nobody listens.
+async fn call_until_gone(bench: &Bench, number: usize, interval: Duration, is_kept: bool) -> Tally {
+    let mut tally = Tally::default();
+    let begin = Instant::now();
+    let mut kept = None;
+    for round in 0.. {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => match Connection::open(bench.gateway.callers()).await {
+                Ok(connection) => connection,
+                Err(_) => break,
+            },
+        };
+        let call = slow_request("/status/1", &format!("c-{number}-{round}"), Duration::ZERO);
+        match connection.call(&call, GRACE).await {
+            Ok(answer) => {
+                tally.answered += 1;
+                kept = (is_kept && !answer.is_last).then_some(connection);
+            }
+            Err(error) => tally.lost.push((error, begin.elapsed())),
+        }
+        sleep(interval).await;
+    }
+    tally
+}
+
+#[rstest]
+#[case::new_connections(100, Duration::from_millis(1), false)]
+#[case::kept_connections(20, Duration::from_millis(40), true)]
+#[tokio::test]
+async fn callers_until_the_end_lose_nothing(
+    #[case] callers: usize,
+    #[case] interval: Duration,
+    #[case] is_kept: bool,
+) {
+    let bench = start(Some(1)).await;
+
+    let stop = async {
+        sleep(Duration::from_millis(500)).await;
+        bench.gateway.process.terminate().expect("signalled");
+    };
+    let calls = (0..callers).map(|number| call_until_gone(&bench, number, interval, is_kept));
+    let (tallies, ()) = tokio::join!(join_all(calls), stop);
+
+    let answered: usize = tallies.iter().map(|tally| tally.answered).sum();
+    let lost: Vec<_> = tallies.into_iter().flat_map(|tally| tally.lost).collect();
+    assert!(answered >= 10 * callers, "{answered}");
+    assert!(lost.is_empty(), "{lost:?} beside {answered} answered");
+}
+
+#[tokio::test]
+async fn idle_kept_connections_stay_while_callers_come() {
+    const CONNECTIONS: u64 = 40;
+    let mut bench = start(Some(1)).await;
+    let gateway = bench.gateway.callers();
+    let calls = (0..CONNECTIONS).map(|number| async move {
+        let mut connection = Connection::open(gateway).await?;
+        let first = slow_request("/status/1", &format!("i-{number}"), Duration::ZERO);
+        connection.call(&first, GRACE).await?;
+        sleep(Duration::from_millis(1_000 + 100 * number)).await;
+        let second = slow_request("/status/1", &format!("j-{number}"), Duration::ZERO);
+        connection.call(&second, GRACE).await
+    });
+
+    let stop = async {
+        sleep(Duration::from_millis(500)).await;
+        bench.gateway.process.terminate().expect("signalled");
+        Instant::now()
+    };
+    let (answers, terminated) = tokio::join!(join_all(calls), stop);
+    bench.ends(terminated).await;
+
+    let answered = answers
+        .iter()
+        .filter(|answer| matches!(answer, Ok(answer) if answer.status == 200));
+    assert_eq!(answered.count() as u64, CONNECTIONS);
+}
+
 #[tokio::test]
 async fn what_is_left_at_the_end_is_told_apart() {
     let mut bench = start(None).await;
