Gateway: a SIGTERM while it starts, or one that comes during a pause, is a planned stop as well

What callers saw: a SIGTERM just after the first log line killed the process. A gateway that was paused (SIGSTOP) over most of its grace period counted the whole period from its wake-up, and went on with what the platform kills a moment later; one that was paused after SIGTERM dropped its connections at its wake-up without an answer.

Cause: the handlers were installed when the listeners had been bound; the period began when the signal was handled; the answers and the end of the connections were due at the same moment after a long pause.

Change: the gateway installs the handlers first. It notes every 250 ms that it runs, and takes the time that it has not run in front of a signal off the grace period, since the signal may have come at its beginning; `closing` says both. The time for writing answers is counted from when they are due or, later, from when the process runs.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -27,7 +27,7 @@
         clock::{self, Clock},
         http::{self, Server},
         metrics::Metrics,
-        signal::Shutdown,
+        signal::{Shutdown, Signals},
         worker::Worker,
     },
     gotham::router::{
@@ -70,10 +70,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    // Installed first: without a handler the signal ends the process.
-    let hangup = {
+    // Installed first: without a handler a signal ends the process.
+    let (hangup, signals) = {
         let _entered = runtime.enter();
-        signal(SignalKind::hangup())?
+        (signal(SignalKind::hangup())?, Signals::new()?)
     };
     let shutdown = Shutdown::new();
     let clock = Clock::new();
@@ -109,7 +109,7 @@
     let watched = watch_settings(path, hangup, settings_sender, context.clone());
     let served = runtime.block_on(async {
         tokio::select! {
-            served = serve(&settings, &shutdown, context, introductions) => served,
+            served = serve(&settings, &shutdown, signals, context, introductions) => served,
             error = watched => error,
         }
     });
@@ -124,6 +124,7 @@
 async fn serve(
     settings: &Settings,
     shutdown: &Shutdown,
+    signals: Signals,
     context: Context,
     introductions: mpsc::Receiver<SocketAddr>,
 ) -> io::Result<()> {
@@ -196,11 +197,12 @@
             origins::release_versions(&context),
         )
     };
-    let (watched, ()) = tokio::select! {
-        ended = async { tokio::join!(shutdown.watch(limit, finished.clone()), serving) } => ended,
+    let watching = shutdown.watch_signals(signals, limit, finished.clone());
+    tokio::select! {
+        _ = async { tokio::join!(watching, serving) } => {}
         _ = exchange => unreachable!("the exchange with peers does not end"),
-    };
-    watched
+    }
+    Ok(())
 }
 
 /// Waits until the load balancer has noticed the shutdown and no caller has come for [`QUIET_TIME`].
--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -2,12 +2,13 @@
 
 use {
     std::{
+        io,
         sync::{Arc, OnceLock},
         time::Duration,
     },
     tokio::{
-        signal::unix::{SignalKind, signal},
-        time::{Instant, sleep_until},
+        signal::unix::{Signal, SignalKind, signal},
+        time::{Instant, sleep, sleep_until},
     },
     tokio_util::sync::CancellationToken,
 };
@@ -16,6 +17,10 @@
 /// connections are dropped.
 pub const ANSWER_RESERVE: Duration = Duration::from_millis(300);
 
+/// Interval at which the process notes that it runs. A pause in front of a signal (SIGSTOP, a stalled machine)
+/// is known to this precision.
+const TICK: Duration = Duration::from_millis(250);
+
 /// Shutdown in steps: `closing` starts it, at `ending` each request that is left is answered with what
 /// became of it, and `aborting` drops what is still open.
 #[derive(Clone, Debug, Default)]
@@ -30,6 +35,25 @@
     period: Arc<OnceLock<Period>>,
 }
 
+/// Handlers of the signals that begin a shutdown. Until they are installed, the signals end the process.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers. Must be called within a runtime.
+    ///
+    /// Fails when they cannot be installed.
+    pub fn new() -> io::Result<Self> {
+        Ok(Self {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+}
+
 /// The time of a shutdown.
 #[derive(Clone, Copy, Debug)]
 struct Period {
@@ -78,20 +102,51 @@
     /// SIGINT meanwhile; another SIGTERM changes nothing. Returns early once `finished` is cancelled.
     ///
     /// Fails when the signal handlers cannot be installed.
-    pub async fn watch(&self, limit: Duration, finished: CancellationToken) -> std::io::Result<()> {
-        let mut terminate = signal(SignalKind::terminate())?;
-        let mut interrupt = signal(SignalKind::interrupt())?;
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-            () = finished.cancelled() => return Ok(()),
+    pub async fn watch(&self, limit: Duration, finished: CancellationToken) -> io::Result<()> {
+        self.watch_signals(Signals::new()?, limit, finished).await;
+        Ok(())
+    }
+
+    /// Does the same with handlers that are installed already.
+    pub async fn watch_signals(
+        &self,
+        signals: Signals,
+        limit: Duration,
+        finished: CancellationToken,
+    ) {
+        let Signals {
+            mut terminate,
+            mut interrupt,
+        } = signals;
+        let mut ran_at = Instant::now();
+        // A tick may come before a signal that came first.
+        let mut paused = Duration::ZERO;
+        loop {
+            tokio::select! {
+                biased;
+                _ = terminate.recv() => break,
+                _ = interrupt.recv() => break,
+                () = finished.cancelled() => return,
+                () = sleep(TICK) => {
+                    paused = ran_at.elapsed().saturating_sub(TICK);
+                    ran_at = Instant::now();
+                }
+            }
         }
-        let abort_at = Instant::now() + limit;
+        // The signal may have come at the beginning of a pause.
+        let paused = paused + ran_at.elapsed().saturating_sub(TICK);
+        let limit = limit.saturating_sub(paused);
+        let mut abort_at = Instant::now() + limit;
         self.begin(limit);
-        log::info!(limit_ms = limit.as_millis() as u64; "closing");
+        log::info!(
+            limit_ms = limit.as_millis() as u64,
+            paused_ms = paused.as_millis() as u64;
+            "closing"
+        );
         let end = self.period.get().map_or(abort_at, |period| period.end);
         loop {
             tokio::select! {
+                biased;
                 _ = terminate.recv() => log::info!("SIGTERM received again; the shutdown goes on"),
                 _ = interrupt.recv() => {
                     log::warn!("interrupted during the shutdown; aborting work in progress");
@@ -100,16 +155,17 @@
                 () = sleep_until(end), if !self.ending.is_cancelled() => {
                     log::info!("ending what is still in progress");
                     self.ending.cancel();
+                    // The process may have been paused until now.
+                    abort_at = abort_at.max(Instant::now() + ANSWER_RESERVE);
                 }
                 () = sleep_until(abort_at) => {
                     log::warn!("shutdown limit reached; aborting work in progress");
                     break;
                 }
-                () = finished.cancelled() => return Ok(()),
+                () = finished.cancelled() => return,
             }
         }
         self.ending.cancel();
         self.aborting.cancel();
-        Ok(())
     }
 }
--- a/testbed/tests/planned_stops.rs
+++ b/testbed/tests/planned_stops.rs
@@ -27,7 +27,7 @@
 const BURST: usize = 8;
 
 struct Bench {
-    _site: Site,
+    site: Site,
     gateway: Gateway,
     plains: Vec<Server>,
     engine: Server,
@@ -59,7 +59,7 @@
         join_all(calls).await;
     }
     Bench {
-        _site: site,
+        site,
         gateway,
         plains,
         engine,
@@ -309,3 +309,62 @@
         "{ended}"
     );
 }
+
+#[rstest]
+#[case::at_the_first_line("started")]
+#[case::while_not_ready("listening")]
+#[tokio::test]
+async fn sigterm_while_starting_ends_the_process(#[case] line: &str) {
+    let bench = start(None).await;
+    let mut starting = bench.site.gateway("two").expect("starts");
+    let seen = starting
+        .process
+        .wait_for_log(line, GRACE, |entry| entry["message"] == line);
+    seen.expect("logged");
+
+    starting.process.terminate().expect("signalled");
+    starting.process.hang_up().expect("signalled");
+    let status = starting.process.wait(GRACE).await.expect("ends");
+
+    assert!(status.success(), "{status}");
+}
+
+/// A gateway that was paused knows neither for how long nor when SIGTERM came.
+#[rstest]
+#[case::paused_before(true)]
+#[case::paused_after(false)]
+#[tokio::test]
+async fn a_pause_across_the_grace_period_cuts_nothing(#[case] is_paused_first: bool) {
+    let mut bench = start(Some(50)).await;
+    bench
+        .plains
+        .iter()
+        .for_each(|server| server.set_latency(Duration::from_secs(9)));
+    let gateway = bench.gateway.callers();
+    let call = slow_request("/booking/1", "b-1", Duration::ZERO);
+    let call = tokio::spawn(async move {
+        Connection::open(gateway)
+            .await?
+            .call(&call, 2 * GRACE)
+            .await
+    });
+    sleep(Duration::from_millis(300)).await;
+
+    if is_paused_first {
+        bench.gateway.process.pause().expect("paused");
+        bench.gateway.process.terminate().expect("signalled");
+    } else {
+        bench.gateway.process.terminate().expect("signalled");
+        sleep(Duration::from_millis(300)).await;
+        bench.gateway.process.pause().expect("paused");
+    }
+    // Nearly the whole grace period.
+    sleep(Duration::from_millis(5_500)).await;
+    bench.gateway.process.resume_execution().expect("resumed");
+    let resumed = Instant::now();
+    let answer = call.await.expect("no panic");
+    let status = bench.gateway.process.wait(Duration::from_secs(1)).await;
+
+    assert_eq!(answer.expect("answered").status, 504);
+    assert!(status.expect("ends").success() && resumed.elapsed() < Duration::from_secs(1));
+}
