--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -27,7 +27,7 @@
         clock::{self, Clock},
         http::{self, Server},
         metrics::Metrics,
-        signal::Shutdown,
+        signal::{Shutdown, Signals},
         worker::Worker,
     },
     gotham::router::{
@@ -40,15 +40,19 @@
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
         sync::{mpsc, watch},
-        time::sleep,
+        time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
 };
 
-/// Time from SIGTERM until the callers' listener closes. The load balancer polls the readiness
+/// Shortest time from SIGTERM until the callers' listener closes. The load balancer polls the readiness
 /// every second and removes an instance after two failed polls.
 const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time without a caller after which the callers' listener closes: retries and new connections of those
+/// that were sent here before follow each other within tens of milliseconds under load.
+const QUIET_TIME: Duration = Duration::from_millis(500);
+
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -66,10 +70,10 @@
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    // Installed first: without a handler the signal ends the process.
-    let hangup = {
+    // Installed first: without a handler a signal ends the process.
+    let (hangup, signals) = {
         let _entered = runtime.enter();
-        signal(SignalKind::hangup())?
+        (signal(SignalKind::hangup())?, Signals::new()?)
     };
     let shutdown = Shutdown::new();
     let clock = Clock::new();
@@ -99,14 +103,13 @@
         introductions: introductions_sender,
         keepers: Arc::default(),
         metrics: Metrics::new().map_err(io::Error::other)?,
-        closing: shutdown.closing.clone(),
-        leaving: CancellationToken::new(),
+        shutdown: shutdown.clone(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
     let watched = watch_settings(path, hangup, settings_sender, context.clone());
     let served = runtime.block_on(async {
         tokio::select! {
-            served = serve(&settings, &shutdown, context, introductions) => served,
+            served = serve(&settings, &shutdown, signals, context, introductions) => served,
             error = watched => error,
         }
     });
@@ -121,6 +124,7 @@
 async fn serve(
     settings: &Settings,
     shutdown: &Shutdown,
+    signals: Signals,
     context: Context,
     introductions: mpsc::Receiver<SocketAddr>,
 ) -> io::Result<()> {
@@ -159,10 +163,15 @@
     let unready = shutdown.with_closing(CancellationToken::new());
     let drained = shutdown.with_closing(CancellationToken::new());
     let finished = CancellationToken::new();
+    let mut arrivals = callers.arrivals();
     let leave = async {
         shutdown.closing.cancelled().await;
-        sleep(UNREADY_DELAY).await;
-        context.leaving.cancel();
+        let are_callers_gone = tokio::select! {
+            () = wait_for_quiet(&mut arrivals) => true,
+            () = shutdown.ending.cancelled() => false,
+        };
+        let closing_for_ms = shutdown.closing_for().map(|time| time.as_millis() as u64);
+        log::info!(are_callers_gone, closing_for_ms; "the callers' listener closes");
         unready.closing.cancel();
     };
     let drain = async {
@@ -188,11 +197,20 @@
             origins::release_versions(&context),
         )
     };
-    let (watched, ()) = tokio::select! {
-        ended = async { tokio::join!(shutdown.watch(limit, finished.clone()), serving) } => ended,
+    let watching = shutdown.watch_signals(signals, limit, finished.clone());
+    tokio::select! {
+        _ = async { tokio::join!(watching, serving) } => {}
         _ = exchange => unreachable!("the exchange with peers does not end"),
-    };
-    watched
+    }
+    Ok(())
+}
+
+/// Waits until the load balancer has noticed the shutdown and no caller has come for [`QUIET_TIME`].
+async fn wait_for_quiet(arrivals: &mut watch::Receiver<u64>) {
+    sleep(UNREADY_DELAY).await;
+    arrivals.mark_unchanged();
+    // The sender lives as long as the listener.
+    while timeout(QUIET_TIME, arrivals.changed()).await.is_ok() {}
 }
 
 /// Port of the metrics listener, as the deployment file declares it.
@@ -233,7 +251,7 @@
             .snapshot()
             .is_some_and(|snapshot| snapshot.freshness.is_fresh(now) && snapshot.is_usable(now));
         let knows_gateways = context.store.gateways.borrow().is_some();
-        !context.closing.is_cancelled()
+        !context.shutdown.closing.is_cancelled()
             && is_current
             && knows_gateways
             && context.scheduler.has_servers()
@@ -252,7 +270,7 @@
         tokio::select! {
             _ = hangup.recv() => {}
             () = sleep(SETTINGS_INTERVAL) => {}
-            () = context.closing.cancelled() => std::future::pending().await,
+            () = context.shutdown.closing.cancelled() => std::future::pending().await,
         }
         match Settings::read(&path) {
             Ok(settings) if settings == **sender.borrow() => {}
