A response that breaks off or panics is begun, and a panic names its request

A stream that broke off, or panicked, right after its first part gave its caller nothing, not even a head: hyper drops what it has not written yet when a body ends with an error, and a panic drops the connection. A panic before the head was answered with an empty 500 and a log line without the request.

A body's error, or panic, is now told once what came before it is written. A panic in a request's handler at a gateway is answered with 500 `internal`, which promises nothing about the run, and logged with the request's identifier; its outcome is `internal` and not `caller-gone`. After the head it ends the stream as an error does.

--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -14,6 +14,7 @@
             body::{self, ReadError},
         },
     },
+    futures_util::FutureExt as _,
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
@@ -24,7 +25,7 @@
         router::Router,
         state::{FromState as _, State},
     },
-    std::{sync::Arc, time::Duration},
+    std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
     tamarackdale_core::{
         quota,
         routing_config::{Denial, Organisation, Route},
@@ -83,10 +84,26 @@
         headers,
         accepted,
     };
-    match accept(context, incoming, caller_body).await {
-        Ok(request) => relay::run(context, request).await,
-        Err(refusal) => refuse(&id, refusal),
-    }
+    let response = async {
+        match accept(context, incoming, caller_body).await {
+            Ok(request) => relay::run(context, request).await,
+            Err(refusal) => refuse(&id, refusal),
+        }
+    };
+    or_refusal(&id, response).await
+}
+
+/// Returns the response to the request `id`, or a refusal if there is none because of a panic.
+pub async fn or_refusal(
+    id: &str,
+    response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    // A panic leaves the state of the scheduler as whole as a caller that leaves at that moment.
+    let response = AssertUnwindSafe(response).catch_unwind().await;
+    response.unwrap_or_else(|_| {
+        log::error!(request = id; "panic at a request");
+        Refusal::new(Cause::Internal).response(id)
+    })
 }
 
 fn refuse(id: &str, refusal: Refusal) -> Response<Body> {
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -55,6 +55,8 @@
     Timeout,
     /// The backend server failed or the connection to it broke, and the request may have run.
     BackendServer,
+    /// The gateway itself failed, and the request may have run.
+    Internal,
 }
 
 impl Cause {
@@ -77,6 +79,7 @@
             | Self::TimeoutUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::BackendServer => StatusCode::BAD_GATEWAY,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -125,7 +125,7 @@
     has_ended: AtomicBool,
 }
 
-/// A job is dropped before its end only if its caller disconnects.
+/// A job is dropped before its end only if its caller disconnects, or at a panic.
 impl Drop for Job {
     fn drop(&mut self) {
         if self.has_ended.load(Ordering::Relaxed) {
@@ -134,7 +134,10 @@
         if self.dispatch.verdict() == Verdict::NotRun {
             self.refund();
         }
-        self.finish(CALLER_GONE, None);
+        match std::thread::panicking() {
+            true => self.finish(&Cause::Internal.to_string(), None),
+            false => self.finish(CALLER_GONE, None),
+        }
     }
 }
 
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -5,6 +5,7 @@
 pub mod client;
 pub mod probe;
 pub mod request_body;
+pub mod response_body;
 pub mod server;
 pub mod unframed;
 
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -7,6 +7,7 @@
     super::{
         activity::{Activity, Timeouts},
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
+        response_body::ResponseBody,
         unframed,
     },
     crate::signal::Shutdown,
@@ -182,6 +183,7 @@
         let stream = guard.watch(stream);
         let service = service_fn(move |request: Request<Incoming>| {
             let version = request.version();
+            let path = request.uri().path().to_owned();
             let guard = guard.clone();
             let in_progress = requests.begin_request();
             let awaits_continue = request.headers().contains_key(EXPECT);
@@ -205,7 +207,8 @@
                         }
                     }
                     response
-                        .map(|body: Body| in_progress.until_end_of(guard.observe(version, body)))
+                        .map(|body: Body| ResponseBody::new(name, path, body))
+                        .map(|body| in_progress.until_end_of(guard.observe(version, body)))
                 })
             }
         });
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -18,6 +18,7 @@
     std::{io, net::SocketAddr, time::Duration},
     tamarackdale_testbed::strict::{Connection, Framing, Request},
     tamarackdaled::{
+        gateway::callers,
         http::{self, Server, activity::Timeouts, body, request_body::DISCARD_TIMEOUT},
         signal::Shutdown,
     },
@@ -55,6 +56,8 @@
 enum StreamEnd {
     Whole,
     Broken,
+    BrokenAtOnce,
+    Panic,
 }
 
 impl StateData for Answer {}
@@ -74,6 +77,12 @@
                     };
                     stream::once(error).boxed()
                 }
+                Some(StreamEnd::BrokenAtOnce) => {
+                    stream::iter([Err(io::Error::other("broken off"))]).boxed()
+                }
+                Some(StreamEnd::Panic) => {
+                    stream::once(async { panic!("the test wants it") }).boxed()
+                }
                 None => stream::pending().boxed(),
             };
             body::stream(first.chain(rest))
@@ -614,3 +623,42 @@
     assert!(sent.is_ok() && read.is_ok(), "{read:?}");
     assert!(answers.starts_with("HTTP/1.1 200"), "{answers}");
 }
+
+/// Guards against a caller that gets nothing of a stream, not even its head, because the stream breaks off
+/// before that is written.
+#[rstest]
+#[case::broken(StreamEnd::BrokenAtOnce)]
+#[case::panic(StreamEnd::Panic)]
+#[tokio::test]
+async fn stream_that_breaks_off_at_once_is_begun(
+    #[case] end: StreamEnd,
+    #[values("1.0", "1.1")] version: &str,
+) {
+    let (address, _) = start(Answer::Stream(Some(end)), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = format!("GET / HTTP/{version}\r\nHost: a\r\n\r\n");
+
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut received = Vec::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_end(&mut received)).await;
+
+    let received = String::from_utf8_lossy(&received);
+    let head = format!("HTTP/{version} 200");
+    assert!(read.is_ok(), "not closed");
+    assert!(received.starts_with(&head), "{received}");
+    assert!(received.contains("part"), "{received}");
+    assert!(!received.ends_with("0\r\n\r\n"), "{received}");
+}
+
+/// Guards against a caller that is told nothing of a request that ended with a panic.
+#[tokio::test]
+async fn panic_before_the_head_is_answered_as_a_refusal() {
+    let response = async { panic!("the test wants it") };
+
+    let refusal = callers::or_refusal("r-1", response).await;
+
+    assert_eq!(refusal.status(), 500);
+    assert_eq!(refusal.headers()["attempt-id"], "r-1");
+    let text = body::read(refusal.into_body(), 1_000).await;
+    assert_eq!(text.expect("read"), r#"{"error":"internal"}"#.as_bytes());
+}
