Answered callers that are quiet make room at the connection limit

At the connection limit new callers waited unread for up to 10 s, or 20, for callers that had their answers and neither sent the rest of their bodies nor closed their connections.

Cause: only idle connections made room. One whose rest is being read, or which is being closed, now makes room too, once its peer has sent nothing for half a second; its peer has had the answer for at least as long.

--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -52,6 +52,8 @@
     /// Bodies whose rests are being read after their answers. There may be two for a moment, since the
     /// next request's head can come with the end of a rest.
     discards: usize,
+    /// Whether it makes room for another connection.
+    is_reclaimed: bool,
     /// Number of bytes that were read.
     bytes_read: u64,
 }
@@ -132,6 +134,16 @@
         });
     }
 
+    /// Records that the connection ends to make room for another one.
+    pub fn record_reclaimed(&self) {
+        self.state.send_modify(|state| state.is_reclaimed = true);
+    }
+
+    /// Whether the connection ends to make room for another one.
+    pub fn is_reclaimed(&self) -> bool {
+        self.state.borrow().is_reclaimed
+    }
+
     /// Records whether bytes that were to be written wait until the peer takes them.
     fn record_write(&self, is_blocked: bool) {
         self.state.send_if_modified(|state| {
@@ -181,10 +193,7 @@
         let mut changes = self.state.subscribe();
         loop {
             let is_idle = changes.borrow_and_update().is_idle();
-            let notified = async {
-                sleep(RECLAIM_IDLE).await;
-                reclaim.notified().await;
-            };
+            let notified = reclaimed_when_quiet(reclaim);
             tokio::select! {
                 // A request may have begun since the notification.
                 biased;
@@ -220,6 +229,13 @@
     }
 }
 
+/// Waits for half a second, in which a peer that is waited for sends nothing, and then until `reclaim`
+/// notifies the connection.
+pub async fn reclaimed_when_quiet(reclaim: &Notify) {
+    sleep(RECLAIM_IDLE).await;
+    reclaim.notified().await;
+}
+
 /// Waits until `limit` has passed since `since`, where a longer limit at the end counts.
 async fn elapsed(since: Instant, limit: impl Fn() -> Duration) {
     let mut longest = limit();
--- a/daemon/src/http/request_body.rs
+++ b/daemon/src/http/request_body.rs
@@ -4,7 +4,7 @@
 //! an answer that has not been read. So the server reads on (RFC 9112, section 9.6).
 
 use {
-    super::activity::Activity,
+    super::activity::{Activity, reclaimed_when_quiet},
     bytes::Bytes,
     http_body_util::BodyExt as _,
     hyper::body::{Body, Frame, Incoming, SizeHint},
@@ -15,7 +15,10 @@
         task::{Context, Poll},
         time::Duration,
     },
-    tokio::{sync::mpsc, time::timeout},
+    tokio::{
+        sync::{Notify, mpsc},
+        time::timeout,
+    },
 };
 
 /// Time for which the rest of a body is discarded, from the answer on. As long as the gateway waits
@@ -105,17 +108,22 @@
 }
 
 /// Reads the rests of the bodies of numbered requests, whose lengths are known, to their ends, so that the
-/// connection can be used for the next request. One that is too slow is dropped, whereupon the connection
-/// ends after the answer. Never returns.
+/// connection can be used for the next request. One that is too slow, or quiet while the connection is to
+/// make room, is dropped, whereupon the connection ends after the answer. Never returns.
 pub async fn discard_all(
     name: &'static str,
     peer: SocketAddr,
     activity: Activity,
+    reclaim: Arc<Notify>,
     mut rests: mpsc::UnboundedReceiver<(u64, Incoming)>,
 ) {
     while let Some((request, mut rest)) = rests.recv().await {
         let mut bytes = 0;
-        let discarded = timeout(DISCARD_TIMEOUT, discard(&mut rest, &mut bytes)).await;
+        let discarded = timeout(
+            DISCARD_TIMEOUT,
+            discard(&mut rest, &mut bytes, &activity, &reclaim),
+        )
+        .await;
         let is_whole = discarded.unwrap_or(false);
         activity.end_discard(request, is_whole);
         log::info!(
@@ -130,10 +138,24 @@
 }
 
 /// Reads a rest of known length and counts its bytes. Returns whether it came to its end.
-async fn discard(rest: &mut Incoming, bytes: &mut u64) -> bool {
+async fn discard(
+    rest: &mut Incoming,
+    bytes: &mut u64,
+    activity: &Activity,
+    reclaim: &Notify,
+) -> bool {
     // After the answer, hyper tells the end only once the next request has begun.
     while !rest.is_end_stream() {
-        let Some(Ok(frame)) = rest.frame().await else {
+        let frame = tokio::select! {
+            biased;
+            frame = rest.frame() => frame,
+            () = reclaimed_when_quiet(reclaim) => {
+                // Not to be waited for once more when the connection is closed.
+                activity.record_reclaimed();
+                return false;
+            }
+        };
+        let Some(Ok(frame)) = frame else {
             return false;
         };
         *bytes += frame.data_ref().map_or(0, |data| data.len() as u64);
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -5,7 +5,7 @@
 
 use {
     super::{
-        activity::{Activity, Timeouts},
+        activity::{Activity, Timeouts, reclaimed_when_quiet},
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
         response_body::ResponseBody,
         unframed,
@@ -219,7 +219,13 @@
         protocol.max_buf_size(MAX_HEADER_BUFFER_BYTES);
         let mut connection = protocol.serve_connection(TokioIo::new(stream), service);
         async move {
-            let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
+            let mut discarding = pin!(discard_all(
+                name,
+                peer,
+                activity.clone(),
+                Arc::clone(&reclaim),
+                rests
+            ));
             let mut is_closing = false;
             let result = loop {
                 let overdue = tokio::select! {
@@ -275,7 +281,7 @@
             // Drops what is left of the handlers.
             let stream = connection.into_parts().io.into_inner().into_inner();
             tokio::select! {
-                () = close(name, peer, &activity, stream) => {}
+                () = close(name, peer, &activity, &reclaim, stream) => {}
                 () = shutdown.aborting.cancelled() => {}
             }
         }
@@ -292,17 +298,21 @@
 }
 
 /// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
-/// its own or a limit is reached.
+/// its own, a limit is reached, or a peer that sends nothing is to make room.
 async fn close(
     name: &'static str,
     peer: SocketAddr,
     activity: &Activity,
+    reclaim: &Notify,
     mut stream: unframed::Guarded,
 ) {
     if stream.shutdown().await.is_err() {
         // The connection is broken.
         return;
     }
+    if activity.is_reclaimed() {
+        return;
+    }
     let is_incomplete = activity.is_request_incomplete();
     let limit = match is_incomplete {
         true => DISCARD_TIMEOUT,
@@ -312,7 +322,12 @@
     let reading = async {
         let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
         while discarded <= MAX_DISCARDED_BYTES {
-            match stream.read(&mut buffer).await {
+            let read = tokio::select! {
+                biased;
+                read = stream.read(&mut buffer) => read,
+                () = reclaimed_when_quiet(reclaim) => return false,
+            };
+            match read {
                 Ok(0) | Err(_) => return true,
                 Ok(bytes) => discarded += bytes as u64,
             }
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -662,3 +662,39 @@
     let text = body::read(refusal.into_body(), 1_000).await;
     assert_eq!(text.expect("read"), r#"{"error":"internal"}"#.as_bytes());
 }
+
+/// Guards against new callers that wait for answered ones, which neither send the rest of their bodies nor
+/// close their connections.
+#[rstest]
+#[case::kept("/", "Content-Length: 9")]
+#[case::closed_by_the_server("/last", "Content-Length: 9")]
+#[case::chunked("/", "Transfer-Encoding: chunked")]
+#[tokio::test]
+async fn answered_caller_whose_body_does_not_come_makes_room(
+    #[case] path: &str,
+    #[case] framing: &str,
+) {
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let request = format!("POST {path} HTTP/1.1\r\nHost: a\r\n{framing}\r\n\r\n4\r\n");
+    let mut held = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("accepted");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let answered = timeout(CALL_LIMIT, stream.read(&mut [0; 1_000])).await;
+        assert!(matches!(answered, Ok(Ok(1..))), "{answered:?}");
+        held.push(stream);
+    }
+    let mut callers = JoinSet::new();
+
+    for _ in 0..MAX_CONNECTIONS {
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            let request = pieces("/last", 1, Framing::Length);
+            let answer = connection.call(&request, CALL_LIMIT).await;
+            answer.map(|answer| answer.status)
+        });
+    }
+    let answers = callers.join_all().await;
+
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+}
