--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -14,6 +14,7 @@
             body::{self, ReadError},
         },
     },
+    futures_util::FutureExt as _,
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
@@ -24,7 +25,7 @@
         router::Router,
         state::{FromState as _, State},
     },
-    std::{sync::Arc, time::Duration},
+    std::{panic::AssertUnwindSafe, sync::Arc, time::Duration},
     tamarackdale_core::{
         quota,
         routing_config::{Denial, Organisation, Route},
@@ -79,21 +80,44 @@
         headers,
         accepted,
     };
-    let accepting = accept(context, incoming, caller_body);
-    let accepted = tokio::select! {
+    let response = async {
+        match accept_before_end(context, incoming, caller_body).await {
+            Ok(request) => relay::run(context, request).await,
+            Err(refusal) => refuse(context, &id, refusal),
+        }
+    };
+    or_refusal(&id, response).await
+}
+
+/// Accepts the request, unless the shutdown ends what is in progress before that.
+async fn accept_before_end(
+    context: &Context,
+    incoming: IncomingRequest,
+    body: Body,
+) -> Result<Request, Refusal> {
+    tokio::select! {
         biased;
-        accepted = accepting => accepted,
+        accepted = accept(context, incoming, body) => accepted,
         () = context.shutdown.ending.cancelled() => {
             let refusal = Refusal::new(Cause::Leaving).with_retry_after(LEAVING_RETRY_AFTER);
             Err(refusal.without_body())
         }
-    };
-    match accepted {
-        Ok(request) => relay::run(context, request).await,
-        Err(refusal) => refuse(context, &id, refusal),
     }
 }
 
+/// Returns the response to the request `id`, or a refusal if there is none because of a panic.
+pub async fn or_refusal(
+    id: &str,
+    response: impl Future<Output = Response<Body>>,
+) -> Response<Body> {
+    // A panic leaves the state of the scheduler as whole as a caller that leaves at that moment.
+    let response = AssertUnwindSafe(response).catch_unwind().await;
+    response.unwrap_or_else(|_| {
+        log::error!(request = id; "panic at a request");
+        Refusal::new(Cause::Internal).response(id)
+    })
+}
+
 fn refuse(context: &Context, id: &str, refusal: Refusal) -> Response<Body> {
     let retry_after = refusal.retry_after.unwrap_or_default();
     let exceeded = refusal.quota_exceeded.as_ref();
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -132,7 +132,7 @@
     has_ended: AtomicBool,
 }
 
-/// A job is dropped before its end only if its caller disconnects.
+/// A job is dropped before its end only if its caller disconnects, or at a panic.
 impl Drop for Job {
     fn drop(&mut self) {
         if self.has_ended.load(Ordering::Relaxed) {
@@ -141,11 +141,12 @@
         if self.dispatch.verdict() == Verdict::NotRun {
             self.refund();
         }
-        let outcome = match self.context.shutdown.aborting.is_cancelled() {
-            true => CUT,
-            false => CALLER_GONE,
-        };
-        self.finish(outcome, None);
+        let is_cut = self.context.shutdown.aborting.is_cancelled();
+        match (std::thread::panicking(), is_cut) {
+            (true, _) => self.finish(&Cause::Internal.to_string(), None),
+            (false, true) => self.finish(CUT, None),
+            (false, false) => self.finish(CALLER_GONE, None),
+        }
     }
 }
 
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -5,8 +5,9 @@
 
 use {
     super::{
-        activity::{Activity, Timeouts},
+        activity::{Activity, Timeouts, reclaimed_when_quiet},
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
+        response_body::ResponseBody,
         unframed,
     },
     crate::signal::Shutdown,
@@ -253,6 +254,7 @@
         let stream = guard.watch(stream);
         let service = service_fn(move |request: Request<Incoming>| {
             let version = request.version();
+            let path = request.uri().path().to_owned();
             let guard = guard.clone();
             let in_progress = requests.begin_request();
             arrivals.send_modify(|arrivals| *arrivals += 1);
@@ -277,7 +279,8 @@
                         }
                     }
                     response
-                        .map(|body: Body| in_progress.until_end_of(guard.observe(version, body)))
+                        .map(|body: Body| ResponseBody::new(name, path, body))
+                        .map(|body| in_progress.until_end_of(guard.observe(version, body)))
                 })
             }
         });
@@ -298,7 +301,13 @@
                 yield_now().await;
             };
             let mut closing = pin!(closing);
-            let mut discarding = pin!(discard_all(name, peer, activity.clone(), rests));
+            let mut discarding = pin!(discard_all(
+                name,
+                peer,
+                activity.clone(),
+                Arc::clone(&reclaim),
+                rests
+            ));
             let mut is_closing = false;
             let result = loop {
                 let overdue = tokio::select! {
@@ -354,7 +363,7 @@
             // Drops what is left of the handlers.
             let stream = connection.into_parts().io.into_inner().into_inner();
             tokio::select! {
-                () = close(name, peer, &activity, stream) => {}
+                () = close(name, peer, &activity, &reclaim, stream) => {}
                 () = shutdown.aborting.cancelled() => {}
             }
         }
@@ -376,17 +385,21 @@
 }
 
 /// Closes a connection after its last answer: ends the own direction, and reads until the peer has ended
-/// its own or a limit is reached.
+/// its own, a limit is reached, or a peer that sends nothing is to make room.
 async fn close(
     name: &'static str,
     peer: SocketAddr,
     activity: &Activity,
+    reclaim: &Notify,
     mut stream: unframed::Guarded,
 ) {
     if stream.shutdown().await.is_err() {
         // The connection is broken.
         return;
     }
+    if activity.is_reclaimed() {
+        return;
+    }
     let is_incomplete = activity.is_request_incomplete();
     let limit = match is_incomplete {
         true => DISCARD_TIMEOUT,
@@ -396,7 +409,12 @@
     let reading = async {
         let mut buffer = vec![0; DISCARD_BUFFER_BYTES];
         while discarded <= MAX_DISCARDED_BYTES {
-            match stream.read(&mut buffer).await {
+            let read = tokio::select! {
+                biased;
+                read = stream.read(&mut buffer) => read,
+                () = reclaimed_when_quiet(reclaim) => return false,
+            };
+            match read {
                 Ok(0) | Err(_) => return true,
                 Ok(bytes) => discarded += bytes as u64,
             }
--- a/daemon/tests/server.rs
+++ b/daemon/tests/server.rs
@@ -18,6 +18,7 @@
     std::{io, net::SocketAddr, time::Duration},
     tamarackdale_testbed::strict::{Connection, Framing, Request},
     tamarackdaled::{
+        gateway::callers,
         http::{self, Server, activity::Timeouts, body, request_body::DISCARD_TIMEOUT},
         signal::Shutdown,
     },
@@ -55,6 +56,8 @@
 enum StreamEnd {
     Whole,
     Broken,
+    BrokenAtOnce,
+    Panic,
 }
 
 impl StateData for Answer {}
@@ -74,6 +77,12 @@
                     };
                     stream::once(error).boxed()
                 }
+                Some(StreamEnd::BrokenAtOnce) => {
+                    stream::iter([Err(io::Error::other("broken off"))]).boxed()
+                }
+                Some(StreamEnd::Panic) => {
+                    stream::once(async { panic!("the test wants it") }).boxed()
+                }
                 None => stream::pending().boxed(),
             };
             body::stream(first.chain(rest))
@@ -614,3 +623,78 @@
     assert!(sent.is_ok() && read.is_ok(), "{read:?}");
     assert!(answers.starts_with("HTTP/1.1 200"), "{answers}");
 }
+
+/// Guards against a caller that gets nothing of a stream, not even its head, because the stream breaks off
+/// before that is written.
+#[rstest]
+#[case::broken(StreamEnd::BrokenAtOnce)]
+#[case::panic(StreamEnd::Panic)]
+#[tokio::test]
+async fn stream_that_breaks_off_at_once_is_begun(
+    #[case] end: StreamEnd,
+    #[values("1.0", "1.1")] version: &str,
+) {
+    let (address, _) = start(Answer::Stream(Some(end)), IDLE_TIMEOUT).await;
+    let mut stream = TcpStream::connect(address).await.expect("accepted");
+    let request = format!("GET / HTTP/{version}\r\nHost: a\r\n\r\n");
+
+    stream.write_all(request.as_bytes()).await.expect("sent");
+    let mut received = Vec::new();
+    let read = timeout(CALL_LIMIT, stream.read_to_end(&mut received)).await;
+
+    let received = String::from_utf8_lossy(&received);
+    let head = format!("HTTP/{version} 200");
+    assert!(read.is_ok(), "not closed");
+    assert!(received.starts_with(&head), "{received}");
+    assert!(received.contains("part"), "{received}");
+    assert!(!received.ends_with("0\r\n\r\n"), "{received}");
+}
+
+/// Guards against a caller that is told nothing of a request that ended with a panic.
+#[tokio::test]
+async fn panic_before_the_head_is_answered_as_a_refusal() {
+    let response = async { panic!("the test wants it") };
+
+    let refusal = callers::or_refusal("r-1", response).await;
+
+    assert_eq!(refusal.status(), 500);
+    assert_eq!(refusal.headers()["attempt-id"], "r-1");
+    let text = body::read(refusal.into_body(), 1_000).await;
+    assert_eq!(text.expect("read"), r#"{"error":"internal"}"#.as_bytes());
+}
+
+/// Guards against new callers that wait for answered ones, which neither send the rest of their bodies nor
+/// close their connections.
+#[rstest]
+#[case::kept("/", "Content-Length: 9")]
+#[case::closed_by_the_server("/last", "Content-Length: 9")]
+#[case::chunked("/", "Transfer-Encoding: chunked")]
+#[tokio::test]
+async fn answered_caller_whose_body_does_not_come_makes_room(
+    #[case] path: &str,
+    #[case] framing: &str,
+) {
+    let (address, _) = start(Answer::Bytes(16), IDLE_TIMEOUT).await;
+    let request = format!("POST {path} HTTP/1.1\r\nHost: a\r\n{framing}\r\n\r\n4\r\n");
+    let mut held = Vec::new();
+    for _ in 0..MAX_CONNECTIONS {
+        let mut stream = TcpStream::connect(address).await.expect("accepted");
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let answered = timeout(CALL_LIMIT, stream.read(&mut [0; 1_000])).await;
+        assert!(matches!(answered, Ok(Ok(1..))), "{answered:?}");
+        held.push(stream);
+    }
+    let mut callers = JoinSet::new();
+
+    for _ in 0..MAX_CONNECTIONS {
+        callers.spawn(async move {
+            let mut connection = Connection::open(address).await.expect("accepted");
+            let request = pieces("/last", 1, Framing::Length);
+            let answer = connection.call(&request, CALL_LIMIT).await;
+            answer.map(|answer| answer.status)
+        });
+    }
+    let answers = callers.join_all().await;
+
+    assert!(answers.iter().all(Result::is_ok), "{answers:?}");
+}
