Test of held-back versions: the gateway is ready before its next requests count

Seen: stream_begins_at_a_new_version_only_once_the_store_knows_it, case serves_on, failed with "the new version stays unused" on a machine without other load. By the gateway's log all 12 later calls were refused within 15 ms as not-proved.

Cause: the test. The check that confirms the configuration is a transaction, which the stand-in holds back with the writes. 2.9 s after the last confirmation the gateway rightly takes no keys, and after two failed checks the next one comes within a second, while the test waited 0.4 s and then made its calls one after the other without a pause. All but the first also had the same identifier.

Change: the test waits until the gateway says that it is ready, each later call has its own identifier and must be served, and one of them must be served by the new version, as before.

--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -911,12 +911,14 @@
     assert_not_joined(&callers);
     assert_eq!(new, 0, "streams at the version that is not saved");
     bench.site.store.set_writes_hanging(false);
-    sleep(PAUSE).await;
-    let mut later = Caller::new(PATH, "later");
+    // The check that confirms the configuration is a transaction, so it was held back like a write.
+    assert!(bench.gateways[0].wait_ready(true).await, "not ready");
     let mut is_used = false;
-    for _ in 0..CALLERS {
-        later = Caller::new(PATH, &format!("later-{}", later.tries().len()));
-        is_used |= later.call(bench.callers_address(0)).await && later.versions().contains("v2");
+    for number in 0..CALLERS {
+        let mut later = Caller::new(PATH, &format!("later-{number}"));
+        let is_served = later.call(bench.callers_address(0)).await;
+        assert!(is_served, "refused: {:?}", later.tries());
+        is_used |= later.versions().contains("v2");
     }
     assert!(is_used || crashes, "the new version stays unused");
 }
