Resumable streams begin only at the process that is registered

Callers got streams joined from two versions: a server started again under its identifier and address at another version, streams that began there before its registration said so were recorded under the former version, and went on at a server of that one when theirs crashed.

Cause: only streams that go on were checked with GET /report. Responses say nothing of the start or version of their server, and correcting origins by the later registration would be too late for a server that crashes before it registers.

Change: the start of the process at the other end of a connection must be known before a resumable stream begins or goes on there; otherwise the stream goes elsewhere, as the store does not know the version there yet. A connection ends with its process, so connections that are open at the same time lead to the same one. The report is asked only where no open connection has shown the start, by one of those that connect at once. A connection whose received bytes wait for a slow caller shows nothing: its end would not be seen.

A second test counts reports: one for 32 streams in four rounds.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -1,9 +1,13 @@
 //! Pool of connections to backend servers.
 
+mod process;
 mod socket;
 
 use {
-    self::socket::Socket,
+    self::{
+        process::{Liveness, Processes},
+        socket::Socket,
+    },
     crate::http::probe::Probe,
     bytes::Bytes,
     http_body_util::{BodyExt as _, Full, Limited},
@@ -61,27 +65,13 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Start time that the process at the other end has stated, in Unix milliseconds.
+    /// Start time of the process at the other end, in Unix milliseconds, once it is known.
     started_at_ms: Option<u64>,
+    liveness: Arc<Liveness>,
     driver: AbortHandle,
 }
 
 impl Connection {
-    /// Whether the process at the other end is the start of the backend server that is registered. It
-    /// is asked once on each connection; one that does not state its start counts as that.
-    ///
-    /// Fails if it does not answer in time.
-    pub async fn leads_to(&mut self, member: &Member) -> io::Result<bool> {
-        if member.started_at_ms == 0 || self.started_at_ms == Some(member.started_at_ms) {
-            return Ok(true);
-        }
-        let body = timeout(REPORT_TIMEOUT, self.read_report(member.address)).await??;
-        self.started_at_ms = report::started_at_ms(&body);
-        Ok(self
-            .started_at_ms
-            .is_none_or(|started| started == member.started_at_ms))
-    }
-
     async fn read_report(&mut self, address: SocketAddr) -> io::Result<Bytes> {
         let response = self.sender.send_request(report::request(address)).await;
         let body = response.map_err(io::Error::other)?.into_body();
@@ -111,6 +101,7 @@
     /// When backend servers to which connections broke were last probed, and whether they were
     /// reachable.
     probes: Mutex<HashMap<String, Arc<Probe>>>,
+    processes: Processes,
 }
 
 impl ConnectionPool {
@@ -129,6 +120,38 @@
         }
     }
 
+    /// Whether the process at the other end of a connection is the start of the backend server that is
+    /// registered. It is asked unless an open connection has shown its start; one that does not state it
+    /// counts as the registered one.
+    ///
+    /// Fails if it does not answer in time.
+    pub async fn leads_to(&self, connection: &mut Connection, member: &Member) -> io::Result<bool> {
+        if member.started_at_ms == 0 {
+            return Ok(true);
+        }
+        let started_at_ms = match connection.started_at_ms {
+            Some(known) => known,
+            None => timeout(REPORT_TIMEOUT, self.find_start(connection, member)).await??,
+        };
+        Ok(started_at_ms == member.started_at_ms)
+    }
+
+    async fn find_start(&self, connection: &mut Connection, member: &Member) -> io::Result<u64> {
+        let turn = self.processes.turn(&member.id);
+        let _turn = turn.lock().await;
+        let started_at_ms = match self.processes.started_at_ms(&member.id) {
+            Some(shown) => shown,
+            None => {
+                let body = connection.read_report(member.address).await?;
+                report::started_at_ms(&body).unwrap_or(member.started_at_ms)
+            }
+        };
+        connection.started_at_ms = Some(started_at_ms);
+        self.processes
+            .record(&member.id, started_at_ms, &connection.liveness);
+        Ok(started_at_ms)
+    }
+
     /// Whether a backend server to which a connection broke accepts new ones, and so has not crashed.
     /// The new connection is kept in the pool. When many connections break at once, one of those who
     /// ask opens a new one, and the others get the same result.
@@ -171,6 +194,7 @@
     /// Closes connections to backend servers that are no longer registered, and expired
     /// connections.
     pub fn prune(&self, members: &Members) {
+        self.processes.retain(|id| members.contains_key(id));
         let now = Instant::now();
         let mut pool = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
         pool.retain(|id, connections| {
@@ -204,9 +228,11 @@
         .with_interval(KEEPALIVE_IDLE)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
+    let liveness = Arc::new(Liveness::default());
+    let socket = Socket::new(stream, Arc::clone(&liveness));
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
-        .handshake(TokioIo::new(Socket::new(stream)))
+        .handshake(TokioIo::new(socket))
         .await
         .map_err(io::Error::other)?;
     let driver = tokio::spawn(async move {
@@ -217,6 +243,7 @@
     Ok(Connection {
         sender,
         started_at_ms: None,
+        liveness,
         driver: driver.abort_handle(),
     })
 }
--- a/daemon/src/gateway/pool/socket.rs
+++ b/daemon/src/gateway/pool/socket.rs
@@ -1,9 +1,11 @@
 //! A TCP stream on which a response is read although the rest of the request cannot be written.
 
 use {
+    super::process::Liveness,
     std::{
         io,
         pin::Pin,
+        sync::Arc,
         task::{Context, Poll, ready},
     },
     tokio::{
@@ -19,14 +21,16 @@
 pub struct Socket {
     stream: TcpStream,
     write_error: Option<io::Error>,
+    liveness: Arc<Liveness>,
 }
 
 impl Socket {
-    /// Wraps a stream that is connected.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps a stream that is connected, and keeps `liveness` up to date.
+    pub fn new(stream: TcpStream, liveness: Arc<Liveness>) -> Self {
         Self {
             stream,
             write_error: None,
+            liveness,
         }
     }
 
@@ -42,6 +46,12 @@
     }
 }
 
+impl Drop for Socket {
+    fn drop(&mut self) {
+        self.liveness.set_awaiting(false);
+    }
+}
+
 impl AsyncRead for Socket {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -49,7 +59,9 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let length = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        let read = Pin::new(&mut self.stream).poll_read(context, buffer);
+        self.liveness.set_awaiting(read.is_pending());
+        ready!(read)?;
         let is_end = buffer.filled().len() == length && buffer.remaining() > 0;
         // The system reports a reset once. After that the end of the stream looks like a clean one.
         match self.write_error.take_if(|_| is_end) {
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -97,7 +97,7 @@
     let scheduler = &job.context.scheduler;
     let load = choice.request_load(job.prompt_tokens());
     let in_flight = scheduler.start_request(&member.id, load);
-    let is_checked = job.version.is_some() && job.is_for_engine();
+    let is_checked = job.stream.is_some() && job.is_for_engine();
     let connected = match is_checked {
         true => connect_to_start(job, member).await,
         false => job.context.pool.connect(member).await.map(Some),
@@ -131,13 +131,13 @@
     let backend_server = member.id.as_str();
     let mut connection = pool.connect(member).await?;
     // A connection that was idle may have been closed.
-    let mut leads = connection.leads_to(member).await;
+    let mut leads = pool.leads_to(&mut connection, member).await;
     if leads
         .as_ref()
         .is_err_and(|error| error.kind() != ErrorKind::TimedOut)
     {
         connection = pool.connect(member).await?;
-        leads = connection.leads_to(member).await;
+        leads = pool.leads_to(&mut connection, member).await;
     }
     match leads {
         Ok(true) => Ok(Some(connection)),
@@ -147,6 +147,8 @@
                 started_at_ms = member.started_at_ms;
                 "stream not sent there: the backend server has started again since its registration"
             );
+            // Its process is known, so the next stream is not asked for it.
+            pool.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT);
             Ok(None)
         }
         // Silent servers are many, and those that have also changed their version rare.
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -236,6 +236,8 @@
     last_refused: Mutex<Option<String>>,
     /// Answers that it gave before it had read the body.
     early_answers: AtomicUsize,
+    /// Times that it was asked for a report.
+    reports: AtomicUsize,
 }
 
 impl Server {
@@ -266,6 +268,7 @@
             refusals: AtomicUsize::new(0),
             last_refused: Mutex::default(),
             early_answers: AtomicUsize::new(0),
+            reports: AtomicUsize::new(0),
         });
         let shared = Arc::clone(&state);
         let crash = Arc::clone(&state.crash);
@@ -273,6 +276,7 @@
             let shared = Arc::clone(&shared);
             async move {
                 if request.uri().path() == "/report" {
+                    shared.reports.fetch_add(1, Ordering::SeqCst);
                     return Some(shared.silence.hold(shared.report()).await);
                 }
                 lock(&shared.arrivals).push(Instant::now());
@@ -431,6 +435,11 @@
         lock(&self.state.runs).clone()
     }
 
+    /// Times that it was asked for a report, answered or not.
+    pub fn reports(&self) -> usize {
+        self.state.reports.load(Ordering::SeqCst)
+    }
+
     /// Answers that it gave before it had read the body of the request.
     pub fn early_answers(&self) -> usize {
         self.state.early_answers.load(Ordering::SeqCst)
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -1007,27 +1007,70 @@
     assert_eq!(resumed_runs(&bench.old[1..]), 0, "runs at the new version");
 }
 
-/// Guards against the former version of such a server in the origins of streams that begin there: they go
-/// on elsewhere at a version that they did not begin at.
+/// Guards against the former version of such a server in the origins of streams that begin there, which
+/// then go on elsewhere at a version that they did not begin at. No store knows the new version before
+/// the registration names it, so no stream begins there until then, with and without connections that
+/// were open to the former process.
+#[rstest]
+#[case::not_connected(0)]
+#[case::connected(CALLERS)]
 #[tokio::test]
-async fn stream_that_began_at_a_server_that_started_again_goes_on_at_no_other_version() {
-    let (bench, _) = start_with_restarted().await;
-    let bench = &bench;
-    let callers = (0..CALLERS).map(|number| async move {
-        let mut caller = Caller::new(PATH, &format!("later-{number}")).with_time_budget(TIMEOUT);
-        caller.begin(bench.callers_address(0), 1).await;
-        caller
-    });
-    let mut callers = join_all(callers).await;
-    assert!(
-        versions_begun(&callers, "v2") > 0,
-        "none at the new version"
-    );
+async fn stream_that_began_at_a_server_that_started_again_goes_on_at_no_other_version(
+    #[case] open: usize,
+) {
+    /// Fewer than one server has slots.
+    const STREAMS: usize = 6;
+    let bench = Bench::start(1, 2, 0).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    let address = bench.callers_address(0);
+    let begin = async |name: &str, count: usize| {
+        let caller = |number| Caller::new(PATH, &format!("{name}-{number}"));
+        let mut callers: Vec<Caller> = (0..count)
+            .map(|number| caller(number).with_time_budget(TIMEOUT))
+            .collect();
+        join_all(callers.iter_mut().map(|caller| caller.begin(address, 1))).await;
+        assert_eq!(begun(&callers), count, "{name}");
+        callers
+    };
+    let before = begin("before", open).await;
 
+    bench.old[1].restart_at("v2");
+    drop(before);
+    let mut early = begin("early", STREAMS).await;
+    let early_at_new = versions_begun(&early, "v2");
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    let mut late = begin("late", STREAMS).await;
+    let late_at_new = versions_begun(&late, "v2");
     bench.old[1].close();
-    join_all(callers.iter_mut().map(Caller::finish)).await;
+    join_all(early.iter_mut().chain(&mut late).map(Caller::finish)).await;
 
-    assert_not_joined(&callers);
+    assert_eq!(early_at_new, 0, "begun before the registration names it");
+    assert!(late_at_new > 0, "none at the new version");
+    assert_not_joined(&early);
+    assert_not_joined(&late);
+    assert_eq!(whole(&early), STREAMS);
+}
+
+/// Guards against a report for each stream, or for each connection, where an open connection shows which
+/// process of the server is there.
+#[tokio::test]
+async fn servers_are_asked_for_their_start_once_while_connections_last() {
+    /// As many as the server has slots.
+    const STREAMS: usize = 8;
+    const ROUNDS: usize = 4;
+    let bench = Bench::start(1, 1, 0).await;
+    bench.set_latency(QUICK);
+
+    let mut callers: Vec<Caller> = (0..ROUNDS * STREAMS).map(caller).collect();
+    for round in callers.chunks_mut(STREAMS) {
+        let address = bench.callers_address(0);
+        join_all(round.iter_mut().map(|caller| caller.call(address))).await;
+    }
+
+    assert_eq!(whole(&callers), callers.len());
+    assert_eq!(bench.old[0].reports(), 1);
 }
 
 /// Guards against a server that serves no stream that goes on because it is asked for its start first.
