Gateway: the callers' listener closes 700 ms before requests in progress are ended

What callers saw: on an overloaded machine connections that had been opened at the end of a planned stop were reset with their requests on the line.

Cause: the listener closed when the answers to what was left were due, 300 ms before connections are dropped. What a starved process had not read by then was cut; the same for a caller that wrote its first request later.

Change: the listener closes 700 ms earlier, which leaves a second for what has been opened: the time that callers allow for a new connection. A new connection has that second for its first request.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -53,6 +53,10 @@
 /// that were sent here before follow each other within tens of milliseconds under load.
 const QUIET_TIME: Duration = Duration::from_millis(500);
 
+/// Part of the time for requests in progress that is reserved for those whose connections have been opened
+/// when the callers' listener closes: reading them and writing refusals, on a machine that is overloaded.
+const LISTENER_RESERVE: Duration = Duration::from_millis(700);
+
 /// Part of the grace period that is reserved for the exit of the process.
 const EXIT_RESERVE: Duration = Duration::from_millis(400);
 
@@ -166,10 +170,10 @@
     let mut arrivals = callers.arrivals();
     let leave = async {
         shutdown.closing.cancelled().await;
-        let are_callers_gone = tokio::select! {
-            () = wait_for_quiet(&mut arrivals) => true,
-            () = shutdown.ending.cancelled() => false,
-        };
+        let time_left = shutdown.time_left().unwrap_or_default();
+        let latest = time_left.saturating_sub(LISTENER_RESERVE);
+        let quiet = timeout(latest, wait_for_quiet(&mut arrivals)).await;
+        let are_callers_gone = quiet.is_ok();
         let closing_for_ms = shutdown.closing_for().map(|time| time.as_millis() as u64);
         log::info!(are_callers_gone, closing_for_ms; "the callers' listener closes");
         unready.closing.cancel();
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -54,8 +54,8 @@
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for the first request on a new connection, within which the shutdown does not close it: a round trip
-/// and thread scheduling on a loaded machine.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(500);
+/// and thread scheduling on an overloaded machine.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(1_000);
 
 /// Time for the handshakes that are under way when a listener takes no new ones: a round trip in a data
 /// centre, twice.
