Sidecar: a message that an attempt's mailbox does not take is logged

Seen: nothing yet; found by reading. Cause: the dispatch worker drops what the full mailbox of an attempt does not take, among it the word that the attempt is void, without a line. Change: a warning names the attempt. The router still knows by itself that it has not granted. No test fills a mailbox.

--- a/daemon/src/sidecar/dispatch/execution.rs
+++ b/daemon/src/sidecar/dispatch/execution.rs
@@ -11,6 +11,7 @@
         time::Timestamp,
         verdict::Verdict,
     },
+    tokio::sync::mpsc::error::TrySendError,
 };
 
 impl Dispatcher {
@@ -152,7 +153,10 @@
     /// has ended or its mailbox is full.
     pub(super) fn notify(&self, attempt: Attempt, message: Message) {
         if let Some(handle) = self.tasks.get(&attempt) {
-            let _ = handle.messages.try_send(message);
+            let sent = handle.messages.try_send(message);
+            if let Err(TrySendError::Full(_)) = sent {
+                log::warn!(attempt:% = attempt; "message to an attempt dropped: its mailbox is full");
+            }
         }
     }
 }
