Router: what still runs tells how long the next request takes while a shutdown goes on

Seen by callers: a router that had not been answered yet was stopped. Bookings that came late were granted, ran, and ended as `may-have-run` at the end of the shutdown.

Cause: without an answer nothing was predicted, so that any request fitted in; and a service that had come to a stand counted as quick as its last answers.

Change: while a shutdown goes on, requests that run count with the time they have taken so far; the longer of the two medians, with and without them, is the prediction.

--- a/core/src/service_times.rs
+++ b/core/src/service_times.rs
@@ -20,11 +20,18 @@
         self.latest.push_back(elapsed);
     }
 
-    /// The median of the latest times, the shorter of two; `None` before the first.
-    pub fn median(&self) -> Option<Duration> {
-        let mut sorted: Vec<Duration> = self.latest.iter().copied().collect();
-        sorted.sort_unstable();
-        let middle = sorted.len().checked_sub(1)? / 2;
-        sorted.get(middle).copied()
+    /// Predicts the time of the next request, from those recorded and from how long others have been
+    /// `running` so far: the median of the former, or that of both if it is longer. `None` without any.
+    pub fn predict(&self, running: impl IntoIterator<Item = Duration>) -> Option<Duration> {
+        let latest = self.latest.iter().copied();
+        median(latest.clone()).max(median(latest.chain(running)))
     }
 }
+
+/// The median, the shorter of two in the middle.
+fn median(times: impl Iterator<Item = Duration>) -> Option<Duration> {
+    let mut sorted: Vec<Duration> = times.collect();
+    sorted.sort_unstable();
+    let middle = sorted.len().checked_sub(1)? / 2;
+    sorted.get(middle).copied()
+}
--- a/daemon/src/router/placement.rs
+++ b/daemon/src/router/placement.rs
@@ -144,6 +144,18 @@
         asked.map_err(not_dispatched)?
     }
 
+    /// Reports that an attempt has been granted; [`Placement::finish_attempt`] must follow.
+    pub fn record_grant(&self, request: &Arc<InboundRequest>, attempt: Attempt) {
+        let granted = Command::Granted {
+            request: Arc::clone(request),
+            attempt,
+        };
+        // Sent now or never, so that the end of the attempt cannot overtake it.
+        if let Err(failure) = self.sender.send(granted) {
+            log::info!(attempt:% = attempt; "grant not counted in predicted times: {failure}");
+        }
+    }
+
     /// Reports that a backend server has answered a request within `elapsed` of its grant.
     pub fn record_answer(&self, request: &Arc<InboundRequest>, elapsed: Duration) {
         self.sender.send_with_retry(Command::Answered {
@@ -240,6 +252,10 @@
                 let _ = reply.send(checked);
                 self.after_judgement(&request.id.service, now);
             }
+            Command::Granted { request, attempt } => {
+                let service = self.service(&request.id.service);
+                service.record_grant(&request, attempt, now);
+            }
             Command::Answered { request, elapsed } => {
                 let name = &request.id.service;
                 self.service(name).record_answer(&request, elapsed, now);
--- a/daemon/src/router/placement/command.rs
+++ b/daemon/src/router/placement/command.rs
@@ -47,6 +47,13 @@
         /// Receives whether it may be granted.
         reply: oneshot::Sender<Result<(), Failure>>,
     },
+    /// An attempt has been granted.
+    Granted {
+        /// The request.
+        request: Arc<InboundRequest>,
+        /// The attempt.
+        attempt: Attempt,
+    },
     /// A request was answered by its backend server.
     Answered {
         /// The request.
@@ -89,6 +96,8 @@
     pub previous_failure: Option<Failure>,
     /// Deadline of the request.
     pub deadline: Timestamp,
+    /// Whether the router is shutting down, so that it is to be known well how long the request takes.
+    pub is_closing: bool,
 }
 
 /// A change in the state of a sidecar.
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -49,6 +49,8 @@
     decision_log: DecisionLog,
     /// Times of requests without an estimated cost: those that may run only once, and the others.
     service_times: HashMap<IsIdempotent, ServiceTimes>,
+    /// Granted attempts of such requests, each with the time of its grant.
+    running: HashMap<Attempt, (IsIdempotent, Timestamp)>,
     /// Observations of crashes, and the requests that are refused because of them.
     poison: Detector,
     notice_relay: NoticeRelay,
@@ -81,6 +83,7 @@
             budget: Budget::new(retry::Settings::default()),
             decision_log: DecisionLog::default(),
             service_times: HashMap::new(),
+            running: HashMap::new(),
             poison: Detector::new(),
             notice_relay: NoticeRelay::default(),
             pruned: Timestamp::default(),
@@ -158,7 +161,7 @@
             .choose(&requirements(placement), &placement.excluded, now, rng)?;
         self.log_choice(request, attempt, &choice);
         self.decision_log.record_choice(request, &choice, now);
-        self.assign(request, attempt, choice, now)
+        self.assign(placement, attempt, choice, now)
     }
 
     /// Charges the retry budget for a retry after a shed, and fails if it is exhausted. Such
@@ -188,6 +191,7 @@
     /// Removes an attempt from the load that is accounted to its sidecar.
     pub fn remove_attempt(&mut self, attempt: Attempt) {
         self.table.record_completion(attempt);
+        self.running.remove(&attempt);
     }
 
     /// Returns the logged decisions on a request, oldest first.
@@ -262,13 +266,33 @@
         }
     }
 
+    /// Records that an attempt has been granted.
+    pub fn record_grant(&mut self, request: &InboundRequest, attempt: Attempt, now: Timestamp) {
+        if request.cost.tokens() == 0 {
+            self.running.insert(attempt, (request.idempotent, now));
+        }
+    }
+
     /// Returns the least time that a request is predicted to take from its grant.
-    fn min_service(&self, request: &InboundRequest, choice: &Choice) -> Duration {
+    fn min_service(
+        &self,
+        placement: &PlacementRequest,
+        choice: &Choice,
+        now: Timestamp,
+    ) -> Duration {
+        let request = &placement.request;
         if request.cost.tokens() > 0 {
             return cost::min_time(choice.service);
         }
-        let times = self.service_times.get(&request.idempotent);
-        times.and_then(ServiceTimes::median).unwrap_or_default()
+        let alike =
+            |(is_idempotent, _): &&(IsIdempotent, Timestamp)| *is_idempotent == request.idempotent;
+        // There may be thousands.
+        let counted = placement.is_closing.then_some(&self.running);
+        let running = counted.into_iter().flat_map(HashMap::values).filter(alike);
+        let running = running.map(|(_, granted)| now.since(*granted));
+        let none = ServiceTimes::default();
+        let times = self.service_times.get(&request.idempotent).unwrap_or(&none);
+        times.predict(running).unwrap_or_default()
     }
 
     /// Judges which requests crash backend servers. Called at each report, since the losses at a crash
@@ -345,17 +369,18 @@
 
     fn assign(
         &mut self,
-        request: &InboundRequest,
+        placement: &PlacementRequest,
         attempt: Attempt,
         choice: Choice,
         now: Timestamp,
     ) -> Result<Assignment, Failure> {
+        let request = &placement.request;
         let instance = &choice.incarnation.instance;
         let Some(address) = self.addresses.get(instance) else {
             return Err(Failure::not_run(Reason::NoBackendServer));
         };
         let address = address.peer_listener;
-        let min_service = self.min_service(request, &choice);
+        let min_service = self.min_service(placement, &choice, now);
         let min_wait = cost::min_time(choice.predicted.saturating_sub(choice.service));
         self.table
             .record_dispatch(instance, attempt, request.rank, &request.cost, now);
--- a/daemon/src/router/relay.rs
+++ b/daemon/src/router/relay.rs
@@ -192,6 +192,7 @@
             excluded: rounds.excluded().to_vec(),
             previous_failure: rounds.last_failure(),
             deadline: self.deadline,
+            is_closing: self.context.shutdown.closing.is_cancelled(),
         });
         tokio::select! {
             assignment = placing => assignment,
@@ -203,6 +204,9 @@
         let mut response =
             ResponseReader::new(&self.context, &assignment.peer, granted, self.deadline);
         let granted_at = self.context.clock.now();
+        self.context
+            .placement
+            .record_grant(&self.request, assignment.attempt);
         let outcome = self.relay_response(&mut response).await;
         match outcome {
             // Nothing has been sent to the backend server or to the caller.
--- a/testbed/tests/planned_stops_own_interface.rs
+++ b/testbed/tests/planned_stops_own_interface.rs
@@ -179,6 +179,24 @@
     }
 }
 
+#[tokio::test]
+async fn router_without_answers_learns_from_what_runs() {
+    let deployment = start(orders()).await;
+    plain(&deployment).set_latency(ENDLESS);
+    // The most urgent tier has room for both.
+    let _running = offer(&deployment, booking("running").with_tier("order"));
+    wait_for_run(&deployment, "running").await;
+    sleep(Duration::from_secs(1)).await;
+
+    deployment.routers[0].process.terminate().expect("running");
+    sleep(LATE).await;
+    let late = offer(&deployment, booking("late").with_tier("order"));
+    let late = late.await.expect("no panic");
+
+    assert_refused(&late, Verdict::NotRun);
+    assert_eq!(runs(&deployment, "late"), 0);
+}
+
 #[rstest]
 #[case::late(LATE + Duration::from_millis(500))]
 #[case::missing(LIMIT)]
