Quota: a take-up that finds no room waits for it ahead of new requests

A caller that took a stream up at a moment without room was refused at once, while new requests got the room that came free next.

It waits in the queue that exists for starts, for as long as a request waits for a slot (0.8 s), and new requests of its organisation that are no more urgent are refused meanwhile.

stream_that_goes_on_waits_for_room_before_new_requests: the take-up waits, a new request does not overtake it, and it goes on with the room that another one leaves.

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -122,9 +122,10 @@
         self.lock().fleet.utilisation(service, now)
     }
 
-    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. While this
-    /// gateway has just started and has not heard its peers, the request waits until `wait_until` for
-    /// more than the gateway's own part, in order of `key`.
+    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. One that goes on
+    /// with a stream waits until `wait_until` for free units, in order of `key` and before new ones. While
+    /// this gateway has just started and has not heard its peers, all wait so for more than the
+    /// gateway's own part.
     pub async fn admit(
         &self,
         organisation: &Arc<Organisation>,
@@ -140,9 +141,7 @@
             let random = state.random.random();
             let is_take_up = key.is_resumed;
             let claim = Claim { cost, is_take_up };
-            let must_wait = state.ledger.is_settling(now)
-                && state.is_behind_quota_queue(organisation, key.urgency(now), now);
-            let exceeded = match must_wait {
+            let exceeded = match state.is_behind_quota_queue(organisation, key.urgency(now), now) {
                 true => state.ledger.exceeded(organisation, claim, now),
                 false => state.ledger.admit(organisation, claim, random, now).err(),
             };
@@ -150,7 +149,8 @@
                 return Ok(());
             };
             let has_place = state.quota_waiters(organisation, key.rank) < wait_policy::MAX_WAITING;
-            if !state.ledger.is_settling(now) || wait_until <= now || !has_place {
+            let may_wait = is_take_up || state.ledger.is_settling(now);
+            if !may_wait || wait_until <= now || !has_place {
                 return Err(exceeded);
             }
             let (sender, reply) = oneshot::channel();
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -200,13 +200,9 @@
     assert!(other.expect("at once").is_ok());
 }
 
-/// Guards against a stream that is refused by quota at a gateway that has just started, while a new one
-/// gets what is free once the gateway has heard its peers.
-#[tokio::test]
-async fn stream_that_goes_on_gets_the_quota_first_once_the_peers_are_heard() {
-    let bench = Bench::new();
-    let now = bench.clock.now();
-    let organisation = Arc::new(Organisation {
+/// An organisation with a quota of 800,000 in 8 s.
+fn organisation() -> Arc<Organisation> {
+    Arc::new(Organisation {
         name: "o".to_owned(),
         rank: None,
         quota: Some(Quota {
@@ -214,7 +210,16 @@
             burst: 0.0,
             unit: Unit::Requests,
         }),
-    });
+    })
+}
+
+/// Guards against a stream that is refused by quota at a gateway that has just started, while a new one
+/// gets what is free once the gateway has heard its peers.
+#[tokio::test]
+async fn stream_that_goes_on_gets_the_quota_first_once_the_peers_are_heard() {
+    let bench = Bench::new();
+    let now = bench.clock.now();
+    let organisation = organisation();
     let admit = |is_resumed| {
         let key = SchedulingKey {
             rank: OTHER,
@@ -239,3 +244,38 @@
     assert!(resumed.is_ok(), "the stream goes on");
     assert!(new.is_err(), "there is no room for both");
 }
+
+/// Guards against a stream that is refused at a moment without room, while the room that a request
+/// leaves goes to new ones.
+#[tokio::test]
+async fn stream_that_goes_on_waits_for_room_before_new_requests() {
+    const COST: f64 = 500_000.0;
+    let bench = Bench::new();
+    let organisation = organisation();
+    let layout = Layout::default();
+    bench.scheduler.set_gateways(1, 1, layout, Duration::ZERO);
+    let now = bench.clock.now();
+    let admit = |is_resumed, cost| {
+        let key = SchedulingKey {
+            rank: OTHER,
+            is_resumed,
+            is_retry: false,
+            on_time_until: now.plus(Duration::from_secs(1)),
+        };
+        let until = now.plus(Duration::from_millis(800));
+        bench.scheduler.admit(&organisation, cost, key, until)
+    };
+    admit(false, COST).await.expect("there is room");
+    let admitted = bench.clock.now();
+
+    let mut resumed = pin!(admit(true, COST));
+    let waiting = timeout(AT_ONCE, &mut resumed).await;
+    let new = admit(false, 1.0).await;
+    bench.scheduler.refund("o", COST, admitted);
+    bench.scheduler.admit_waiting();
+    let resumed = resumed.await;
+
+    assert!(waiting.is_err(), "refused at once");
+    assert!(new.is_err(), "overtakes the stream");
+    assert!(resumed.is_ok(), "the stream goes on");
+}
