--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -25,7 +25,7 @@
         },
         origin::Origin,
         poison::Fingerprint,
-        quota::{QuotaExceeded, UsageHistory},
+        quota::{Claim, QuotaExceeded, UsageHistory},
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
         time::Timestamp,
@@ -122,9 +122,10 @@
         self.lock().fleet.utilisation(service, now)
     }
 
-    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. While this
-    /// gateway has just started and has not heard its peers, the request waits until `wait_until` for
-    /// more than the gateway's own part, in order of `key`.
+    /// Charges a request to its organisation's quota. Fails if the quota is exceeded. One that goes on
+    /// with a stream waits until `wait_until` for free units, in order of `key` and before new ones. While
+    /// this gateway has just started and has not heard its peers, all wait so for more than the
+    /// gateway's own part.
     pub async fn admit(
         &self,
         organisation: &Arc<Organisation>,
@@ -138,23 +139,24 @@
             // Those that wait and fit by now go first.
             state.admit_waiting(now);
             let random = state.random.random();
-            let must_wait = state.ledger.is_settling(now)
-                && state.is_behind_quota_queue(organisation, key.urgency(now), now);
-            let exceeded = match must_wait {
-                true => state.ledger.exceeded(organisation, cost, now),
-                false => state.ledger.admit(organisation, cost, random, now).err(),
+            let is_take_up = key.is_resumed;
+            let claim = Claim { cost, is_take_up };
+            let exceeded = match state.is_behind_quota_queue(organisation, key.urgency(now), now) {
+                true => state.ledger.exceeded(organisation, claim, now),
+                false => state.ledger.admit(organisation, claim, random, now).err(),
             };
             let Some(exceeded) = exceeded else {
                 return Ok(());
             };
             let has_place = state.quota_waiters(organisation, key.rank) < wait_policy::MAX_WAITING;
-            if !state.ledger.is_settling(now) || wait_until <= now || !has_place {
+            let may_wait = is_take_up || state.ledger.is_settling(now);
+            if !may_wait || wait_until <= now || !has_place {
                 return Err(exceeded);
             }
             let (sender, reply) = oneshot::channel();
             let waiter = QuotaWaiter {
                 organisation: Arc::clone(organisation),
-                cost,
+                claim,
                 reply: sender,
             };
             let number = state.quota_queue.insert(key, waiter);
@@ -486,21 +488,22 @@
         }
     }
 
-    /// Removes a peer that has disconnected. Its load and its waiting requests no longer count; the
+    /// Removes a peer that was last heard at `contact`. Its load and its waiting requests no longer count; the
     /// quota that it used stays counted until the window has passed.
-    pub fn remove_peer(&self, peer: u64) {
+    pub fn remove_peer(&self, peer: u64, contact: Timestamp) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.remove_peer(peer);
-        state.ledger.remove_peer(peer, now);
+        state.ledger.remove_peer(peer, contact, now);
         state.peer_waiting.remove(&peer);
     }
 
     /// Sets the number of connected and of known gateways, both including this one, how the
     /// connected ones form cells, and the time `lag` after which a summary has reached all of them.
     pub fn set_gateways(&self, connected: usize, known: usize, layout: Layout, lag: Duration) {
+        let now = self.clock.now();
         let mut state = self.lock();
-        state.ledger.set_share(connected, known, lag);
+        state.ledger.set_share(connected, known, lag, now);
         state.visible_fraction = connected as f64 / known.max(connected).max(1) as f64;
         state.layout = layout;
         if state.known_gateways != known {
