A gateway without file descriptors does not count its servers as failed

While a gateway had no descriptors left, callers were refused, and went on being refused after the shortage: a connection that could not be opened for want of a descriptor counted as a failure of the server.

Such a connection now waits for a descriptor within its timeout, since requests that end free theirs, and the lack is no failure of the server.

Open: the process's limit is not compared with max_fds, and a probe without a descriptor counts as a crash (by reading).

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -9,6 +9,7 @@
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::client::conn::http1::{self, SendRequest},
     hyper_util::rt::TokioIo,
+    rustix::io::Errno,
     socket2::{SockRef, TcpKeepalive},
     std::{
         collections::HashMap,
@@ -22,7 +23,7 @@
     tokio::{
         net::TcpStream,
         task::AbortHandle,
-        time::{Instant, timeout},
+        time::{Instant, sleep, timeout},
     },
 };
 
@@ -30,6 +31,10 @@
 /// milliseconds. A lost SYN is retransmitted after a second, which is too late to wait for.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Pause before a connection is opened for which there was no file descriptor. Requests that end free some,
+/// which takes milliseconds.
+const DESCRIPTOR_PAUSE: Duration = Duration::from_millis(10);
+
 /// Longest time for a backend server's report, for which the callers of streams wait: some round trips.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -194,8 +199,27 @@
     }
 }
 
+/// Whether a connection was not opened because of this process or system, and not of its peer.
+pub fn lacks_descriptors(error: &io::Error) -> bool {
+    let errno = Errno::from_io_error(error);
+    matches!(errno, Some(Errno::MFILE | Errno::NFILE))
+}
+
+/// Opens a connection, and waits within the timeout while there is no file descriptor for it.
+async fn open_stream(address: SocketAddr) -> io::Result<TcpStream> {
+    let end = Instant::now() + CONNECT_TIMEOUT;
+    loop {
+        let result = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await?;
+        let may_wait = Instant::now() + DESCRIPTOR_PAUSE < end;
+        match result {
+            Err(error) if lacks_descriptors(&error) && may_wait => sleep(DESCRIPTOR_PAUSE).await,
+            result => return result,
+        }
+    }
+}
+
 async fn open(address: SocketAddr) -> io::Result<Connection> {
-    let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await??;
+    let stream = open_stream(address).await?;
     stream.set_nodelay(true)?;
     let socket = SockRef::from(&stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -4,7 +4,7 @@
     super::{Cause, Job},
     crate::{
         gateway::{
-            pool::{Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT},
+            pool::{self, Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT},
             response_buffers::{BufferError, ResponseBuffers},
             scheduler::InFlightRequest,
         },
@@ -110,7 +110,9 @@
                 backend_server = member.id.as_str();
                 "cannot connect to backend server: {error}"
             );
-            scheduler.record_failure(&member.id, Failure::Unreachable);
+            if !pool::lacks_descriptors(&error) {
+                scheduler.record_failure(&member.id, Failure::Unreachable);
+            }
             return Err(ExchangeError::SendFailure(SendFailure::NotSent));
         }
     };
