Stand-in of the store: the head of a conflict goes out before its items are encoded

Seen: superseded_configuration_is_not_used_while_the_new_one_is_read failed under load: the request was served with 200 where 503 is wanted. By the gateway's log its check of the configuration had no response within its timeout of 1 s, so it did not know of the newer entry.

Cause: the stand-in. Before it wrote the head of the conflict it encoded the entry of 4 MB, with the state locked: 0.74 s in a debug build at a load of 49 on 8 cores, measured once. The gateway did what is stated: an unconfirmed configuration serves requests without a key.

Change: the head goes out at once, and the items are encoded on another thread from a copy. The test is unchanged.

--- a/testbed/src/store/platform.rs
+++ b/testbed/src/store/platform.rs
@@ -9,20 +9,22 @@
     },
     crate::host::{Body, json},
     base64::{Engine as _, engine::general_purpose::STANDARD},
-    http_body_util::BodyExt as _,
+    futures_util::{FutureExt as _, stream},
+    http_body_util::{BodyExt as _, StreamBody},
     hyper::{
         Request, Response, StatusCode,
-        body::Incoming,
+        body::{Frame, Incoming},
         header::{HeaderName, HeaderValue},
     },
     percent_encoding::percent_decode_str,
     serde_json::{Value, json as value},
     std::{
         collections::HashMap,
+        io,
         sync::Arc,
         time::{Duration, Instant},
     },
-    tokio::time::timeout,
+    tokio::{task::spawn_blocking, time::timeout},
 };
 
 /// Header that tells how many times the store came back from an older copy.
@@ -188,15 +190,9 @@
         record.map_or(0, |record| record.mod_revision) == integer(&row["revision"])
     });
     if !holds {
-        let items: Vec<Value> = expected
-            .iter()
-            .filter_map(|row| row["key"].as_str())
-            .map(|key| match state.record(key.as_bytes()) {
-                Some(record) => item(key.as_bytes(), record),
-                None => value!({"key": key, "revision": 0}),
-            })
-            .collect();
-        return json(StatusCode::PRECONDITION_FAILED, &value!({"items": items}));
+        let keys = expected.iter().filter_map(|row| row["key"].as_str());
+        let found = keys.map(|key| (key.to_owned(), state.record(key.as_bytes()).cloned()));
+        return conflict(found.collect());
     }
     let (puts, deletes) = (rows("puts"), rows("deletes"));
     if puts
@@ -218,6 +214,26 @@
     json(StatusCode::OK, &value!({"revision": state.revision()}))
 }
 
+/// Tells what the present records are where others were expected. The head goes out at once, and the
+/// state is not locked meanwhile: a debug build encodes a value of megabytes for a second.
+fn conflict(found: Vec<(String, Option<Record>)>) -> Response<Body> {
+    let encode = move || {
+        let items = found.iter().map(|(key, record)| match record {
+            Some(record) => item(key.as_bytes(), record),
+            None => value!({"key": key, "revision": 0}),
+        });
+        value!({"items": items.collect::<Vec<_>>()}).to_string()
+    };
+    let text = spawn_blocking(encode).map(|text| match text {
+        Ok(text) => Ok(Frame::data(text.into())),
+        Err(error) => Err(io::Error::other(error)),
+    });
+    let body = StreamBody::new(stream::once(text)).boxed_unsync();
+    let mut response = Response::new(body);
+    *response.status_mut() = StatusCode::PRECONDITION_FAILED;
+    response
+}
+
 fn item(key: &[u8], record: &Record) -> Value {
     value!({
         "key": String::from_utf8_lossy(key),
