Gateway: once callers can know of a planned stop, a prediction does not let them in

Cause: since requests are taken for as long as they are predicted to end in time, also late ones are, and predictions are means: the stream was predicted to take two thirds of what was left, and took longer.

Change: from 2.5 s after SIGTERM on, when the load balancer has noticed, a request that can still be refused is sent only if its whole time is left, so that its own deadline comes first. Retries and streams that have begun would fail without it and still go by the prediction.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -45,8 +45,9 @@
     tokio_util::sync::CancellationToken,
 };
 
-/// Shortest time from SIGTERM until the callers' listener closes. The load balancer polls the readiness
-/// every second and removes an instance after two failed polls.
+/// Shortest time from SIGTERM until the callers' listener closes, and until requests are refused unless
+/// their whole time is left. The load balancer polls the readiness every second and removes an instance
+/// after two failed polls.
 const UNREADY_DELAY: Duration = Duration::from_millis(2_500);
 
 /// Time without a caller after which the callers' listener closes: retries and new connections of those
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -7,6 +7,7 @@
 use {
     self::exchange::{BodyError, Exchange, ExchangeError},
     super::{
+        UNREADY_DELAY,
         context::Context,
         origins::{self, Unknown},
         refusal::{Cause, LEAVING_RETRY_AFTER, Refusal},
@@ -212,18 +213,23 @@
         }
     }
 
-    /// Whether the request is expected to end at the chosen backend server before the shutdown does.
+    /// Whether the request ends at the chosen backend server before the shutdown does. A prediction is
+    /// enough while callers cannot know of the shutdown, and for a request that would fail otherwise.
     fn ends_before_shutdown(&self, choice: &Choice) -> bool {
-        let Some(shutdown_left) = self.context.shutdown.time_left() else {
+        let shutdown = &self.context.shutdown;
+        let (Some(time_left), Some(closing_for)) = (shutdown.time_left(), shutdown.closing_for())
+        else {
             return true;
         };
         let is_measured = match self.request.head.tokens {
             Some(_) => choice.speed.decode_ms.is_some(),
             None => choice.speed.occupancy_ms.is_some(),
         };
-        match is_measured {
-            true => choice.estimate.total <= shutdown_left.mul_f64(SHUTDOWN_FRACTION),
-            false => self.own_time_left() <= shutdown_left,
+        let can_be_refused = self.dispatch.verdict() == Verdict::NotRun;
+        let is_prediction_enough = !can_be_refused || closing_for < UNREADY_DELAY;
+        match is_measured && is_prediction_enough {
+            true => choice.estimate.total <= time_left.mul_f64(SHUTDOWN_FRACTION),
+            false => self.own_time_left() <= time_left,
         }
     }
 
