--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -320,6 +320,45 @@
     assert!(chosen.keys().all(|id| id.starts_with('a')), "{chosen:?}");
 }
 
+/// Guards against a data centre that is left for good after one late answer: nobody measures its server
+/// again.
+#[test]
+fn requests_return_to_their_data_centre_after_a_late_first_answer() {
+    let usual = Duration::from_millis(10);
+    let late = Duration::from_millis(450);
+    let mut fleet = one_server_each();
+    fleet.record_answer("a0", 0, usual, late, at(100));
+    fleet.record_answer("b0", 0, usual, usual, at(100));
+    let demand = Demand {
+        max_remote: Some(4),
+        ..demand(0, 0)
+    };
+
+    let mut random = StdRng::seed_from_u64(3);
+    let local = (0..100).filter(|number| {
+        let now = at(1_000 + number * 100);
+        let choice = fleet.choose(&demand, now, &mut random);
+        let id = choice.expect("there is a slot").member.id;
+        fleet.record_answer(&id, 0, usual, usual, now);
+        id == "a0"
+    });
+
+    let local = local.count();
+    assert!(local > 90, "{local} of 100 stay");
+}
+
+/// A fleet of two data centres with one server each, `a0` and `b0`.
+fn one_server_each() -> Fleet {
+    let members = ["a", "b"].map(|data_centre| Member {
+        data_centre: data_centre.to_owned(),
+        ..member(&format!("{data_centre}0"))
+    });
+    let mut fleet = Fleet::new();
+    let members = members.map(|member| (member.id.clone(), member));
+    fleet.update_members(&members.into(), Timestamp::START);
+    fleet
+}
+
 /// Clients move to a data centre whose engines are full. Many routers know the same, old loads of
 /// the other data centres: they must not all choose the one server that had the least.
 #[test]
