--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -469,6 +469,49 @@
     );
 }
 
+/// Guards against take-ups that the gateways that are left refuse by quota when the others are killed, of an
+/// organisation that uses less than half of it.
+#[tokio::test]
+async fn streams_go_on_within_the_quota_when_most_gateways_are_killed() {
+    /// Units a second; a stream costs 70.
+    const RATE: u32 = 1_000;
+    /// Streams before the loss.
+    const BEFORE: usize = 40;
+    const GATEWAYS: usize = 4;
+    let mut bench = Bench::start(GATEWAYS, 3, 0).await;
+    bench.register(&bench.old);
+    let configuration = Configuration::default()
+        .with("/routes/1/timeout_ms", json!(TIMEOUT.as_millis() as u64))
+        .with("/tenants/0/rate_per_s", json!(RATE))
+        .with("/tenants/0/burst", json!(RATE));
+    bench.site.configure(&configuration);
+    sleep(IN_FORCE).await;
+    bench.set_latency(Duration::from_millis(1));
+    for number in 0..BEFORE {
+        let mut caller = Caller::new(PATH, &format!("before-{number}"));
+        assert!(caller.call(bench.callers_address(number)).await, "served");
+    }
+    bench.set_latency(SLOW);
+    let callers = bench.begin(CALLERS, 2).await;
+    assert_eq!(begun(&callers), CALLERS);
+    sleep(QUICK).await;
+
+    let left = GATEWAYS - 1;
+    for gateway in &mut bench.gateways[..left] {
+        gateway.process.kill().expect("ends");
+    }
+    bench.set_latency(QUICK);
+    let broken = callers.into_iter().enumerate();
+    let broken = broken.filter(|(number, _)| number % GATEWAYS != left);
+    let mut broken: Vec<Caller> = broken.map(|(_, caller)| caller).collect();
+    broken.iter_mut().for_each(Caller::leave);
+    let address = bench.gateways[left].callers();
+    let taken_up = call_all(&mut broken, address).await;
+
+    let count = taken_up.iter().filter(|is_served| **is_served).count();
+    assert!(count * 4 >= broken.len() * 3, "{count} of {}", broken.len());
+}
+
 /// Guards against a version that is forgotten after the first take-up: each one names the attempt that
 /// brought the first event, whoever served the ones between.
 #[tokio::test]
