Pool: what a dead connection has shown of a process is not passed on

Callers could see a gateway begin no stream at a backend server that had started again at its address, for as long as streams came more often than every 2.3 s.

Cause: a new connection took the start of the process from any open connection, kept it and stood for it to later ones. A connection whose peer lost power or was cut off stays open for some seconds. A connection to the new process that was opened meanwhile counted as one to the former process, and outlived the dead one as its witness; each use renewed its place in the pool. While the registration was still that of the former process, the new one, perhaps of another version, passed for it in the same way.

Change: what another connection has shown only confirms the registered start. It is not kept for the new connection, which asks the process itself once no other connection vouches for the registered one. A start that a process states drops the witnesses of others.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -70,7 +70,7 @@
 pub struct Connection {
     /// Sends requests, one at a time.
     pub sender: SendRequest<Full<Bytes>>,
-    /// Start time of the process at the other end, in Unix milliseconds, once it is known.
+    /// Start time of the process at the other end, in Unix milliseconds, once that has stated it.
     started_at_ms: Option<u64>,
     liveness: Arc<Liveness>,
     driver: AbortHandle,
@@ -126,8 +126,8 @@
     }
 
     /// Whether the process at the other end of a connection is the start of the backend server that is
-    /// registered. It is asked unless an open connection has shown its start; one that does not state it
-    /// counts as the registered one.
+    /// registered. It is asked unless an open connection has shown that it is; one that does not state its
+    /// start counts as the registered one.
     ///
     /// Fails if it does not answer in time.
     pub async fn leads_to(&self, connection: &mut Connection, member: &Member) -> io::Result<bool> {
@@ -144,13 +144,13 @@
     async fn find_start(&self, connection: &mut Connection, member: &Member) -> io::Result<u64> {
         let turn = self.processes.turn(&member.id);
         let _turn = turn.lock().await;
-        let started_at_ms = match self.processes.started_at_ms(&member.id) {
-            Some(shown) => shown,
-            None => {
-                let body = connection.read_report(member.address).await?;
-                report::started_at_ms(&body).unwrap_or(member.started_at_ms)
-            }
-        };
+        // The other connection may lead to a former process whose end has not been noticed. So what it has
+        // shown is not kept for this one, and keeps no stream from the registered process.
+        if self.processes.started_at_ms(&member.id) == Some(member.started_at_ms) {
+            return Ok(member.started_at_ms);
+        }
+        let body = connection.read_report(member.address).await?;
+        let started_at_ms = report::started_at_ms(&body).unwrap_or(member.started_at_ms);
         connection.started_at_ms = Some(started_at_ms);
         self.processes
             .record(&member.id, started_at_ms, &connection.liveness);
--- a/daemon/src/gateway/pool/process.rs
+++ b/daemon/src/gateway/pool/process.rs
@@ -1,7 +1,8 @@
 //! Start times of the processes to which connections lead.
 //!
 //! A connection ends with the process at its other end. Those that are open at the same time therefore
-//! lead to the same process of a backend server, and what one of them has shown holds for the others.
+//! lead to the same process of a backend server, and what one of them has shown holds for the others. The
+//! end of a process that lost power or was cut off is noticed late; until then that is not so.
 
 use std::{
     collections::HashMap,
@@ -63,15 +64,17 @@
         })
     }
 
-    /// Records that a connection leads to the process that started at `started_at_ms`.
+    /// Records that the process that started at `started_at_ms` has just stated that on a connection.
+    /// Connections that have shown another one lead to it no more.
     pub fn record(&self, id: &str, started_at_ms: u64, liveness: &Arc<Liveness>) {
         let witness = Witness {
             started_at_ms,
             liveness: Arc::downgrade(liveness),
         };
         self.with_known(id, |known| {
-            let open = |witness: &Witness| witness.liveness.strong_count() > 0;
-            known.witnesses.retain(open);
+            known.witnesses.retain(|known| {
+                known.started_at_ms == started_at_ms && known.liveness.strong_count() > 0
+            });
             known.witnesses.push(witness);
         });
     }
