Quota: what was charged for a take-up whose caller has just left is refunded

Callers were refused by quota (429) for up to a window although their organisation had room.

Cause: a request that waits for its quota is charged before it is told so. If its caller left, or the shutdown ended it, between the two, nobody refunded the cost: it was in the queue no more, and the relay had not begun.

Change: the guard of the wait refunds a reply that was not received.

--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -163,11 +163,14 @@
             (number, reply, wait_until.since(now), exceeded)
         };
         // Dropped, and so removed from the queue, also when the caller disconnects.
-        let _queued = QuotaGuard {
+        let mut queued = QuotaGuard {
             scheduler: self,
             number,
+            organisation,
+            cost,
+            reply,
         };
-        match timeout(wait, reply).await {
+        match timeout(wait, &mut queued.reply).await {
             Ok(Ok(())) => Ok(()),
             _ => Err(exceeded),
         }
@@ -555,15 +558,26 @@
     }
 }
 
-/// Removes a request that waits for its quota from the queue when dropped.
+/// Removes a request that waits for its quota from the queue when dropped. Refunds one that was charged
+/// and has not gone on.
 struct QuotaGuard<'a> {
     scheduler: &'a Scheduler,
     number: u64,
+    organisation: &'a Organisation,
+    cost: f64,
+    reply: oneshot::Receiver<()>,
 }
 
 impl Drop for QuotaGuard<'_> {
     fn drop(&mut self) {
-        self.scheduler.lock().quota_queue.remove(self.number);
+        let now = self.scheduler.clock.now();
+        let mut state = self.scheduler.lock();
+        state.quota_queue.remove(self.number);
+        // Its caller has left after it was charged and before it went on.
+        if self.reply.try_recv().is_ok() {
+            let organisation = &self.organisation.name;
+            state.ledger.refund(organisation, self.cost, now);
+        }
     }
 }
 
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -279,3 +279,36 @@
     assert!(new.is_err(), "overtakes the stream");
     assert!(resumed.is_ok(), "the stream goes on");
 }
+
+/// Guards against use that nobody has: a caller leaves at the moment at which its stream gets the room for
+/// which it waits.
+#[tokio::test]
+async fn room_of_a_stream_whose_caller_has_just_left_is_free_again() {
+    const COST: f64 = 500_000.0;
+    let bench = Bench::new();
+    let organisation = organisation();
+    let layout = Layout::default();
+    bench.scheduler.set_gateways(1, 1, layout, Duration::ZERO);
+    let now = bench.clock.now();
+    let admit = |is_resumed| {
+        let key = SchedulingKey {
+            rank: OTHER,
+            is_resumed,
+            is_retry: false,
+            on_time_until: now.plus(Duration::from_secs(1)),
+        };
+        let until = now.plus(Duration::from_millis(800));
+        bench.scheduler.admit(&organisation, COST, key, until)
+    };
+    admit(false).await.expect("there is room");
+    let admitted = bench.clock.now();
+    let mut resumed = Box::pin(admit(true));
+    let waiting = timeout(AT_ONCE, &mut resumed).await;
+    assert!(waiting.is_err(), "refused at once");
+
+    bench.scheduler.refund("o", COST, admitted);
+    bench.scheduler.admit_waiting();
+    drop(resumed);
+
+    admit(false).await.expect("the room is free");
+}
