Shutdown: a stall that was over before the signal takes no time from it

Callers could get 504 and 503 at once, or with little time, from a gateway, router or sidecar that was told to stop up to 250 ms after it had stalled or been paused, although its whole grace period was left.

Cause: time in which the process had not run was taken off the grace period until the next tick, 250 ms later, in case the signal had come at the beginning of the pause. Such a signal is handled as soon as the runtime asks the operating system, one turn after the tick.

Change: after a pause the next tick comes after 20 ms, and a signal after that has its whole time.

--- a/daemon/src/signal.rs
+++ b/daemon/src/signal.rs
@@ -21,6 +21,10 @@
 /// is known to this precision.
 const TICK: Duration = Duration::from_millis(250);
 
+/// Time after a pause in which a signal that came during it is handled. The runtime hears of the signal before
+/// this ends, since the process has it when it runs again.
+const TICK_AFTER_PAUSE: Duration = Duration::from_millis(20);
+
 /// Shutdown in steps: `closing` starts it, at `ending` each request that is left is answered with what
 /// became of it, and `aborting` drops what is still open.
 #[derive(Clone, Debug, Default)]
@@ -121,20 +125,25 @@
         let mut ran_at = Instant::now();
         // A tick may come before a signal that came first.
         let mut paused = Duration::ZERO;
+        let mut tick = TICK;
         loop {
             tokio::select! {
                 biased;
                 _ = terminate.recv() => break,
                 _ = interrupt.recv() => break,
                 () = finished.cancelled() => return,
-                () = sleep(TICK) => {
-                    paused = ran_at.elapsed().saturating_sub(TICK);
+                () = sleep(tick) => {
+                    paused = ran_at.elapsed().saturating_sub(tick);
                     ran_at = Instant::now();
+                    tick = match paused > TICK {
+                        true => TICK_AFTER_PAUSE,
+                        false => TICK,
+                    };
                 }
             }
         }
         // The signal may have come at the beginning of a pause.
-        let paused = paused + ran_at.elapsed().saturating_sub(TICK);
+        let paused = paused + ran_at.elapsed().saturating_sub(tick);
         let limit = limit.saturating_sub(paused);
         let mut abort_at = Instant::now() + limit;
         self.begin(limit);
