Router: requests outlive a standstill of all sidecars

Callers saw 503 `connection-lost` (not run), and those that came just after 503 `no-backend-server`, although no process had stopped or crashed.

Cause: no connection was closed by the other side, by a pool or by a limit. The head of a sidecar's response was not there within RESPONSE_TIMEOUT (1 s), so the router dropped the call and took the sidecar out of its table until the next report. When that befell every sidecar in one standstill, the second round of a request found an empty table and nothing excluded; `next_round` allows another round only while something is excluded, so the request was refused with the last failure. New requests found the same empty table.

Change: while the table lacks a sidecar whose report stream is open, placement answers `connection-lost` instead of `no-backend-server`, and the relay pauses and tries another round. Nothing has been granted then, so nothing runs twice. It ends with the next report, with the end of the report stream (a crash: at once), after 3 s of a silent one, or with the request's deadline.

--- a/core/src/route.rs
+++ b/core/src/route.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Whether an instance is known, also one that accepts no new requests.
+    pub fn contains(&self, instance: &Instance) -> bool {
+        self.by_instance.contains_key(instance)
+    }
+
     /// Removes an instance.
     pub fn remove(&mut self, instance: &Instance) {
         let Some(slot) = self.by_instance.remove(instance) else {
--- a/daemon/src/router/placement/service.rs
+++ b/daemon/src/router/placement/service.rs
@@ -158,12 +158,26 @@
         }
         let choice = self
             .table
-            .choose(&requirements(placement), &placement.excluded, now, rng)?;
+            .choose(&requirements(placement), &placement.excluded, now, rng)
+            .map_err(|failure| self.lost_or_missing(failure))?;
         self.log_choice(request, attempt, &choice);
         self.decision_log.record_choice(request, &choice, now);
         self.assign(placement, attempt, choice, now)
     }
 
+    /// Changes the failure that there is no sidecar to [`Reason::ConnectionLost`] while the report stream
+    /// of a lost one is open: its next report adds it again, and the end of the stream removes it.
+    fn lost_or_missing(&self, failure: Failure) -> Failure {
+        let is_lost = |instance: &Instance| !self.table.contains(instance);
+        if failure.reason == Reason::NoBackendServer && self.addresses.keys().any(is_lost) {
+            return Failure {
+                reason: Reason::ConnectionLost,
+                ..failure
+            };
+        }
+        failure
+    }
+
     /// Charges the retry budget for a retry after a shed, and fails if it is exhausted. Such
     /// retries add to the overload. Retries after the loss of a sidecar are not charged, because
     /// their number is bounded by the requests that were queued there.
--- a/daemon/src/router/relay/retry_rounds.rs
+++ b/daemon/src/router/relay/retry_rounds.rs
@@ -40,14 +40,18 @@
         self.last_failure = Some(failure);
     }
 
-    /// Starts another round if the current one has tried every sidecar, and returns the delay
-    /// before it.
+    /// Starts another round if the current one has tried every sidecar, or if placement waits for the
+    /// report of a lost one, and returns the delay before it.
     ///
     /// A sidecar that gives up a request judges only by its own state at that moment. The router
     /// therefore retries as long as it predicts that the request can be served in time and nothing
     /// was shed. Placement ends the retries once the prediction changes.
     pub fn next_round(&mut self, failure: Failure, seed: u64) -> Option<Duration> {
-        let is_exhausted = failure.reason == Reason::NoBackendServer && !self.excluded.is_empty();
+        let is_exhausted = match failure.reason {
+            Reason::NoBackendServer => !self.excluded.is_empty(),
+            Reason::ConnectionLost => true,
+            _ => false,
+        };
         let is_shed = self
             .last_failure
             .is_some_and(|last_failure| last_failure.reason.is_shed());
@@ -64,7 +68,10 @@
     /// sidecar left, the failure of the last sidecar is more specific. Any other reason given by
     /// placement takes precedence, because the last sidecar judged only by its own state.
     pub fn final_failure(&self, failure: Failure) -> Failure {
-        let is_final = failure.reason != Reason::NoBackendServer;
+        let is_final = !matches!(
+            failure.reason,
+            Reason::NoBackendServer | Reason::ConnectionLost
+        );
         self.last_failure.filter(|_| !is_final).unwrap_or(failure)
     }
 }
--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -11,7 +11,7 @@
         },
         time::{Duration, Instant},
     },
-    tamarackdale_core::document::Hash,
+    tamarackdale_core::{document::Hash, verdict::Verdict},
     tamarackdale_testbed::{
         deployment::{
             Deployment, Layout, Service,
@@ -38,6 +38,15 @@
 /// Pause between two attempts of a caller.
 const CALLER_BACKOFF: Duration = Duration::from_millis(50);
 
+/// Time for which processes stand still; the limit for a response's head is shorter, that of a
+/// silent report stream longer.
+const STANDSTILL: Duration = Duration::from_millis(1_500);
+
+/// Time within which a request is refused once every sidecar is silent for good: the limits for a
+/// response's head and for a silent report stream, and two pauses between rounds with a second for a
+/// loaded machine.
+const REFUSAL_LIMIT: Duration = Duration::from_secs(6);
+
 /// Offered load, in requests per second.
 const RATE: f64 = 100.0;
 
@@ -148,6 +157,66 @@
     assert_eq!(leaving.plain().calls().len(), after_limit);
 }
 
+#[tokio::test]
+async fn standstill_of_every_sidecar_fails_no_request() {
+    let deployment = deployment().await;
+    let entries = deployment.entries();
+
+    let standstill = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for sidecar in &deployment.sidecars {
+            sidecar.process.pause().expect("the process runs");
+        }
+        tokio::time::sleep(STANDSTILL).await;
+        for sidecar in &deployment.sidecars {
+            sidecar
+                .process
+                .resume_execution()
+                .expect("the process runs");
+        }
+    };
+    let records = under_load(&entries, Duration::from_secs(3), standstill).await;
+
+    assert_all_complete(&records);
+}
+
+#[tokio::test]
+async fn silence_of_every_sidecar_refuses_in_time() {
+    let deployment = deployment().await;
+    let generator = Generator::new(&deployment.entries()).with_limit(RESTART_TIMEOUT);
+    let shot = read(0).with_deadline(RESTART_TIMEOUT);
+    for sidecar in &deployment.sidecars {
+        sidecar.process.pause().expect("the process runs");
+    }
+
+    let started = tokio::time::Instant::now();
+    let record = generator.offer(started, 0, &shot).await;
+
+    assert_eq!(record.status, Some(503), "{record:?}");
+    assert_eq!(record.verdict, Some(Verdict::NotRun));
+    assert!(record.ended < REFUSAL_LIMIT, "{record:?}");
+}
+
+#[tokio::test]
+async fn standstill_of_every_router_fails_no_request() {
+    let deployment = deployment().await;
+    let entries = deployment.entries();
+
+    let standstill = async {
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        for router in &deployment.routers {
+            router.process.pause().expect("the process runs");
+        }
+        tokio::time::sleep(STANDSTILL).await;
+        for router in &deployment.routers {
+            router.process.resume_execution().expect("the process runs");
+        }
+    };
+    let records = under_load(&entries, Duration::from_secs(3), standstill).await;
+
+    assert_all_complete(&records);
+}
+
 /// Restarts every process in turn and updates `entries` with the routers' new listen addresses.
 async fn restart_all(deployment: &mut Deployment, entries: &Mutex<Vec<SocketAddr>>) {
     for index in 0..deployment.sidecars.len() {
