Tests of leaving sidecars begin once the backend server is in use

Seen: "the backend server received requests before" in both tests of a leaving sidecar, on loaded machines.

Cause: the tests listed the sidecar as leaving 300 or 500 ms after the load had begun, and on a loaded machine no request had reached any backend server by then. In a trial that printed the calls, a failing run had none at either backend server when the sidecar was listed; the routers then placed the burst of 80, and the other backend server received all 80 within 2.4 s. No request failed.

Change: the burst test lists the sidecar as leaving 500 ms after the start and not before its backend server has been called. The test under steady load first offers reads, which must complete too, until the backend server has been called; then it runs as before.

--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -14,10 +14,11 @@
     tamarackdale_core::{document::Hash, verdict::Verdict},
     tamarackdale_testbed::{
         deployment::{
-            Deployment, Layout, Service,
+            Deployment, Layout, Service, Sidecar,
             documents::{orders_with_weight, wait_in_force},
         },
         load::{Generator, Record, Schedule, Shot},
+        wait,
     },
     tokio::task::JoinSet,
 };
@@ -75,6 +76,15 @@
     records
 }
 
+/// Waits until the backend server of a sidecar has received a request.
+async fn wait_until_called(sidecar: &Sidecar) {
+    let is_called = || !sidecar.plain().calls().is_empty();
+    assert!(
+        wait::until(RESTART_TIMEOUT, is_called).await,
+        "the backend server receives no requests"
+    );
+}
+
 fn assert_all_complete(records: &[Record]) {
     let failed: Vec<&Record> = records.iter().filter(|record| !record.whole).collect();
     assert!(
@@ -109,6 +119,12 @@
     let leaving = &deployment.sidecars[0];
     leaving.plain().set_latency(LATENCY);
     let entries = deployment.entries();
+    let mut before = Vec::new();
+    let since = Instant::now();
+    while leaving.plain().calls().is_empty() && since.elapsed() < RESTART_TIMEOUT {
+        before.extend(under_load(&entries, LATENCY, async {}).await);
+    }
+    assert_all_complete(&before);
 
     let mut after_limit = 0;
     let change = async {
@@ -142,6 +158,7 @@
 
     let leave = async {
         tokio::time::sleep(Duration::from_millis(500)).await;
+        wait_until_called(leaving).await;
         deployment.list.set_leaving(&leaving.name);
         tokio::time::sleep(LEAVE_LIMIT).await;
         leaving.plain().calls().len()
