Test that a crash of all sidecars is refused sooner than their silence

Since requests outlive a standstill of all sidecars, a crash must still be refused without the wait for a silent report stream (3 s): the ends of the streams remove the sidecars.

--- a/daemon/tests/membership.rs
+++ b/daemon/tests/membership.rs
@@ -48,6 +48,10 @@
 /// loaded machine.
 const REFUSAL_LIMIT: Duration = Duration::from_secs(6);
 
+/// Time within which a request is refused once every sidecar has crashed: less than the limit for a
+/// silent report stream.
+const CRASH_LIMIT: Duration = Duration::from_secs(2);
+
 /// Offered load, in requests per second.
 const RATE: f64 = 100.0;
 
@@ -214,6 +218,23 @@
     assert!(record.ended < REFUSAL_LIMIT, "{record:?}");
 }
 
+#[tokio::test]
+async fn crash_of_every_sidecar_refuses_before_the_limit_of_silence() {
+    let mut deployment = deployment().await;
+    let generator = Generator::new(&deployment.entries()).with_limit(RESTART_TIMEOUT);
+    let shot = read(0).with_deadline(RESTART_TIMEOUT);
+    for sidecar in &mut deployment.sidecars {
+        sidecar.process.kill().expect("the process runs");
+    }
+
+    let started = tokio::time::Instant::now();
+    let record = generator.offer(started, 0, &shot).await;
+
+    assert_eq!(record.status, Some(503), "{record:?}");
+    assert_eq!(record.verdict, Some(Verdict::NotRun));
+    assert!(record.ended < CRASH_LIMIT, "{record:?}");
+}
+
 #[tokio::test]
 async fn standstill_of_every_router_fails_no_request() {
     let deployment = deployment().await;
