--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -1316,3 +1316,23 @@
     let refused = answers.iter().filter(|(status, _)| *status != Some(200));
     assert_eq!(refused.count(), 0, "{answers:?}");
 }
+
+/// Guards against a take-up whose caller gets the text of a server that does not go on as the rest of the
+/// stream.
+#[tokio::test]
+async fn take_up_is_not_answered_with_what_is_no_stream() {
+    let bench = Bench::start_in_service(2, 2).await;
+    let mut callers = bench.begin(CALLERS, EVENTS as usize - 1).await;
+    assert_eq!(begun(&callers), CALLERS);
+    // One event is left, so that the text comes alone and without the type of an event stream.
+    let text = Behaviour::Interjects("{\"error\":\"the engine has failed\"}\n\n");
+    bench.old[0].set_behaviour(text);
+
+    callers.iter_mut().for_each(Caller::leave);
+    bench.set_latency(QUICK);
+    bench.take_up(&mut callers, 0).await;
+
+    let tries = callers.iter().flat_map(Caller::tries);
+    let foreign = tries.filter(|attempt| attempt.has_foreign_text()).count();
+    assert_eq!(foreign, 0, "{:?}", answers(&callers));
+}
