--- a/daemon/src/http/response_body.rs
+++ b/daemon/src/http/response_body.rs
@@ -13,7 +13,8 @@
     },
 };
 
-/// Body of the response to a request. Its error, or panic, is told once what came before is written.
+/// Body of the response to a request. Its error, or panic, is told one poll later, so that the connection can
+/// write what came before; a peer whose socket is full may lose that.
 pub struct ResponseBody<B> {
     /// `None` after a panic.
     body: Option<B>,
