--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -561,18 +561,24 @@
     """The case could not be run."""
 
 
+def _interrupt(*_):
+    raise KeyboardInterrupt
+
+
 def main(case, limit_s=110):
     """Runs `case(folder, record, trouble, temporary)`, which returns whether the rule held, and exits."""
     folder = os.path.dirname(os.path.abspath(sys.argv[0]))
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # All processes are ended also if this one is told to end.
+    signal.signal(signal.SIGTERM, _interrupt)
     if not os.path.exists(PROGRAM):
         print("target/release/tamarackdaled is missing")
         sys.exit(2)
     with tempfile.TemporaryDirectory() as temporary:
         try:
             held = asyncio.run(asyncio.wait_for(case(folder, record, trouble, temporary), limit_s))
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except (Exception, KeyboardInterrupt) as error:  # a fault of the script itself is no broken rule
             record.add("cannot-run", error=repr(error))
             print(f"cannot run: {error!r}")
             sys.exit(2)
