--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,11 +9,12 @@
 import standins as s
 
 DRAIN_S = s.BOUNDS["drain_ms"] / 1000
-# Waiting watches are cut after this time, as by a proxy that closes quiet connections.
-CUT_AFTER_S = 1.5
+# At this interval the watches that wait are cut.
+CUT_EVERY_S = 1.0
 # The runner serves on for `drain_ms` and this much longer, and then exits.
 LONGER_S = 3.0
-CLIENTS = 12
+# More than two runners have slots for, so that each of the three is in use.
+CLIENTS = 18
 
 
 async def case(folder, record, trouble, temporary):
@@ -28,7 +29,7 @@
     gateways = [s.Gateway(record, temporary, f"g{number}", store.target, number) for number in range(2)]
     try:
         if trouble:
-            store.cut_watches_after = CUT_AFTER_S
+            store.cut_watches_every = CUT_EVERY_S
         for gateway in gateways:
             gateway.start()
         for gateway in gateways:
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -149,8 +149,8 @@
         self.leases = {}
         self.next_lease = 1
         self.changed = asyncio.Condition()
-        # Waiting watches are cut after that many seconds; None: never.
-        self.cut_watches_after = None
+        # All watches that wait are cut at this interval, in seconds; None: never.
+        self.cut_watches_every = None
         self.first_revision = 0
 
     # What the operator and the runners do.
@@ -229,8 +229,9 @@
         since, wait = int(query["since_rev"]), int(query["wait_ms"]) / 1000
         end = time.monotonic() + wait
         cut = None
-        if self.cut_watches_after is not None and self.cut_watches_after < wait:
-            cut = time.monotonic() + self.cut_watches_after
+        if self.cut_watches_every is not None:
+            now = self.record.now()
+            cut = time.monotonic() + self.cut_watches_every - now % self.cut_watches_every
         while True:
             if since > self.revision or since < self.first_revision:
                 return 410, {}
