gateway: watches that are cut are no outage of the store

Cause: each failed call, a cut watch included, renewed one time stamp, and for 2.2 s after it a missing registration did not count. The store may cut watches that wait, so the stamp was renewed without end.

Change: a watch that ends without a response is opened again from its revision, with a growing pause, and after three in a row the registrations are read. The results of all other calls go into core::outage::Outage. A missing server or gateway is kept only until the store has been available for the recovery time since it was found missing; failures do not add to that, and cannot renew it. The recovery time begins at the first success after a failure.

Evidence: testbed store_watches failed before in 4 of 6 tests (three removals beside cuts; calls to the store when watches are cut at once, 78 in 10 s where 50 were allowed in that form of the test), 6 of 6 pass after. The opposite, a registration that lapses in a real outage beside cuts, passed before and after.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod id;
 pub mod limit;
 pub mod origin;
+pub mod outage;
 pub mod peer_table;
 pub mod poison;
 pub mod prefix_history;
--- a/core/src/server_table.rs
+++ b/core/src/server_table.rs
@@ -7,6 +7,7 @@
 use {
     crate::{
         fleet::{Member, Members},
+        outage::{Grace, Missing},
         time::Timestamp,
     },
     std::{
@@ -54,6 +55,8 @@
     members: Members,
     sequences: HashMap<String, Option<u64>>,
     departures: HashMap<String, Departure>,
+    /// Servers that are kept though their registration is missing.
+    missing: Missing<String>,
 }
 
 impl ServerTable {
@@ -85,6 +88,7 @@
             false => self.departures.remove(&member.id),
         };
         self.sequences.insert(member.id.clone(), sequence);
+        self.missing.remove(&member.id);
         self.members.insert(member.id.clone(), member);
         Outcome::Applied
     }
@@ -95,6 +99,7 @@
         self.departures
             .retain(|_, departure| now.since(departure.at) < DEPARTURE_RETENTION);
         let member = self.members.remove(id)?;
+        self.missing.remove(id);
         let departure = Departure {
             started_at_ms: member.started_at_ms,
             sequence: self.sequences.remove(id).flatten(),
@@ -105,24 +110,55 @@
         Some(member)
     }
 
-    /// Removes all servers that are not in `present`, after all registrations were read in an era
-    /// of the store. With `keeps_ready`, only servers that are leaving are removed.
+    /// Records that the registration of a server is missing. Removes the server, unless `grace` is left for
+    /// it and it is not leaving. Returns it if it was removed.
+    pub fn lapse(
+        &mut self,
+        id: &str,
+        grace: Option<Grace>,
+        era: u64,
+        now: Timestamp,
+    ) -> Option<Member> {
+        let member = self.members.get(id)?;
+        let Some(grace) = grace.filter(|_| !member.is_leaving) else {
+            return self.remove(id, era, now);
+        };
+        match self.missing.is_excused(id.to_owned(), grace) {
+            true => None,
+            false => self.remove(id, era, now),
+        }
+    }
+
+    /// Applies [`Self::lapse`] to all servers that are not in `present`, after all registrations were read
+    /// in an era of the store. Returns those that were removed.
     pub fn retain(
         &mut self,
         present: &HashSet<&str>,
-        keeps_ready: bool,
+        grace: Option<Grace>,
         era: u64,
         now: Timestamp,
     ) -> Vec<Member> {
-        let is_absent = |member: &&Member| {
-            !present.contains(member.id.as_str()) && (member.is_leaving || !keeps_ready)
-        };
-        let absent = self.members.values().filter(is_absent);
-        let ids: Vec<String> = absent.map(|member| member.id.clone()).collect();
-        ids.iter()
-            .filter_map(|id| self.remove(id, era, now))
+        let ids = self.members.keys();
+        let absent: Vec<String> = ids
+            .filter(|id| !present.contains(id.as_str()))
+            .cloned()
+            .collect();
+        absent
+            .iter()
+            .filter_map(|id| self.lapse(id, grace, era, now))
             .collect()
     }
+
+    /// Identifiers of the servers that are kept though their registration is missing.
+    pub fn missing(&self) -> impl Iterator<Item = &str> {
+        self.missing.keys().map(String::as_str)
+    }
+
+    /// Whether a server whose registration is missing has used up its grace. It is removed when the
+    /// registrations are read again.
+    pub fn has_overdue(&self, grace: Grace) -> bool {
+        self.missing.has_overdue(grace)
+    }
 }
 
 impl Departure {
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -16,14 +16,18 @@
 };
 
 use {
-    crate::{clock, signal::Shutdown},
+    crate::{
+        clock::{self, Clock},
+        signal::Shutdown,
+    },
     std::{
-        sync::Arc,
-        time::{Duration, Instant},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
     },
     tamarackdale_core::{
         cached_config::{Outcome, Reading},
         freshness::BootTime,
+        outage::Outage,
         retry::Backoff,
         revision::Revision,
         routing_config::Limits,
@@ -82,8 +86,8 @@
     shutdown: Shutdown,
     /// Random number that identifies this start of the process.
     boot: u64,
-    /// When a call to the store last failed. `None` while the store is available.
-    last_store_error: watch::Sender<Option<Instant>>,
+    clock: Clock,
+    outage: Mutex<Outage>,
 }
 
 impl Follower {
@@ -94,7 +98,6 @@
         shutdown: Shutdown,
         boot: u64,
     ) -> Self {
-        let (last_store_error, _) = watch::channel(None);
         let endpoint = settings.borrow().store.clone();
         let store = StoreClient::new(&endpoint, WATCH_WAIT, clock::boottime_now);
         Self {
@@ -103,7 +106,8 @@
             channels,
             shutdown,
             boot,
-            last_store_error,
+            clock: Clock::new(),
+            outage: Mutex::new(Outage::new(RECOVERY_TIME)),
         }
     }
 
@@ -306,25 +310,31 @@
     }
 
     fn record_store_error(&self, what: &str, error: &Error) {
-        if matches!(error, Error::Compacted | Error::NoKey | Error::Restored) {
+        if matches!(
+            error,
+            Error::Compacted | Error::NoKey | Error::Restored | Error::WatchLost(_)
+        ) {
             log::info!(what; "{error}");
             return;
         }
-        let previous = self.last_store_error.send_replace(Some(Instant::now()));
-        if previous.is_none() {
+        if self.lock_outage().record_failure(self.clock.now()) {
             log::warn!(what; "store unavailable: {error}");
         }
     }
 
-    /// Records a successful call. The store counts as available again once the last failed call is
-    /// long enough ago.
     fn record_store_success(&self) {
-        let is_over = |at: &Instant| at.elapsed() > RECOVERY_TIME * 2;
-        if self.last_store_error.borrow().as_ref().is_some_and(is_over) {
-            self.last_store_error.send_replace(None);
+        if self.lock_outage().record_success(self.clock.now()) {
             log::info!("store available again");
         }
     }
+
+    fn outage(&self) -> Outage {
+        *self.lock_outage()
+    }
+
+    fn lock_outage(&self) -> MutexGuard<'_, Outage> {
+        self.outage.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Logs a check of the configuration that failed, with the version that stays in use and the age of
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -1,13 +1,9 @@
 //! Reads and watches the registrations of backend servers.
 
 use {
-    super::{Follower, RECOVERY_TIME, WATCH_WAIT, rejections::Rejections},
+    super::{Follower, WATCH_WAIT, rejections::Rejections},
     crate::clock::Clock,
-    std::{
-        collections::HashSet,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{collections::HashSet, sync::Arc, time::Duration},
     tamarackdale_core::{
         fleet::Member,
         revision::Revision,
@@ -15,7 +11,7 @@
     },
     tamarackdale_platform::{
         registration,
-        store::{Change, Entry, Error, Unreadable},
+        store::{Change, Changes, Entry, Error, Range, Unreadable},
     },
     tokio::time::sleep,
 };
@@ -23,12 +19,26 @@
 /// What the log calls an entry.
 const WHAT: &str = "backend server registration";
 
+/// Watches in a row that ended without a response, after which the registrations are read again: what cuts
+/// watches may never let one through.
+const MAX_LOST_WATCHES: u32 = 3;
+
+/// What is known of the backend servers, and the calls that tell it.
+struct Registry {
+    table: ServerTable,
+    rejections: Rejections,
+    /// Watches in a row that ended without a response.
+    lost_watches: u32,
+}
+
 impl Follower {
     /// Reads the registrations and watches them. Reads them again when the watch fails.
     pub(super) async fn follow_servers(&self) {
-        let clock = Clock::new();
-        let mut table = ServerTable::new();
-        let mut rejections = Rejections::new();
+        let mut registry = Registry {
+            table: ServerTable::new(),
+            rejections: Rejections::new(),
+            lost_watches: 0,
+        };
         let mut failures = 0;
         loop {
             let range = match self.store.range(registration::PREFIX).await {
@@ -40,111 +50,125 @@
                     continue;
                 }
             };
-            let era = range.revision.era;
-            let ids = range.entries.iter();
-            let present: HashSet<&str> = ids
-                .filter_map(|entry| registration::id(&entry.key))
-                .collect();
-            // Soon after an outage or a restoration of the store, a missing backend server may have
-            // lost its registration only because of that. It is kept until it has had the time to
-            // register again.
-            for member in table.retain(&present, self.is_recovering(), era, clock.now()) {
-                log_removal(&member);
-            }
-            for entry in &range.entries {
-                register(&mut table, entry, &mut rejections, &clock);
-            }
-            for item in &range.unreadable {
-                reject(&mut table, item, era, &mut rejections, &clock);
-            }
-            self.publish(&table);
             failures = 0;
-            self.watch_servers(&mut table, range.revision, &mut rejections, &clock)
-                .await;
+            self.record_store_success();
+            self.apply_range(&mut registry, &range);
+            self.watch_servers(&mut registry, range.revision).await;
         }
     }
 
-    async fn watch_servers(
-        &self,
-        table: &mut ServerTable,
-        mut revision: Revision,
-        rejections: &mut Rejections,
-        clock: &Clock,
-    ) {
+    fn apply_range(&self, registry: &mut Registry, range: &Range) {
+        let Registry {
+            table, rejections, ..
+        } = registry;
+        let era = range.revision.era;
+        let ids = range.entries.iter();
+        let present: HashSet<&str> = ids
+            .filter_map(|entry| registration::id(&entry.key))
+            .collect();
+        // Soon after an outage or a restoration of the store, a missing backend server may have lost its
+        // registration only because of that. It is kept until it has had the time to register again.
+        let now = self.clock.now();
+        let grace = self.outage().grace(now);
+        for member in table.retain(&present, grace, era, now) {
+            log_removal(&member);
+        }
+        for entry in &range.entries {
+            register(table, entry, rejections, &self.clock);
+        }
+        for item in &range.unreadable {
+            reject(table, item, era, rejections, &self.clock);
+        }
+        log_missing(table);
+        self.publish(table);
+    }
+
+    async fn watch_servers(&self, registry: &mut Registry, mut revision: Revision) {
         let mut must_read_again = self.is_recovering();
         loop {
             let wait = self.recovery_time_left().unwrap_or(WATCH_WAIT);
             let changes = match self.store.watch(registration::PREFIX, revision, wait).await {
                 Ok(changes) => changes,
+                Err(Error::WatchLost(reason)) => {
+                    registry.lost_watches += 1;
+                    let lost_watches = registry.lost_watches;
+                    log::info!(lost_watches; "watch of the backend servers lost: {reason}");
+                    self.pause_after(lost_watches).await;
+                    must_read_again |= self.is_recovering();
+                    match lost_watches % MAX_LOST_WATCHES {
+                        0 => return,
+                        _ => continue,
+                    }
+                }
                 Err(error) => {
                     self.record_store_error("backend servers", &error);
                     if matches!(error, Error::Restored) {
-                        self.record_restoration();
+                        // Registrations may be missing, as after an outage that ends now.
+                        self.lock_outage().record_restoration(self.clock.now());
                     } else if !matches!(error, Error::Compacted) {
                         self.pause_after(1).await;
                     }
                     return;
                 }
             };
+            registry.lost_watches = 0;
+            self.record_store_success();
             revision = changes.revision.max(revision);
             if !changes.changes.is_empty() {
-                for change in &changes.changes {
-                    match change {
-                        Change::Put(entry) => register(table, entry, rejections, clock),
-                        Change::Unreadable(item) => {
-                            reject(table, item, changes.revision.era, rejections, clock);
-                        }
-                        Change::Removed { key, revision } => {
-                            self.remove(table, key, revision.era, clock);
-                        }
-                    }
-                }
-                self.publish(table);
+                self.apply_changes(registry, &changes);
                 sleep(self.watch_pause()).await;
             }
-            let is_recovering = self.is_recovering();
-            if must_read_again && !is_recovering {
+            let now = self.clock.now();
+            let grace = self.outage().grace(now);
+            let is_overdue = grace.is_none_or(|grace| registry.table.has_overdue(grace));
+            if must_read_again && is_overdue {
                 return;
             }
-            must_read_again |= is_recovering;
+            must_read_again |= grace.is_some();
+        }
+    }
+
+    fn apply_changes(&self, registry: &mut Registry, changes: &Changes) {
+        let Registry {
+            table, rejections, ..
+        } = registry;
+        for change in &changes.changes {
+            match change {
+                Change::Put(entry) => register(table, entry, rejections, &self.clock),
+                Change::Unreadable(item) => {
+                    reject(table, item, changes.revision.era, rejections, &self.clock);
+                }
+                Change::Removed { key, revision } => self.lapse(table, key, revision.era),
+            }
         }
+        self.publish(table);
     }
 
     /// Time left, after an outage or a restoration of the store, in which a missing backend server
-    /// may register again. `None` if the last failed call is long enough ago.
+    /// may register again. `None` if there is none.
     fn recovery_time_left(&self) -> Option<Duration> {
-        let since = self.last_store_error.borrow().map(|at| at.elapsed())?;
-        let left = RECOVERY_TIME.saturating_sub(since);
-        (!left.is_zero()).then_some(left)
+        self.outage().recovery_time_left(self.clock.now())
     }
 
     fn is_recovering(&self) -> bool {
         self.recovery_time_left().is_some()
     }
 
-    /// Treats a restoration of the store like an outage that ends now.
-    fn record_restoration(&self) {
-        self.last_store_error.send_replace(Some(Instant::now()));
-    }
-
     /// Removes a backend server whose registration ended. Soon after an outage of the store, which
     /// may be the reason, it is kept until the registrations are read again, unless it was leaving.
-    fn remove(&self, table: &mut ServerTable, key: &str, era: u64, clock: &Clock) {
+    fn lapse(&self, table: &mut ServerTable, key: &str, era: u64) {
         let Some(id) = registration::id(key) else {
             return;
         };
-        let is_leaving = table
-            .members()
-            .get(id)
-            .is_some_and(|member| member.is_leaving);
-        if self.is_recovering() && !is_leaving {
-            log::info!(
+        let now = self.clock.now();
+        match table.lapse(id, self.outage().grace(now), era, now) {
+            Some(member) => log_removal(&member),
+            None if table.members().contains_key(id) => log::info!(
                 backend_server = id;
                 "registration lapsed during a store outage; server kept"
-            );
-            return;
+            ),
+            None => {}
         }
-        discard(table, id, era, clock);
     }
 
     fn publish(&self, table: &ServerTable) {
@@ -209,6 +233,16 @@
     );
 }
 
+/// Logs the servers that are kept though their registration was not among those that were read.
+fn log_missing(table: &ServerTable) {
+    for id in table.missing() {
+        log::info!(
+            backend_server = id;
+            "registration missing soon after a store outage; server kept"
+        );
+    }
+}
+
 fn log_registration(known: Option<&Member>, member: &Member) {
     let is_same = known.is_some_and(|known| {
         known.is_leaving == member.is_leaving
--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -128,6 +128,11 @@
         self.gateway.faults().set_watches_silent(silent);
     }
 
+    /// Cuts the connections of all watches of the users' platform that wait.
+    pub fn cut_watches(&self) {
+        self.gateway.faults().cut_watches();
+    }
+
     /// Number of calls of a kind that have arrived, refused ones included.
     pub fn calls(&self, kind: Call) -> u64 {
         self.gateway.calls(kind)
--- a/testbed/src/store/fault.rs
+++ b/testbed/src/store/fault.rs
@@ -29,6 +29,8 @@
     /// Incremented whenever present watches fall silent for good.
     silence: AtomicU64,
     watches_silent: AtomicBool,
+    /// Incremented whenever the watches that wait are cut.
+    cuts: tokio::sync::watch::Sender<u64>,
 }
 
 impl Faults {
@@ -94,6 +96,16 @@
         }
     }
 
+    /// Cuts the connections of all watches that wait.
+    pub fn cut_watches(&self) {
+        self.cuts.send_modify(|cuts| *cuts += 1);
+    }
+
+    /// Tells when the watches that wait are cut.
+    pub fn subscribe_cuts(&self) -> tokio::sync::watch::Receiver<u64> {
+        self.cuts.subscribe()
+    }
+
     /// Number of times that watches fell silent; a watch opened before the last is silent.
     pub fn silence(&self) -> u64 {
         self.silence.load(Ordering::SeqCst)
--- a/testbed/src/store/platform.rs
+++ b/testbed/src/store/platform.rs
@@ -120,6 +120,7 @@
     let since: i64 = query.get("since_rev")?.parse().ok()?;
     let wait = Duration::from_millis(query.get("wait_ms")?.parse().ok()?);
     let mut written = gateway.subscribe();
+    let mut cuts = gateway.faults().subscribe_cuts();
     let deadline = Instant::now() + wait;
     loop {
         written.borrow_and_update();
@@ -136,8 +137,11 @@
                 &value!({"events": events, "at": if is_silent { since } else { at }}),
             ));
         }
-        // Its end by time is seen at the next look.
-        let _ = timeout(left, written.changed()).await;
+        tokio::select! {
+            // Its end by time is seen at the next look.
+            _ = timeout(left, written.changed()) => {}
+            _ = cuts.changed() => return None,
+        }
     }
 }
 
