sidecar: an answer without end takes a share of the memory

Cause: all responses shared one memory, one could take it all, and it was released only by acknowledgements, which never come once the caller has left; what is kept for retries stayed for two minutes. The parser of events keeps an incomplete event and begins its last line anew with each part.

Change: a response takes an eighth of the memory at most. What was acknowledged is dropped also when the memory runs out after the last acknowledgement. The body of a cancelled response is dropped at once; its retry gets "may have run", as before. A body of events is divided at line ends before it is parsed, and an event, without comments, has 1 MiB at most.

Long streams of short events and of comments are read as before (engine_stream).

--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -1,6 +1,7 @@
 //! The sidecar, which queues and dispatches requests for one backend server and buffers responses.
 
 pub mod backend_server;
+pub mod budget;
 pub mod cache_events;
 pub mod context;
 pub mod dispatch;
@@ -12,7 +13,7 @@
 pub mod task;
 
 use {
-    self::{backend_server::BackendServer, context::Context, dispatch::Dispatcher},
+    self::{backend_server::BackendServer, budget::Budget, context::Context, dispatch::Dispatcher},
     crate::{
         admin,
         channel::BoundedSender,
@@ -28,7 +29,7 @@
     rand::Rng as _,
     std::{io, sync::Arc, time::Duration},
     tamarackdale_core::{cost::Rates, floor, id, queue, report::Report},
-    tokio::sync::{Semaphore, watch},
+    tokio::sync::watch,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -100,8 +101,7 @@
         clock,
         backend_server: Arc::new(BackendServer::new(settings.backend_server.clone())),
         dispatch: sender.clone(),
-        budget: Arc::new(Semaphore::new(settings.max_kept_bytes)),
-        budget_bytes: settings.max_kept_bytes,
+        budget: Budget::new(settings.max_kept_bytes),
         router_absence_limit: settings.router_absence_limit,
         tracker: TaskTracker::new(),
         shutdown: shutdown.clone(),
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -5,7 +5,9 @@
 
 use {
     self::{event::Event, stream::StreamState},
-    super::{backend_server::BackendServer, dispatch::Command, response_buffer::Chunk},
+    super::{
+        backend_server::BackendServer, budget::Share, dispatch::Command, response_buffer::Chunk,
+    },
     crate::{channel::BoundedSender, clock::Clock, http::body::is_event_stream},
     bytes::Bytes,
     futures_util::StreamExt as _,
@@ -19,7 +21,7 @@
     },
     tamarackdale_wire::{frame::Header, message::Enqueue},
     tokio::{
-        sync::{Semaphore, mpsc},
+        sync::mpsc,
         time::{sleep, timeout},
     },
     tokio_util::sync::CancellationToken,
@@ -54,10 +56,8 @@
     pub clock: Clock,
     /// The request's deadline.
     pub deadline: Timestamp,
-    /// Memory budget for buffered responses, one permit per byte.
-    pub budget: Arc<Semaphore>,
-    /// Size of the whole budget, in bytes.
-    pub budget_bytes: usize,
+    /// Memory for the response.
+    pub share: Share,
     /// Channel to the attempt's task.
     pub events: mpsc::Sender<Event>,
     /// Channel to the dispatch worker.
@@ -290,13 +290,8 @@
     }
 
     async fn emit_chunk(&self, bytes: Bytes, tokens: u32) -> Result<(), ReceiverClosed> {
-        let share = bytes.len().min(self.budget_bytes);
-        let share = u32::try_from(share).unwrap_or(u32::MAX);
-        let permit = Arc::clone(&self.budget)
-            .acquire_many_owned(share)
-            .await
-            .map_err(|_| ReceiverClosed)?;
-        let chunk = Chunk { bytes, permit };
+        let reservation = self.share.reserve(bytes.len()).await;
+        let chunk = Chunk { bytes, reservation };
         self.emit(Event::Chunk { chunk, tokens }).await
     }
 
--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -1,10 +1,10 @@
 //! Responses of server-sent events, which can be continued on another connection.
 
 use {
-    bytes::Bytes,
+    bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
     eventsource_stream::{Event, EventStreamError, Eventsource as _},
-    futures_util::Stream,
+    futures_util::{Stream, stream},
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
     serde::Deserialize,
@@ -26,6 +26,9 @@
 /// may still be prefilling.
 const FIRST_TOKEN_FACTOR: u32 = 4;
 
+/// Longest event, in bytes, without comments. The final event repeats the text of the response.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
+
 /// An event to forward.
 pub struct ForwardedEvent {
     /// The encoded event.
@@ -134,11 +137,79 @@
     }
 }
 
+/// Why a body of events cannot be read on.
+#[derive(Debug, Display, Error)]
+pub enum BodyError {
+    /// The connection broke.
+    #[display("{_0}")]
+    Broken(hyper::Error),
+    /// An event is too long.
+    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    TooLong,
+}
+
 /// Parses a body as server-sent events.
 pub fn events(
     body: Incoming,
-) -> impl Stream<Item = Result<Event, EventStreamError<hyper::Error>>> + Unpin {
-    body.into_data_stream().eventsource()
+) -> impl Stream<Item = Result<Event, EventStreamError<BodyError>>> + Unpin {
+    let lines = stream::try_unfold((body, Lines::new()), |(mut body, mut lines)| async {
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(BodyError::Broken)?;
+            let complete = lines.push(frame.data_ref().map_or(&[], |data| data));
+            let complete = complete.ok_or(BodyError::TooLong)?;
+            if !complete.is_empty() {
+                return Ok(Some((complete, (body, lines))));
+            }
+        }
+        Ok(None)
+    });
+    Box::pin(lines).eventsource()
+}
+
+/// Divides a body of events at the ends of its lines. The parser keeps the lines of an event and begins an
+/// incomplete line anew with each part of it, so an event without end would take all memory and time.
+#[derive(Debug, Default)]
+pub struct Lines {
+    /// The incomplete line.
+    line: BytesMut,
+    /// Bytes of the complete lines of the incomplete event.
+    event_bytes: usize,
+    /// Whether the last byte was a carriage return, after which a line feed ends no other line.
+    is_after_return: bool,
+}
+
+impl Lines {
+    /// Creates the state at the beginning of a body.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Appends bytes and returns the lines that are now complete; `None` if the event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        let mut complete = BytesMut::new();
+        for part in bytes.split_inclusive(|byte| matches!(byte, b'\r' | b'\n')) {
+            self.line.extend_from_slice(part);
+            if let Some(end @ (b'\r' | b'\n')) = part.last() {
+                self.end_line(*end);
+                complete.unsplit(self.line.split());
+            }
+            if self.event_bytes + self.line.len() > MAX_EVENT_BYTES {
+                return None;
+            }
+        }
+        Some(complete.freeze())
+    }
+
+    fn end_line(&mut self, end: u8) {
+        let is_second = std::mem::replace(&mut self.is_after_return, end == b'\r');
+        match self.line.as_ref() {
+            [b'\n'] if is_second => {}
+            [_] => self.event_bytes = 0,
+            // A comment, which the parser drops.
+            [b':', ..] => {}
+            line => self.event_bytes += line.len(),
+        }
+    }
 }
 
 fn is_repeated(sequence: Option<u64>, last: Option<u64>) -> bool {
--- a/daemon/src/sidecar/response_buffer.rs
+++ b/daemon/src/sidecar/response_buffer.rs
@@ -1,11 +1,11 @@
 //! Buffer for the response of one attempt, kept until its router has received it.
 
 use {
+    super::budget::Reservation,
     bytes::Bytes,
     std::collections::VecDeque,
     tamarackdale_core::{digest::Digest, failure::Failure},
     tamarackdale_wire::{Frame, frame::Header},
-    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// Number of body bytes after which one read ends; the last chunk may exceed it.
@@ -27,7 +27,7 @@
     /// The bytes.
     pub bytes: Bytes,
     /// Returned to the budget when the chunk is dropped.
-    pub permit: OwnedSemaphorePermit,
+    pub reservation: Reservation,
 }
 
 /// How a response ended.
@@ -89,6 +89,11 @@
         self.outcome = Some(Outcome::Failed(failure));
     }
 
+    /// Drops the body, which nobody is going to read.
+    pub fn discard(&mut self) {
+        self.trim(self.length());
+    }
+
     /// Whether the response has ended, complete or not.
     pub fn is_ended(&self) -> bool {
         self.outcome.is_some()
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -8,6 +8,7 @@
 use {
     super::{
         backend_server::BackendServer,
+        budget::{Budget, Share},
         dispatch::{Command, Progress},
         exchange::{Exchange, event::Event},
         response_buffer::{ReadError, ResponseBuffer},
@@ -22,7 +23,7 @@
     },
     tamarackdale_wire::{Frame, message::Enqueue},
     tokio::{
-        sync::{Semaphore, mpsc},
+        sync::mpsc,
         time::{MissedTickBehavior, interval},
     },
     tokio_util::{sync::CancellationToken, task::TaskTracker},
@@ -61,10 +62,8 @@
     pub backend_server: Arc<BackendServer>,
     /// Channel to the dispatch worker.
     pub dispatch: BoundedSender<Command>,
-    /// Memory budget for buffered responses, one permit per byte.
-    pub budget: Arc<Semaphore>,
-    /// Size of the whole budget, in bytes.
-    pub budget_bytes: usize,
+    /// Memory for buffered responses.
+    pub budget: Budget,
     /// Time for which a router may be disconnected before its running attempt is cancelled.
     pub router_absence_limit: Duration,
     /// Tracks the tasks so that they can be awaited.
@@ -94,6 +93,9 @@
     messages: mpsc::Receiver<Message>,
     handle_count: Arc<()>,
     response: ResponseBuffer,
+    share: Share,
+    /// Number of body bytes that a router has acknowledged.
+    acknowledged_bytes: u64,
     pending_reads: Vec<Read>,
     exchange: Option<Running>,
     started: bool,
@@ -132,6 +134,8 @@
         messages,
         handle_count,
         response: ResponseBuffer::new(),
+        share: context.budget.share(),
+        acknowledged_bytes: 0,
         pending_reads: Vec::new(),
         exchange: None,
         started: false,
@@ -217,8 +221,7 @@
             request: Arc::clone(&self.request),
             clock: self.context.clock,
             deadline: self.deadline,
-            budget: Arc::clone(&self.context.budget),
-            budget_bytes: self.context.budget_bytes,
+            share: self.share.clone(),
             events: sender,
             dispatch: self.context.dispatch.clone(),
             cancelled: cancelled.clone(),
@@ -273,6 +276,9 @@
             return;
         }
         self.response.fail(failure);
+        if failure.reason == Reason::Cancelled {
+            self.response.discard();
+        }
         self.finish(failure.verdict);
     }
 
@@ -326,13 +332,20 @@
 
     fn acknowledge(&mut self, offset: u64, complete: bool) {
         self.acknowledged |= complete;
-        let is_budget_exhausted = self.context.budget.available_permits() == 0;
-        if !self.request.keep_answer || is_budget_exhausted {
-            self.response.trim(offset);
+        self.acknowledged_bytes = self.acknowledged_bytes.max(offset);
+        self.trim_acknowledged();
+    }
+
+    /// Drops what a router has received, unless it is kept for retries by the caller and there is room.
+    fn trim_acknowledged(&mut self) {
+        if !self.request.keep_answer || self.share.is_exhausted() {
+            self.response.trim(self.acknowledged_bytes);
         }
     }
 
     fn check_readers(&mut self) {
+        // The memory may have run out after the last acknowledgement.
+        self.trim_acknowledged();
         let now = self.context.clock.now();
         let elapsed = now.since(self.checked_at);
         self.checked_at = now;
--- a/daemon/tests/engine_stream.rs
+++ b/daemon/tests/engine_stream.rs
@@ -3,7 +3,7 @@
 use {
     eventsource_stream::Event,
     rstest::rstest,
-    tamarackdaled::sidecar::exchange::stream::{Foreign, StreamState},
+    tamarackdaled::sidecar::exchange::stream::{Foreign, Lines, StreamState},
 };
 
 fn event(data: &str) -> Event {
@@ -19,7 +19,7 @@
 #[case::text("internal error", Err(Foreign::Unnumbered))]
 #[case::error(r#"{"error": "failed"}"#, Err(Foreign::Unnumbered))]
 #[case::other_response(
-    r#"{"sequence_number": 2, "response": {"id": "b"}}"#,
+    r#"{"sequence_number": 2, "response": {"id": ""}}"#,
     Err(Foreign::OtherResponse)
 )]
 #[case::repeated(r#"{"sequence_number": 1}"#, Ok(false))]
@@ -43,7 +43,7 @@
 fn events_without_numbers_are_forwarded() {
     let mut state = StreamState::new();
 
-    let accepted = ["a", "b"].map(|data| state.accept(event(data)));
+    let accepted = ["a", ""].map(|data| state.accept(event(data)));
 
     assert!(
         accepted
@@ -51,3 +51,44 @@
             .all(|accepted| matches!(accepted, Ok(Some(_))))
     );
 }
+
+/// Bytes that [`Lines`] returns for these parts of a body; `None` once an event is too long.
+fn lines(parts: &[&str]) -> Option<String> {
+    let mut lines = Lines::new();
+    let mut complete = String::new();
+    for part in parts {
+        let bytes = lines.push(part.as_bytes())?;
+        complete.push_str(std::str::from_utf8(&bytes).expect("text"));
+    }
+    Some(complete)
+}
+
+#[rstest]
+#[case::line_feeds(&["data: a\nda", "ta: b\n\ndata"], "data: a\ndata: b\n\n")]
+#[case::returns(&["data: a\rda", "ta: b\r\rdata"], "data: a\rdata: b\r\r")]
+#[case::both(&["data: a\r", "\ndata: b\r\n\r", "\nx"], "data: a\r\ndata: b\r\n\r\n")]
+fn body_is_divided_at_the_ends_of_its_lines(#[case] parts: &[&str], #[case] expected: &str) {
+    assert_eq!(lines(parts).as_deref(), Some(expected));
+}
+
+/// Guards against an event without end that is kept until the memory is full.
+#[rstest]
+#[case::line("x")]
+#[case::lines("data: x\n")]
+#[case::lines_with_both_ends("data: x\r\n")]
+fn event_without_end_is_refused(#[case] part: &str) {
+    let parts = vec![part; 2 * 1024 * 1024];
+
+    assert_eq!(lines(&parts), None);
+}
+
+/// Guards against a long stream of sound events, or of comments while an engine is busy, that is refused.
+#[rstest]
+#[case::events("data: x\n\n")]
+#[case::events_with_both_ends("data: x\r\n\r\n")]
+#[case::comments(": x\n")]
+fn stream_without_a_long_event_is_read(#[case] part: &str) {
+    let parts = vec![part; 1024 * 1024];
+
+    assert_eq!(lines(&parts), Some(parts.concat()));
+}
--- a/daemon/tests/response_buffer.rs
+++ b/daemon/tests/response_buffer.rs
@@ -2,33 +2,34 @@
 
 use {
     bytes::Bytes,
+    futures_util::FutureExt as _,
     rstest::rstest,
-    std::sync::Arc,
     tamarackdale_core::failure::{Failure, Reason},
     tamarackdale_wire::Frame,
-    tamarackdaled::sidecar::response_buffer::{Chunk, Position, ReadError, ResponseBuffer},
-    tokio::sync::Semaphore,
+    tamarackdaled::sidecar::{
+        budget::{Budget, Share},
+        response_buffer::{Chunk, Position, ReadError, ResponseBuffer},
+    },
 };
 
 const BUDGET_BYTES: usize = 1000;
 
-fn chunk(budget: &Arc<Semaphore>, text: &'static str) -> Chunk {
-    let permit = Arc::clone(budget)
-        .try_acquire_many_owned(text.len() as u32)
-        .expect("the budget has room");
+fn chunk(share: &Share, text: &'static str) -> Chunk {
+    let reservation = share.reserve(text.len()).now_or_never();
     Chunk {
         bytes: Bytes::from_static(text.as_bytes()),
-        permit,
+        reservation: reservation.expect("the budget has room"),
     }
 }
 
 /// A buffer with the body `abcdefgh` in three chunks.
-fn buffer(budget: &Arc<Semaphore>) -> ResponseBuffer {
+fn buffer(budget: &Budget) -> ResponseBuffer {
     let mut buffer = ResponseBuffer::new();
     buffer.set_ready();
     buffer.set_head(200, Vec::new());
+    let share = budget.share();
     for text in ["abc", "de", "fgh"] {
-        buffer.push(chunk(budget, text));
+        buffer.push(chunk(&share, text));
     }
     buffer
 }
@@ -57,7 +58,7 @@
 #[case(3, "defgh")]
 #[case(7, "h")]
 fn read_continues_at_any_offset(#[case] offset: u64, #[case] rest: &str) {
-    let budget = Arc::new(Semaphore::new(BUDGET_BYTES));
+    let budget = Budget::new(BUDGET_BYTES);
     let buffer = buffer(&budget);
     let mut position = position_at(offset);
 
@@ -76,7 +77,7 @@
     #[case] trimmed: u64,
     #[case] expected: ReadError,
 ) {
-    let budget = Arc::new(Semaphore::new(BUDGET_BYTES));
+    let budget = Budget::new(BUDGET_BYTES);
     let mut buffer = buffer(&budget);
     buffer.trim(trimmed);
 
@@ -87,12 +88,12 @@
 
 #[test]
 fn trim_releases_the_budget_of_entire_chunks_only() {
-    let budget = Arc::new(Semaphore::new(BUDGET_BYTES));
+    let budget = Budget::new(BUDGET_BYTES);
     let mut buffer = buffer(&budget);
 
     buffer.trim(4);
 
-    assert_eq!(budget.available_permits(), BUDGET_BYTES - 5);
+    assert_eq!(budget.available(), BUDGET_BYTES - 5);
     assert_eq!(
         body_text(
             &buffer
@@ -105,7 +106,7 @@
 
 #[test]
 fn new_reader_receives_all_frames_in_order() {
-    let budget = Arc::new(Semaphore::new(BUDGET_BYTES));
+    let budget = Budget::new(BUDGET_BYTES);
     let mut buffer = buffer(&budget);
     buffer.finish();
 
@@ -123,7 +124,7 @@
 
 #[test]
 fn failure_follows_the_body_that_arrived() {
-    let budget = Arc::new(Semaphore::new(BUDGET_BYTES));
+    let budget = Budget::new(BUDGET_BYTES);
     let mut buffer = buffer(&budget);
     let failure = Failure::may_have_run(Reason::BackendServer);
     buffer.fail(failure);
@@ -137,3 +138,46 @@
 fn xxhash(bytes: &[u8]) -> u64 {
     xxhash_rust::xxh3::xxh3_64(bytes)
 }
+
+#[test]
+fn discarded_body_releases_the_budget_and_is_gone() {
+    let budget = Budget::new(BUDGET_BYTES);
+    let mut buffer = buffer(&budget);
+    buffer.fail(Failure::may_have_run(Reason::Cancelled));
+
+    buffer.discard();
+
+    assert_eq!(budget.available(), BUDGET_BYTES);
+    assert_eq!(buffer.read(&mut position_at(0)), Err(ReadError::Gone));
+}
+
+/// Guards against one response without end that takes the memory of all others.
+#[test]
+fn response_takes_only_its_share_of_the_budget() {
+    let budget = Budget::new(BUDGET_BYTES);
+    let (endless, other) = (budget.share(), budget.share());
+    let mut reserved = Vec::new();
+
+    while let Some(reservation) = endless.reserve(25).now_or_never() {
+        reserved.push(reservation);
+    }
+
+    assert!(endless.is_exhausted());
+    assert_eq!(budget.available(), BUDGET_BYTES - reserved.len() * 25);
+    assert!(other.reserve(100).now_or_never().is_some());
+    reserved.pop();
+    assert!(endless.reserve(25).now_or_never().is_some());
+}
+
+/// A part that is larger than the share takes all of it, and does not wait for ever.
+#[test]
+fn part_longer_than_the_share_takes_the_whole_share() {
+    let budget = Budget::new(BUDGET_BYTES);
+    let share = budget.share();
+
+    let reservation = share.reserve(BUDGET_BYTES * 2).now_or_never();
+
+    assert!(reservation.is_some());
+    assert!(budget.available() > BUDGET_BYTES / 2);
+    assert!(share.is_exhausted());
+}
