http: bound interim responses on all legs

Callers saw: one of seven backend servers sent interim responses (1xx) without end.

Cause: hyper skips interim responses in any number, each is a head that ends, and one turn of such a connection reads and parses megabytes on the one thread of a gateway. The bound of a head does not count.

Change: the interim responses to one request have 64 KiB at most, counted by hyper's callback. At a gateway the next read of the connection then fails; the other clients give the request up, which closes its connection. It may have run.

--- a/daemon/src/configuration/peer_client.rs
+++ b/daemon/src/configuration/peer_client.rs
@@ -3,7 +3,7 @@
 //! Each call opens a new connection, because a pooled one may be dead without having been closed.
 
 use {
-    crate::http::client,
+    crate::http::client::HttpClient,
     derive_more::{Display, Error, From},
     http_body_util::{BodyExt as _, Full},
     hyper::{Request, body::Incoming},
@@ -78,7 +78,7 @@
         let request = Request::get(format!("http://{address}{}", path::DIGESTS))
             .body(Full::default())
             .map_err(|_| PeerError::NoDigests)?;
-        let response = timeout(IDLE_TIMEOUT, client::unpooled().request(request))
+        let response = timeout(IDLE_TIMEOUT, HttpClient::unpooled().request(request))
             .await
             .map_err(|_| PeerError::NoDigests)?
             .map_err(|_| PeerError::NoDigests)?;
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -11,7 +11,14 @@
     crate::http::probe::Probe,
     bytes::Bytes,
     http_body_util::{BodyExt as _, Full, Limited},
-    hyper::client::conn::http1::{self, SendRequest},
+    hyper::{
+        Request, Response,
+        body::Incoming,
+        client::conn::{
+            TrySendError,
+            http1::{self, SendRequest},
+        },
+    },
     hyper_util::rt::TokioIo,
     rustix::io::Errno,
     socket2::{SockRef, TcpKeepalive},
@@ -24,6 +31,7 @@
     },
     tamarackdale_core::fleet::{Member, Members},
     tamarackdale_platform::report,
+    tamarackdale_store::http::interim,
     tokio::{
         net::TcpStream,
         task::AbortHandle,
@@ -68,18 +76,33 @@
 
 /// A connection to a backend server. Dropping it closes the connection at once.
 pub struct Connection {
-    /// Sends requests, one at a time.
-    pub sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Full<Bytes>>,
+    /// Counts the interim responses to the present request.
+    interim: interim::Meter,
     /// Start time of the process at the other end, in Unix milliseconds, once that has stated it.
     started_at_ms: Option<u64>,
     liveness: Arc<Liveness>,
     driver: AbortHandle,
 }
 
+/// The head of a response, or why there is none; the request is returned if it was not written.
+pub type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
+
 impl Connection {
+    /// Sends a request, one at a time. The connection breaks when the interim responses to it have more than
+    /// [`interim::MAX_BYTES`] bytes.
+    pub fn send(
+        &mut self,
+        mut request: Request<Full<Bytes>>,
+    ) -> impl Future<Output = SendResult> + use<> {
+        self.interim.observe(&mut request);
+        self.sender.try_send_request(request)
+    }
+
     async fn read_report(&mut self, address: SocketAddr) -> io::Result<Bytes> {
-        let response = self.sender.send_request(report::request(address)).await;
-        let body = response.map_err(io::Error::other)?.into_body();
+        let response = self.send(report::request(address)).await;
+        let response = response.map_err(|error| io::Error::other(error.into_error()))?;
+        let body = response.into_body();
         let body = Limited::new(body, report::MAX_BYTES).collect().await;
         let bytes = body.map_err(io::Error::other)?.to_bytes();
         // The next request is sent at once, for which the connection must have ended this exchange.
@@ -253,7 +276,8 @@
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     let liveness = Arc::new(Liveness::default());
-    let socket = Socket::new(stream, Arc::clone(&liveness));
+    let interim = interim::Meter::new();
+    let socket = Socket::new(stream, Arc::clone(&liveness), interim.clone());
     let (sender, connection) = http1::Builder::new()
         .max_buf_size(MAX_HEAD_BYTES)
         .handshake(TokioIo::new(socket))
@@ -266,6 +290,7 @@
     });
     Ok(Connection {
         sender,
+        interim,
         started_at_ms: None,
         liveness,
         driver: driver.abort_handle(),
--- a/daemon/src/gateway/pool/socket.rs
+++ b/daemon/src/gateway/pool/socket.rs
@@ -8,6 +8,7 @@
         sync::Arc,
         task::{Context, Poll, ready},
     },
+    tamarackdale_store::http::interim,
     tokio::{
         io::{AsyncRead, AsyncWrite, ReadBuf},
         net::TcpStream,
@@ -22,15 +23,18 @@
     stream: TcpStream,
     write_error: Option<io::Error>,
     liveness: Arc<Liveness>,
+    interim: interim::Meter,
 }
 
 impl Socket {
-    /// Wraps a stream that is connected, and keeps `liveness` up to date.
-    pub fn new(stream: TcpStream, liveness: Arc<Liveness>) -> Self {
+    /// Wraps a stream that is connected, and keeps `liveness` up to date. Reading fails once `interim` is
+    /// exceeded.
+    pub fn new(stream: TcpStream, liveness: Arc<Liveness>, interim: interim::Meter) -> Self {
         Self {
             stream,
             write_error: None,
             liveness,
+            interim,
         }
     }
 
@@ -58,6 +62,13 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.interim.is_exceeded() {
+            let reason = format!(
+                "more than {} bytes of interim responses",
+                interim::MAX_BYTES
+            );
+            return Poll::Ready(Err(io::Error::other(reason)));
+        }
         let length = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         self.liveness.set_awaiting(read.is_pending());
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -4,7 +4,7 @@
     super::{Cause, Job},
     crate::{
         gateway::{
-            pool::{self, Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT},
+            pool::{self, Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT, SendResult},
             response_buffers::{BufferError, ResponseBuffers},
             scheduler::InFlightRequest,
         },
@@ -12,12 +12,12 @@
     },
     bytes::Bytes,
     gotham::hyper::{
-        Method, Request, Response, StatusCode,
+        Method, Request, StatusCode,
         header::{CONTENT_LENGTH, TRANSFER_ENCODING},
         http::response::Parts,
     },
     http_body_util::Full,
-    hyper::{body::Incoming, client::conn::TrySendError},
+    hyper::body::Incoming,
     std::{
         io::{self, ErrorKind},
         pin::Pin,
@@ -176,7 +176,7 @@
         let request = build_request(job, &self.member.id, time_left);
         job.dispatch.send();
         let sent = job.context.clock.now();
-        let response = Box::pin(self.connection.sender.try_send_request(request));
+        let response = Box::pin(self.connection.send(request));
         Ok(Sent {
             connected: self,
             sent,
@@ -185,9 +185,6 @@
     }
 }
 
-/// Response headers, or why there are none; the request is returned if it was not written.
-pub type SendResult = Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>;
-
 /// A request that was sent and has no response yet. Dropping it closes the connection.
 pub struct Sent {
     connected: Connected,
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -3,10 +3,10 @@
 use {
     super::{
         Cause, Job,
-        exchange::{Exchange, ExchangeError, SendResult, Sent},
+        exchange::{Exchange, ExchangeError, Sent},
         takeover,
     },
-    crate::http::body,
+    crate::{gateway::pool::SendResult, http::body},
     bytes::Bytes,
     derive_more::Display,
     futures_util::{StreamExt as _, stream},
--- a/daemon/src/router/membership/report_stream.rs
+++ b/daemon/src/router/membership/report_stream.rs
@@ -4,7 +4,7 @@
     super::gone_event,
     crate::{
         clock::Clock,
-        http::client,
+        http::client::HttpClient,
         router::placement::{Placement, command::SidecarEvent},
     },
     http_body_util::{BodyExt as _, Full},
@@ -88,7 +88,7 @@
         report_request.bytes_per_s
     );
     let request = Request::get(url).body(Full::default()).ok()?;
-    let response = timeout(IDLE_TIMEOUT, client::unpooled().request(request))
+    let response = timeout(IDLE_TIMEOUT, HttpClient::unpooled().request(request))
         .await
         .ok()?
         .ok()?;
--- a/daemon/src/router/peer.rs
+++ b/daemon/src/router/peer.rs
@@ -4,12 +4,11 @@
 
 use {
     self::frames::Frames,
-    crate::http::client::{self, HttpClient},
+    crate::http::client::HttpClient,
     bytes::Bytes,
     derive_more::Display,
     http_body_util::{BodyExt as _, Full, Limited},
     hyper::{Request, Response, body::Incoming},
-    hyper_util::client::legacy,
     serde::Serialize,
     std::{net::SocketAddr, time::Duration},
     tamarackdale_core::{
@@ -71,8 +70,8 @@
     /// Creates a client without open connections.
     pub fn new() -> Self {
         Self {
-            pooled: client::pooled(),
-            unpooled: client::unpooled(),
+            pooled: HttpClient::pooled(),
+            unpooled: HttpClient::unpooled(),
         }
     }
 
@@ -174,7 +173,7 @@
         match timeout(RESPONSE_TIMEOUT, client.request(request)).await {
             Ok(Ok(response)) if response.status().is_success() => Ok(response),
             Ok(Ok(_)) => Err(CallError::NoResponse),
-            Ok(Err(error)) if is_connection_refused(&error) => Err(CallError::ConnectionRefused),
+            Ok(Err(error)) if error.is_connection_refused() => Err(CallError::ConnectionRefused),
             Ok(Err(_)) | Err(_) => Err(CallError::NoResponse),
         }
     }
@@ -198,14 +197,3 @@
         .body(Full::new(body))
         .ok()
 }
-
-fn is_connection_refused(error: &legacy::Error) -> bool {
-    let mut source: Option<&dyn std::error::Error> = Some(error);
-    while let Some(error) = source {
-        if let Some(io) = error.downcast_ref::<std::io::Error>() {
-            return io.kind() == std::io::ErrorKind::ConnectionRefused;
-        }
-        source = error.source();
-    }
-    false
-}
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -29,7 +29,7 @@
     pub fn new(url: String) -> Self {
         Self {
             url,
-            client: client::unpooled(),
+            client: HttpClient::unpooled(),
             probe: Probe::default(),
         }
     }
--- a/store/src/http.rs
+++ b/store/src/http.rs
@@ -3,6 +3,8 @@
 //! The timeout covers the response head and each wait for more of the body, not the whole transfer:
 //! a large body over a slow link takes longer than any timeout that detects a dead connection soon.
 
+pub mod interim;
+
 use {
     bytes::{Bytes, BytesMut},
     derive_more::{Display, Error},
@@ -28,9 +30,12 @@
     tokio::time::timeout,
 };
 
-/// Longest response body accepted, in bytes, also after decompression.
+/// Longest response body accepted, in bytes, also after decompression, unless the client has another limit.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
+/// Size of the read buffer of a connection, in bytes, and so of the longest response head.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
 /// Least average rate, in bytes per second, at which a response body must arrive once the timeout
 /// has passed. Bounds the time that a server can hold a call by sending a byte now and then. A
 /// hundredth of the slowest link of the platform (10 Mbit/s) or a little more.
@@ -82,6 +87,7 @@
 pub struct Client {
     endpoint: String,
     timeout: Duration,
+    max_body_bytes: usize,
     content_type: &'static str,
     pool: Arc<Mutex<Pool<HttpConnector, Full<Bytes>>>>,
 }
@@ -93,6 +99,7 @@
         Self {
             endpoint: endpoint.trim_end_matches('/').to_owned(),
             timeout,
+            max_body_bytes: MAX_BODY_BYTES,
             content_type: "application/octet-stream",
             pool: Arc::new(Mutex::new(new_pool(timeout))),
         }
@@ -107,6 +114,12 @@
         }
     }
 
+    /// Sets the longest response body accepted, in bytes.
+    pub fn with_max_body(mut self, bytes: usize) -> Self {
+        self.max_body_bytes = bytes;
+        self
+    }
+
     /// Sets the content type of the request bodies.
     pub fn with_content_type(mut self, content_type: &'static str) -> Self {
         self.content_type = content_type;
@@ -193,7 +206,10 @@
             .get(CONTENT_ENCODING)
             .is_some_and(|encoding| encoding == GZIP);
         let body = self.read_body(response.into_body()).await?;
-        let body = if is_gzip { decompress(&body)? } else { body };
+        let body = match is_gzip {
+            true => decompress(&body, self.max_body_bytes)?,
+            false => body,
+        };
         Ok(ConditionalResponse::Modified { body, etag })
     }
 
@@ -213,22 +229,29 @@
     /// Sends a request and returns the response as soon as its head has been received.
     async fn request(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Error> {
         let pool = self.lock_pool().clone();
-        match timeout(self.timeout, pool.request(request)).await {
+        let sending = interim::send_bounded(request, |request| pool.request(request));
+        let Ok(sent) = timeout(self.timeout, sending).await else {
+            self.replace_pool();
+            let limit = self.timeout;
+            return Err(Error::Lost(format!("no response within {limit:?}")));
+        };
+        let Some(sent) = sent else {
+            return Err(Error::Lost(format!(
+                "more than {} bytes of interim responses",
+                interim::MAX_BYTES
+            )));
+        };
+        match sent {
             // hyper gives out an upgrade, which was not asked for.
-            Ok(Ok(response)) if response.status().is_informational() => {
+            Ok(response) if response.status().is_informational() => {
                 let status = response.status();
                 Err(Error::Lost(format!(
                     "the response is not a final one: {status}"
                 )))
             }
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(error)) if error.is_connect() => Err(Error::Connect(format_with_causes(&error))),
-            Ok(Err(error)) => Err(Error::Lost(format_with_causes(&error))),
-            Err(_) => {
-                self.replace_pool();
-                let limit = self.timeout;
-                Err(Error::Lost(format!("no response within {limit:?}")))
-            }
+            Ok(response) => Ok(response),
+            Err(error) if error.is_connect() => Err(Error::Connect(format_with_causes(&error))),
+            Err(error) => Err(Error::Lost(format_with_causes(&error))),
         }
     }
 
@@ -250,7 +273,7 @@
     /// Reads a whole body for as long as it keeps arriving.
     async fn read_body(&self, body: Incoming) -> Result<Bytes, Error> {
         let started = Instant::now();
-        let mut body = Limited::new(body, MAX_BODY_BYTES);
+        let mut body = Limited::new(body, self.max_body_bytes);
         let mut bytes = BytesMut::new();
         loop {
             let allowed =
@@ -294,19 +317,20 @@
         .pool_timer(TokioTimer::new())
         .pool_idle_timeout(POOL_IDLE_TIMEOUT)
         .pool_max_idle_per_host(POOL_MAX_IDLE)
+        .http1_max_buf_size(MAX_HEAD_BYTES)
         // An automatic retry could repeat a write.
         .retry_canceled_requests(false)
         .build(connector)
 }
 
-/// Decompresses a gzip body of at most [`MAX_BODY_BYTES`] decompressed bytes.
-fn decompress(body: &[u8]) -> Result<Bytes, Error> {
+/// Decompresses a gzip body of at most `max_bytes` decompressed bytes.
+fn decompress(body: &[u8], max_bytes: usize) -> Result<Bytes, Error> {
     let mut content = Vec::new();
-    let mut decoder = GzDecoder::new(body).take(MAX_BODY_BYTES as u64 + 1);
+    let mut decoder = GzDecoder::new(body).take(max_bytes as u64 + 1);
     match decoder.read_to_end(&mut content) {
-        Ok(length) if length <= MAX_BODY_BYTES => Ok(content.into()),
+        Ok(length) if length <= max_bytes => Ok(content.into()),
         Ok(_) => Err(Error::Lost(format!(
-            "decompressed body is longer than {MAX_BODY_BYTES} bytes"
+            "decompressed body is longer than {max_bytes} bytes"
         ))),
         Err(error) => Err(Error::Lost(error.to_string())),
     }
--- a/store/src/kv/watch.rs
+++ b/store/src/kv/watch.rs
@@ -11,6 +11,10 @@
     std::collections::VecDeque,
 };
 
+/// Longest message of a watch, in bytes. An entry has at most about 1 MB, which base64 makes a third longer. After
+/// a longer one, the watch is opened again behind a read.
+const MAX_MESSAGE_BYTES: usize = 8 * 1024 * 1024;
+
 /// One item of a watch's stream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -73,7 +77,15 @@
                 .map_err(|error| Error::Unavailable(error.to_string()))?;
             if let Ok(bytes) = frame.into_data() {
                 self.buffer.extend_from_slice(&bytes);
-                self.decode_messages()?;
+                // A message is an object. Decoding begins anew with each part of an incomplete one.
+                if bytes.contains(&b'}') {
+                    self.decode_messages()?;
+                }
+                if self.buffer.len() > MAX_MESSAGE_BYTES {
+                    return Err(Error::Unavailable(format!(
+                        "a message of the watch is longer than {MAX_MESSAGE_BYTES} bytes"
+                    )));
+                }
             }
         }
     }
--- a/store/tests/http.rs
+++ b/store/tests/http.rs
@@ -5,14 +5,15 @@
     futures_util::stream,
     http_body_util::{BodyExt as _, StreamBody},
     hyper::{
-        Request, Response,
+        Request, Response, StatusCode,
         body::{Frame, Incoming},
     },
     rstest::rstest,
     std::{io, time::Duration},
     tamarackdale_store::http::{Client, Error},
     tamarackdale_testbed::{
-        host::{Connection, Host},
+        flood::{Flood, HINT},
+        host::{Connection, Host, whole},
         written::{Break, Framing, Written},
     },
     tokio::time::{Instant, sleep},
@@ -104,3 +105,53 @@
 
     assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
 }
+
+/// A server that answers without end.
+fn flooding(flood: Flood) -> Host {
+    let handler = move |request: Request<Incoming>| async move {
+        let connection = request.extensions().get::<Connection>()?.clone();
+        flood.write(connection, "").await;
+        None
+    };
+    Host::new("flood", handler).expect("starts")
+}
+
+/// Guards against a response without end that is kept until the memory is full, or that keeps a thread busy
+/// until the timeout.
+#[rstest]
+#[case::header_line(Flood::HeaderLine)]
+#[case::header_lines(Flood::HeaderLines)]
+#[case::interim(Flood::Interim)]
+#[case::body(Flood::Body)]
+#[case::small_chunks(Flood::SmallChunks)]
+#[case::chunk_extension(Flood::ChunkExtension)]
+#[case::trailers(Flood::Trailers)]
+#[tokio::test]
+async fn response_without_end_is_given_up(#[case] flood: Flood) {
+    const TIMEOUT: Duration = Duration::from_secs(20);
+    let server = flooding(flood);
+    let client =
+        Client::new(&format!("http://{}", server.address()), TIMEOUT).with_max_body(64 * 1024);
+    let started = Instant::now();
+
+    let response = client.get_response("/").await;
+
+    assert!(matches!(response, Err(Error::Lost(_))), "{response:?}");
+    assert!(started.elapsed() < TIMEOUT / 4, "{:?}", started.elapsed());
+}
+
+/// Guards against a sound response that is lost after some hundred interim ones.
+#[tokio::test]
+async fn response_after_many_interim_ones_is_read() {
+    let handler = |request: Request<Incoming>| async move {
+        let connection = request.extensions().get::<Connection>()?;
+        connection.write(HINT.repeat(500).as_bytes());
+        Some(whole(StatusCode::OK, "answer".into()))
+    };
+    let server = Host::new("hints", handler).expect("starts");
+
+    for _ in 0..5 {
+        let response = client(&server).get_response("/").await;
+        assert_eq!(&response.expect("whole").body()[..], b"answer");
+    }
+}
--- a/store/tests/kv.rs
+++ b/store/tests/kv.rs
@@ -2,6 +2,10 @@
 //! fault that it can inject.
 
 use {
+    bytes::Bytes,
+    futures_util::{StreamExt as _, stream},
+    http_body_util::{BodyExt as _, StreamBody},
+    hyper::{Response, body::Frame},
     rstest::rstest,
     std::{
         collections::BTreeSet,
@@ -11,7 +15,10 @@
         http,
         kv::{Change, Client, Creation, Entry, Error, Swap, Watch},
     },
-    tamarackdale_testbed::store::{Call, Outage, Store},
+    tamarackdale_testbed::{
+        host::Host,
+        store::{Call, Outage, Store},
+    },
     tokio::time::timeout,
 };
 
@@ -444,3 +451,25 @@
     assert_eq!(revisions(newer.expect("a list")), all);
     assert_eq!(watched, Vec::from_iter(all));
 }
+
+/// Guards against a message of a watch without end that is kept until the memory is full.
+#[tokio::test]
+async fn message_without_end_ends_the_watch() {
+    let handler = |_| async {
+        let begin = stream::once(async { Ok(Frame::data(Bytes::from_static(b"{\"result\": \""))) });
+        let rest = stream::repeat_with(|| Ok(Frame::data(Bytes::from_static(&[b'x'; 64 * 1024]))));
+        Some(Response::new(
+            StreamBody::new(begin.chain(rest)).boxed_unsync(),
+        ))
+    };
+    let host = Host::new("endless", handler).expect("starts");
+    let client = Client::new(&format!("http://{}", host.address()));
+    let mut watch = client.watch("a/", 1).await.expect("opens");
+
+    let change = timeout(WAIT_LIMIT, watch.next()).await;
+
+    assert!(
+        matches!(change, Ok(Err(Error::Unavailable(_)))),
+        "{change:?}"
+    );
+}
--- a/testbed/src/host.rs
+++ b/testbed/src/host.rs
@@ -63,6 +63,15 @@
         let _ = (&*self.socket).write_all(bytes);
     }
 
+    /// Writes what the socket takes at once.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it takes nothing at present, or is closed.
+    pub fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        (&*self.socket).write(bytes)
+    }
+
     /// Lets the connection be reset when it is closed.
     pub fn reset_at_close(&self) {
         // A broken connection is the peer's affair.
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod deployment;
 pub mod engine;
 pub mod experiment;
+pub mod flood;
 pub mod grant;
 pub mod history;
 pub mod host;
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        flood::Flood,
         host::{Body, Connection, Host, json as answer_json},
         silence::Silence,
         written::Break,
@@ -58,6 +59,8 @@
     deadly_path: Mutex<Option<String>>,
     /// Where its answers break off.
     break_point: Mutex<Option<Break>>,
+    /// What its answers have without end.
+    flood: Mutex<Option<Flood>>,
     /// Tells the host to crash.
     crash: Arc<Notify>,
 }
@@ -78,6 +81,7 @@
             completed: AtomicUsize::new(0),
             deadly_path: Mutex::default(),
             break_point: Mutex::default(),
+            flood: Mutex::default(),
             crash: Arc::default(),
         });
         let shared = Arc::clone(&state);
@@ -119,6 +123,11 @@
         *lock(&self.state.break_point) = Some(point);
     }
 
+    /// Lets it answer without end from now on, or as usual again.
+    pub fn set_flood(&self, flood: Option<Flood>) {
+        *lock(&self.state.flood) = flood;
+    }
+
     /// Calls received, oldest first.
     pub fn calls(&self) -> Vec<Call> {
         lock(&self.state.calls).clone()
@@ -166,6 +175,12 @@
     if let Some(bytes) = padding(parts.uri.query()) {
         value["padding"] = "x".repeat(bytes).into();
     }
+    let flood = *lock(&state.flood);
+    if let Some(flood) = flood {
+        let connection = parts.extensions.get::<Connection>()?.clone();
+        flood.write(connection, "").await;
+        return None;
+    }
     let break_point = *lock(&state.break_point);
     if let Some(point) = break_point {
         let id = call.marker.as_deref().unwrap_or_default();
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        flood::{Flood, HINT},
         host::{Body, Connection, Host, json, whole},
         silence::Silence,
         written::{Break, Framing},
@@ -74,6 +75,10 @@
     Silent,
     /// Runs them and answers with a body without end, or a stream with an event without end.
     Endless,
+    /// Runs them and answers without end.
+    Floods(Flood),
+    /// Runs them and sends that many interim responses before the answer.
+    Hints(usize),
     /// Runs them and stalls in the second event of a stream, of which it sends a byte now and then.
     Trickles,
     /// Writes a refusal that it has sent before once more.
@@ -600,6 +605,13 @@
         match behaviour {
             Behaviour::LosesAnswers => return None,
             Behaviour::Silent => std::future::pending().await,
+            Behaviour::Floods(flood) => {
+                flood.write(connection?, &id).await;
+                return None;
+            }
+            Behaviour::Hints(count) => {
+                connection.as_ref()?.write(HINT.repeat(count).as_bytes());
+            }
             Behaviour::FailsToResume if resumed_after.is_some() => {
                 return Some(signed(
                     json(StatusCode::INTERNAL_SERVER_ERROR, &value!({})),
