relay: an answer that a crash cuts is not complete

Cause: the end of such an answer is that of its connection, and gateway and sidecar believed it. A crash closes the connection in the same way.

Change: after such an answer a connection to the server is opened, unless the server is leaving. If it is refused, no process listens and the answer counts as broken off. A connection that is reset or not answered tells nothing: a sound server may have no room. The connection goes into the pool.

Evidence: five tests in broken_answers (four at a gateway, one behind a sidecar) failed before and pass now; five with whole answers of such a kind, two of them from a server that ends while it is leaving, pass before and after.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -296,6 +296,12 @@
         })
     }
 
+    /// Whether a backend server is leaving, or is not registered any more.
+    pub fn is_leaving(&self, id: &str, now: Timestamp) -> bool {
+        let server = self.servers.get(id);
+        server.is_none_or(|server| server.is_leaving(now))
+    }
+
     /// Number of registered backend servers with a limit.
     pub fn limited_servers(&self, now: Timestamp) -> usize {
         let servers = self.servers.values();
--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -184,24 +184,37 @@
     /// The new connection is kept in the pool. When many connections break at once, one of those who
     /// ask opens a new one, and the others get the same result.
     pub async fn is_reachable(&self, member: &Member) -> bool {
-        let probe = {
-            let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
-            probes.retain(|id, probe| *id == member.id || Arc::strong_count(probe) > 1);
-            Arc::clone(probes.entry(member.id.clone()).or_default())
+        let with_opened = |opened| match opened {
+            Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
+            Err(error) => log::info!(
+                backend_server = member.id.as_str();
+                "backend server has crashed: connections broke and no new one is accepted: {error}"
+            ),
         };
-        let open = open(member.address);
-        let is_closed = |opened: &Connection| opened.sender.is_closed();
-        probe
-            .is_reachable(open, is_closed, |opened| match opened {
-                Ok(connection) => self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT),
-                Err(error) => log::info!(
-                    backend_server = member.id.as_str();
-                    "backend server has crashed: connections broke and no new one is accepted: {error}"
-                ),
-            })
+        self.probe(member)
+            .is_reachable(open(member.address), is_closed, with_opened)
             .await
     }
 
+    /// Whether a backend server, which has just closed a connection, refuses new ones, and so has ended. A new
+    /// connection is kept in the pool.
+    pub async fn has_ended(&self, member: &Member) -> bool {
+        let with_opened = |opened| {
+            if let Ok(connection) = opened {
+                self.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT);
+            }
+        };
+        self.probe(member)
+            .is_refused(open(member.address), is_closed, with_opened)
+            .await
+    }
+
+    fn probe(&self, member: &Member) -> Arc<Probe> {
+        let mut probes = self.probes.lock().unwrap_or_else(PoisonError::into_inner);
+        probes.retain(|id, probe| *id == member.id || Arc::strong_count(probe) > 1);
+        Arc::clone(probes.entry(member.id.clone()).or_default())
+    }
+
     /// Returns a connection to the pool after a complete response. The backend server keeps it open
     /// for `idle_timeout`.
     pub fn put(&self, id: &str, connection: Connection, idle_timeout: Duration) {
@@ -246,6 +259,10 @@
     }
 }
 
+fn is_closed(opened: &Connection) -> bool {
+    opened.sender.is_closed()
+}
+
 /// Whether a connection was not opened because of this process or system, and not of its peer.
 pub fn lacks_descriptors(error: &io::Error) -> bool {
     let errno = Errno::from_io_error(error);
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -17,7 +17,7 @@
         http::response::Parts,
     },
     http_body_util::Full,
-    hyper::body::Incoming,
+    hyper::body::{Body as _, Incoming},
     std::{
         io::{self, ErrorKind},
         pin::Pin,
@@ -56,6 +56,9 @@
     time_left: Duration,
 }
 
+/// Why a response is incomplete whose end only that of its connection tells.
+const CUT: &str = "the connection was closed and the backend server has ended";
+
 /// Why an exchange failed.
 pub enum ExchangeError {
     /// The attempt failed. The request is sent again if its dispatch allows it.
@@ -230,9 +233,10 @@
         }
         let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
         let (mut parts, body) = response.into_parts();
-        let is_framed = [CONTENT_LENGTH, TRANSFER_ENCODING]
-            .iter()
-            .any(|name| parts.headers.contains_key(name));
+        let is_framed = body.is_end_stream()
+            || [CONTENT_LENGTH, TRANSFER_ENCODING]
+                .iter()
+                .any(|name| parts.headers.contains_key(name));
         if parts.status != StatusCode::OK || !body::is_event_stream(&parts.headers) {
             in_flight.record_first_event();
         }
@@ -314,12 +318,24 @@
     /// chunk. A response without either ends with its connection, as also when its backend server crashes;
     /// it must have brought an event. One that states its end need not: all events may have been passed on
     /// before an earlier response broke off.
-    pub fn incompleteness(&self, splitter: &Splitter) -> Option<&'static str> {
+    pub async fn incompleteness(&self, splitter: &Splitter) -> Option<&'static str> {
         if splitter.is_inside_event() {
             return Some("the last event is incomplete");
         }
         let is_begun = self.in_flight.time_to_first_event().is_some();
-        (!self.is_framed && !is_begun).then_some("the connection was closed before the first event")
+        if !self.is_framed && !is_begun {
+            return Some("the connection was closed before the first event");
+        }
+        self.is_cut().await.then_some(CUT)
+    }
+
+    /// Whether the end of the response, which only that of its connection tells, may be that of the process.
+    /// A backend server that is leaving may end after a whole response.
+    async fn is_cut(&self) -> bool {
+        let id = self.in_flight.id();
+        !self.is_framed
+            && !self.in_flight.scheduler().is_leaving(id)
+            && self.pool.has_ended(&self.member).await
     }
 
     /// Reads the complete body. Fails if it breaks off, is too large or does not end in time.
@@ -329,6 +345,11 @@
     ) -> Result<(Parts, Bytes, InFlightRequest), BodyError> {
         let reading = buffers.read(&mut self.body);
         match timeout(self.time_left, reading).await {
+            Ok(Ok(_)) if self.is_cut().await => {
+                log::info!(backend_server = self.in_flight.id(); "cannot read the response body: {CUT}");
+                self.record_failure();
+                Err(BodyError::Broken(self.member))
+            }
             Ok(Ok(bytes)) => {
                 let parts = self.parts.clone();
                 Ok((parts, bytes, self.finish(0)))
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -141,7 +141,7 @@
             // Why the stream ends, or `None` to read on.
             let end_reason = match result {
                 Progress::Events(batch) => return Some(Ok(self.forward(batch).await)),
-                Progress::End => match self.exchange.as_ref()?.incompleteness(&self.splitter) {
+                Progress::End => match self.incompleteness().await {
                     Some(reason) => self.resume_after_break(reason).await,
                     None => {
                         self.finish();
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Why the end of the response is not that of the stream, if it is not.
+    async fn incompleteness(&self) -> Option<&'static str> {
+        let exchange = self.exchange.as_ref()?;
+        exchange.incompleteness(&self.splitter).await
+    }
+
     async fn read(&mut self) -> Option<Progress> {
         let time_left = self.job.time_left();
         let patience = self.patience().filter(|patience| *patience < time_left);
@@ -214,7 +220,7 @@
             biased;
             result = read_events(&mut silent.body, &mut self.splitter, time_left) => match result {
                 Progress::Invalid(_) | Progress::Broken(_) => None,
-                Progress::End if silent.incompleteness(&self.splitter).is_some() => None,
+                Progress::End if silent.incompleteness(&self.splitter).await.is_some() => None,
                 result => return Some(result),
             },
             response = sent.response() => Some(response),
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -315,6 +315,12 @@
         self.lock().fleet.accepts_requests(id, now)
     }
 
+    /// Whether a backend server is leaving, or is not registered any more.
+    pub fn is_leaving(&self, id: &str) -> bool {
+        let now = self.clock.now();
+        self.lock().fleet.is_leaving(id, now)
+    }
+
     /// Records what the response to a request that was sent at `sent` says of its backend server.
     pub fn record_notice(&self, member: &Member, notice: &Notice, sent: Timestamp) {
         let now = self.clock.now();
--- a/daemon/src/http/probe.rs
+++ b/daemon/src/http/probe.rs
@@ -1,7 +1,10 @@
 //! Probes of backend servers to which connections broke.
 
 use {
-    std::{future::Future, io, time::Duration},
+    std::{
+        io::{self, ErrorKind},
+        time::Duration,
+    },
     tokio::{
         sync::Mutex,
         time::{Instant, sleep},
@@ -20,10 +23,17 @@
 /// one, and the others get the same result.
 #[derive(Debug, Default)]
 pub struct Probe(
-    /// Time and result of the last probe. Locked while one is in progress.
-    Mutex<Option<(Instant, bool)>>,
+    /// The last probe. Locked while one is in progress.
+    Mutex<Option<Outcome>>,
 );
 
+#[derive(Clone, Copy, Debug)]
+struct Outcome {
+    started: Instant,
+    ended: Instant,
+    result: Result<(), ErrorKind>,
+}
+
 impl Probe {
     /// Whether the server accepts and keeps a new connection, and so has not crashed. What was opened
     /// is passed to `with_opened`.
@@ -33,17 +43,46 @@
         is_closed: impl Fn(&T) -> bool,
         with_opened: impl FnOnce(io::Result<T>),
     ) -> bool {
+        let is_valid = |last: Outcome| last.ended.elapsed() < VALIDITY;
+        let result = self.run(is_valid, open, is_closed, with_opened).await;
+        result.is_ok()
+    }
+
+    /// Whether the server refuses new connections from now on: no process listens any more. A server that
+    /// closes them, or does not answer, may have no room for them. What was opened is passed to `with_opened`.
+    pub async fn is_refused<T>(
+        &self,
+        open: impl Future<Output = io::Result<T>>,
+        is_closed: impl Fn(&T) -> bool,
+        with_opened: impl FnOnce(io::Result<T>),
+    ) -> bool {
+        let asked = Instant::now();
+        let is_valid = |last: Outcome| last.started >= asked;
+        let result = self.run(is_valid, open, is_closed, with_opened).await;
+        result == Err(ErrorKind::ConnectionRefused)
+    }
+
+    async fn run<T>(
+        &self,
+        is_valid: impl Fn(Outcome) -> bool,
+        open: impl Future<Output = io::Result<T>>,
+        is_closed: impl Fn(&T) -> bool,
+        with_opened: impl FnOnce(io::Result<T>),
+    ) -> Result<(), ErrorKind> {
         let mut last = self.0.lock().await;
-        if let Some((at, result)) = *last
-            && at.elapsed() < VALIDITY
-        {
-            return result;
+        if let Some(last) = last.filter(|last| is_valid(*last)) {
+            return last.result;
         }
+        let started = Instant::now();
         let opened = lasting(open, is_closed).await;
-        let is_reachable = opened.is_ok();
+        let result = opened.as_ref().map(|_| ()).map_err(io::Error::kind);
         with_opened(opened);
-        *last = Some((Instant::now(), is_reachable));
-        is_reachable
+        *last = Some(Outcome {
+            started,
+            ended: Instant::now(),
+            result,
+        });
+        result
     }
 }
 
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -81,10 +81,6 @@
 
     /// Whether the backend server accepts new connections after one broke, and so has not crashed.
     pub async fn is_reachable(&self) -> bool {
-        let is_closed = |stream: &TcpStream| match stream.try_read(&mut [0]) {
-            Ok(length) => length == 0,
-            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
-        };
         let log_failure = |opened: io::Result<TcpStream>| {
             if let Err(error) = opened {
                 log::warn!(
@@ -97,6 +93,11 @@
             .await
     }
 
+    /// Whether the backend server, which has just closed a connection, refuses new ones, and so has ended.
+    pub async fn has_ended(&self) -> bool {
+        self.probe.is_refused(self.open(), is_closed, |_| {}).await
+    }
+
     async fn open(&self) -> io::Result<TcpStream> {
         let uri: Uri = self.url.parse().map_err(io::Error::other)?;
         let host = uri.host().ok_or(io::ErrorKind::InvalidInput)?;
@@ -133,3 +134,10 @@
             .ok()
     }
 }
+
+fn is_closed(stream: &TcpStream) -> bool {
+    match stream.try_read(&mut [0]) {
+        Ok(length) => length == 0,
+        Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+    }
+}
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -12,7 +12,11 @@
     bytes::Bytes,
     futures_util::StreamExt as _,
     http_body_util::BodyExt as _,
-    hyper::{Response, body::Incoming},
+    hyper::{
+        Response,
+        body::{Body as _, Incoming},
+        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
+    },
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
@@ -64,6 +68,8 @@
     pub dispatch: BoundedSender<Command>,
     /// Cancelled when the response is no longer needed.
     pub cancelled: CancellationToken,
+    /// Cancelled when the sidecar shuts down.
+    pub closing: CancellationToken,
 }
 
 /// The receiver of the events has been dropped.
@@ -123,6 +129,10 @@
     }
 
     async fn relay_bytes(&self, response: Response<Incoming>) -> Result<(), ReceiverClosed> {
+        let is_framed = response.body().is_end_stream()
+            || [CONTENT_LENGTH, TRANSFER_ENCODING]
+                .iter()
+                .any(|name| response.headers().contains_key(name));
         let mut data = response.into_body().into_data_stream();
         while let Some(item) = data.next().await {
             match item {
@@ -136,6 +146,16 @@
                 }
             }
         }
+        // Only the end of the connection tells that of the response, and it may be that of the process. A
+        // backend server may stop after a whole response when its sidecar does.
+        let may_be_cut = !is_framed && !self.closing.is_cancelled();
+        if may_be_cut && self.backend_server.has_ended().await {
+            log::warn!("response of the backend server was cut: the backend server has ended");
+            self.report_if_crashed().await;
+            return self
+                .fail(Failure::may_have_run(Reason::BackendServer))
+                .await;
+        }
         self.emit(Event::End).await
     }
 
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -225,6 +225,7 @@
             events: sender,
             dispatch: self.context.dispatch.clone(),
             cancelled: cancelled.clone(),
+            closing: self.context.shutdown.closing.clone(),
         };
         self.context.tracker.spawn(exchange.run());
         self.exchange = Some(Running {
--- a/testbed/src/plain.rs
+++ b/testbed/src/plain.rs
@@ -19,7 +19,7 @@
         net::SocketAddr,
         sync::{
             Arc, Mutex, MutexGuard,
-            atomic::{AtomicUsize, Ordering},
+            atomic::{AtomicBool, AtomicUsize, Ordering},
         },
         time::{Duration, Instant},
     },
@@ -59,6 +59,8 @@
     deadly_path: Mutex<Option<String>>,
     /// Where its answers break off.
     break_point: Mutex<Option<Break>>,
+    /// Whether it crashes there.
+    crashes_at_break: AtomicBool,
     /// What its answers have without end.
     flood: Mutex<Option<Flood>>,
     /// Tells the host to crash.
@@ -81,6 +83,7 @@
             completed: AtomicUsize::new(0),
             deadly_path: Mutex::default(),
             break_point: Mutex::default(),
+            crashes_at_break: AtomicBool::new(false),
             flood: Mutex::default(),
             crash: Arc::default(),
         });
@@ -123,6 +126,11 @@
         *lock(&self.state.break_point) = Some(point);
     }
 
+    /// Lets it crash where its answers break off.
+    pub fn crash_at_break_point(&self) {
+        self.state.crashes_at_break.store(true, Ordering::Relaxed);
+    }
+
     /// Lets it answer without end from now on, or as usual again.
     pub fn set_flood(&self, flood: Option<Flood>) {
         *lock(&self.state.flood) = flood;
@@ -189,6 +197,10 @@
             id,
             &value.to_string(),
         );
+        if state.crashes_at_break.load(Ordering::Relaxed) {
+            state.crash.notify_one();
+            std::future::pending::<()>().await;
+        }
         return None;
     }
     Some(answer_json(StatusCode::OK, &value))
--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -87,6 +87,8 @@
     AnswersEarly(Early),
     /// Runs them, writes the beginning of the answer and ends the connection.
     BreaksAt(Break),
+    /// Runs them, writes the beginning of the answer and crashes.
+    CrashesAt(Break),
     /// Answers a request to go on with a stream with an error.
     FailsToResume,
     /// Writes this text in the middle of a stream, whose end is that of the connection.
@@ -626,12 +628,15 @@
                 Break::none(Framing::Connection).write(&connection?, &id, &body);
                 return None;
             }
-            Behaviour::BreaksAt(point) => {
+            Behaviour::BreaksAt(point) | Behaviour::CrashesAt(point) => {
                 let body = match is_stream {
                     true => self.events(resumed_after.unwrap_or(0)),
                     false => plain_answer(&self.id, size),
                 };
                 point.write(&connection?, &id, &body);
+                if matches!(behaviour, Behaviour::CrashesAt(_)) {
+                    return self.crash().await;
+                }
                 return None;
             }
             Behaviour::Fails => {
--- a/testbed/tests/broken_answers.rs
+++ b/testbed/tests/broken_answers.rs
@@ -18,6 +18,9 @@
 /// Events of a stream.
 const EVENTS: u64 = 2;
 
+/// Time within which a gateway hears that a server is leaving, with something for a loaded machine.
+const LEAVING_NOTICED: Duration = Duration::from_millis(1_500);
+
 /// How often a service that was cut off is called.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -28,7 +31,7 @@
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
 
 struct Bench {
-    _site: Site,
+    site: Site,
     gateway: Gateway,
     servers: Vec<Server>,
 }
@@ -54,7 +57,7 @@
     let gateway = site.gateway("one").expect("starts");
     assert!(gateway.wait_ready(true).await, "not ready");
     Bench {
-        _site: site,
+        site,
         gateway,
         servers,
     }
@@ -152,6 +155,77 @@
     assert!(kept > 0, "no request was sent on a kept connection");
 }
 
+/// An answer whose end is that of its connection, up to a number of its body's bytes.
+fn unframed(id: &str, body: &str, bytes: usize) -> Break {
+    let answer = Written {
+        framing: Framing::Connection,
+        interim: None,
+    };
+    let (head, _) = answer.parts(id, body);
+    Break {
+        answer,
+        bytes: head.len() + bytes,
+        is_reset: false,
+    }
+}
+
+/// Guards against an answer that looks complete because its server crashed where the end of the connection is
+/// that of the answer.
+#[rstest]
+#[case::plain("booking", 10)]
+#[case::idempotent("status", 10)]
+#[case::stream("stream", 27)]
+#[case::resumable_stream("resumable", 27)]
+#[tokio::test]
+async fn answer_whose_server_crashes_is_not_complete(#[case] kind: &str, #[case] bytes: usize) {
+    let bench = start(kind, 1).await;
+    let whole = body(kind);
+    let (part, _) = whole.split_at(bytes);
+    // A stream is cut between two events.
+    assert!(kind == "booking" || kind == "status" || part.ends_with("\n\n"));
+
+    let point = unframed("c", &whole, bytes);
+    let caller = bench.call(kind, "c", Behaviour::CrashesAt(point)).await;
+
+    let attempt = &caller.tries()[0];
+    let is_whole = attempt.is_whole && attempt.status() == Some(200);
+    assert!(!is_whole || attempt.text() == whole, "{attempt:?}");
+    let is_promise = attempt.status().is_some_and(|it| PROMISES.contains(&it));
+    assert!(!is_promise, "{attempt:?}");
+}
+
+/// Guards against a whole answer that is dropped because its end is that of its connection: the server goes on,
+/// or it was leaving and has ended with its last answer.
+#[rstest]
+#[tokio::test]
+async fn answer_that_ends_with_its_connection_is_whole(
+    #[values("booking", "stream")] kind: &str,
+    #[values(false, true)] is_leaving: bool,
+) {
+    let bench = start(kind, 1).await;
+    let whole = body(kind);
+    let point = unframed("e", &whole, whole.len());
+    bench.servers[0].set_behaviour(match is_leaving {
+        true => Behaviour::CrashesAt(point),
+        false => Behaviour::BreaksAt(point),
+    });
+    bench.servers[0].set_latency(LEAVING_NOTICED);
+
+    let mut caller = Caller::new(&format!("/{kind}/1"), "e");
+    let leaving = async {
+        sleep(LEAVING_NOTICED / 4).await;
+        if is_leaving {
+            bench.site.set_state(&bench.servers[0], "draining");
+        }
+    };
+    futures_util::join!(caller.call(bench.gateway.callers()), leaving);
+
+    let attempt = &caller.tries()[0];
+    assert!(attempt.is_whole, "{attempt:?}");
+    assert_eq!(attempt.status(), Some(200));
+    assert_eq!(attempt.text(), whole);
+}
+
 /// Guards against a length that a server states beside chunks, which does not count, and that cuts the
 /// answer or the connection of its caller.
 #[rstest]
@@ -326,6 +400,27 @@
     assert!(wrong.is_empty(), "{} wrong: {wrong:#?}", wrong.len());
 }
 
+/// Guards against an answer that looks complete because the plain service behind a sidecar crashed where the end
+/// of the connection is that of the answer, and against a whole one that is dropped.
+#[rstest]
+#[case::crash(true)]
+#[case::end_of_the_answer(false)]
+#[tokio::test]
+async fn answer_behind_a_sidecar_whose_server_crashes_is_not_complete(#[case] crashes: bool) {
+    let deployment = start_sidecar(Layout::new(vec![Service::ordre_app(1)])).await;
+    let plain = deployment.sidecars[0].plain();
+    let bytes = if crashes { 10 } else { 1_000 };
+    plain.set_break_point(unframed("c", "", bytes));
+    if crashes {
+        plain.crash_at_break_point();
+    }
+
+    let record = book(&deployment, "c").await;
+
+    assert_eq!(record.whole, !crashes, "{record:?}");
+    assert_eq!(problem(&deployment, "c", &record), None);
+}
+
 /// Guards against a response that breaks off between a router and a sidecar and is passed on as whole, as
 /// never run, or after a second run.
 #[rstest]
