relay: streams go on at no process that has not said its start

Cause: the process is asked for its start before a stream goes on; where no answer came within 200 ms the stream was sent all the same. Streams that began there got the registered version as their origin, and not the one that wrote them.

Change: a stream that goes on is not sent to a process that is silent. Others of its version are tried; within an answer the silent one is asked again after a pause. A stream that begins is sent, and the start is asked again when the response comes, before any of it is passed on. A retry is spent once there is a connection, so that asking a silent server costs none.

Evidence: three tests of server_versions failed before (6 of 6 streams joined from two versions) and pass now; two with a sound server that is silent for a second pass before and after.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -111,6 +111,8 @@
     dispatch: Dispatch,
     /// Backend servers that are not tried again.
     excluded: Vec<String>,
+    /// Those of them that were silent and may be asked again.
+    silent: Vec<String>,
     deadline: Timestamp,
     /// Since when the request has waited for a slot: its acceptance, or the break of its stream.
     waiting_since: Timestamp,
@@ -171,6 +173,7 @@
         context: context.clone(),
         dispatch: Dispatch::new(route.repeat_policy, route.attempts),
         excluded: Vec::new(),
+        silent: Vec::new(),
         deadline: request.accepted.plus(time_left),
         waiting_since: request.accepted,
         resume_until: None,
@@ -279,7 +282,12 @@
         loop {
             let choice = match self.place().await {
                 Ok(choice) => choice,
-                Err(Cause::NoBackendServer | Cause::Floor) if self.pause().await => continue,
+                Err(Cause::NoBackendServer | Cause::Floor) if self.pause().await => {
+                    // A server that was silent may have gone on.
+                    let silent = std::mem::take(&mut self.silent);
+                    self.excluded.retain(|id| !silent.contains(id));
+                    continue;
+                }
                 Err(cause) => return Err(self.give_up(cause)),
             };
             // The configuration may have become stale while the request waited in the queue.
@@ -304,15 +312,19 @@
                     .take()
                     .or_else(|| Retry::take(scheduler, &self.service))
                 {
-                    Some(retry) => retry.spend(),
+                    Some(taken) => retry = Some(taken),
                     None => {
                         retry = Some(self.wait_for_retry().await?);
                         continue;
                     }
                 }
             }
-            let (failure, is_break) = match self.exchange(&choice).await {
+            let (failure, is_break) = match self.exchange(&choice, retry.take()).await {
                 Ok(exchange) => return Ok(exchange),
+                Err(ExchangeError::StartUnknown) => {
+                    self.silent.push(choice.member.id.clone());
+                    (SendFailure::NotSent, false)
+                }
                 Err(ExchangeError::GivenUp(cause)) => return Err(cause),
                 Err(ExchangeError::SendFailure(failure)) => (failure, false),
                 Err(ExchangeError::ConnectionBroken) => (SendFailure::Lost, true),
@@ -504,7 +516,11 @@
         }
     }
 
-    async fn exchange(&mut self, choice: &Choice) -> Result<Exchange, ExchangeError> {
+    async fn exchange(
+        &mut self,
+        choice: &Choice,
+        retry: Option<Retry>,
+    ) -> Result<Exchange, ExchangeError> {
         // The configuration may have become stale while a start was asked for, and the time too short.
         if !self.is_key_proved() {
             return Err(ExchangeError::GivenUp(self.give_up(Cause::NotProved)));
@@ -512,7 +528,7 @@
         if !self.ends_before_shutdown(choice) {
             return Err(ExchangeError::GivenUp(self.give_up(Cause::Leaving)));
         }
-        exchange::run(self, choice).await
+        exchange::run(self, choice, retry).await
     }
 
     /// Whether the request needs no API key, or the configuration that has its key is confirmed to be
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -6,7 +6,7 @@
         gateway::{
             pool::{self, Connection, ConnectionPool, DEFAULT_IDLE_TIMEOUT, SendResult},
             response_buffers::{BufferError, ResponseBuffers},
-            scheduler::InFlightRequest,
+            scheduler::{InFlightRequest, Retry},
         },
         http::body,
     },
@@ -63,6 +63,8 @@
 pub enum ExchangeError {
     /// The attempt failed. The request is sent again if its dispatch allows it.
     SendFailure(SendFailure),
+    /// The request was not sent, because the process there is silent and may not be the one that is registered.
+    StartUnknown,
     /// The connection broke after the request was written, before the head of a response.
     ConnectionBroken,
     /// The request is not sent again.
@@ -77,13 +79,25 @@
     Other,
 }
 
-/// Sends the request and waits for the response headers.
-pub async fn run(job: &mut Job, choice: &Choice) -> Result<Exchange, ExchangeError> {
+/// Sends the request and waits for the response headers. Spends the retry, if it is one, when the request is
+/// sent.
+pub async fn run(
+    job: &mut Job,
+    choice: &Choice,
+    retry: Option<Retry>,
+) -> Result<Exchange, ExchangeError> {
     let connected = connect(job, choice).await?;
+    if let Some(retry) = retry {
+        retry.spend();
+    }
     job.record_origin(&choice.member);
     let mut sent = connected.send(job)?;
     let response = timeout(job.time_left(), sent.response()).await;
     let response = response.map_err(|_| ExchangeError::GivenUp(Cause::Timeout))?;
+    if response.is_ok() && sent.connected.is_unchecked && is_other_start(job, &choice.member).await
+    {
+        return Err(ExchangeError::SendFailure(SendFailure::Lost));
+    }
     sent.into_exchange(job, response)
 }
 
@@ -92,6 +106,18 @@
     member: Member,
     in_flight: InFlightRequest,
     connection: Connection,
+    /// Whether the start of the process still has to be checked.
+    is_unchecked: bool,
+}
+
+/// What is known of the process at the other end of a connection.
+enum Start {
+    /// It is the one that is registered, or need not be.
+    Registered,
+    /// It is another one.
+    Other,
+    /// It has not said in time.
+    Unknown,
 }
 
 /// Connects to the backend server.
@@ -103,11 +129,27 @@
     let is_checked = job.stream.is_some() && job.is_for_engine();
     let connected = match is_checked {
         true => connect_to_start(job, member).await,
-        false => job.context.pool.connect(member).await.map(Some),
+        false => {
+            let connected = job.context.pool.connect(member).await;
+            connected.map(|connection| (connection, Start::Registered))
+        }
     };
-    let connection = match connected {
-        Ok(Some(connection)) => connection,
-        Ok(None) => return Err(ExchangeError::SendFailure(SendFailure::NotSent)),
+    let (connection, is_unchecked) = match connected {
+        Ok((connection, Start::Registered)) => (connection, false),
+        // The response will show it. A stream that goes on can't wait for that: another attempt may not be
+        // allowed.
+        Ok((connection, Start::Unknown)) if job.version.is_none() => (connection, true),
+        Ok((connection, start)) => {
+            // What it shows of its process, now or later, is known to the next stream.
+            let pool = &job.context.pool;
+            pool.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT);
+            return Err(match start {
+                Start::Unknown => ExchangeError::StartUnknown,
+                Start::Other | Start::Registered => {
+                    ExchangeError::SendFailure(SendFailure::NotSent)
+                }
+            });
+        }
         Err(error) => {
             log::info!(
                 backend_server = member.id.as_str();
@@ -126,12 +168,13 @@
         member: member.clone(),
         in_flight,
         connection,
+        is_unchecked,
     })
 }
 
-/// Connects to the backend server, if the process there is the start that is registered: a later one may
-/// be of another version, before its registration says so. `None` if it is another one.
-async fn connect_to_start(job: &Job, member: &Member) -> io::Result<Option<Connection>> {
+/// Connects to the backend server, and tells whether the process there is the start that is registered: a
+/// later one may be of another version, before its registration says so.
+async fn connect_to_start(job: &Job, member: &Member) -> io::Result<(Connection, Start)> {
     let pool = &job.context.pool;
     let backend_server = member.id.as_str();
     let mut connection = pool.connect(member).await?;
@@ -145,26 +188,47 @@
         leads = pool.leads_to(&mut connection, member).await;
     }
     match leads {
-        Ok(true) => Ok(Some(connection)),
+        Ok(true) => Ok((connection, Start::Registered)),
         Ok(false) => {
             log::warn!(
                 backend_server,
                 started_at_ms = member.started_at_ms;
-                "stream not sent there: the backend server has started again since its registration"
+                "stream does not run there: the backend server has started again since its registration"
             );
-            // Its process is known, so the next stream is not asked for it.
-            pool.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT);
-            Ok(None)
+            Ok((connection, Start::Other))
         }
-        // Silent servers are many, and those that have also changed their version rare.
         Err(error) if error.kind() == ErrorKind::TimedOut => {
-            log::info!(backend_server; "start of a silent backend server not checked: {error}");
-            pool.connect(member).await.map(Some)
+            log::info!(
+                backend_server,
+                goes_on = job.version.is_some();
+                "start of a silent backend server not known: {error}"
+            );
+            let connection = pool.connect(member).await?;
+            Ok((connection, Start::Unknown))
         }
         Err(error) => Err(error),
     }
 }
 
+/// Whether the process that has responded is not the start that is registered, if that was not known when the
+/// request was sent. A process that was silent then answers now.
+async fn is_other_start(job: &Job, member: &Member) -> bool {
+    match connect_to_start(job, member).await {
+        Ok((connection, start)) => {
+            let pool = &job.context.pool;
+            pool.put(&member.id, connection, DEFAULT_IDLE_TIMEOUT);
+            matches!(start, Start::Other)
+        }
+        Err(error) => {
+            log::warn!(
+                backend_server = member.id.as_str();
+                "start of a backend server not checked after its response: {error}"
+            );
+            false
+        }
+    }
+}
+
 impl Connected {
     /// Sends the request.
     pub fn send(mut self, job: &mut Job) -> Result<Sent, ExchangeError> {
@@ -212,6 +276,7 @@
             member,
             mut in_flight,
             connection,
+            is_unchecked: _,
         } = self.connected;
         let scheduler = &job.context.scheduler;
         let response = match response {
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -257,6 +257,7 @@
             }
             Err(ExchangeError::GivenUp(_)) => SendFailure::Failed,
             Err(ExchangeError::SendFailure(failure)) => failure,
+            Err(ExchangeError::StartUnknown) => SendFailure::NotSent,
             Err(ExchangeError::ConnectionBroken) => SendFailure::Lost,
         };
         log::info!(
--- a/testbed/tests/server_versions.rs
+++ b/testbed/tests/server_versions.rs
@@ -37,6 +37,9 @@
 /// Callers whose streams break at the same time: as many as the platform's rules count from.
 const CALLERS: usize = 12;
 
+/// Time for which a server that is silent stays so.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Times that a caller takes its stream up before it gives up.
 const TAKE_UPS: usize = 4;
 
@@ -1050,6 +1053,82 @@
     assert_eq!(resumed_runs(&bench.old[1..]), 0, "runs at the new version");
 }
 
+/// Guards against a stream that goes on at such a server because that is silent and does not say that it has
+/// started again.
+#[rstest]
+#[case::within_an_answer(false)]
+#[case::taken_up(true)]
+#[tokio::test]
+async fn stream_does_not_go_on_at_a_silent_server_that_started_again_at_another_version(
+    #[case] is_taken_up: bool,
+) {
+    let (bench, mut callers) = start_with_restarted().await;
+    bench.old[1].fall_silent(SILENCE);
+
+    bench.old[0].close();
+    match is_taken_up {
+        false => drop(join_all(callers.iter_mut().map(Caller::finish)).await),
+        true => {
+            callers.iter_mut().for_each(Caller::leave);
+            take_up_at(&bench, &mut callers, 1).await;
+        }
+    }
+
+    assert_not_joined(&callers);
+    assert_eq!(resumed_runs(&bench.old[1..]), 0, "runs at the new version");
+}
+
+/// Guards against a stream that began at such a server, and then goes on at the version that was registered.
+#[tokio::test]
+async fn stream_that_began_at_a_silent_server_that_started_again_goes_on_at_no_other_version() {
+    const STREAMS: usize = 6;
+    let bench = Bench::start(1, 2, 0).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    bench.old[1].restart_at("v2");
+    bench.old[1].fall_silent(SILENCE);
+    let address = bench.callers_address(0);
+    let mut callers: Vec<Caller> = (0..STREAMS).map(caller).collect();
+
+    join_all(callers.iter_mut().map(|caller| caller.begin(address, 1))).await;
+    bench.old[1].close();
+    join_all(callers.iter_mut().map(Caller::finish)).await;
+
+    assert_eq!(begun(&callers), STREAMS);
+    assert_eq!(versions_begun(&callers, "v2"), 0);
+    assert_not_joined(&callers);
+}
+
+/// Guards against streams that go on nowhere, because a sound server of their version is silent for a second and
+/// is not known to be the process that is registered.
+#[rstest]
+#[case::within_an_answer(false)]
+#[case::taken_up(true)]
+#[tokio::test]
+async fn stream_goes_on_at_a_sound_server_that_was_silent(#[case] is_taken_up: bool) {
+    const STREAMS: usize = 6;
+    let bench = Bench::start(2, 2, 0).await;
+    let mut callers: Vec<Caller> = (0..STREAMS).map(caller).collect();
+    let address = bench.callers_address(0);
+    join_all(callers.iter_mut().map(|caller| caller.begin(address, 1))).await;
+    bench.register(&bench.old);
+    sleep(IN_FORCE / 2).await;
+    bench.set_latency(QUICK);
+    bench.old[1].fall_silent(SILENCE);
+
+    bench.old[0].close();
+    match is_taken_up {
+        false => drop(join_all(callers.iter_mut().map(Caller::finish)).await),
+        true => {
+            callers.iter_mut().for_each(Caller::leave);
+            bench.take_up(&mut callers, 0).await;
+        }
+    }
+
+    assert_not_joined(&callers);
+    assert_eq!(whole(&callers), STREAMS);
+}
+
 /// Guards against the former version of such a server in the origins of streams that begin there, which
 /// then go on elsewhere at a version that they did not begin at. No store knows the new version before
 /// the registration names it, so no stream begins there until then, with and without connections that
