relay: a take-up is not answered with what is no stream

Cause: only streams that the gateway itself resumes were checked for their type; a 200 that is no event stream was passed on as a plain answer.

Change: a success that is no event stream is a failed attempt of a take-up.

--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -596,10 +596,23 @@
         }
     }
 
-    async fn respond(self, exchange: Exchange) -> Response<Body> {
+    async fn respond(mut self, exchange: Exchange) -> Response<Body> {
         if exchange.is_stream() {
             return stream::respond(self, exchange).await;
         }
+        if self.version.is_some() && exchange.parts.status.is_success() {
+            // The caller would take it for the rest of the stream.
+            log::warn!(
+                request = self.request.head.id.as_str(),
+                backend_server = exchange.member.id.as_str();
+                "backend server did not go on with the stream: its response is none"
+            );
+            exchange.record_failure();
+            self.excluded.push(exchange.member.id.clone());
+            drop(exchange);
+            let step = self.dispatch.fail(SendFailure::Failed);
+            return self.resend_or_fail(step).await;
+        }
         let read = tokio::select! {
             biased;
             read = exchange.read_body(&self.context.response_buffers) => read,
@@ -630,6 +643,10 @@
                 step = Step::Fail;
             }
         }
+        self.resend_or_fail(step).await
+    }
+
+    async fn resend_or_fail(self, step: Step) -> Response<Body> {
         match step {
             Step::Resend => Box::pin(self.run()).await,
             Step::Refuse | Step::Fail => self.refuse(Cause::BackendServer),
