gateway: a start after a restoration of the store proves no key

Cause: the first era that a process observed counted as settled, and its first configuration as proved. An era above 0 tells of a restoration, perhaps a moment ago.

Change: the first answer with an era above 0 begins the same 2.2 s as one whose era has risen, and the first configuration is proved only after them.

With an era of 0 the first read is proof as before (core cached_config).

--- a/core/src/cached_config.rs
+++ b/core/src/cached_config.rs
@@ -67,11 +67,13 @@
 }
 
 impl<T> CachedConfig<T> {
-    /// The first configuration that a process reads; confirmations are valid for `max_age`. An
-    /// earlier state of the store is unknown to the process, so the read always counts as proof.
+    /// The first configuration that a process reads; confirmations are valid for `max_age`. The read proves
+    /// that it is the newest one only if the store had settled.
     pub fn new(reading: Reading<T>, max_age: Duration) -> Self {
         let mut freshness = Freshness::new(max_age);
-        freshness.confirm(reading.sent);
+        if reading.is_settled {
+            freshness.confirm(reading.sent);
+        }
         Self {
             value: Arc::new(reading.value),
             version: reading.version,
--- a/core/src/revision.rs
+++ b/core/src/revision.rs
@@ -35,7 +35,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EraObserver {
     latest: Option<u64>,
-    /// When the latest era was first observed, if the process has observed an earlier one.
+    /// When the latest era was first observed, if the store has ever been restored.
     risen: Option<BootTime>,
 }
 
@@ -48,7 +48,8 @@
         }
     }
 
-    /// Records the era of a response that arrived at `now`.
+    /// Records the era of a response that arrived at `now`. If the first one that a process observes tells of
+    /// a restoration, that may have been a moment ago.
     pub fn observe(&mut self, era: u64, now: BootTime) -> EraChange {
         match self.latest {
             Some(latest) if era < latest => EraChange::Ended,
@@ -57,8 +58,10 @@
                 self.risen = Some(now);
                 EraChange::Risen
             }
-            _ => {
+            Some(_) => EraChange::None,
+            None => {
                 self.latest = Some(era);
+                self.risen = (era > 0).then_some(now);
                 EraChange::None
             }
         }
--- a/core/tests/cached_config.rs
+++ b/core/tests/cached_config.rs
@@ -322,3 +322,31 @@
 
     assert!(updated.is_usable(BootTime(60_000)));
 }
+
+/// Guards against a process that starts soon after a restoration of the store and takes an older configuration
+/// for the newest one.
+#[test]
+fn first_read_of_a_store_that_was_restored_is_no_proof_until_it_has_settled() {
+    let mut eras = EraObserver::new();
+    eras.observe(1, BootTime(1_000));
+    let is_settled = |sent| eras.is_settled(BootTime(sent));
+
+    let early = CachedConfig::new(reading(1, 5, 1, 1_000, is_settled(1_000)), MAX_AGE);
+    let late = early.confirmed(early.revision, BootTime(3_300), MAX_AGE);
+
+    assert!(!is_settled(1_000) && is_settled(3_300));
+    assert!(!early.freshness.is_fresh(BootTime(1_001)));
+    assert!(late.freshness.is_fresh(BootTime(3_301)));
+}
+
+/// Guards against a process that does not accept keys at its start, although the store was never restored.
+#[test]
+fn first_read_of_a_store_that_was_never_restored_is_proof() {
+    let mut eras = EraObserver::new();
+    eras.observe(0, BootTime(1_000));
+
+    let first = reading(0, 5, 1, 1_000, eras.is_settled(BootTime(1_000)));
+    let cached = CachedConfig::new(first, MAX_AGE);
+
+    assert!(cached.freshness.is_fresh(BootTime(1_001)));
+}
--- a/testbed/tests/gateway.rs
+++ b/testbed/tests/gateway.rs
@@ -702,6 +702,41 @@
     assert_eq!(total_runs(&bench.plains), 0);
 }
 
+/// Guards against a gateway that starts while the store is back from an older copy, and accepts a key that was
+/// taken away before.
+#[tokio::test]
+async fn gateway_that_starts_after_a_restoration_accepts_no_key_that_was_taken_away() {
+    const WRITTEN_AGAIN: Duration = Duration::from_millis(1_500);
+    let bench = start().await;
+    let copy = bench.site.store.copy();
+    let without = Configuration::default()
+        .with("/tenants/0/api_keys", json!(["another"]))
+        .with("/version", json!(9));
+    bench.site.configure(&without);
+    sleep(IN_FORCE).await;
+
+    bench.site.store.restore(copy);
+    let started = Instant::now();
+    let second = bench.site.gateway("two").expect("starts");
+    let mut statuses = BTreeSet::new();
+    let mut is_written = false;
+    while started.elapsed() < WRITTEN_AGAIN + SETTLED {
+        if !is_written && started.elapsed() > WRITTEN_AGAIN {
+            bench.site.configure(&without);
+            is_written = true;
+        }
+        let id = format!("k-{}", started.elapsed().as_millis());
+        let answer = second.call("/status/1", &id).await;
+        statuses.extend(answer.ok().map(|answer| answer.status()));
+        sleep(Duration::from_millis(50)).await;
+    }
+    let is_ready = second.wait_ready(true).await;
+
+    assert_eq!(total_runs(&bench.plains), 0, "{statuses:?}");
+    assert!(statuses.contains(&401), "{statuses:?}");
+    assert!(is_ready, "not ready after the store has settled");
+}
+
 #[tokio::test]
 async fn server_that_leaves_gets_nothing_after_the_store_has_forgotten_it() {
     let bench = start().await;
