--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -11,13 +11,9 @@
         http::body,
     },
     bytes::Bytes,
-    gotham::hyper::{
-        Method, Request, StatusCode,
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-        http::response::Parts,
-    },
+    gotham::hyper::{Method, Request, StatusCode, header::CONTENT_LENGTH, http::response::Parts},
     http_body_util::Full,
-    hyper::body::{Body as _, Incoming},
+    hyper::body::Incoming,
     std::{
         io::{self, ErrorKind},
         pin::Pin,
@@ -297,11 +293,8 @@
             return Err(ExchangeError::SendFailure(failure));
         }
         let idle_timeout = response::keep_alive_timeout(response.headers(), DEFAULT_IDLE_TIMEOUT);
+        let is_framed = body::is_framed(&response);
         let (mut parts, body) = response.into_parts();
-        let is_framed = body.is_end_stream()
-            || [CONTENT_LENGTH, TRANSFER_ENCODING]
-                .iter()
-                .any(|name| parts.headers.contains_key(name));
         if parts.status != StatusCode::OK || !body::is_event_stream(&parts.headers) {
             in_flight.record_first_event();
         }
--- a/daemon/src/http/body.rs
+++ b/daemon/src/http/body.rs
@@ -37,6 +37,14 @@
     }
 }
 
+/// Whether a response tells its end by a length or by chunks, or has no body. Any other one ends with its
+/// connection.
+pub fn is_framed<B: hyper::body::Body>(response: &Response<B>) -> bool {
+    let framing = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let headers = response.headers();
+    response.body().is_end_stream() || framing.iter().any(|name| headers.contains_key(name))
+}
+
 /// Creates a body from bytes in memory.
 pub fn full(bytes: impl Into<Bytes>) -> Body {
     Full::new(bytes.into())
--- a/daemon/src/sidecar/exchange.rs
+++ b/daemon/src/sidecar/exchange.rs
@@ -8,15 +8,15 @@
     super::{
         backend_server::BackendServer, budget::Share, dispatch::Command, response_buffer::Chunk,
     },
-    crate::{channel::BoundedSender, clock::Clock, http::body::is_event_stream},
+    crate::{
+        channel::BoundedSender,
+        clock::Clock,
+        http::body::{self, is_event_stream},
+    },
     bytes::Bytes,
     futures_util::StreamExt as _,
     http_body_util::BodyExt as _,
-    hyper::{
-        Response,
-        body::{Body as _, Incoming},
-        header::{CONTENT_LENGTH, TRANSFER_ENCODING},
-    },
+    hyper::{Response, body::Incoming},
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{
         failure::{Failure, Reason},
@@ -129,10 +129,7 @@
     }
 
     async fn relay_bytes(&self, response: Response<Incoming>) -> Result<(), ReceiverClosed> {
-        let is_framed = response.body().is_end_stream()
-            || [CONTENT_LENGTH, TRANSFER_ENCODING]
-                .iter()
-                .any(|name| response.headers().contains_key(name));
+        let is_framed = body::is_framed(&response);
         let mut data = response.into_body().into_data_stream();
         while let Some(item) = data.next().await {
             match item {
