probe: a connection that is reset at once is tried again

Its process closed the connection before its listener, so the probe was accepted and then reset, which counts as "no room" and not as "ended".

Change: after a reset the server is asked once more. One that has ended refuses then; one without room resets again and does not count as ended.

--- a/daemon/src/gateway/pool.rs
+++ b/daemon/src/gateway/pool.rs
@@ -205,7 +205,7 @@
             }
         };
         self.probe(member)
-            .is_refused(open(member.address), is_closed, with_opened)
+            .is_refused(|| open(member.address), is_closed, with_opened)
             .await
     }
 
--- a/daemon/src/http/probe.rs
+++ b/daemon/src/http/probe.rs
@@ -50,15 +50,25 @@
 
     /// Whether the server refuses new connections from now on: no process listens any more. A server that
     /// closes them, or does not answer, may have no room for them. What was opened is passed to `with_opened`.
-    pub async fn is_refused<T>(
+    pub async fn is_refused<T, F>(
         &self,
-        open: impl Future<Output = io::Result<T>>,
+        open: impl Fn() -> F,
         is_closed: impl Fn(&T) -> bool,
-        with_opened: impl FnOnce(io::Result<T>),
-    ) -> bool {
-        let asked = Instant::now();
-        let is_valid = |last: Outcome| last.started >= asked;
-        let result = self.run(is_valid, open, is_closed, with_opened).await;
+        with_opened: impl Fn(io::Result<T>),
+    ) -> bool
+    where
+        F: Future<Output = io::Result<T>>,
+    {
+        let probe = async || {
+            let asked = Instant::now();
+            let is_valid = |last: Outcome| last.started >= asked;
+            self.run(is_valid, open(), &is_closed, &with_opened).await
+        };
+        let result = match probe().await {
+            // A process that ends may close its connections before its listener, which then resets the new one.
+            Err(ErrorKind::ConnectionReset) => probe().await,
+            result => result,
+        };
         result == Err(ErrorKind::ConnectionRefused)
     }
 
--- a/daemon/src/sidecar/backend_server.rs
+++ b/daemon/src/sidecar/backend_server.rs
@@ -95,7 +95,9 @@
 
     /// Whether the backend server, which has just closed a connection, refuses new ones, and so has ended.
     pub async fn has_ended(&self) -> bool {
-        self.probe.is_refused(self.open(), is_closed, |_| {}).await
+        self.probe
+            .is_refused(|| self.open(), is_closed, |_| {})
+            .await
     }
 
     async fn open(&self) -> io::Result<TcpStream> {
