testbed: observe the calls after cut watches for longer

The pauses of a gateway are reduced by a jitter of up to half, so ten seconds of one gateway could exceed the bound that follows from the store's limit by chance (4.0 calls a second on average, 4.6 allowed). The bound stays; it is now taken over twenty seconds, after the first pauses.

--- a/testbed/tests/store_watches.rs
+++ b/testbed/tests/store_watches.rs
@@ -161,10 +161,10 @@
 /// Guards against a gateway that calls the store without a pause when its watches are cut at once.
 ///
 /// The store allows all gateways 2,000 reading calls a second. 360 gateways make 350 for other purposes, and
-/// need six pages to read 2,600 registrations.
+/// need six pages to read 2,600 registrations. The pauses of a gateway vary, so it is observed for some of them.
 #[tokio::test]
 async fn watches_that_are_cut_at_once_cost_few_calls() {
-    const OBSERVED_S: u64 = 10;
+    const OBSERVED_S: u64 = 20;
     const PAGES: u64 = 6;
     const MOST_CALLS: u64 = (2_000 - 350) * OBSERVED_S / 360;
     let bench = start(1, Duration::from_millis(5)).await;
@@ -172,7 +172,7 @@
         let calls = |kind| bench.site.store.calls(kind);
         calls(Call::Watch) + PAGES * calls(Call::Read)
     };
-    sleep(Duration::from_secs(2)).await;
+    sleep(Duration::from_secs(4)).await;
 
     let before = calls();
     sleep(Duration::from_secs(OBSERVED_S)).await;
