sidecar: bound the comments before an event

Cause: the bound of an event left comments out, so that a busy engine could send them for long; the parser reads each of them.

Change: 64 KiB of comments before an event, as for interim responses; one a second for an hour stays below.

--- a/daemon/src/sidecar/exchange/stream.rs
+++ b/daemon/src/sidecar/exchange/stream.rs
@@ -29,6 +29,10 @@
 /// Longest event, in bytes, without comments. The final event repeats the text of the response.
 const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
+/// Most bytes of comments before the next event. An engine that sends one now and then while it is busy stays
+/// far below that.
+const MAX_COMMENT_BYTES: usize = 64 * 1024;
+
 /// An event to forward.
 pub struct ForwardedEvent {
     /// The encoded event.
@@ -143,8 +147,10 @@
     /// The connection broke.
     #[display("{_0}")]
     Broken(hyper::Error),
-    /// An event is too long.
-    #[display("an event is longer than {MAX_EVENT_BYTES} bytes")]
+    /// An event is too long, or there are too many comments before it.
+    #[display(
+        "an event is longer than {MAX_EVENT_BYTES} bytes, or the comments before it than {MAX_COMMENT_BYTES}"
+    )]
     TooLong,
 }
 
@@ -167,13 +173,16 @@
 }
 
 /// Divides a body of events at the ends of its lines. The parser keeps the lines of an event and begins an
-/// incomplete line anew with each part of it, so an event without end would take all memory and time.
+/// incomplete line anew with each part of it, so an event without end would take all memory and time. Comments
+/// without end would take all time.
 #[derive(Debug, Default)]
 pub struct Lines {
     /// The incomplete line.
     line: BytesMut,
     /// Bytes of the complete lines of the incomplete event.
     event_bytes: usize,
+    /// Bytes of the comments since the last event.
+    comment_bytes: usize,
     /// Whether the last byte was a carriage return, after which a line feed ends no other line.
     is_after_return: bool,
 }
@@ -184,7 +193,8 @@
         Self::default()
     }
 
-    /// Appends bytes and returns the lines that are now complete; `None` if the event is too long.
+    /// Appends bytes and returns the lines that are now complete; `None` if the event or the comments before it
+    /// are too long.
     pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
         let mut complete = BytesMut::new();
         for part in bytes.split_inclusive(|byte| matches!(byte, b'\r' | b'\n')) {
@@ -193,7 +203,8 @@
                 self.end_line(*end);
                 complete.unsplit(self.line.split());
             }
-            if self.event_bytes + self.line.len() > MAX_EVENT_BYTES {
+            let is_event_too_long = self.event_bytes + self.line.len() > MAX_EVENT_BYTES;
+            if is_event_too_long || self.comment_bytes > MAX_COMMENT_BYTES {
                 return None;
             }
         }
@@ -205,9 +216,12 @@
         match self.line.as_ref() {
             [b'\n'] if is_second => {}
             [_] => self.event_bytes = 0,
-            // A comment, which the parser drops.
-            [b':', ..] => {}
-            line => self.event_bytes += line.len(),
+            // The parser drops comments.
+            [b':', ..] => self.comment_bytes += self.line.len(),
+            line => {
+                self.event_bytes += line.len();
+                self.comment_bytes = 0;
+            }
         }
     }
 }
