admission: order equally urgent requests by slot time for their worth

Under overload the queue of a gateway ordered requests of a rank and stage by time left only, whatever slot time they take.

core::admission::sizes orders them by predicted slot time relative to worth, in steps of a quarter octave. Requests of the largest tenth of a route, or of the fifth below it, go first while their class got less than half of the route's share within 4 s, apart from one request. Enabled with two or more organisations in the configuration; otherwise the order is the former one.

--- /dev/null
+++ b/core/src/admission.rs
@@ -0,0 +1,84 @@
+//! Admission under overload: in which order requests of the same urgency get the slots of a service.
+//!
+//! The order of ranks and stages ([`crate::wait_queue`]) comes first. Each router decides for the
+//! requests that wait at it.
+
+mod sizes;
+mod window;
+
+pub use self::sizes::{Class, Sizes};
+
+use {
+    crate::{rendezvous, time::Timestamp},
+    std::time::Duration,
+};
+
+/// Weight of an output token in the size of a request; a prompt token has a weight of one.
+const OUTPUT_TOKEN_WEIGHT: f64 = 10.0;
+
+/// Attributes of a request that decide between requests of the same urgency.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Subject {
+    /// Hash of the organisation's name.
+    pub organisation: u64,
+    /// Hash of the name of the route.
+    pub kind: u64,
+    /// Weighted number of tokens; zero if the request states none.
+    pub size: f64,
+}
+
+/// Position among the requests of a rank and stage; the smaller is served first.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Precedence {
+    /// Whether its size class gets at least the least part of its kind's share.
+    pub is_class_served: bool,
+    /// Steps of the predicted slot time relative to the worth.
+    pub cost: i32,
+}
+
+/// Admission to one service at one router.
+#[derive(Debug, Default)]
+pub struct Admission {
+    sizes: Sizes,
+}
+
+impl Subject {
+    /// Creates the subject of a request from the names of its organisation and route, and its prompt
+    /// and expected output in tokens.
+    pub fn new(organisation: &str, route: &str, prompt: u32, output: u32) -> Self {
+        Self {
+            organisation: rendezvous::hash(organisation),
+            kind: rendezvous::hash(route),
+            size: f64::from(prompt) + OUTPUT_TOKEN_WEIGHT * f64::from(output),
+        }
+    }
+}
+
+impl Admission {
+    /// Creates the state of a router that has had no requests.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Records a request that asks for a slot.
+    pub fn record_arrival(&mut self, subject: Subject, is_retry: bool, now: Timestamp) {
+        self.sizes.record_arrival(subject, is_retry, now);
+    }
+
+    /// Records a request that got a slot.
+    pub fn record_start(&mut self, subject: Subject, now: Timestamp) {
+        self.sizes.record_start(subject, now);
+    }
+
+    /// Position of a waiting request with the predicted slot time.
+    pub fn precedence(&self, subject: Subject, slot_time: Duration, now: Timestamp) -> Precedence {
+        let cost = match self.sizes.is_class_served(subject, now) {
+            true => Some(self.sizes.cost(subject, slot_time)),
+            false => None,
+        };
+        Precedence {
+            is_class_served: cost.is_some(),
+            cost: cost.unwrap_or_default(),
+        }
+    }
+}
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -196,6 +196,13 @@
     unregistered: statement::Unregistered,
 }
 
+impl Estimate {
+    /// Time for which the request occupies its slot.
+    pub fn slot_time(&self) -> Duration {
+        self.total.saturating_sub(self.wait)
+    }
+}
+
 impl Choice {
     /// The load that the request adds to the chosen backend server.
     pub fn request_load(&self, prompt: u32) -> RequestLoad {
@@ -538,6 +545,14 @@
             .min()
     }
 
+    /// Shortest predicted time for which the request occupies a slot, over all candidates. `None` if
+    /// there is no candidate.
+    pub fn min_slot_time(&self, demand: &Demand, now: Timestamp) -> Option<Duration> {
+        self.candidates(demand, now)
+            .map(|server| server.estimate(demand, now).slot_time())
+            .min()
+    }
+
     /// Fraction of a service's slots that are in use by all routers; `None` if it has no slots.
     pub fn utilisation(&self, service: &str, now: Timestamp) -> Option<f64> {
         let mut used = 0;
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -5,6 +5,7 @@
 //! is reproducible in tests.
 
 pub mod address;
+pub mod admission;
 pub mod attempt;
 pub mod batch_limit;
 pub mod breaker;
--- a/core/src/wait_queue.rs
+++ b/core/src/wait_queue.rs
@@ -94,10 +94,20 @@
 
     /// Numbers of the waiting requests in the order in which they are served.
     pub fn order(&self, now: Timestamp) -> Vec<u64> {
+        self.order_by(now, |_| ())
+    }
+
+    /// The same order, but requests of the same rank and stage are ordered by `precedence` first. Those
+    /// that go on with a stream are not.
+    pub fn order_by<P: Ord>(&self, now: Timestamp, precedence: impl Fn(&T) -> P) -> Vec<u64> {
         let mut order: Vec<_> = self
             .waiting
             .iter()
-            .map(|(number, (key, _))| (key.sort_key(*number, now), *number))
+            .map(|(number, (key, request))| {
+                let (urgency, latest_first, number) = key.sort_key(*number, now);
+                let precedence = (urgency.stage != Stage::Resumed).then(|| precedence(request));
+                ((urgency, precedence, latest_first, number), number)
+            })
             .collect();
         order.sort_unstable();
         order.into_iter().map(|(_, number)| number).collect()
--- /dev/null
+++ b/core/tests/admission.rs
@@ -0,0 +1,410 @@
+//! Admission under overload: who gets a slot, compared with the order by time left alone.
+
+use {
+    rand::{Rng as _, SeedableRng as _, rngs::SmallRng, seq::SliceRandom as _},
+    rstest::rstest,
+    std::time::Duration,
+    tamarackdale_core::{
+        admission::{Admission, Subject},
+        tier::Rank,
+        time::Timestamp,
+        wait_policy,
+        wait_queue::{SchedulingKey, WaitQueue},
+    },
+};
+
+const SLOTS: usize = 60;
+const MEAN_SLOT_MS: f64 = 400.0;
+const OBJECTIVE: Duration = Duration::from_millis(1_200);
+const TIMEOUT: Duration = Duration::from_secs(8);
+const ORGANISATIONS: usize = 20;
+
+/// Largest size relative to the smallest.
+const SIZE_FACTOR: f64 = 20.0;
+
+/// Part of the slot time until the first event.
+const FIRST_PART: f64 = 0.2;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Order {
+    /// By time left, as without admission control.
+    TimeLeft,
+    Admission,
+}
+
+/// Requests per second relative to the room, and at which gateways and organisations they arrive.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    base: f64,
+    peak: f64,
+    /// Begin and length of the peak, in milliseconds.
+    peak_at: (u64, u64),
+    /// Factor of the first organisation during the peak.
+    organisation_factor: f64,
+    gateways: &'static [f64],
+    length_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    subject: Subject,
+    size: f64,
+    slot_ms: u64,
+    first_accepted: u64,
+    accepted: u64,
+    deadline: u64,
+    is_retry: bool,
+}
+
+/// How a caller ended.
+#[derive(Clone, Copy, Debug)]
+struct End {
+    caller: Caller,
+    gateway: usize,
+    is_served: bool,
+    is_on_time: bool,
+    worth: f64,
+}
+
+#[derive(Debug, Default)]
+struct Ends(Vec<End>);
+
+struct Gateway {
+    queue: WaitQueue<(Caller, u64)>,
+    admission: Admission,
+}
+
+fn at(millis: u64) -> Timestamp {
+    Timestamp::from_millis(millis)
+}
+
+impl Ends {
+    fn share(&self, of: impl Fn(&End) -> bool) -> f64 {
+        let (mut all, mut served) = (0, 0);
+        for end in self.0.iter().filter(|end| of(end)) {
+            all += 1;
+            served += usize::from(end.is_served);
+        }
+        f64::from(served as u32) / f64::from(all.max(1) as u32)
+    }
+
+    fn served(&self) -> usize {
+        self.0.iter().filter(|end| end.is_served).count()
+    }
+
+    fn on_time(&self) -> usize {
+        self.0.iter().filter(|end| end.is_on_time).count()
+    }
+
+    fn worth(&self) -> f64 {
+        self.0.iter().map(|end| end.worth).sum()
+    }
+}
+
+/// Worth of an answer, and the part of it that a refusal after `elapsed` of the caller's time costs.
+fn worth(size: f64) -> f64 {
+    (0.3 + 0.7 * size).min(4.0)
+}
+
+fn refusal_cost(elapsed_ms: u64) -> f64 {
+    let free = OBJECTIVE.as_millis() as f64 / 8.0;
+    let whole = TIMEOUT.as_millis() as f64 * 0.75;
+    ((elapsed_ms as f64 - free) / (whole - free)).clamp(0.0, 1.0)
+}
+
+struct Run {
+    order: Order,
+    random: SmallRng,
+    gateways: Vec<Gateway>,
+    running: Vec<(u64, usize)>,
+    ends: Ends,
+}
+
+impl Run {
+    fn key(&self, caller: &Caller) -> SchedulingKey {
+        let first = Duration::from_millis((caller.slot_ms as f64 * FIRST_PART) as u64);
+        SchedulingKey {
+            rank: Rank(0),
+            is_resumed: false,
+            is_retry: caller.is_retry,
+            on_time_until: wait_policy::on_time_until(at(caller.accepted), OBJECTIVE, first),
+        }
+    }
+
+    fn arrive(&mut self, caller: Caller, gateway: usize, now: u64) {
+        let key = self.key(&caller);
+        let wait_until = wait_policy::wait_deadline(at(caller.accepted), at(caller.deadline));
+        let own = &mut self.gateways[gateway];
+        own.admission
+            .record_arrival(caller.subject, caller.is_retry, at(now));
+        own.queue
+            .insert(key, (caller, wait_until.as_micros() / 1_000));
+        self.place(gateway, now);
+    }
+
+    /// Places requests that wait at the gateway in the free slots.
+    fn place(&mut self, gateway: usize, now: u64) {
+        if self.running.len() >= SLOTS || self.gateways[gateway].queue.is_empty() {
+            return;
+        }
+        for number in self.order(gateway, now) {
+            if self.running.len() >= SLOTS {
+                return;
+            }
+            let own = &mut self.gateways[gateway];
+            let (caller, _) = own.queue.remove(number).expect("it waits");
+            own.admission.record_start(caller.subject, at(now));
+            // Predictions are wrong by up to a half either way.
+            let actual = caller.slot_ms as f64 * self.random.random_range(0.5..1.5);
+            self.running.push((now + actual as u64, gateway));
+            let first = now + (actual * FIRST_PART) as u64;
+            let is_served = now + actual as u64 <= caller.deadline;
+            let objective = OBJECTIVE.as_millis() as u64;
+            self.ends.0.push(End {
+                caller,
+                gateway,
+                is_served,
+                is_on_time: is_served && first <= caller.first_accepted + objective,
+                worth: if is_served {
+                    worth(caller.size)
+                } else {
+                    -worth(caller.size)
+                },
+            });
+        }
+    }
+
+    fn order(&self, gateway: usize, now: u64) -> Vec<u64> {
+        let own = &self.gateways[gateway];
+        match self.order {
+            Order::TimeLeft => own.queue.order(at(now)),
+            Order::Admission => own.queue.order_by(at(now), |(caller, _)| {
+                let slot_time = Duration::from_millis(caller.slot_ms);
+                own.admission.precedence(caller.subject, slot_time, at(now))
+            }),
+        }
+    }
+
+    /// Frees the slots of requests that end; the gateway of each uses it first, then any other.
+    fn free(&mut self, now: u64) {
+        let ended: Vec<usize> = self
+            .running
+            .extract_if(.., |(end, _)| *end <= now)
+            .map(|(_, gateway)| gateway)
+            .collect();
+        for owner in ended {
+            let mut candidates: Vec<usize> = (0..self.gateways.len()).collect();
+            candidates.shuffle(&mut self.random);
+            // Less urgent requests leave the slot to peers; of equally urgent ones the owner's go first.
+            let urgency = |gateway: usize| {
+                let keys = self.gateways[gateway].queue.iter();
+                keys.map(|(key, _)| key.urgency(at(now))).min()
+            };
+            let next = candidates
+                .into_iter()
+                .filter_map(|gateway| Some((urgency(gateway)?, gateway != owner, gateway)))
+                .min_by_key(|(urgency, is_other, _)| (*urgency, *is_other));
+            if let Some((_, _, gateway)) = next {
+                self.place(gateway, now);
+            }
+        }
+    }
+
+    /// Refuses those whose wait is over, and returns the callers that come again, with the time.
+    fn refuse(&mut self, now: u64) -> Vec<(u64, Caller)> {
+        let mut returns = Vec::new();
+        for gateway in 0..self.gateways.len() {
+            let own = &mut self.gateways[gateway];
+            let waiting = own.queue.order(at(now));
+            for number in waiting {
+                let (_, (caller, until)) = *own
+                    .queue
+                    .get(number)
+                    .map(|(key, it)| (key, it))
+                    .as_ref()
+                    .expect("it waits");
+                if *until > now {
+                    continue;
+                }
+                let caller = *caller;
+                own.queue.remove(number);
+                let left = caller.deadline.saturating_sub(now);
+                if caller.is_retry || left == 0 {
+                    let elapsed = now - caller.first_accepted;
+                    self.ends.0.push(End {
+                        caller,
+                        gateway,
+                        is_served: false,
+                        is_on_time: false,
+                        worth: -worth(caller.size) * refusal_cost(elapsed),
+                    });
+                    continue;
+                }
+                let random = self.random.random();
+                let delay = wait_policy::retry_after(Duration::from_millis(left), random);
+                let again = now + delay.as_millis() as u64;
+                let caller = Caller {
+                    is_retry: true,
+                    accepted: again,
+                    ..caller
+                };
+                returns.push((again, caller));
+            }
+        }
+        returns
+    }
+}
+
+fn run(load: &Load, order: Order, seed: u64) -> Ends {
+    let mut arrivals = SmallRng::seed_from_u64(seed);
+    let mut run = Run {
+        order,
+        random: SmallRng::seed_from_u64(seed + 1),
+        gateways: load
+            .gateways
+            .iter()
+            .map(|_| Gateway {
+                queue: WaitQueue::new(),
+                admission: Admission::new(),
+            })
+            .collect(),
+        running: Vec::new(),
+        ends: Ends::default(),
+    };
+    let mean_size = (SIZE_FACTOR - 1.0) / SIZE_FACTOR.ln();
+    let total: f64 = load.gateways.iter().sum();
+    let mut returns: Vec<(u64, Caller)> = Vec::new();
+    for now in 0..load.length_ms + 10_000 {
+        run.free(now);
+        returns.extend(run.refuse(now));
+        let mut due: Vec<(u64, Caller)> =
+            returns.extract_if(.., |(again, _)| *again <= now).collect();
+        let is_peak = now >= load.peak_at.0 && now < load.peak_at.0 + load.peak_at.1;
+        let factor = if is_peak { load.peak } else { load.base };
+        for organisation in 0..ORGANISATIONS {
+            let factor = match organisation == 0 && is_peak {
+                true => factor * load.organisation_factor,
+                false => factor,
+            };
+            let rate = SLOTS as f64 / MEAN_SLOT_MS / ORGANISATIONS as f64 * factor;
+            if now < load.length_ms && arrivals.random::<f64>() < rate {
+                let size = SIZE_FACTOR.powf(arrivals.random()) / mean_size;
+                let tokens = (size * 1_000.0) as u32;
+                due.push((
+                    now,
+                    Caller {
+                        subject: Subject::new(&format!("o{organisation}"), "chat", tokens, 0),
+                        size,
+                        slot_ms: (size * MEAN_SLOT_MS) as u64,
+                        first_accepted: now,
+                        accepted: now,
+                        deadline: now + TIMEOUT.as_millis() as u64,
+                        is_retry: false,
+                    },
+                ));
+            }
+        }
+        for (_, caller) in due {
+            let mut point = run.random.random::<f64>() * total;
+            let gateway = load.gateways.iter().position(|part| {
+                point -= part;
+                point < 0.0
+            });
+            run.arrive(caller, gateway.unwrap_or_default(), now);
+        }
+    }
+    run.ends
+}
+
+/// Ends of the callers of several runs.
+fn runs(load: &Load, order: Order) -> Ends {
+    let ends = (1..=SEEDS).map(|seed| run(load, order, seed * 100));
+    Ends(ends.flat_map(|ends| ends.0).collect())
+}
+
+fn relative_size(quantile: f64) -> f64 {
+    SIZE_FACTOR.powf(quantile) * SIZE_FACTOR.ln() / (SIZE_FACTOR - 1.0)
+}
+
+const SEEDS: u64 = 4;
+
+/// A service at 1.3 times its capacity for 30 s, with sizes over a factor of 20.
+const SUSTAINED: Load = Load {
+    base: 1.3,
+    peak: 1.3,
+    peak_at: (0, 0),
+    organisation_factor: 1.0,
+    gateways: &[1.0; 6],
+    length_ms: 30_000,
+};
+
+/// A burst of 2.2 times the room for 2.5 s.
+const BURST: Load = Load {
+    base: 0.85,
+    peak: 2.2,
+    peak_at: (2_000, 2_500),
+    length_ms: 10_000,
+    ..SUSTAINED
+};
+
+/// Two gateways of very different strength under the sustained overload.
+const UNEVEN: Load = Load {
+    gateways: &[8.0, 1.0],
+    ..SUSTAINED
+};
+
+/// Guards against an order by which fewer callers are served, or served in time, than by the order by
+/// time left.
+#[rstest]
+#[case::burst(BURST)]
+#[case::sustained(SUSTAINED)]
+#[case::uneven_gateways(UNEVEN)]
+fn order_by_size_serves_more_callers(#[case] load: Load) {
+    let before = runs(&load, Order::TimeLeft);
+    let with = runs(&load, Order::Admission);
+
+    let figures = |ends: &Ends| {
+        (
+            ends.0.len(),
+            ends.on_time(),
+            ends.served(),
+            ends.worth() as i64,
+        )
+    };
+    println!(
+        "all, in time, served, worth: {:?} before, {:?} now",
+        figures(&before),
+        figures(&with)
+    );
+    assert!(with.on_time() > before.on_time());
+    assert!(with.served() > before.served());
+    assert!(with.worth() > 0.99 * before.worth());
+}
+
+/// Guards against large requests that are hardly ever served because smaller ones always go first.
+#[rstest]
+#[case::burst(BURST)]
+#[case::sustained(SUSTAINED)]
+#[case::uneven_gateways(UNEVEN)]
+fn large_requests_are_served_at_least_half_as_often(#[case] load: Load) {
+    let ends = runs(&load, Order::Admission);
+
+    let of_all = ends.share(|_| true);
+    let is_large = |end: &End| (relative_size(0.7)..relative_size(0.9)).contains(&end.caller.size);
+    let large = ends.share(is_large);
+    let largest = ends.share(|end| end.caller.size >= relative_size(0.9));
+    println!("served: {of_all:.2} of all, {large:.2} of large, {largest:.2} of largest");
+    assert!(large >= 0.5 * of_all);
+    assert!(largest >= 0.5 * of_all);
+}
+
+/// Guards against a weaker gateway at which callers are served more rarely than at a stronger one.
+#[test]
+fn gateways_of_different_strength_serve_about_the_same_share() {
+    let ends = runs(&UNEVEN, Order::Admission);
+
+    let strong = ends.share(|end| end.gateway == 0);
+    let weak = ends.share(|end| end.gateway == 1);
+    println!("served: {strong:.2} at the strong gateway, {weak:.2} at the weak one");
+    assert!((strong - weak).abs() < 0.1);
+}
--- a/core/tests/wait_queue.rs
+++ b/core/tests/wait_queue.rs
@@ -152,3 +152,35 @@
 
     assert_eq!(order, ["urgent, late", "less urgent, on time"]);
 }
+
+/// Guards against an order between equally urgent requests that overrides ranks and stages, or that
+/// holds up a stream which goes on.
+#[test]
+fn precedence_orders_within_a_rank_and_stage_only() {
+    let mut queue = WaitQueue::new();
+    queue.insert(key(1, false, 900), ("less urgent", 0));
+    queue.insert(key(0, false, 900), ("large", 5));
+    queue.insert(key(0, false, 800), ("small", 1));
+    queue.insert(key(0, false, 100), ("late", 0));
+    let resumed = SchedulingKey {
+        is_resumed: true,
+        ..key(0, false, 900)
+    };
+    queue.insert(resumed, ("goes on, first", 9));
+    queue.insert(resumed, ("goes on, second", 0));
+
+    let order = queue.order_by(at(200), |(_, precedence)| *precedence);
+
+    let names = order
+        .into_iter()
+        .filter_map(|number| Some(queue.get(number)?.1.0));
+    let expected = [
+        "goes on, first",
+        "goes on, second",
+        "small",
+        "large",
+        "late",
+        "less urgent",
+    ];
+    assert!(names.eq(expected));
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -63,6 +63,9 @@
 /// Pause before reconnecting to a peer.
 const RECONNECT_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Number of configured organisations from which admission control is enabled.
+const MIN_ORGANISATIONS: usize = 2;
+
 /// Interval at which the quota use to save is updated.
 const QUOTA_USE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -116,6 +119,10 @@
         let held_back = context.origins.observe_servers(&current, spread, random);
         match snapshot {
             Some(snapshot) => {
+                let organisations = snapshot.value.organisations().len();
+                context
+                    .scheduler
+                    .set_admission_control(organisations >= MIN_ORGANISATIONS);
                 let bounded = snapshot.value.with_bounded_slots(&current);
                 context.scheduler.update_servers(&bounded, held_back);
             }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -28,6 +28,7 @@
         time::Duration,
     },
     tamarackdale_core::{
+        admission::Subject,
         digest,
         dispatch::{Dispatch, SendFailure, Step},
         fleet::{Choice, Limit, Member},
@@ -449,6 +450,12 @@
         PlacementRequest {
             service: self.service.clone(),
             rank: route.rank.nested_in(outer),
+            subject: Subject::new(
+                organisation.map_or("", |own| own.name.as_str()),
+                &route.name,
+                tokens.map_or(0, |tokens| tokens.prompt),
+                tokens.map_or(0, |tokens| tokens.expected_output()),
+            ),
             prompt: self.prompt_tokens(),
             prefix: self.request.head.shared_prefix(),
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -1,6 +1,7 @@
 //! Decides when each request is sent and to which backend server, based on the load that all
 //! gateways report for each backend server.
 
+mod admission;
 mod in_flight;
 mod placement_request;
 mod retry;
@@ -79,6 +80,11 @@
         self.lock().update_settings(settings);
     }
 
+    /// Enables or disables admission control between requests of the same urgency.
+    pub fn set_admission_control(&self, is_enabled: bool) {
+        self.lock().set_admission_control(is_enabled);
+    }
+
     /// Replaces the set of registered backend servers, and that of the versions at which no stream may
     /// begin yet. Called at least every second, which also bounds how long outdated observations of
     /// prompts are kept.
@@ -240,6 +246,7 @@
             if !state.shed_floor(&request.service).serves(request.rank, now) {
                 return Err(PlacementError::Floor);
             }
+            state.record_arrival(&request, now);
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
             // Requests that wait although a slot is free go before new ones, unless they are less urgent:
@@ -267,7 +274,8 @@
                 drop(state);
                 return self.place_or_shed(&request);
             }
-            let (number, reply) = state.enqueue(key, request.clone());
+            let slot_time = state.predicted_slot_time(&request, now);
+            let (number, reply) = state.enqueue(key, request.clone(), slot_time);
             self.changed.notify_one();
             (number, reply, wait_until.since(now))
         };
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -2,7 +2,7 @@
 
 use {
     std::time::Duration,
-    tamarackdale_core::{fleet::SharedPrefix, tier::Rank, time::Timestamp},
+    tamarackdale_core::{admission::Subject, fleet::SharedPrefix, tier::Rank, time::Timestamp},
 };
 
 /// A request that the scheduler is to place at a backend server.
@@ -12,6 +12,8 @@
     pub service: String,
     /// Priority; the lowest rank is the most urgent.
     pub rank: Rank,
+    /// Attributes that decide between requests of the same urgency.
+    pub subject: Subject,
     /// Number of prompt tokens.
     pub prompt: u32,
     /// The part of the prompt that other requests share, if any.
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -5,6 +5,7 @@
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
+        admission::Admission,
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage, limit},
         floor::{self, Floor},
@@ -29,6 +30,8 @@
 /// A request in the queue.
 pub(super) struct Waiter {
     pub(super) request: PlacementRequest,
+    /// Predicted time for which it occupies its slot.
+    pub(super) slot_time: Duration,
     pub(super) reply: oneshot::Sender<Choice>,
 }
 
@@ -62,6 +65,8 @@
     pub(super) shed_floors: HashMap<String, Floor>,
     /// Retry budgets by service.
     pub(super) retry_budgets: HashMap<String, Budget>,
+    /// Admission control by service; `None` if the configuration does not call for it.
+    pub(super) admissions: Option<HashMap<String, Admission>>,
     /// Requests that wait for a slot at a backend server.
     pub(super) queue: WaitQueue<Waiter>,
     /// Questions for starts by backend server; one is open at each at a time.
@@ -94,6 +99,7 @@
             quota_queue: WaitQueue::new(),
             shed_floors: HashMap::new(),
             retry_budgets: HashMap::new(),
+            admissions: None,
             queue: WaitQueue::new(),
             questions: HashMap::new(),
             peer_waiting: HashMap::new(),
@@ -223,6 +229,9 @@
     pub(super) fn reserve(&mut self, choice: &Choice, request: &PlacementRequest, now: Timestamp) {
         let request_load = choice.request_load(request.prompt);
         self.fleet.reserve(&choice.member.id, request_load, now);
+        if let Some(admission) = self.admission(&request.service) {
+            admission.record_start(request.subject, now);
+        }
         if choice.limit.is_some() {
             let question = Question {
                 service: request.service.clone(),
@@ -369,9 +378,15 @@
         &mut self,
         key: SchedulingKey,
         request: PlacementRequest,
+        slot_time: Duration,
     ) -> (u64, oneshot::Receiver<Choice>) {
         let (reply, receiver) = oneshot::channel();
-        let number = self.queue.insert(key, Waiter { request, reply });
+        let waiter = Waiter {
+            slot_time,
+            request,
+            reply,
+        };
+        let number = self.queue.insert(key, waiter);
         (number, receiver)
     }
 
@@ -468,7 +483,7 @@
             return;
         }
         let mut unplaced: Vec<PlacementRequest> = Vec::new();
-        for number in self.queue.order(now) {
+        for number in self.waiting_order(now) {
             let Some((key, waiter)) = self.queue.get(number) else {
                 continue;
             };
@@ -507,7 +522,7 @@
     found
 }
 
-fn demand<'a>(
+pub(super) fn demand<'a>(
     request: &'a PlacementRequest,
     only: Option<&'a str>,
     data_centre: &'a str,
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -3,6 +3,7 @@
 use {
     std::{pin::pin, sync::Arc, time::Duration},
     tamarackdale_core::{
+        admission::Subject,
         cell::Layout,
         fleet::{
             Choice, Members,
@@ -91,6 +92,7 @@
         PlacementRequest {
             service: "plain".to_owned(),
             rank,
+            subject: Subject::default(),
             prompt: 0,
             prefix: None,
             output: 0,
