admission: organisations over their share go after others

core::admission::shares sums the slot time that each organisation started within 2 s, here and at the peers of the cell, and compares it with an equal part. One above twice its part, and above three mean requests, goes after the others of its rank and stage, unless it is served less than 0.3 times as often as all within 4 s. Peers are told once a second, only while requests wait, of the total and of the four organisations with the most. Reports are complete sums of the window, so that none need be kept after a loss, and age out in 4 s. Values out of range are ignored, counted, and logged once per peer. The new field of the summary is the last one and absent when empty.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -3,10 +3,14 @@
 //! The order of ranks and stages ([`crate::wait_queue`]) comes first. Each router decides for the
 //! requests that wait at it.
 
+mod shares;
 mod sizes;
 mod window;
 
-pub use self::sizes::{Class, Sizes};
+pub use self::{
+    shares::{InvalidWork, Shares, Work},
+    sizes::{Class, Sizes},
+};
 
 use {
     crate::{rendezvous, time::Timestamp},
@@ -30,6 +34,8 @@
 /// Position among the requests of a rank and stage; the smaller is served first.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Precedence {
+    /// Whether its organisation has more than its part of the service.
+    pub is_over_share: bool,
     /// Whether its size class gets at least the least part of its kind's share.
     pub is_class_served: bool,
     /// Steps of the predicted slot time relative to the worth.
@@ -39,6 +45,7 @@
 /// Admission to one service at one router.
 #[derive(Debug, Default)]
 pub struct Admission {
+    shares: Shares,
     sizes: Sizes,
 }
 
@@ -62,14 +69,33 @@
 
     /// Records a request that asks for a slot.
     pub fn record_arrival(&mut self, subject: Subject, is_retry: bool, now: Timestamp) {
+        self.shares
+            .record_arrival(subject.organisation, is_retry, now);
         self.sizes.record_arrival(subject, is_retry, now);
     }
 
-    /// Records a request that got a slot.
-    pub fn record_start(&mut self, subject: Subject, now: Timestamp) {
+    /// Records a request that got a slot, which it occupies for about `slot_time`.
+    pub fn record_start(&mut self, subject: Subject, slot_time: Duration, now: Timestamp) {
+        self.shares
+            .record_start(subject.organisation, slot_time, now);
         self.sizes.record_start(subject, now);
     }
 
+    /// Use of the service by organisations at this router, for its peers.
+    pub fn work(&mut self, now: Timestamp) -> Work {
+        self.shares.prune(now);
+        self.shares.work()
+    }
+
+    /// Replaces what a peer has said of the use of the service there.
+    ///
+    /// # Errors
+    ///
+    /// If a value is out of range.
+    pub fn merge_work(&mut self, peer: u64, work: Work, now: Timestamp) -> Result<(), InvalidWork> {
+        self.shares.merge(peer, work, now)
+    }
+
     /// Position of a waiting request with the predicted slot time.
     pub fn precedence(&self, subject: Subject, slot_time: Duration, now: Timestamp) -> Precedence {
         let cost = match self.sizes.is_class_served(subject, now) {
@@ -77,6 +103,7 @@
             false => None,
         };
         Precedence {
+            is_over_share: self.shares.is_over(subject.organisation, now),
             is_class_served: cost.is_some(),
             cost: cost.unwrap_or_default(),
         }
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -285,6 +285,12 @@
         }
     }
 
+    /// Whether a backend server of the service is registered.
+    pub fn has_service(&self, service: &str) -> bool {
+        let mut servers = self.servers.values();
+        servers.any(|server| server.member.service == service)
+    }
+
     /// Whether any backend server accepts new requests.
     pub fn has_servers(&self, now: Timestamp) -> bool {
         self.servers.values().any(|server| !server.is_leaving(now))
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        admission::Work,
         fleet::{Contribution, statement},
         floor::Notice,
         poison,
@@ -29,6 +30,8 @@
     pub poison: Vec<Arc<poison::Notice>>,
     /// What backend servers have said of themselves to this router.
     pub statements: Vec<statement::Report>,
+    /// Work started lately by organisation, by service; only of services for which requests wait.
+    pub work: Vec<(String, Work)>,
 }
 
 impl Summary {
@@ -103,8 +106,13 @@
             floors: current.floors.clone(),
             poison,
             statements: statements.cloned().collect(),
+            work: match self.previous.work == current.work {
+                true => Vec::new(),
+                false => current.work.clone(),
+            },
         };
-        let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
+        let is_unchanged =
+            changes.is_empty() && changes.work.is_empty() && self.previous.waits == current.waits;
         if with_speeds {
             self.sent_speeds.retain(|id, _| current.entry(id).is_some());
         }
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -5,7 +5,7 @@
     rstest::rstest,
     std::time::Duration,
     tamarackdale_core::{
-        admission::{Admission, Subject},
+        admission::{Admission, Shares, Subject, Work},
         tier::Rank,
         time::Timestamp,
         wait_policy,
@@ -22,6 +22,9 @@
 /// Largest size relative to the smallest.
 const SIZE_FACTOR: f64 = 20.0;
 
+/// Interval at which gateways tell each other of the work that they started.
+const EXCHANGE_MS: u64 = 1_000;
+
 /// Part of the slot time until the first event.
 const FIRST_PART: f64 = 0.2;
 
@@ -153,7 +156,9 @@
             }
             let own = &mut self.gateways[gateway];
             let (caller, _) = own.queue.remove(number).expect("it waits");
-            own.admission.record_start(caller.subject, at(now));
+            let slot_time = Duration::from_millis(caller.slot_ms);
+            own.admission
+                .record_start(caller.subject, slot_time, at(now));
             // Predictions are wrong by up to a half either way.
             let actual = caller.slot_ms as f64 * self.random.random_range(0.5..1.5);
             self.running.push((now + actual as u64, gateway));
@@ -210,6 +215,24 @@
         }
     }
 
+    fn exchange_work(&mut self, now: u64) {
+        let works: Vec<Work> = self
+            .gateways
+            .iter_mut()
+            .map(|gateway| gateway.admission.work(at(now)))
+            .collect();
+        for (peer, work) in works.iter().enumerate() {
+            for (own, gateway) in self.gateways.iter_mut().enumerate() {
+                if own != peer {
+                    let merged = gateway
+                        .admission
+                        .merge_work(peer as u64, work.clone(), at(now));
+                    merged.expect("it is valid");
+                }
+            }
+        }
+    }
+
     /// Refuses those whose wait is over, and returns the callers that come again, with the time.
     fn refuse(&mut self, now: u64) -> Vec<(u64, Caller)> {
         let mut returns = Vec::new();
@@ -275,6 +298,9 @@
     let total: f64 = load.gateways.iter().sum();
     let mut returns: Vec<(u64, Caller)> = Vec::new();
     for now in 0..load.length_ms + 10_000 {
+        if now % EXCHANGE_MS == 0 {
+            run.exchange_work(now);
+        }
         run.free(now);
         returns.extend(run.refuse(now));
         let mut due: Vec<(u64, Caller)> =
@@ -347,6 +373,16 @@
     ..SUSTAINED
 };
 
+/// An organisation at 6 times its usual.
+const ORGANISATION: Load = Load {
+    base: 0.95,
+    peak: 0.95,
+    peak_at: (2_000, 16_000),
+    organisation_factor: 6.0,
+    length_ms: 18_000,
+    ..SUSTAINED
+};
+
 /// Two gateways of very different strength under the sustained overload.
 const UNEVEN: Load = Load {
     gateways: &[8.0, 1.0],
@@ -408,3 +444,94 @@
     println!("served: {strong:.2} at the strong gateway, {weak:.2} at the weak one");
     assert!((strong - weak).abs() < 0.1);
 }
+
+/// Guards against an organisation far over its share that displaces the requests of others, or that is
+/// hardly served itself.
+#[test]
+fn organisation_over_its_share_displaces_few_others() {
+    let before = runs(&ORGANISATION, Order::TimeLeft);
+    let with = runs(&ORGANISATION, Order::Admission);
+
+    let first = Subject::new("o0", "chat", 0, 0).organisation;
+    let is_first = |end: &End| end.caller.subject.organisation == first;
+    let others_before = before.share(|end| !is_first(end));
+    let others = with.share(|end| !is_first(end));
+    let own = with.share(is_first);
+    println!(
+        "served: {others_before:.3} of others before, {others:.3} now, {own:.3} of its own now, {:.3} before; in time {} before, {} now",
+        before.share(is_first),
+        before.on_time(),
+        with.on_time()
+    );
+    assert!(others > others_before);
+    assert!(others >= 0.97);
+    assert!(own >= 0.25 * with.share(|_| true));
+}
+
+fn shares_with_five_organisations() -> Shares {
+    let mut shares = Shares::default();
+    for organisation in 0..5 {
+        shares.record_start(organisation, Duration::from_millis(400), at(0));
+    }
+    shares
+}
+
+fn work(total_s: f64, of_first_s: f64) -> Work {
+    Work {
+        total_s,
+        organisations: vec![(0, of_first_s)],
+    }
+}
+
+/// Guards against an organisation that goes after others for good because of a peer that was lost.
+#[test]
+fn work_at_a_lost_peer_counts_for_four_seconds() {
+    let mut shares = shares_with_five_organisations();
+    shares.merge(7, work(4.0, 3.0), at(0)).expect("is valid");
+    let is_over = shares.is_over(0, at(1_000));
+
+    for organisation in 0..5 {
+        shares.record_start(organisation, Duration::from_millis(400), at(4_000));
+    }
+
+    assert!(is_over);
+    assert!(!shares.is_over(0, at(4_000)));
+}
+
+/// Guards against a gateway without peers that does not share fairly what it has.
+#[test]
+fn gateway_that_is_cut_off_counts_its_own_work() {
+    let mut shares = shares_with_five_organisations();
+    let is_over_before = shares.is_over(0, at(0));
+
+    for _ in 0..4 {
+        shares.record_start(0, Duration::from_millis(400), at(100));
+    }
+
+    assert!(!is_over_before);
+    assert!(shares.is_over(0, at(200)));
+    assert!(!shares.is_over(1, at(200)));
+}
+
+/// After a start the shares are equal.
+#[test]
+fn nobody_is_over_its_share_after_a_start() {
+    let shares = Shares::default();
+
+    assert!(!shares.is_over(0, at(0)));
+}
+
+/// Guards against a peer whose faulty numbers decide who is served.
+#[rstest]
+#[case::no_number(work(f64::NAN, 3.0))]
+#[case::infinite(work(4.0, f64::INFINITY))]
+#[case::negative(work(-4.0, 3.0))]
+#[case::too_large(work(1e10, 1e10))]
+fn work_out_of_range_is_ignored(#[case] work: Work) {
+    let mut shares = shares_with_five_organisations();
+
+    let merged = shares.merge(7, work, at(0));
+
+    assert!(merged.is_err());
+    assert!(!shares.is_over(0, at(0)));
+}
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -175,11 +175,13 @@
     }
 }
 
-/// Current summary for a peer. Requests that wait here do not compete with those of other cells.
+/// Current summary for a peer. Requests that wait here do not compete with those of other cells, and
+/// the work of a cell is a sample of that of all.
 fn summary_for(context: &Context, scope: Scope, is_first: bool) -> Summary {
     let mut summary = context.scheduler.summary(is_first);
     if scope == Scope::Far {
         summary.waits.clear();
+        summary.work.clear();
     }
     summary
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -500,6 +500,7 @@
         for notice in &summary.poison {
             state.poison.merge(notice, now);
         }
+        state.merge_work(peer, &summary.work, now);
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
         }
@@ -515,6 +516,11 @@
         state.peer_waiting.remove(&peer);
     }
 
+    /// Number of reports of work by peers that were ignored because a value was out of range.
+    pub fn invalid_work_reports(&self) -> u64 {
+        self.lock().work_exchange.invalid
+    }
+
     /// Sets the number of connected and of known gateways, both including this one, how the
     /// connected ones form cells, and the time `lag` after which a summary has reached all of them.
     pub fn set_gateways(&self, connected: usize, known: usize, layout: Layout, lag: Duration) {
@@ -538,7 +544,8 @@
     /// floors. With `is_first`, also all that it knows of quota use, for a newly connected peer.
     pub fn summary(&self, is_first: bool) -> Summary {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.update_told_work(now);
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
             let notice = floor.own_notice(now)?;
             Some((service.clone(), notice))
@@ -551,6 +558,7 @@
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
+            work: state.work_exchange.told.clone(),
         }
     }
 
--- a/daemon/src/gateway/scheduler/admission.rs
+++ b/daemon/src/gateway/scheduler/admission.rs
@@ -5,14 +5,70 @@
         PlacementRequest,
         state::{State, demand},
     },
-    std::{collections::HashMap, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        time::Duration,
+    },
     tamarackdale_core::{
-        admission::{Admission, Precedence},
+        admission::{Admission, Precedence, Work},
         time::Timestamp,
     },
 };
 
+/// Interval at which peers are told of the work started here.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Most services in one peer's report, and most peers whose invalid reports are remembered.
+const MAX_SERVICES: usize = 64;
+const MAX_INVALID_PEERS: usize = 1_000;
+
+/// Exchange of the work started lately with peers.
+#[derive(Debug, Default)]
+pub(super) struct WorkExchange {
+    /// What peers are told, by service.
+    pub(super) told: Vec<(String, Work)>,
+    told_at: Timestamp,
+    /// Number of invalid reports, and the peers that sent them.
+    pub(super) invalid: u64,
+    invalid_peers: HashSet<u64>,
+}
+
 impl State {
+    /// Updates what peers are told of the work started here, while requests wait.
+    pub(super) fn update_told_work(&mut self, now: Timestamp) {
+        if self.admissions.is_none() || now.since(self.work_exchange.told_at) < TELL_INTERVAL {
+            return;
+        }
+        self.work_exchange.told_at = now;
+        let services = self.most_urgent_waiting(now).into_iter();
+        let told = services.filter_map(|(service, _)| {
+            let work = self.admission(&service)?.work(now);
+            Some((service, work))
+        });
+        self.work_exchange.told = told.collect();
+    }
+
+    /// Merges what a peer has told of the work started there.
+    pub(super) fn merge_work(&mut self, peer: u64, told: &[(String, Work)], now: Timestamp) {
+        for (service, work) in told.iter().take(MAX_SERVICES) {
+            if !self.fleet.has_service(service) {
+                continue;
+            }
+            let Some(admission) = self.admission(service) else {
+                return;
+            };
+            if admission.merge_work(peer, work.clone(), now).is_ok() {
+                continue;
+            }
+            let exchange = &mut self.work_exchange;
+            exchange.invalid += 1;
+            let is_remembered = exchange.invalid_peers.len() < MAX_INVALID_PEERS;
+            if is_remembered && exchange.invalid_peers.insert(peer) {
+                log::warn!(boot = peer, service = service.as_str(); "ignoring a peer's work that is out of range");
+            }
+        }
+    }
+
     /// Enables or disables admission control. The state is dropped when it is disabled.
     pub(super) fn set_admission_control(&mut self, is_enabled: bool) {
         match (is_enabled, &self.admissions) {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -1,7 +1,7 @@
 //! The scheduler's state and its decisions, accessed under the scheduler's lock.
 
 use {
-    super::PlacementRequest,
+    super::{PlacementRequest, admission::WorkExchange},
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
@@ -67,6 +67,8 @@
     pub(super) retry_budgets: HashMap<String, Budget>,
     /// Admission control by service; `None` if the configuration does not call for it.
     pub(super) admissions: Option<HashMap<String, Admission>>,
+    /// The work of which peers are told, and what they told that is invalid.
+    pub(super) work_exchange: WorkExchange,
     /// Requests that wait for a slot at a backend server.
     pub(super) queue: WaitQueue<Waiter>,
     /// Questions for starts by backend server; one is open at each at a time.
@@ -100,6 +102,7 @@
             shed_floors: HashMap::new(),
             retry_budgets: HashMap::new(),
             admissions: None,
+            work_exchange: WorkExchange::default(),
             queue: WaitQueue::new(),
             questions: HashMap::new(),
             peer_waiting: HashMap::new(),
@@ -230,7 +233,7 @@
         let request_load = choice.request_load(request.prompt);
         self.fleet.reserve(&choice.member.id, request_load, now);
         if let Some(admission) = self.admission(&request.service) {
-            admission.record_start(request.subject, now);
+            admission.record_start(request.subject, choice.estimate.slot_time(), now);
         }
         if choice.limit.is_some() {
             let question = Question {
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -5,6 +5,7 @@
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
+        admission,
         fleet::{self, Load, Speed},
         floor::Notice,
         quota, summary,
@@ -49,6 +50,20 @@
     /// What backend servers have said of themselves to the sender.
     #[serde(default)]
     pub statements: Vec<Statement>,
+    /// Work started lately. Absent when empty, so that peers of the previous version read the rest.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub work: Vec<Work>,
+}
+
+/// Slot time of the work that the sender started for a service within the latest two seconds.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Work {
+    /// Service.
+    pub service: String,
+    /// Slot time of all organisations, in seconds.
+    pub total_s: f32,
+    /// Hash of the name and slot time in seconds of those with the most.
+    pub organisations: Vec<(u64, f32)>,
 }
 
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
@@ -141,6 +156,7 @@
                 .iter()
                 .map(|report| Statement::new(report, now))
                 .collect(),
+            work: summary.work.iter().map(Work::from).collect(),
         }
     }
 
@@ -186,6 +202,7 @@
             statements: statements
                 .map(|statement| statement.into_report(now))
                 .collect(),
+            work: frame.work.into_iter().map(Into::into).collect(),
         }
     }
 }
@@ -262,6 +279,36 @@
     }
 }
 
+impl From<&(String, admission::Work)> for Work {
+    fn from((service, work): &(String, admission::Work)) -> Self {
+        let organisations = work.organisations.iter();
+        Self {
+            service: service.clone(),
+            total_s: work.total_s as f32,
+            organisations: organisations
+                .map(|(organisation, slot_s)| (*organisation, *slot_s as f32))
+                .collect(),
+        }
+    }
+}
+
+impl From<Work> for (String, admission::Work) {
+    fn from(work: Work) -> Self {
+        let organisations = work.organisations.into_iter();
+        let organisations = organisations
+            .map(|(organisation, slot_s)| (organisation, f64::from(slot_s)))
+            .collect();
+        let total_s = f64::from(work.total_s);
+        (
+            work.service,
+            admission::Work {
+                total_s,
+                organisations,
+            },
+        )
+    }
+}
+
 impl From<&quota::Usage> for Usage {
     fn from(usage: &quota::Usage) -> Self {
         Self {
--- a/wire/tests/summary.rs
+++ b/wire/tests/summary.rs
@@ -3,6 +3,7 @@
 use {
     std::sync::Arc,
     tamarackdale_core::{
+        admission::Work,
         poison::{Cause, Fingerprint, Notice, Quarantine},
         summary::Summary,
         time::Timestamp,
@@ -78,3 +79,26 @@
     let is_quarantine = |notice: &Arc<Notice>| matches!(**notice, Notice::Quarantine(_));
     assert!(!summary.poison.iter().any(is_quarantine));
 }
+
+/// Guards against a summary that differs from that of the previous version while nothing waits, and
+/// against work that is lost on its way.
+#[test]
+fn work_is_absent_when_empty_and_arrives_otherwise() {
+    let work = Work {
+        total_s: 12.5,
+        organisations: vec![(u64::MAX, 2.5)],
+    };
+    let sent = Summary {
+        work: vec![("chat".to_owned(), work)],
+        ..Summary::default()
+    };
+
+    let empty = codec::encode(&Frame::new(1, &Summary::default(), at(0))).expect("encodes");
+    let bytes = codec::encode(&Frame::new(1, &sent, at(0))).expect("encodes");
+    let received: Frame = codec::decode(&bytes).expect("decodes");
+
+    // An array of the nine fields of the previous version.
+    assert_eq!(empty[0], 0x99);
+    assert_eq!(received.into_summary(at(0)).work, sent.work);
+    codec::decode::<Frame>(&empty).expect("decodes");
+}
