--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -1,6 +1,7 @@
 //! Decides when each request is sent and to which backend server, based on the load that all
 //! gateways report for each backend server.
 
+mod admission;
 mod in_flight;
 mod placement_request;
 mod retry;
@@ -79,6 +80,11 @@
         self.lock().update_settings(settings);
     }
 
+    /// Enables or disables admission control between requests of the same urgency.
+    pub fn set_admission_control(&self, is_enabled: bool) {
+        self.lock().set_admission_control(is_enabled);
+    }
+
     /// Replaces the set of registered backend servers, and that of the versions at which no stream may
     /// begin yet. Called at least every second, which also bounds how long outdated observations of
     /// prompts are kept.
@@ -240,6 +246,7 @@
             if !state.shed_floor(&request.service).serves(request.rank, now) {
                 return Err(PlacementError::Floor);
             }
+            state.record_arrival(&request, now);
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
             // Requests that wait although a slot is free go before new ones, unless they are less urgent:
@@ -267,7 +274,8 @@
                 drop(state);
                 return self.place_or_shed(&request);
             }
-            let (number, reply) = state.enqueue(key, request.clone());
+            let slot_time = state.predicted_slot_time(&request, now);
+            let (number, reply) = state.enqueue(key, request.clone(), slot_time);
             self.changed.notify_one();
             (number, reply, wait_until.since(now))
         };
@@ -492,6 +500,7 @@
         for notice in &summary.poison {
             state.poison.merge(notice, now);
         }
+        state.merge_work(peer, &summary.work, now);
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
         }
@@ -507,6 +516,11 @@
         state.peer_waiting.remove(&peer);
     }
 
+    /// Number of reports of work by peers that were ignored because a value was out of range.
+    pub fn invalid_work_reports(&self) -> u64 {
+        self.lock().work_exchange.invalid
+    }
+
     /// Sets the number of connected and of known gateways, both including this one, how the
     /// connected ones form cells, and the time `lag` after which a summary has reached all of them.
     pub fn set_gateways(&self, connected: usize, known: usize, layout: Layout, lag: Duration) {
@@ -530,7 +544,8 @@
     /// floors. With `is_first`, also all that it knows of quota use, for a newly connected peer.
     pub fn summary(&self, is_first: bool) -> Summary {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        state.update_told_work(now);
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
             let notice = floor.own_notice(now)?;
             Some((service.clone(), notice))
@@ -543,6 +558,7 @@
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
+            work: state.work_exchange.told.clone(),
         }
     }
 
