core, wire, platform: reads of the store that one gateway makes for its cell

Cause: each gateway checks its configuration and watches the backend servers by itself, 1.4 charged calls a second each.

Change: core::coalescing decides which questions a call answers (only those that arrived before it was sent), buffers the changes for watches, and says when a gateway calls the store itself and returns to the reader. Heartbeats that change nothing are withheld; the last one before a removal is passed on with it, for its sequence number. The settings file gets coalesced_reads_from, which only tests set.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cached_config;
 pub mod cell;
 pub mod claim;
+pub mod coalescing;
 pub mod cost;
 pub mod digest;
 pub mod dispatch;
--- a/core/src/peer_table.rs
+++ b/core/src/peer_table.rs
@@ -106,6 +106,24 @@
         chosen.first().map_or(own, |(_, address)| *address)
     }
 
+    /// The router that reads the store for the data centre of this one, which all routers there choose
+    /// alike among those that are reachable. `None` if there is no other router.
+    pub fn reader(&self, data_centre: &str, own: SocketAddr) -> Option<SocketAddr> {
+        let peers = self.peers.iter();
+        let near = peers.filter(|(_, peer)| {
+            peer.unreachable_since.is_none() && peer.data_centre.as_deref() == Some(data_centre)
+        });
+        let mut named: Vec<_> = near
+            .map(|(address, _)| (address.to_string(), *address))
+            .collect();
+        if named.is_empty() {
+            return None;
+        }
+        named.push((own.to_string(), own));
+        let chosen = rendezvous::choose(data_centre, &named, |(name, _)| name.as_str(), 1);
+        chosen.first().map(|(_, address)| *address)
+    }
+
     /// Number of reachable routers and number of all routers in the table, both including this one.
     pub fn counts(&self) -> (usize, usize) {
         (self.reachable().count() + 1, self.peers.len() + 1)
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod start;
 pub mod statement;
 pub mod status;
+pub mod store_read;
 pub mod summary;
 
 pub use {digest::Digest, frame::Frame, report::Report, status::Status};
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -48,3 +48,9 @@
 
 /// `POST` [`crate::start::Ask`]; responds with [`crate::start::Answer`].
 pub const STARTS: &str = "/v1/starts";
+
+/// `POST` [`crate::store_read::Check`]; responds with [`crate::store_read::CheckAnswer`].
+pub const STORE_CHECK: &str = "/v1/store/check";
+
+/// `POST` [`crate::store_read::Watch`]; responds with [`crate::store_read::WatchAnswer`].
+pub const STORE_WATCH: &str = "/v1/store/watch";
