gateway: one gateway of each cell reads the store for the others

Cause: the charged calls to the store grow with the gateways.

Change: in a fleet of several cells the gateways ask the reader of their cell for checks of the configuration and changes of the backend servers, on the peers' listener. The reader's own checks and watch answer them. A changed configuration is read from the store by each gateway. A fleet of one cell calls as before.

Not measured yet with processes.

--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -15,6 +15,7 @@
 pub mod response_buffers;
 pub mod scheduler;
 pub mod starts;
+pub mod store_reader;
 pub mod summary_broadcast;
 
 use {
@@ -222,7 +223,8 @@
 const METRICS_PORT: u16 = 9_464;
 
 /// Maximum number of connections to each of the listeners for peers, readiness and metrics, and of
-/// queued introductions: a stream of summaries and a question for starts from each of 360 gateways.
+/// queued introductions: a stream of summaries and a question for starts from each of 360 gateways, and a
+/// check and a watch of the store from each of 100 gateways of a cell.
 const MAX_PEERS: usize = 1_024;
 
 async fn bind_admin(
@@ -242,6 +244,12 @@
         route
             .post(tamarackdale_wire::path::STARTS)
             .to_async(starts::answer);
+        route
+            .post(tamarackdale_wire::path::STORE_CHECK)
+            .to_async(store_reader::answer_check);
+        route
+            .post(tamarackdale_wire::path::STORE_WATCH)
+            .to_async(store_reader::answer_watch);
     })
 }
 
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -7,6 +7,7 @@
 mod gateways;
 mod origins;
 mod quota_use;
+mod reads;
 mod rejections;
 mod servers;
 
@@ -16,6 +17,7 @@
 };
 
 use {
+    self::reads::Reads,
     crate::{
         clock::{self, Clock},
         signal::Shutdown,
@@ -83,6 +85,7 @@
     store: StoreClient,
     settings: watch::Receiver<Arc<Settings>>,
     channels: FollowerChannels,
+    reads: Reads,
     shutdown: Shutdown,
     /// Random number that identifies this start of the process.
     boot: u64,
@@ -103,6 +106,7 @@
         Self {
             store,
             settings,
+            reads: Reads::new(channels.route.clone()),
             channels,
             shutdown,
             boot,
@@ -164,13 +168,16 @@
         // Revision of an entry that cannot be used. The configuration in force stays, unconfirmed.
         let mut rejected = None;
         loop {
-            let sent = clock::boottime_now();
             let known = self.channels.configuration.borrow().clone();
-            let result = self.read_configuration(known.as_deref(), rejected).await;
-            let has_failed = result.is_err();
-            match (result, known) {
+            let asked = rejected.or(known.as_ref().map(|known| known.revision));
+            self.channels.reader.begin_check();
+            let checked = self.check_configuration(known.as_deref(), rejected).await;
+            self.end_check(&checked.result, asked);
+            let sent = checked.sent;
+            let has_failed = checked.result.is_err();
+            match (&checked.result, known) {
                 (Ok(Some(entry)), known) => {
-                    let is_usable = self.apply_configuration(&entry, known.as_deref(), sent);
+                    let is_usable = self.apply_configuration(entry, known.as_deref(), sent);
                     rejected = (!is_usable).then_some(entry.revision);
                 }
                 (Ok(None), Some(known)) if rejected.is_none() => {
@@ -180,9 +187,9 @@
                 (Err(error), known) => {
                     failures += 1;
                     if !matches!(error, Error::NoKey | Error::Restored) {
-                        log_failed_check(known.as_deref(), sent, failures, &error);
+                        log_failed_check(known.as_deref(), sent, failures, error);
                     }
-                    self.record_store_error("configuration", &error);
+                    self.record_store_error("configuration", error);
                 }
             }
             if has_failed {
@@ -195,9 +202,7 @@
                 true => self.check_interval(),
                 false => UNSETTLED_CHECK_INTERVAL.min(self.check_interval()),
             };
-            // Counted from the sending of the check, which is the time that it confirms.
-            let elapsed = clock::boottime_now().since(sent);
-            sleep(interval.saturating_sub(elapsed).max(MIN_CHECK_PAUSE)).await;
+            self.wait_for_next_check(&checked, interval).await;
         }
     }
 
@@ -214,6 +219,7 @@
         let on_changed = || {
             let convergence = self.bounds().convergence;
             self.publish_snapshot(known.superseded(convergence));
+            self.channels.reader.record_change(known.revision.era);
         };
         let revision = rejected.unwrap_or(known.revision);
         let check = self
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -2,6 +2,7 @@
 
 use {
     super::SavedOrigins,
+    crate::gateway::store_reader::{Route, StoreReader},
     std::{
         collections::{BTreeSet, HashSet},
         net::SocketAddr,
@@ -44,6 +45,10 @@
     pub saved_quota_use: watch::Receiver<Option<SavedQuotaUse>>,
     /// Whether a known gateway is unreachable, in which case the registrations are read again.
     pub has_unreachable_peers: watch::Sender<bool>,
+    /// Which gateway calls the store for this one.
+    pub route: watch::Sender<Route>,
+    /// Answers the reads of other gateways.
+    pub reader: Arc<StoreReader>,
     /// Quota use that this gateway must save in the store. Empty if another gateway does so.
     pub quota_use_to_save: watch::Sender<SavedQuotaUse>,
     /// Origins of this gateway's streams, to be saved in the store, with the number of the save.
@@ -160,6 +165,8 @@
     pub(super) gateways: watch::Sender<Option<Arc<BTreeSet<SocketAddr>>>>,
     pub(super) saved_quota_use: watch::Sender<Option<SavedQuotaUse>>,
     pub(super) has_unreachable_peers: watch::Receiver<bool>,
+    pub(super) route: watch::Receiver<Route>,
+    pub(super) reader: Arc<StoreReader>,
     pub(super) quota_use_to_save: watch::Receiver<SavedQuotaUse>,
     pub(super) origins_to_save: watch::Receiver<(u64, origin::Saved)>,
     pub(super) origins_saved: watch::Sender<u64>,
@@ -175,6 +182,8 @@
     let (gateways, gateways_receiver) = watch::channel(None);
     let (saved_quota_use, saved_quota_use_receiver) = watch::channel(None);
     let (has_unreachable_peers, has_unreachable_peers_receiver) = watch::channel(false);
+    let (route, route_receiver) = watch::channel(Route::Direct);
+    let reader = Arc::new(StoreReader::new(route.subscribe()));
     let (quota_use_to_save, quota_use_to_save_receiver) = watch::channel(SavedQuotaUse::default());
     let (origins_to_save, origins_to_save_receiver) = watch::channel(Default::default());
     let (origins_saved, origins_saved_receiver) = watch::channel(0);
@@ -187,6 +196,8 @@
         gateways,
         saved_quota_use,
         has_unreachable_peers: has_unreachable_peers_receiver,
+        route: route_receiver,
+        reader: Arc::clone(&reader),
         quota_use_to_save: quota_use_to_save_receiver,
         origins_to_save: origins_to_save_receiver,
         origins_saved,
@@ -200,6 +211,8 @@
         gateways: gateways_receiver,
         saved_quota_use: saved_quota_use_receiver,
         has_unreachable_peers,
+        route,
+        reader,
         quota_use_to_save,
         origins_to_save,
         origins_saved: origins_saved_receiver,
--- a/daemon/src/gateway/follower/servers.rs
+++ b/daemon/src/gateway/follower/servers.rs
@@ -52,6 +52,7 @@
             };
             failures = 0;
             self.record_store_success();
+            self.channels.reader.record_range(&range);
             self.apply_range(&mut registry, &range);
             self.watch_servers(&mut registry, range.revision).await;
         }
@@ -87,8 +88,8 @@
         let mut must_read_again = self.is_recovering();
         loop {
             let wait = self.recovery_time_left().unwrap_or(WATCH_WAIT);
-            let changes = match self.store.watch(registration::PREFIX, revision, wait).await {
-                Ok(changes) => changes,
+            let watched = match self.watch_servers_from(revision, wait).await {
+                Ok(watched) => watched,
                 Err(Error::WatchLost(reason)) => {
                     registry.lost_watches += 1;
                     let lost_watches = registry.lost_watches;
@@ -111,12 +112,19 @@
                     return;
                 }
             };
+            let changes = &watched.changes;
             registry.lost_watches = 0;
-            self.record_store_success();
+            // What the reader has passed on may be of a time before an outage.
+            if !watched.is_relayed {
+                self.record_store_success();
+            }
+            self.channels.reader.record_changes(changes);
             revision = changes.revision.max(revision);
             if !changes.changes.is_empty() {
-                self.apply_changes(registry, &changes);
-                sleep(self.watch_pause()).await;
+                self.apply_changes(registry, changes);
+                if !watched.is_relayed {
+                    sleep(self.watch_pause()).await;
+                }
             }
             let now = self.clock.now();
             let grace = self.outage().grace(now);
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -5,7 +5,7 @@
 //! by subscribing to its own summaries.
 
 use {
-    super::{context::Context, origins},
+    super::{context::Context, origins, store_reader},
     crate::http::body,
     bytes::Bytes,
     futures_util::stream,
@@ -377,6 +377,7 @@
         let settings = context.settings.borrow();
         context.known_peers().layout(&settings.data_centre)
     };
+    store_reader::update_route(context, layout);
     let lag = layout.max_interval() * LAG_INTERVALS + LAG_BASE;
     context
         .scheduler
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -42,6 +42,7 @@
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
     streams: Counter<u64>,
+    store_reads: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -131,6 +132,10 @@
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
             ),
+            store_reads: count(
+                "tamarackdale_store_reads",
+                "Reads of the store for other gateways, by kind and whether they were answered",
+            ),
             registry,
             _provider: provider,
         })
@@ -212,6 +217,15 @@
         self.limited_servers.record(limited_servers as u64, &[]);
     }
 
+    /// Counts a read of the store that another gateway asked for.
+    pub fn count_store_read(&self, kind: &'static str, is_answered: bool) {
+        let attributes = [
+            KeyValue::new("kind", kind),
+            KeyValue::new("answered", is_answered),
+        ];
+        self.store_reads.add(1, &attributes);
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
