testbed: gateways in several cells against the store's stand-in

Cause: the saving in calls, and the bounds of revoke_ms and drain_ms while a reader is lost, were only simulated.

Site takes the least number of gateways that coalesce.

--- a/core/tests/coalescing.rs
+++ b/core/tests/coalescing.rs
@@ -283,7 +283,7 @@
 #[case::one_cell(8, &[8])]
 #[case::two_data_centres(41, &[21, 20])]
 #[case::five_data_centres(103, &[21, 21, 21, 20, 20])]
-#[case::thirteen_data_centres(360, &[28; 13])]
+#[case::thirteen_data_centres(360, &[28, 28, 28, 28, 28, 28, 28, 28, 28, 27, 27, 27, 27])]
 fn calls_in_calm_grow_with_the_cells(#[case] gateways: usize, #[case] cells: &[usize]) {
     let mut fleet = Fleet::new(gateways, cells, 11);
     fleet.run(10_000);
@@ -312,7 +312,7 @@
     #[values(
         (41, &[21, 20][..]),
         (103, &[21, 21, 21, 20, 20][..]),
-        (360, &[28; 13][..])
+        (360, &[28, 28, 28, 28, 28, 28, 28, 28, 28, 27, 27, 27, 27][..])
     )]
     fleet: (usize, &[usize]),
     #[values(Loss::Killed, Loss::Frozen)] loss: Loss,
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -93,6 +93,8 @@
     pub store: Store,
     /// Where gateways reach the store.
     store_address: SocketAddr,
+    /// Least number of gateways that coalesce their reads, if another than the default.
+    coalesced_reads_from: Option<usize>,
     folder: TempDir,
 }
 
@@ -116,6 +118,7 @@
         let site = Self {
             store_address: store.address(),
             store,
+            coalesced_reads_from: None,
             folder: TempDir::new()?,
         };
         site.configure(configuration);
@@ -128,6 +131,13 @@
         self
     }
 
+    /// Lets gateways that start from now on coalesce their reads of the store from this number of connected
+    /// gateways on.
+    pub fn with_coalesced_reads_from(mut self, gateways: usize) -> Self {
+        self.coalesced_reads_from = Some(gateways);
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -160,9 +170,24 @@
     ///
     /// Fails when the settings cannot be written or the binary is missing.
     pub fn gateway_in(&self, name: &str, data_centre: &str) -> Result<Gateway, process::Fault> {
+        self.gateway_at(name, data_centre, self.store_address)
+    }
+
+    /// Starts a gateway in a data centre that reaches the store at an address of its own, without waiting
+    /// for it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the settings cannot be written or the binary is missing.
+    pub fn gateway_at(
+        &self,
+        name: &str,
+        data_centre: &str,
+        store: SocketAddr,
+    ) -> Result<Gateway, process::Fault> {
         let address = own_address();
         let settings = self.folder.path().join(format!("{name}.toml"));
-        fs::write(&settings, self.settings(name, data_centre, address))?;
+        fs::write(&settings, self.settings(name, data_centre, address, store))?;
         Ok(Gateway {
             process: start(name, &settings)?,
             settings,
@@ -188,8 +213,16 @@
         Ok(gateways)
     }
 
-    fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
-        let store = self.store_address;
+    fn settings(
+        &self,
+        name: &str,
+        data_centre: &str,
+        address: Ipv4Addr,
+        store: SocketAddr,
+    ) -> String {
+        let least = self.coalesced_reads_from;
+        let least = least.map(|least| format!("coalesced_reads_from = {least}"));
+        let least = least.unwrap_or_default();
         format!(
             r#"node_name = "{name}"
 zone = "{data_centre}"
@@ -215,6 +248,7 @@
 quota_slack = 1000
 [platform_api]
 address = "{store}"
+{least}
 "#
         )
     }
