core: outlier ejection of backend servers

A server that fails fast always has free slots and so attracts requests; Broken never ejected, and each gateway decided alone. fleet::containment counts outcomes by server and start, merges the reports of peers, ejects, tries and returns servers, for at most half of a service.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The backend servers that a router sends requests to directly: their speed and health, their load
 //! from all routers, and the choice of one for the next request.
 
+pub mod containment;
 pub mod contribution;
 pub mod health;
 pub mod limit;
@@ -10,6 +11,7 @@
 pub mod statement;
 
 pub use {
+    containment::{Containment, Outcome, TrialUse},
     contribution::Contribution,
     health::Health,
     limit::Limit,
@@ -149,6 +151,8 @@
     pub max_remote: Option<usize>,
     /// The only backend server that may be chosen; `None` allows any.
     pub required_server: Option<&'a str>,
+    /// How well it is suited as a trial of an ejected backend server.
+    pub trial_use: TrialUse,
 }
 
 /// Predicted times of a request at one backend server.
@@ -194,8 +198,14 @@
     held_back: HashSet<Origin>,
     /// What backend servers without a registration have said of themselves.
     unregistered: statement::Unregistered,
+    /// Failures of backend servers, if they are ejected for these.
+    containment: Option<Containment>,
 }
 
+/// Order in which backend servers are chosen: trials, free slots, servers without recent failures, those
+/// whose start is overdue, the least cost.
+type Rank = (bool, bool, containment::Admission, bool, f64);
+
 impl Choice {
     /// The load that the request adds to the chosen backend server.
     pub fn request_load(&self, prompt: u32) -> RequestLoad {
@@ -217,6 +227,9 @@
     /// with the same start time is kept.
     pub fn update_members(&mut self, members: &Members, now: Timestamp) {
         self.unregistered.prune(now);
+        if let Some(containment) = &mut self.containment {
+            containment.update_members(members, now);
+        }
         let ended = self.servers.extract_if(.., |id, server| {
             members
                 .get(id)
@@ -245,6 +258,107 @@
         self.held_back = versions;
     }
 
+    /// Begins or ends the ejection of failing backend servers. `boot` identifies this router.
+    pub fn set_containment(&mut self, is_enabled: bool, boot: u64, now: Timestamp) {
+        if is_enabled == self.containment.is_some() {
+            return;
+        }
+        self.containment = is_enabled.then(|| {
+            let servers = self.servers.iter();
+            let members = servers.map(|(id, server)| (id.clone(), server.member.clone()));
+            let mut containment = Containment::new(boot);
+            containment.update_members(&members.collect(), now);
+            containment
+        });
+    }
+
+    /// The ejection of failing backend servers, if it is enabled.
+    pub fn containment_mut(&mut self) -> Option<&mut Containment> {
+        self.containment.as_mut()
+    }
+
+    /// The ejection of failing backend servers, if it is enabled.
+    pub fn containment(&self) -> Option<&Containment> {
+        self.containment.as_ref()
+    }
+
+    /// Records that a backend server has responded to this router: completely, or with a first event or
+    /// the head of a response.
+    pub fn record_response(&mut self, id: &str, is_complete: bool, now: Timestamp) {
+        if let Some(containment) = &mut self.containment {
+            let outcome = match is_complete {
+                true => Outcome::Answered,
+                false => Outcome::Begun,
+            };
+            containment.record(id, outcome, now);
+        }
+    }
+
+    /// Changes by failures since the last call. A backend server that has returned begins without risk.
+    pub fn take_containment_events(&mut self) -> Vec<containment::Event> {
+        let Some(containment) = &mut self.containment else {
+            return Vec::new();
+        };
+        let events = containment.take_events();
+        for event in &events {
+            if event.kind == containment::EventKind::Returned
+                && let Some(server) = self.servers.get_mut(&event.id)
+            {
+                server.health = Health::new();
+            }
+        }
+        events
+    }
+
+    /// Records that a request of this router, sent at `sent`, got no response in time. This is a failure
+    /// of the backend server only if it has a slot for each request and responds to no other.
+    pub fn record_silence(&mut self, id: &str, sent: Timestamp, now: Timestamp) {
+        let Some(server) = self.servers.get(id) else {
+            return;
+        };
+        let is_overloaded = server.load(now).requests > server.member.slots;
+        let has_responded = self
+            .containment
+            .as_ref()
+            .is_none_or(|containment| containment.has_responded(id, sent, now));
+        if !is_overloaded && !has_responded {
+            self.record_failure(id, health::Failure::Broken, now);
+        }
+    }
+
+    /// Whether a backend server is ejected by the decision of this router alone or of all.
+    fn is_ejected(&self, server: &Server, now: Timestamp) -> bool {
+        match &self.containment {
+            Some(containment) => containment.is_ejected(&server.member.id, now),
+            None => server.health.is_ejected(now),
+        }
+    }
+
+    /// Probability that the next request to a backend server is lost.
+    fn risk(&self, server: &Server, now: Timestamp) -> f64 {
+        let containment = self.containment.as_ref();
+        let is_outdated =
+            containment.is_some_and(|it| !it.has_recent_failure(&server.member.id, now));
+        match is_outdated {
+            true => 0.0,
+            false => server.health.risk(),
+        }
+    }
+
+    fn admission(
+        &self,
+        server: &Server,
+        demand: &Demand,
+        now: Timestamp,
+    ) -> containment::Admission {
+        let Some(containment) = &self.containment else {
+            return containment::Admission::Free;
+        };
+        let reserved = server.reserved.iter().filter(|(_, end)| *end > now);
+        let own_requests = server.own.requests + reserved.count() as u32;
+        containment.admission(&server.member.id, own_requests, demand.trial_use, now)
+    }
+
     /// Records what a response says of the process of a backend server that started at
     /// `started_at_ms`, whatever registrations say later. The request was sent at `sent`. Returns
     /// what is news.
@@ -393,7 +507,7 @@
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
                 && !server.is_leaving(now)
-                && !server.health.is_ejected(now)
+                && !self.is_ejected(server, now)
         });
         let limits: Option<Vec<f64>> = servers
             .map(|server| server.limit(now).map(Limit::per_second))
@@ -408,7 +522,7 @@
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
                 && !server.is_leaving(now)
-                && (server.statements.pause.is_pausing(now) || !server.health.is_ejected(now))
+                && (server.statements.pause.is_pausing(now) || !self.is_ejected(server, now))
         });
         let remaining = servers
             .map(|server| server.statements.pause.remaining(now))
@@ -427,7 +541,7 @@
         let jitter = self.jitter(demand.service, now);
         let considered = self.considered(demand, now, random);
         let homes = homes(&considered, demand);
-        let mut best: Option<((bool, bool, f64), &Server, Estimate)> = None;
+        let mut best: Option<(Rank, &Server, Estimate)> = None;
         let mut min_wait: Option<Duration> = None;
         for server in considered {
             let estimate = server.estimate(demand, now);
@@ -441,11 +555,19 @@
                 continue;
             }
             let is_home = homes.contains(&server.member.id.as_str());
-            let cost = server.cost(&estimate, demand, is_home, now)
+            let risk = self.risk(server, now);
+            let cost = server.cost(&estimate, demand, is_home, risk, now)
                 * (1.0 + jitter * random.random::<f64>());
             // A free slot is preferred to queueing at a faster engine, which adds no capacity.
             let is_overdue = server.limit(now).is_some() && server.turn.is_overdue(now);
-            let rank = (!estimate.wait.is_zero(), !is_overdue, cost);
+            let admission = self.admission(server, demand, now);
+            let rank = (
+                admission != containment::Admission::Trial,
+                !estimate.wait.is_zero(),
+                admission,
+                !is_overdue,
+                cost,
+            );
             if best.as_ref().is_none_or(|(known, ..)| rank < *known) {
                 best = Some((rank, server, estimate));
             }
@@ -492,7 +614,11 @@
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.candidates_with_held_back(demand, now)
-            .filter(move |server| server.admits(now) && !self.is_held_back(server, demand))
+            .filter(move |server| {
+                server.admits(now)
+                    && !self.is_held_back(server, demand)
+                    && self.admission(server, demand, now) != containment::Admission::Blocked
+            })
     }
 
     fn is_held_back(&self, server: &Server, demand: &Demand) -> bool {
@@ -501,11 +627,14 @@
             && self.held_back.contains(&server.member.origin())
     }
 
-    /// Whether a backend server lacks nothing but the end of its pause, a start within its limit, or the
-    /// save of its version.
+    /// Whether a backend server lacks nothing but the end of its pause, a start within its limit, the
+    /// save of its version, or its return after failures.
     fn has_candidate_later(&self, demand: &Demand, now: Timestamp) -> bool {
-        self.candidates_with_held_back(demand, now)
-            .any(|server| !server.admits(now) || self.is_held_back(server, demand))
+        self.candidates_with_held_back(demand, now).any(|server| {
+            !server.admits(now)
+                || self.is_held_back(server, demand)
+                || self.admission(server, demand, now) == containment::Admission::Blocked
+        })
     }
 
     fn candidates_with_held_back(
@@ -516,7 +645,7 @@
         self.servers.values().filter(move |server| {
             server.member.service == demand.service
                 && !server.is_leaving(now)
-                && !server.health.is_ejected(now)
+                && (self.containment.is_some() || !server.health.is_ejected(now))
                 && !demand.excluded.contains(&server.member.id)
                 && demand
                     .required_version
@@ -558,7 +687,7 @@
         let servers = self.servers.values().filter(|server| {
             server.member.service == service
                 && !server.is_leaving(now)
-                && !server.health.is_ejected(now)
+                && !self.is_ejected(server, now)
                 && server.statements.pause.admits(now)
                 && server.limit(now).is_none()
                 && data_centre.is_none_or(|only| only == server.member.data_centre)
@@ -585,6 +714,9 @@
             server.reserved.retain(|(_, end)| *end > now);
             server.reserved.push((request, now.plus(RESERVATION_TTL)));
             server.statements.pause.record_request(now);
+            if let Some(containment) = &mut self.containment {
+                containment.record_request(id, now);
+            }
             if server.limit(now).is_some() {
                 server.turn.begin(now);
             }
@@ -635,10 +767,15 @@
 
     /// Records a failed request. Returns whether it caused the ejection of the backend server.
     pub fn record_failure(&mut self, id: &str, failure: health::Failure, now: Timestamp) -> bool {
-        match self.servers.get_mut(id) {
-            Some(server) => server.health.record_failure(failure, now),
-            None => false,
+        let Some(server) = self.servers.get_mut(id) else {
+            return false;
+        };
+        if let Some(containment) = &mut self.containment {
+            // The failed request still counts.
+            let has_free_slot = server.load(now).requests <= server.member.slots;
+            containment.record(id, failure.outcome(has_free_slot), now);
         }
+        server.health.record_failure(failure, now) && self.containment.is_none()
     }
 
     /// Replaces the load of the peer router `peer` at `id`. Returns whether its number of requests
@@ -761,9 +898,16 @@
 
     /// Predicted time in seconds, plus penalties for the risk of a lost or late request, for
     /// traffic between data centres and for a new connection.
-    /// Less is better; `is_home` if the backend server is a home of the request's shared prefix.
-    fn cost(&self, estimate: &Estimate, demand: &Demand, is_home: bool, now: Timestamp) -> f64 {
-        let risk = self.health.risk();
+    /// Less is better; `is_home` if the backend server is a home of the request's shared prefix,
+    /// `risk` is the probability of a loss.
+    fn cost(
+        &self,
+        estimate: &Estimate,
+        demand: &Demand,
+        is_home: bool,
+        risk: f64,
+        now: Timestamp,
+    ) -> f64 {
         let mut seconds = estimate.total.as_secs_f64() + risk * LOST_REQUEST_COST_S;
         if let Some(prefix) = demand.prefix.filter(|_| !is_home) {
             seconds += self.speed.prefill_time(prefix.tokens).as_secs_f64() * PREFILL_COST_FACTOR;
--- /dev/null
+++ b/core/src/fleet/containment.rs
@@ -0,0 +1,593 @@
+//! Ejection of backend servers that fail more often than the others of their service, agreed upon by
+//! all gateways from their own outcomes and the reports of their peers.
+//!
+//! A server that is ejected gets no requests. It returns by trials: one request at a time, then as many
+//! at once as it has answered since.
+
+mod guard;
+pub mod report;
+mod tally;
+
+pub use report::Report;
+
+use {
+    self::{
+        guard::{Guard, Phase},
+        tally::Counts,
+    },
+    super::Members,
+    crate::{rendezvous, time::Timestamp},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        time::Duration,
+    },
+};
+
+/// Failures in a row, over all gateways, that eject a server.
+const MAX_FAILURES_IN_A_ROW: u32 = 3;
+
+/// Connection failures in a row that eject a server.
+const MAX_UNREACHABLE_IN_A_ROW: u32 = 2;
+
+/// Failures of one gateway that need no confirmation by a second one.
+const MIN_FAILURES_OF_ONE: u32 = 3;
+
+/// Fewest outcomes from which a share of failures is judged.
+const MIN_OUTCOMES: u32 = 5;
+
+/// Share of failures above that of the other servers of the service that ejects a server.
+const SHARE_MARGIN: f64 = 0.3;
+
+/// Largest probability, with the usual share of failures, of as many failures as eject a server. A
+/// service that answers 14 % of its requests with errors has five in a row once in 20,000 requests.
+const MAX_CHANCE: f64 = 1e-6;
+
+/// Least share of failures that counts as usual: one error among many outcomes is no exception.
+const MIN_USUAL_SHARE: f64 = 0.02;
+
+/// Weight of the newest outcome in a service's usual share of errors.
+const USUAL_SHARE_WEIGHT: f64 = 0.01;
+
+/// Usual share of errors from which one error of a server is not worth a report.
+const MIN_COMMON_SHARE: f64 = 0.05;
+
+/// Errors in a row that are reported even where errors are usual.
+const MIN_REPORTED_ERRORS: u32 = 2;
+
+/// Shortest and longest ejection.
+const EJECTION: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(8)];
+
+/// Time without a failure after which the next ejection is a first one.
+const FORGIVENESS: Duration = Duration::from_secs(10);
+
+/// Longest time until an ejected server is tried with a request that may be repeated, which is not lost
+/// there: a server that is well must not wait for the end of a long ejection.
+const REPEATABLE_TRIAL_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which a trial waits for a better suited request, and for the next gateway.
+const TURN: Duration = Duration::from_millis(250);
+
+/// Turns after which any request may be a trial, if a service has no others.
+const TURNS_OF_SUITED_REQUESTS: u32 = 4;
+
+/// Time after which a trial without an outcome does not prevent the next one.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Concurrent requests, over all gateways, at a server that has been ejected repeatedly, until it has
+/// been well for as long as its last ejection.
+const PROBATION_REQUESTS: u32 = 4;
+
+/// Concurrent requests of each gateway at a server that has just started.
+const FIRST_REQUESTS: u32 = 2;
+
+/// Shortest and longest pause after a refusal.
+const REFUSAL_PAUSE: [Duration; 2] = [Duration::from_millis(30), Duration::from_secs(1)];
+
+/// Time for which a server with an unexplained failure comes after the others.
+const SUSPICION: Duration = Duration::from_secs(1);
+
+/// Time after which the report of a peer does not count any more.
+const REPORT_TTL: Duration = Duration::from_secs(3);
+
+/// Outcome of a request at a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered completely.
+    Answered,
+    /// The first event or the head of the response has arrived.
+    Begun,
+    /// It was answered with an error, which some services do to valid requests.
+    Error,
+    /// The connection broke, or the response was invalid or did not come while others did not either.
+    Broken,
+    /// The connection could not be established.
+    Unreachable,
+    /// It was refused.
+    Refused {
+        /// Whether the server had a free slot by the counts of this gateway.
+        has_free_slot: bool,
+    },
+}
+
+/// How well a request is suited as a trial of an ejected server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TrialUse {
+    /// It may be repeated, so it is not lost.
+    Preferred,
+    /// It may run only once.
+    #[default]
+    Allowed,
+    /// It may run only once and is of the most urgent rank.
+    Avoided,
+}
+
+/// Whether a request may be sent to a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Admission {
+    /// It is the trial that an ejected server needs.
+    Trial,
+    /// Yes.
+    Free,
+    /// Only if no other server has a free slot.
+    Cautious,
+    /// No.
+    Blocked,
+}
+
+/// A change that operators are told of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Event {
+    /// Identifier of the backend server.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// What has changed.
+    pub kind: EventKind,
+}
+
+/// Kind of an [`Event`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum EventKind {
+    /// The server was ejected.
+    Ejected {
+        /// Failures and outcomes within the window, of all gateways.
+        failures: u32,
+        /// Outcomes within the window, of all gateways.
+        outcomes: u32,
+        /// Gateways that had failures.
+        gateways: u32,
+        /// Time until a request that runs only once may be the trial.
+        length: Duration,
+    },
+    /// This gateway sends it a trial.
+    OnTrial,
+    /// A trial succeeded.
+    Returned,
+}
+
+/// State of the backend servers with respect to failures, at one gateway.
+#[derive(Debug)]
+pub struct Containment {
+    own_boot: u64,
+    guards: BTreeMap<String, Guard>,
+    /// Connected gateways.
+    peers: BTreeSet<u64>,
+    /// Usual share of errors by service, a moving average.
+    usual_shares: BTreeMap<String, f64>,
+    events: Vec<Event>,
+}
+
+impl Containment {
+    /// Creates the state of the gateway with the boot identifier `own_boot`.
+    pub fn new(own_boot: u64) -> Self {
+        Self {
+            own_boot,
+            guards: BTreeMap::new(),
+            peers: BTreeSet::new(),
+            usual_shares: BTreeMap::new(),
+            events: Vec::new(),
+        }
+    }
+
+    /// Replaces the set of registered servers. Servers that join others of their service start slowly.
+    pub fn update_members(&mut self, members: &Members, now: Timestamp) {
+        let known: BTreeSet<String> = self.guards.values().map(|it| it.service.clone()).collect();
+        let removed = self.guards.extract_if(.., |id, guard| {
+            let member = members.get(id);
+            member.is_none_or(|member| member.started_at_ms != guard.started_at_ms)
+        });
+        // A process that follows another at its address inherits its ejections: one that crashes at each
+        // start must not be new each time.
+        let predecessors: Vec<Guard> = removed.map(|(_, guard)| guard).collect();
+        for (id, member) in members {
+            if let Some(guard) = self.guards.get_mut(id) {
+                guard.update(member);
+                continue;
+            }
+            let mut guard = Guard::new(member);
+            if known.contains(&member.service) {
+                guard.phase = Phase::Starting {
+                    allowed: FIRST_REQUESTS,
+                };
+            }
+            let mut predecessors = predecessors.iter();
+            if let Some(before) = predecessors.find(|it| it.address == member.address) {
+                if guard.inherit(before, now) {
+                    guard.turn = turn(self.own_boot, &self.peers, id, &guard);
+                }
+            }
+            self.guards.insert(id.clone(), guard);
+        }
+        let services: BTreeSet<&str> = members.values().map(|it| it.service.as_str()).collect();
+        self.usual_shares
+            .retain(|service, _| services.contains(service.as_str()));
+        for service in services {
+            self.enforce_bound(service, now);
+        }
+    }
+
+    /// Records that a peer is connected.
+    pub fn add_peer(&mut self, peer: u64) {
+        self.peers.insert(peer);
+    }
+
+    /// Forgets a peer and its reports.
+    pub fn remove_peer(&mut self, peer: u64) {
+        self.peers.remove(&peer);
+        for guard in self.guards.values_mut() {
+            guard.reports.remove(&peer);
+        }
+    }
+
+    /// The changes since the last call.
+    pub fn take_events(&mut self) -> Vec<Event> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Number of ejected servers by service.
+    pub fn ejected(&self) -> BTreeMap<&str, u64> {
+        let mut counts = BTreeMap::new();
+        for guard in self.guards.values() {
+            *counts.entry(guard.service.as_str()).or_default() += u64::from(guard.is_ejected());
+        }
+        counts
+    }
+
+    /// Records the outcome of a request of this gateway.
+    pub fn record(&mut self, id: &str, outcome: Outcome, now: Timestamp) {
+        let Some(guard) = self.guards.get_mut(id) else {
+            return;
+        };
+        guard.trial = None;
+        if matches!(outcome, Outcome::Answered | Outcome::Error) {
+            let share = self.usual_shares.entry(guard.service.clone()).or_default();
+            let error = f64::from(u8::from(outcome == Outcome::Error));
+            *share += (error - *share) * USUAL_SHARE_WEIGHT;
+        }
+        match outcome {
+            Outcome::Refused { has_free_slot } => guard.pause(has_free_slot, now),
+            Outcome::Answered | Outcome::Begun => {
+                if guard.record_success(outcome == Outcome::Answered, now) {
+                    self.add_event(id, EventKind::Returned);
+                }
+            }
+            Outcome::Error | Outcome::Broken | Outcome::Unreachable => {
+                guard.own.record_failure(outcome, now);
+                let is_usual =
+                    outcome == Outcome::Error && self.usual_share(id, now) >= MIN_COMMON_SHARE;
+                self.judge_failure(id, is_usual, now);
+            }
+        }
+    }
+
+    /// Merges the report of a peer.
+    pub fn merge(&mut self, peer: u64, report: &Report, now: Timestamp) {
+        let Some(guard) = self.guards.get_mut(&report.id) else {
+            return;
+        };
+        if guard.started_at_ms != report.started_at_ms || !report.is_valid() {
+            return;
+        }
+        let is_new = guard.merge(peer, report, now);
+        if let Some(ejection) = report.ejection
+            && guard.adopt(ejection, now)
+        {
+            self.begin_ejection(&report.id, now);
+            return;
+        }
+        if guard.has_success_since_ejection(report) && guard.record_return(report.success, now) {
+            self.add_event(&report.id, EventKind::Returned);
+        }
+        if is_new {
+            let is_usual =
+                report.broken == 0 && self.usual_share(&report.id, now) >= MIN_COMMON_SHARE;
+            self.judge_failure(&report.id, is_usual, now);
+        }
+    }
+
+    /// What this gateway tells its peers about servers with recent failures. Nothing if the fault is
+    /// probably its own.
+    pub fn reports(&self, now: Timestamp) -> Vec<Report> {
+        // Most of the time there is nothing to report.
+        let mut guards = self
+            .guards
+            .iter()
+            .filter(|(_, it)| it.has_news(now))
+            .peekable();
+        if guards.peek().is_none() || self.has_local_fault(now) {
+            return Vec::new();
+        }
+        let reports = guards.filter_map(|(id, guard)| {
+            let share = self.usual_shares.get(&guard.service).copied();
+            let is_common = share.unwrap_or_default() >= MIN_COMMON_SHARE;
+            guard.report(id, is_common, self.has_success_elsewhere(id, guard), now)
+        });
+        reports.collect()
+    }
+
+    /// Whether a request may be sent to a server at which this gateway has `own_requests`.
+    pub fn admission(
+        &self,
+        id: &str,
+        own_requests: u32,
+        trial_use: TrialUse,
+        now: Timestamp,
+    ) -> Admission {
+        let Some(guard) = self.guards.get(id) else {
+            return Admission::Free;
+        };
+        if guard.paused_until > now {
+            return Admission::Blocked;
+        }
+        match guard.phase {
+            Phase::Ejected { .. } => match self.is_trial_due(guard, trial_use, now) {
+                true => Admission::Trial,
+                false => Admission::Blocked,
+            },
+            Phase::Returning { .. } => {
+                let gateways = self.peers.len() as u32 + 1;
+                let part =
+                    (guard.allowance(now) + gateways - 1 - guard.turn.min(gateways - 1)) / gateways;
+                match own_requests < part {
+                    true => Admission::Free,
+                    false => Admission::Blocked,
+                }
+            }
+            Phase::Starting { allowed } if own_requests >= allowed => Admission::Cautious,
+            _ if guard.is_suspect(now) => Admission::Cautious,
+            _ => Admission::Free,
+        }
+    }
+
+    /// Whether a server gets no requests now, or only trials.
+    pub fn is_ejected(&self, id: &str, now: Timestamp) -> bool {
+        let guard = self.guards.get(id);
+        guard.is_some_and(|guard| guard.is_ejected() || guard.paused_until > now)
+    }
+
+    /// Whether a server has responded to any gateway since `sent`, as far as this one knows.
+    pub fn has_responded(&self, id: &str, sent: Timestamp, now: Timestamp) -> bool {
+        let guard = self.guards.get(id);
+        guard.is_none_or(|guard| guard.last_success(now).is_some_and(|at| at >= sent))
+    }
+
+    /// Whether this gateway has had a failure at a server lately. An older one says little, and the server
+    /// would never be used again if it counted.
+    pub fn has_recent_failure(&self, id: &str, now: Timestamp) -> bool {
+        let last_failure = self.guards.get(id).and_then(|it| it.own.last_failure);
+        last_failure.is_some_and(|at| now.since(at) < REPORT_TTL)
+    }
+
+    /// Records that a request is about to be sent.
+    pub fn record_request(&mut self, id: &str, now: Timestamp) {
+        let Some(guard) = self.guards.get_mut(id) else {
+            return;
+        };
+        if guard.is_ejected() {
+            guard.trial = Some(now);
+            self.add_event(id, EventKind::OnTrial);
+        }
+    }
+
+    fn is_trial_due(&self, guard: &Guard, trial_use: TrialUse, now: Timestamp) -> bool {
+        let Phase::Ejected { until, trial_from } = guard.phase else {
+            return false;
+        };
+        if guard.is_tried(now) {
+            return false;
+        }
+        let turns = |from: Timestamp| match from <= now {
+            true => Some((now.since(from).as_millis() / TURN.as_millis()) as u32),
+            false => None,
+        };
+        let turn = match trial_use {
+            TrialUse::Preferred => turns(trial_from),
+            TrialUse::Allowed => turns(until.plus(TURN)),
+            TrialUse::Avoided => turns(until.plus(TURN * TURNS_OF_SUITED_REQUESTS)),
+        };
+        turn.is_some_and(|turn| guard.turn <= turn)
+    }
+
+    /// Judges a server after a failure. An error of a kind that is usual in the service decides nothing
+    /// alone.
+    fn judge_failure(&mut self, id: &str, is_usual: bool, now: Timestamp) {
+        let Some(guard) = self.guards.get(id) else {
+            return;
+        };
+        match guard.phase {
+            Phase::Ejected { until, .. } => {
+                let has_failed = guard.last_failure(now).is_some_and(|at| at > guard.since);
+                if !has_failed || is_usual {
+                    return;
+                }
+                match now < until {
+                    true => self.delay_trial(id, now),
+                    false => self.eject(id, now),
+                }
+                return;
+            }
+            Phase::Returning { .. } if !is_usual => {
+                if guard.last_failure(now).is_some_and(|at| at > guard.since) {
+                    self.eject(id, now);
+                }
+                return;
+            }
+            _ => {}
+        }
+        let sources = guard.sources(self.own_certainty(id, now), now);
+        if sources.is_corroborated()
+            && (sources.failures_in_row >= MAX_FAILURES_IN_A_ROW
+                || sources.unreachable_in_row >= MAX_UNREACHABLE_IN_A_ROW
+                || self.is_outlier(id, sources.counts, now))
+        {
+            self.eject(id, now);
+        }
+    }
+
+    fn delay_trial(&mut self, id: &str, now: Timestamp) {
+        if let Some(guard) = self.guards.get_mut(id)
+            && let Phase::Ejected { trial_from, .. } = &mut guard.phase
+        {
+            *trial_from = now.plus(REPEATABLE_TRIAL_INTERVAL);
+            guard.since = now;
+        }
+    }
+
+    fn eject(&mut self, id: &str, now: Timestamp) {
+        let own_certainty = self.own_certainty(id, now);
+        let Some(guard) = self.guards.get_mut(id) else {
+            return;
+        };
+        let sources = guard.sources(own_certainty, now);
+        let was_ejected = guard.is_ejected();
+        let length = guard.eject(sources.counts.share(), now);
+        self.begin_ejection(id, now);
+        if !was_ejected && self.guards.get(id).is_some_and(Guard::is_ejected) {
+            let kind = EventKind::Ejected {
+                failures: sources.counts.failures(),
+                outcomes: sources.counts.outcomes(),
+                gateways: sources.gateways,
+                length,
+            };
+            self.add_event(id, kind);
+        }
+    }
+
+    /// Determines who tries an ejected server, and applies the bound of its service.
+    fn begin_ejection(&mut self, id: &str, now: Timestamp) {
+        let Some(guard) = self.guards.get_mut(id) else {
+            return;
+        };
+        guard.turn = turn(self.own_boot, &self.peers, id, guard);
+        let service = guard.service.clone();
+        self.enforce_bound(&service, now);
+    }
+
+    /// Lets those of a service's ejected servers serve that have failed least, as long as they are more
+    /// than half.
+    fn enforce_bound(&mut self, service: &str, now: Timestamp) {
+        let of_service = self.guards.values().filter(|it| it.service == service);
+        let count = of_service.filter(|it| !it.is_leaving).count();
+        loop {
+            let guards = self.guards.iter_mut();
+            let ejected =
+                guards.filter(|(_, it)| it.service == service && !it.is_leaving && it.is_ejected());
+            let mut ejected: Vec<_> = ejected.map(|(_, guard)| guard).collect();
+            if ejected.len() <= count / 2 {
+                return;
+            }
+            ejected.sort_by(|one, other| one.share.total_cmp(&other.share));
+            if let Some(least) = ejected.first_mut() {
+                least.release(now);
+            }
+        }
+    }
+
+    /// Whether a share of failures is far above that of the other servers of the service.
+    fn is_outlier(&self, id: &str, counts: Counts, now: Timestamp) -> bool {
+        if counts.outcomes() < MIN_OUTCOMES {
+            return false;
+        }
+        let usual = self.usual_share(id, now).max(MIN_USUAL_SHARE);
+        let share = counts.share();
+        share >= usual + SHARE_MARGIN
+            && tally::chance(counts.failures(), counts.outcomes(), usual) < MAX_CHANCE
+    }
+
+    /// Share of failures that is usual in the service of a server: the median and the mean of the others in
+    /// the window, or the long-term mean if that is more.
+    fn usual_share(&self, id: &str, now: Timestamp) -> f64 {
+        let Some(own) = self.guards.get(id) else {
+            return 0.0;
+        };
+        let mut shares = Vec::new();
+        let mut sum = Counts::default();
+        for (other, guard) in &self.guards {
+            if guard.service != own.service || other == id {
+                continue;
+            }
+            let counts = guard.sources(Some(true), now).counts;
+            if counts.outcomes() > 0 {
+                shares.push(counts.share());
+                sum = sum.plus(counts);
+            }
+        }
+        shares.sort_by(f64::total_cmp);
+        let median = shares.get(shares.len() / 2).copied().unwrap_or_default();
+        let long_term = self.usual_shares.get(&own.service).copied();
+        median.max(sum.share()).max(long_term.unwrap_or_default())
+    }
+
+    /// Whether this gateway's own observations of a server suffice for an ejection; `None` if they do not
+    /// count at all.
+    fn own_certainty(&self, id: &str, now: Timestamp) -> Option<bool> {
+        let guard = self.guards.get(id)?;
+        let is_certain = self.has_success_elsewhere(id, guard);
+        (!self.has_local_fault(now)).then_some(is_certain)
+    }
+
+    /// Whether more than half of the servers that this gateway used have failed here and nowhere else.
+    /// Ejected servers do not count: their trials fail more often than those of others.
+    fn has_local_fault(&self, now: Timestamp) -> bool {
+        let mut used = 0;
+        let mut failed = 0;
+        for guard in self.guards.values() {
+            let is_restricted =
+                guard.is_ejected() || matches!(guard.phase, Phase::Returning { .. });
+            if is_restricted || guard.own.counts(now).outcomes() == 0 {
+                continue;
+            }
+            used += 1;
+            failed += u32::from(guard.own.is_failing(now) && !guard.is_failing_at_peers(now));
+        }
+        failed * 2 > used
+    }
+
+    /// Whether another server has responded to this gateway since the failures of this one began, so that
+    /// the fault is not on this side.
+    fn has_success_elsewhere(&self, id: &str, failing: &Guard) -> bool {
+        let Some(begin) = failing.own.row_began else {
+            return false;
+        };
+        let mut others = self.guards.iter().filter(|(other, _)| *other != id);
+        others.any(|(_, guard)| guard.own.last_success.is_some_and(|at| at >= begin))
+    }
+
+    fn add_event(&mut self, id: &str, kind: EventKind) {
+        if let Some(guard) = self.guards.get(id) {
+            self.events.push(Event {
+                id: id.to_owned(),
+                service: guard.service.clone(),
+                kind,
+            });
+        }
+    }
+}
+
+/// Number of gateways that come before this one, in an order that differs for each ejection.
+fn turn(own: u64, peers: &BTreeSet<u64>, id: &str, guard: &Guard) -> u32 {
+    let key = format!("{id} {} {}", guard.started_at_ms, guard.ejections);
+    let before = peers.iter().copied();
+    let before = before.filter(|peer| !rendezvous::ranks_highest(&key, own, [*peer]));
+    before.count() as u32
+}
--- a/core/src/fleet/health.rs
+++ b/core/src/fleet/health.rs
@@ -1,6 +1,6 @@
 //! Health of a backend server, derived from the outcomes of its requests.
 
-use {crate::time::Timestamp, std::time::Duration};
+use {super::containment::Outcome, crate::time::Timestamp, std::time::Duration};
 
 /// How a request to a backend server failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -10,10 +10,24 @@
     /// The backend server did not run the request: it is full, or another one listens at the
     /// address.
     Rejected,
-    /// It responded with an error, closed the connection early, or sent an invalid response.
+    /// It responded with an error.
+    Error,
+    /// It closed the connection early, or sent an invalid response.
     Broken,
 }
 
+impl Failure {
+    /// The outcome at a backend server that has a free slot or not.
+    pub fn outcome(self, has_free_slot: bool) -> Outcome {
+        match self {
+            Self::Unreachable => Outcome::Unreachable,
+            Self::Rejected => Outcome::Refused { has_free_slot },
+            Self::Error => Outcome::Error,
+            Self::Broken => Outcome::Broken,
+        }
+    }
+}
+
 /// Weight of the newest outcome in the moving average of the failure rate.
 const SAMPLE_WEIGHT: f64 = 0.15;
 
@@ -67,7 +81,7 @@
                 self.ejected_until = self.ejected_until.max(now.plus(REJECTION_PAUSE));
                 false
             }
-            Failure::Broken => {
+            Failure::Error | Failure::Broken => {
                 self.failure_rate += (1.0 - self.failure_rate) * SAMPLE_WEIGHT;
                 false
             }
