--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -48,6 +48,9 @@
 /// Time that a lost request costs its caller. It is weighted with the probability of the loss.
 const LOST_REQUEST_COST_S: f64 = 3.0;
 
+/// Shortest time without a response that is a sign of a fault: callers may allow for less.
+const MIN_SILENCE: Duration = Duration::from_secs(1);
+
 /// Time after which a start at a backend server that the keeper does not know is asked for again. Its
 /// registration reaches all routers within about as long.
 const UNKNOWN_SERVER_DELAY: Duration = Duration::from_millis(200);
@@ -311,11 +314,15 @@
     }
 
     /// Records that a request of this router, sent at `sent`, got no response in time. This is a failure
-    /// of the backend server only if it has a slot for each request and responds to no other.
+    /// of the backend server only if it has room and has responded to no other request meanwhile: an
+    /// overloaded one is late, but responds. Without the ejection of failing servers it is no failure.
     pub fn record_silence(&mut self, id: &str, sent: Timestamp, now: Timestamp) {
         let Some(server) = self.servers.get(id) else {
             return;
         };
+        if now.since(sent) < MIN_SILENCE {
+            return;
+        }
         let is_overloaded = server.load(now).requests > server.member.slots;
         let has_responded = self
             .containment
--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -175,6 +175,9 @@
     /// Usual share of errors by service, a moving average.
     usual_shares: BTreeMap<String, f64>,
     events: Vec<Event>,
+    /// Until when a server may be restricted, so that most choices need not look.
+    restless_until: Timestamp,
+    invalid_reports: u64,
 }
 
 impl Containment {
@@ -186,6 +189,8 @@
             peers: BTreeSet::new(),
             usual_shares: BTreeMap::new(),
             events: Vec::new(),
+            restless_until: Timestamp::START,
+            invalid_reports: 0,
         }
     }
 
@@ -218,6 +223,9 @@
             }
             self.guards.insert(id.clone(), guard);
         }
+        if self.guards.values().any(|it| it.phase != Phase::Normal) {
+            self.restless_until = now.plus(FORGIVENESS);
+        }
         let services: BTreeSet<&str> = members.values().map(|it| it.service.as_str()).collect();
         self.usual_shares
             .retain(|service, _| services.contains(service.as_str()));
@@ -244,6 +252,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Number of reports that were ignored because their counts cannot be true.
+    pub fn invalid_reports(&self) -> u64 {
+        self.invalid_reports
+    }
+
     /// Number of ejected servers by service.
     pub fn ejected(&self) -> BTreeMap<&str, u64> {
         let mut counts = BTreeMap::new();
@@ -259,6 +272,9 @@
             return;
         };
         guard.trial = None;
+        if !matches!(outcome, Outcome::Answered | Outcome::Begun) {
+            self.restless_until = now.plus(FORGIVENESS);
+        }
         if matches!(outcome, Outcome::Answered | Outcome::Error) {
             let share = self.usual_shares.entry(guard.service.clone()).or_default();
             let error = f64::from(u8::from(outcome == Outcome::Error));
@@ -285,9 +301,14 @@
         let Some(guard) = self.guards.get_mut(&report.id) else {
             return;
         };
-        if guard.started_at_ms != report.started_at_ms || !report.is_valid() {
+        if guard.started_at_ms != report.started_at_ms {
             return;
         }
+        if !report.is_valid() {
+            self.invalid_reports += 1;
+            return;
+        }
+        self.restless_until = now.plus(FORGIVENESS);
         let is_new = guard.merge(peer, report, now);
         if let Some(ejection) = report.ejection
             && guard.adopt(ejection, now)
@@ -333,6 +354,9 @@
         trial_use: TrialUse,
         now: Timestamp,
     ) -> Admission {
+        if self.restless_until <= now {
+            return Admission::Free;
+        }
         let Some(guard) = self.guards.get(id) else {
             return Admission::Free;
         };
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        fleet::{Contribution, statement},
+        fleet::{Contribution, containment, statement},
         floor::Notice,
         poison,
         quota::Usage,
@@ -29,6 +29,8 @@
     pub poison: Vec<Arc<poison::Notice>>,
     /// What backend servers have said of themselves to this router.
     pub statements: Vec<statement::Report>,
+    /// Failures of backend servers that this router observed.
+    pub health: Vec<containment::Report>,
 }
 
 impl Summary {
@@ -46,6 +48,7 @@
             && self.floors.is_empty()
             && self.poison.is_empty()
             && self.statements.is_empty()
+            && self.health.is_empty()
     }
 }
 
@@ -95,6 +98,8 @@
         let poison = poison::news(&self.previous.poison, &current.poison).to_vec();
         let statements = current.statements.iter();
         let statements = statements.filter(|report| !self.previous.statements.contains(report));
+        let health = current.health.iter();
+        let health = health.filter(|report| !self.previous.health.contains(report));
         let changes = Summary {
             entries,
             usages: usages.cloned().collect(),
@@ -103,6 +108,7 @@
             floors: current.floors.clone(),
             poison,
             statements: statements.cloned().collect(),
+            health: health.cloned().collect(),
         };
         let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
         if with_speeds {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod digest;
 pub mod failure;
 pub mod frame;
+pub mod health_report;
 pub mod id;
 pub mod message;
 pub mod origin;
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -46,5 +46,8 @@
 /// [`crate::summary::Frame`]s: the first is complete, the others hold what has changed.
 pub const SUMMARIES: &str = "/v1/summaries";
 
+/// Query of [`SUMMARIES`] by which a subscriber states that it understands reports of failures.
+pub const WITH_HEALTH: &str = "health";
+
 /// `POST` [`crate::start::Ask`]; responds with [`crate::start::Answer`].
 pub const STARTS: &str = "/v1/starts";
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,7 +1,7 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
-    crate::{poison::Poison, statement::Statement},
+    crate::{health_report::HealthReport, poison::Poison, statement::Statement},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
@@ -49,6 +49,10 @@
     /// What backend servers have said of themselves to the sender.
     #[serde(default)]
     pub statements: Vec<Statement>,
+    /// Failures of backend servers that the sender observed. Only for routers that have stated that they
+    /// understand them: a longer array than expected is no valid message for others.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub health: Vec<HealthReport>,
 }
 
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
@@ -141,9 +145,20 @@
                 .iter()
                 .map(|report| Statement::new(report, now))
                 .collect(),
+            health: summary
+                .health
+                .iter()
+                .map(|report| HealthReport::new(report, now))
+                .collect(),
         }
     }
 
+    /// Leaves out what only routers understand that have stated so.
+    pub fn without_health(mut self) -> Self {
+        self.health.clear();
+        self
+    }
+
     /// States the data centre of the sender.
     pub fn with_data_centre(mut self, data_centre: &str) -> Self {
         self.data_centre = Some(data_centre.to_owned());
@@ -173,6 +188,7 @@
         let usages = frame.usages.into_iter().map(quota::Usage::from);
         let poison = frame.poison.into_iter();
         let statements = frame.statements.into_iter();
+        let health = frame.health.into_iter();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: usages.filter(is_valid).collect(),
@@ -186,6 +202,7 @@
             statements: statements
                 .map(|statement| statement.into_report(now))
                 .collect(),
+            health: health.map(|report| report.into_report(now)).collect(),
         }
     }
 }
--- a/wire/tests/summary.rs
+++ b/wire/tests/summary.rs
@@ -1,13 +1,20 @@
 //! Summaries on the way from one router's clock to another's.
 
 use {
+    serde::{Deserialize, Serialize},
     std::sync::Arc,
     tamarackdale_core::{
+        fleet::containment::report::{Ejection, Report},
         poison::{Cause, Fingerprint, Notice, Quarantine},
         summary::Summary,
         time::Timestamp,
     },
-    tamarackdale_wire::{codec, summary::Frame},
+    tamarackdale_wire::{
+        codec,
+        poison::Poison,
+        statement::Statement,
+        summary::{Entry, Frame, Usage},
+    },
 };
 
 fn at(millis: u64) -> Timestamp {
@@ -78,3 +85,76 @@
     let is_quarantine = |notice: &Arc<Notice>| matches!(**notice, Notice::Quarantine(_));
     assert!(!summary.poison.iter().any(is_quarantine));
 }
+
+/// A report at some time of one clock in milliseconds.
+fn report(now_ms: u64) -> Report {
+    Report {
+        id: "s1".to_owned(),
+        started_at_ms: 3,
+        answered: 8,
+        errors: 1,
+        broken: 2,
+        failures_in_row: 2,
+        unreachable_in_row: 1,
+        answered_since_return: 4,
+        last_failure: Some(at(now_ms - 100)),
+        success: Some(at(now_ms - 50)),
+        paused_until: Some(at(now_ms + 200)),
+        ejection: Some(Ejection {
+            number: 2,
+            at: at(now_ms - 700),
+        }),
+        is_trying: true,
+        has_success_elsewhere: false,
+    }
+}
+
+fn with_report(now_ms: u64) -> Frame {
+    let summary = Summary {
+        health: vec![report(now_ms)],
+        ..Summary::default()
+    };
+    Frame::new(1, &summary, at(now_ms))
+}
+
+#[test]
+fn report_of_failures_arrives_on_the_receivers_clock() {
+    let bytes = codec::encode(&with_report(10_000)).expect("encodes");
+
+    let received: Frame = codec::decode(&bytes).expect("decodes");
+
+    let summary = received.into_summary(at(500_000));
+    assert_eq!(summary.health, [report(500_000)]);
+}
+
+/// A summary as the version before reports of failures reads and writes it.
+#[derive(Debug, Deserialize, Serialize)]
+struct FormerFrame {
+    boot: u64,
+    entries: Vec<Entry>,
+    usages: Vec<Usage>,
+    is_complete: bool,
+    waits: Vec<(String, u8, u8)>,
+    floors: Vec<(String, u8, u16)>,
+    #[serde(default)]
+    poison: Vec<Poison>,
+    #[serde(default)]
+    data_centre: Option<String>,
+    #[serde(default)]
+    statements: Vec<Statement>,
+}
+
+/// Guards against summaries that end the connection of a peer of the former version: it takes no longer
+/// arrays than it knows, so reports go only to those that have asked for them.
+#[test]
+fn former_version_reads_summaries_without_reports_only() {
+    let with = codec::encode(&with_report(10_000)).expect("encodes");
+    let without = codec::encode(&with_report(10_000).without_health()).expect("encodes");
+
+    assert!(codec::decode::<FormerFrame>(&with).is_err());
+    let former: FormerFrame = codec::decode(&without).expect("decodes");
+    let same = codec::encode(&former).expect("encodes");
+    assert_eq!(same, without);
+    let frame: Frame = codec::decode(&same).expect("decodes");
+    assert!(frame.health.is_empty());
+}
