--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -216,10 +216,9 @@
                 };
             }
             let mut predecessors = predecessors.iter();
-            if let Some(before) = predecessors.find(|it| it.address == member.address) {
-                if guard.inherit(before, now) {
-                    guard.turn = turn(self.own_boot, &self.peers, id, &guard);
-                }
+            let before = predecessors.find(|it| it.address == member.address);
+            if before.is_some_and(|before| guard.inherit(before, now)) {
+                guard.turn = turn(self.own_boot, &self.peers, id, &guard);
             }
             self.guards.insert(id.clone(), guard);
         }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -5,14 +5,14 @@
 //! by subscribing to its own summaries.
 
 use {
-    super::{context::Context, origins},
+    super::{context::Context, origins, summary_broadcast::EncodedSummary},
     crate::http::body,
     bytes::Bytes,
     futures_util::stream,
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::{Response, StatusCode, body::Frame},
+        hyper::{Response, StatusCode, Uri, body::Frame},
         state::{FromState as _, State},
     },
     http_body_util::BodyExt as _,
@@ -124,6 +124,10 @@
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
+        if context.scheduler.has_containment() {
+            let (ejected, invalid_reports) = context.scheduler.ejections();
+            context.metrics.set_ejections(&ejected, invalid_reports);
+        }
         let is_closed = tokio::select! {
             changed = members.changed() => changed.is_err(),
             changed = configuration.changed() => changed.is_err(),
@@ -211,16 +215,29 @@
             None => return,
         };
         self.sent_at = Instant::now();
-        match codec::encode_item(&Message::new(context.boot, &summary, context.clock.now())) {
-            Ok(bytes) => context.summary_broadcast.send(self.scope, bytes),
+        let message = Message::new(context.boot, &summary, context.clock.now());
+        match encode(message) {
+            Ok(encoded) => context.summary_broadcast.send(self.scope, encoded),
             Err(error) => log::error!("summary not published: {error}"),
         }
     }
 }
 
+/// Encodes a summary for all peers of a group.
+fn encode(message: Message) -> Result<EncodedSummary, codec::Error> {
+    let with_health = codec::encode_item(&message)?;
+    let plain = match message.health.is_empty() {
+        true => with_health.clone(),
+        false => codec::encode_item(&message.without_health())?,
+    };
+    Ok(EncodedSummary { plain, with_health })
+}
+
 /// Handles the subscription of a peer: responds with a stream that begins with a full summary.
 pub async fn stream_summaries(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
+    let uri = Uri::borrow_from(&state);
+    let knows_health = uri.query() == Some(path::WITH_HEALTH);
     let introduction = body::read(Body::take_from(&mut state), 1024).await;
     let introduction = introduction
         .ok()
@@ -235,7 +252,7 @@
     if context.introductions.send(address).await.is_err() {
         log::debug!(peer:% = address; "introduction ignored, the exchange has ended");
     }
-    let subscription = Subscription::new(context, introduction.data_centre);
+    let subscription = Subscription::new(context, introduction.data_centre, knows_health);
     let frames = stream::unfold(subscription, |mut subscription| async move {
         let bytes = subscription.next().await?;
         Some((Ok(Frame::data(bytes)), subscription))
@@ -249,16 +266,19 @@
     /// Data centre of the peer.
     data_centre: String,
     scope: Scope,
+    /// Whether the peer understands reports of failures.
+    knows_health: bool,
     /// The summaries for the peer's group, or `None` before the first, full summary.
-    receiver: Option<broadcast::Receiver<Bytes>>,
+    receiver: Option<broadcast::Receiver<EncodedSummary>>,
 }
 
 impl Subscription {
-    fn new(context: Context, data_centre: String) -> Self {
+    fn new(context: Context, data_centre: String, knows_health: bool) -> Self {
         Self {
             context,
             data_centre,
             scope: Scope::Near,
+            knows_health,
             receiver: None,
         }
     }
@@ -272,29 +292,42 @@
             _ => {
                 self.scope = scope;
                 self.receiver = Some(self.context.summary_broadcast.subscribe(scope));
-                return Some(full_summary(&self.context, scope));
+                return Some(self.choose(full_summary(&self.context, scope)));
             }
         };
         match receiver.recv().await {
-            Ok(bytes) => Some(bytes),
-            Err(broadcast::error::RecvError::Lagged(_)) => Some(full_summary(&self.context, scope)),
+            Ok(summary) => Some(self.choose(summary)),
+            Err(broadcast::error::RecvError::Lagged(_)) => {
+                Some(self.choose(full_summary(&self.context, scope)))
+            }
             Err(broadcast::error::RecvError::Closed) => None,
         }
     }
 
+    /// The form of a summary that the peer understands.
+    fn choose(&self, summary: EncodedSummary) -> Bytes {
+        match self.knows_health {
+            true => summary.with_health,
+            false => summary.plain,
+        }
+    }
+
     fn current_scope(&self) -> Scope {
         let is_same = self.context.settings.borrow().data_centre == self.data_centre;
         self.context.scheduler.layout().scope(is_same)
     }
 }
 
-fn full_summary(context: &Context, scope: Scope) -> Bytes {
+fn full_summary(context: &Context, scope: Scope) -> EncodedSummary {
     let summary = summary_for(context, scope, true);
     let message = Message::new(context.boot, &summary, context.clock.now())
         .with_data_centre(&context.settings.borrow().data_centre);
-    codec::encode_item(&message).unwrap_or_else(|error| {
+    encode(message).unwrap_or_else(|error| {
         log::error!("summary not published: {error}");
-        Bytes::new()
+        EncodedSummary {
+            plain: Bytes::new(),
+            with_health: Bytes::new(),
+        }
     })
 }
 
@@ -340,8 +373,13 @@
         return;
     };
     loop {
-        match client.open(path::SUMMARIES, introduction.clone()).await {
-            Ok(body) => read_summaries(&context, address, body).await,
+        let with_health = context.scheduler.has_containment();
+        let path = match with_health {
+            true => format!("{}?{}", path::SUMMARIES, path::WITH_HEALTH),
+            false => path::SUMMARIES.to_owned(),
+        };
+        match client.open(&path, introduction.clone()).await {
+            Ok(body) => read_summaries(&context, address, body, with_health).await,
             Err(error) => log::debug!(peer:% = address; "cannot connect to peer: {error}"),
         }
         let now = context.clock.now();
@@ -383,8 +421,14 @@
         .set_gateways(connected, known, layout, lag);
 }
 
-/// Merges the summaries of one connection to a peer until it ends or times out.
-async fn read_summaries(context: &Context, address: SocketAddr, mut body: Incoming) {
+/// Merges the summaries of one connection to a peer until it ends or times out, or until the settings ask
+/// for reports of failures that it does not bring.
+async fn read_summaries(
+    context: &Context,
+    address: SocketAddr,
+    mut body: Incoming,
+    with_health: bool,
+) {
     let mut splitter = Splitter::new();
     let mut boot = None;
     let mut contact = context.clock.now();
@@ -399,6 +443,9 @@
             Err(_) => break,
         };
         contact = context.clock.now();
+        if context.scheduler.has_containment() && !with_health {
+            break;
+        }
         if let Some(bytes) = frame.data_ref() {
             splitter.push(bytes);
         }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -30,11 +30,12 @@
     tamarackdale_core::{
         digest,
         dispatch::{Dispatch, SendFailure, Step},
-        fleet::{Choice, Limit, Member},
+        fleet::{Choice, Limit, Member, TrialUse},
         origin,
         poison::Fingerprint,
         rendezvous,
         routing_config::{Organisation, RepeatPolicy, Route},
+        tier::Rank,
         time::Timestamp,
         verdict::Verdict,
         wait_policy,
@@ -445,10 +446,11 @@
         // The organisation's rank takes precedence; the route's rank only orders requests within
         // it.
         let outer = organisation.and_then(|own| own.rank).unwrap_or(route.rank);
+        let rank = route.rank.nested_in(outer);
         let time_budget = self.request.head.time_budget.unwrap_or(route.timeout);
         PlacementRequest {
             service: self.service.clone(),
-            rank: route.rank.nested_in(outer),
+            rank,
             prompt: self.prompt_tokens(),
             prefix: self.request.head.shared_prefix(),
             output: tokens.map_or(0, |tokens| tokens.expected_output()),
@@ -461,6 +463,19 @@
             deadline: self.context.clock.now().plus(self.time_left()),
             is_retry: wait_policy::is_retry(time_budget, route.timeout),
             is_optional: false,
+            trial_use: self.trial_use(rank),
+        }
+    }
+
+    /// How well the request is suited as a trial: whether it may be sent elsewhere after a failure.
+    fn trial_use(&self, rank: Rank) -> TrialUse {
+        let route = &self.request.route;
+        let is_repeatable =
+            route.repeat_policy.may_rerun() && self.dispatch.sent() + 1 < route.attempts;
+        match (is_repeatable, rank) {
+            (true, _) => TrialUse::Preferred,
+            (false, Rank::FIRST) => TrialUse::Avoided,
+            (false, _) => TrialUse::Allowed,
         }
     }
 
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -89,7 +89,11 @@
     job.record_origin(&choice.member);
     let mut sent = connected.send(job)?;
     let response = timeout(job.time_left(), sent.response()).await;
-    let response = response.map_err(|_| ExchangeError::GivenUp(Cause::Timeout))?;
+    let Ok(response) = response else {
+        let scheduler = &job.context.scheduler;
+        scheduler.record_silence(&choice.member.id, sent.sent);
+        return Err(ExchangeError::GivenUp(Cause::Timeout));
+    };
     if response.is_ok() && sent.connected.is_unchecked && is_other_start(job, &choice.member).await
     {
         return Err(ExchangeError::SendFailure(SendFailure::Lost));
@@ -289,6 +293,9 @@
         let class = response::classify(status, headers, &job.request.head.id);
         let notice = response::notice(status, headers, class, SystemTime::now());
         scheduler.record_notice(&member, &notice, self.sent);
+        if class == ResponseClass::Failed {
+            in_flight.mark_failed();
+        }
         if let Some(failure) = check_response(job, class, &member.id) {
             return Err(ExchangeError::SendFailure(failure));
         }
@@ -329,11 +336,11 @@
             Some(SendFailure::NotExecuted)
         }
         ResponseClass::Unproved => {
-            scheduler.record_failure(id, Failure::Broken);
+            scheduler.record_failure(id, Failure::Error);
             Some(SendFailure::Failed)
         }
         ResponseClass::Failed => {
-            scheduler.record_failure(id, Failure::Broken);
+            scheduler.record_failure(id, Failure::Error);
             let can_repeat = job.request.route.repeat_policy.may_rerun()
                 && job.dispatch.sent() < job.request.route.attempts;
             can_repeat.then_some(SendFailure::Failed)
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -309,7 +309,7 @@
     /// Closes the connection to a silent backend server.
     fn leave_silent(&mut self) {
         if let Some(silent) = self.exchange.take() {
-            silent.record_failure();
+            silent.in_flight.record_silence();
             self.job.excluded.push(silent.member.id.clone());
         }
     }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -1,6 +1,7 @@
 //! Decides when each request is sent and to which backend server, based on the load that all
 //! gateways report for each backend server.
 
+mod ejection;
 mod in_flight;
 mod placement_request;
 mod retry;
@@ -20,7 +21,7 @@
     tamarackdale_core::{
         cell::Layout,
         fleet::{
-            self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
+            Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
         origin::Origin,
@@ -65,7 +66,7 @@
         Self {
             clock,
             changed: Notify::new(),
-            state: Mutex::new(State::new(boot, settings)),
+            state: Mutex::new(State::new(boot, settings, clock.now())),
         }
     }
 
@@ -76,7 +77,8 @@
 
     /// Applies changed settings.
     pub fn update_settings(&self, settings: &Settings) {
-        self.lock().update_settings(settings);
+        let now = self.clock.now();
+        self.lock().update_settings(settings, now);
     }
 
     /// Replaces the set of registered backend servers, and that of the versions at which no stream may
@@ -405,14 +407,6 @@
         delay
     }
 
-    /// Records a failure of a backend server.
-    pub fn record_failure(&self, id: &str, failure: fleet::health::Failure) {
-        let now = self.clock.now();
-        if self.lock().fleet.record_failure(id, failure, now) {
-            log::warn!(backend_server = id; "backend server ejected: {failure:?}");
-        }
-    }
-
     /// Whether requests must be checked, because servers have crashed lately.
     pub fn is_alert(&self) -> bool {
         self.lock().poison.is_alert()
@@ -492,6 +486,7 @@
         for notice in &summary.poison {
             state.poison.merge(notice, now);
         }
+        state.merge_health(peer, &summary.health, now);
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
         }
@@ -503,6 +498,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.remove_peer(peer);
+        state.remove_health(peer);
         state.ledger.remove_peer(peer, contact, now);
         state.peer_waiting.remove(&peer);
     }
@@ -543,6 +539,7 @@
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
+            health: state.health_reports(now),
         }
     }
 
--- a/daemon/src/gateway/scheduler/in_flight.rs
+++ b/daemon/src/gateway/scheduler/in_flight.rs
@@ -3,7 +3,10 @@
 use {
     super::Scheduler,
     std::{sync::Arc, time::Duration},
-    tamarackdale_core::{fleet::RequestLoad, time::Timestamp},
+    tamarackdale_core::{
+        fleet::{RequestLoad, health::Failure},
+        time::Timestamp,
+    },
 };
 
 /// A request in flight at a backend server. It counts towards the server's load until it is
@@ -15,6 +18,8 @@
     started: Timestamp,
     /// When the first event or the response arrived.
     first_event: Option<Timestamp>,
+    /// Whether the backend server has answered with an error.
+    has_failed: bool,
 }
 
 impl InFlightRequest {
@@ -25,6 +30,7 @@
             load,
             started: scheduler.clock.now(),
             first_event: None,
+            has_failed: false,
         }
     }
 
@@ -49,9 +55,27 @@
         let elapsed = now.since(self.started);
         let mut state = self.scheduler.lock();
         state.fleet.record_first_token(&self.id, self.load, elapsed);
+        if !self.has_failed {
+            state.fleet.record_response(&self.id, false, now);
+            state.log_containment_events();
+        }
         self.scheduler.changed.notify_one();
     }
 
+    /// Records that the response is an error, which is passed on and does not show that the backend server
+    /// is well.
+    pub fn mark_failed(&mut self) {
+        self.has_failed = true;
+    }
+
+    /// Records that the backend server has been silent for too long.
+    pub fn record_silence(&self) {
+        match self.scheduler.has_containment() {
+            true => self.scheduler.record_silence(&self.id, self.started),
+            false => self.scheduler.record_failure(&self.id, Failure::Broken),
+        }
+    }
+
     /// Time from sending the request to the first event.
     pub fn time_to_first_event(&self) -> Option<Duration> {
         self.first_event.map(|first| first.since(self.started))
@@ -69,6 +93,10 @@
         state
             .fleet
             .record_answer(&self.id, tokens, decoding, occupancy, now);
+        if !self.has_failed {
+            state.fleet.record_response(&self.id, true, now);
+            state.log_containment_events();
+        }
     }
 }
 
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -2,7 +2,11 @@
 
 use {
     std::time::Duration,
-    tamarackdale_core::{fleet::SharedPrefix, tier::Rank, time::Timestamp},
+    tamarackdale_core::{
+        fleet::{SharedPrefix, TrialUse},
+        tier::Rank,
+        time::Timestamp,
+    },
 };
 
 /// A request that the scheduler is to place at a backend server.
@@ -36,6 +40,8 @@
     pub is_retry: bool,
     /// Whether the request may stay where it is: it is not shed if there is no slot for it.
     pub is_optional: bool,
+    /// How well it is suited as a trial of an ejected backend server.
+    pub trial_use: TrialUse,
 }
 
 impl PlacementRequest {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -3,7 +3,11 @@
 use {
     super::PlacementRequest,
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
     tamarackdale_core::{
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage, limit},
@@ -72,7 +76,7 @@
     pub(super) poison: Detector,
     pub(super) random: SmallRng,
     /// Random number that identifies this start of the process.
-    boot: u64,
+    pub(super) boot: u64,
     pub(super) data_centre: String,
     /// Connected gateways inside and outside this gateway's data centre.
     pub(super) layout: Layout,
@@ -82,11 +86,13 @@
     pub(super) visible_fraction: f64,
     pub(super) retry_ratio: f64,
     pub(super) retry_extra: f64,
+    /// Peers whose reports of failures were logged as invalid.
+    pub(super) peers_with_invalid_reports: HashSet<u64>,
 }
 
 impl State {
-    pub(super) fn new(boot: u64, settings: &Settings) -> Self {
-        Self {
+    pub(super) fn new(boot: u64, settings: &Settings, now: Timestamp) -> Self {
+        let mut state = Self {
             boot,
             fleet: Fleet::new(),
             ledger: Ledger::new(settings.bounds.quota)
@@ -105,10 +111,14 @@
             visible_fraction: 1.0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
-        }
+            peers_with_invalid_reports: HashSet::new(),
+        };
+        state.update_containment(settings, now);
+        state
     }
 
-    pub(super) fn update_settings(&mut self, settings: &Settings) {
+    pub(super) fn update_settings(&mut self, settings: &Settings, now: Timestamp) {
+        self.update_containment(settings, now);
         self.ledger.update_settings(settings.bounds.quota);
         self.data_centre = settings.data_centre.clone();
         self.retry_ratio = settings.bounds.retry_ratio * RETRY_FRACTION;
@@ -223,6 +233,7 @@
     pub(super) fn reserve(&mut self, choice: &Choice, request: &PlacementRequest, now: Timestamp) {
         let request_load = choice.request_load(request.prompt);
         self.fleet.reserve(&choice.member.id, request_load, now);
+        self.log_containment_events();
         if choice.limit.is_some() {
             let question = Question {
                 service: request.service.clone(),
@@ -527,5 +538,6 @@
         data_centre,
         max_remote: layout.max_remote_candidates(),
         required_server: only,
+        trial_use: request.trial_use,
     }
 }
--- a/daemon/src/gateway/summary_broadcast.rs
+++ b/daemon/src/gateway/summary_broadcast.rs
@@ -5,10 +5,19 @@
 /// Number of summaries that a slow reader may lag behind before it gets a full summary instead.
 const CAPACITY: usize = 8;
 
+/// An encoded summary.
+#[derive(Clone)]
+pub struct EncodedSummary {
+    /// For peers that have not stated that they understand reports of failures.
+    pub plain: Bytes,
+    /// For the others; the same if there are none.
+    pub with_health: Bytes,
+}
+
 /// Senders of the summaries, one per group of peers.
 pub struct SummaryBroadcast {
-    near: broadcast::Sender<Bytes>,
-    far: broadcast::Sender<Bytes>,
+    near: broadcast::Sender<EncodedSummary>,
+    far: broadcast::Sender<EncodedSummary>,
 }
 
 impl Default for SummaryBroadcast {
@@ -21,7 +30,7 @@
 
 impl SummaryBroadcast {
     /// Subscribes to the summaries for one group of peers.
-    pub fn subscribe(&self, scope: Scope) -> broadcast::Receiver<Bytes> {
+    pub fn subscribe(&self, scope: Scope) -> broadcast::Receiver<EncodedSummary> {
         self.sender(scope).subscribe()
     }
 
@@ -31,12 +40,12 @@
     }
 
     /// Sends an encoded summary to one group of peers.
-    pub fn send(&self, scope: Scope, summary: Bytes) {
+    pub fn send(&self, scope: Scope, summary: EncodedSummary) {
         // Sending fails only while no peer is subscribed.
         let _ = self.sender(scope).send(summary);
     }
 
-    fn sender(&self, scope: Scope) -> &broadcast::Sender<Bytes> {
+    fn sender(&self, scope: Scope) -> &broadcast::Sender<EncodedSummary> {
         match scope {
             Scope::Near => &self.near,
             Scope::Far => &self.far,
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -41,6 +41,8 @@
     waiting: Gauge<u64>,
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    ejected_servers: Gauge<u64>,
+    invalid_reports: Gauge<u64>,
     streams: Counter<u64>,
 }
 
@@ -127,6 +129,14 @@
                 "tamarackdale_limited_servers",
                 "Backend servers that have named a limit",
             ),
+            ejected_servers: gauge(
+                "tamarackdale_ejected_servers",
+                "Backend servers that are ejected because of failures, by service",
+            ),
+            invalid_reports: gauge(
+                "tamarackdale_invalid_health_reports",
+                "Reports of failures from peers that were ignored because their counts are out of range",
+            ),
             streams: count(
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
@@ -212,6 +222,19 @@
         self.limited_servers.record(limited_servers as u64, &[]);
     }
 
+    /// Sets the gauges of the ejection of failing backend servers.
+    pub fn set_ejections<'a>(
+        &self,
+        ejected: impl IntoIterator<Item = (&'a String, &'a u64)>,
+        invalid_reports: u64,
+    ) {
+        for (service, count) in ejected {
+            let service = KeyValue::new("service", service.clone());
+            self.ejected_servers.record(*count, &[service]);
+        }
+        self.invalid_reports.record(invalid_reports, &[]);
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -93,6 +93,8 @@
     pub store: Store,
     /// Where gateways reach the store.
     store_address: SocketAddr,
+    /// What the settings of gateways ask for, as a list in TOML.
+    guarantees: &'static str,
     folder: TempDir,
 }
 
@@ -116,6 +118,7 @@
         let site = Self {
             store_address: store.address(),
             store,
+            guarantees: "[]",
             folder: TempDir::new()?,
         };
         site.configure(configuration);
@@ -128,6 +131,12 @@
         self
     }
 
+    /// Lets the settings of gateways that start from now on ask for functions, as a list in TOML.
+    pub fn with_guarantees(mut self, guarantees: &'static str) -> Self {
+        self.guarantees = guarantees;
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -190,12 +199,14 @@
 
     fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
         let store = self.store_address;
+        let guarantees = self.guarantees;
         format!(
             r#"node_name = "{name}"
 zone = "{data_centre}"
 ip = "{address}"
 port_range = [{PEERS_PORT}, {PEERS_PORT}]
 bootstrap = true
+guarantees = {guarantees}
 [bind]
 frontend = "{address}:{CALLERS_PORT}"
 readiness = "{address}:{READINESS_PORT}"
