--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -12,7 +12,7 @@
 
 use {
     self::{
-        guard::{Guard, Phase},
+        guard::{Guard, Phase, Sources},
         tally::Counts,
     },
     super::Members,
@@ -40,7 +40,7 @@
 
 /// Largest probability, with the usual share of failures, of as many failures as eject a server. A
 /// service that answers 14 % of its requests with errors has five in a row once in 20,000 requests.
-const MAX_CHANCE: f64 = 1e-6;
+const MAX_CHANCE: f64 = 1e-7;
 
 /// Least share of failures that counts as usual: one error among many outcomes is no exception.
 const MIN_USUAL_SHARE: f64 = 0.02;
@@ -274,7 +274,9 @@
         if !matches!(outcome, Outcome::Answered | Outcome::Begun) {
             self.restless_until = now.plus(FORGIVENESS);
         }
-        if matches!(outcome, Outcome::Answered | Outcome::Error) {
+        // The errors of one server that fails each time are not usual in its service, however many.
+        let is_counted = guard.own.failures_in_row < MIN_REPORTED_ERRORS;
+        if is_counted && matches!(outcome, Outcome::Answered | Outcome::Error) {
             let share = self.usual_shares.entry(guard.service.clone()).or_default();
             let error = f64::from(u8::from(outcome == Outcome::Error));
             *share += (error - *share) * USUAL_SHARE_WEIGHT;
@@ -431,8 +433,8 @@
         turn.is_some_and(|turn| guard.turn <= turn)
     }
 
-    /// Judges a server after a failure. An error of a kind that is usual in the service decides nothing
-    /// alone.
+    /// Judges a server after a failure. An error where errors are usual ends a trial, but not the return
+    /// that follows it.
     fn judge_failure(&mut self, id: &str, is_usual: bool, now: Timestamp) {
         let Some(guard) = self.guards.get(id) else {
             return;
@@ -440,7 +442,7 @@
         match guard.phase {
             Phase::Ejected { until, .. } => {
                 let has_failed = guard.last_failure(now).is_some_and(|at| at > guard.since);
-                if !has_failed || is_usual {
+                if !has_failed {
                     return;
                 }
                 match now < until {
@@ -461,7 +463,7 @@
         if sources.is_corroborated()
             && (sources.failures_in_row >= MAX_FAILURES_IN_A_ROW
                 || sources.unreachable_in_row >= MAX_UNREACHABLE_IN_A_ROW
-                || self.is_outlier(id, sources.counts, now))
+                || self.is_outlier(id, &sources, now))
         {
             self.eject(id, now);
         }
@@ -526,15 +528,26 @@
         }
     }
 
-    /// Whether a share of failures is far above that of the other servers of the service.
-    fn is_outlier(&self, id: &str, counts: Counts, now: Timestamp) -> bool {
-        if counts.outcomes() < MIN_OUTCOMES {
+    /// Whether the failures are far more than is usual in the service, in the window or in a row: among the
+    /// answers of the last seconds, a few failures are a small share.
+    fn is_outlier(&self, id: &str, sources: &Sources, now: Timestamp) -> bool {
+        let counts = sources.counts;
+        if counts.outcomes().max(sources.bad_in_row) < MIN_OUTCOMES {
             return false;
         }
         let usual = self.usual_share(id, now).max(MIN_USUAL_SHARE);
-        let share = counts.share();
-        share >= usual + SHARE_MARGIN
-            && tally::chance(counts.failures(), counts.outcomes(), usual) < MAX_CHANCE
+        // Where errors are common, answers between those of two gateways are not reported.
+        let row = match usual >= MIN_COMMON_SHARE {
+            true => sources.most_bad_in_row,
+            false => sources.bad_in_row,
+        };
+        let is_unlikely = |failures: u32, outcomes: u32| {
+            let share = f64::from(failures) / f64::from(outcomes.max(1));
+            outcomes >= MIN_OUTCOMES
+                && share >= usual + SHARE_MARGIN
+                && tally::chance(failures, outcomes, usual) < MAX_CHANCE
+        };
+        is_unlikely(row, row) || is_unlikely(counts.failures(), counts.outcomes())
     }
 
     /// Share of failures that is usual in the service of a server: the median and the mean of the others in
--- a/core/src/fleet/containment/guard.rs
+++ b/core/src/fleet/containment/guard.rs
@@ -41,6 +41,10 @@
     pub(super) counts: Counts,
     pub(super) failures_in_row: u32,
     pub(super) unreachable_in_row: u32,
+    /// Failures and errors in a row, of all gateways together.
+    pub(super) bad_in_row: u32,
+    /// The same at the one gateway that has most. It is exact also where the others do not report.
+    pub(super) most_bad_in_row: u32,
     /// Gateways with failures.
     pub(super) gateways: u32,
     /// Whether one of them has enough failures, and answers of other servers meanwhile.
@@ -375,7 +379,9 @@
             if self.own.last_failure > success {
                 sources.failures_in_row = self.own.broken_in_row;
                 sources.unreachable_in_row = self.own.unreachable_in_row;
+                sources.bad_in_row = self.own.failures_in_row;
             }
+            sources.most_bad_in_row = self.own.failures_in_row;
         }
         for report in self.failing(now) {
             sources.gateways += 1;
@@ -384,10 +390,12 @@
                 errors: report.errors,
                 broken: report.broken,
             });
+            sources.most_bad_in_row = sources.most_bad_in_row.max(report.bad_in_row);
             let failures = report.errors.saturating_add(report.broken);
             sources.has_certain |= failures >= MIN_FAILURES_OF_ONE && report.has_success_elsewhere;
             if report.last_failure > success {
                 let (row, unreachable) = (report.failures_in_row, report.unreachable_in_row);
+                sources.bad_in_row = sources.bad_in_row.saturating_add(report.bad_in_row);
                 sources.failures_in_row = sources.failures_in_row.saturating_add(row);
                 sources.unreachable_in_row = sources.unreachable_in_row.saturating_add(unreachable);
             }
@@ -467,6 +475,7 @@
             errors: counts.errors,
             broken: counts.broken,
             failures_in_row: self.own.broken_in_row,
+            bad_in_row: self.own.failures_in_row,
             unreachable_in_row: self.own.unreachable_in_row,
             answered_since_return,
             last_failure,
--- a/core/src/fleet/containment/report.rs
+++ b/core/src/fleet/containment/report.rs
@@ -27,8 +27,10 @@
     pub errors: u32,
     /// Requests whose connections could not be established or broke.
     pub broken: u32,
-    /// Of them and the errors, those in a row without an answer since.
+    /// Of them, those in a row without a response since.
     pub failures_in_row: u32,
+    /// The same together with errors, without another answer since.
+    pub bad_in_row: u32,
     /// Connection failures in a row.
     pub unreachable_in_row: u32,
     /// Requests that were answered since the server returned, rounded down to a power of two.
@@ -55,6 +57,7 @@
             self.errors,
             self.broken,
             self.failures_in_row,
+            self.bad_in_row,
             self.unreachable_in_row,
             self.answered_since_return,
             self.ejection.map_or(0, |ejection| ejection.number),
--- a/core/tests/containment.rs
+++ b/core/tests/containment.rs
@@ -389,6 +389,29 @@
     assert!(outcome.ejected().iter().all(|(.., id)| *id == "s000"));
 }
 
+/// Guards against a server that answers everything with an error and hides behind the errors that are usual
+/// in its service.
+#[rstest]
+#[case::nine(NINE, 40)]
+#[case::fifty(FIFTY, 110)]
+fn server_with_errors_only_is_found_among_common_errors(
+    #[case] load: Traffic,
+    #[case] most: usize,
+) {
+    let outcome = run(&load, |_, server, now| match server == 0 && now >= 2_000 {
+        true => Behaviour::Error,
+        false => Behaviour::Errors(0.14),
+    });
+
+    outcome.assert_used(0, 2_000);
+    let failed = outcome.failed.iter();
+    let failed = failed.filter(|(sent, server)| *server == 0 && *sent >= 2_000);
+    let failed = failed.count();
+    println!("{failed} failed among common errors");
+    assert!(failed <= most, "{failed} failed");
+    assert!(outcome.ejected().iter().all(|(.., id)| *id == "s000"));
+}
+
 /// Guards against ejections for errors that are usual in a service.
 #[rstest]
 #[case::nine(NINE)]
@@ -561,6 +584,7 @@
         broken: failures,
         failures_in_row: failures,
         unreachable_in_row: 0,
+        bad_in_row: failures,
         answered_since_return: 0,
         last_failure: Some(at(990)),
         success: None,
--- a/testbed/tests/ejection.rs
+++ b/testbed/tests/ejection.rs
@@ -20,8 +20,8 @@
 
 const SERVERS: usize = 5;
 
-/// Requests that are open at any time: with less, the failing server would not be needed.
-const OPEN: usize = 24;
+/// Requests that are open at any time. The other servers have 32 slots, so that the failing one is needed.
+const OPEN: usize = 36;
 
 /// Time for which a server fails.
 const FAILING: Duration = Duration::from_secs(3);
@@ -45,7 +45,7 @@
     let server = |number| Server::new(&format!("server-{number}"), "plain").expect("starts");
     let servers: Vec<Server> = (0..SERVERS).map(server).collect();
     for server in &servers {
-        server.set_latency(Duration::from_millis(60));
+        server.set_latency(Duration::from_millis(100));
         site.register(server);
     }
     let gateways = site.ready_gateways(GATEWAYS).await.expect("ready");
--- a/wire/src/health_report.rs
+++ b/wire/src/health_report.rs
@@ -19,8 +19,8 @@
     pub started_at_ms: u64,
     /// Requests that were answered, answered with an error, and broken.
     pub outcomes: [u32; 3],
-    /// Failures and connection failures in a row.
-    pub in_row: [u32; 2],
+    /// Failures without a response, connection failures, and failures of any kind in a row.
+    pub in_row: [u32; 3],
     /// Requests that were answered since the server returned.
     pub answered_since_return: u32,
     /// Milliseconds since the last failure and since the first answer after it.
@@ -42,7 +42,11 @@
             id: report.id.clone(),
             started_at_ms: report.started_at_ms,
             outcomes: [report.answered, report.errors, report.broken],
-            in_row: [report.failures_in_row, report.unreachable_in_row],
+            in_row: [
+                report.failures_in_row,
+                report.unreachable_in_row,
+                report.bad_in_row,
+            ],
             answered_since_return: report.answered_since_return,
             ages_ms: [age(report.last_failure), age(report.success)],
             paused_ms: report.paused_until.map(|until| millis_between(now, until)),
@@ -56,7 +60,7 @@
     /// The report on the clock of the receiver, which received it at `now`.
     pub fn into_report(self, now: Timestamp) -> Report {
         let [answered, errors, broken] = self.outcomes;
-        let [failures_in_row, unreachable_in_row] = self.in_row;
+        let [failures_in_row, unreachable_in_row, bad_in_row] = self.in_row;
         let [last_failure, success] = self.ages_ms.map(|age| age.map(|age| time_of(age, now)));
         let (is_trying, has_success_elsewhere) = self.flags;
         Report {
@@ -67,6 +71,7 @@
             broken,
             failures_in_row,
             unreachable_in_row,
+            bad_in_row,
             answered_since_return: self.answered_since_return,
             last_failure,
             success,
--- a/wire/tests/summary.rs
+++ b/wire/tests/summary.rs
@@ -96,6 +96,7 @@
         broken: 2,
         failures_in_row: 2,
         unreachable_in_row: 1,
+        bad_in_row: 3,
         answered_since_return: 4,
         last_failure: Some(at(now_ms - 100)),
         success: Some(at(now_ms - 50)),
