Merge branch 'ejection': outlier ejection shared by all gateways

Reports of failures and the slot time of organisations are extensions of the summary, which only peers get that have stated that they understand them.

--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         admission::Work,
-        fleet::{Contribution, statement},
+        fleet::{Contribution, containment, statement},
         floor::Notice,
         poison,
         quota::Usage,
@@ -32,6 +32,8 @@
     pub statements: Vec<statement::Report>,
     /// Work started lately by organisation, by service; only of services for which requests wait.
     pub work: Vec<(String, Work)>,
+    /// Failures of backend servers that this router observed.
+    pub health: Vec<containment::Report>,
 }
 
 impl Summary {
@@ -49,6 +51,7 @@
             && self.floors.is_empty()
             && self.poison.is_empty()
             && self.statements.is_empty()
+            && self.health.is_empty()
     }
 }
 
@@ -98,6 +101,8 @@
         let poison = poison::news(&self.previous.poison, &current.poison).to_vec();
         let statements = current.statements.iter();
         let statements = statements.filter(|report| !self.previous.statements.contains(report));
+        let health = current.health.iter();
+        let health = health.filter(|report| !self.previous.health.contains(report));
         let changes = Summary {
             entries,
             usages: usages.cloned().collect(),
@@ -110,6 +115,7 @@
                 true => Vec::new(),
                 false => current.work.clone(),
             },
+            health: health.cloned().collect(),
         };
         let is_unchanged =
             changes.is_empty() && changes.work.is_empty() && self.previous.waits == current.waits;
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -5,14 +5,14 @@
 //! by subscribing to its own summaries.
 
 use {
-    super::{context::Context, origins, store_reader},
+    super::{context::Context, origins, store_reader, summary_broadcast::EncodedSummary},
     crate::http::body,
     bytes::Bytes,
     futures_util::stream,
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::{Response, StatusCode, body::Frame},
+        hyper::{Response, StatusCode, Uri, body::Frame},
         state::{FromState as _, State},
     },
     http_body_util::BodyExt as _,
@@ -131,6 +131,10 @@
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
+        if context.scheduler.has_containment() {
+            let (ejected, invalid_reports) = context.scheduler.ejections();
+            context.metrics.set_ejections(&ejected, invalid_reports);
+        }
         let is_closed = tokio::select! {
             changed = members.changed() => changed.is_err(),
             changed = configuration.changed() => changed.is_err(),
@@ -220,16 +224,29 @@
             None => return,
         };
         self.sent_at = Instant::now();
-        match codec::encode_item(&Message::new(context.boot, &summary, context.clock.now())) {
-            Ok(bytes) => context.summary_broadcast.send(self.scope, bytes),
+        let message = Message::new(context.boot, &summary, context.clock.now());
+        match encode(message) {
+            Ok(encoded) => context.summary_broadcast.send(self.scope, encoded),
             Err(error) => log::error!("summary not published: {error}"),
         }
     }
 }
 
+/// Encodes a summary for all peers of a group.
+fn encode(message: Message) -> Result<EncodedSummary, codec::Error> {
+    let extended = codec::encode_item(&message)?;
+    let plain = match message.extensions.is_empty() {
+        true => extended.clone(),
+        false => codec::encode_item(&message.without_extensions())?,
+    };
+    Ok(EncodedSummary { plain, extended })
+}
+
 /// Handles the subscription of a peer: responds with a stream that begins with a full summary.
 pub async fn stream_summaries(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
+    let uri = Uri::borrow_from(&state);
+    let knows_extensions = uri.query() == Some(path::WITH_EXTENSIONS);
     let introduction = body::read(Body::take_from(&mut state), 1024).await;
     let introduction = introduction
         .ok()
@@ -244,7 +261,7 @@
     if context.introductions.send(address).await.is_err() {
         log::debug!(peer:% = address; "introduction ignored, the exchange has ended");
     }
-    let subscription = Subscription::new(context, introduction.data_centre);
+    let subscription = Subscription::new(context, introduction.data_centre, knows_extensions);
     let frames = stream::unfold(subscription, |mut subscription| async move {
         let bytes = subscription.next().await?;
         Some((Ok(Frame::data(bytes)), subscription))
@@ -258,16 +275,19 @@
     /// Data centre of the peer.
     data_centre: String,
     scope: Scope,
+    /// Whether the peer understands the extensions.
+    knows_extensions: bool,
     /// The summaries for the peer's group, or `None` before the first, full summary.
-    receiver: Option<broadcast::Receiver<Bytes>>,
+    receiver: Option<broadcast::Receiver<EncodedSummary>>,
 }
 
 impl Subscription {
-    fn new(context: Context, data_centre: String) -> Self {
+    fn new(context: Context, data_centre: String, knows_extensions: bool) -> Self {
         Self {
             context,
             data_centre,
             scope: Scope::Near,
+            knows_extensions,
             receiver: None,
         }
     }
@@ -281,29 +301,42 @@
             _ => {
                 self.scope = scope;
                 self.receiver = Some(self.context.summary_broadcast.subscribe(scope));
-                return Some(full_summary(&self.context, scope));
+                return Some(self.choose(full_summary(&self.context, scope)));
             }
         };
         match receiver.recv().await {
-            Ok(bytes) => Some(bytes),
-            Err(broadcast::error::RecvError::Lagged(_)) => Some(full_summary(&self.context, scope)),
+            Ok(summary) => Some(self.choose(summary)),
+            Err(broadcast::error::RecvError::Lagged(_)) => {
+                Some(self.choose(full_summary(&self.context, scope)))
+            }
             Err(broadcast::error::RecvError::Closed) => None,
         }
     }
 
+    /// The form of a summary that the peer understands.
+    fn choose(&self, summary: EncodedSummary) -> Bytes {
+        match self.knows_extensions {
+            true => summary.extended,
+            false => summary.plain,
+        }
+    }
+
     fn current_scope(&self) -> Scope {
         let is_same = self.context.settings.borrow().data_centre == self.data_centre;
         self.context.scheduler.layout().scope(is_same)
     }
 }
 
-fn full_summary(context: &Context, scope: Scope) -> Bytes {
+fn full_summary(context: &Context, scope: Scope) -> EncodedSummary {
     let summary = summary_for(context, scope, true);
     let message = Message::new(context.boot, &summary, context.clock.now())
         .with_data_centre(&context.settings.borrow().data_centre);
-    codec::encode_item(&message).unwrap_or_else(|error| {
+    encode(message).unwrap_or_else(|error| {
         log::error!("summary not published: {error}");
-        Bytes::new()
+        EncodedSummary {
+            plain: Bytes::new(),
+            extended: Bytes::new(),
+        }
     })
 }
 
@@ -349,7 +382,8 @@
         return;
     };
     loop {
-        match client.open(path::SUMMARIES, introduction.clone()).await {
+        let path = format!("{}?{}", path::SUMMARIES, path::WITH_EXTENSIONS);
+        match client.open(&path, introduction.clone()).await {
             Ok(body) => read_summaries(&context, address, body).await,
             Err(error) => log::debug!(peer:% = address; "cannot connect to peer: {error}"),
         }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -2,6 +2,7 @@
 //! gateways report for each backend server.
 
 mod admission;
+mod ejection;
 mod in_flight;
 mod placement_request;
 mod retry;
@@ -21,7 +22,7 @@
     tamarackdale_core::{
         cell::Layout,
         fleet::{
-            self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
+            Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
         origin::Origin,
@@ -66,7 +67,7 @@
         Self {
             clock,
             changed: Notify::new(),
-            state: Mutex::new(State::new(boot, settings)),
+            state: Mutex::new(State::new(boot, settings, clock.now())),
         }
     }
 
@@ -77,7 +78,8 @@
 
     /// Applies changed settings.
     pub fn update_settings(&self, settings: &Settings) {
-        self.lock().update_settings(settings);
+        let now = self.clock.now();
+        self.lock().update_settings(settings, now);
     }
 
     /// Enables or disables admission control between requests of the same urgency.
@@ -413,14 +415,6 @@
         delay
     }
 
-    /// Records a failure of a backend server.
-    pub fn record_failure(&self, id: &str, failure: fleet::health::Failure) {
-        let now = self.clock.now();
-        if self.lock().fleet.record_failure(id, failure, now) {
-            log::warn!(backend_server = id; "backend server ejected: {failure:?}");
-        }
-    }
-
     /// Whether requests must be checked, because servers have crashed lately.
     pub fn is_alert(&self) -> bool {
         self.lock().poison.is_alert()
@@ -501,6 +495,7 @@
             state.poison.merge(notice, now);
         }
         state.merge_work(peer, &summary.work, now);
+        state.merge_health(peer, &summary.health, now);
         for entry in freed_entries {
             state.claim_freed_capacity(peer, &entry.id, entry.load, now);
         }
@@ -512,6 +507,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.remove_peer(peer);
+        state.remove_health(peer);
         state.ledger.remove_peer(peer, contact, now);
         state.peer_waiting.remove(&peer);
     }
@@ -559,6 +555,7 @@
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
             work: state.work_exchange.told.clone(),
+            health: state.health_reports(now),
         }
     }
 
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -3,7 +3,11 @@
 use {
     super::{PlacementRequest, admission::WorkExchange},
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
     tamarackdale_core::{
         admission::Admission,
         cell::Layout,
@@ -79,7 +83,7 @@
     pub(super) poison: Detector,
     pub(super) random: SmallRng,
     /// Random number that identifies this start of the process.
-    boot: u64,
+    pub(super) boot: u64,
     pub(super) data_centre: String,
     /// Connected gateways inside and outside this gateway's data centre.
     pub(super) layout: Layout,
@@ -89,11 +93,13 @@
     pub(super) visible_fraction: f64,
     pub(super) retry_ratio: f64,
     pub(super) retry_extra: f64,
+    /// Peers whose reports of failures were logged as invalid.
+    pub(super) peers_with_invalid_reports: HashSet<u64>,
 }
 
 impl State {
-    pub(super) fn new(boot: u64, settings: &Settings) -> Self {
-        Self {
+    pub(super) fn new(boot: u64, settings: &Settings, now: Timestamp) -> Self {
+        let mut state = Self {
             boot,
             fleet: Fleet::new(),
             ledger: Ledger::new(settings.bounds.quota)
@@ -114,10 +120,14 @@
             visible_fraction: 1.0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
-        }
+            peers_with_invalid_reports: HashSet::new(),
+        };
+        state.update_containment(settings, now);
+        state
     }
 
-    pub(super) fn update_settings(&mut self, settings: &Settings) {
+    pub(super) fn update_settings(&mut self, settings: &Settings, now: Timestamp) {
+        self.update_containment(settings, now);
         self.ledger.update_settings(settings.bounds.quota);
         self.data_centre = settings.data_centre.clone();
         self.retry_ratio = settings.bounds.retry_ratio * RETRY_FRACTION;
@@ -235,6 +245,7 @@
         if let Some(admission) = self.admission(&request.service) {
             admission.record_start(request.subject, choice.estimate.slot_time(), now);
         }
+        self.log_containment_events();
         if choice.limit.is_some() {
             let question = Question {
                 service: request.service.clone(),
@@ -545,5 +556,6 @@
         data_centre,
         max_remote: layout.max_remote_candidates(),
         required_server: only,
+        trial_use: request.trial_use,
     }
 }
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -95,6 +95,8 @@
     store_address: SocketAddr,
     /// Least number of gateways that coalesce their reads, if another than the default.
     coalesced_reads_from: Option<usize>,
+    /// What the settings of gateways ask for, as a list in TOML.
+    guarantees: &'static str,
     folder: TempDir,
 }
 
@@ -119,6 +121,7 @@
             store_address: store.address(),
             store,
             coalesced_reads_from: None,
+            guarantees: "[]",
             folder: TempDir::new()?,
         };
         site.configure(configuration);
@@ -138,6 +141,12 @@
         self
     }
 
+    /// Lets the settings of gateways that start from now on ask for functions, as a list in TOML.
+    pub fn with_guarantees(mut self, guarantees: &'static str) -> Self {
+        self.guarantees = guarantees;
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -223,12 +232,14 @@
         let least = self.coalesced_reads_from;
         let least = least.map(|least| format!("coalesced_reads_from = {least}"));
         let least = least.unwrap_or_default();
+        let guarantees = self.guarantees;
         format!(
             r#"node_name = "{name}"
 zone = "{data_centre}"
 ip = "{address}"
 port_range = [{PEERS_PORT}, {PEERS_PORT}]
 bootstrap = true
+guarantees = {guarantees}
 [bind]
 frontend = "{address}:{CALLERS_PORT}"
 readiness = "{address}:{READINESS_PORT}"
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,7 +1,7 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
-    crate::{poison::Poison, statement::Statement},
+    crate::{health_report::HealthReport, poison::Poison, statement::Statement},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
@@ -50,11 +50,30 @@
     /// What backend servers have said of themselves to the sender.
     #[serde(default)]
     pub statements: Vec<Statement>,
-    /// Work started lately. Absent when empty, so that peers of the previous version read the rest.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    /// What only routers understand that have stated so: a longer array than expected is no valid message
+    /// for others.
+    #[serde(default, skip_serializing_if = "Extensions::is_empty")]
+    pub extensions: Extensions,
+}
+
+/// Parts of a summary that routers of earlier versions do not know. A field that is added comes last.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Extensions {
+    /// Failures of backend servers that the sender observed.
+    #[serde(default)]
+    pub health: Vec<HealthReport>,
+    /// Work started lately.
+    #[serde(default)]
     pub work: Vec<Work>,
 }
 
+impl Extensions {
+    /// Whether there is nothing in them.
+    pub fn is_empty(&self) -> bool {
+        self.health.is_empty() && self.work.is_empty()
+    }
+}
+
 /// Slot time of the work that the sender started for a service within the latest two seconds.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Work {
@@ -156,10 +175,23 @@
                 .iter()
                 .map(|report| Statement::new(report, now))
                 .collect(),
-            work: summary.work.iter().map(Work::from).collect(),
+            extensions: Extensions {
+                health: summary
+                    .health
+                    .iter()
+                    .map(|report| HealthReport::new(report, now))
+                    .collect(),
+                work: summary.work.iter().map(Work::from).collect(),
+            },
         }
     }
 
+    /// Leaves out what only routers understand that have stated so.
+    pub fn without_extensions(mut self) -> Self {
+        self.extensions = Extensions::default();
+        self
+    }
+
     /// States the data centre of the sender.
     pub fn with_data_centre(mut self, data_centre: &str) -> Self {
         self.data_centre = Some(data_centre.to_owned());
@@ -189,6 +221,7 @@
         let usages = frame.usages.into_iter().map(quota::Usage::from);
         let poison = frame.poison.into_iter();
         let statements = frame.statements.into_iter();
+        let health = frame.extensions.health.into_iter();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: usages.filter(is_valid).collect(),
@@ -202,7 +235,8 @@
             statements: statements
                 .map(|statement| statement.into_report(now))
                 .collect(),
-            work: frame.work.into_iter().map(Into::into).collect(),
+            work: frame.extensions.work.into_iter().map(Into::into).collect(),
+            health: health.map(|report| report.into_report(now)).collect(),
         }
     }
 }
