--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod report;
 pub mod retry;
 pub mod revision;
+pub mod rollout;
 pub mod route;
 pub mod routing_config;
 pub mod server_table;
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -6,6 +6,7 @@
         floor::Notice,
         poison,
         quota::Usage,
+        rollout,
         wait_queue::Urgency,
     },
     std::{collections::HashMap, sync::Arc},
@@ -29,6 +30,10 @@
     pub poison: Vec<Arc<poison::Notice>>,
     /// What backend servers have said of themselves to this router.
     pub statements: Vec<statement::Report>,
+    /// Rollouts that the router knows.
+    pub rollouts: Vec<rollout::Report>,
+    /// Number of a peer's rollouts that were left out because they are out of range.
+    pub invalid_rollouts: usize,
 }
 
 impl Summary {
@@ -46,6 +51,7 @@
             && self.floors.is_empty()
             && self.poison.is_empty()
             && self.statements.is_empty()
+            && self.rollouts.is_empty()
     }
 }
 
@@ -103,6 +109,8 @@
             floors: current.floors.clone(),
             poison,
             statements: statements.cloned().collect(),
+            rollouts: rollout::report::changes(&self.previous.rollouts, &current.rollouts),
+            invalid_rollouts: 0,
         };
         let is_unchanged = changes.is_empty() && self.previous.waits == current.waits;
         if with_speeds {
--- a/wire/src/lib.rs
+++ b/wire/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod path;
 pub mod poison;
 pub mod report;
+pub mod rollout;
 pub mod start;
 pub mod statement;
 pub mod status;
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,13 +1,13 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
-    crate::{poison::Poison, statement::Statement},
+    crate::{poison::Poison, rollout::Report, statement::Statement},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
         fleet::{self, Load, Speed},
         floor::Notice,
-        quota, summary,
+        quota, rollout, summary,
         tier::Rank,
         time::Timestamp,
         wait_queue::{Stage, Urgency},
@@ -49,6 +49,9 @@
     /// What backend servers have said of themselves to the sender.
     #[serde(default)]
     pub statements: Vec<Statement>,
+    /// Rollouts that the sender knows. The last field, since it is left out while there are none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub rollouts: Vec<Report>,
 }
 
 /// Quota use as it is saved in the store, so that it survives a restart of all routers.
@@ -141,6 +144,7 @@
                 .iter()
                 .map(|report| Statement::new(report, now))
                 .collect(),
+            rollouts: summary.rollouts.iter().map(Report::from).collect(),
         }
     }
 
@@ -173,6 +177,8 @@
         let usages = frame.usages.into_iter().map(quota::Usage::from);
         let poison = frame.poison.into_iter();
         let statements = frame.statements.into_iter();
+        let rollouts = frame.rollouts.into_iter();
+        let rollouts: Vec<_> = rollouts.map(rollout::Report::try_from).collect();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: usages.filter(is_valid).collect(),
@@ -186,6 +192,8 @@
             statements: statements
                 .map(|statement| statement.into_report(now))
                 .collect(),
+            invalid_rollouts: rollouts.iter().filter(|report| report.is_err()).count(),
+            rollouts: rollouts.into_iter().flatten().collect(),
         }
     }
 }
