gateway: rollouts in the scheduler, the relay and the follower

A gateway holds an unchecked version back until it has read its order, picks a version for each new request, counts the answers while there is a rollout, and exchanges the counts in its summaries. The reachable gateway with the lowest address watches the orders and writes the statuses, on condition that the keys are unchanged.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -149,6 +149,8 @@
     pub max_remote: Option<usize>,
     /// The only backend server that may be chosen; `None` allows any.
     pub required_server: Option<&'a str>,
+    /// Versions of the software that must not be chosen now.
+    pub barred_versions: &'a [String],
 }
 
 /// Predicted times of a request at one backend server.
@@ -492,7 +494,11 @@
 
     fn candidates(&self, demand: &Demand, now: Timestamp) -> impl Iterator<Item = &Server> {
         self.candidates_with_held_back(demand, now)
-            .filter(move |server| server.admits(now) && !self.is_held_back(server, demand))
+            .filter(move |server| {
+                server.admits(now)
+                    && !self.is_held_back(server, demand)
+                    && !server.is_barred(demand)
+            })
     }
 
     fn is_held_back(&self, server: &Server, demand: &Demand) -> bool {
@@ -502,10 +508,16 @@
     }
 
     /// Whether a backend server lacks nothing but the end of its pause, a start within its limit, or the
-    /// save of its version.
+    /// save of its version, or the permission to use its version.
     fn has_candidate_later(&self, demand: &Demand, now: Timestamp) -> bool {
-        self.candidates_with_held_back(demand, now)
-            .any(|server| !server.admits(now) || self.is_held_back(server, demand))
+        self.candidates_with_held_back(demand, now).any(|server| {
+            // The version that began a stream gets nothing any more once it is barred.
+            let is_barred = server.is_barred(demand);
+            match demand.required_version {
+                Some(_) if is_barred => false,
+                _ => is_barred || !server.admits(now) || self.is_held_back(server, demand),
+            }
+        })
     }
 
     fn candidates_with_held_back(
@@ -571,6 +583,15 @@
             .sum()
     }
 
+    /// Number of requests of this router that run at servers of other versions of a service.
+    pub fn own_requests_elsewhere(&self, service: &str, version: &str) -> u32 {
+        let servers = self
+            .servers
+            .values()
+            .filter(|server| server.member.service == service && server.member.version != version);
+        servers.map(|server| server.own.requests).sum()
+    }
+
     /// Records that this router sends a request to `id`, and removes the request's reservation.
     pub fn record_start(&mut self, id: &str, request: RequestLoad) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -719,6 +740,10 @@
         self.statements.pause.admits(now) && (self.turn.is_due(now) || self.limit(now).is_none())
     }
 
+    fn is_barred(&self, demand: &Demand) -> bool {
+        demand.barred_versions.contains(&self.member.version)
+    }
+
     fn is_remote(&self, demand: &Demand) -> bool {
         self.member.data_centre != demand.data_centre
     }
--- a/core/src/rollout/machine.rs
+++ b/core/src/rollout/machine.rs
@@ -27,6 +27,9 @@
 /// Time after a halt until what the others have sent meanwhile is read.
 const RECOVERY: Duration = Duration::from_millis(300);
 
+/// Weight of a request in the mean output.
+const USUAL_TOKENS_WEIGHT: f64 = 0.05;
+
 /// How far a rollout is. What the store has acknowledged goes before what it has not.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Phase {
@@ -106,6 +109,8 @@
     peers: HashMap<u64, u32>,
     /// Requests of this router at the old version.
     own_requests: u32,
+    /// Mean output of the requests, in tokens.
+    usual_tokens: f64,
 }
 
 /// How many of the other routers are heard.
@@ -142,6 +147,7 @@
             halted_until: None,
             peers: HashMap::new(),
             own_requests: 0,
+            usual_tokens: 0.0,
         }
     }
 
@@ -237,7 +243,10 @@
     }
 
     /// Decides whether a new request goes to the new version.
-    pub fn take(&mut self, route: u32, is_long: bool, settings: &Settings, now: Timestamp) -> bool {
+    pub fn take(&mut self, route: u32, tokens: u32, settings: &Settings, now: Timestamp) -> bool {
+        let tokens = f64::from(tokens);
+        let is_long = tokens > self.usual_tokens;
+        self.usual_tokens += (tokens - self.usual_tokens) * USUAL_TOKENS_WEIGHT;
         let share = self.share(settings, now);
         let is_rising = share > self.schedule(settings).canary();
         share > 0.0 && self.credit.take(route, share, is_rising && is_long)
--- a/core/src/rollout/order.rs
+++ b/core/src/rollout/order.rs
@@ -78,8 +78,8 @@
 pub struct StatusWrite {
     /// Service.
     pub service: String,
-    /// Expected revision of the order.
-    pub order: Revision,
+    /// The order, whose revision is expected.
+    pub order: Order,
     /// Expected revision of the status; `None` if there is none.
     pub expected: Option<Revision>,
     /// The status.
--- a/core/src/rollout/table.rs
+++ b/core/src/rollout/table.rs
@@ -66,6 +66,8 @@
     pub is_watching: bool,
     /// Services whose order and status are to be read, with the number of the check.
     pub checks: BTreeMap<String, u64>,
+    /// Services with a rollout that runs.
+    pub running: BTreeSet<String>,
     /// Statuses that are to be written.
     pub writes: Vec<StatusWrite>,
 }
@@ -131,6 +133,11 @@
         }
     }
 
+    /// The settings.
+    pub fn settings(&self) -> Settings {
+        self.settings
+    }
+
     /// Replaces the settings.
     pub fn update_settings(&mut self, settings: Settings) {
         self.settings = settings;
@@ -252,8 +259,9 @@
         }
     }
 
-    /// Decides at which version a new request runs. While the share rises, `is_long` requests are preferred.
-    pub fn pick(&mut self, service: &str, route: u32, is_long: bool, now: Timestamp) -> Pick {
+    /// Decides at which version a new request runs. While the share rises, those are preferred whose
+    /// output of `tokens` is longer than usual.
+    pub fn pick(&mut self, service: &str, route: u32, tokens: u32, now: Timestamp) -> Pick {
         let settings = self.settings;
         if !self.is_active {
             return Pick::Any;
@@ -261,7 +269,7 @@
         let Some(rollout) = self.rollout_mut(service) else {
             return Pick::Any;
         };
-        match rollout.take(route, is_long, &settings, now) {
+        match rollout.take(route, tokens, &settings, now) {
             true => Pick::New,
             false => Pick::Old,
         }
@@ -448,7 +456,10 @@
             if service.checks.0 > service.checks.1 {
                 work.checks.insert(name.clone(), service.checks.0);
             }
-            work.is_watching |= service.rollout.as_ref().is_some_and(Rollout::is_running);
+            if service.rollout.as_ref().is_some_and(Rollout::is_running) {
+                work.is_watching = true;
+                work.running.insert(name.clone());
+            }
             if is_lowest {
                 work.writes
                     .extend(service.wanted_write(name, &self.settings, self.visible, now));
@@ -720,17 +731,21 @@
         visible: Visibility,
         now: Timestamp,
     ) -> Option<StatusWrite> {
-        let (order, known, status) = match (&self.rollout, &self.refused) {
+        let (revision, target, known, status) = match (&self.rollout, &self.refused) {
             (Some(rollout), _) => {
                 let status = rollout.wanted_status(settings, visible, now)?;
-                (rollout.revision?, &rollout.status, status)
+                let target = Ok(rollout.target.clone());
+                (rollout.revision?, target, &rollout.status, status)
+            }
+            (None, Some(refused)) => {
+                let target = Err(refused.invalid.clone());
+                (refused.revision, target, &refused.status, refused.wanted()?)
             }
-            (None, Some(refused)) => (refused.revision, &refused.status, refused.wanted()?),
             (None, None) => return None,
         };
         Some(StatusWrite {
             service: name.to_owned(),
-            order,
+            order: Order { revision, target },
             expected: known.as_ref().map(|known| known.revision),
             status,
         })
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -59,6 +59,7 @@
         required_version: None,
         max_remote: None,
         required_server: None,
+        barred_versions: &[],
     }
 }
 
--- a/core/tests/rollout.rs
+++ b/core/tests/rollout.rs
@@ -295,7 +295,7 @@
 
     assert!(single.work(false, at(0)).checks.is_empty());
     assert_eq!(disabled.work(true, at(0)), Default::default());
-    assert_eq!(disabled.pick(SERVICE, 0, false, at(0)), Pick::Any);
+    assert_eq!(disabled.pick(SERVICE, 0, 0, at(0)), Pick::Any);
 }
 
 // Guards against a version that is withheld for ever because the store does not answer, and one that gets
@@ -311,7 +311,7 @@
     for step in 0..400 {
         let now = at(5_100 + step * 100);
         table.update(|_, _| 0, 0.5, now);
-        new += u32::from(table.pick(SERVICE, 0, false, now) == Pick::New);
+        new += u32::from(table.pick(SERVICE, 0, 0, now) == Pick::New);
     }
 
     assert!(early);
@@ -338,7 +338,7 @@
 
     assert!(stopped && later);
     assert_eq!(bound, ["v2"]);
-    assert_eq!(table.pick(SERVICE, 0, false, at(40_020)), Pick::New);
+    assert_eq!(table.pick(SERVICE, 0, 0, at(40_020)), Pick::New);
 }
 
 // Guards against a rolled back version that another one's newer order makes eligible, and the other way
--- a/core/tests/rollout/harness.rs
+++ b/core/tests/rollout/harness.rs
@@ -229,7 +229,7 @@
         }
         let route = self.random.random_range(0..3);
         let table = &mut self.tables[router];
-        let pick = table.pick(SERVICE, route, false, self.now);
+        let pick = table.pick(SERVICE, route, 0, self.now);
         let barred = table.barred(SERVICE, pick, false, self.now);
         let is_new = !barred.iter().any(|version| version == "v2");
         let is_new = is_new && (pick == Pick::New || barred.iter().any(|version| version == "v1"));
@@ -294,7 +294,7 @@
         for write in &work.writes {
             let known = self.status.as_ref().map(|(number, _)| revision(*number));
             let order = self.order.as_ref().map(|(order, _)| order.revision);
-            if known == write.expected && order == Some(write.order) {
+            if known == write.expected && order == Some(write.order.revision) {
                 self.store_revision += 1;
                 self.status = Some((self.store_revision, write.status.clone()));
             }
--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -143,6 +143,7 @@
         required_version: None,
         max_remote: None,
         required_server: None,
+        barred_versions: &[],
     }
 }
 
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -13,6 +13,7 @@
 pub mod refusal;
 pub mod relay;
 pub mod response_buffers;
+pub mod rollouts;
 pub mod scheduler;
 pub mod starts;
 pub mod summary_broadcast;
@@ -36,6 +37,7 @@
     },
     rand::Rng as _,
     std::{io, net::SocketAddr, path::PathBuf, sync::Arc, time::Duration},
+    tamarackdale_core::rollout::Observation,
     tamarackdale_platform::Settings,
     tokio::{
         signal::unix::{Signal, SignalKind, signal},
@@ -84,7 +86,7 @@
     let clock = Clock::new();
     let boot = rand::rng().random();
     let scheduler = Arc::new(Scheduler::new(clock, boot, &settings));
-    let (follower_channels, store) = follower::channels();
+    let (follower_channels, store, observations) = follower::channels();
     let (introductions_sender, introductions) = mpsc::channel(MAX_PEERS);
     let (settings_sender, settings_receiver) = watch::channel(Arc::new(settings.clone()));
     let follower = Follower::new(
@@ -114,7 +116,7 @@
     let watched = watch_settings(path, hangup, settings_sender, context.clone());
     let served = runtime.block_on(async {
         tokio::select! {
-            served = serve(&settings, &shutdown, signals, context, introductions) => served,
+            served = serve(&settings, &shutdown, signals, context, introductions, observations) => served,
             error = watched => error,
         }
     });
@@ -132,6 +134,7 @@
     signals: Signals,
     context: Context,
     introductions: mpsc::Receiver<SocketAddr>,
+    observations: mpsc::Receiver<Observation>,
 ) -> io::Result<()> {
     let is_ready = readiness(&context);
     let admin_context = admin::Context {
@@ -200,6 +203,7 @@
             peers::run(context.clone(), introductions),
             origins::save(&context),
             origins::release_versions(&context),
+            rollouts::run(&context, observations),
         )
     };
     let watching = shutdown.watch_signals(signals, limit, finished.clone());
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -8,6 +8,7 @@
 mod origins;
 mod quota_use;
 mod rejections;
+mod rollouts;
 mod servers;
 
 pub use {
@@ -149,6 +150,7 @@
                 self.follow_gateways(),
                 self.follow_quota_use(),
                 self.follow_origins(),
+                self.follow_rollouts(),
             )
         };
         tokio::select! {
--- a/daemon/src/gateway/follower/channel.rs
+++ b/daemon/src/gateway/follower/channel.rs
@@ -9,11 +9,15 @@
         time::Duration,
     },
     tamarackdale_core::{
-        cached_config::CachedConfig, fleet::Members, origin::Origin, recent,
+        cached_config::CachedConfig,
+        fleet::Members,
+        origin::Origin,
+        recent,
+        rollout::{Observation, Work},
         routing_config::RoutingConfig,
     },
     tamarackdale_wire::{origin, summary::SavedQuotaUse},
-    tokio::sync::watch,
+    tokio::sync::{mpsc, watch},
 };
 
 /// A configuration with the time of the last check that it is current.
@@ -46,6 +50,8 @@
     pub has_unreachable_peers: watch::Sender<bool>,
     /// Quota use that this gateway must save in the store. Empty if another gateway does so.
     pub quota_use_to_save: watch::Sender<SavedQuotaUse>,
+    /// What the store is to be asked and told about rollouts.
+    pub rollout_work: watch::Sender<Work>,
     /// Origins of this gateway's streams, to be saved in the store, with the number of the save.
     pub origins_to_save: watch::Sender<(u64, origin::Saved)>,
     /// Number of the last save of origins that the store has acknowledged.
@@ -165,10 +171,15 @@
     pub(super) origins_saved: watch::Sender<u64>,
     pub(super) origins: ReadRequests<SavedOrigins>,
     pub(super) versions: ReadRequests<HashSet<Arc<Origin>>>,
+    pub(super) rollout_work: watch::Receiver<Work>,
+    pub(super) rollouts: mpsc::Sender<Observation>,
 }
 
-/// Creates both ends of the channels.
-pub fn channels() -> (FollowerChannels, StoreHandle) {
+/// Most observations of rollouts that wait for the process.
+const MAX_OBSERVATIONS: usize = 64;
+
+/// Creates both ends of the channels. What the store has of rollouts comes by the last one.
+pub fn channels() -> (FollowerChannels, StoreHandle, mpsc::Receiver<Observation>) {
     let (configuration, configuration_receiver) = watch::channel(None);
     let (timeouts, timeouts_receiver) = watch::channel(RecentTimeouts::default());
     let (members, members_receiver) = watch::channel(Arc::new(Members::new()));
@@ -180,6 +191,8 @@
     let (origins_saved, origins_saved_receiver) = watch::channel(0);
     let (origins, origin_requests) = reads();
     let (versions, version_requests) = reads();
+    let (rollout_work, rollout_work_receiver) = watch::channel(Work::default());
+    let (rollouts, observations) = mpsc::channel(MAX_OBSERVATIONS);
     let channels = FollowerChannels {
         configuration,
         timeouts,
@@ -192,6 +205,8 @@
         origins_saved,
         origins: origin_requests,
         versions: version_requests,
+        rollout_work: rollout_work_receiver,
+        rollouts,
     };
     let handle = StoreHandle {
         configuration: configuration_receiver,
@@ -201,10 +216,11 @@
         saved_quota_use: saved_quota_use_receiver,
         has_unreachable_peers,
         quota_use_to_save,
+        rollout_work,
         origins_to_save,
         origins_saved: origins_saved_receiver,
         origins,
         versions,
     };
-    (channels, handle)
+    (channels, handle, observations)
 }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -34,6 +34,7 @@
         origin,
         poison::Fingerprint,
         rendezvous,
+        rollout::Pick,
         routing_config::{Organisation, RepeatPolicy, Route},
         time::Timestamp,
         verdict::Verdict,
@@ -127,6 +128,8 @@
     version: Option<String>,
     /// Identifier of the last event that the caller has received.
     last_event: Option<u64>,
+    /// Version at which the first attempt runs during a rollout.
+    pick: Pick,
     /// Number of events that were passed on.
     events: u32,
     /// Digest of the request, once it was needed.
@@ -169,7 +172,18 @@
         .head
         .time_budget
         .map_or(route.timeout, |left| left.min(route.timeout));
+    let pick = match request.head.last_event {
+        Some(_) => Pick::Any,
+        None => {
+            let tokens = request.head.tokens;
+            let tokens = tokens.map_or(0, |tokens| tokens.expected_output());
+            context
+                .scheduler
+                .pick_version(&service, &route.name, tokens)
+        }
+    };
     let job = Job {
+        pick,
         context: context.clone(),
         dispatch: Dispatch::new(route.repeat_policy, route.attempts),
         excluded: Vec::new(),
@@ -461,6 +475,15 @@
             deadline: self.context.clock.now().plus(self.time_left()),
             is_retry: wait_policy::is_retry(time_budget, route.timeout),
             is_optional: false,
+            pick: self.placement_pick(),
+        }
+    }
+
+    /// Version at which the next attempt runs during a rollout: a repeated one stays at the old version.
+    fn placement_pick(&self) -> Pick {
+        match self.dispatch.sent() {
+            0 => self.pick,
+            _ => Pick::Any,
         }
     }
 
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -89,7 +89,10 @@
     job.record_origin(&choice.member);
     let mut sent = connected.send(job)?;
     let response = timeout(job.time_left(), sent.response()).await;
-    let response = response.map_err(|_| ExchangeError::GivenUp(Cause::Timeout))?;
+    let response = response.map_err(|_| {
+        sent.connected.in_flight.record_failed_answer();
+        ExchangeError::GivenUp(Cause::Timeout)
+    })?;
     if response.is_ok() && sent.connected.is_unchecked && is_other_start(job, &choice.member).await
     {
         return Err(ExchangeError::SendFailure(SendFailure::Lost));
@@ -157,7 +160,7 @@
             return Err(ExchangeError::SendFailure(SendFailure::NotSent));
         }
     };
-    if !scheduler.accepts_requests(&member.id) {
+    if !scheduler.accepts_requests(&member.id) || scheduler.is_version_stopped(member) {
         return Err(ExchangeError::SendFailure(SendFailure::NotSent));
     }
     Ok(Connected {
@@ -237,7 +240,11 @@
             return Err(ExchangeError::GivenUp(job.give_up(cause)));
         }
         let request = build_request(job, &self.member.id, time_left);
+        let pick = job.placement_pick();
         job.dispatch.send();
+        let route = &job.request.route.name;
+        let answer = job.context.scheduler.count_sent(&self.member, route, pick);
+        self.in_flight.count_answer(answer);
         let sent = job.context.clock.now();
         let response = Box::pin(self.connection.send(request));
         Ok(Sent {
@@ -282,6 +289,7 @@
                     return Err(ExchangeError::SendFailure(SendFailure::NotSent));
                 }
                 scheduler.record_failure(&member.id, Failure::Broken);
+                in_flight.record_failed_answer();
                 return Err(ExchangeError::ConnectionBroken);
             }
         };
@@ -289,6 +297,11 @@
         let class = response::classify(status, headers, &job.request.head.id);
         let notice = response::notice(status, headers, class, SystemTime::now());
         scheduler.record_notice(&member, &notice, self.sent);
+        match class {
+            ResponseClass::Valid => {}
+            ResponseClass::NotExecuted => in_flight.record_refusal(),
+            _ => in_flight.record_failed_answer(),
+        }
         if let Some(failure) = check_response(job, class, &member.id) {
             return Err(ExchangeError::SendFailure(failure));
         }
@@ -428,6 +441,7 @@
                     backend_server = self.in_flight.id();
                     "response body not complete before the deadline"
                 );
+                self.in_flight.record_failed_answer();
                 Err(BodyError::Other)
             }
         }
@@ -436,6 +450,7 @@
     /// Records a broken response as a failure of the backend server.
     pub fn record_failure(&self) {
         let id = self.in_flight.id();
+        self.in_flight.record_failed_answer();
         self.in_flight
             .scheduler()
             .record_failure(id, Failure::Broken);
--- a/daemon/src/gateway/relay/stream.rs
+++ b/daemon/src/gateway/relay/stream.rs
@@ -150,7 +150,10 @@
                 },
                 Progress::Invalid(reason) => self.resume(&reason, true).await,
                 Progress::Broken(reason) => self.resume_after_break(&reason).await,
-                Progress::TimedOut => Some(EndReason::TimedOut),
+                Progress::TimedOut => {
+                    self.record_silence();
+                    Some(EndReason::TimedOut)
+                }
                 Progress::NotTaken(next, failure) => self.recover(next, failure).await,
                 Progress::Moved | Progress::Silent => None,
             };
@@ -306,6 +309,15 @@
         FIRST_EVENT_PATIENCE + self.job.request.route.objective * 2
     }
 
+    /// Records that a backend server whose stream ran out of time had been silent.
+    fn record_silence(&self) {
+        let exchange = self.exchange.as_ref();
+        let is_silent = self.waiting_since.elapsed() >= EVENT_PATIENCE;
+        if let Some(exchange) = exchange.filter(|_| is_silent) {
+            exchange.in_flight.record_failed_answer();
+        }
+    }
+
     /// Closes the connection to a silent backend server.
     fn leave_silent(&mut self) {
         if let Some(silent) = self.exchange.take() {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -4,9 +4,15 @@
 mod in_flight;
 mod placement_request;
 mod retry;
+mod rollouts;
 mod state;
 
-pub use {in_flight::InFlightRequest, placement_request::PlacementRequest, retry::Retry};
+pub use {
+    in_flight::InFlightRequest,
+    placement_request::PlacementRequest,
+    retry::Retry,
+    rollouts::{CountedAnswer, RolloutFigures},
+};
 
 use {
     self::state::{QuotaWaiter, State},
@@ -26,6 +32,7 @@
         origin::Origin,
         poison::Fingerprint,
         quota::{Claim, QuotaExceeded, UsageHistory},
+        rollout::Visibility,
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
         time::Timestamp,
@@ -86,6 +93,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.hold_back(held_back);
+        // A version that is not checked must be known before its servers are.
+        state.rollouts.observe_servers(members, now);
         state.fleet.update_members(members, now);
         state.poison.prune(now);
     }
@@ -483,6 +492,7 @@
             state.ledger.mark_complete();
         }
         state.peer_waiting.insert(peer, summary.waits.clone());
+        state.merge_rollouts(peer, summary, now);
         for (service, notice) in &summary.floors {
             state.shed_floor(service).merge(*notice, now);
         }
@@ -505,6 +515,7 @@
         state.fleet.remove_peer(peer);
         state.ledger.remove_peer(peer, contact, now);
         state.peer_waiting.remove(&peer);
+        state.rollouts.remove_peer(peer);
     }
 
     /// Sets the number of connected and of known gateways, both including this one, how the
@@ -515,6 +526,11 @@
         state.ledger.set_share(connected, known, lag, now);
         state.visible_fraction = connected as f64 / known.max(connected).max(1) as f64;
         state.layout = layout;
+        let visible = Visibility {
+            connected: connected.saturating_sub(1),
+            has_unreachable: known > connected,
+        };
+        state.rollouts.set_visibility(visible, known);
         if state.known_gateways != known {
             state.known_gateways = known;
             state.update_retry_budgets();
@@ -530,7 +546,8 @@
     /// floors. With `is_first`, also all that it knows of quota use, for a newly connected peer.
     pub fn summary(&self, is_first: bool) -> Summary {
         let now = self.clock.now();
-        let state = self.lock();
+        let mut state = self.lock();
+        let rollouts = state.rollouts.reports(now);
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
             let notice = floor.own_notice(now)?;
             Some((service.clone(), notice))
@@ -543,6 +560,8 @@
             floors: floors.collect(),
             poison: state.poison.own_notices(now).collect(),
             statements: state.fleet.own_reports().collect(),
+            rollouts,
+            invalid_rollouts: 0,
         }
     }
 
--- a/daemon/src/gateway/scheduler/in_flight.rs
+++ b/daemon/src/gateway/scheduler/in_flight.rs
@@ -1,20 +1,39 @@
 //! A request that is being processed by a backend server.
 
 use {
-    super::Scheduler,
-    std::{sync::Arc, time::Duration},
+    super::{CountedAnswer, Scheduler},
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
     tamarackdale_core::{fleet::RequestLoad, time::Timestamp},
 };
 
 /// A request in flight at a backend server. It counts towards the server's load until it is
 /// dropped.
 pub struct InFlightRequest {
-    scheduler: Arc<Scheduler>,
+    pub(super) scheduler: Arc<Scheduler>,
     id: String,
-    load: RequestLoad,
+    pub(super) load: RequestLoad,
     started: Timestamp,
     /// When the first event or the response arrived.
-    first_event: Option<Timestamp>,
+    pub(super) first_event: Option<Timestamp>,
+    /// The answer, until it has counted in the statistics of a rollout.
+    pub(super) answer: Answer,
+}
+
+/// An answer that counts once at most, and not if its caller disconnects before its end.
+#[derive(Default)]
+pub(super) struct Answer(Mutex<Option<CountedAnswer>>);
+
+impl Answer {
+    pub(super) fn replace(&self, answer: Option<CountedAnswer>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = answer;
+    }
+
+    pub(super) fn take(&self) -> Option<CountedAnswer> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
+    }
 }
 
 impl InFlightRequest {
@@ -25,6 +44,7 @@
             load,
             started: scheduler.clock.now(),
             first_event: None,
+            answer: Answer::default(),
         }
     }
 
@@ -65,6 +85,7 @@
             .first_event
             .map_or(Duration::ZERO, |first| now.since(first));
         let occupancy = now.since(self.started);
+        self.record_good_answer(tokens, now);
         let mut state = self.scheduler.lock();
         state
             .fleet
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -2,7 +2,7 @@
 
 use {
     std::time::Duration,
-    tamarackdale_core::{fleet::SharedPrefix, tier::Rank, time::Timestamp},
+    tamarackdale_core::{fleet::SharedPrefix, rollout::Pick, tier::Rank, time::Timestamp},
 };
 
 /// A request that the scheduler is to place at a backend server.
@@ -36,6 +36,8 @@
     pub is_retry: bool,
     /// Whether the request may stay where it is: it is not shed if there is no slot for it.
     pub is_optional: bool,
+    /// Version at which it runs during a rollout.
+    pub pick: Pick,
 }
 
 impl PlacementRequest {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -3,7 +3,11 @@
 use {
     super::PlacementRequest,
     rand::{Rng as _, SeedableRng as _, rngs::SmallRng},
-    std::{collections::HashMap, sync::Arc, time::Duration},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+        time::Duration,
+    },
     tamarackdale_core::{
         cell::Layout,
         fleet::{Choice, Demand, Fleet, Load, Shortage, limit},
@@ -12,6 +16,7 @@
         quota::{Claim, Ledger},
         rendezvous,
         retry::{self, Budget},
+        rollout::{self, Pick},
         routing_config::Organisation,
         tier::Rank,
         time::Timestamp,
@@ -82,6 +87,11 @@
     pub(super) visible_fraction: f64,
     pub(super) retry_ratio: f64,
     pub(super) retry_extra: f64,
+    /// Versions of the services, and the rollouts among them.
+    pub(super) rollouts: rollout::Table,
+    /// Number of peers' counts that were ignored, and the peers.
+    pub(super) invalid_rollout_reports: u64,
+    pub(super) invalid_rollout_peers: HashSet<u64>,
 }
 
 impl State {
@@ -105,11 +115,15 @@
             visible_fraction: 1.0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
+            rollouts: rollout::Table::new(settings.rollout),
+            invalid_rollout_reports: 0,
+            invalid_rollout_peers: HashSet::new(),
         }
     }
 
     pub(super) fn update_settings(&mut self, settings: &Settings) {
         self.ledger.update_settings(settings.bounds.quota);
+        self.rollouts.update_settings(settings.rollout);
         self.data_centre = settings.data_centre.clone();
         self.retry_ratio = settings.bounds.retry_ratio * RETRY_FRACTION;
         self.retry_extra = settings.bounds.retry_extra * RETRY_FRACTION;
@@ -160,8 +174,12 @@
         only: Option<&str>,
         now: Timestamp,
     ) -> Result<Choice, Shortage> {
-        let demand = demand(request, only, &self.data_centre, self.layout, now);
-        let choice = self.fleet.choose(&demand, now, &mut self.random)?;
+        let choice = match self.choose_version(request, request.pick, only, now) {
+            Err(_) if self.may_fall_back(request, now) => {
+                self.choose_version(request, Pick::Old, only, now)
+            }
+            choice => choice,
+        }?;
         if choice.limit.is_none() || self.questions.is_empty() {
             return Ok(choice);
         }
@@ -173,6 +191,33 @@
         }
     }
 
+    fn choose_version(
+        &mut self,
+        request: &PlacementRequest,
+        pick: Pick,
+        only: Option<&str>,
+        now: Timestamp,
+    ) -> Result<Choice, Shortage> {
+        let barred = self.barred(request, pick, now);
+        let demand = Demand {
+            barred_versions: &barred,
+            ..demand(request, only, &self.data_centre, self.layout, now)
+        };
+        self.fleet.choose(&demand, now, &mut self.random)
+    }
+
+    /// Versions that a request must not be sent to.
+    fn barred(&self, request: &PlacementRequest, pick: Pick, now: Timestamp) -> Vec<String> {
+        let is_bound = request.version.is_some();
+        self.rollouts.barred(&request.service, pick, is_bound, now)
+    }
+
+    /// Whether a request that was picked for a new version may go to the old one.
+    fn may_fall_back(&self, request: &PlacementRequest, now: Timestamp) -> bool {
+        let is_picked = request.pick == Pick::New && request.version.is_none();
+        is_picked && self.rollouts.may_fall_back(&request.service, now)
+    }
+
     /// Chooses a backend server with a free slot, of any data centre, for a request that would
     /// otherwise be shed. The starts at limited servers are left to more urgent requests that wait,
     /// here or at a peer.
@@ -183,9 +228,15 @@
     ) -> Option<Choice> {
         let urgency = self.scheduling_key(request, now).urgency(now);
         let is_first = !self.has_more_urgent(&request.service, urgency, now);
+        let pick = match self.may_fall_back(request, now) {
+            true => Pick::Old,
+            false => request.pick,
+        };
+        let barred = self.barred(request, pick, now);
         let demand = Demand {
             max_wait: Duration::ZERO,
             max_remote: None,
+            barred_versions: &barred,
             ..demand(request, None, &self.data_centre, self.layout, now)
         };
         let choice = self.fleet.choose(&demand, now, &mut self.random).ok();
@@ -527,5 +578,6 @@
         data_centre,
         max_remote: layout.max_remote_candidates(),
         required_server: only,
+        barred_versions: &[],
     }
 }
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use {
+    crate::gateway::scheduler::RolloutFigures,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram, MeterProvider as _},
@@ -42,6 +43,10 @@
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
     streams: Counter<u64>,
+    rollout_share: Gauge<f64>,
+    rollout_answers: Gauge<u64>,
+    rollout_bad_answers: Gauge<u64>,
+    invalid_rollout_reports: Gauge<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -131,6 +136,22 @@
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
             ),
+            rollout_share: meter
+                .f64_gauge("tamarackdale_rollout_share")
+                .with_description("Share of the new version of a service during its rollout")
+                .build(),
+            rollout_answers: gauge(
+                "tamarackdale_rollout_answers",
+                "Answers of this gateway's requests during a rollout, by service and version",
+            ),
+            rollout_bad_answers: gauge(
+                "tamarackdale_rollout_bad_answers",
+                "Those of them that failed or were slow",
+            ),
+            invalid_rollout_reports: gauge(
+                "tamarackdale_invalid_rollout_reports",
+                "Reports of peers about rollouts that were ignored because they are out of range",
+            ),
             registry,
             _provider: provider,
         })
@@ -212,6 +233,31 @@
         self.limited_servers.record(limited_servers as u64, &[]);
     }
 
+    /// Sets the gauges of a rollout.
+    pub fn set_rollout(&self, figures: &RolloutFigures) {
+        let labels = |version: &str| {
+            [
+                KeyValue::new("service", figures.service.clone()),
+                KeyValue::new("software_version", version.to_owned()),
+            ]
+        };
+        self.rollout_share
+            .record(figures.share, &labels(&figures.to));
+        for (version, (_, answers, bad)) in ["", figures.to.as_str()].iter().zip(figures.totals) {
+            self.rollout_answers
+                .record(answers as u64, &labels(version));
+            self.rollout_bad_answers
+                .record(bad as u64, &labels(version));
+        }
+    }
+
+    /// Sets the number of peers' reports about rollouts that were ignored.
+    pub fn set_invalid_rollout_reports(&self, reports: u64) {
+        if reports > 0 {
+            self.invalid_rollout_reports.record(reports, &[]);
+        }
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
--- a/daemon/tests/scheduler.rs
+++ b/daemon/tests/scheduler.rs
@@ -103,6 +103,7 @@
             deadline: now.plus(Duration::from_secs(10)),
             is_retry: false,
             is_optional: false,
+            pick: Default::default(),
         }
     }
 
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -93,6 +93,8 @@
     pub store: Store,
     /// Where gateways reach the store.
     store_address: SocketAddr,
+    /// Functions that the settings of gateways call for.
+    guarantees: Vec<&'static str>,
     folder: TempDir,
 }
 
@@ -116,6 +118,7 @@
         let site = Self {
             store_address: store.address(),
             store,
+            guarantees: Vec::new(),
             folder: TempDir::new()?,
         };
         site.configure(configuration);
@@ -128,6 +131,30 @@
         self
     }
 
+    /// Calls for a function in the settings of gateways that start from now on.
+    pub fn with_guarantee(mut self, name: &'static str) -> Self {
+        self.guarantees.push(name);
+        self
+    }
+
+    /// Orders the rollout of a version of a service.
+    pub fn order_rollout(&self, service: &str, to: &str, ramp_s: f64) {
+        let order = json!({"service": service, "to": to, "ramp_s": ramp_s});
+        self.put_rollout_order(service, &order);
+    }
+
+    /// Puts an order for a rollout as it is.
+    pub fn put_rollout_order(&self, service: &str, order: &Value) {
+        let key = format!("op/rollout/{service}");
+        self.store.put(key, order.to_string().as_bytes());
+    }
+
+    /// The status of a rollout, if there is one.
+    pub fn rollout_status(&self, service: &str) -> Option<Value> {
+        let record = self.store.record(&format!("status/rollout/{service}"))?;
+        serde_json::from_slice(&record.value).ok()
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -190,8 +217,10 @@
 
     fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
         let store = self.store_address;
+        let guarantees = &self.guarantees;
         format!(
             r#"node_name = "{name}"
+guarantees = {guarantees:?}
 zone = "{data_centre}"
 ip = "{address}"
 port_range = [{PEERS_PORT}, {PEERS_PORT}]
