--- a/testbed/src/store.rs
+++ b/testbed/src/store.rs
@@ -133,6 +133,11 @@
         self.gateway.faults().cut_watches();
     }
 
+    /// Keys and prefixes under `prefix` that were read or watched through the platform's calls.
+    pub fn reads_of(&self, prefix: &str) -> Vec<String> {
+        self.gateway.reads_of(prefix)
+    }
+
     /// Number of calls of a kind that have arrived, refused ones included.
     pub fn calls(&self, kind: Call) -> u64 {
         self.gateway.calls(kind)
--- a/testbed/src/store/gateway.rs
+++ b/testbed/src/store/gateway.rs
@@ -35,6 +35,8 @@
     era: AtomicU64,
     faults: Faults,
     counts: Mutex<HashMap<Call, u64>>,
+    /// Keys and prefixes that were read or watched through the platform's calls.
+    reads: Mutex<Vec<String>>,
     caps: Mutex<Option<(Bucket, Bucket)>>,
     written: tokio::sync::watch::Sender<()>,
     open_watches: AtomicUsize,
@@ -98,6 +100,16 @@
         *lock(&self.counts).entry(kind).or_default() += 1;
     }
 
+    pub fn record_read(&self, key: &str) {
+        lock(&self.reads).push(key.to_owned());
+    }
+
+    pub fn reads_of(&self, prefix: &str) -> Vec<String> {
+        let reads = lock(&self.reads);
+        let reads = reads.iter().filter(|key| key.starts_with(prefix));
+        reads.cloned().collect()
+    }
+
     pub fn is_within_caps(&self, kind: Call) -> bool {
         match (&mut *lock(&self.caps), kind) {
             (None, _) => true,
--- a/testbed/src/store/platform.rs
+++ b/testbed/src/store/platform.rs
@@ -55,6 +55,9 @@
     let query = query(request.uri().query().unwrap_or_default());
     let kind = kind_of(&path);
     gateway.count(kind);
+    if let Some(key) = query.get("key").or_else(|| query.get("prefix")) {
+        gateway.record_read(key);
+    }
     if !gateway.is_within_caps(kind) {
         return Some(json(StatusCode::TOO_MANY_REQUESTS, &value!({})));
     }
