--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -156,6 +156,8 @@
     pub required_server: Option<&'a str>,
     /// How well it is suited as a trial of an ejected backend server.
     pub trial_use: TrialUse,
+    /// Versions of the software that must not be chosen now.
+    pub barred_versions: &'a [String],
 }
 
 /// Predicted times of a request at one backend server.
@@ -637,6 +639,7 @@
             .filter(move |server| {
                 server.admits(now)
                     && !self.is_held_back(server, demand)
+                    && !server.is_barred(demand)
                     && self.admission(server, demand, now) != containment::Admission::Blocked
             })
     }
@@ -648,12 +651,20 @@
     }
 
     /// Whether a backend server lacks nothing but the end of its pause, a start within its limit, the
-    /// save of its version, or its return after failures.
+    /// save of its version, the permission to use its version, or its return after failures.
     fn has_candidate_later(&self, demand: &Demand, now: Timestamp) -> bool {
         self.candidates_with_held_back(demand, now).any(|server| {
-            !server.admits(now)
-                || self.is_held_back(server, demand)
-                || self.admission(server, demand, now) == containment::Admission::Blocked
+            // The version that began a stream gets nothing any more once it is barred.
+            let is_barred = server.is_barred(demand);
+            match demand.required_version {
+                Some(_) if is_barred => false,
+                _ => {
+                    is_barred
+                        || !server.admits(now)
+                        || self.is_held_back(server, demand)
+                        || self.admission(server, demand, now) == containment::Admission::Blocked
+                }
+            }
         })
     }
 
@@ -728,6 +739,15 @@
             .sum()
     }
 
+    /// Number of requests of this router that run at servers of other versions of a service.
+    pub fn own_requests_elsewhere(&self, service: &str, version: &str) -> u32 {
+        let servers = self
+            .servers
+            .values()
+            .filter(|server| server.member.service == service && server.member.version != version);
+        servers.map(|server| server.own.requests).sum()
+    }
+
     /// Records that this router sends a request to `id`, and removes the request's reservation.
     pub fn record_start(&mut self, id: &str, request: RequestLoad) {
         if let Some(server) = self.servers.get_mut(id) {
@@ -884,6 +904,10 @@
         self.statements.pause.admits(now) && (self.turn.is_due(now) || self.limit(now).is_none())
     }
 
+    fn is_barred(&self, demand: &Demand) -> bool {
+        demand.barred_versions.contains(&self.member.version)
+    }
+
     fn is_remote(&self, demand: &Demand) -> bool {
         self.member.data_centre != demand.data_centre
     }
--- a/core/src/summary.rs
+++ b/core/src/summary.rs
@@ -7,6 +7,7 @@
         floor::Notice,
         poison,
         quota::Usage,
+        rollout,
         wait_queue::Urgency,
     },
     std::{collections::HashMap, sync::Arc},
@@ -34,6 +35,10 @@
     pub work: Vec<(String, Work)>,
     /// Failures of backend servers that this router observed.
     pub health: Vec<containment::Report>,
+    /// Rollouts that the router knows.
+    pub rollouts: Vec<rollout::Report>,
+    /// Number of a peer's rollouts that were left out because they are out of range.
+    pub invalid_rollouts: usize,
 }
 
 impl Summary {
@@ -52,6 +57,7 @@
             && self.poison.is_empty()
             && self.statements.is_empty()
             && self.health.is_empty()
+            && self.rollouts.is_empty()
     }
 }
 
@@ -116,6 +122,8 @@
                 false => current.work.clone(),
             },
             health: health.cloned().collect(),
+            rollouts: rollout::report::changes(&self.previous.rollouts, &current.rollouts),
+            invalid_rollouts: 0,
         };
         let is_unchanged =
             changes.is_empty() && changes.work.is_empty() && self.previous.waits == current.waits;
--- a/core/tests/containment.rs
+++ b/core/tests/containment.rs
@@ -134,6 +134,7 @@
         required_version: None,
         max_remote: None,
         required_server: None,
+        barred_versions: &[],
         trial_use,
     }
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -60,6 +60,7 @@
         max_remote: None,
         required_server: None,
         trial_use: Default::default(),
+        barred_versions: &[],
     }
 }
 
--- a/core/tests/server_limit.rs
+++ b/core/tests/server_limit.rs
@@ -144,6 +144,7 @@
         max_remote: None,
         required_server: None,
         trial_use: Default::default(),
+        barred_versions: &[],
     }
 }
 
--- a/daemon/src/gateway/follower.rs
+++ b/daemon/src/gateway/follower.rs
@@ -9,6 +9,7 @@
 mod quota_use;
 mod reads;
 mod rejections;
+mod rollouts;
 mod servers;
 
 pub use {
@@ -153,6 +154,7 @@
                 self.follow_gateways(),
                 self.follow_quota_use(),
                 self.follow_origins(),
+                self.follow_rollouts(),
             )
         };
         tokio::select! {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -35,6 +35,7 @@
         origin,
         poison::Fingerprint,
         rendezvous,
+        rollout::Pick,
         routing_config::{Organisation, RepeatPolicy, Route},
         tier::Rank,
         time::Timestamp,
@@ -129,6 +130,8 @@
     version: Option<String>,
     /// Identifier of the last event that the caller has received.
     last_event: Option<u64>,
+    /// Version at which the first attempt runs during a rollout.
+    pick: Pick,
     /// Number of events that were passed on.
     events: u32,
     /// Digest of the request, once it was needed.
@@ -171,7 +174,18 @@
         .head
         .time_budget
         .map_or(route.timeout, |left| left.min(route.timeout));
+    let pick = match request.head.last_event {
+        Some(_) => Pick::Any,
+        None => {
+            let tokens = request.head.tokens;
+            let tokens = tokens.map_or(0, |tokens| tokens.expected_output());
+            context
+                .scheduler
+                .pick_version(&service, &route.name, tokens)
+        }
+    };
     let job = Job {
+        pick,
         context: context.clone(),
         dispatch: Dispatch::new(route.repeat_policy, route.attempts),
         excluded: Vec::new(),
@@ -471,6 +485,7 @@
             is_retry: wait_policy::is_retry(time_budget, route.timeout),
             is_optional: false,
             trial_use: self.trial_use(rank),
+            pick: self.placement_pick(),
         }
     }
 
@@ -486,6 +501,14 @@
         }
     }
 
+    /// Version at which the next attempt runs during a rollout: a repeated one stays at the old version.
+    fn placement_pick(&self) -> Pick {
+        match self.dispatch.sent() {
+            0 => self.pick,
+            _ => Pick::Any,
+        }
+    }
+
     fn log_placement(&self, choice: &Choice, requested: Timestamp, is_retry: bool) {
         let waited = self.context.clock.now().since(requested);
         log::info!(
--- a/daemon/src/gateway/relay/exchange.rs
+++ b/daemon/src/gateway/relay/exchange.rs
@@ -92,6 +92,7 @@
     let Ok(response) = response else {
         let scheduler = &job.context.scheduler;
         scheduler.record_silence(&choice.member.id, sent.sent);
+        sent.connected.in_flight.record_failed_answer();
         return Err(ExchangeError::GivenUp(Cause::Timeout));
     };
     if response.is_ok() && sent.connected.is_unchecked && is_other_start(job, &choice.member).await
@@ -161,7 +162,7 @@
             return Err(ExchangeError::SendFailure(SendFailure::NotSent));
         }
     };
-    if !scheduler.accepts_requests(&member.id) {
+    if !scheduler.accepts_requests(&member.id) || scheduler.is_version_stopped(member) {
         return Err(ExchangeError::SendFailure(SendFailure::NotSent));
     }
     Ok(Connected {
@@ -241,7 +242,11 @@
             return Err(ExchangeError::GivenUp(job.give_up(cause)));
         }
         let request = build_request(job, &self.member.id, time_left);
+        let pick = job.placement_pick();
         job.dispatch.send();
+        let route = &job.request.route.name;
+        let answer = job.context.scheduler.count_sent(&self.member, route, pick);
+        self.in_flight.count_answer(answer);
         let sent = job.context.clock.now();
         let response = Box::pin(self.connection.send(request));
         Ok(Sent {
@@ -286,6 +291,7 @@
                     return Err(ExchangeError::SendFailure(SendFailure::NotSent));
                 }
                 scheduler.record_failure(&member.id, Failure::Broken);
+                in_flight.record_failed_answer();
                 return Err(ExchangeError::ConnectionBroken);
             }
         };
@@ -296,6 +302,11 @@
         if class == ResponseClass::Failed {
             in_flight.mark_failed();
         }
+        match class {
+            ResponseClass::Valid => {}
+            ResponseClass::NotExecuted => in_flight.record_refusal(),
+            _ => in_flight.record_failed_answer(),
+        }
         if let Some(failure) = check_response(job, class, &member.id) {
             return Err(ExchangeError::SendFailure(failure));
         }
@@ -435,6 +446,7 @@
                     backend_server = self.in_flight.id();
                     "response body not complete before the deadline"
                 );
+                self.in_flight.record_failed_answer();
                 Err(BodyError::Other)
             }
         }
@@ -443,6 +455,7 @@
     /// Records a broken response as a failure of the backend server.
     pub fn record_failure(&self) {
         let id = self.in_flight.id();
+        self.in_flight.record_failed_answer();
         self.in_flight
             .scheduler()
             .record_failure(id, Failure::Broken);
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -6,9 +6,15 @@
 mod in_flight;
 mod placement_request;
 mod retry;
+mod rollouts;
 mod state;
 
-pub use {in_flight::InFlightRequest, placement_request::PlacementRequest, retry::Retry};
+pub use {
+    in_flight::InFlightRequest,
+    placement_request::PlacementRequest,
+    retry::Retry,
+    rollouts::{CountedAnswer, RolloutFigures},
+};
 
 use {
     self::state::{QuotaWaiter, State},
@@ -28,6 +34,7 @@
         origin::Origin,
         poison::Fingerprint,
         quota::{Claim, QuotaExceeded, UsageHistory},
+        rollout::Visibility,
         routing_config::{Organisation, RoutingConfig},
         summary::Summary,
         time::Timestamp,
@@ -94,6 +101,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.fleet.hold_back(held_back);
+        // A version that is not checked must be known before its servers are.
+        state.rollouts.observe_servers(members, now);
         state.fleet.update_members(members, now);
         state.poison.prune(now);
     }
@@ -485,6 +494,7 @@
             state.ledger.mark_complete();
         }
         state.peer_waiting.insert(peer, summary.waits.clone());
+        state.merge_rollouts(peer, summary, now);
         for (service, notice) in &summary.floors {
             state.shed_floor(service).merge(*notice, now);
         }
@@ -510,6 +520,7 @@
         state.remove_health(peer);
         state.ledger.remove_peer(peer, contact, now);
         state.peer_waiting.remove(&peer);
+        state.rollouts.remove_peer(peer);
     }
 
     /// Number of reports of work by peers that were ignored because a value was out of range.
@@ -525,6 +536,11 @@
         state.ledger.set_share(connected, known, lag, now);
         state.visible_fraction = connected as f64 / known.max(connected).max(1) as f64;
         state.layout = layout;
+        let visible = Visibility {
+            connected: connected.saturating_sub(1),
+            has_unreachable: known > connected,
+        };
+        state.rollouts.set_visibility(visible, known);
         if state.known_gateways != known {
             state.known_gateways = known;
             state.update_retry_budgets();
@@ -542,6 +558,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.update_told_work(now);
+        let rollouts = state.rollouts.reports(now);
         let floors = state.shed_floors.iter().filter_map(|(service, floor)| {
             let notice = floor.own_notice(now)?;
             Some((service.clone(), notice))
@@ -556,6 +573,8 @@
             statements: state.fleet.own_reports().collect(),
             work: state.work_exchange.told.clone(),
             health: state.health_reports(now),
+            rollouts,
+            invalid_rollouts: 0,
         }
     }
 
--- a/daemon/src/gateway/scheduler/placement_request.rs
+++ b/daemon/src/gateway/scheduler/placement_request.rs
@@ -5,6 +5,7 @@
     tamarackdale_core::{
         admission::Subject,
         fleet::{SharedPrefix, TrialUse},
+        rollout::Pick,
         tier::Rank,
         time::Timestamp,
     },
@@ -45,6 +46,8 @@
     pub is_optional: bool,
     /// How well it is suited as a trial of an ejected backend server.
     pub trial_use: TrialUse,
+    /// Version at which it runs during a rollout.
+    pub pick: Pick,
 }
 
 impl PlacementRequest {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -17,6 +17,7 @@
         quota::{Claim, Ledger},
         rendezvous,
         retry::{self, Budget},
+        rollout::{self, Pick},
         routing_config::Organisation,
         tier::Rank,
         time::Timestamp,
@@ -95,6 +96,11 @@
     pub(super) retry_extra: f64,
     /// Peers whose reports of failures were logged as invalid.
     pub(super) peers_with_invalid_reports: HashSet<u64>,
+    /// Versions of the services, and the rollouts among them.
+    pub(super) rollouts: rollout::Table,
+    /// Number of peers' counts that were ignored, and the peers.
+    pub(super) invalid_rollout_reports: u64,
+    pub(super) invalid_rollout_peers: HashSet<u64>,
 }
 
 impl State {
@@ -121,6 +127,9 @@
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
             peers_with_invalid_reports: HashSet::new(),
+            rollouts: rollout::Table::new(settings.rollout),
+            invalid_rollout_reports: 0,
+            invalid_rollout_peers: HashSet::new(),
         };
         state.update_containment(settings, now);
         state
@@ -129,6 +138,7 @@
     pub(super) fn update_settings(&mut self, settings: &Settings, now: Timestamp) {
         self.update_containment(settings, now);
         self.ledger.update_settings(settings.bounds.quota);
+        self.rollouts.update_settings(settings.rollout);
         self.data_centre = settings.data_centre.clone();
         self.retry_ratio = settings.bounds.retry_ratio * RETRY_FRACTION;
         self.retry_extra = settings.bounds.retry_extra * RETRY_FRACTION;
@@ -179,8 +189,12 @@
         only: Option<&str>,
         now: Timestamp,
     ) -> Result<Choice, Shortage> {
-        let demand = demand(request, only, &self.data_centre, self.layout, now);
-        let choice = self.fleet.choose(&demand, now, &mut self.random)?;
+        let choice = match self.choose_version(request, request.pick, only, now) {
+            Err(_) if self.may_fall_back(request, now) => {
+                self.choose_version(request, Pick::Old, only, now)
+            }
+            choice => choice,
+        }?;
         if choice.limit.is_none() || self.questions.is_empty() {
             return Ok(choice);
         }
@@ -192,6 +206,33 @@
         }
     }
 
+    fn choose_version(
+        &mut self,
+        request: &PlacementRequest,
+        pick: Pick,
+        only: Option<&str>,
+        now: Timestamp,
+    ) -> Result<Choice, Shortage> {
+        let barred = self.barred(request, pick, now);
+        let demand = Demand {
+            barred_versions: &barred,
+            ..demand(request, only, &self.data_centre, self.layout, now)
+        };
+        self.fleet.choose(&demand, now, &mut self.random)
+    }
+
+    /// Versions that a request must not be sent to.
+    fn barred(&self, request: &PlacementRequest, pick: Pick, now: Timestamp) -> Vec<String> {
+        let is_bound = request.version.is_some();
+        self.rollouts.barred(&request.service, pick, is_bound, now)
+    }
+
+    /// Whether a request that was picked for a new version may go to the old one.
+    fn may_fall_back(&self, request: &PlacementRequest, now: Timestamp) -> bool {
+        let is_picked = request.pick == Pick::New && request.version.is_none();
+        is_picked && self.rollouts.may_fall_back(&request.service, now)
+    }
+
     /// Chooses a backend server with a free slot, of any data centre, for a request that would
     /// otherwise be shed. The starts at limited servers are left to more urgent requests that wait,
     /// here or at a peer.
@@ -202,9 +243,15 @@
     ) -> Option<Choice> {
         let urgency = self.scheduling_key(request, now).urgency(now);
         let is_first = !self.has_more_urgent(&request.service, urgency, now);
+        let pick = match self.may_fall_back(request, now) {
+            true => Pick::Old,
+            false => request.pick,
+        };
+        let barred = self.barred(request, pick, now);
         let demand = Demand {
             max_wait: Duration::ZERO,
             max_remote: None,
+            barred_versions: &barred,
             ..demand(request, None, &self.data_centre, self.layout, now)
         };
         let choice = self.fleet.choose(&demand, now, &mut self.random).ok();
@@ -557,5 +604,6 @@
         max_remote: layout.max_remote_candidates(),
         required_server: only,
         trial_use: request.trial_use,
+        barred_versions: &[],
     }
 }
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -95,8 +95,8 @@
     store_address: SocketAddr,
     /// Least number of gateways that coalesce their reads, if another than the default.
     coalesced_reads_from: Option<usize>,
-    /// What the settings of gateways ask for, as a list in TOML.
-    guarantees: &'static str,
+    /// Functions that the settings of gateways call for.
+    guarantees: Vec<&'static str>,
     folder: TempDir,
 }
 
@@ -121,7 +121,7 @@
             store_address: store.address(),
             store,
             coalesced_reads_from: None,
-            guarantees: "[]",
+            guarantees: Vec::new(),
             folder: TempDir::new()?,
         };
         site.configure(configuration);
@@ -141,12 +141,30 @@
         self
     }
 
-    /// Lets the settings of gateways that start from now on ask for functions, as a list in TOML.
-    pub fn with_guarantees(mut self, guarantees: &'static str) -> Self {
-        self.guarantees = guarantees;
+    /// Calls for a function in the settings of gateways that start from now on.
+    pub fn with_guarantee(mut self, name: &'static str) -> Self {
+        self.guarantees.push(name);
         self
     }
 
+    /// Orders the rollout of a version of a service.
+    pub fn order_rollout(&self, service: &str, to: &str, ramp_s: f64) {
+        let order = json!({"service": service, "to": to, "ramp_s": ramp_s});
+        self.put_rollout_order(service, &order);
+    }
+
+    /// Puts an order for a rollout as it is.
+    pub fn put_rollout_order(&self, service: &str, order: &Value) {
+        let key = format!("op/rollout/{service}");
+        self.store.put(key, order.to_string().as_bytes());
+    }
+
+    /// The status of a rollout, if there is one.
+    pub fn rollout_status(&self, service: &str) -> Option<Value> {
+        let record = self.store.record(&format!("status/rollout/{service}"))?;
+        serde_json::from_slice(&record.value).ok()
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -232,14 +250,14 @@
         let least = self.coalesced_reads_from;
         let least = least.map(|least| format!("coalesced_reads_from = {least}"));
         let least = least.unwrap_or_default();
-        let guarantees = self.guarantees;
+        let guarantees = &self.guarantees;
         format!(
             r#"node_name = "{name}"
+guarantees = {guarantees:?}
 zone = "{data_centre}"
 ip = "{address}"
 port_range = [{PEERS_PORT}, {PEERS_PORT}]
 bootstrap = true
-guarantees = {guarantees}
 [bind]
 frontend = "{address}:{CALLERS_PORT}"
 readiness = "{address}:{READINESS_PORT}"
--- a/testbed/tests/ejection.rs
+++ b/testbed/tests/ejection.rs
@@ -41,7 +41,7 @@
 #[tokio::test]
 async fn server_that_fails_at_once_gets_few_requests_and_returns(#[case] behaviour: Behaviour) {
     let site = Site::new(&Configuration::default()).expect("starts");
-    let site = site.with_guarantees("[\"health\"]");
+    let site = site.with_guarantee("health");
     let server = |number| Server::new(&format!("server-{number}"), "plain").expect("starts");
     let servers: Vec<Server> = (0..SERVERS).map(server).collect();
     for server in &servers {
--- a/wire/src/summary.rs
+++ b/wire/src/summary.rs
@@ -1,14 +1,14 @@
 //! Summaries exchanged by routers that send requests to backend servers directly.
 
 use {
-    crate::{health_report::HealthReport, poison::Poison, statement::Statement},
+    crate::{health_report::HealthReport, poison::Poison, rollout::Report, statement::Statement},
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc, time::Duration},
     tamarackdale_core::{
         admission,
         fleet::{self, Load, Speed},
         floor::Notice,
-        quota, summary,
+        quota, rollout, summary,
         tier::Rank,
         time::Timestamp,
         wait_queue::{Stage, Urgency},
@@ -65,12 +65,15 @@
     /// Work started lately.
     #[serde(default)]
     pub work: Vec<Work>,
+    /// Rollouts that the sender knows.
+    #[serde(default)]
+    pub rollouts: Vec<Report>,
 }
 
 impl Extensions {
     /// Whether there is nothing in them.
     pub fn is_empty(&self) -> bool {
-        self.health.is_empty() && self.work.is_empty()
+        self.health.is_empty() && self.work.is_empty() && self.rollouts.is_empty()
     }
 }
 
@@ -182,6 +185,7 @@
                     .map(|report| HealthReport::new(report, now))
                     .collect(),
                 work: summary.work.iter().map(Work::from).collect(),
+                rollouts: summary.rollouts.iter().map(Report::from).collect(),
             },
         }
     }
@@ -222,6 +226,8 @@
         let poison = frame.poison.into_iter();
         let statements = frame.statements.into_iter();
         let health = frame.extensions.health.into_iter();
+        let rollouts = frame.extensions.rollouts.into_iter();
+        let rollouts: Vec<_> = rollouts.map(rollout::Report::try_from).collect();
         summary::Summary {
             entries: frame.entries.into_iter().map(Into::into).collect(),
             usages: usages.filter(is_valid).collect(),
@@ -237,6 +243,8 @@
                 .collect(),
             work: frame.extensions.work.into_iter().map(Into::into).collect(),
             health: health.map(|report| report.into_report(now)).collect(),
+            invalid_rollouts: rollouts.iter().filter(|report| report.is_err()).count(),
+            rollouts: rollouts.into_iter().flatten().collect(),
         }
     }
 }
