--- a/daemon/tests/admission.rs
+++ b/daemon/tests/admission.rs
@@ -94,6 +94,7 @@
             is_retry: false,
             is_optional: false,
             trial_use: Default::default(),
+            pick: Default::default(),
         }
     }
 
