testbed: tests of clients outside our control

Callers that hold memory or connections without end, against a gateway, a router and a sidecar as real processes. The crowds follow from the limits: 48 bodies or answers of 4 MiB are 192 MiB, more than the 112 MB of the smallest machine; 1,000 heads of 60 KiB are 60 MiB, against 64 MB; a router or sidecar may take its 16 MiB for callers and 64 MB for everything else.

--- a/testbed/src/platform/server.rs
+++ b/testbed/src/platform/server.rs
@@ -77,6 +77,8 @@
     Endless,
     /// Runs them and answers without end.
     Floods(Flood),
+    /// Runs them and answers plain requests with a body of that many bytes.
+    AnswersLong(usize),
     /// Runs them and sends that many interim responses before the answer.
     Hints(usize),
     /// Runs them and stalls in the second event of a stream, of which it sends a byte now and then.
@@ -834,6 +836,9 @@
     if behaviour == Behaviour::Endless {
         return Response::new(StreamBody::new(endless_bytes()).boxed_unsync());
     }
+    if let Behaviour::AnswersLong(bytes) = behaviour {
+        return whole(StatusCode::OK, vec![b'x'; bytes].into());
+    }
     if behaviour != Behaviour::BreaksOff {
         return whole(StatusCode::OK, text.into());
     }
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -94,6 +94,8 @@
     /// Where gateways reach the store.
     store_address: SocketAddr,
     folder: TempDir,
+    memory_mb: u64,
+    max_descriptors: usize,
 }
 
 /// A gateway of a site as a real process.
@@ -117,6 +119,8 @@
             store_address: store.address(),
             store,
             folder: TempDir::new()?,
+            memory_mb: 182,
+            max_descriptors: 2_048,
         };
         site.configure(configuration);
         Ok(site)
@@ -128,6 +132,13 @@
         self
     }
 
+    /// Sets the memory, in MB, and the file descriptors of gateways that start from now on.
+    pub fn with_limits(mut self, memory_mb: u64, max_descriptors: usize) -> Self {
+        self.memory_mb = memory_mb;
+        self.max_descriptors = max_descriptors;
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -190,6 +201,7 @@
 
     fn settings(&self, name: &str, data_centre: &str, address: Ipv4Addr) -> String {
         let store = self.store_address;
+        let (memory_mb, max_descriptors) = (self.memory_mb, self.max_descriptors);
         format!(
             r#"node_name = "{name}"
 zone = "{data_centre}"
@@ -200,8 +212,8 @@
 frontend = "{address}:{CALLERS_PORT}"
 readiness = "{address}:{READINESS_PORT}"
 [limits]
-memory_mb = 182
-max_fds = 2048
+memory_mb = {memory_mb}
+max_fds = {max_descriptors}
 [bounds]
 grace_s = 6
 converge_ms = 1000
