daemon: one account of the memory that callers make a process hold

Cause: bodies of requests had no common bound at a gateway or a sidecar, an answer was counted only until it was read and not until its caller had it, heads and connections were not counted at all, and pieces of a body were kept as handles into the buffers that they were read into.

All listeners of a process share an account (http/memory.rs): connections, heads, bodies until their requests end, answers until they are written. While it is full bodies are not read on; connections whose peers make no progress for 0.5 s are closed, the largest first; the body that lacks least gets the last room, which is one of the longest legal length; one that waits 5 s is refused with 503 and Retry-After.

A router closes a caller that takes no part of its answer for 10 s (60 s before), and a sidecar drops a response that does not fit and that no router reads on for its absence limit (15 s): both held slots that ordinary requests waited for.

--- a/daemon/src/configuration/handlers.rs
+++ b/daemon/src/configuration/handlers.rs
@@ -7,7 +7,7 @@
         catalogue::CatalogueReceiver,
         catalogue_writer::{DocumentUpdate, UpdateSource},
     },
-    crate::http::body,
+    crate::http::{body, memory::Connection},
     bytes::Bytes,
     futures_util::{Stream, stream},
     gotham::{
@@ -84,7 +84,8 @@
     let path = Path::take_from(&mut state);
     let handle = X::borrow_from(&state).as_ref().clone();
     let limit = MAX_TEXT_BYTES + ENVELOPE_BYTES;
-    let response = match body::read(Body::take_from(&mut state), limit).await {
+    let connection = Connection::of(&state);
+    let response = match connection.read(Body::take_from(&mut state), limit).await {
         Ok(bytes) => queue_document(&handle, &path.service, &bytes),
         Err(_) => body::status(StatusCode::BAD_REQUEST),
     };
--- a/daemon/src/gateway.rs
+++ b/daemon/src/gateway.rs
@@ -25,7 +25,7 @@
     crate::{
         admin,
         clock::{self, Clock},
-        http::{self, Server},
+        http::{self, Server, memory::Account},
         metrics::Metrics,
         signal::{Shutdown, Signals},
         worker::Worker,
@@ -94,6 +94,11 @@
         boot,
     );
     let worker = Worker::spawn_async("follower", follower.run())?;
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let memory = Account::with_counter(
+        Account::share_of(settings.max_memory_bytes),
+        metrics.memory_counter(),
+    );
     let context = Context {
         clock,
         boot,
@@ -102,12 +107,13 @@
         scheduler,
         pool: Arc::new(ConnectionPool::new()),
         origins: Arc::new(Origins::new(clock)),
-        response_buffers: ResponseBuffers::new(settings.max_memory_bytes),
+        response_buffers: ResponseBuffers::new(settings.max_memory_bytes).with_account(&memory),
+        memory,
         summary_broadcast: Arc::default(),
         known_peers: Arc::default(),
         introductions: introductions_sender,
         keepers: Arc::default(),
-        metrics: Metrics::new().map_err(io::Error::other)?,
+        metrics,
         shutdown: shutdown.clone(),
     };
     log::info!(version = env!("CARGO_PKG_VERSION"), boot = context.boot; "started");
@@ -150,21 +156,26 @@
         callers::routes(context.clone()),
     )
     .await?
+    .with_memory(&context.memory)
     .with_timeouts(move || timeouts_context.connection_timeouts());
-    let readiness = bind_admin("readiness", settings.readiness, &admin_context).await?;
+    let readiness = bind_admin("readiness", settings.readiness, &admin_context)
+        .await?
+        .with_memory(&context.memory);
     let metrics = bind_admin(
         "metrics",
         SocketAddr::new(settings.address, METRICS_PORT),
         &admin_context,
     )
-    .await?;
+    .await?
+    .with_memory(&context.memory);
     let peers = Server::bind(
         "peers",
         settings.peers,
         MAX_PEERS,
         peer_routes(context.clone()),
     )
-    .await?;
+    .await?
+    .with_memory(&context.memory);
     let unready = shutdown.with_closing(CancellationToken::new());
     let drained = shutdown.with_closing(CancellationToken::new());
     let finished = CancellationToken::new();
--- a/daemon/src/gateway/callers.rs
+++ b/daemon/src/gateway/callers.rs
@@ -11,7 +11,7 @@
         clock,
         http::{
             self,
-            body::{self, ReadError},
+            memory::{Connection, ReadError},
         },
     },
     futures_util::FutureExt as _,
@@ -44,6 +44,9 @@
 /// can serve the retry.
 const NOT_PROVED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// `Retry-After` of a gateway whose memory for callers is full. Another gateway can serve the retry.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Routes every method and path of the callers' listener to one handler.
 pub fn routes(context: Context) -> Router {
     http::catch_all_router(context, handle)
@@ -61,6 +64,7 @@
 
 async fn respond(context: &Context, state: &mut State) -> Response<Body> {
     let accepted = context.clock.now();
+    let connection = Connection::of(state);
     let caller_body = Body::take_from(state);
     let method = Method::take_from(state);
     let uri = Uri::take_from(state);
@@ -79,6 +83,7 @@
         uri,
         headers,
         accepted,
+        connection,
     };
     let response = async {
         match accept_before_end(context, incoming, caller_body).await {
@@ -143,6 +148,7 @@
     uri: Uri,
     headers: HeaderMap,
     accepted: Timestamp,
+    connection: Connection,
 }
 
 /// Authorises a request, reads its body and charges it to the organisation's quota.
@@ -154,11 +160,15 @@
     let authorised = authorise(context, &incoming.headers, &incoming.uri, &incoming.head)
         .map_err(Refusal::without_body)?;
     let limit = authorised.snapshot.value.limits().body_bytes;
-    let bytes = match timeout(BODY_READ_TIMEOUT, body::read(body, limit)).await {
+    let bytes = match timeout(BODY_READ_TIMEOUT, incoming.connection.read(body, limit)).await {
         Ok(Ok(bytes)) => bytes,
         Ok(Err(ReadError::TooLarge)) => {
             return Err(Refusal::new(Cause::BodyTooLarge).without_body());
         }
+        Ok(Err(ReadError::NoMemory)) => {
+            let refusal = Refusal::new(Cause::Memory).with_retry_after(MEMORY_RETRY_AFTER);
+            return Err(refusal.without_body());
+        }
         Ok(Err(ReadError::Broken)) | Err(_) => {
             return Err(Refusal::new(Cause::BodyBroken).without_body());
         }
--- a/daemon/src/gateway/context.rs
+++ b/daemon/src/gateway/context.rs
@@ -12,7 +12,7 @@
     },
     crate::{
         clock::{self, Clock},
-        http::activity::Timeouts,
+        http::{activity::Timeouts, memory::Account},
         metrics::Metrics,
         signal::Shutdown,
     },
@@ -44,6 +44,8 @@
     pub pool: Arc<ConnectionPool>,
     /// Origins of the streams that callers may take up.
     pub origins: Arc<Origins>,
+    /// Memory that callers can make the process hold.
+    pub memory: Account,
     /// Memory for responses that are buffered until they are complete.
     pub response_buffers: ResponseBuffers,
     /// Broadcasts this gateway's summaries to its peers.
--- a/daemon/src/gateway/refusal.rs
+++ b/daemon/src/gateway/refusal.rs
@@ -35,6 +35,8 @@
     BodyTooLarge,
     /// The body was not received completely, or not in time.
     BodyBroken,
+    /// There was no memory for the body.
+    Memory,
     /// No configuration is known, or it is not confirmed to be current.
     NotProved,
     /// The gateway is shutting down, and the request would not end in time.
@@ -72,7 +74,8 @@
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::BodyTooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Quota => StatusCode::TOO_MANY_REQUESTS,
-            Self::NotProved
+            Self::Memory
+            | Self::NotProved
             | Self::Leaving
             | Self::NoBackendServer
             | Self::Overload
@@ -152,7 +155,10 @@
                 headers.insert(RETRY_AFTER, value);
             }
         }
-        if matches!(self.cause, Cause::BodyTooLarge | Cause::BodyBroken) {
+        if matches!(
+            self.cause,
+            Cause::BodyTooLarge | Cause::BodyBroken | Cause::Memory
+        ) {
             // The unread rest of the body must not be parsed as the next request.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -14,7 +14,11 @@
         scheduler::{InFlightRequest, PlacementRequest, Retry},
         starts,
     },
-    crate::{clock, http::body, metrics::Labels},
+    crate::{
+        clock,
+        http::{body, memory::Counted},
+        metrics::Labels,
+    },
     bytes::Bytes,
     gotham::{
         helpers::http::Body,
@@ -624,7 +628,9 @@
             Ok((parts, bytes, in_flight)) => {
                 self.record_answer();
                 self.finish(ANSWERED, Some(&in_flight));
-                Response::from_parts(parts, body::full(bytes))
+                let mut response = Response::from_parts(parts, body::full(bytes));
+                response.extensions_mut().insert(Counted);
+                response
             }
             Err(error) => self.retry_or_fail(error).await,
         }
--- a/daemon/src/gateway/response_buffers.rs
+++ b/daemon/src/gateway/response_buffers.rs
@@ -1,7 +1,8 @@
 //! Memory for responses that are buffered until they are complete.
 
 use {
-    bytes::{Bytes, BytesMut},
+    crate::http::memory::{Account, Buffer},
+    bytes::Bytes,
     derive_more::Error,
     http_body_util::BodyExt as _,
     hyper::body::Body,
@@ -38,6 +39,8 @@
 pub struct ResponseBuffers {
     blocks: Arc<Semaphore>,
     whole_response: Arc<Semaphore>,
+    /// Memory for whole responses, until their callers have them.
+    account: Account,
 }
 
 /// Memory that one response has reserved.
@@ -56,17 +59,24 @@
         Self {
             blocks: Arc::new(Semaphore::new(blocks)),
             whole_response: Arc::new(Semaphore::new(1)),
+            account: Account::default(),
         }
     }
 
+    /// Counts whole responses in the account of the process until their callers have them.
+    pub fn with_account(mut self, account: &Account) -> Self {
+        self.account = account.clone();
+        self
+    }
+
     /// Reads a whole body, which waits while the memory is full. The memory is released when the reading
-    /// ends.
+    /// ends, that of the account when the last handle to the bytes is dropped.
     pub async fn read<B>(&self, body: &mut B) -> Result<Bytes, BufferError>
     where
         B: Body<Data = Bytes> + Unpin,
         B::Error: Display,
     {
-        let mut content = BytesMut::new();
+        let mut content = Buffer::new();
         let mut reservation = Reservation {
             buffers: self,
             blocks: None,
@@ -80,10 +90,11 @@
             if content.len() + bytes.len() > MAX_RESPONSE_BYTES {
                 return Err(BufferError::TooLong);
             }
-            content.extend_from_slice(bytes);
+            content.append(bytes, None);
             reservation.grow(content.len()).await;
         }
-        Ok(content.freeze())
+        let reserved = self.account.reserve_answer(content.len()).await;
+        Ok(reserved.hold(content))
     }
 }
 
--- a/daemon/src/http.rs
+++ b/daemon/src/http.rs
@@ -3,6 +3,7 @@
 pub mod activity;
 pub mod body;
 pub mod client;
+pub mod memory;
 pub mod probe;
 pub mod request_body;
 pub mod response_body;
--- a/daemon/src/http/activity.rs
+++ b/daemon/src/http/activity.rs
@@ -1,6 +1,7 @@
 //! What happens on a caller's connection, and when it has been idle for too long.
 
 use {
+    super::memory,
     bytes::Bytes,
     http_body_util::BodyExt as _,
     hyper::body::Body,
@@ -22,6 +23,9 @@
 /// be on its way: a round trip and thread scheduling on a loaded machine.
 const RECLAIM_IDLE: Duration = Duration::from_millis(500);
 
+/// Most bytes that are read at once. The buffer of a connection grows with the reads that fill it.
+const MAX_READ_BYTES: usize = 16 * 1024;
+
 /// Timeouts of a connection on which no request is in progress.
 #[derive(Clone, Copy, Debug)]
 pub struct Timeouts {
@@ -35,6 +39,8 @@
 #[derive(Clone)]
 pub struct Activity {
     state: Arc<watch::Sender<State>>,
+    /// What the connection holds of the process's memory, if that is counted.
+    memory: Option<memory::Connection>,
 }
 
 #[derive(Clone, Copy, Default)]
@@ -73,6 +79,7 @@
 /// A request that is in progress until this is dropped.
 pub struct InProgress {
     state: Arc<watch::Sender<State>>,
+    memory: Option<memory::Connection>,
 }
 
 impl Activity {
@@ -81,6 +88,14 @@
         Self::default()
     }
 
+    /// Counts the memory of the connection.
+    pub fn with_memory(self, memory: memory::Connection) -> Self {
+        Self {
+            memory: Some(memory),
+            ..self
+        }
+    }
+
     /// Reports what is read from and written to `stream`, the connection's.
     pub fn observe<T>(&self, stream: T) -> Observed<T> {
         Observed {
@@ -90,8 +105,12 @@
         }
     }
 
-    /// Records that bytes were read.
-    fn record_read(&self, bytes: usize) {
+    /// Records that bytes were read. Returns whether they may be kept.
+    fn record_read(&self, bytes: usize) -> bool {
+        let is_head = {
+            let state = self.state.borrow();
+            state.requests == 0 && state.discards == 0
+        };
         self.state.send_if_modified(|state| {
             state.bytes_read += bytes as u64;
             let is_new_head =
@@ -101,6 +120,8 @@
             }
             is_new_head
         });
+        let memory = self.memory.as_ref();
+        memory.is_none_or(|memory| memory.record_read(bytes, is_head))
     }
 
     /// Records that a part of a head has been read with the request before it.
@@ -145,7 +166,15 @@
     }
 
     /// Records whether bytes that were to be written wait until the peer takes them.
-    fn record_write(&self, is_blocked: bool) {
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        let is_blocked = polled.is_pending();
+        if let Some(memory) = &self.memory {
+            match polled {
+                Poll::Ready(Ok(bytes)) => memory.record_write(Some(*bytes)),
+                Poll::Ready(Err(_)) => {}
+                Poll::Pending => memory.record_write(None),
+            }
+        }
         self.state.send_if_modified(|state| {
             let has_changed = state.is_write_blocked != is_blocked;
             state.is_write_blocked = is_blocked;
@@ -161,8 +190,12 @@
             state.head_since = None;
             state.is_body_unread = false;
         });
+        if let Some(memory) = &self.memory {
+            memory.begin_request();
+        }
         InProgress {
             state: Arc::clone(&self.state),
+            memory: self.memory.clone(),
         }
     }
 
@@ -302,10 +335,19 @@
             return Poll::Ready(Ok(()));
         }
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let polled = match buffer.remaining() <= MAX_READ_BYTES {
+            true => Pin::new(&mut self.stream).poll_read(context, buffer),
+            false => {
+                let mut part = ReadBuf::new(buffer.initialize_unfilled_to(MAX_READ_BYTES));
+                let polled = Pin::new(&mut self.stream).poll_read(context, &mut part);
+                let bytes = part.filled().len();
+                buffer.advance(bytes);
+                polled
+            }
+        };
         let bytes = buffer.filled().len() - before;
-        if bytes > 0 {
-            self.activity.record_read(bytes);
+        if bytes > 0 && !self.activity.record_read(bytes) {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
         }
         polled
     }
@@ -318,7 +360,7 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.activity.record_write(polled.is_pending());
+        self.activity.record_write(&polled);
         polled
     }
 
@@ -328,7 +370,7 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let polled = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
-        self.activity.record_write(polled.is_pending());
+        self.activity.record_write(&polled);
         polled
     }
 
@@ -337,6 +379,10 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // The connection flushes the stream once it has no bytes left to write.
+        if let Some(memory) = &self.activity.memory {
+            memory.record_flush();
+        }
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
@@ -349,6 +395,7 @@
     fn default() -> Self {
         Self {
             state: Arc::new(watch::Sender::default()),
+            memory: None,
         }
     }
 }
@@ -356,5 +403,8 @@
 impl Drop for InProgress {
     fn drop(&mut self) {
         self.state.send_modify(|state| state.requests -= 1);
+        if let Some(memory) = &self.memory {
+            memory.end_request();
+        }
     }
 }
--- a/daemon/src/http/server.rs
+++ b/daemon/src/http/server.rs
@@ -6,6 +6,7 @@
 use {
     super::{
         activity::{Activity, Timeouts, reclaimed_when_quiet},
+        memory::{Account, Counted},
         request_body::{DISCARD_TIMEOUT, MAX_DISCARDED_BYTES, RequestBody, discard_all},
         response_body::ResponseBody,
         unframed,
@@ -95,6 +96,7 @@
     timeouts: Arc<dyn Fn() -> Timeouts + Send + Sync>,
     /// Number of connections and requests that have come.
     arrivals: Arc<watch::Sender<u64>>,
+    memory: Account,
 }
 
 impl<H> Server<H>
@@ -121,9 +123,16 @@
             reclaim: Arc::default(),
             timeouts: Arc::new(|| TIMEOUTS),
             arrivals: Arc::default(),
+            memory: Account::default(),
         })
     }
 
+    /// Counts what connections hold in the account of the process.
+    pub fn with_memory(mut self, memory: &Account) -> Self {
+        self.memory = memory.clone();
+        self
+    }
+
     /// Changes whenever a connection or a request comes.
     pub fn arrivals(&self) -> watch::Receiver<u64> {
         self.arrivals.subscribe()
@@ -246,7 +255,9 @@
         let handler = Arc::clone(&self.handler);
         let timeouts = Arc::clone(&self.timeouts);
         let reclaim = Arc::clone(&self.reclaim);
-        let activity = Activity::new();
+        let memory = self.memory.open(name, peer);
+        let activity = Activity::new().with_memory(memory.clone());
+        let closed = memory.clone();
         let requests = activity.clone();
         let arrivals = Arc::clone(&self.arrivals);
         let (rests_sender, rests) = mpsc::unbounded_channel();
@@ -262,7 +273,9 @@
             let request = remove_invalid_request_id(request);
             let request = request.map(|body| RequestBody::new(body, requests.clone()));
             let unread = request.body().unread();
-            let state = State::from_request(request, peer);
+            let mut state = State::from_request(request, peer);
+            state.put(memory.clone());
+            let memory = memory.clone();
             let response = call_handler(Arc::clone(&handler), AssertUnwindSafe(state));
             let activity = requests.clone();
             let rests = rests_sender.clone();
@@ -278,8 +291,10 @@
                             let _ = rests.send((request, rest));
                         }
                     }
+                    let is_counted = response.extensions().get::<Counted>().is_some();
                     response
                         .map(|body: Body| ResponseBody::new(name, path, body))
+                        .map(|body| memory.observe(body, is_counted))
                         .map(|body| in_progress.until_end_of(guard.observe(version, body)))
                 })
             }
@@ -324,6 +339,7 @@
                         );
                         return;
                     }
+                    () = closed.closed() => return,
                     () = closing.as_mut(), if !is_closing => {
                         if activity.is_idle() {
                             // A request that crosses this stays unread, as its peer can tell.
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,6 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use {
+    crate::http::memory,
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram, MeterProvider as _},
@@ -42,6 +43,7 @@
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
     streams: Counter<u64>,
+    memory_full: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -131,6 +133,10 @@
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
             ),
+            memory_full: count(
+                "tamarackdale_memory_full",
+                "Connections closed and requests refused because the memory for callers was full, by cause",
+            ),
             registry,
             _provider: provider,
         })
@@ -206,6 +212,13 @@
         self.streams.add(1, &attributes);
     }
 
+    /// Returns a function that counts a connection that is closed, or a request that is refused, because the
+    /// memory for callers is full.
+    pub fn memory_counter(&self) -> impl Fn(memory::Cause) + Send + Sync + 'static {
+        let counter = self.memory_full.clone();
+        move |cause| counter.add(1, &[KeyValue::new("cause", cause.to_string())])
+    }
+
     /// Sets the gauges of what a gateway protects backend servers from.
     pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
         self.quarantines.record(quarantines as u64, &[]);
--- a/daemon/src/router.rs
+++ b/daemon/src/router.rs
@@ -22,7 +22,7 @@
         clock::Clock,
         configuration,
         configuration::{ConfigurationHandle, handle::Identity},
-        http::{self, Server},
+        http::{self, Server, memory::Account},
         metrics::Metrics,
         settings,
         signal::Shutdown,
@@ -35,7 +35,6 @@
     std::{io, sync::Arc},
     tamarackdale_core::{floor::Notice, id::Boot},
     tamarackdale_wire::{message::Notices, path},
-    tokio::sync::Semaphore,
     tokio_util::{sync::CancellationToken, task::TaskTracker},
 };
 
@@ -79,6 +78,8 @@
         placement.clone(),
         &shutdown,
     )?;
+    let metrics = Metrics::new().map_err(io::Error::other)?;
+    let memory = Account::with_counter(settings.max_buffered_bytes, metrics.memory_counter());
     let context = Context {
         clock,
         catalogue: handle.catalogue.clone(),
@@ -87,10 +88,10 @@
         claims,
         peers,
         shutdown: shutdown.clone(),
-        metrics: Metrics::new().map_err(io::Error::other)?,
+        metrics,
         tracker: TaskTracker::new(),
         max_body_bytes: settings.common.max_body_bytes,
-        body_budget: Arc::new(Semaphore::new(settings.max_buffered_bytes)),
+        memory,
     };
     let served = runtime.block_on(serve(&settings, &shutdown, context, reports_received));
     shutdown.aborting.cancel();
@@ -145,21 +146,24 @@
         is_ready: readiness(context.configuration.clone(), reports_received, shutdown),
     };
     let tracker = context.tracker.clone();
+    let memory = context.memory.clone();
     let peers = Server::bind(
         "peers",
         common.peer_listen,
         common.max_connections,
         peer_routes(context.clone()),
     )
-    .await?;
+    .await?
+    .with_memory(&memory);
     let callers = Server::bind(
         "callers",
         settings.listen,
         common.max_connections,
         callers::routes(context),
     )
-    .await?;
-    let admin = admin::bind(common, admin).await?;
+    .await?
+    .with_memory(&memory);
+    let admin = admin::bind(common, admin).await?.with_memory(&memory);
     let drained = shutdown.with_closing(CancellationToken::new());
     let finished = CancellationToken::new();
     // The load balancer must see the router as not ready before the listener closes.
--- a/daemon/src/router/callers.rs
+++ b/daemon/src/router/callers.rs
@@ -3,14 +3,15 @@
 use {
     super::{
         context::Context,
-        inbound::{AuthenticatedHead, BufferedBody, InboundRequest, RequestHead},
+        inbound::{AuthenticatedHead, InboundRequest, RequestHead},
         refusal::InvalidRequest,
         relay::{Relay, responder::Responder},
     },
     crate::http::{
-        self,
-        body::{self, ReadError},
+        self, body,
+        memory::{Connection, ReadError},
     },
+    bytes::Bytes,
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
@@ -18,8 +19,7 @@
         router::Router,
         state::{FromState as _, State},
     },
-    hyper::body::Body as _,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
     tokio::{sync::oneshot, time::timeout},
 };
 
@@ -45,6 +45,7 @@
 
 async fn accept(context: &Context, state: &mut State) -> Result<InboundRequest, InvalidRequest> {
     let body = Body::take_from(state);
+    let connection = Connection::of(state);
     let head = RequestHead {
         method: Method::borrow_from(state),
         uri: Uri::borrow_from(state),
@@ -54,7 +55,7 @@
     let is_served = |service: &str| context.configuration.needs(service);
     let authenticated = AuthenticatedHead::parse(&head, &catalogue, is_served)?;
     let body = tokio::select! {
-        body = buffer_body(context, body) => body?,
+        body = buffer_body(context, &connection, body) => body?,
         () = context.shutdown.ending.cancelled() => {
             log::warn!(
                 key = authenticated.key();
@@ -66,41 +67,26 @@
     Ok(authenticated.into_request(&head, body))
 }
 
-/// Reads a body within the router's memory budget for bodies: reserves the largest possible length
-/// first and returns the unused part afterwards.
-async fn buffer_body(context: &Context, body: Body) -> Result<BufferedBody, InvalidRequest> {
-    let reservation = max_body_len(context, &body)?;
-    let mut reserved = Arc::clone(&context.body_budget)
-        .try_acquire_many_owned(reservation)
-        .map_err(|_| InvalidRequest::Full)?;
-    let reading = body::read(body, context.max_body_bytes);
-    let bytes = match timeout(BODY_READ_TIMEOUT, reading).await {
-        Ok(Ok(bytes)) => bytes,
-        Ok(Err(ReadError::TooLarge)) => return Err(InvalidRequest::BodyTooLarge),
-        Ok(Err(ReadError::Broken)) | Err(_) => return Err(InvalidRequest::BodyBroken),
-    };
-    drop(reserved.split((reservation as usize).saturating_sub(bytes.len())));
-    Ok(BufferedBody {
-        bytes,
-        reserved: Arc::new(reserved),
-    })
-}
-
-/// Returns the largest possible length of the body: its declared length, or else the limit.
-fn max_body_len(context: &Context, body: &Body) -> Result<u32, InvalidRequest> {
-    let limit = context.max_body_bytes as u64;
-    let length = body.size_hint().upper().unwrap_or(limit);
-    if length > limit {
-        return Err(InvalidRequest::BodyTooLarge);
+/// Reads a body within the router's memory for callers.
+async fn buffer_body(
+    context: &Context,
+    connection: &Connection,
+    body: Body,
+) -> Result<Bytes, InvalidRequest> {
+    let reading = connection.read(body, context.max_body_bytes);
+    match timeout(BODY_READ_TIMEOUT, reading).await {
+        Ok(Ok(bytes)) => Ok(bytes),
+        Ok(Err(ReadError::TooLarge)) => Err(InvalidRequest::BodyTooLarge),
+        Ok(Err(ReadError::NoMemory)) => Err(InvalidRequest::Full),
+        Ok(Err(ReadError::Broken)) | Err(_) => Err(InvalidRequest::BodyBroken),
     }
-    u32::try_from(length).map_err(|_| InvalidRequest::BodyTooLarge)
 }
 
 /// Relays the request in a separate task, because the handler's task is dropped when the caller
 /// disconnects.
 async fn run_relay(context: &Context, request: InboundRequest) -> Response<Body> {
     let (head, response) = oneshot::channel();
-    let responder = Responder::new(head, request.finish_alone);
+    let responder = Responder::new(head, request.finish_alone, context.memory.clone());
     let relay = Relay::new(context.clone(), request, responder);
     context.tracker.spawn(relay.run());
     response
--- a/daemon/src/router/context.rs
+++ b/daemon/src/router/context.rs
@@ -5,12 +5,12 @@
     crate::{
         clock::Clock,
         configuration::{ConfigurationHandle, catalogue::CatalogueReceiver},
+        http::memory::Account,
         metrics::Metrics,
         signal::Shutdown,
     },
     gotham::state::StateData,
-    std::{panic::RefUnwindSafe, sync::Arc},
-    tokio::sync::Semaphore,
+    std::panic::RefUnwindSafe,
     tokio_util::task::TaskTracker,
 };
 
@@ -37,8 +37,8 @@
     pub tracker: TaskTracker,
     /// Largest request body accepted, in bytes.
     pub max_body_bytes: usize,
-    /// Remaining budget for buffered request bodies, in bytes.
-    pub body_budget: Arc<Semaphore>,
+    /// Memory that callers can make the process hold.
+    pub memory: Account,
 }
 
 impl StateData for Context {}
--- a/daemon/src/router/inbound.rs
+++ b/daemon/src/router/inbound.rs
@@ -12,7 +12,6 @@
     std::{sync::Arc, time::Duration},
     tamarackdale_core::{cost::Cost, digest, id, tier::Rank},
     tamarackdale_wire::frame::Header,
-    tokio::sync::OwnedSemaphorePermit,
 };
 
 /// A caller's request, validated against the document of its service.
@@ -46,17 +45,8 @@
     pub path: String,
     /// Headers for the backend server.
     pub headers: Vec<Header>,
-    /// HTTP body.
-    pub body: BufferedBody,
-}
-
-/// A request body in memory, with its reservation from the router's budget for bodies.
-#[derive(Clone, Debug)]
-pub struct BufferedBody {
-    /// The bytes.
-    pub bytes: Bytes,
-    /// Reservation, released when the last clone is dropped.
-    pub reserved: Arc<OwnedSemaphorePermit>,
+    /// HTTP body, whose bytes are counted until the last clone is dropped.
+    pub body: Bytes,
 }
 
 impl InboundRequest {
@@ -86,7 +76,7 @@
             &self.id.organisation,
             self.method.as_str(),
             &self.path,
-            &self.body.bytes,
+            &self.body,
         )
     }
 
@@ -97,7 +87,7 @@
         digest.update(b" ");
         digest.update(self.path.as_bytes());
         digest.update(b"\n");
-        digest.update(&self.body.bytes);
+        digest.update(&self.body);
         digest.checksum()
     }
 }
--- a/daemon/src/router/inbound/head.rs
+++ b/daemon/src/router/inbound/head.rs
@@ -1,11 +1,12 @@
 //! Parses and authenticates the head of a caller's request.
 
 use {
-    super::{BufferedBody, InboundRequest, estimate::estimate_model_cost},
+    super::{InboundRequest, estimate::estimate_model_cost},
     crate::{
         configuration::catalogue::{Catalogue, Version},
         router::refusal::InvalidRequest,
     },
+    bytes::Bytes,
     gotham::hyper::{HeaderMap, Method, Uri, header::AUTHORIZATION},
     rand::Rng as _,
     std::{sync::Arc, time::Duration},
@@ -97,12 +98,12 @@
     }
 
     /// Combines the head with the body.
-    pub fn into_request(self, head: &RequestHead<'_>, body: BufferedBody) -> InboundRequest {
+    pub fn into_request(self, head: &RequestHead<'_>, body: Bytes) -> InboundRequest {
         let document = &self.version.document;
         let has_caller_key = self.key.is_some();
         let key = self.key.unwrap_or_else(random_key);
         let cost = match document.kind {
-            Kind::Model => estimate_model_cost(&body.bytes),
+            Kind::Model => estimate_model_cost(&body),
             Kind::Plain => Cost::default(),
         };
         InboundRequest {
--- a/daemon/src/router/relay/offer.rs
+++ b/daemon/src/router/relay/offer.rs
@@ -218,7 +218,7 @@
             method: request.method.to_string(),
             path: request.path.clone(),
             headers: request.headers.clone(),
-            body: request.body.bytes.clone(),
+            body: request.body.clone(),
         }
     }
 }
--- a/daemon/src/router/relay/responder.rs
+++ b/daemon/src/router/relay/responder.rs
@@ -2,7 +2,10 @@
 
 use {
     crate::{
-        http::body::{self, is_event_stream},
+        http::{
+            body::{self, is_event_stream},
+            memory::{Account, Counted},
+        },
         router::{inbound::InboundRequest, refusal},
     },
     bytes::Bytes,
@@ -28,8 +31,9 @@
 /// Capacity of the queue of body parts that the caller has not read yet.
 const BODY_CAPACITY: usize = 8;
 
-/// Timeout for a caller to make room in the queue of body parts.
-const SLOW_CALLER_LIMIT: Duration = Duration::from_secs(60);
+/// Timeout for a caller to make room in the queue of body parts. Meanwhile its request holds a slot of the backend
+/// server, which the requests of other callers wait for.
+const SLOW_CALLER_LIMIT: Duration = Duration::from_secs(10);
 
 /// The caller has disconnected or no longer reads the response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -58,15 +62,18 @@
 pub struct Responder {
     state: State,
     finish_alone: bool,
+    memory: Account,
 }
 
 impl Responder {
     /// Creates a responder that sends the response to `head`. `finish_alone` tells whether the
-    /// request continues after its caller has disconnected.
-    pub fn new(head: oneshot::Sender<Response<Body>>, finish_alone: bool) -> Self {
+    /// request continues after its caller has disconnected. What the caller has not read yet is counted in
+    /// `memory`.
+    pub fn new(head: oneshot::Sender<Response<Body>>, finish_alone: bool, memory: Account) -> Self {
         Self {
             state: State::Pending(head),
             finish_alone,
+            memory,
         }
     }
 
@@ -101,6 +108,7 @@
         let (sender, receiver) = mpsc::channel(BODY_CAPACITY);
         let mut response = Response::new(body::stream(body_stream(receiver)));
         *response.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+        response.extensions_mut().insert(Counted);
         append_headers(response.headers_mut(), headers);
         refusal::set_request_id(response.headers_mut(), request);
         refusal::set_verdict(response.headers_mut(), Verdict::Ran);
@@ -116,7 +124,10 @@
         let State::Streaming { body, .. } = &self.state else {
             return Err(CallerGone);
         };
-        let sending = body.send(BodyPart::Bytes(bytes));
+        let sending = async {
+            let reserved = self.memory.reserve_answer(bytes.len()).await;
+            body.send(BodyPart::Bytes(reserved.hold(bytes))).await
+        };
         match timeout(SLOW_CALLER_LIMIT, sending).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(CallerGone),
--- a/daemon/src/sidecar.rs
+++ b/daemon/src/sidecar.rs
@@ -20,7 +20,7 @@
         clock::Clock,
         configuration,
         configuration::{ConfigurationHandle, handle::Identity},
-        http::{self, Server},
+        http::{self, Server, memory::Account},
         metrics::Metrics,
         settings,
         signal::Shutdown,
@@ -175,6 +175,7 @@
     metrics: Metrics,
 ) -> io::Result<()> {
     let common = &settings.common;
+    let memory = Account::with_counter(settings.max_kept_bytes, metrics.memory_counter());
     let admin = admin::Context {
         metrics,
         is_ready: readiness(context.configuration.clone(), shutdown),
@@ -193,8 +194,9 @@
         common.max_connections,
         handlers::routes(context),
     )
-    .await?;
-    let admin = admin::bind(common, admin).await?;
+    .await?
+    .with_memory(&memory);
+    let admin = admin::bind(common, admin).await?.with_memory(&memory);
     // The listeners stay open until all tasks have ended, so that routers can fetch responses.
     let draining = shutdown.with_closing(drained.clone());
     let finished = CancellationToken::new();
--- a/daemon/src/sidecar/handlers.rs
+++ b/daemon/src/sidecar/handlers.rs
@@ -12,14 +12,17 @@
     crate::{
         configuration,
         http::{
-            self,
-            body::{self, ReadError},
+            self, body,
+            memory::{Connection, ReadError},
         },
     },
     gotham::{
         handler::HandlerResult,
         helpers::http::Body,
-        hyper::{Response, StatusCode},
+        hyper::{
+            Response, StatusCode,
+            header::{CONNECTION, HeaderValue, RETRY_AFTER},
+        },
         router::{
             Router,
             builder::{DefineSingleRoute as _, DrawRoutes as _},
@@ -27,17 +30,22 @@
         state::{FromState as _, State},
     },
     serde::de::DeserializeOwned,
+    std::time::Duration,
     tamarackdale_core::{failure::Failure, id},
     tamarackdale_wire::{
         Frame, codec,
         message::{Acknowledge, Cancel, Enqueue, Floor, Grant, GrantResponse, Notices, Resume},
         path,
     },
+    tokio::time::timeout,
 };
 
 /// Allowance for the parts of a message other than the request's body, in bytes.
 const MESSAGE_OVERHEAD_BYTES: usize = 256 * 1024;
 
+/// Time for a message to arrive. A router waits for less.
+const MESSAGE_READ_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Routes of the peer listener.
 pub fn routes(context: Context) -> Router {
     http::router(context, |route| {
@@ -59,7 +67,11 @@
 async fn enqueue(mut state: State) -> HandlerResult {
     let context = Context::borrow_from(&state).clone();
     let response = match read::<Enqueue>(&context, &mut state).await {
-        Ok(message) => enqueue_attempt(&context, message).await,
+        Ok(mut message) => {
+            let memory = Connection::of(&state).account().clone();
+            message.body = memory.hold_copy(message.body);
+            enqueue_attempt(&context, message).await
+        }
         Err(response) => response,
     };
     Ok((state, response))
@@ -235,13 +247,32 @@
     }
 }
 
+/// The response to a message for which there is no memory, and which has no effect.
+fn without_memory() -> Response<Body> {
+    let mut response = body::status(StatusCode::SERVICE_UNAVAILABLE);
+    let headers = response.headers_mut();
+    headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    headers.insert(CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 async fn read<T: DeserializeOwned>(
     context: &Context,
     state: &mut State,
 ) -> Result<T, Response<Body>> {
     let limit = context.max_body_bytes + MESSAGE_OVERHEAD_BYTES;
-    let bytes = match body::read(Body::take_from(state), limit).await {
+    let connection = Connection::of(state);
+    let reading = connection.read(Body::take_from(state), limit);
+    let Ok(read) = timeout(MESSAGE_READ_TIMEOUT, reading).await else {
+        log::info!("a message was not received in time");
+        return Err(body::status(StatusCode::REQUEST_TIMEOUT));
+    };
+    let bytes = match read {
         Ok(bytes) => bytes,
+        Err(ReadError::NoMemory) => {
+            log::warn!("there is no memory for a message");
+            return Err(without_memory());
+        }
         Err(ReadError::TooLarge) => {
             log::warn!(limit; "a message is larger than the limit");
             return Err(body::status(StatusCode::PAYLOAD_TOO_LARGE));
--- a/daemon/src/sidecar/task.rs
+++ b/daemon/src/sidecar/task.rs
@@ -105,6 +105,8 @@
     /// Time for which no router has been connected.
     absence: Duration,
     checked_at: Timestamp,
+    /// Length of the response and what of it was acknowledged, and since when both have been the same.
+    progress: (u64, u64, Timestamp),
     ended_at: Option<Timestamp>,
 }
 
@@ -143,6 +145,7 @@
         end_read: false,
         absence: Duration::ZERO,
         checked_at: now,
+        progress: (0, 0, now),
         ended_at: None,
     };
     context.tracker.spawn(task.run());
@@ -348,6 +351,7 @@
         // The memory may have run out after the last acknowledgement.
         self.trim_acknowledged();
         let now = self.context.clock.now();
+        self.check_progress(now);
         let elapsed = now.since(self.checked_at);
         self.checked_at = now;
         // The task holds one reference and the dispatch worker's handle another.
@@ -369,6 +373,29 @@
         }
     }
 
+    /// Drops a response that does not fit into the memory and that nobody has read on for as long as a router
+    /// may be away: it would hold its slot and its memory without end.
+    fn check_progress(&mut self, now: Timestamp) {
+        let (length, acknowledged) = (self.response.length(), self.acknowledged_bytes);
+        if (length, acknowledged) != (self.progress.0, self.progress.1) {
+            self.progress = (length, acknowledged, now);
+        }
+        let silence = now.since(self.progress.2);
+        let is_blocked =
+            self.exchange.is_some() && length > acknowledged && self.share.is_exhausted();
+        if !is_blocked || silence <= self.context.router_absence_limit {
+            return;
+        }
+        log::warn!(
+            attempt:% = self.attempt,
+            bytes = length - acknowledged,
+            silent_ms = silence.as_millis() as u64;
+            "response dropped: the memory for responses is full, and no router reads on"
+        );
+        self.fail(Failure::may_have_run(Reason::ConnectionLost));
+        self.response.discard();
+    }
+
     fn serve_reads(&mut self) {
         for read in std::mem::take(&mut self.pending_reads) {
             if read.reply.is_closed() {
