--- a/daemon/src/settings/router.rs
+++ b/daemon/src/settings/router.rs
@@ -17,7 +17,7 @@
     pub services: Vec<String>,
     /// How a sidecar is chosen for a request.
     pub policy: Policy,
-    /// Maximum number of bytes of request bodies held in memory.
+    /// Memory that callers and sidecars can make the router hold, in bytes.
     pub max_buffered_bytes: usize,
     /// Time for which callers are still accepted after the router has stopped reporting ready.
     pub unready_delay: Duration,
@@ -42,7 +42,7 @@
     Flag::new(
         "max-buffered-bytes",
         "BYTES",
-        "maximum number of bytes of request bodies held in memory",
+        "maximum number of bytes that callers can make the router hold",
     )
     .with_default("268435456"),
     Flag::new(
--- a/daemon/src/settings/sidecar.rs
+++ b/daemon/src/settings/sidecar.rs
@@ -17,7 +17,8 @@
     pub backend_server: String,
     /// Maximum number of queued requests.
     pub max_waiting: usize,
-    /// Maximum number of bytes of responses kept until they are acknowledged.
+    /// Maximum number of bytes of responses kept until they are acknowledged, and of what routers can make the
+    /// sidecar hold.
     pub max_kept_bytes: usize,
     /// Order in which queued requests start.
     pub queue_order: Order,
