--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -1,7 +1,7 @@
 //! OpenTelemetry metrics, exported in the Prometheus text format.
 
 use {
-    crate::gateway::scheduler::RolloutFigures,
+    crate::{gateway::scheduler::RolloutFigures, http::memory},
     opentelemetry::{
         KeyValue,
         metrics::{Counter, Gauge, Histogram, MeterProvider as _},
@@ -50,6 +50,7 @@
     rollout_answers: Gauge<u64>,
     rollout_bad_answers: Gauge<u64>,
     invalid_rollout_reports: Gauge<u64>,
+    memory_full: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -167,6 +168,10 @@
                 "tamarackdale_invalid_rollout_reports",
                 "Reports of peers about rollouts that were ignored because they are out of range",
             ),
+            memory_full: count(
+                "tamarackdale_memory_full",
+                "Connections closed and requests refused because the memory for callers was full, by cause",
+            ),
             registry,
             _provider: provider,
         })
@@ -242,6 +247,13 @@
         self.streams.add(1, &attributes);
     }
 
+    /// Returns a function that counts a connection that is closed, or a request that is refused, because the
+    /// memory for callers is full.
+    pub fn memory_counter(&self) -> impl Fn(memory::Cause) + Send + Sync + 'static {
+        let counter = self.memory_full.clone();
+        move |cause| counter.add(1, &[KeyValue::new("cause", cause.to_string())])
+    }
+
     /// Sets the gauges of what a gateway protects backend servers from.
     pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
         self.quarantines.record(quarantines as u64, &[]);
--- a/testbed/src/platform/site.rs
+++ b/testbed/src/platform/site.rs
@@ -98,6 +98,8 @@
     /// Functions that the settings of gateways call for.
     guarantees: Vec<&'static str>,
     folder: TempDir,
+    memory_mb: u64,
+    max_descriptors: usize,
 }
 
 /// A gateway of a site as a real process.
@@ -123,6 +125,8 @@
             coalesced_reads_from: None,
             guarantees: Vec::new(),
             folder: TempDir::new()?,
+            memory_mb: 182,
+            max_descriptors: 2_048,
         };
         site.configure(configuration);
         Ok(site)
@@ -165,6 +169,13 @@
         serde_json::from_slice(&record.value).ok()
     }
 
+    /// Sets the memory, in MB, and the file descriptors of gateways that start from now on.
+    pub fn with_limits(mut self, memory_mb: u64, max_descriptors: usize) -> Self {
+        self.memory_mb = memory_mb;
+        self.max_descriptors = max_descriptors;
+        self
+    }
+
     /// Puts a configuration.
     pub fn configure(&self, configuration: &Configuration) {
         let text = configuration.value.to_string();
@@ -251,6 +262,7 @@
         let least = least.map(|least| format!("coalesced_reads_from = {least}"));
         let least = least.unwrap_or_default();
         let guarantees = &self.guarantees;
+        let (memory_mb, max_descriptors) = (self.memory_mb, self.max_descriptors);
         format!(
             r#"node_name = "{name}"
 guarantees = {guarantees:?}
@@ -262,8 +274,8 @@
 frontend = "{address}:{CALLERS_PORT}"
 readiness = "{address}:{READINESS_PORT}"
 [limits]
-memory_mb = 182
-max_fds = 2048
+memory_mb = {memory_mb}
+max_fds = {max_descriptors}
 [bounds]
 grace_s = 6
 converge_ms = 1000
