--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -289,7 +289,7 @@
                 }
             }
             Outcome::Error | Outcome::Broken | Outcome::Unreachable => {
-                guard.own.record_failure(outcome, now);
+                guard.record_failure(outcome, now);
                 let is_usual =
                     outcome == Outcome::Error && self.usual_share(id, now) >= MIN_COMMON_SHARE;
                 self.judge_failure(id, is_usual, now);
@@ -317,7 +317,7 @@
             self.begin_ejection(&report.id, now);
             return;
         }
-        if guard.has_success_since_ejection(report) && guard.record_return(report.success, now) {
+        if guard.has_success_since_ejection(report) && guard.record_return(report.success, 0, now) {
             self.add_event(&report.id, EventKind::Returned);
         }
         if is_new {
--- a/core/src/fleet/containment/guard.rs
+++ b/core/src/fleet/containment/guard.rs
@@ -3,7 +3,7 @@
 use {
     super::{
         EJECTION, FORGIVENESS, MAX_UNREACHABLE_IN_A_ROW, MIN_FAILURES_OF_ONE, MIN_REPORTED_ERRORS,
-        PROBATION_REQUESTS, REFUSAL_PAUSE, REPEATABLE_TRIAL_INTERVAL, REPORT_TTL, Report,
+        Outcome, PROBATION_REQUESTS, REFUSAL_PAUSE, REPEATABLE_TRIAL_INTERVAL, REPORT_TTL, Report,
         SUSPICION, TRIAL_TIMEOUT,
         report::Ejection,
         tally::{Counts, Tally},
@@ -78,9 +78,13 @@
     pub(super) own: Tally,
     /// The newest report of each peer.
     pub(super) reports: BTreeMap<u64, Received>,
+    /// Counts at the last failure here, or at `success`, for peers: a report changes only with these.
+    told: Counts,
     /// First answer to this gateway after the last known failure.
     success: Option<Timestamp>,
     pub(super) ejections: u32,
+    /// Whether this gateway has decided upon the last ejection, and so tells all others of it.
+    is_own_ejection: bool,
     /// When the last ejection began.
     ejection_at: Timestamp,
     /// Length of the last ejection.
@@ -109,8 +113,10 @@
             since: Timestamp::START,
             own: Tally::default(),
             reports: BTreeMap::new(),
+            told: Counts::default(),
             success: None,
             ejections: 0,
+            is_own_ejection: false,
             ejection_at: Timestamp::START,
             length: Duration::ZERO,
             last_ejection: Timestamp::START,
@@ -165,6 +171,7 @@
             self.share = share;
         }
         self.begin(ejection);
+        self.is_own_ejection = true;
         self.length
     }
 
@@ -181,6 +188,7 @@
         self.since = at;
         self.ejection_at = at;
         self.trial = None;
+        self.told = Counts::default();
         self.own.clear();
     }
 
@@ -200,6 +208,7 @@
             let counts = self.own.counts(now);
             self.share = counts.share();
             self.begin(ejection);
+            self.is_own_ejection = false;
         }
         is_newer
     }
@@ -210,14 +219,22 @@
         self.since = now;
     }
 
+    /// Records a failure of a request of this gateway.
+    pub(super) fn record_failure(&mut self, outcome: Outcome, now: Timestamp) {
+        self.own.record_failure(outcome, now);
+        self.told = self.own.counts(now);
+    }
+
     /// Records that the server has responded to this gateway. Returns whether this ends an ejection.
     pub(super) fn record_success(&mut self, is_answer: bool, now: Timestamp) -> bool {
-        self.own.record_success(now);
-        self.refusals = 0;
+        // Peers need not hear of an answer after the last failure from each gateway.
         let last_failure = self.last_failure(now);
-        if last_failure.is_some_and(|at| self.success.is_none_or(|success| success < at)) {
+        if last_failure.is_some() && self.last_success(now) < last_failure {
             self.success = Some(now);
+            self.told = self.own.counts(now);
         }
+        self.own.record_success(now);
+        self.refusals = 0;
         if is_answer {
             self.own.record_answer(now);
             match &mut self.phase {
@@ -226,23 +243,30 @@
                 Phase::Normal | Phase::Ejected { .. } => {}
             }
         }
-        let has_returned = self.record_return(Some(now), now);
+        let has_returned = self.record_return(Some(now), 1, now);
         self.complete_phase(now);
         has_returned
     }
 
-    /// Records that the server has responded at `success`, here or elsewhere. Returns whether this ends
-    /// an ejection.
-    pub(super) fn record_return(&mut self, success: Option<Timestamp>, now: Timestamp) -> bool {
+    /// Records that the server has responded at `success`, to this gateway (`answered` is 1) or to another.
+    /// Returns whether this ends an ejection.
+    pub(super) fn record_return(
+        &mut self,
+        success: Option<Timestamp>,
+        answered: u32,
+        now: Timestamp,
+    ) -> bool {
         let Phase::Ejected { trial_from, .. } = self.phase else {
             return false;
         };
         let is_trial = success.is_some_and(|at| at.plus(REPORT_JITTER) >= trial_from);
         if is_trial {
-            self.phase = Phase::Returning { answered: 1 };
+            self.phase = Phase::Returning { answered };
             self.since = now;
             self.trial = None;
-            self.success = self.success.or(success);
+            if answered > 0 {
+                self.success = success;
+            }
         }
         is_trial
     }
@@ -260,7 +284,8 @@
         };
         let at_peers = self.fresh(now).map(|it| it.report.answered_since_return);
         let answered = at_peers.fold(answered, u32::saturating_add);
-        let allowance = answered.saturating_add(1);
+        // The trial was answered somewhere.
+        let allowance = answered.max(1).saturating_add(1);
         let is_on_probation = self.ejections > 1 && now.since(self.since) < self.length;
         match is_on_probation {
             true => allowance.min(PROBATION_REQUESTS),
@@ -436,7 +461,7 @@
         has_success_elsewhere: bool,
         now: Timestamp,
     ) -> Option<Report> {
-        let counts = self.own.counts(now);
+        let counts = self.told;
         let is_ordinary = is_common
             && counts.broken == 0
             && self.own.failures_in_row < MIN_REPORTED_ERRORS
@@ -454,7 +479,8 @@
         let is_paused = self.refusals > 0 && self.paused_until > now;
         let paused_until = is_paused.then_some(self.paused_until);
         let success = success.filter(|_| !is_ordinary);
-        let ejection = self.is_ejected().then_some(Ejection {
+        let is_told = self.is_ejected() && self.is_own_ejection;
+        let ejection = is_told.then_some(Ejection {
             number: self.ejections,
             at: self.ejection_at,
         });
--- a/core/tests/containment.rs
+++ b/core/tests/containment.rs
@@ -75,6 +75,8 @@
     failed: Vec<(u64, usize)>,
     answered: Vec<(u64, usize)>,
     unplaced: usize,
+    /// Reports that were sent, each to all other gateways.
+    reports: usize,
     events: Vec<(u64, usize, Event)>,
 }
 
@@ -251,7 +253,8 @@
             Happening::Round => {
                 agenda.push(Reverse((now + load.round_ms, Happening::Round)));
                 for sender in 0..load.gateways {
-                    exchange(&mut fleets, sender, &mut sent_loads, &mut sent_reports, now);
+                    outcome.reports +=
+                        exchange(&mut fleets, sender, &mut sent_loads, &mut sent_reports, now);
                 }
             }
         }
@@ -265,14 +268,14 @@
     outcome
 }
 
-/// Sends what has changed at one gateway to the others.
+/// Sends what has changed at one gateway to the others. Returns the number of reports.
 fn exchange(
     fleets: &mut [Fleet],
     sender: usize,
     sent_loads: &mut BTreeMap<(usize, String), Load>,
     sent_reports: &mut BTreeMap<usize, Vec<Report>>,
     now: u64,
-) {
+) -> usize {
     let loads: Vec<_> = fleets[sender].own_state().collect();
     let loads = loads.into_iter().filter(|entry| {
         let key = (sender, entry.id.clone());
@@ -283,6 +286,7 @@
     let reports = containment.reports(at(now));
     let before = sent_reports.insert(sender, reports.clone());
     let before = before.unwrap_or_default();
+    let changed: Vec<_> = reports.iter().filter(|it| !before.contains(it)).collect();
     for (receiver, fleet) in fleets.iter_mut().enumerate() {
         if receiver == sender {
             continue;
@@ -291,10 +295,11 @@
             fleet.merge_load(sender as u64, &entry.id, entry.load);
         }
         let containment = fleet.containment_mut().expect("enabled");
-        for report in reports.iter().filter(|it| !before.contains(it)) {
+        for report in &changed {
             containment.merge(sender as u64, report, at(now));
         }
     }
+    changed.len()
 }
 
 const NINE: Traffic = Traffic {
@@ -483,9 +488,43 @@
         failed <= 3 * SLOTS as usize,
         "{failed} requests to a server that hangs"
     );
+    assert!(!outcome.ejected().is_empty());
     assert!(outcome.ejected().iter().all(|(.., id)| *id == "s000"));
 }
 
+/// Guards against reports that take the bandwidth of a gateway, while four servers go down and up.
+#[rstest]
+#[case(8, 5)]
+#[case(41, 31)]
+#[case(103, 78)]
+#[case(360, 270)]
+fn reports_fit_the_budget_of_bytes(#[case] gateways: usize, #[case] round_ms: u64) {
+    // As `wire/tests/summary.rs` has it.
+    const REPORT_BYTES: f64 = 80.0;
+    const MOST_BYTES_PER_S: f64 = 15_000.0;
+    let load = Traffic {
+        gateways,
+        round_ms,
+        length_ms: 5_600,
+        ..NINE
+    };
+
+    let outcome = run(&load, |_, server, now| match server < 4 && is_down(now) {
+        true => Behaviour::Breaks,
+        false => Behaviour::Well,
+    });
+
+    // Each report is sent to all others, so each gateway receives all and sends as many on average.
+    let bytes = 2.0 * outcome.reports as f64 * REPORT_BYTES * 1_000.0 / load.length_ms as f64;
+    println!(
+        "{gateways} gateways: {} reports, {bytes:.0} bytes/s, {} failed",
+        outcome.reports,
+        outcome.failed.len()
+    );
+    assert!(outcome.reports > 0);
+    assert!(bytes < MOST_BYTES_PER_S, "{bytes} bytes a second");
+}
+
 /// Guards against ejections of servers that are late because they are overloaded.
 #[test]
 fn late_answers_eject_nobody() {
--- a/wire/tests/summary.rs
+++ b/wire/tests/summary.rs
@@ -118,6 +118,21 @@
     Frame::new(1, &summary, at(now_ms))
 }
 
+/// The budget of bytes is computed with this size (`core/tests/containment.rs`).
+#[test]
+fn report_of_failures_has_80_bytes_at_most() {
+    let mut frame = with_report(10_000);
+    frame.health[0].id = "a-server-with-an-identifier".to_owned();
+    let with = codec::encode(&frame).expect("encodes");
+    let without = codec::encode(&frame.without_health()).expect("encodes");
+
+    assert!(
+        with.len() - without.len() <= 80,
+        "{}",
+        with.len() - without.len()
+    );
+}
+
 #[test]
 fn report_of_failures_arrives_on_the_receivers_clock() {
     let bytes = codec::encode(&with_report(10_000)).expect("encodes");
