--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -48,6 +48,9 @@
 /// Time that a lost request costs its caller. It is weighted with the probability of the loss.
 const LOST_REQUEST_COST_S: f64 = 3.0;
 
+/// Probability that a request is lost at a backend server whose last one got no response.
+const SUSPECT_RISK: f64 = 0.5;
+
 /// Shortest time without a response that is a sign of a fault: callers may allow for less.
 const MIN_SILENCE: Duration = Duration::from_secs(1);
 
@@ -214,7 +217,7 @@
     }
 }
 
-/// Order in which backend servers are chosen: trials, free slots, servers without recent failures, those
+/// Order in which backend servers are chosen: trials, free slots, servers that have not just started, those
 /// whose start is overdue, the least cost.
 type Rank = (bool, bool, containment::Admission, bool, f64);
 
@@ -355,9 +358,11 @@
         let containment = self.containment.as_ref();
         let is_outdated =
             containment.is_some_and(|it| !it.has_recent_failure(&server.member.id, now));
-        match is_outdated {
-            true => 0.0,
-            false => server.health.risk(),
+        let is_suspect = containment.is_some_and(|it| it.is_suspect(&server.member.id, now));
+        match (is_suspect, is_outdated) {
+            (true, _) => server.health.risk().max(SUSPECT_RISK),
+            (false, true) => 0.0,
+            (false, false) => server.health.risk(),
         }
     }
 
@@ -372,7 +377,9 @@
         };
         let reserved = server.reserved.iter().filter(|(_, end)| *end > now);
         let own_requests = server.own.requests + reserved.count() as u32;
-        containment.admission(&server.member.id, own_requests, demand.trial_use, now)
+        let all_requests = server.load(now).requests;
+        let id = &server.member.id;
+        containment.admission(id, own_requests, all_requests, demand.trial_use, now)
     }
 
     /// Records what a response says of the process of a backend server that started at
--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -73,9 +73,13 @@
 /// Time after which a trial without an outcome does not prevent the next one.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Concurrent requests, over all gateways, at a server that has been ejected repeatedly, until it has
-/// been well for as long as its last ejection.
-const PROBATION_REQUESTS: u32 = 4;
+/// Concurrent requests, over all gateways, at a server that has been ejected repeatedly and may be
+/// about to fail again.
+const PROBATION_REQUESTS: u32 = 2;
+
+/// Longest time for which [`PROBATION_REQUESTS`] holds; at most as long as the last ejection. Servers
+/// were seen to go down and up every 1.4 s.
+const MAX_PROBATION: Duration = Duration::from_secs(2);
 
 /// Concurrent requests of each gateway at a server that has just started.
 const FIRST_REQUESTS: u32 = 2;
@@ -289,7 +293,7 @@
                 }
             }
             Outcome::Error | Outcome::Broken | Outcome::Unreachable => {
-                guard.own.record_failure(outcome, now);
+                guard.record_failure(outcome, now);
                 let is_usual =
                     outcome == Outcome::Error && self.usual_share(id, now) >= MIN_COMMON_SHARE;
                 self.judge_failure(id, is_usual, now);
@@ -317,7 +321,7 @@
             self.begin_ejection(&report.id, now);
             return;
         }
-        if guard.has_success_since_ejection(report) && guard.record_return(report.success, now) {
+        if guard.has_success_since_ejection(report) && guard.record_return(report.success, 0, now) {
             self.add_event(&report.id, EventKind::Returned);
         }
         if is_new {
@@ -347,11 +351,13 @@
         reports.collect()
     }
 
-    /// Whether a request may be sent to a server at which this gateway has `own_requests`.
+    /// Whether a request may be sent to a server at which this gateway has `own_requests`, and all gateways
+    /// together `all_requests`.
     pub fn admission(
         &self,
         id: &str,
         own_requests: u32,
+        all_requests: u32,
         trial_use: TrialUse,
         now: Timestamp,
     ) -> Admission {
@@ -369,21 +375,19 @@
                 true => Admission::Trial,
                 false => Admission::Blocked,
             },
-            Phase::Returning { .. } => {
-                let gateways = self.peers.len() as u32 + 1;
-                let part =
-                    (guard.allowance(now) + gateways - 1 - guard.turn.min(gateways - 1)) / gateways;
-                match own_requests < part {
-                    true => Admission::Free,
-                    false => Admission::Blocked,
-                }
-            }
+            // Not divided among the gateways: in a large fleet few of them have a request for it.
+            Phase::Returning { .. } if all_requests < guard.allowance(now) => Admission::Free,
+            Phase::Returning { .. } => Admission::Blocked,
             Phase::Starting { allowed } if own_requests >= allowed => Admission::Cautious,
-            _ if guard.is_suspect(now) => Admission::Cautious,
             _ => Admission::Free,
         }
     }
 
+    /// Whether the last request to a server got no response, at any gateway, and none has since.
+    pub fn is_suspect(&self, id: &str, now: Timestamp) -> bool {
+        self.restless_until > now && self.guards.get(id).is_some_and(|it| it.is_suspect(now))
+    }
+
     /// Whether a server gets no requests now, or only trials.
     pub fn is_ejected(&self, id: &str, now: Timestamp) -> bool {
         let guard = self.guards.get(id);
@@ -421,16 +425,16 @@
         if guard.is_tried(now) {
             return false;
         }
-        let turns = |from: Timestamp| match from <= now {
-            true => Some((now.since(from).as_millis() / TURN.as_millis()) as u32),
-            false => None,
-        };
-        let turn = match trial_use {
-            TrialUse::Preferred => turns(trial_from),
-            TrialUse::Allowed => turns(until.plus(TURN)),
-            TrialUse::Avoided => turns(until.plus(TURN * TURNS_OF_SUITED_REQUESTS)),
+        let from = match trial_use {
+            TrialUse::Preferred => trial_from,
+            TrialUse::Allowed => until.plus(TURN),
+            TrialUse::Avoided => until.plus(TURN * TURNS_OF_SUITED_REQUESTS),
         };
-        turn.is_some_and(|turn| guard.turn <= turn)
+        // In a large fleet few gateways have a request for the server, so that turns are shorter: all
+        // gateways have had theirs after a second.
+        let gateways = self.peers.len() as u32 + 1;
+        let turn = TURN.min(TURN * TURNS_OF_SUITED_REQUESTS / gateways);
+        from.plus(turn * guard.turn) <= now
     }
 
     /// Judges a server after a failure. An error where errors are usual ends a trial, but not the return
