--- a/daemon/src/http/memory.rs
+++ b/daemon/src/http/memory.rs
@@ -236,7 +236,7 @@
         fits
     }
 
-    /// Counts `body`, a copy of a part of a body that is counted and about to be dropped.
+    /// Counts `body`, which was decoded from a message whose bytes were counted until now. Does not wait.
     pub fn hold_copy(&self, body: Bytes) -> Bytes {
         let mut reservation = self.reserve_nothing();
         reservation.bytes = body.len();
