admission: refused callers return when slots are predicted to be free

Most refused callers retried once and were refused again: their retry delay was drawn, and callers that were refused together returned together with those refused before them.

core::admission::returns spreads returns over steps of 250 ms: the predicted free slot time of each is this gateway's part of the slots (its part of the running requests) less the new requests of the same and more urgent ranks at the rate of the last 8 s, less the returns assigned before. A return counts as promised if it fits. While new requests need all slots, the delay is drawn as before. Each gateway promises from its own part, so promises need not be exchanged. Refusals by overload and by the floor use it; log line 'asked back'.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -3,17 +3,19 @@
 //! The order of ranks and stages ([`crate::wait_queue`]) comes first. Each router decides for the
 //! requests that wait at it.
 
+mod returns;
 mod shares;
 mod sizes;
 mod window;
 
 pub use self::{
+    returns::{Return, Returns},
     shares::{InvalidWork, Shares, Work},
     sizes::{Class, Sizes},
 };
 
 use {
-    crate::{rendezvous, time::Timestamp},
+    crate::{rendezvous, tier::Rank, time::Timestamp},
     std::time::Duration,
 };
 
@@ -45,6 +47,7 @@
 /// Admission to one service at one router.
 #[derive(Debug, Default)]
 pub struct Admission {
+    returns: Returns,
     shares: Shares,
     sizes: Sizes,
 }
@@ -67,8 +70,23 @@
         Self::default()
     }
 
-    /// Records a request that asks for a slot.
-    pub fn record_arrival(&mut self, subject: Subject, is_retry: bool, now: Timestamp) {
+    /// Times at which refused callers return.
+    pub fn returns_mut(&mut self) -> &mut Returns {
+        &mut self.returns
+    }
+
+    /// Records a request of the rank that asks for a slot, which it would occupy for about `slot_time`.
+    pub fn record_arrival(
+        &mut self,
+        subject: Subject,
+        rank: Rank,
+        slot_time: Duration,
+        is_retry: bool,
+        now: Timestamp,
+    ) {
+        if !is_retry {
+            self.returns.record_arrival(rank, slot_time, now);
+        }
         self.shares
             .record_arrival(subject.organisation, is_retry, now);
         self.sizes.record_arrival(subject, is_retry, now);
--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -572,6 +572,21 @@
         (slots > 0).then(|| used as f64 / slots as f64)
     }
 
+    /// Number of slots of a service's backend servers, without those that are leaving or ejected, in
+    /// the part that this router has of the running requests; `None` while none run.
+    pub fn own_slots(&self, service: &str, now: Timestamp) -> Option<f64> {
+        let (mut slots, mut own, mut all) = (0, 0, 0);
+        for server in self.servers.values() {
+            let is_usable = !server.is_leaving(now) && !server.health.is_ejected(now);
+            if server.member.service == service && is_usable {
+                slots += u64::from(server.member.slots);
+                own += u64::from(server.own.requests);
+                all += u64::from(server.own.plus(server.peers_total).requests);
+            }
+        }
+        (all > 0).then(|| slots as f64 * own as f64 / all as f64)
+    }
+
     /// Number of free slots of a service's backend servers, in one data centre or, with `None`, in
     /// all. Those of ejected backend servers do not count, nor those of limited ones: the next start
     /// there is for the most urgent request that waits at any router.
--- a/core/src/wait_policy.rs
+++ b/core/src/wait_policy.rs
@@ -70,6 +70,14 @@
     stated <= timeout.mul_f64(1.0 - MIN_RETRY_FRACTION)
 }
 
+/// Smallest and largest retry delay of a caller with the stated remaining time.
+pub fn retry_range(time_left: Duration) -> (Duration, Duration) {
+    (
+        time_left.mul_f64(MIN_RETRY_FRACTION),
+        time_left.mul_f64(MAX_RETRY_FRACTION),
+    )
+}
+
 /// Retry delay of a refused caller. `random`, from 0 up to but not including 1, spreads the retries
 /// over time.
 pub fn retry_after(time_left: Duration, random: f64) -> Duration {
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -5,7 +5,7 @@
     rstest::rstest,
     std::time::Duration,
     tamarackdale_core::{
-        admission::{Admission, Shares, Subject, Work},
+        admission::{Admission, Return, Returns, Shares, Subject, Work},
         tier::Rank,
         time::Timestamp,
         wait_policy,
@@ -22,19 +22,40 @@
 /// Largest size relative to the smallest.
 const SIZE_FACTOR: f64 = 20.0;
 
+/// Interval at which gateways observe the slots that they use.
+const UPKEEP_MS: u64 = 50;
+
+const RANK: Rank = Rank(0);
+
 /// Interval at which gateways tell each other of the work that they started.
 const EXCHANGE_MS: u64 = 1_000;
 
 /// Part of the slot time until the first event.
 const FIRST_PART: f64 = 0.2;
 
-#[derive(Clone, Copy, Debug, PartialEq)]
-enum Order {
-    /// By time left, as without admission control.
-    TimeLeft,
-    Admission,
+/// What is decided by admission control; without any of it, the order is by time left and the retry
+/// delay is drawn.
+#[derive(Clone, Copy, Debug)]
+struct Policy {
+    is_ordered: bool,
+    has_returns: bool,
 }
 
+const BEFORE: Policy = Policy {
+    is_ordered: false,
+    has_returns: false,
+};
+
+const ORDER: Policy = Policy {
+    is_ordered: true,
+    ..BEFORE
+};
+
+const RETURNS: Policy = Policy {
+    has_returns: true,
+    ..ORDER
+};
+
 /// Requests per second relative to the room, and at which gateways and organisations they arrive.
 #[derive(Clone, Copy, Debug)]
 struct Load {
@@ -57,6 +78,7 @@
     accepted: u64,
     deadline: u64,
     is_retry: bool,
+    is_promised: bool,
 }
 
 /// How a caller ended.
@@ -116,7 +138,7 @@
 }
 
 struct Run {
-    order: Order,
+    policy: Policy,
     random: SmallRng,
     gateways: Vec<Gateway>,
     running: Vec<(u64, usize)>,
@@ -127,7 +149,7 @@
     fn key(&self, caller: &Caller) -> SchedulingKey {
         let first = Duration::from_millis((caller.slot_ms as f64 * FIRST_PART) as u64);
         SchedulingKey {
-            rank: Rank(0),
+            rank: RANK,
             is_resumed: false,
             is_retry: caller.is_retry,
             on_time_until: wait_policy::on_time_until(at(caller.accepted), OBJECTIVE, first),
@@ -138,8 +160,9 @@
         let key = self.key(&caller);
         let wait_until = wait_policy::wait_deadline(at(caller.accepted), at(caller.deadline));
         let own = &mut self.gateways[gateway];
-        own.admission
-            .record_arrival(caller.subject, caller.is_retry, at(now));
+        let slot_time = Duration::from_millis(caller.slot_ms);
+        let admission = &mut own.admission;
+        admission.record_arrival(caller.subject, RANK, slot_time, caller.is_retry, at(now));
         own.queue
             .insert(key, (caller, wait_until.as_micros() / 1_000));
         self.place(gateway, now);
@@ -181,13 +204,13 @@
 
     fn order(&self, gateway: usize, now: u64) -> Vec<u64> {
         let own = &self.gateways[gateway];
-        match self.order {
-            Order::TimeLeft => own.queue.order(at(now)),
-            Order::Admission => own.queue.order_by(at(now), |(caller, _)| {
-                let slot_time = Duration::from_millis(caller.slot_ms);
-                own.admission.precedence(caller.subject, slot_time, at(now))
-            }),
+        if !self.policy.is_ordered {
+            return own.queue.order(at(now));
         }
+        own.queue.order_by(at(now), |(caller, _)| {
+            let slot_time = Duration::from_millis(caller.slot_ms);
+            own.admission.precedence(caller.subject, slot_time, at(now))
+        })
     }
 
     /// Frees the slots of requests that end; the gateway of each uses it first, then any other.
@@ -215,6 +238,15 @@
         }
     }
 
+    fn observe_slots(&mut self, now: u64) {
+        for (number, gateway) in self.gateways.iter_mut().enumerate() {
+            let own = self.running.iter().filter(|(_, at)| *at == number).count();
+            let part = own as f64 / self.running.len().max(1) as f64;
+            let returns = gateway.admission.returns_mut();
+            returns.observe_slots(SLOTS as f64 * part, at(now));
+        }
+    }
+
     fn exchange_work(&mut self, now: u64) {
         let works: Vec<Work> = self
             .gateways
@@ -233,24 +265,36 @@
         }
     }
 
+    fn return_delay(
+        &mut self,
+        caller: &Caller,
+        gateway: usize,
+        left_ms: u64,
+        now: u64,
+    ) -> (Duration, bool) {
+        let left = Duration::from_millis(left_ms);
+        let random = self.random.random();
+        if !self.policy.has_returns {
+            return (wait_policy::retry_after(left, random), false);
+        }
+        let slot_time = Duration::from_millis(caller.slot_ms);
+        let returns = self.gateways[gateway].admission.returns_mut();
+        let decided = returns.assign(RANK, slot_time, left, random, at(now));
+        (decided.delay, decided.is_promised)
+    }
+
     /// Refuses those whose wait is over, and returns the callers that come again, with the time.
     fn refuse(&mut self, now: u64) -> Vec<(u64, Caller)> {
         let mut returns = Vec::new();
         for gateway in 0..self.gateways.len() {
-            let own = &mut self.gateways[gateway];
-            let waiting = own.queue.order(at(now));
-            for number in waiting {
-                let (_, (caller, until)) = *own
-                    .queue
-                    .get(number)
-                    .map(|(key, it)| (key, it))
-                    .as_ref()
-                    .expect("it waits");
+            for number in self.gateways[gateway].queue.order(at(now)) {
+                let queue = &mut self.gateways[gateway].queue;
+                let (_, (caller, until)) = queue.get(number).expect("it waits");
                 if *until > now {
                     continue;
                 }
                 let caller = *caller;
-                own.queue.remove(number);
+                queue.remove(number);
                 let left = caller.deadline.saturating_sub(now);
                 if caller.is_retry || left == 0 {
                     let elapsed = now - caller.first_accepted;
@@ -263,11 +307,11 @@
                     });
                     continue;
                 }
-                let random = self.random.random();
-                let delay = wait_policy::retry_after(Duration::from_millis(left), random);
+                let (delay, is_promised) = self.return_delay(&caller, gateway, left, now);
                 let again = now + delay.as_millis() as u64;
                 let caller = Caller {
                     is_retry: true,
+                    is_promised,
                     accepted: again,
                     ..caller
                 };
@@ -278,10 +322,10 @@
     }
 }
 
-fn run(load: &Load, order: Order, seed: u64) -> Ends {
+fn run(load: &Load, policy: Policy, seed: u64) -> Ends {
     let mut arrivals = SmallRng::seed_from_u64(seed);
     let mut run = Run {
-        order,
+        policy,
         random: SmallRng::seed_from_u64(seed + 1),
         gateways: load
             .gateways
@@ -302,6 +346,9 @@
             run.exchange_work(now);
         }
         run.free(now);
+        if now % UPKEEP_MS == 0 {
+            run.observe_slots(now);
+        }
         returns.extend(run.refuse(now));
         let mut due: Vec<(u64, Caller)> =
             returns.extract_if(.., |(again, _)| *again <= now).collect();
@@ -326,6 +373,7 @@
                         accepted: now,
                         deadline: now + TIMEOUT.as_millis() as u64,
                         is_retry: false,
+                        is_promised: false,
                     },
                 ));
             }
@@ -343,11 +391,23 @@
 }
 
 /// Ends of the callers of several runs.
-fn runs(load: &Load, order: Order) -> Ends {
-    let ends = (1..=SEEDS).map(|seed| run(load, order, seed * 100));
+fn runs(load: &Load, policy: Policy) -> Ends {
+    let ends = (1..=SEEDS).map(|seed| run(load, policy, seed * 100));
     Ends(ends.flat_map(|ends| ends.0).collect())
 }
 
+fn print_figures(name: &str, before: &Ends, with: &Ends) {
+    for (when, ends) in [("before", before), ("now", with)] {
+        println!(
+            "{name} {when}: {} callers, {} in time, {} served, worth {:.0}",
+            ends.0.len(),
+            ends.on_time(),
+            ends.served(),
+            ends.worth()
+        );
+    }
+}
+
 fn relative_size(quantile: f64) -> f64 {
     SIZE_FACTOR.powf(quantile) * SIZE_FACTOR.ln() / (SIZE_FACTOR - 1.0)
 }
@@ -368,8 +428,8 @@
 const BURST: Load = Load {
     base: 0.85,
     peak: 2.2,
-    peak_at: (2_000, 2_500),
-    length_ms: 10_000,
+    peak_at: (9_000, 2_500),
+    length_ms: 17_000,
     ..SUSTAINED
 };
 
@@ -396,22 +456,10 @@
 #[case::sustained(SUSTAINED)]
 #[case::uneven_gateways(UNEVEN)]
 fn order_by_size_serves_more_callers(#[case] load: Load) {
-    let before = runs(&load, Order::TimeLeft);
-    let with = runs(&load, Order::Admission);
+    let before = runs(&load, BEFORE);
+    let with = runs(&load, ORDER);
 
-    let figures = |ends: &Ends| {
-        (
-            ends.0.len(),
-            ends.on_time(),
-            ends.served(),
-            ends.worth() as i64,
-        )
-    };
-    println!(
-        "all, in time, served, worth: {:?} before, {:?} now",
-        figures(&before),
-        figures(&with)
-    );
+    print_figures("", &before, &with);
     assert!(with.on_time() > before.on_time());
     assert!(with.served() > before.served());
     assert!(with.worth() > 0.99 * before.worth());
@@ -423,7 +471,7 @@
 #[case::sustained(SUSTAINED)]
 #[case::uneven_gateways(UNEVEN)]
 fn large_requests_are_served_at_least_half_as_often(#[case] load: Load) {
-    let ends = runs(&load, Order::Admission);
+    let ends = runs(&load, ORDER);
 
     let of_all = ends.share(|_| true);
     let is_large = |end: &End| (relative_size(0.7)..relative_size(0.9)).contains(&end.caller.size);
@@ -437,7 +485,7 @@
 /// Guards against a weaker gateway at which callers are served more rarely than at a stronger one.
 #[test]
 fn gateways_of_different_strength_serve_about_the_same_share() {
-    let ends = runs(&UNEVEN, Order::Admission);
+    let ends = runs(&UNEVEN, ORDER);
 
     let strong = ends.share(|end| end.gateway == 0);
     let weak = ends.share(|end| end.gateway == 1);
@@ -449,8 +497,8 @@
 /// hardly served itself.
 #[test]
 fn organisation_over_its_share_displaces_few_others() {
-    let before = runs(&ORGANISATION, Order::TimeLeft);
-    let with = runs(&ORGANISATION, Order::Admission);
+    let before = runs(&ORGANISATION, BEFORE);
+    let with = runs(&ORGANISATION, ORDER);
 
     let first = Subject::new("o0", "chat", 0, 0).organisation;
     let is_first = |end: &End| end.caller.subject.organisation == first;
@@ -535,3 +583,74 @@
     assert!(merged.is_err());
     assert!(!shares.is_over(0, at(0)));
 }
+
+/// Guards against returns that meet in the time in which those refused before them return already, or
+/// that are promised slots which are not there.
+#[test]
+fn callers_refused_in_a_sharp_burst_are_served_when_they_return() {
+    let load = Load {
+        base: 0.5,
+        peak: 3.0,
+        peak_at: (9_000, 1_500),
+        ..BURST
+    };
+    let drawn = runs(&load, ORDER);
+    let with = runs(&load, RETURNS);
+
+    let returning = |ends: &Ends| ends.share(|end| end.caller.is_retry);
+    let promised = with.share(|end| end.caller.is_promised);
+    println!(
+        "served: {:.3} of the returning with drawn times, {:.3} now, {promised:.3} of the promised",
+        returning(&drawn),
+        returning(&with),
+    );
+    print_figures("in a sharp burst", &drawn, &with);
+    assert!(returning(&with) > returning(&drawn));
+    assert!(promised > returning(&with));
+    assert!(with.served() >= drawn.served());
+}
+
+/// Guards against promises of slots that are taken by new requests, and of the same slot twice.
+#[test]
+fn no_more_is_promised_than_is_predicted_to_be_free() {
+    let mut returns = Returns::default();
+    let slot_time = Duration::from_millis(250);
+    for millis in (0..8_000).step_by(250) {
+        returns.observe_slots(10.0, at(millis));
+        // Eight of the ten slots.
+        for _ in 0..8 {
+            returns.record_arrival(RANK, slot_time, at(millis));
+        }
+    }
+
+    let now = at(8_000);
+    let mut assign = |rank| returns.assign(rank, slot_time, TIMEOUT, 0.5, now);
+    let urgent: Vec<Return> = (0..30).map(|_| assign(RANK)).collect();
+    let other = assign(Rank(1));
+
+    // Six steps of 250 ms lie in the time in which a caller returns, two requests in each.
+    let promised = urgent.iter().filter(|one| one.is_promised).count();
+    assert!((10..=14).contains(&promised), "{promised}");
+    assert!(!other.is_promised, "what is promised to a more urgent rank");
+    let (earliest, latest) = wait_policy::retry_range(TIMEOUT);
+    assert!(
+        urgent
+            .iter()
+            .all(|one| (earliest..=latest).contains(&one.delay))
+    );
+}
+
+/// Guards against promises under an overload that lasts.
+#[test]
+fn nothing_is_promised_while_new_requests_need_all_slots() {
+    let mut returns = Returns::default();
+    for millis in (0..8_000).step_by(100) {
+        returns.observe_slots(10.0, at(millis));
+        returns.record_arrival(RANK, Duration::from_millis(1_300), at(millis));
+    }
+
+    let assigned = returns.assign(RANK, Duration::from_millis(100), TIMEOUT, 0.5, at(8_000));
+
+    assert!(!assigned.is_promised);
+    assert_eq!(assigned.delay, wait_policy::retry_after(TIMEOUT, 0.5));
+}
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -674,7 +674,10 @@
                 }
                 _ => {
                     let earliest = self.context.scheduler.return_delay(&self.service);
-                    let delay = wait_policy::retry_after(self.time_left(), random);
+                    let delay = match cause {
+                        Cause::Overload | Cause::Floor => self.assign_return(),
+                        _ => wait_policy::retry_after(self.time_left(), random),
+                    };
                     delay.max(earliest.unwrap_or_default())
                 }
             };
@@ -684,6 +687,22 @@
         refusal.response(&self.request.head.id)
     }
 
+    /// Time after which the caller of this request, which is refused because of overload, returns.
+    fn assign_return(&self) -> Duration {
+        let request = self.placement_request();
+        let scheduler = &self.context.scheduler;
+        let assigned = scheduler.assign_return(&request, self.time_left());
+        log::info!(
+            request = self.request.head.id.as_str(),
+            rank = request.rank.0,
+            retry_after_ms = assigned.delay.as_millis() as u64,
+            is_promised = assigned.is_promised,
+            is_returning = request.is_retry;
+            "asked back"
+        );
+        assigned.delay
+    }
+
     /// Number of output tokens in the events that were passed on, except the first event, whose
     /// token is produced by processing the prompt.
     fn output_tokens(&self) -> u32 {
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -19,6 +19,7 @@
         time::Duration,
     },
     tamarackdale_core::{
+        admission::Return,
         cell::Layout,
         fleet::{
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
@@ -246,7 +247,7 @@
             if !state.shed_floor(&request.service).serves(request.rank, now) {
                 return Err(PlacementError::Floor);
             }
-            state.record_arrival(&request, now);
+            let slot_time = state.record_arrival(&request, now);
             let key = state.scheduling_key(&request, now);
             let urgency = key.urgency(now);
             // Requests that wait although a slot is free go before new ones, unless they are less urgent:
@@ -274,7 +275,6 @@
                 drop(state);
                 return self.place_or_shed(&request);
             }
-            let slot_time = state.predicted_slot_time(&request, now);
             let (number, reply) = state.enqueue(key, request.clone(), slot_time);
             self.changed.notify_one();
             (number, reply, wait_until.since(now))
@@ -562,6 +562,13 @@
         }
     }
 
+    /// When the caller of a request that is refused because of overload returns if it has `time_left`,
+    /// and whether a slot is predicted to be free then.
+    pub fn assign_return(&self, request: &PlacementRequest, time_left: Duration) -> Return {
+        let now = self.clock.now();
+        self.lock().assign_return(request, time_left, now)
+    }
+
     /// A random number in the range [0, 1).
     pub fn random(&self) -> f64 {
         self.lock().random.random()
@@ -573,6 +580,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.claim_unused_capacity(now);
+        state.observe_slots(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/daemon/src/gateway/scheduler/admission.rs
+++ b/daemon/src/gateway/scheduler/admission.rs
@@ -5,19 +5,24 @@
         PlacementRequest,
         state::{State, demand},
     },
+    rand::Rng as _,
     std::{
         collections::{HashMap, HashSet},
         time::Duration,
     },
     tamarackdale_core::{
-        admission::{Admission, Precedence, Work},
+        admission::{Admission, Precedence, Return, Work},
         time::Timestamp,
+        wait_policy,
     },
 };
 
 /// Interval at which peers are told of the work started here.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Interval at which the number of slots that this gateway uses is observed.
+const OBSERVE_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Most services in one peer's report, and most peers whose invalid reports are remembered.
 const MAX_SERVICES: usize = 64;
 const MAX_INVALID_PEERS: usize = 1_000;
@@ -28,6 +33,7 @@
     /// What peers are told, by service.
     pub(super) told: Vec<(String, Work)>,
     told_at: Timestamp,
+    slots_observed_at: Timestamp,
     /// Number of invalid reports, and the peers that sent them.
     pub(super) invalid: u64,
     invalid_peers: HashSet<u64>,
@@ -88,11 +94,63 @@
         admissions.get_mut(service)
     }
 
-    /// Records a request that asks for a slot.
-    pub(super) fn record_arrival(&mut self, request: &PlacementRequest, now: Timestamp) {
-        let (subject, is_retry) = (request.subject, request.is_retry);
+    /// Records a request that asks for a slot. Returns the predicted time for which it occupies one; zero
+    /// without admission control.
+    pub(super) fn record_arrival(
+        &mut self,
+        request: &PlacementRequest,
+        now: Timestamp,
+    ) -> Duration {
+        if self.admissions.is_none() {
+            return Duration::ZERO;
+        }
+        let slot_time = self.predicted_slot_time(request, now);
+        let (subject, rank, is_retry) = (request.subject, request.rank, request.is_retry);
         if let Some(admission) = self.admission(&request.service) {
-            admission.record_arrival(subject, is_retry, now);
+            admission.record_arrival(subject, rank, slot_time, is_retry, now);
+        }
+        slot_time
+    }
+
+    /// Observes the slots that this gateway uses, at limited frequency.
+    pub(super) fn observe_slots(&mut self, now: Timestamp) {
+        if now.since(self.work_exchange.slots_observed_at) < OBSERVE_INTERVAL {
+            return;
+        }
+        self.work_exchange.slots_observed_at = now;
+        for (service, admission) in self.admissions.iter_mut().flatten() {
+            if let Some(slots) = self.fleet.own_slots(service, now) {
+                admission.returns_mut().observe_slots(slots, now);
+            }
+        }
+    }
+
+    /// When the caller of a request that is refused because of overload returns, and whether a slot is
+    /// predicted to be free then. A caller that has returned does not do so again, as a rule.
+    pub(super) fn assign_return(
+        &mut self,
+        request: &PlacementRequest,
+        time_left: Duration,
+        now: Timestamp,
+    ) -> Return {
+        let random = self.random.random();
+        let slot_time = match self.admissions.is_some() {
+            true => self.predicted_slot_time(request, now),
+            false => Duration::ZERO,
+        };
+        let admission = match request.is_retry {
+            true => None,
+            false => self.admission(&request.service),
+        };
+        match admission {
+            Some(admission) => {
+                let returns = admission.returns_mut();
+                returns.assign(request.rank, slot_time, time_left, random, now)
+            }
+            None => Return {
+                delay: wait_policy::retry_after(time_left, random),
+                is_promised: false,
+            },
         }
     }
 
--- a/daemon/tests/admission.rs
+++ b/daemon/tests/admission.rs
@@ -7,6 +7,7 @@
         fleet::{Choice, Members},
         summary::Summary,
         tier::Rank,
+        wait_policy,
     },
     tamarackdale_platform::{Settings, registration},
     tamarackdaled::{
@@ -179,3 +180,30 @@
     let told = told.into_iter().map(|(service, _)| service);
     assert_eq!(told.collect::<Vec<_>>(), [SERVICE]);
 }
+
+/// Guards against times that callers do not follow, and against promises to callers that do not return,
+/// or by a gateway that has not observed any slots.
+#[tokio::test]
+async fn refused_caller_is_asked_back_within_the_time_that_it_follows() {
+    let bench = Bench::new();
+    let _running = bench.occupy("first").await;
+    // The slots that this gateway uses are observed.
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    bench.scheduler.claim_unused_capacity();
+    let time_left = Duration::from_secs(8);
+    let request = bench.request("a", 100);
+
+    let first = bench.scheduler.assign_return(&request, time_left);
+    let returned = PlacementRequest {
+        is_retry: true,
+        ..bench.request("a", 100)
+    };
+    let again = bench.scheduler.assign_return(&returned, time_left);
+    let without = Bench::new();
+    let none = without.scheduler.assign_return(&request, time_left);
+
+    let (earliest, latest) = wait_policy::retry_range(time_left);
+    assert!((earliest..=latest).contains(&first.delay));
+    assert!(!again.is_promised, "it does not return once more");
+    assert!(!none.is_promised, "no slots were observed");
+}
