admission: refuse requests early that cannot get a slot under a lasting overload

Under sustained overload a gateway held requests for up to 0.8 s that could not get a slot, and refused them then: the second refusal of a caller costs the more the later it comes.

core::admission::forecast compares, every 50 ms and in queue order, the slot time needed by the requests ahead with the slot time that this gateway got within 2 s. Once requests have waited without a break for 3 s, one is refused if it would need 1.5 times the wait that it has left. Its wait ends, so that it takes a slot that is free nevertheless or is shed, with the floor raised as before. Streams that go on are not refused early.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -3,12 +3,14 @@
 //! The order of ranks and stages ([`crate::wait_queue`]) comes first. Each router decides for the
 //! requests that wait at it.
 
+mod forecast;
 mod returns;
 mod shares;
 mod sizes;
 mod window;
 
 pub use self::{
+    forecast::{Forecast, Waiting},
     returns::{Return, Returns},
     shares::{InvalidWork, Shares, Work},
     sizes::{Class, Sizes},
@@ -47,6 +49,7 @@
 /// Admission to one service at one router.
 #[derive(Debug, Default)]
 pub struct Admission {
+    forecast: Forecast,
     returns: Returns,
     shares: Shares,
     sizes: Sizes,
@@ -70,6 +73,11 @@
         Self::default()
     }
 
+    /// Forecast of who gets a slot in time.
+    pub fn forecast_mut(&mut self) -> &mut Forecast {
+        &mut self.forecast
+    }
+
     /// Times at which refused callers return.
     pub fn returns_mut(&mut self) -> &mut Returns {
         &mut self.returns
@@ -94,6 +102,7 @@
 
     /// Records a request that got a slot, which it occupies for about `slot_time`.
     pub fn record_start(&mut self, subject: Subject, slot_time: Duration, now: Timestamp) {
+        self.forecast.record_start(slot_time, now);
         self.shares
             .record_start(subject.organisation, slot_time, now);
         self.sizes.record_start(subject, now);
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -5,7 +5,7 @@
     rstest::rstest,
     std::time::Duration,
     tamarackdale_core::{
-        admission::{Admission, Return, Returns, Shares, Subject, Work},
+        admission::{Admission, Forecast, Return, Returns, Shares, Subject, Waiting, Work},
         tier::Rank,
         time::Timestamp,
         wait_policy,
@@ -39,11 +39,13 @@
 struct Policy {
     is_ordered: bool,
     has_returns: bool,
+    refuses_early: bool,
 }
 
 const BEFORE: Policy = Policy {
     is_ordered: false,
     has_returns: false,
+    refuses_early: false,
 };
 
 const ORDER: Policy = Policy {
@@ -51,6 +53,11 @@
     ..BEFORE
 };
 
+const EARLY: Policy = Policy {
+    refuses_early: true,
+    ..RETURNS
+};
+
 const RETURNS: Policy = Policy {
     has_returns: true,
     ..ORDER
@@ -265,6 +272,24 @@
         }
     }
 
+    fn hopeless(&mut self, gateway: usize, now: u64) -> Vec<u64> {
+        if !self.policy.refuses_early || now % UPKEEP_MS != 0 {
+            return Vec::new();
+        }
+        let order = self.order(gateway, now);
+        let own = &mut self.gateways[gateway];
+        let waiting = order.into_iter().map(|number| {
+            let (_, (caller, until)) = own.queue.get(number).expect("it waits");
+            Waiting {
+                number,
+                slot_time: Duration::from_millis(caller.slot_ms),
+                wait_left: at(*until).since(at(now)),
+            }
+        });
+        let waiting: Vec<Waiting> = waiting.collect();
+        own.admission.forecast_mut().hopeless(&waiting, at(now))
+    }
+
     fn return_delay(
         &mut self,
         caller: &Caller,
@@ -287,10 +312,11 @@
     fn refuse(&mut self, now: u64) -> Vec<(u64, Caller)> {
         let mut returns = Vec::new();
         for gateway in 0..self.gateways.len() {
+            let hopeless = self.hopeless(gateway, now);
             for number in self.gateways[gateway].queue.order(at(now)) {
                 let queue = &mut self.gateways[gateway].queue;
                 let (_, (caller, until)) = queue.get(number).expect("it waits");
-                if *until > now {
+                if *until > now && !hopeless.contains(&number) {
                     continue;
                 }
                 let caller = *caller;
@@ -654,3 +680,63 @@
     assert!(!assigned.is_promised);
     assert_eq!(assigned.delay, wait_policy::retry_after(TIMEOUT, 0.5));
 }
+
+/// Guards against callers that are held for their whole wait although they cannot get a slot, which
+/// costs more of their time, and against fewer served callers in return.
+#[test]
+fn early_refusal_costs_callers_less_under_sustained_overload() {
+    let held = runs(&SUSTAINED, RETURNS);
+    let early = runs(&SUSTAINED, EARLY);
+
+    print_figures("1.3 for 30 s, early refusal", &held, &early);
+    assert!(early.worth() > held.worth());
+    assert!(early.on_time() as f64 >= 0.99 * held.on_time() as f64);
+    assert!(early.served() as f64 >= 0.99 * held.served() as f64);
+}
+
+/// Guards against early refusals in a short burst, after which the callers would have been served.
+#[test]
+fn callers_are_held_in_a_short_burst() {
+    let held = runs(&BURST, RETURNS);
+    let early = runs(&BURST, EARLY);
+
+    print_figures("burst, early refusal", &held, &early);
+    assert!(early.served() as f64 >= 0.995 * held.served() as f64);
+}
+
+fn waiting(number: u64, wait_left_ms: u64) -> Waiting {
+    Waiting {
+        number,
+        slot_time: Duration::from_millis(500),
+        wait_left: Duration::from_millis(wait_left_ms),
+    }
+}
+
+/// A forecast at a gateway that starts one request of 500 ms every 500 ms, for which requests have waited
+/// until `waited_ms`.
+fn forecast(waited_ms: u64) -> Forecast {
+    let mut forecast = Forecast::default();
+    for millis in (0..=waited_ms).step_by(100) {
+        if millis % 500 == 0 {
+            forecast.record_start(Duration::from_millis(500), at(millis));
+            forecast.record_start(Duration::from_millis(500), at(millis));
+        }
+        forecast.hopeless(&[waiting(0, 800)], at(millis));
+    }
+    forecast
+}
+
+/// Guards against early refusals of requests that get their slot, and without a reason to expect none.
+#[test]
+fn only_requests_without_a_slot_in_time_are_refused_early() {
+    let line: Vec<Waiting> = (0..8).map(|number| waiting(number, 800)).collect();
+
+    // Two seconds of slot time each second: the request number 5 waits for 1.25 s.
+    let sustained = forecast(4_000).hopeless(&line, at(4_000));
+    let soon = forecast(2_000).hopeless(&line, at(2_000));
+    let after_a_start = Forecast::default().hopeless(&line, at(4_000));
+
+    assert_eq!(sustained, [5, 6, 7]);
+    assert!(soon.is_empty());
+    assert!(after_a_start.is_empty());
+}
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -275,7 +275,7 @@
                 drop(state);
                 return self.place_or_shed(&request);
             }
-            let (number, reply) = state.enqueue(key, request.clone(), slot_time);
+            let (number, reply) = state.enqueue(key, request.clone(), slot_time, wait_until);
             self.changed.notify_one();
             (number, reply, wait_until.since(now))
         };
@@ -581,6 +581,7 @@
         let mut state = self.lock();
         state.claim_unused_capacity(now);
         state.observe_slots(now);
+        state.refuse_hopeless(now);
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
--- a/daemon/src/gateway/scheduler/admission.rs
+++ b/daemon/src/gateway/scheduler/admission.rs
@@ -11,7 +11,7 @@
         time::Duration,
     },
     tamarackdale_core::{
-        admission::{Admission, Precedence, Return, Work},
+        admission::{Admission, Precedence, Return, Waiting, Work},
         time::Timestamp,
         wait_policy,
     },
@@ -165,6 +165,46 @@
         predicted.unwrap_or_default()
     }
 
+    /// Ends the wait of requests that do not get a slot in time, which then take one that is free
+    /// nevertheless or are shed. A stream that goes on, and a request that may stay where it is, are not
+    /// refused early.
+    pub(super) fn refuse_hopeless(&mut self, now: Timestamp) {
+        if self.admissions.is_none() {
+            return;
+        }
+        let mut lines: HashMap<String, Vec<Waiting>> = HashMap::new();
+        for number in self.waiting_order(now) {
+            let Some((_, waiter)) = self.queue.get(number) else {
+                continue;
+            };
+            let is_refusable = waiter.request.version.is_none() && !waiter.request.is_optional;
+            let wait_left = match is_refusable {
+                true => waiter.wait_until.since(now),
+                false => Duration::MAX,
+            };
+            let line = lines.entry(waiter.request.service.clone()).or_default();
+            line.push(Waiting {
+                number,
+                slot_time: waiter.slot_time,
+                wait_left,
+            });
+        }
+        let mut refused = Vec::new();
+        for (service, admission) in self.admissions.iter_mut().flatten() {
+            let line = lines.get(service).map_or(&[][..], Vec::as_slice);
+            let hopeless = admission.forecast_mut().hopeless(line, now);
+            if !hopeless.is_empty() {
+                let (refused, waiting) = (hopeless.len(), line.len());
+                log::info!(service = service.as_str(), refused, waiting; "requests refused early");
+            }
+            refused.extend(hopeless);
+        }
+        // Without its sender of the reply, the wait of a request is over.
+        for number in refused {
+            self.queue.remove(number);
+        }
+    }
+
     /// Numbers of the waiting requests in the order in which they are served.
     pub(super) fn waiting_order(&self, now: Timestamp) -> Vec<u64> {
         let Some(admissions) = &self.admissions else {
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -32,6 +32,8 @@
     pub(super) request: PlacementRequest,
     /// Predicted time for which it occupies its slot.
     pub(super) slot_time: Duration,
+    /// Until when it waits.
+    pub(super) wait_until: Timestamp,
     pub(super) reply: oneshot::Sender<Choice>,
 }
 
@@ -382,10 +384,12 @@
         key: SchedulingKey,
         request: PlacementRequest,
         slot_time: Duration,
+        wait_until: Timestamp,
     ) -> (u64, oneshot::Receiver<Choice>) {
         let (reply, receiver) = oneshot::channel();
         let waiter = Waiter {
             slot_time,
+            wait_until,
             request,
             reply,
         };
--- a/daemon/tests/admission.rs
+++ b/daemon/tests/admission.rs
@@ -207,3 +207,40 @@
     assert!(!again.is_promised, "it does not return once more");
     assert!(!none.is_promised, "no slots were observed");
 }
+
+/// Guards against callers that are held for their whole wait under an overload that lasts, although many
+/// more wait than get a slot, and against early refusals before that.
+#[tokio::test]
+async fn requests_without_a_chance_are_refused_early_under_a_lasting_overload() {
+    const RUN: Duration = Duration::from_millis(200);
+    let bench = Bench::new();
+    let start = bench.clock.now();
+    let mut callers = tokio::task::JoinSet::new();
+    while bench.clock.now().since(start) < Duration::from_millis(4_500) {
+        let (scheduler, clock) = (Arc::clone(&bench.scheduler), bench.clock);
+        let request = bench.request("a", 1_000);
+        callers.spawn(async move {
+            let accepted = clock.now();
+            let choice = scheduler.place(request).await;
+            let waited = clock.now().since(accepted);
+            if let Ok(choice) = &choice {
+                let load = choice.request_load(100);
+                let _running = scheduler.start_request(&choice.member.id, load);
+                tokio::time::sleep(RUN).await;
+            }
+            (accepted.since(start), waited, choice.is_ok())
+        });
+        tokio::time::sleep(AT_ONCE).await;
+        bench.scheduler.claim_unused_capacity();
+    }
+
+    let ends = callers.join_all().await;
+
+    let is_early = |(_, waited, is_placed): &&(Duration, Duration, bool)| {
+        !is_placed && *waited < Duration::from_millis(500)
+    };
+    let early: Vec<_> = ends.iter().filter(is_early).collect();
+    assert!(!early.is_empty());
+    let begin = Duration::from_millis(2_400);
+    assert!(early.iter().all(|(accepted, ..)| *accepted > begin));
+}
