--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -273,7 +273,7 @@
     }
 
     fn hopeless(&mut self, gateway: usize, now: u64) -> Vec<u64> {
-        if !self.policy.refuses_early || now % UPKEEP_MS != 0 {
+        if !self.policy.refuses_early || !now.is_multiple_of(UPKEEP_MS) {
             return Vec::new();
         }
         let order = self.order(gateway, now);
@@ -368,11 +368,11 @@
     let total: f64 = load.gateways.iter().sum();
     let mut returns: Vec<(u64, Caller)> = Vec::new();
     for now in 0..load.length_ms + 10_000 {
-        if now % EXCHANGE_MS == 0 {
+        if now.is_multiple_of(EXCHANGE_MS) {
             run.exchange_work(now);
         }
         run.free(now);
-        if now % UPKEEP_MS == 0 {
+        if now.is_multiple_of(UPKEEP_MS) {
             run.observe_slots(now);
         }
         returns.extend(run.refuse(now));
@@ -717,7 +717,7 @@
 fn forecast(waited_ms: u64) -> Forecast {
     let mut forecast = Forecast::default();
     for millis in (0..=waited_ms).step_by(100) {
-        if millis % 500 == 0 {
+        if millis.is_multiple_of(500) {
             forecast.record_start(Duration::from_millis(500), at(millis));
             forecast.record_start(Duration::from_millis(500), at(millis));
         }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -131,6 +131,8 @@
         context.pool.prune(&current);
         let (quarantines, limited_servers) = context.scheduler.protection();
         context.metrics.set_protection(quarantines, limited_servers);
+        let invalid = context.scheduler.invalid_work_reports();
+        context.metrics.set_invalid_work_reports(invalid);
         let is_closed = tokio::select! {
             changed = members.changed() => changed.is_err(),
             changed = configuration.changed() => changed.is_err(),
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -41,6 +41,7 @@
     waiting: Gauge<u64>,
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
+    invalid_work_reports: Gauge<u64>,
     streams: Counter<u64>,
 }
 
@@ -127,6 +128,10 @@
                 "tamarackdale_limited_servers",
                 "Backend servers that have named a limit",
             ),
+            invalid_work_reports: gauge(
+                "tamarackdale_invalid_work_reports",
+                "Reports of work by peers that were ignored because a value was out of range",
+            ),
             streams: count(
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
@@ -212,6 +217,11 @@
         self.limited_servers.record(limited_servers as u64, &[]);
     }
 
+    /// Sets the number of peers' reports of work that were ignored.
+    pub fn set_invalid_work_reports(&self, reports: u64) {
+        self.invalid_work_reports.record(reports, &[]);
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
