admission: deciding factor and counter of callers that are asked back

'asked back' names what put a refused request behind others (share, size, time); the counter tamarackdale_asked_back counts them by service, rank and whether a slot is predicted for their return.

--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -18,6 +18,7 @@
 
 use {
     crate::{rendezvous, tier::Rank, time::Timestamp},
+    derive_more::Display,
     std::time::Duration,
 };
 
@@ -46,6 +47,18 @@
     pub cost: i32,
 }
 
+/// What decided the position of a request among those of its rank and stage.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub enum Factor {
+    /// Its organisation has more than its part of the service.
+    Share,
+    /// It is larger than the mean of its kind.
+    Size,
+    /// Neither: only the time that it has left, or the lack of slots for its rank and stage.
+    Time,
+}
+
 /// Admission to one service at one router.
 #[derive(Debug, Default)]
 pub struct Admission {
@@ -123,6 +136,18 @@
         self.shares.merge(peer, work, now)
     }
 
+    /// What decides the position of a request.
+    pub fn factor(&self, subject: Subject, now: Timestamp) -> Factor {
+        if self.shares.is_over(subject.organisation, now) {
+            return Factor::Share;
+        }
+        let is_large = subject.size > 0.0 && self.sizes.worth(subject) > 1.0;
+        match is_large && self.sizes.is_class_served(subject, now) {
+            true => Factor::Size,
+            false => Factor::Time,
+        }
+    }
+
     /// Position of a waiting request with the predicted slot time.
     pub fn precedence(&self, subject: Subject, slot_time: Duration, now: Timestamp) -> Precedence {
         let cost = match self.sizes.is_class_served(subject, now) {
--- a/core/tests/admission.rs
+++ b/core/tests/admission.rs
@@ -5,7 +5,7 @@
     rstest::rstest,
     std::time::Duration,
     tamarackdale_core::{
-        admission::{Admission, Forecast, Return, Returns, Shares, Subject, Waiting, Work},
+        admission::{Admission, Factor, Forecast, Return, Returns, Shares, Subject, Waiting, Work},
         tier::Rank,
         time::Timestamp,
         wait_policy,
@@ -587,6 +587,28 @@
     assert!(!shares.is_over(1, at(200)));
 }
 
+/// Guards against log lines that name the wrong reason for a refusal.
+#[test]
+fn factor_names_the_share_before_the_size() {
+    let mut admission = Admission::new();
+    let slot_time = Duration::from_millis(400);
+    let small = |organisation: &str| Subject::new(organisation, "chat", 100, 0);
+    let large = |organisation: &str| Subject::new(organisation, "chat", 1_000, 0);
+    for subject in ["a", "b", "c", "d", "e"].map(small) {
+        admission.record_arrival(subject, RANK, slot_time, false, at(0));
+        admission.record_start(subject, slot_time, at(0));
+    }
+    for _ in 0..5 {
+        admission.record_start(small("a"), slot_time, at(0));
+    }
+
+    let factor = |subject| admission.factor(subject, at(100));
+
+    assert_eq!(factor(large("a")), Factor::Share);
+    assert_eq!(factor(large("b")), Factor::Size);
+    assert_eq!(factor(small("b")), Factor::Time);
+}
+
 /// After a start the shares are equal.
 #[test]
 fn nobody_is_over_its_share_after_a_start() {
--- a/daemon/src/gateway/relay.rs
+++ b/daemon/src/gateway/relay.rs
@@ -697,9 +697,17 @@
             rank = request.rank.0,
             retry_after_ms = assigned.delay.as_millis() as u64,
             is_promised = assigned.is_promised,
-            is_returning = request.is_retry;
+            is_returning = request.is_retry,
+            factor = scheduler.factor(&request).map(|factor| factor.to_string());
             "asked back"
         );
+        let rank = self.request.route.rank.to_string();
+        let labels = Labels {
+            service: &self.service,
+            tier: &rank,
+        };
+        let metrics = &self.context.metrics;
+        metrics.count_asked_back(labels, assigned.is_promised);
         assigned.delay
     }
 
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -19,7 +19,7 @@
         time::Duration,
     },
     tamarackdale_core::{
-        admission::Return,
+        admission::{Factor, Return},
         cell::Layout,
         fleet::{
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
@@ -569,6 +569,13 @@
         self.lock().assign_return(request, time_left, now)
     }
 
+    /// What decided the position of a request among those of its rank and stage, if it was decided by
+    /// admission control.
+    pub fn factor(&self, request: &PlacementRequest) -> Option<Factor> {
+        let now = self.clock.now();
+        self.lock().factor(request, now)
+    }
+
     /// A random number in the range [0, 1).
     pub fn random(&self) -> f64 {
         self.lock().random.random()
--- a/daemon/src/gateway/scheduler/admission.rs
+++ b/daemon/src/gateway/scheduler/admission.rs
@@ -11,7 +11,7 @@
         time::Duration,
     },
     tamarackdale_core::{
-        admission::{Admission, Precedence, Return, Waiting, Work},
+        admission::{Admission, Factor, Precedence, Return, Waiting, Work},
         time::Timestamp,
         wait_policy,
     },
@@ -125,6 +125,13 @@
         }
     }
 
+    /// What decided the position of a request among those of its rank and stage; `None` without
+    /// admission control.
+    pub(super) fn factor(&self, request: &PlacementRequest, now: Timestamp) -> Option<Factor> {
+        let admission = self.admissions.as_ref()?.get(&request.service)?;
+        Some(admission.factor(request.subject, now))
+    }
+
     /// When the caller of a request that is refused because of overload returns, and whether a slot is
     /// predicted to be free then. A caller that has returned does not do so again, as a rule.
     pub(super) fn assign_return(
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -42,6 +42,7 @@
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
     invalid_work_reports: Gauge<u64>,
+    asked_back: Counter<u64>,
     streams: Counter<u64>,
 }
 
@@ -132,6 +133,10 @@
                 "tamarackdale_invalid_work_reports",
                 "Reports of work by peers that were ignored because a value was out of range",
             ),
+            asked_back: count(
+                "tamarackdale_asked_back",
+                "Callers refused by overload or floor, by rank and whether a slot is predicted for their return",
+            ),
             streams: count(
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
@@ -217,6 +222,12 @@
         self.limited_servers.record(limited_servers as u64, &[]);
     }
 
+    /// Counts a caller that is refused and asked back.
+    pub fn count_asked_back(&self, labels: Labels<'_>, is_promised: bool) {
+        let attributes = labels.attributes_with("promised", is_promised.to_string());
+        self.asked_back.add(1, &attributes);
+    }
+
     /// Sets the number of peers' reports of work that were ignored.
     pub fn set_invalid_work_reports(&self, reports: u64) {
         self.invalid_work_reports.record(reports, &[]);
