admission: a request that is sent again is not a new arrival

A request that is placed again after a failure counted once more among the arrivals, from which the rate of new requests and the served shares are determined.

--- a/daemon/src/gateway/scheduler/admission.rs
+++ b/daemon/src/gateway/scheduler/admission.rs
@@ -105,7 +105,10 @@
             return Duration::ZERO;
         }
         let slot_time = self.predicted_slot_time(request, now);
-        let (subject, rank, is_retry) = (request.subject, request.rank, request.is_retry);
+        let (subject, rank) = (request.subject, request.rank);
+        // One that was sent before, or goes on with a stream, is the same caller's.
+        let is_sent_again = !request.excluded.is_empty() || request.version.is_some();
+        let is_retry = request.is_retry || is_sent_again;
         if let Some(admission) = self.admission(&request.service) {
             admission.record_arrival(subject, rank, slot_time, is_retry, now);
         }
