--- a/core/src/admission.rs
+++ b/core/src/admission.rs
@@ -3,17 +3,22 @@
 //! The order of ranks and stages ([`crate::wait_queue`]) comes first. Each router decides for the
 //! requests that wait at it.
 
+mod forecast;
+mod returns;
 mod shares;
 mod sizes;
 mod window;
 
 pub use self::{
+    forecast::{Forecast, Waiting},
+    returns::{Return, Returns},
     shares::{InvalidWork, Shares, Work},
     sizes::{Class, Sizes},
 };
 
 use {
-    crate::{rendezvous, time::Timestamp},
+    crate::{rendezvous, tier::Rank, time::Timestamp},
+    derive_more::Display,
     std::time::Duration,
 };
 
@@ -42,9 +47,23 @@
     pub cost: i32,
 }
 
+/// What decided the position of a request among those of its rank and stage.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+#[display(rename_all = "kebab-case")]
+pub enum Factor {
+    /// Its organisation has more than its part of the service.
+    Share,
+    /// It is larger than the mean of its kind.
+    Size,
+    /// Neither: only the time that it has left, or the lack of slots for its rank and stage.
+    Time,
+}
+
 /// Admission to one service at one router.
 #[derive(Debug, Default)]
 pub struct Admission {
+    forecast: Forecast,
+    returns: Returns,
     shares: Shares,
     sizes: Sizes,
 }
@@ -67,8 +86,28 @@
         Self::default()
     }
 
-    /// Records a request that asks for a slot.
-    pub fn record_arrival(&mut self, subject: Subject, is_retry: bool, now: Timestamp) {
+    /// Forecast of who gets a slot in time.
+    pub fn forecast_mut(&mut self) -> &mut Forecast {
+        &mut self.forecast
+    }
+
+    /// Times at which refused callers return.
+    pub fn returns_mut(&mut self) -> &mut Returns {
+        &mut self.returns
+    }
+
+    /// Records a request of the rank that asks for a slot, which it would occupy for about `slot_time`.
+    pub fn record_arrival(
+        &mut self,
+        subject: Subject,
+        rank: Rank,
+        slot_time: Duration,
+        is_retry: bool,
+        now: Timestamp,
+    ) {
+        if !is_retry {
+            self.returns.record_arrival(rank, slot_time, now);
+        }
         self.shares
             .record_arrival(subject.organisation, is_retry, now);
         self.sizes.record_arrival(subject, is_retry, now);
@@ -76,6 +115,7 @@
 
     /// Records a request that got a slot, which it occupies for about `slot_time`.
     pub fn record_start(&mut self, subject: Subject, slot_time: Duration, now: Timestamp) {
+        self.forecast.record_start(slot_time, now);
         self.shares
             .record_start(subject.organisation, slot_time, now);
         self.sizes.record_start(subject, now);
@@ -96,6 +136,18 @@
         self.shares.merge(peer, work, now)
     }
 
+    /// What decides the position of a request.
+    pub fn factor(&self, subject: Subject, now: Timestamp) -> Factor {
+        if self.shares.is_over(subject.organisation, now) {
+            return Factor::Share;
+        }
+        let is_large = subject.size > 0.0 && self.sizes.worth(subject) > 1.0;
+        match is_large && self.sizes.is_class_served(subject, now) {
+            true => Factor::Size,
+            false => Factor::Time,
+        }
+    }
+
     /// Position of a waiting request with the predicted slot time.
     pub fn precedence(&self, subject: Subject, slot_time: Duration, now: Timestamp) -> Precedence {
         let cost = match self.sizes.is_class_served(subject, now) {
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -135,6 +135,8 @@
             let (ejected, invalid_reports) = context.scheduler.ejections();
             context.metrics.set_ejections(&ejected, invalid_reports);
         }
+        let invalid = context.scheduler.invalid_work_reports();
+        context.metrics.set_invalid_work_reports(invalid);
         let is_closed = tokio::select! {
             changed = members.changed() => changed.is_err(),
             changed = configuration.changed() => changed.is_err(),
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -44,6 +44,8 @@
     limited_servers: Gauge<u64>,
     ejected_servers: Gauge<u64>,
     invalid_reports: Gauge<u64>,
+    invalid_work_reports: Gauge<u64>,
+    asked_back: Counter<u64>,
     streams: Counter<u64>,
     store_reads: Counter<u64>,
     rollout_share: Gauge<f64>,
@@ -144,6 +146,14 @@
                 "tamarackdale_invalid_health_reports",
                 "Reports of failures from peers that were ignored because their counts are out of range",
             ),
+            invalid_work_reports: gauge(
+                "tamarackdale_invalid_work_reports",
+                "Reports of work by peers that were ignored because a value was out of range",
+            ),
+            asked_back: count(
+                "tamarackdale_asked_back",
+                "Callers refused by overload or floor, by rank and whether a slot is predicted for their return",
+            ),
             streams: count(
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
@@ -307,6 +317,17 @@
         }
     }
 
+    /// Counts a caller that is refused and asked back.
+    pub fn count_asked_back(&self, labels: Labels<'_>, is_promised: bool) {
+        let attributes = labels.attributes_with("promised", is_promised.to_string());
+        self.asked_back.add(1, &attributes);
+    }
+
+    /// Sets the number of peers' reports of work that were ignored.
+    pub fn set_invalid_work_reports(&self, reports: u64) {
+        self.invalid_work_reports.record(reports, &[]);
+    }
+
     /// Counts prompt tokens of dispatched requests whose response was not delivered.
     pub fn count_wasted_prefill(&self, tokens: u32) {
         self.wasted_prefill.add(tokens.into(), &[]);
