core: throttle of loads that other cells need not hear of at once

Another cell's gateways send few requests here, and only to free slots, so a change matters to them when the free slots run short.

core::load_throttle holds back the load of a server with more than a quarter of its slots free, and lets all through once a second. A peer that joins gets the loads that the group was told, since later changes refer to them. Servers without a request yet are not mentioned.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -572,6 +572,14 @@
         (slots > 0).then(|| used as f64 / slots as f64)
     }
 
+    /// Fraction of a backend server's slots that no router uses, or `None` if it is not registered.
+    pub fn free_fraction(&self, id: &str, now: Timestamp) -> Option<f64> {
+        let server = self.servers.get(id)?;
+        let slots = server.member.slots;
+        let free = slots.saturating_sub(server.load(now).requests);
+        Some(f64::from(free) / f64::from(slots.max(1)))
+    }
+
     /// Number of free slots of a service's backend servers, in one data centre or, with `None`, in
     /// all. Those of ejected backend servers do not count, nor those of limited ones: the next start
     /// there is for the most urgent request that waits at any router.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod grant;
 pub mod id;
 pub mod limit;
+pub mod load_throttle;
 pub mod origin;
 pub mod outage;
 pub mod peer_table;
