gateway: send compact summaries to peers that read them, and far loads less often

Each group of peers has a table of names and two channels, one per form; a summary is encoded only in the forms that have a subscriber. A subscriber gets a full summary when a new table was begun. A summary that cannot be read ends the connection, is logged once per peer, and the peer is subscribed to again.

--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -5,7 +5,11 @@
 //! by subscribing to its own summaries.
 
 use {
-    super::{context::Context, origins},
+    super::{
+        context::Context,
+        origins,
+        summary_broadcast::{Form, Item},
+    },
     crate::http::body,
     bytes::Bytes,
     futures_util::stream,
@@ -17,7 +21,7 @@
     },
     http_body_util::BodyExt as _,
     hyper::body::Incoming,
-    std::{collections::HashMap, net::SocketAddr, time::Duration},
+    std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration},
     tamarackdale_core::{
         cell::Scope,
         summary::{ChangeTracker, Summary},
@@ -25,6 +29,7 @@
     tamarackdale_store::http,
     tamarackdale_wire::{
         codec::{self, Splitter},
+        compact::{self, Pool, Reader},
         path,
         summary::{Frame as Message, Introduction},
     },
@@ -171,7 +176,11 @@
         if !context.summary_broadcast.has_subscribers(Scope::Far) {
             continue;
         }
-        publisher.publish(context, summary_for(context, Scope::Far, false));
+        let mut summary = summary_for(context, Scope::Far, false);
+        let mut loads = context.summary_broadcast.far_loads();
+        context.scheduler.throttle_loads(&mut loads, &mut summary);
+        drop(loads);
+        publisher.publish(context, summary);
     }
 }
 
@@ -220,9 +229,9 @@
             None => return,
         };
         self.sent_at = Instant::now();
-        match codec::encode_item(&Message::new(context.boot, &summary, context.clock.now())) {
-            Ok(bytes) => context.summary_broadcast.send(self.scope, bytes),
-            Err(error) => log::error!("summary not published: {error}"),
+        let message = Message::new(context.boot, &summary, context.clock.now());
+        if let Err(error) = context.summary_broadcast.send(self.scope, &message) {
+            log::error!("summary not published: {error}");
         }
     }
 }
@@ -244,7 +253,7 @@
     if context.introductions.send(address).await.is_err() {
         log::debug!(peer:% = address; "introduction ignored, the exchange has ended");
     }
-    let subscription = Subscription::new(context, introduction.data_centre);
+    let subscription = Subscription::new(context, introduction);
     let frames = stream::unfold(subscription, |mut subscription| async move {
         let bytes = subscription.next().await?;
         Some((Ok(Frame::data(bytes)), subscription))
@@ -257,61 +266,86 @@
     context: Context,
     /// Data centre of the peer.
     data_centre: String,
+    form: Form,
     scope: Scope,
     /// The summaries for the peer's group, or `None` before the first, full summary.
-    receiver: Option<broadcast::Receiver<Bytes>>,
+    receiver: Option<broadcast::Receiver<Item>>,
+    /// Generation of the table of names that the peer has.
+    generation: u64,
 }
 
 impl Subscription {
-    fn new(context: Context, data_centre: String) -> Self {
+    fn new(context: Context, introduction: Introduction) -> Self {
         Self {
             context,
-            data_centre,
+            data_centre: introduction.data_centre,
+            form: match introduction.reads_compact {
+                true => Form::Compact,
+                false => Form::Former,
+            },
             scope: Scope::Near,
             receiver: None,
+            generation: 0,
         }
     }
 
     /// The next summary for the peer. It is a full one if there was none before, if the peer was
-    /// too slow to read all of them, and if its group has changed with the size of the fleet.
+    /// too slow to read all of them, if its group has changed with the size of the fleet, and if a new
+    /// table of names was begun.
     async fn next(&mut self) -> Option<Bytes> {
         let scope = self.current_scope();
         let receiver = match &mut self.receiver {
             Some(receiver) if scope == self.scope => receiver,
             _ => {
                 self.scope = scope;
-                self.receiver = Some(self.context.summary_broadcast.subscribe(scope));
-                return Some(full_summary(&self.context, scope));
+                let broadcast = &self.context.summary_broadcast;
+                self.receiver = Some(broadcast.subscribe(scope, self.form));
+                return Some(self.full_summary());
             }
         };
         match receiver.recv().await {
-            Ok(bytes) => Some(bytes),
-            Err(broadcast::error::RecvError::Lagged(_)) => Some(full_summary(&self.context, scope)),
+            Ok(item) if item.generation == self.generation => Some(item.bytes),
+            Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => Some(self.full_summary()),
             Err(broadcast::error::RecvError::Closed) => None,
         }
     }
 
+    fn full_summary(&mut self) -> Bytes {
+        let context = &self.context;
+        let mut summary = summary_for(context, self.scope, true);
+        if self.scope == Scope::Far {
+            let loads = context.summary_broadcast.far_loads();
+            loads.replace_by_told(&mut summary.entries);
+        }
+        let message = Message::new(context.boot, &summary, context.clock.now())
+            .with_data_centre(&context.settings.borrow().data_centre);
+        let item = context
+            .summary_broadcast
+            .full(self.scope, self.form, &message);
+        match item {
+            Ok(item) => {
+                self.generation = item.generation;
+                item.bytes
+            }
+            Err(error) => {
+                log::error!("summary not published: {error}");
+                Bytes::new()
+            }
+        }
+    }
+
     fn current_scope(&self) -> Scope {
         let is_same = self.context.settings.borrow().data_centre == self.data_centre;
         self.context.scheduler.layout().scope(is_same)
     }
 }
 
-fn full_summary(context: &Context, scope: Scope) -> Bytes {
-    let summary = summary_for(context, scope, true);
-    let message = Message::new(context.boot, &summary, context.clock.now())
-        .with_data_centre(&context.settings.borrow().data_centre);
-    codec::encode_item(&message).unwrap_or_else(|error| {
-        log::error!("summary not published: {error}");
-        Bytes::new()
-    })
-}
-
 /// Connects to every peer that is registered or introduces itself.
 async fn follow_peers(context: &Context, mut introductions: mpsc::Receiver<SocketAddr>) {
     let own = context.settings.borrow().peers;
     let mut gateways = context.store.gateways.clone();
     let mut tasks = JoinSet::new();
+    let names = Arc::new(Pool::new());
     let mut introduced = None;
     let mut is_registered = false;
     loop {
@@ -319,7 +353,7 @@
         let addresses = registered.iter().flat_map(|others| others.iter().copied());
         for address in addresses.chain(introduced.take()) {
             if address != own && context.known_peers().add(address, context.clock.now()) {
-                tasks.spawn(follow_peer(context.clone(), address));
+                tasks.spawn(follow_peer(context.clone(), address, names.clone()));
             }
         }
         if registered.is_some() && !is_registered {
@@ -336,21 +370,30 @@
 }
 
 /// Reads the summaries of one peer and reconnects, until the peer is dropped as stale.
-async fn follow_peer(context: Context, address: SocketAddr) {
+async fn follow_peer(context: Context, address: SocketAddr, names: Arc<Pool>) {
     let client = http::Client::new(&format!("http://{address}"), PEER_TIMEOUT);
     let introduction = {
         let settings = context.settings.borrow();
         Introduction {
             address: settings.peers.to_string(),
             data_centre: settings.data_centre.clone(),
+            reads_compact: true,
         }
     };
-    let Ok(introduction) = codec::encode(&introduction) else {
+    let Ok(introduction) = codec::encode_named(&introduction) else {
         return;
     };
+    let mut is_reported = false;
     loop {
         match client.open(path::SUMMARIES, introduction.clone()).await {
-            Ok(body) => read_summaries(&context, address, body).await,
+            Ok(body) => {
+                let error = read_summaries(&context, address, body, &names).await;
+                if let Err(error) = error
+                    && !std::mem::replace(&mut is_reported, true)
+                {
+                    log::warn!(peer:% = address; "connection closed, malformed summary: {error}");
+                }
+            }
             Err(error) => log::debug!(peer:% = address; "cannot connect to peer: {error}"),
         }
         let now = context.clock.now();
@@ -392,9 +435,17 @@
         .set_gateways(connected, known, layout, lag);
 }
 
-/// Merges the summaries of one connection to a peer until it ends or times out.
-async fn read_summaries(context: &Context, address: SocketAddr, mut body: Incoming) {
+/// Merges the summaries of one connection to a peer until it ends or times out. Fails if one cannot be
+/// read.
+async fn read_summaries(
+    context: &Context,
+    address: SocketAddr,
+    mut body: Incoming,
+    names: &Pool,
+) -> Result<(), compact::Error> {
     let mut splitter = Splitter::new();
+    let mut reader = Reader::new();
+    let mut result = Ok(());
     let mut boot = None;
     let mut contact = context.clock.now();
     'connection: loop {
@@ -412,7 +463,12 @@
             splitter.push(bytes);
         }
         loop {
-            match splitter.next_item::<Message>() {
+            let bytes = splitter.next_bytes().map_err(compact::Error::Former);
+            let message = bytes.and_then(|bytes| {
+                let message = bytes.map(|bytes| reader.read(&bytes, names));
+                message.transpose()
+            });
+            match message {
                 Ok(Some(message)) => {
                     if boot.replace(message.boot).is_none() {
                         let data_centre = message.data_centre.as_deref().unwrap_or_default();
@@ -426,7 +482,7 @@
                 }
                 Ok(None) => break,
                 Err(error) => {
-                    log::warn!(peer:% = address; "connection closed, malformed summary: {error}");
+                    result = Err(error);
                     break 'connection;
                 }
             }
@@ -436,4 +492,5 @@
         context.scheduler.remove_peer(boot, contact);
         log::info!(peer:% = address, boot; "peer lost");
     }
+    result
 }
--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -24,6 +24,7 @@
             self, Choice, Limit, Member, Members, RequestLoad, Shortage, limit,
             statement::{Notice, Report},
         },
+        load_throttle::LoadThrottle,
         origin::Origin,
         poison::Fingerprint,
         quota::{Claim, QuotaExceeded, UsageHistory},
@@ -562,6 +563,14 @@
         }
     }
 
+    /// Replaces the loads of a summary that peers of other cells need not hear of yet.
+    pub fn throttle_loads(&self, throttle: &mut LoadThrottle, summary: &mut Summary) {
+        let now = self.clock.now();
+        let state = self.lock();
+        let free_fraction = |id: &str| state.fleet.free_fraction(id, now);
+        throttle.apply(&mut summary.entries, free_fraction, now);
+    }
+
     /// A random number in the range [0, 1).
     pub fn random(&self) -> f64 {
         self.lock().random.random()
