--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -387,11 +387,12 @@
     loop {
         match client.open(path::SUMMARIES, introduction.clone()).await {
             Ok(body) => {
-                let error = read_summaries(&context, address, body, &names).await;
-                if let Err(error) = error
-                    && !std::mem::replace(&mut is_reported, true)
-                {
-                    log::warn!(peer:% = address; "connection closed, malformed summary: {error}");
+                let result = read_summaries(&context, address, body, &names).await;
+                if let Err(error) = result {
+                    context.metrics.count_unreadable_summary();
+                    if !std::mem::replace(&mut is_reported, true) {
+                        log::warn!(peer:% = address; "connection closed, malformed summary: {error}");
+                    }
                 }
             }
             Err(error) => log::debug!(peer:% = address; "cannot connect to peer: {error}"),
--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -42,6 +42,7 @@
     quarantines: Gauge<u64>,
     limited_servers: Gauge<u64>,
     streams: Counter<u64>,
+    unreadable_summaries: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -131,6 +132,10 @@
                 "tamarackdale_streams",
                 "Streams that callers may take up, by version, whether they were taken up and whether an event came",
             ),
+            unreadable_summaries: count(
+                "tamarackdale_unreadable_summaries",
+                "Summaries of peers that could not be read, each of which ended its connection",
+            ),
             registry,
             _provider: provider,
         })
@@ -206,6 +211,11 @@
         self.streams.add(1, &attributes);
     }
 
+    /// Counts a summary of a peer that could not be read.
+    pub fn count_unreadable_summary(&self) {
+        self.unreadable_summaries.add(1, &[]);
+    }
+
     /// Sets the gauges of what a gateway protects backend servers from.
     pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
         self.quarantines.record(quarantines as u64, &[]);
--- a/wire/tests/exchange.rs
+++ b/wire/tests/exchange.rs
@@ -280,3 +280,33 @@
     );
     assert!(all_short <= 1.01 * compact, "{all_short} and {compact}");
 }
+
+/// Guards against first summaries that grow: a fleet that starts, or a link that comes back, sends one on
+/// each connection.
+#[test]
+fn first_summary_is_no_larger_than_before() {
+    let size = Size {
+        gateways: 360,
+        data_centres: 13,
+    };
+    let mut gateway = Gateway::new(size);
+    for organisation in 0..size.organisations() {
+        let units = organisation as f64;
+        gateway.apply(&Change::Admitted {
+            organisation,
+            units,
+        });
+    }
+    let mut summary = gateway.summary();
+    for (number, usage) in summary.usages.iter_mut().enumerate() {
+        let part = (number % 7 * 500) as f64;
+        usage.history = Some(quota::UsageHistory(vec![part; 16]));
+    }
+    let frame = Frame::new(u64::MAX, &summary, Timestamp::from_millis(0));
+
+    let former = codec::encode(&frame).expect("encodes").len();
+    let compact = compact::encode_full(&frame, &mut NameTable::new()).expect("encodes");
+
+    println!("first summary: former {former}, compact {}", compact.len());
+    assert!(compact.len() <= former / 2);
+}
