--- a/core/tests/load_throttle.rs
+++ b/core/tests/load_throttle.rs
@@ -1,7 +1,7 @@
 //! Which changes of loads peers of other cells are told at once.
 
 use tamarackdale_core::{
-    fleet::{Contribution, Load, Speed},
+    fleet::{Contribution, Fleet, Load, Member, Members, Speed},
     load_throttle::LoadThrottle,
     time::Timestamp,
 };
@@ -124,3 +124,31 @@
 
     assert_eq!(again, [("b".to_owned(), 1)]);
 }
+
+/// Guards against a server that counts as free because the requests of other routers are left out.
+#[test]
+fn free_slots_are_counted_by_the_load_of_all_routers() {
+    let member = Member {
+        id: "a".to_owned(),
+        started_at_ms: 1,
+        address: "10.0.0.9:80".parse().expect("an address"),
+        service: "chat".to_owned(),
+        data_centre: "vejle-a".to_owned(),
+        version: String::new(),
+        slots: 8,
+        is_leaving: false,
+    };
+    let mut fleet = Fleet::new();
+    fleet.update_members(&Members::from([("a".to_owned(), member)]), at(0));
+    let load = |requests| entry("a", requests).load;
+
+    let idle = fleet.free_fraction("a", at(1));
+    fleet.merge_load(1, "a", load(2));
+    fleet.merge_load(2, "a", load(4));
+    let used = fleet.free_fraction("a", at(1));
+    fleet.merge_load(2, "a", load(9));
+    let over = fleet.free_fraction("a", at(1));
+
+    assert_eq!((idle, used, over), (Some(1.0), Some(0.25), Some(0.0)));
+    assert_eq!(fleet.free_fraction("b", at(1)), None);
+}
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -43,7 +43,8 @@
 pub const DIGESTS: &str = "/v1/digests";
 
 /// `POST` [`crate::summary::Introduction`]; responds with an endless stream of
-/// [`crate::summary::Frame`]s: the first is complete, the others hold what has changed.
+/// [`crate::summary::Frame`]s, in the form of [`crate::compact`] for a subscriber that reads it: the first is
+/// complete, the others hold what has changed.
 pub const SUMMARIES: &str = "/v1/summaries";
 
 /// `POST` [`crate::start::Ask`]; responds with [`crate::start::Answer`].
