--- a/daemon/src/metrics.rs
+++ b/daemon/src/metrics.rs
@@ -53,6 +53,7 @@
     rollout_bad_answers: Gauge<u64>,
     invalid_rollout_reports: Gauge<u64>,
     memory_full: Counter<u64>,
+    unreadable_summaries: Counter<u64>,
 }
 
 /// Labels of the metrics about requests.
@@ -182,6 +183,10 @@
                 "tamarackdale_memory_full",
                 "Connections closed and requests refused because the memory for callers was full, by cause",
             ),
+            unreadable_summaries: count(
+                "tamarackdale_unreadable_summaries",
+                "Summaries of peers that could not be read, each of which ended its connection",
+            ),
             registry,
             _provider: provider,
         })
@@ -264,6 +269,11 @@
         move |cause| counter.add(1, &[KeyValue::new("cause", cause.to_string())])
     }
 
+    /// Counts a summary of a peer that could not be read.
+    pub fn count_unreadable_summary(&self) {
+        self.unreadable_summaries.add(1, &[]);
+    }
+
     /// Sets the gauges of what a gateway protects backend servers from.
     pub fn set_protection(&self, quarantines: usize, limited_servers: usize) {
         self.quarantines.record(quarantines as u64, &[]);
--- a/wire/src/path.rs
+++ b/wire/src/path.rs
@@ -43,13 +43,10 @@
 pub const DIGESTS: &str = "/v1/digests";
 
 /// `POST` [`crate::summary::Introduction`]; responds with an endless stream of
-/// [`crate::summary::Frame`]s: the first is complete, the others hold what has changed.
+/// [`crate::summary::Frame`]s, in the form of [`crate::compact`] for a subscriber that reads it: the first is
+/// complete, the others hold what has changed.
 pub const SUMMARIES: &str = "/v1/summaries";
 
-/// Query of [`SUMMARIES`] by which a subscriber states that it understands
-/// [`crate::summary::Extensions`].
-pub const WITH_EXTENSIONS: &str = "extensions";
-
 /// `POST` [`crate::start::Ask`]; responds with [`crate::start::Answer`].
 pub const STARTS: &str = "/v1/starts";
 
