--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -84,6 +84,10 @@
 /// Concurrent requests of each gateway at a server that has just started.
 const FIRST_REQUESTS: u32 = 2;
 
+/// Ejections from which the next process at the same address begins with a trial. A process that follows a
+/// first crash is usually well, and begins slowly.
+const MIN_INHERITED: u32 = 2;
+
 /// Shortest and longest pause after a refusal.
 const REFUSAL_PAUSE: [Duration; 2] = [Duration::from_millis(30), Duration::from_secs(1)];
 
--- a/core/src/fleet/containment/guard.rs
+++ b/core/src/fleet/containment/guard.rs
@@ -3,8 +3,8 @@
 use {
     super::{
         EJECTION, FORGIVENESS, MAX_PROBATION, MAX_UNREACHABLE_IN_A_ROW, MIN_FAILURES_OF_ONE,
-        MIN_REPORTED_ERRORS, Outcome, PROBATION_REQUESTS, REFUSAL_PAUSE, REPEATABLE_TRIAL_INTERVAL,
-        REPORT_TTL, Report, SUSPICION, TRIAL_TIMEOUT,
+        MIN_INHERITED, MIN_REPORTED_ERRORS, Outcome, PROBATION_REQUESTS, REFUSAL_PAUSE,
+        REPEATABLE_TRIAL_INTERVAL, REPORT_TTL, Report, SUSPICION, TRIAL_TIMEOUT,
         report::Ejection,
         tally::{Counts, Tally},
     },
@@ -138,7 +138,7 @@
 
     /// Takes over the ejections of an earlier process. Returns whether it has any that still count.
     pub(super) fn inherit(&mut self, before: &Self, now: Timestamp) -> bool {
-        if before.ejections == 0 || now.since(before.last_ejection) >= FORGIVENESS {
+        if before.ejections < MIN_INHERITED || now.since(before.last_ejection) >= FORGIVENESS {
             return false;
         }
         self.ejections = before.ejections;
@@ -240,11 +240,12 @@
         self.refusals = 0;
         if is_answer {
             self.own.record_answer(now);
-            match &mut self.phase {
-                Phase::Starting { allowed } => *allowed = allowed.saturating_add(1),
-                Phase::Returning { answered } => *answered = answered.saturating_add(1),
-                Phase::Normal | Phase::Ejected { .. } => {}
-            }
+        }
+        // A first event counts too: the rest of a stream may take seconds.
+        match &mut self.phase {
+            Phase::Starting { allowed } => *allowed = allowed.saturating_add(1),
+            Phase::Returning { answered } => *answered = answered.saturating_add(1),
+            Phase::Normal | Phase::Ejected { .. } => {}
         }
         let has_returned = self.record_return(Some(now), 1, now);
         self.complete_phase(now);
