rollouts: slower rise, and certainty of verdicts in it

A bad verdict in the rise must last until all have reported, the share is held meanwhile, and suspicious answers delay the completion. The rise is slower until 0.73 of the ramp.

--- a/core/src/rollout/exposure.rs
+++ b/core/src/rollout/exposure.rs
@@ -27,6 +27,11 @@
         }
     }
 
+    /// A random number in the range [0, 1), while nothing was counted.
+    pub fn fraction(&self) -> f64 {
+        self.total.fract()
+    }
+
     /// Counts a request of a route, and returns whether it may go to the new version, whose share is
     /// `share`. While the share rises, `is_long` requests are preferred, since they need the longest to end
     /// at the old version.
--- a/core/src/rollout/machine.rs
+++ b/core/src/rollout/machine.rs
@@ -50,6 +50,8 @@
     pub judge_interval: Duration,
     /// Time in which the weight of a recent answer falls by half.
     pub half_life: Duration,
+    /// Time for which a bad verdict must last once the share has risen.
+    pub confirmation: Duration,
 }
 
 /// Something that an operator is told of.
@@ -99,6 +101,8 @@
     /// Share at which the rise is held while the answers are suspicious.
     held_share: Option<f64>,
     judged: Timestamp,
+    /// Since when the verdict is bad.
+    bad_since: Option<Timestamp>,
     /// Share at the withdrawal.
     kept_share: f64,
     ended: Option<Timestamp>,
@@ -111,6 +115,7 @@
     own_requests: u32,
     /// Whether the new version got all requests at the last update.
     is_full: bool,
+    stagger: f64,
     /// Mean output of the requests, in tokens.
     usual_tokens: f64,
 }
@@ -137,12 +142,12 @@
             started: now,
             ready: None,
             servers: Servers::default(),
-            credit,
             verdict: Verdict::TooFew,
             has_risen: false,
             is_within_early_slack: false,
             held_share: None,
             judged: now,
+            bad_since: None,
             kept_share: 0.0,
             ended: None,
             updated: now,
@@ -150,7 +155,9 @@
             peers: HashMap::new(),
             own_requests: 0,
             is_full: false,
+            stagger: credit.fraction(),
             usual_tokens: 0.0,
+            credit,
         }
     }
 
@@ -290,16 +297,23 @@
             self.verdict = verdict::judge(&self.statistics);
             self.is_within_early_slack = self.has_early_slack(settings);
         }
-        if let Verdict::Bad(reason) = &self.verdict {
-            let reason = reason.clone();
-            return self.stop(reason, now);
+        match &self.verdict {
+            Verdict::Bad(reason) => {
+                // Bad answers are told sooner than good ones once the share has risen.
+                let since = *self.bad_since.get_or_insert(now);
+                if !self.has_risen || now.since(since) >= pace.confirmation {
+                    let reason = reason.clone();
+                    return self.stop(reason, now);
+                }
+            }
+            _ => self.bad_since = None,
         }
         if self.is_withdrawn || self.revision.is_none() {
             return None;
         }
         let schedule = self.schedule(settings);
         let age = self.age(now);
-        let is_suspicious = self.verdict == Verdict::Suspicious;
+        let is_suspicious = matches!(self.verdict, Verdict::Suspicious | Verdict::Bad(_));
         self.held_share = match is_suspicious && self.has_risen && !schedule.is_full(age) {
             true => self.held_share.or(Some(self.share(settings, now))),
             false => None,
@@ -348,7 +362,9 @@
         if schedule.is_final(age) {
             return true;
         }
-        let is_full = self.share(settings, now) >= 1.0;
+        // What is suspicious is judged until the deadline.
+        let is_full = self.share(settings, now) >= 1.0
+            && matches!(self.verdict, Verdict::Good | Verdict::TooFew);
         let is_heard = !visible.has_unreachable && self.peers.len() >= visible.connected;
         let requests = self.peers.values().map(|requests| u64::from(*requests));
         is_full && is_heard && requests.sum::<u64>() + u64::from(self.own_requests) == 0
@@ -458,14 +474,21 @@
         })
     }
 
-    /// Whether this router has got bad answers of the new version since a report.
-    pub fn has_more_bad_than(&self, report: &Report) -> bool {
+    /// Whether this router must tell its counts sooner: the share has risen, and the answers are suspicious, or
+    /// it has got bad ones since a report.
+    pub fn is_urgent(&self, report: &Report) -> bool {
         let new = report
             .counts
             .iter()
             .filter(|(key, _)| key.side == Side::New);
         let reported: f64 = new.map(|(_, counts)| counts.bad).sum();
-        self.totals(Side::New).2 > reported
+        let is_doubtful = matches!(self.verdict, Verdict::Suspicious | Verdict::Bad(_));
+        self.has_risen && (is_doubtful || self.totals(Side::New).2 > reported)
+    }
+
+    /// Part of an interval by which this router's reports are ahead of those of others.
+    pub fn stagger(&self) -> f64 {
+        self.stagger
     }
 
     /// Time since the end of the rollout.
--- a/core/src/rollout/schedule.rs
+++ b/core/src/rollout/schedule.rs
@@ -8,13 +8,12 @@
 /// Part of the ramp at which the share begins to rise.
 const RISE_START: f64 = 0.5;
 
-/// Part of the ramp at which the slow part of the rise ends. A version that turns bad by then must be
-/// found before it has got more than the bound.
-const SLOW_RISE_END: f64 = 0.7;
+/// Part of the ramp at which the slow part of the rise ends.
+const SLOW_RISE_END: f64 = 0.73;
 
-/// Share at the end of the slow part of the rise, in canary shares. With the canary before it, the version
-/// has then got 0.068 of all requests, and the bound is reached 0.067 of the ramp later.
-const SLOW_RISE_SHARES: f64 = 2.0;
+/// Share at the end of the slow part of the rise, in canary shares. A version that turns bad at 0.7 of the
+/// ramp has got 0.062 of all requests by then, and reaches a bound of 0.1 another 0.103 of the ramp later.
+const SLOW_RISE_SHARES: f64 = 1.5;
 
 /// Part of the ramp at which the new version gets all requests.
 const RISE_END: f64 = 0.8;
@@ -81,7 +80,7 @@
         }
         if progress < end {
             let part = (progress - slow_end) / (end - slow_end);
-            return top + (1.0 - top) * part;
+            return top + (1.0 - top) * part * part;
         }
         1.0
     }
--- a/core/src/rollout/table.rs
+++ b/core/src/rollout/table.rs
@@ -31,6 +31,12 @@
 /// Interval of reports for each router, so that what each of them sends and receives stays bounded.
 const REPORT_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(20);
 
+/// The same while the answers are suspicious.
+const URGENT_INTERVAL_PER_ROUTER: Duration = Duration::from_millis(2);
+
+/// Time of the reports' way, in which the good answers of all routers follow the bad ones.
+const CONFIRMATION_MARGIN: Duration = Duration::from_millis(200);
+
 /// Shortest and longest interval of reports. The longest one leaves half of the time of a rollback.
 const REPORT_INTERVALS: (Duration, Duration) =
     (Duration::from_millis(250), Duration::from_millis(2_500));
@@ -388,6 +394,7 @@
         let pace = Pace {
             judge_interval: MIN_JUDGE_INTERVAL.max(interval / JUDGEMENTS_PER_REPORT),
             half_life: MIN_HALF_LIFE.max(interval),
+            confirmation: self.urgent_interval() + CONFIRMATION_MARGIN,
         };
         let mut events = Vec::new();
         for (name, service) in &mut self.services {
@@ -419,29 +426,44 @@
         interval.clamp(shortest, longest.min(self.settings.rollback / 2))
     }
 
-    /// Views for the peers. A view changes at most once in an interval, unless the phase does. Once the share
-    /// has risen, bad answers are told sooner: by then the peers know enough good ones to compare them with.
+    fn urgent_interval(&self) -> Duration {
+        let routers = u32::try_from(self.routers).unwrap_or(u32::MAX);
+        let interval = URGENT_INTERVAL_PER_ROUTER.saturating_mul(routers);
+        interval.clamp(REPORT_INTERVALS.0, REPORT_INTERVALS.1)
+    }
+
+    /// Views for the peers. A view changes at most once in an interval, unless the phase does, or
+    /// the answers are suspicious.
     pub fn reports(&mut self, now: Timestamp) -> Vec<Report> {
         if !self.is_active {
             return Vec::new();
         }
         let interval = self.interval();
+        let urgent = self.urgent_interval();
         let mut reports = Vec::new();
         for (name, service) in &mut self.services {
             let Some(rollout) = &service.rollout else {
                 continue;
             };
             let known = service.reported.take();
+            let had_report = known.is_some();
             let known = known.filter(|(at, report)| {
-                let interval = match rollout.has_risen() && rollout.has_more_bad_than(report) {
-                    true => REPORT_INTERVALS.0,
+                let interval = match rollout.is_urgent(report) {
+                    true => urgent,
                     false => interval,
                 };
                 now.since(*at) < interval
             });
             service.reported = match known {
                 Some(known) => Some(known),
-                None => rollout.report(name, now).map(|report| (now, report)),
+                // Routers hear of an order at the same time, and report one after the other.
+                None => {
+                    let at = match had_report {
+                        true => now,
+                        false => now.minus(interval.mul_f64(rollout.stagger())),
+                    };
+                    rollout.report(name, now).map(|report| (at, report))
+                }
             };
             reports.extend(service.reported.iter().map(|(_, report)| report.clone()));
         }
--- a/core/src/rollout/verdict.rs
+++ b/core/src/rollout/verdict.rs
@@ -7,7 +7,7 @@
 const CERTAINTY: f64 = 3.3;
 
 /// Share of bad answers above that of the old version that is not tolerated.
-const MAX_EXCESS: f64 = 0.03;
+const MAX_EXCESS: f64 = 0.02;
 
 /// Bad answers after which any certain excess is not tolerated.
 const MAX_BAD: f64 = 50.0;
@@ -33,6 +33,9 @@
 /// Least number of bad answers of a verdict when there is no time left.
 const MIN_PROBABLE: f64 = 3.0;
 
+/// Standard deviations that suffice then.
+const PROBABILITY: f64 = 2.6;
+
 /// What the answers show.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -81,7 +84,10 @@
 pub fn is_probably_bad(statistics: &Statistics) -> bool {
     let new = statistics.total(Side::New);
     let old = statistics.total(Side::Old);
-    new.bad >= MIN_PROBABLE && is_suspicious(&new, &old)
+    let (new_low, _) = interval(new.bad, new.answers, PROBABILITY);
+    let old_share = old.bad / old.answers.max(1.0);
+    let fails = new.bad >= MIN_PROBABLE && new_low > old_share + MAX_EXCESS;
+    fails || is_slow(&new, &old)
 }
 
 /// Sum of all routers except the one with the most bad answers of the new version, whose own link or
@@ -107,8 +113,8 @@
 }
 
 fn find_excess(new: &Counts, old: &Counts) -> Option<String> {
-    let (_, old_high) = interval(old.bad, old.answers);
-    let (new_low, _) = interval(new.bad, new.answers);
+    let (_, old_high) = interval(old.bad, old.answers, CERTAINTY);
+    let (new_low, _) = interval(new.bad, new.answers, CERTAINTY);
     let tolerated = match new.bad >= MAX_BAD {
         true => 0.0,
         false => MAX_EXCESS,
@@ -143,23 +149,26 @@
 fn is_suspicious(new: &Counts, old: &Counts) -> bool {
     let share = |counts: &Counts| counts.bad / counts.answers.max(1.0);
     let fails = new.bad >= 2.0 && share(new) > share(old) + SUSPICIOUS_EXCESS;
-    let is_slow = new.times.iter().zip(&old.times).any(|(new, old)| {
+    fails || is_slow(new, old)
+}
+
+fn is_slow(new: &Counts, old: &Counts) -> bool {
+    new.times.iter().zip(&old.times).any(|(new, old)| {
         let has_times = new.count >= MIN_TIMES / 2.0 && old.count >= MIN_TIMES;
         has_times && new.mean() - old.mean() > MAX_SLOWDOWN.ln()
-    });
-    fails || is_slow
+    })
 }
 
-/// Wilson's interval of a share.
-fn interval(bad: f64, answers: f64) -> (f64, f64) {
+/// Wilson's interval of a share, of so many standard deviations on each side.
+fn interval(bad: f64, answers: f64, deviations: f64) -> (f64, f64) {
     if answers < 1.0 {
         return (0.0, 1.0);
     }
     let share = (bad / answers).clamp(0.0, 1.0);
-    let square = CERTAINTY * CERTAINTY;
+    let square = deviations * deviations;
     let scale = 1.0 + square / answers;
     let centre = share + square / (2.0 * answers);
     let width =
-        CERTAINTY * (share * (1.0 - share) / answers + square / (4.0 * answers * answers)).sqrt();
+        deviations * (share * (1.0 - share) / answers + square / (4.0 * answers * answers)).sqrt();
     ((centre - width) / scale, (centre + width) / scale)
 }
--- a/core/tests/rollout.rs
+++ b/core/tests/rollout.rs
@@ -64,6 +64,9 @@
 #[case::in_the_middle(41, 1_400.0, 5.0, 0.3, None)]
 #[case::in_the_rise_8(8, 600.0, 8.0, 0.5, None)]
 #[case::in_the_rise_103(103, 1_400.0, 8.0, 0.5, None)]
+#[case::before_0_7_of_the_ramp_8(8, 600.0, 8.3, 0.2, None)]
+#[case::before_0_7_of_the_ramp_41(41, 1_400.0, 8.3, 0.2, None)]
+#[case::before_0_7_of_the_ramp_103(103, 1_400.0, 8.3, 0.2, None)]
 #[case::in_the_rise_360(360, 1_400.0, 8.0, 0.5, None)]
 #[case::little_traffic(8, 20.0, 0.0, 0.5, None)]
 fn bad_version_is_rolled_back_within_the_bounds(
@@ -118,6 +121,39 @@
     }
 }
 
+// Guards against a verdict by chance where both versions fail now and then, and times differ widely.
+#[rstest]
+#[case(8, 600.0, 0.02)]
+#[case(8, 100.0, 0.05)]
+#[case(41, 1_400.0, 0.05)]
+fn version_that_is_as_bad_as_the_old_one_is_completed(
+    #[case] routers: usize,
+    #[case] rate: f64,
+    #[case] probability: f64,
+) {
+    for seed in 0..20 {
+        let nature: Nature = Box::new(move |random, _, route, _, _| {
+            let spread: f64 = (0..4).map(|_| random.random::<f64>()).sum();
+            Outcome {
+                has_failed: random.random::<f64>() < probability,
+                first_ms: Some(0.2 * (1.4 * spread).exp()),
+                event_ms: Some(f64::from(10 + route * 5) * (0.3 * spread).exp()),
+                occupancy_ms: None,
+            }
+        });
+        let mut bench = Bench::new(routers, rate, seed, nature);
+
+        run_to_deadline(&mut bench);
+
+        assert_eq!(
+            bench.state(),
+            Some(State::Completed),
+            "seed {seed}: {:?}",
+            bench.status
+        );
+    }
+}
+
 // Guards against a total of the canaries of many routers that have few requests each above the bound, at
 // any time before the rise.
 #[rstest]
--- a/testbed/tests/rollouts.rs
+++ b/testbed/tests/rollouts.rs
@@ -22,6 +22,10 @@
 
 const SERVICE: &str = "plain";
 const PATH: &str = "/booking/1";
+
+/// Service with streams that may be resumed, and a path of its route.
+const ENGINE: &str = "engine";
+const STREAM_PATH: &str = "/resumable/1";
 const CALL_LIMIT: Duration = Duration::from_secs(10);
 
 /// Ramp of the orders, in seconds.
@@ -39,6 +43,7 @@
 const WATCHED: Duration = Duration::from_millis(3_500);
 
 struct Bench {
+    service: &'static str,
     site: Site,
     gateways: Vec<Gateway>,
     old: Vec<Server>,
@@ -56,6 +61,10 @@
 impl Bench {
     /// Gateways and servers of two versions, of which only those of `v1` are registered.
     async fn start(gateways: usize, has_guarantee: bool) -> Self {
+        Self::start_for(SERVICE, gateways, has_guarantee).await
+    }
+
+    async fn start_for(service: &'static str, gateways: usize, has_guarantee: bool) -> Self {
         let site = Site::new(&Configuration::default()).expect("starts");
         let site = match has_guarantee {
             true => site.with_guarantee("rollout"),
@@ -65,7 +74,7 @@
             (0..2)
                 .map(|number| {
                     let id = format!("{version}-{number}");
-                    Server::new(&id, SERVICE)
+                    Server::new(&id, service)
                         .expect("starts")
                         .with_version(version)
                 })
@@ -76,6 +85,7 @@
         let gateways = site.ready_gateways(gateways).await.expect("starts");
         sleep(WATCHED).await;
         Self {
+            service,
             site,
             gateways,
             old,
@@ -84,7 +94,7 @@
     }
 
     fn order(&self) {
-        self.site.order_rollout(SERVICE, "v2", RAMP_S);
+        self.site.order_rollout(self.service, "v2", RAMP_S);
         self.new
             .iter()
             .for_each(|server| self.site.register(server));
@@ -102,12 +112,21 @@
         }
     }
 
+    /// Path of a route of the service.
+    fn path(&self) -> &'static str {
+        match self.service {
+            SERVICE => PATH,
+            _ => STREAM_PATH,
+        }
+    }
+
     fn load(&self) -> Load {
         let addresses: Vec<SocketAddr> = self.gateways.iter().map(Gateway::callers).collect();
         let stop = Arc::new(AtomicBool::new(false));
         let (good, bad) = (Arc::new(AtomicUsize::new(0)), Arc::new(AtomicUsize::new(0)));
         let task = tokio::spawn(send_all(
             addresses,
+            self.path(),
             Arc::clone(&stop),
             Arc::clone(&good),
             Arc::clone(&bad),
@@ -121,7 +140,7 @@
     }
 
     fn state(&self) -> Option<String> {
-        let status = self.site.rollout_status(SERVICE)?;
+        let status = self.site.rollout_status(self.service)?;
         status["state"].as_str().map(str::to_owned)
     }
 
@@ -147,6 +166,7 @@
 
 async fn send_all(
     addresses: Vec<SocketAddr>,
+    path: &'static str,
     stop: Arc<AtomicBool>,
     good: Arc<AtomicUsize>,
     bad: Arc<AtomicUsize>,
@@ -158,7 +178,7 @@
         }
         let (good, bad) = (Arc::clone(&good), Arc::clone(&bad));
         calls.push(tokio::spawn(async move {
-            let call = request(PATH, &format!("request-{number}"));
+            let call = request(path, &format!("request-{number}"));
             let answer = http::call(address, call, CALL_LIMIT).await;
             match answer.is_ok_and(|answer| answer.status() == 200) {
                 true => good.fetch_add(1, Ordering::SeqCst),
@@ -185,9 +205,12 @@
 
 // Guards against a good version that does not get everything in time, or loses requests on the way, and
 // against requests to it before the order was read.
+#[rstest]
+#[case(SERVICE)]
+#[case(ENGINE)]
 #[tokio::test(flavor = "multi_thread")]
-async fn good_version_is_completed_in_time() {
-    let bench = Bench::start(3, true).await;
+async fn good_version_is_completed_in_time(#[case] service: &'static str) {
+    let bench = Bench::start_for(service, 3, true).await;
     let load = bench.load();
     sleep(Duration::from_secs(1)).await;
 
@@ -203,10 +226,10 @@
     assert!(
         is_running && is_completed,
         "{:?}",
-        bench.site.rollout_status(SERVICE)
+        bench.site.rollout_status(service)
     );
     assert_eq!(
-        bench.site.rollout_status(SERVICE),
+        bench.site.rollout_status(service),
         Some(json!({"state": "completed", "to": "v2"}))
     );
     assert_eq!(bench.sent_to_old(completed + Duration::from_millis(100)), 0);
@@ -214,9 +237,12 @@
 }
 
 // Guards against a bad version that gets more than its part, or anything long after its 50th bad answer.
+#[rstest]
+#[case(SERVICE)]
+#[case(ENGINE)]
 #[tokio::test(flavor = "multi_thread")]
-async fn bad_version_is_rolled_back() {
-    let bench = Bench::start(3, true).await;
+async fn bad_version_is_rolled_back(#[case] service: &'static str) {
+    let bench = Bench::start_for(service, 3, true).await;
     bench.break_new();
     let load = bench.load();
     sleep(Duration::from_secs(1)).await;
@@ -230,7 +256,7 @@
     sleep(Duration::from_secs(2)).await;
     load.end().await;
 
-    let status = bench.site.rollout_status(SERVICE).unwrap_or_default();
+    let status = bench.site.rollout_status(service).unwrap_or_default();
     assert!(is_rolled_back, "{status}");
     assert!(
         status["reason"]
