gateway: loads told to other cells are replaced when a peer changes its group, and none is told at the begin

A peer that had been near kept loads that the full summary for its new group left out, since servers without a load are not mentioned. They are now left out only in the first summary of a stream.

--- a/core/src/load_throttle.rs
+++ b/core/src/load_throttle.rs
@@ -21,7 +21,7 @@
 #[derive(Debug, Default)]
 pub struct LoadThrottle {
     told: HashMap<String, Load>,
-    /// When the changes at all servers were last sent.
+    /// When the changes at all servers were last sent, or when the group began.
     all_sent: Option<Timestamp>,
 }
 
@@ -40,7 +40,8 @@
         free_fraction: impl Fn(&str) -> Option<f64>,
         now: Timestamp,
     ) {
-        let is_due = self.all_sent.is_none_or(|at| now.since(at) >= INTERVAL);
+        // A group begins with a change, often a request that ends soon: its load would be told for a second.
+        let is_due = now.since(*self.all_sent.get_or_insert(now)) >= INTERVAL;
         if is_due {
             self.all_sent = Some(now);
         }
@@ -66,13 +67,14 @@
         }
     }
 
-    /// Replaces all loads by those that the group was told, for a peer that joins it: changes sent later
-    /// refer to these.
-    pub fn replace_by_told(&self, entries: &mut Vec<Contribution>) {
+    /// Replaces all loads by those that the group was told, for a full summary to one peer: changes sent
+    /// later refer to these. Entries that say nothing are removed for a peer that `knows_nothing`. Another
+    /// one may know loads from the time when it was in another group, which must be replaced.
+    pub fn replace_by_told(&self, entries: &mut Vec<Contribution>, knows_nothing: bool) {
         entries.retain_mut(|entry| {
             let told = self.told.get(&entry.id);
             entry.load = told.copied().unwrap_or_default();
-            told.is_some() || !says_nothing(entry)
+            !knows_nothing || told.is_some() || !says_nothing(entry)
         });
     }
 }
--- a/daemon/src/gateway/peers.rs
+++ b/daemon/src/gateway/peers.rs
@@ -297,25 +297,27 @@
         let receiver = match &mut self.receiver {
             Some(receiver) if scope == self.scope => receiver,
             _ => {
+                let knows_nothing = self.receiver.is_none();
                 self.scope = scope;
                 let broadcast = &self.context.summary_broadcast;
                 self.receiver = Some(broadcast.subscribe(scope, self.form));
-                return Some(self.full_summary());
+                return Some(self.full_summary(knows_nothing));
             }
         };
         match receiver.recv().await {
             Ok(item) if item.generation == self.generation => Some(item.bytes),
-            Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => Some(self.full_summary()),
+            Ok(_) | Err(broadcast::error::RecvError::Lagged(_)) => Some(self.full_summary(false)),
             Err(broadcast::error::RecvError::Closed) => None,
         }
     }
 
-    fn full_summary(&mut self) -> Bytes {
+    /// `knows_nothing` if it is the first summary of the stream.
+    fn full_summary(&mut self, knows_nothing: bool) -> Bytes {
         let context = &self.context;
         let mut summary = summary_for(context, self.scope, true);
         if self.scope == Scope::Far {
             let loads = context.summary_broadcast.far_loads();
-            loads.replace_by_told(&mut summary.entries);
+            loads.replace_by_told(&mut summary.entries, knows_nothing);
         }
         let message = Message::new(context.boot, &summary, context.clock.now())
             .with_data_centre(&context.settings.borrow().data_centre);
