--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -18,6 +18,7 @@
     super::Members,
     crate::{rendezvous, time::Timestamp},
     std::{
+        cell::{Cell, RefCell},
         collections::{BTreeMap, BTreeSet},
         time::Duration,
     },
@@ -97,6 +98,10 @@
 /// Time after which the report of a peer does not count any more.
 const REPORT_TTL: Duration = Duration::from_secs(3);
 
+/// Time for which sums over all servers are kept. When servers crash, hundreds of reports arrive within a
+/// tenth of a second, and the weakest gateways have a sixteenth of a core.
+const SUMS_TTL: Duration = Duration::from_millis(100);
+
 /// Outcome of a request at a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
@@ -186,8 +191,21 @@
     /// Until when a server may be restricted, so that most choices need not look.
     restless_until: Timestamp,
     invalid_reports: u64,
+    sums: Sums,
+}
+
+/// Sums over all servers, with the time of each.
+#[derive(Debug, Default)]
+struct Sums {
+    /// Outcomes at the servers that had any, by service and server.
+    counts: RefCell<BTreeMap<String, (Timestamp, ServiceCounts)>>,
+    /// Whether the fault is probably that of this gateway.
+    local_fault: Cell<Option<(Timestamp, bool)>>,
 }
 
+/// Identifiers of servers, and the outcomes there.
+type ServiceCounts = Vec<(String, Counts)>;
+
 impl Containment {
     /// Creates the state of the gateway with the boot identifier `own_boot`.
     pub fn new(own_boot: u64) -> Self {
@@ -199,6 +217,7 @@
             events: Vec::new(),
             restless_until: Timestamp::START,
             invalid_reports: 0,
+            sums: Sums::default(),
         }
     }
 
@@ -566,15 +585,25 @@
         };
         let mut shares = Vec::new();
         let mut sum = Counts::default();
-        for (other, guard) in &self.guards {
-            if guard.service != own.service || other == id {
-                continue;
-            }
-            let counts = guard.sources(Some(true), now).counts;
-            if counts.outcomes() > 0 {
-                shares.push(counts.share());
-                sum = sum.plus(counts);
-            }
+        let mut services = self.sums.counts.borrow_mut();
+        let is_fresh = |at: Timestamp| now.since(at) < SUMS_TTL;
+        if !services
+            .get(&own.service)
+            .is_some_and(|(at, _)| is_fresh(*at))
+        {
+            services.insert(
+                own.service.clone(),
+                (now, self.service_counts(&own.service, now)),
+            );
+        }
+        let counts = services.get(&own.service).map(|(_, counts)| counts);
+        for (_, counts) in counts
+            .into_iter()
+            .flatten()
+            .filter(|(other, _)| other != id)
+        {
+            shares.push(counts.share());
+            sum = sum.plus(*counts);
         }
         shares.sort_by(f64::total_cmp);
         let median = shares.get(shares.len() / 2).copied().unwrap_or_default();
@@ -590,9 +619,29 @@
         (!self.has_local_fault(now)).then_some(is_certain)
     }
 
+    /// Outcomes at the servers of a service that had any.
+    fn service_counts(&self, service: &str, now: Timestamp) -> ServiceCounts {
+        let of_service = self.guards.iter().filter(|(_, it)| it.service == service);
+        of_service
+            .map(|(id, guard)| (id.clone(), guard.sources(Some(true), now).counts))
+            .filter(|(_, counts)| counts.outcomes() > 0)
+            .collect()
+    }
+
     /// Whether more than half of the servers that this gateway used have failed here and nowhere else.
     /// Ejected servers do not count: their trials fail more often than those of others.
     fn has_local_fault(&self, now: Timestamp) -> bool {
+        if let Some((at, is_local)) = self.sums.local_fault.get()
+            && now.since(at) < SUMS_TTL
+        {
+            return is_local;
+        }
+        let is_local = self.find_local_fault(now);
+        self.sums.local_fault.set(Some((now, is_local)));
+        is_local
+    }
+
+    fn find_local_fault(&self, now: Timestamp) -> bool {
         let mut used = 0;
         let mut failed = 0;
         for guard in self.guards.values() {
