--- a/daemon/src/gateway/scheduler.rs
+++ b/daemon/src/gateway/scheduler.rs
@@ -537,6 +537,7 @@
         state.ledger.set_share(connected, known, lag, now);
         state.visible_fraction = connected as f64 / known.max(connected).max(1) as f64;
         state.layout = layout;
+        state.update_containment_of_layout(now);
         let visible = Visibility {
             connected: connected.saturating_sub(1),
             has_unreachable: known > connected,
--- a/daemon/src/gateway/scheduler/ejection.rs
+++ b/daemon/src/gateway/scheduler/ejection.rs
@@ -66,7 +66,14 @@
 impl State {
     /// Applies the settings to the ejection of failing backend servers.
     pub(super) fn update_containment(&mut self, settings: &Settings, now: Timestamp) {
-        let is_enabled = settings.features.contains(Feature::Ejection);
+        self.is_ejection_requested = settings.features.contains(Feature::Ejection);
+        self.update_containment_of_layout(now);
+    }
+
+    /// Ejects only in a fleet of one cell. With 50 gateways in three cells the ejections took more capacity
+    /// than the failures that they avoided: loads of other cells are known late.
+    pub(super) fn update_containment_of_layout(&mut self, now: Timestamp) {
+        let is_enabled = self.is_ejection_requested && self.layout.is_single_cell();
         self.fleet.set_containment(is_enabled, self.boot, now);
     }
 
--- a/daemon/src/gateway/scheduler/state.rs
+++ b/daemon/src/gateway/scheduler/state.rs
@@ -96,6 +96,8 @@
     pub(super) visible_fraction: f64,
     pub(super) retry_ratio: f64,
     pub(super) retry_extra: f64,
+    /// Whether the settings ask for the ejection of failing backend servers.
+    pub(super) is_ejection_requested: bool,
     /// Peers whose reports of failures were logged as invalid.
     pub(super) peers_with_invalid_reports: HashSet<u64>,
     /// Versions of the services, and the rollouts among them.
@@ -128,6 +130,7 @@
             visible_fraction: 1.0,
             retry_ratio: settings.bounds.retry_ratio * RETRY_FRACTION,
             retry_extra: settings.bounds.retry_extra * RETRY_FRACTION,
+            is_ejection_requested: false,
             peers_with_invalid_reports: HashSet::new(),
             rollouts: rollout::Table::new(settings.rollout),
             invalid_rollout_reports: 0,
