--- a/wire/src/compact.rs
+++ b/wire/src/compact.rs
@@ -1,8 +1,8 @@
 //! Compact form of summaries: names are sent once per connection, then numbers.
 //!
 //! A message is a byte for its kind, a byte of flags that says which parts follow, and the parts. Integers
-//! are of variable length. The first message of a stream is [`KIND_FULL`] and has the sender's boot, data
-//! centre and the whole table of names; the others are [`KIND_CHANGES`] and have the names that are new.
+//! are of variable length. The first message of a stream is `KIND_FULL` and has the sender's boot, data
+//! centre and the whole table of names; the others are `KIND_CHANGES` and have the names that are new.
 //! Loads, quota use, waits and floors have a form of their own. All other fields of a [`Frame`] are sent as
 //! the former MessagePack [`Frame`] in the last part, so that a new field needs no change here.
 //!
