--- a/daemon/src/http/memory/body.rs
+++ b/daemon/src/http/memory/body.rs
@@ -23,6 +23,10 @@
 /// What the connection's buffer takes while a body is read.
 const READ_BUFFER_BYTES: usize = 32 * 1024;
 
+/// Longest body that is read whatever the configuration allows: no machine has as much memory, and sums of a
+/// few such lengths do not overflow.
+const MAX_BODY_BYTES: usize = u32::MAX as usize;
+
 /// Why a request's body could not be read.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum ReadError {
@@ -53,6 +57,7 @@
     where
         B: Body<Data = Bytes> + Unpin,
     {
+        let limit = limit.min(MAX_BODY_BYTES);
         let hint = body.size_hint();
         if hint.lower() > limit as u64 {
             return Err(ReadError::TooLarge);
