rollouts: names of the platform's settings stay in the adapter; admission counts ejected servers as ejected

core::rollout::Settings has exposure_share and exposure_extra for what the platform calls canary_share and canary_slack. Fleet::own_slots asked for the ejections of this gateway alone, and so counted servers that all gateways have ejected as usable.

--- a/core/src/fleet.rs
+++ b/core/src/fleet.rs
@@ -731,7 +731,7 @@
     pub fn own_slots(&self, service: &str, now: Timestamp) -> Option<f64> {
         let (mut slots, mut own, mut all) = (0, 0, 0);
         for server in self.servers.values() {
-            let is_usable = !server.is_leaving(now) && !server.health.is_ejected(now);
+            let is_usable = !server.is_leaving(now) && !self.is_ejected(server, now);
             if server.member.service == service && is_usable {
                 slots += u64::from(server.member.slots);
                 own += u64::from(server.own.requests);
--- a/core/src/rollout.rs
+++ b/core/src/rollout.rs
@@ -32,9 +32,9 @@
     /// Whether rollouts are carried out. If not, nothing is read or counted.
     pub is_enabled: bool,
     /// Part of a service's requests that a bad version may get at most.
-    pub canary_share: f64,
+    pub exposure_share: f64,
     /// Requests that it may get in addition, summed over all routers.
-    pub canary_slack: f64,
+    pub exposure_extra: f64,
     /// Time after the last tolerated bad answer within which the version gets no more requests.
     pub rollback: Duration,
 }
@@ -43,8 +43,8 @@
     fn default() -> Self {
         Self {
             is_enabled: false,
-            canary_share: 0.1,
-            canary_slack: 50.0,
+            exposure_share: 0.1,
+            exposure_extra: 50.0,
             rollback: Duration::from_millis(5_000),
         }
     }
--- a/core/src/rollout/machine.rs
+++ b/core/src/rollout/machine.rs
@@ -207,7 +207,7 @@
 
     fn schedule(&self, settings: &Settings) -> Schedule {
         let ready = self.ready.unwrap_or(self.started).since(self.started);
-        Schedule::new(self.target.ramp, ready, settings.canary_share)
+        Schedule::new(self.target.ramp, ready, settings.exposure_share)
     }
 
     /// Share of the new version.
@@ -248,8 +248,8 @@
     /// Whether a version whose answers are too few for a verdict may get more of them.
     fn has_early_slack(&self, settings: &Settings) -> bool {
         let (old, new) = self.statistics.sent();
-        let slack = settings.canary_slack * EARLY_SLACK_FRACTION;
-        new < (old + new) * settings.canary_share + slack
+        let slack = settings.exposure_extra * EARLY_SLACK_FRACTION;
+        new < (old + new) * settings.exposure_share + slack
     }
 
     /// Decides whether a new request goes to the new version.
--- a/core/src/rollout/schedule.rs
+++ b/core/src/rollout/schedule.rs
@@ -34,28 +34,28 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Schedule {
     ramp_s: f64,
-    canary_share: f64,
+    exposure_share: f64,
     /// When the rise begins and ends.
     rise: (f64, f64),
 }
 
 impl Schedule {
     /// A schedule whose version had its first server at `ready`.
-    pub fn new(ramp: Duration, ready: Duration, canary_share: f64) -> Self {
+    pub fn new(ramp: Duration, ready: Duration, exposure_share: f64) -> Self {
         let ramp_s = ramp.as_secs_f64().max(0.001);
         let ready = ready.as_secs_f64() / ramp_s;
         let start = RISE_START.max(ready + MIN_CANARY).min(RISE_END);
         let end = RISE_END.max(start + MIN_RISE);
         Self {
             ramp_s,
-            canary_share,
+            exposure_share,
             rise: (start, end),
         }
     }
 
     /// Share of the canary.
     pub fn canary(&self) -> f64 {
-        self.canary_share * CANARY_FRACTION
+        self.exposure_share * CANARY_FRACTION
     }
 
     /// Part of the ramp that has passed.
@@ -68,7 +68,7 @@
         let progress = self.progress(elapsed);
         let (start, end) = self.rise;
         let slow_end = SLOW_RISE_END.max(start).min(end);
-        let top = (self.canary_share * SLOW_RISE_SHARES)
+        let top = (self.exposure_share * SLOW_RISE_SHARES)
             .min(1.0)
             .max(self.canary());
         if progress < start {
--- a/core/src/rollout/table.rs
+++ b/core/src/rollout/table.rs
@@ -282,7 +282,7 @@
     }
 
     fn credit(&self, random: f64) -> Credit {
-        let advance = self.settings.canary_slack * ADVANCE_FRACTION;
+        let advance = self.settings.exposure_extra * ADVANCE_FRACTION;
         Credit::new(random, advance / self.routers.max(1) as f64)
     }
 
