--- a/core/src/fleet/containment.rs
+++ b/core/src/fleet/containment.rs
@@ -136,7 +136,7 @@
 
 /// Whether a request may be sent to a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Admission {
+pub enum Eligibility {
     /// It is the trial that an ejected server needs.
     Trial,
     /// Yes.
@@ -376,33 +376,33 @@
 
     /// Whether a request may be sent to a server at which this gateway has `own_requests`, and all gateways
     /// together `all_requests`.
-    pub fn admission(
+    pub fn eligibility(
         &self,
         id: &str,
         own_requests: u32,
         all_requests: u32,
         trial_use: TrialUse,
         now: Timestamp,
-    ) -> Admission {
+    ) -> Eligibility {
         if self.restless_until <= now {
-            return Admission::Free;
+            return Eligibility::Free;
         }
         let Some(guard) = self.guards.get(id) else {
-            return Admission::Free;
+            return Eligibility::Free;
         };
         if guard.paused_until > now {
-            return Admission::Blocked;
+            return Eligibility::Blocked;
         }
         match guard.phase {
             Phase::Ejected { .. } => match self.is_trial_due(guard, trial_use, now) {
-                true => Admission::Trial,
-                false => Admission::Blocked,
+                true => Eligibility::Trial,
+                false => Eligibility::Blocked,
             },
             // Not divided among the gateways: in a large fleet few of them have a request for it.
-            Phase::Returning { .. } if all_requests < guard.allowance(now) => Admission::Free,
-            Phase::Returning { .. } => Admission::Blocked,
-            Phase::Starting { allowed } if own_requests >= allowed => Admission::Cautious,
-            _ => Admission::Free,
+            Phase::Returning { .. } if all_requests < guard.allowance(now) => Eligibility::Free,
+            Phase::Returning { .. } => Eligibility::Blocked,
+            Phase::Starting { allowed } if own_requests >= allowed => Eligibility::Cautious,
+            _ => Eligibility::Free,
         }
     }
 
